--- /dev/null
+++ b/src/libloomjunction/core/attemptledger.cpp
@@ -0,0 +1,87 @@
+/*
+ * attemptledger.cpp
+ * Copyright 2026, the loomjunction authors
+ *
+ * This file is part of loomjunction (libloomjunction).
+ * SPDX-License-Identifier: BSD-2-Clause
+ */
+
+#include "attemptledger.h"
+
+#include <algorithm>
+
+namespace Loom {
+
+bool AttemptLedger::start(const AttemptKey &attempt, Instant now)
+{
+    forgetOld(now);
+    EntryLedger &ledger = ledgerOf(attempt.entry, now);
+    // Behind the horizon a tombstone may have been forgotten: refusing is the safe side.
+    if (attempt.sequence <= ledger.horizon || ledger.attempts.contains(attempt.sequence)) {
+        return false;
+    }
+    remember(ledger, attempt, State::Started, now);
+    return true;
+}
+
+RevokeResult AttemptLedger::revoke(const AttemptKey &attempt, Instant now)
+{
+    forgetOld(now);
+    EntryLedger &ledger = ledgerOf(attempt.entry, now);
+    const auto it = ledger.attempts.find(attempt.sequence);
+    if (it != ledger.attempts.end()) {
+        return it->second == State::Started ? RevokeResult::Started : RevokeResult::Revoked;
+    }
+    if (attempt.sequence <= ledger.horizon) {
+        return RevokeResult::TooOld;
+    }
+    remember(ledger, attempt, State::Tombstone, now);
+    return RevokeResult::Revoked;
+}
+
+AttemptLedger::EntryLedger &AttemptLedger::ledgerOf(const std::string &entry, Instant now)
+{
+    const auto it = mEntries.find(entry);
+    if (it != mEntries.end()) {
+        it->second.lastUsed = now;
+        return it->second;
+    }
+    if (mEntries.size() >= sMostEntries) {
+        const auto oldest = std::ranges::min_element(
+            mEntries, {}, [](const auto &pair) { return pair.second.lastUsed; });
+        mEntries.erase(oldest);
+    }
+    EntryLedger &fresh = mEntries[entry];
+    fresh.lastUsed = now;
+    return fresh;
+}
+
+void AttemptLedger::remember(EntryLedger &ledger, const AttemptKey &attempt, State state,
+                             Instant now)
+{
+    ledger.attempts[attempt.sequence] = state;
+    mOrder.push_back({attempt, now});
+    if (mOrder.size() > sMost) {
+        forgetOldest();
+    }
+}
+
+void AttemptLedger::forgetOld(Instant now)
+{
+    while (!mOrder.empty() && now - mOrder.front().at > sKept) {
+        forgetOldest();
+    }
+}
+
+void AttemptLedger::forgetOldest()
+{
+    const AttemptKey &attempt = mOrder.front().attempt;
+    const auto it = mEntries.find(attempt.entry);
+    if (it != mEntries.end()) {
+        it->second.attempts.erase(attempt.sequence);
+        it->second.horizon = std::max(it->second.horizon, attempt.sequence);
+    }
+    mOrder.pop_front();
+}
+
+} // namespace Loom
--- /dev/null
+++ b/src/libloomjunction/core/chunkplan.cpp
@@ -0,0 +1,330 @@
+/*
+ * chunkplan.cpp
+ * Copyright 2026, the loomjunction authors
+ *
+ * This file is part of loomjunction (libloomjunction).
+ * SPDX-License-Identifier: BSD-2-Clause
+ */
+
+#include "chunkplan.h"
+
+#include "rendezvous.h"
+
+#include <algorithm>
+#include <numeric>
+
+namespace Loom {
+
+namespace {
+
+constexpr Milliseconds sOriginRetry{1'000};
+constexpr Milliseconds sBusyPause{20};
+constexpr Milliseconds sMissingPause{200};
+constexpr Milliseconds sGonePause{2'000};
+constexpr Milliseconds sCorruptPause{30'000};
+// Part of the neighbours that are picked from all members, so that data
+// centres stay connected with each other.
+constexpr std::uint32_t sFarEvery = 3;
+
+Milliseconds pauseAfter(ChunkFailure why)
+{
+    switch (why) {
+    case ChunkFailure::Busy:
+        return sBusyPause;
+    case ChunkFailure::Missing:
+        return sMissingPause;
+    case ChunkFailure::Corrupt:
+        return sCorruptPause;
+    case ChunkFailure::Gone:
+    case ChunkFailure::TimedOut:
+        return sGonePause;
+    }
+    return sGonePause;
+}
+
+} // namespace
+
+ChunkPlan::ChunkPlan(std::string_view manifestDigest, std::uint32_t chunkCount, SwarmMember self,
+                     Options options, Instant now)
+    : mDigest(manifestDigest)
+    , mSelf(std::move(self))
+    , mOptions(options)
+    , mChunks(chunkCount)
+    , mLastProgress(now)
+    , mRandom(options.seed)
+{
+    for (Chunk &chunk : mChunks) {
+        chunk.tieBreak = static_cast<std::uint32_t>(mRandom());
+    }
+    setMembers({});
+}
+
+void ChunkPlan::setMembers(std::span<const SwarmMember> members)
+{
+    std::vector<SwarmMember> sorted(members.begin(), members.end());
+    const auto isSelf = [&](const SwarmMember &member) { return member.box == mSelf.box; };
+    if (std::ranges::none_of(sorted, isSelf)) {
+        sorted.push_back(mSelf);
+    }
+    std::ranges::sort(sorted, {}, &SwarmMember::box);
+    const auto same = [](const SwarmMember &a, const SwarmMember &b) { return a.box == b.box; };
+    if (std::ranges::equal(sorted, mMembers, same)) {
+        return;
+    }
+    mMembers = std::move(sorted);
+    rankChunks();
+    chooseNeighbours();
+}
+
+void ChunkPlan::rankChunks()
+{
+    for (std::uint32_t index = 0; index < mChunks.size(); ++index) {
+        const std::string key = mDigest + "#" + std::to_string(index);
+        const std::uint64_t own = rendezvousWeight(key, mSelf.box);
+        mChunks[index].originRank = static_cast<std::uint32_t>(
+            std::ranges::count_if(mMembers, [&](const SwarmMember &member) {
+                return member.box != mSelf.box && rendezvousWeight(key, member.box) > own;
+            }));
+    }
+}
+
+void ChunkPlan::chooseNeighbours()
+{
+    std::vector<std::string> near;
+    std::vector<std::string> all;
+    for (const SwarmMember &member : mMembers) {
+        if (member.box == mSelf.box) {
+            continue;
+        }
+        all.push_back(member.box);
+        if (member.dataCentre == mSelf.dataCentre) {
+            near.push_back(member.box);
+        }
+    }
+    const auto pick = [&](const std::vector<std::string> &from, std::size_t count) {
+        std::vector<std::string> chosen;
+        for (const std::size_t index : rendezvousOrder(mSelf.box + "/" + mDigest, from, count)) {
+            chosen.push_back(from[index]);
+        }
+        return chosen;
+    };
+    const std::uint32_t far = std::max<std::uint32_t>(1, mOptions.neighbours / sFarEvery);
+    std::vector<std::string> wanted = pick(near, mOptions.neighbours - far);
+    for (const std::string &box : pick(all, all.size())) {
+        const bool enough = wanted.size() >= mOptions.neighbours;
+        if (enough) {
+            break;
+        }
+        if (std::ranges::find(wanted, box) == wanted.end()) {
+            wanted.push_back(box);
+        }
+    }
+    // The next member in order keeps the whole swarm one connected ring.
+    const auto next = std::ranges::upper_bound(all, mSelf.box);
+    if (!all.empty()) {
+        const std::string &successor = next == all.end() ? all.front() : *next;
+        if (std::ranges::find(wanted, successor) == wanted.end()) {
+            wanted.push_back(successor);
+        }
+    }
+
+    for (auto it = mPeers.begin(); it != mPeers.end();) {
+        const bool stays = std::ranges::find(wanted, it->first) != wanted.end();
+        if (stays) {
+            ++it;
+            continue;
+        }
+        const std::string box = it->first;
+        ++it;
+        peerGone(box);
+        mPeers.erase(box);
+    }
+    for (const std::string &box : wanted) {
+        Peer &peer = mPeers[box];
+        peer.has.resize(mChunks.size());
+        peer.sameDataCentre = std::ranges::find(near, box) != near.end();
+    }
+}
+
+std::vector<std::string> ChunkPlan::neighbours() const
+{
+    std::vector<std::string> boxes;
+    for (const auto &[box, peer] : mPeers) {
+        boxes.push_back(box);
+    }
+    return boxes;
+}
+
+void ChunkPlan::peerHas(std::string_view box, std::uint32_t index)
+{
+    const auto it = mPeers.find(box);
+    if (it == mPeers.end() || index >= mChunks.size() || it->second.has[index]) {
+        return;
+    }
+    it->second.has[index] = true;
+    ++mChunks[index].holders;
+}
+
+void ChunkPlan::peerGone(std::string_view box)
+{
+    const auto it = mPeers.find(box);
+    if (it == mPeers.end()) {
+        return;
+    }
+    for (std::uint32_t index = 0; index < mChunks.size(); ++index) {
+        if (it->second.has[index]) {
+            it->second.has[index] = false;
+            --mChunks[index].holders;
+        }
+    }
+}
+
+std::vector<ChunkFetch> ChunkPlan::next(Instant now)
+{
+    std::vector<ChunkFetch> out;
+    planPeers(out, now);
+    planOrigin(out, now);
+    return out;
+}
+
+bool ChunkPlan::mayPullFromOrigin(const Chunk &chunk, Instant now) const
+{
+    if (chunk.originRetryAt > now) {
+        return false;
+    }
+    if (chunk.originRank < mOptions.originCopies) {
+        return true;
+    }
+    // The responsible members may be dead or stalled. Later members step in one
+    // after the other, counted from this box's last progress, so that a swarm
+    // that still moves pulls nothing twice.
+    const std::uint32_t turn = chunk.originRank / mOptions.originCopies;
+    return chunk.holders == 0 && now - mLastProgress >= mOptions.takeover * static_cast<int>(turn);
+}
+
+void ChunkPlan::planOrigin(std::vector<ChunkFetch> &out, Instant now)
+{
+    // The rarest first here too: a chunk that a neighbour holds can wait.
+    std::vector<std::uint32_t> wanted;
+    for (std::uint32_t index = 0; index < mChunks.size(); ++index) {
+        const Chunk &chunk = mChunks[index];
+        if (chunk.state == State::Missing && mayPullFromOrigin(chunk, now)) {
+            wanted.push_back(index);
+        }
+    }
+    std::ranges::sort(wanted, {}, [&](std::uint32_t index) {
+        return std::pair(mChunks[index].holders, mChunks[index].tieBreak);
+    });
+    for (const std::uint32_t index : wanted) {
+        if (mOpenOrigin >= mOptions.originParallel) {
+            return;
+        }
+        mChunks[index].state = State::Asked;
+        ++mOpenOrigin;
+        out.push_back({index, FromOrigin{}});
+    }
+}
+
+void ChunkPlan::planPeers(std::vector<ChunkFetch> &out, Instant now)
+{
+    if (mOpenPeers >= mOptions.peerParallel) {
+        return;
+    }
+    std::vector<std::uint32_t> wanted;
+    for (std::uint32_t index = 0; index < mChunks.size(); ++index) {
+        if (mChunks[index].state == State::Missing && mChunks[index].holders > 0) {
+            wanted.push_back(index);
+        }
+    }
+    std::ranges::sort(wanted, {}, [&](std::uint32_t index) {
+        return std::pair(mChunks[index].holders, mChunks[index].tieBreak);
+    });
+    for (const std::uint32_t index : wanted) {
+        if (mOpenPeers >= mOptions.peerParallel) {
+            return;
+        }
+        const auto box = bestHolder(index, now);
+        if (!box) {
+            continue;
+        }
+        mChunks[index].state = State::Asked;
+        ++mOpenPeers;
+        ++mPeers.find(*box)->second.open;
+        out.push_back({index, FromPeer{*box}});
+    }
+}
+
+std::optional<std::string> ChunkPlan::bestHolder(std::uint32_t index, Instant now) const
+{
+    const std::string *best = nullptr;
+    std::pair<std::uint32_t, bool> bestCost;
+    for (const auto &[box, peer] : mPeers) {
+        const bool usable
+            = peer.has[index] && peer.open < mOptions.perPeerParallel && peer.avoidedUntil <= now;
+        if (!usable) {
+            continue;
+        }
+        const std::pair cost{peer.open, !peer.sameDataCentre};
+        if (best == nullptr || cost < bestCost) {
+            best = &box;
+            bestCost = cost;
+        }
+    }
+    return best == nullptr ? std::nullopt : std::optional(*best);
+}
+
+void ChunkPlan::closeRequest(const ChunkSource &source)
+{
+    const auto *fromPeer = std::get_if<FromPeer>(&source);
+    if (fromPeer == nullptr) {
+        --mOpenOrigin;
+        return;
+    }
+    --mOpenPeers;
+    const auto it = mPeers.find(fromPeer->box);
+    if (it != mPeers.end() && it->second.open > 0) {
+        --it->second.open;
+    }
+}
+
+void ChunkPlan::adopt(std::uint32_t index)
+{
+    if (mChunks[index].state != State::Have) {
+        mChunks[index].state = State::Have;
+        ++mHaveCount;
+    }
+}
+
+void ChunkPlan::received(std::uint32_t index, const ChunkSource &source, Instant now)
+{
+    closeRequest(source);
+    adopt(index);
+    mLastProgress = now;
+}
+
+void ChunkPlan::failed(std::uint32_t index, const ChunkSource &source, ChunkFailure why,
+                       Instant now)
+{
+    closeRequest(source);
+    Chunk &chunk = mChunks[index];
+    if (chunk.state == State::Asked) {
+        chunk.state = State::Missing;
+    }
+    const auto *fromPeer = std::get_if<FromPeer>(&source);
+    if (fromPeer == nullptr) {
+        chunk.originRetryAt = now + sOriginRetry;
+        return;
+    }
+    const auto it = mPeers.find(fromPeer->box);
+    if (it == mPeers.end()) {
+        return;
+    }
+    it->second.avoidedUntil = std::max(it->second.avoidedUntil, now + pauseAfter(why));
+    const bool lacksIt = why == ChunkFailure::Missing || why == ChunkFailure::Corrupt;
+    if (lacksIt && it->second.has[index]) {
+        it->second.has[index] = false;
+        --chunk.holders;
+    }
+}
+
+} // namespace Loom
--- /dev/null
+++ b/src/libloomjunction/core/chunkplan.h
@@ -0,0 +1,153 @@
+/*
+ * chunkplan.h
+ * Copyright 2026, the loomjunction authors
+ *
+ * This file is part of loomjunction (libloomjunction).
+ * SPDX-License-Identifier: BSD-2-Clause
+ */
+
+#pragma once
+
+#include "instant.h"
+
+#include <cstdint>
+#include <map>
+#include <optional>
+#include <random>
+#include <span>
+#include <string>
+#include <string_view>
+#include <variant>
+#include <vector>
+
+namespace Loom {
+
+struct FromOrigin
+{
+};
+struct FromPeer
+{
+    std::string box;
+};
+using ChunkSource = std::variant<FromOrigin, FromPeer>;
+
+/** One chunk to ask for now. */
+struct ChunkFetch
+{
+    std::uint32_t index = 0;
+    ChunkSource source;
+};
+
+/** Why a chunk did not come. */
+enum class ChunkFailure : std::uint8_t
+{
+    Busy,
+    Missing,
+    Corrupt,
+    Gone,
+    TimedOut
+};
+
+/** Another agent that fetches or holds the same version. */
+struct SwarmMember
+{
+    std::string box;
+    std::string dataCentre;
+};
+
+/**
+ * Decides which chunk one agent asks whom for, without a leader: every chunk
+ * has responsible members by rendezvous, who pull it from the origin; all
+ * others wait for a neighbour to have it, rarest first, own data centre
+ * first. Owned by the agent's weights service, one for each fetch.
+ */
+class ChunkPlan
+{
+public:
+    struct Options
+    {
+        std::uint32_t originCopies = 1; ///< members that pull a chunk from the origin
+        std::uint32_t originParallel = 2; ///< requests open to the origin
+        std::uint32_t peerParallel = 6; ///< requests open to all neighbours
+        std::uint32_t perPeerParallel = 2; ///< requests open to one neighbour
+        std::uint32_t neighbours = 8;
+        Milliseconds takeover{4'000}; ///< without progress, the next member in order steps in
+        std::uint64_t seed = 1;
+    };
+
+    ChunkPlan(std::string_view manifestDigest, std::uint32_t chunkCount, SwarmMember self,
+              Options options, Instant now);
+
+    /** The live members, this one among them or not. */
+    void setMembers(std::span<const SwarmMember> members);
+
+    /** The members whose chunks this agent should follow. */
+    std::vector<std::string> neighbours() const;
+    bool isNeighbour(std::string_view box) const { return mPeers.contains(box); }
+
+    void peerHas(std::string_view box, std::uint32_t index);
+    void peerGone(std::string_view box);
+
+    /** Requests to send now; each must be answered by received() or failed(). */
+    std::vector<ChunkFetch> next(Instant now);
+
+    /** Chunk @p index was here before the plan began. */
+    void adopt(std::uint32_t index);
+    /** Chunk @p index came whole and verified. */
+    void received(std::uint32_t index, const ChunkSource &source, Instant now);
+    void failed(std::uint32_t index, const ChunkSource &source, ChunkFailure why, Instant now);
+
+    bool has(std::uint32_t index) const { return mChunks[index].state == State::Have; }
+    std::uint32_t haveCount() const { return mHaveCount; }
+    std::uint32_t chunkCount() const { return static_cast<std::uint32_t>(mChunks.size()); }
+    bool isComplete() const { return mHaveCount == mChunks.size(); }
+    /** The manifest's digest that this plan fetches. */
+    const std::string &manifestDigest() const { return mDigest; }
+
+private:
+    enum class State : std::uint8_t
+    {
+        Missing,
+        Asked,
+        Have
+    };
+
+    struct Chunk
+    {
+        State state = State::Missing;
+        std::uint32_t originRank = 0; ///< our place in the rendezvous order of this chunk
+        std::uint32_t holders = 0; ///< neighbours known to have it
+        std::uint32_t tieBreak = 0;
+        Instant originRetryAt;
+    };
+
+    struct Peer
+    {
+        bool sameDataCentre = false;
+        std::vector<bool> has;
+        std::uint32_t open = 0;
+        Instant avoidedUntil;
+    };
+
+    void rankChunks();
+    void chooseNeighbours();
+    void planOrigin(std::vector<ChunkFetch> &out, Instant now);
+    void planPeers(std::vector<ChunkFetch> &out, Instant now);
+    bool mayPullFromOrigin(const Chunk &chunk, Instant now) const;
+    std::optional<std::string> bestHolder(std::uint32_t index, Instant now) const;
+    void closeRequest(const ChunkSource &source);
+
+    std::string mDigest;
+    SwarmMember mSelf;
+    Options mOptions;
+    std::vector<Chunk> mChunks;
+    std::vector<SwarmMember> mMembers;
+    std::map<std::string, Peer, std::less<>> mPeers;
+    std::uint32_t mHaveCount = 0;
+    std::uint32_t mOpenOrigin = 0;
+    std::uint32_t mOpenPeers = 0;
+    Instant mLastProgress;
+    std::mt19937_64 mRandom;
+};
+
+} // namespace Loom
--- /dev/null
+++ b/src/libloomjunction/core/claimtable.h
@@ -0,0 +1,94 @@
+/*
+ * claimtable.h
+ * Copyright 2026, the loomjunction authors
+ *
+ * This file is part of loomjunction (libloomjunction).
+ * SPDX-License-Identifier: BSD-2-Clause
+ */
+
+#pragma once
+
+#include "instant.h"
+#include "oncekey.h"
+#include "wire.pb.h"
+
+#include <cstdint>
+#include <deque>
+#include <map>
+#include <optional>
+#include <span>
+#include <string>
+#include <string_view>
+#include <unordered_map>
+
+namespace Loom {
+
+/** The home that the log settled for a caller's own key. */
+struct ClaimedHome
+{
+    std::string service;
+    std::string box;
+    std::uint64_t incarnation = 0;
+};
+
+/**
+ * Fold of the claim stream: the first claim of a key, at the lowest offset,
+ * names its home for good. Every entry folds the same stream and so sends a
+ * key to the same home. Owned by the claims service of an entry.
+ */
+class ClaimTable
+{
+public:
+    /**
+     * Folds records read from the log, whose oldest kept offset is
+     * @p logFirst; @p wallNow is the reader's clock.
+     */
+    void feed(std::span<const wire::StoredRecord> records, std::uint64_t logFirst,
+              WallMilliseconds wallNow, Instant now);
+
+    std::uint64_t nextOffset() const { return mNext; }
+    std::optional<ClaimedHome> home(std::string_view key) const;
+
+    /**
+     * Whether this table surely holds every claim of a key born at @p born,
+     * once it has read up to the key's own claim.
+     */
+    bool covers(WallMilliseconds born) const;
+
+    std::size_t size() const { return mHomes.size(); }
+
+private:
+    struct Remembered
+    {
+        std::string key;
+        Instant until;
+    };
+
+    void forgetOld(Instant now);
+
+    std::uint64_t mNext = 0;
+    bool mHasRead = false;
+    WallMilliseconds mCompleteSince{0}; ///< wall time from which no claim was missed
+    std::unordered_map<std::string, ClaimedHome> mHomes;
+    std::deque<Remembered> mOrder;
+};
+
+/**
+ * Gathers claims into one append at a time, so that appends grow with time
+ * and not with calls. Pure: the shell sends what take() hands out.
+ */
+class ClaimBatcher
+{
+public:
+    void add(wire::KeyClaim claim) { mWaiting.push_back(std::move(claim)); }
+    bool isEmpty() const { return mWaiting.empty(); }
+    /** Up to sMostPerBatch waiting claims as one record. */
+    wire::ClaimBatch take(std::string_view writer, WallMilliseconds wallNow);
+
+    static constexpr std::size_t sMostPerBatch = 512;
+
+private:
+    std::deque<wire::KeyClaim> mWaiting;
+};
+
+} // namespace Loom
--- /dev/null
+++ b/src/libloomjunction/core/configreplica.h
@@ -0,0 +1,130 @@
+/*
+ * configreplica.h
+ * Copyright 2026, the loomjunction authors
+ *
+ * This file is part of loomjunction (libloomjunction).
+ * SPDX-License-Identifier: BSD-2-Clause
+ */
+
+#pragma once
+
+#include "configstate.h"
+#include "instant.h"
+#include "wire.pb.h"
+
+#include <cstdint>
+#include <deque>
+#include <functional>
+#include <map>
+#include <optional>
+#include <span>
+#include <string>
+#include <vector>
+
+namespace Loom {
+
+/** What feeding records to a ConfigReplica came to. */
+enum class FeedResult : std::uint8_t
+{
+    Applied, ///< everything offered is folded
+    Gap, ///< records between the replica and the offered ones are missing
+};
+
+/** Gathers the chunks of snapshots until one is complete and its digest fits. */
+class SnapshotAssembler
+{
+public:
+    /** The snapshot that @p chunk completes, if it does and its digest holds. */
+    std::optional<wire::ConfigSnapshot> add(const wire::SnapshotChunk &chunk);
+    void clear() { mParts.clear(); }
+
+private:
+    struct Parts
+    {
+        std::map<std::uint32_t, std::string> data;
+    };
+    std::map<std::string, Parts> mParts; // by "asOf/digest"
+};
+
+/** Cuts @p snapshot into records for the log. */
+std::vector<wire::ConfigRecord> snapshotRecords(const wire::ConfigSnapshot &snapshot);
+
+/**
+ * One box's copy of the configuration. It is fed from the log, from peers or
+ * from a snapshot, in any mixture; it never skips a record and never goes to
+ * a lower offset than it has had. Owned by the configuration service.
+ */
+class ConfigReplica
+{
+public:
+    const ConfigState &state() const { return mState; }
+    bool isReady() const { return !mState.isEmpty(); }
+
+    /** Offset to read from the log next. */
+    std::uint64_t nextOffset() const;
+
+    /**
+     * Feeds records read from the log, whose oldest kept offset is
+     * @p logFirst. When the log no longer reaches back to this replica the
+     * records are held until a complete snapshot among them closes the gap.
+     */
+    FeedResult feedLog(std::span<const wire::StoredRecord> records, std::uint64_t logFirst,
+                       Instant now);
+
+    /** Feeds what a peer pushed. */
+    FeedResult feedPeer(const wire::ConfigUpdate &update, Instant now);
+
+    /** What a peer standing at @p offset lacks; nothing where it lacks nothing. */
+    std::optional<wire::ConfigUpdate> updateFor(std::uint64_t offset, bool hasConfig) const;
+
+    /** Offset the next log read must start from while a gap is open. */
+    std::uint64_t readFrom() const;
+
+    /** Calls @p listener after each change of state. */
+    void setListener(std::function<void()> listener) { mListener = std::move(listener); }
+
+    /** Changes folded since the newest complete snapshot seen. */
+    std::uint64_t changesSinceSnapshot() const { return mChangesSinceSnapshot; }
+    /** When the newest complete snapshot was written; nothing before the first. */
+    std::optional<Instant> snapshotTime() const { return mSnapshotTime; }
+
+    /** Records kept for peers that are a little behind. */
+    static constexpr std::size_t sTailKept = 512;
+
+private:
+    bool feedOne(const wire::StoredRecord &record, Instant now);
+    void fold(const wire::StoredRecord &record, const wire::ConfigRecord &parsed);
+    void noteSnapshotChunk(const wire::StoredRecord &record, const wire::SnapshotChunk &chunk,
+                           Instant now);
+    void adopt(const wire::ConfigSnapshot &snapshot);
+    FeedResult feedAcrossGap(std::span<const wire::StoredRecord> records, std::uint64_t logFirst,
+                             Instant now);
+    void keep(const wire::StoredRecord &record);
+    void notify();
+
+    ConfigState mState;
+    std::deque<wire::StoredRecord> mTail;
+    SnapshotAssembler mAssembler;
+    std::vector<wire::StoredRecord> mHeld; // read beyond a gap, waiting for a snapshot
+    std::function<void()> mListener;
+    std::uint64_t mChangesSinceSnapshot = 0;
+    std::optional<Instant> mSnapshotTime;
+};
+
+/** When an entry should append a snapshot. */
+struct SnapshotPolicy
+{
+    std::uint64_t changes = 200; ///< after this many changes
+    Milliseconds retention{3'600'000}; ///< how long the log keeps records
+    Milliseconds rankDelay{2'000}; ///< wait per place in the rendezvous order
+
+    /**
+     * How long to wait before writing, for the entry at place @p rank of the
+     * rendezvous order; nothing while no snapshot is due. A later place waits
+     * longer and finds it done, so that about one is written.
+     */
+    std::optional<Milliseconds> delay(const ConfigReplica &replica, std::size_t rank,
+                                      Instant now) const;
+};
+
+} // namespace Loom
--- /dev/null
+++ b/src/libloomjunction/core/configstate.cpp
@@ -0,0 +1,467 @@
+/*
+ * configstate.cpp
+ * Copyright 2026, the loomjunction authors
+ *
+ * This file is part of loomjunction (libloomjunction).
+ * SPDX-License-Identifier: BSD-2-Clause
+ */
+
+#include "configstate.h"
+
+#include "settingschema.h"
+
+#include <boost/json.hpp>
+
+namespace Loom {
+
+namespace {
+
+constexpr std::string_view sRootScope = "/";
+constexpr std::string_view sServedVersionKey = "model.version";
+constexpr std::string_view sSpreadVersionKey = "model.spread";
+constexpr std::string_view sServicePrefix = "/service/";
+constexpr std::string_view sAccountPrefix = "/account/";
+constexpr std::uint32_t sLeastChunkBytes = 1024;
+constexpr std::uint32_t sMostChunkBytes = 4 * 1024 * 1024;
+
+std::string joined(std::string_view prefix, std::string_view name)
+{
+    return std::string(prefix) + std::string(name);
+}
+
+std::string summaryOf(const wire::ConfigOperation &operation)
+{
+    switch (operation.operation_case()) {
+    case wire::ConfigOperation::kSetValue:
+        return "set " + operation.set_value().scope() + " " + operation.set_value().key() + "="
+            + operation.set_value().value();
+    case wire::ConfigOperation::kUnsetValue:
+        return "unset " + operation.unset_value().scope() + " " + operation.unset_value().key();
+    case wire::ConfigOperation::kCreateService:
+        return "create service " + operation.create_service().name();
+    case wire::ConfigOperation::kCreateAccount:
+        return "create account " + operation.create_account().name();
+    case wire::ConfigOperation::kPublishVersion:
+        return "publish " + operation.publish_version().service() + " "
+            + operation.publish_version().version();
+    case wire::ConfigOperation::OPERATION_NOT_SET:
+        return "empty";
+    }
+    return "empty";
+}
+
+bool isTextOf(const std::string &json, std::string_view text)
+{
+    return json == boost::json::serialize(boost::json::string(text));
+}
+
+std::string textOf(const std::string &json)
+{
+    boost::system::error_code error;
+    const boost::json::value value = boost::json::parse(json, error);
+    return !error && value.is_string() ? std::string(value.as_string()) : std::string();
+}
+
+std::int64_t integerOf(const std::string &json)
+{
+    boost::system::error_code error;
+    const boost::json::value value = boost::json::parse(json, error);
+    return !error && value.is_int64() ? value.as_int64() : 0;
+}
+
+bool isVersionKey(std::string_view key)
+{
+    return key == sServedVersionKey || key == sSpreadVersionKey;
+}
+
+} // namespace
+
+ChangeResult ConfigState::apply(const wire::ConfigChange &change, std::uint64_t offset)
+{
+    mAsOf = offset;
+    if (const auto known = fate(change.change_id())) {
+        return *known;
+    }
+    ChangeResult result;
+    result.offset = offset;
+    result.reason = problem(change);
+    result.accepted = result.reason.empty();
+    if (result.accepted) {
+        for (const wire::ConfigOperation &operation : change.operations()) {
+            perform(operation, offset);
+        }
+    }
+    remember(change, result);
+    return result;
+}
+
+std::string ConfigState::problem(const wire::ConfigChange &change) const
+{
+    if (change.change_id().empty()) {
+        return "changeId: expected text, found none";
+    }
+    if (change.operations().empty()) {
+        return "operations: expected at least one, found none";
+    }
+    if (change.operations_size() == 1) {
+        return operationProblem(change.operations(0), change.base());
+    }
+    // Each operation is judged against the state left by the ones before it,
+    // so a change may create a service and set its values; all or nothing.
+    ConfigState trial = *this;
+    trial.mFates.clear();
+    trial.mFateById.clear();
+    for (const wire::ConfigOperation &operation : change.operations()) {
+        const std::string reason = trial.operationProblem(operation, change.base());
+        if (!reason.empty()) {
+            return reason;
+        }
+        trial.perform(operation, change.base());
+    }
+    return {};
+}
+
+std::string ConfigState::operationProblem(const wire::ConfigOperation &operation,
+                                          std::uint64_t base) const
+{
+    switch (operation.operation_case()) {
+    case wire::ConfigOperation::kSetValue:
+        return setProblem(operation.set_value(), base);
+    case wire::ConfigOperation::kUnsetValue: {
+        const wire::UnsetValue &unset = operation.unset_value();
+        if (!mSettings.contains({unset.scope(), unset.key()})) {
+            return "unset: no value of '" + unset.key() + "' at " + unset.scope();
+        }
+        if (isNewerThan(unset.scope(), unset.key(), base)) {
+            return "race: '" + unset.key() + "' at " + unset.scope() + " changed since the base";
+        }
+        return {};
+    }
+    case wire::ConfigOperation::kCreateService: {
+        const wire::CreateService &create = operation.create_service();
+        if (const auto wrong = scopeProblem(joined(sServicePrefix, create.name()))) {
+            return *wrong;
+        }
+        if (mServices.contains(create.name())) {
+            return "service '" + create.name() + "' exists";
+        }
+        if (!create.account().empty() && !hasAccount(create.account())) {
+            return "account '" + create.account() + "' is not known";
+        }
+        return {};
+    }
+    case wire::ConfigOperation::kCreateAccount: {
+        const std::string &name = operation.create_account().name();
+        if (const auto wrong = scopeProblem(joined(sAccountPrefix, name))) {
+            return *wrong;
+        }
+        return hasAccount(name) ? "account '" + name + "' exists" : std::string();
+    }
+    case wire::ConfigOperation::kPublishVersion:
+        return versionProblem(operation.publish_version());
+    case wire::ConfigOperation::OPERATION_NOT_SET:
+        return "operation: expected one of the known kinds, found none";
+    }
+    return "operation: unreadable";
+}
+
+std::string ConfigState::scopeTargetProblem(std::string_view scope) const
+{
+    if (const auto wrong = scopeProblem(scope)) {
+        return *wrong;
+    }
+    if (scope.starts_with(sServicePrefix)
+        && service(scope.substr(sServicePrefix.size())) == nullptr) {
+        return "scope '" + std::string(scope) + "': no such service";
+    }
+    if (scope.starts_with(sAccountPrefix) && !hasAccount(scope.substr(sAccountPrefix.size()))) {
+        return "scope '" + std::string(scope) + "': no such client account";
+    }
+    return {};
+}
+
+std::string ConfigState::setProblem(const wire::SetValue &set, std::uint64_t base) const
+{
+    if (std::string wrong = scopeTargetProblem(set.scope()); !wrong.empty()) {
+        return wrong;
+    }
+    if (const auto wrong = settingProblem(set.key(), set.value())) {
+        return *wrong;
+    }
+    if (isNewerThan(set.scope(), set.key(), base)) {
+        return "race: '" + set.key() + "' at " + set.scope() + " changed since the base";
+    }
+    if (!isVersionKey(set.key()) || isTextOf(set.value(), "")) {
+        return {};
+    }
+    if (!set.scope().starts_with(sServicePrefix)) {
+        return "setting '" + set.key() + "': expected at a service, found at " + set.scope();
+    }
+    const std::string name = set.scope().substr(sServicePrefix.size());
+    const std::string wanted = textOf(set.value());
+    if (version(name, wanted) == nullptr) {
+        return "setting '" + set.key() + "': service '" + name + "' has no version '" + wanted
+            + "'";
+    }
+    return {};
+}
+
+std::string ConfigState::versionProblem(const wire::PublishVersion &publish) const
+{
+    constexpr std::size_t sDigestCharacters = 64;
+    const wire::ServiceEntry *owner = service(publish.service());
+    if (owner == nullptr) {
+        return "service '" + publish.service() + "' is not known";
+    }
+    if (owner->kind() != wire::SERVICE_MODEL) {
+        return "service '" + publish.service() + "' serves no model";
+    }
+    if (publish.version().empty()) {
+        return "version: expected a name, found none";
+    }
+    if (publish.manifest_digest().size() != sDigestCharacters) {
+        return "manifestDigest: expected 64 hex characters, found '" + publish.manifest_digest()
+            + "'";
+    }
+    if (publish.size_bytes() == 0) {
+        return "sizeBytes: expected more than 0";
+    }
+    if (publish.chunk_bytes() < sLeastChunkBytes || publish.chunk_bytes() > sMostChunkBytes) {
+        return "chunkBytes: expected " + std::to_string(sLeastChunkBytes) + " to "
+            + std::to_string(sMostChunkBytes) + ", found " + std::to_string(publish.chunk_bytes());
+    }
+    // A version's name never means two sets of weights, or answers could not be checked.
+    if (version(publish.service(), publish.version()) != nullptr) {
+        return "version '" + publish.version() + "' of '" + publish.service() + "' exists";
+    }
+    return {};
+}
+
+bool ConfigState::isNewerThan(const std::string &scope, const std::string &key,
+                              std::uint64_t base) const
+{
+    const bool nothingSeen = base == sNothing;
+    const auto newer = [&](std::uint64_t offset) { return nothingSeen || offset > base; };
+    if (const auto it = mSettings.find({scope, key}); it != mSettings.end()) {
+        return newer(it->second.offset);
+    }
+    const auto removed = mRemoved.find({scope, key});
+    return removed != mRemoved.end() && newer(removed->second);
+}
+
+void ConfigState::perform(const wire::ConfigOperation &operation, std::uint64_t offset)
+{
+    switch (operation.operation_case()) {
+    case wire::ConfigOperation::kSetValue:
+        performSet(operation.set_value(), offset);
+        return;
+    case wire::ConfigOperation::kUnsetValue: {
+        const wire::UnsetValue &unset = operation.unset_value();
+        mSettings.erase({unset.scope(), unset.key()});
+        mRemoved[{unset.scope(), unset.key()}] = offset;
+        return;
+    }
+    case wire::ConfigOperation::kCreateService: {
+        const wire::CreateService &create = operation.create_service();
+        wire::ServiceEntry &entry = mServices[create.name()];
+        entry.set_name(create.name());
+        entry.set_kind(create.kind());
+        entry.set_account(create.account());
+        entry.set_region(create.region());
+        entry.set_offset(offset);
+        return;
+    }
+    case wire::ConfigOperation::kCreateAccount: {
+        wire::AccountEntry &entry = mAccounts[operation.create_account().name()];
+        entry.set_name(operation.create_account().name());
+        entry.set_offset(offset);
+        return;
+    }
+    case wire::ConfigOperation::kPublishVersion: {
+        const wire::PublishVersion &publish = operation.publish_version();
+        wire::VersionEntry &entry = mVersions[{publish.service(), publish.version()}];
+        *entry.mutable_version() = publish;
+        entry.set_offset(offset);
+        return;
+    }
+    case wire::ConfigOperation::OPERATION_NOT_SET:
+        return;
+    }
+}
+
+void ConfigState::performSet(const wire::SetValue &set, std::uint64_t offset)
+{
+    SettingValue &value = mSettings[{set.scope(), set.key()}];
+    if (set.key() == sServedVersionKey && set.scope().starts_with(sServicePrefix)) {
+        const auto it = mServices.find(set.scope().substr(sServicePrefix.size()));
+        const std::string before = textOf(value.json);
+        if (it != mServices.end() && !before.empty() && !isTextOf(set.value(), before)) {
+            it->second.set_previous_version(before);
+        }
+    }
+    value.json = set.value();
+    value.offset = offset;
+    mRemoved.erase({set.scope(), set.key()});
+}
+
+void ConfigState::remember(const wire::ConfigChange &change, const ChangeResult &result)
+{
+    wire::ChangeFate &entry = mFates.emplace_back();
+    entry.set_change_id(change.change_id());
+    entry.set_offset(result.offset);
+    entry.set_accepted(result.accepted);
+    entry.set_reason(result.reason);
+    entry.set_author(change.author());
+    std::string summary;
+    for (const wire::ConfigOperation &operation : change.operations()) {
+        summary += (summary.empty() ? "" : "; ") + summaryOf(operation);
+    }
+    entry.set_summary(summary);
+    mFateById[change.change_id()] = result;
+    if (mFates.size() > sFatesKept) {
+        mFateById.erase(mFates.front().change_id());
+        mFates.pop_front();
+    }
+}
+
+std::optional<ExplainedValue> ConfigState::valueAt(const std::string &scope,
+                                                   std::string_view key) const
+{
+    const auto it = mSettings.find({scope, std::string(key)});
+    if (it == mSettings.end()) {
+        return std::nullopt;
+    }
+    return ExplainedValue{it->second.json, scope, it->second.offset};
+}
+
+ExplainedValue ConfigState::explain(std::string_view serviceName, std::string_view key) const
+{
+    if (const auto own = valueAt(joined(sServicePrefix, serviceName), key)) {
+        return *own;
+    }
+    const wire::ServiceEntry *entry = service(serviceName);
+    if (entry != nullptr && !entry->account().empty()) {
+        if (const auto value = valueAt(joined(sAccountPrefix, entry->account()), key)) {
+            return *value;
+        }
+    }
+    if (entry != nullptr && !entry->region().empty()) {
+        if (const auto value = valueAt("/region/" + entry->region(), key)) {
+            return *value;
+        }
+    }
+    if (const auto value = valueAt(std::string(sRootScope), key)) {
+        return *value;
+    }
+    const SettingSpec *spec = findSetting(key);
+    return ExplainedValue{spec == nullptr ? "null" : std::string(spec->standard), "", 0};
+}
+
+std::uint32_t ConfigState::accountWeight(std::string_view account) const
+{
+    constexpr std::string_view sKey = "admission.weight";
+    const auto own = valueAt(joined(sAccountPrefix, account), sKey);
+    const std::string json = own ? own->json : explain("", sKey).json;
+    return static_cast<std::uint32_t>(integerOf(json));
+}
+
+std::int64_t ConfigState::integer(std::string_view serviceName, std::string_view key) const
+{
+    return integerOf(explain(serviceName, key).json);
+}
+
+bool ConfigState::isTrue(std::string_view serviceName, std::string_view key) const
+{
+    return explain(serviceName, key).json == "true";
+}
+
+std::string ConfigState::text(std::string_view serviceName, std::string_view key) const
+{
+    return textOf(explain(serviceName, key).json);
+}
+
+const wire::ServiceEntry *ConfigState::service(std::string_view name) const
+{
+    const auto it = mServices.find(name);
+    return it == mServices.end() ? nullptr : &it->second;
+}
+
+bool ConfigState::hasAccount(std::string_view name) const
+{
+    return mAccounts.contains(name);
+}
+
+const wire::VersionEntry *ConfigState::version(std::string_view serviceName,
+                                               std::string_view versionName) const
+{
+    const auto it = mVersions.find({std::string(serviceName), std::string(versionName)});
+    return it == mVersions.end() ? nullptr : &it->second;
+}
+
+std::optional<ChangeResult> ConfigState::fate(std::string_view changeId) const
+{
+    const auto it = mFateById.find(changeId);
+    return it == mFateById.end() ? std::nullopt : std::optional(it->second);
+}
+
+wire::ConfigSnapshot ConfigState::snapshot() const
+{
+    wire::ConfigSnapshot out;
+    out.set_as_of(mAsOf);
+    const auto write = [](wire::SettingEntry &entry, const auto &place) {
+        entry.set_scope(place.first);
+        entry.set_key(place.second);
+    };
+    for (const auto &[place, value] : mSettings) {
+        wire::SettingEntry &entry = *out.add_settings();
+        write(entry, place);
+        entry.set_value(value.json);
+        entry.set_offset(value.offset);
+    }
+    for (const auto &[place, offset] : mRemoved) {
+        wire::SettingEntry &entry = *out.add_removed();
+        write(entry, place);
+        entry.set_offset(offset);
+    }
+    for (const auto &[name, entry] : mServices) {
+        *out.add_services() = entry;
+    }
+    for (const auto &[name, entry] : mAccounts) {
+        *out.add_accounts() = entry;
+    }
+    for (const auto &[name, entry] : mVersions) {
+        *out.add_versions() = entry;
+    }
+    for (const wire::ChangeFate &fateEntry : mFates) {
+        *out.add_fates() = fateEntry;
+    }
+    return out;
+}
+
+ConfigState ConfigState::fromSnapshot(const wire::ConfigSnapshot &snapshot)
+{
+    ConfigState state;
+    state.mAsOf = snapshot.as_of();
+    for (const wire::SettingEntry &entry : snapshot.settings()) {
+        state.mSettings[{entry.scope(), entry.key()}] = {entry.value(), entry.offset()};
+    }
+    for (const wire::SettingEntry &entry : snapshot.removed()) {
+        state.mRemoved[{entry.scope(), entry.key()}] = entry.offset();
+    }
+    for (const wire::ServiceEntry &entry : snapshot.services()) {
+        state.mServices[entry.name()] = entry;
+    }
+    for (const wire::AccountEntry &entry : snapshot.accounts()) {
+        state.mAccounts[entry.name()] = entry;
+    }
+    for (const wire::VersionEntry &entry : snapshot.versions()) {
+        state.mVersions[{entry.version().service(), entry.version().version()}] = entry;
+    }
+    for (const wire::ChangeFate &entry : snapshot.fates()) {
+        state.mFates.push_back(entry);
+        state.mFateById[entry.change_id()] = {entry.accepted(), entry.reason(), entry.offset()};
+    }
+    return state;
+}
+
+} // namespace Loom
--- /dev/null
+++ b/src/libloomjunction/core/configstate.h
@@ -0,0 +1,128 @@
+/*
+ * configstate.h
+ * Copyright 2026, the loomjunction authors
+ *
+ * This file is part of loomjunction (libloomjunction).
+ * SPDX-License-Identifier: BSD-2-Clause
+ */
+
+#pragma once
+
+#include "wire.pb.h"
+
+#include <cstdint>
+#include <deque>
+#include <map>
+#include <optional>
+#include <string>
+#include <string_view>
+#include <utility>
+
+namespace Loom {
+
+/** A value in the tree and the log offset that put it there. */
+struct SettingValue
+{
+    std::string json;
+    std::uint64_t offset = 0;
+};
+
+/** Where an effective value comes from. */
+struct ExplainedValue
+{
+    std::string json;
+    std::string scope; ///< empty: the key's default
+    std::uint64_t offset = 0;
+};
+
+/** Whether a change was accepted, decided by the fold. */
+struct ChangeResult
+{
+    bool accepted = false;
+    std::string reason; ///< empty when accepted
+    std::uint64_t offset = 0;
+};
+
+/**
+ * The configuration as a fold over the log. The same records in the same
+ * order give the same state on every box; nothing else can change it.
+ */
+class ConfigState
+{
+public:
+    /** Folds @p change, which stands at @p offset; offsets only grow. */
+    ChangeResult apply(const wire::ConfigChange &change, std::uint64_t offset);
+
+    /** Notes that @p offset holds nothing to fold (snapshot or unreadable record). */
+    void skip(std::uint64_t offset) { mAsOf = offset; }
+
+    /** Offset of the last record folded; -1 (all ones) before the first. */
+    std::uint64_t asOf() const { return mAsOf; }
+    bool isEmpty() const { return mAsOf == sNothing; }
+
+    /**
+     * The value of @p key for @p service: the service's own, else its client
+     * account's, else its region's, else the root's, else the default.
+     */
+    ExplainedValue explain(std::string_view service, std::string_view key) const;
+
+    /** Share of client account @p account in contended services: its own, else root's. */
+    std::uint32_t accountWeight(std::string_view account) const;
+
+    std::int64_t integer(std::string_view service, std::string_view key) const;
+    bool isTrue(std::string_view service, std::string_view key) const;
+    std::string text(std::string_view service, std::string_view key) const;
+
+    const wire::ServiceEntry *service(std::string_view name) const;
+    bool hasAccount(std::string_view name) const;
+    const wire::VersionEntry *version(std::string_view service, std::string_view version) const;
+    std::optional<ChangeResult> fate(std::string_view changeId) const;
+
+    const std::map<std::string, wire::ServiceEntry, std::less<>> &services() const
+    {
+        return mServices;
+    }
+    const std::map<std::string, wire::AccountEntry, std::less<>> &accounts() const
+    {
+        return mAccounts;
+    }
+    const std::map<std::pair<std::string, std::string>, SettingValue> &settings() const
+    {
+        return mSettings;
+    }
+    const std::map<std::pair<std::string, std::string>, wire::VersionEntry> &versions() const
+    {
+        return mVersions;
+    }
+    const std::deque<wire::ChangeFate> &fates() const { return mFates; }
+
+    wire::ConfigSnapshot snapshot() const;
+    static ConfigState fromSnapshot(const wire::ConfigSnapshot &snapshot);
+
+    static constexpr std::uint64_t sNothing = ~std::uint64_t{0};
+    /** Change ids remembered, so that a repeated append folds to nothing. */
+    static constexpr std::size_t sFatesKept = 2048;
+
+private:
+    std::string problem(const wire::ConfigChange &change) const;
+    std::string operationProblem(const wire::ConfigOperation &operation, std::uint64_t base) const;
+    std::string setProblem(const wire::SetValue &set, std::uint64_t base) const;
+    std::string versionProblem(const wire::PublishVersion &publish) const;
+    std::string scopeTargetProblem(std::string_view scope) const;
+    bool isNewerThan(const std::string &scope, const std::string &key, std::uint64_t base) const;
+    void perform(const wire::ConfigOperation &operation, std::uint64_t offset);
+    void performSet(const wire::SetValue &set, std::uint64_t offset);
+    void remember(const wire::ConfigChange &change, const ChangeResult &result);
+    std::optional<ExplainedValue> valueAt(const std::string &scope, std::string_view key) const;
+
+    std::uint64_t mAsOf = sNothing;
+    std::map<std::pair<std::string, std::string>, SettingValue> mSettings;
+    std::map<std::pair<std::string, std::string>, std::uint64_t> mRemoved;
+    std::map<std::string, wire::ServiceEntry, std::less<>> mServices;
+    std::map<std::string, wire::AccountEntry, std::less<>> mAccounts;
+    std::map<std::pair<std::string, std::string>, wire::VersionEntry> mVersions;
+    std::map<std::string, ChangeResult, std::less<>> mFateById;
+    std::deque<wire::ChangeFate> mFates;
+};
+
+} // namespace Loom
--- /dev/null
+++ b/src/libloomjunction/core/rendezvous.cpp
@@ -0,0 +1,45 @@
+/*
+ * rendezvous.cpp
+ * Copyright 2026, the loomjunction authors
+ *
+ * This file is part of loomjunction (libloomjunction).
+ * SPDX-License-Identifier: BSD-2-Clause
+ */
+
+#include "rendezvous.h"
+
+#include <algorithm>
+#include <numeric>
+
+#include <xxhash.h>
+
+namespace Loom {
+
+std::uint64_t rendezvousWeight(std::string_view key, std::string_view node)
+{
+    const std::uint64_t seed = XXH3_64bits(key.data(), key.size());
+    return XXH3_64bits_withSeed(node.data(), node.size(), seed);
+}
+
+std::vector<std::size_t> rendezvousOrder(std::string_view key, std::span<const std::string> nodes,
+                                         std::size_t count)
+{
+    std::vector<std::uint64_t> weights;
+    weights.reserve(nodes.size());
+    for (const std::string &node : nodes) {
+        weights.push_back(rendezvousWeight(key, node));
+    }
+
+    std::vector<std::size_t> order(nodes.size());
+    std::iota(order.begin(), order.end(), std::size_t{0});
+    const std::size_t kept = std::min(count, order.size());
+    const auto heavier = [&](std::size_t a, std::size_t b) {
+        return weights[a] != weights[b] ? weights[a] > weights[b] : nodes[a] < nodes[b];
+    };
+    std::partial_sort(order.begin(), order.begin() + static_cast<std::ptrdiff_t>(kept), order.end(),
+                      heavier);
+    order.resize(kept);
+    return order;
+}
+
+} // namespace Loom
--- /dev/null
+++ b/src/libloomjunction/core/versionswitch.cpp
@@ -0,0 +1,172 @@
+/*
+ * versionswitch.cpp
+ * Copyright 2026, the loomjunction authors
+ *
+ * This file is part of loomjunction (libloomjunction).
+ * SPDX-License-Identifier: BSD-2-Clause
+ */
+
+#include "versionswitch.h"
+
+#include <algorithm>
+
+namespace Loom {
+
+namespace {
+
+constexpr Milliseconds sOrderRetry{1'000};
+
+bool isSame(const std::optional<VersionTarget> &a, const std::optional<VersionTarget> &b)
+{
+    if (!a || !b) {
+        return a.has_value() == b.has_value();
+    }
+    return a->version == b->version && a->manifestDigest == b->manifestDigest;
+}
+
+} // namespace
+
+void VersionSwitch::setTargets(std::optional<VersionTarget> serving,
+                               std::optional<VersionTarget> spread)
+{
+    if (!isSame(serving, mServing) && mServing) {
+        mPrevious = mServing;
+    }
+    mServing = std::move(serving);
+    mSpread = std::move(spread);
+}
+
+void VersionSwitch::fetched(std::string_view version, std::string_view manifestDigest)
+{
+    const bool current = mFetchingVersion == version && mFetchingDigest == manifestDigest;
+    if (!current) {
+        return; // a fetch that was superseded while its last chunk came
+    }
+    mFetched[std::string(version)] = std::string(manifestDigest);
+    mFetchingVersion.reset();
+}
+
+void VersionSwitch::engineReports(std::span<const LoadedVersion> loaded, Instant)
+{
+    mLoaded.assign(loaded.begin(), loaded.end());
+    const bool arrived = mServing && isLoaded(*mServing);
+    if (arrived) {
+        mPrevious.reset();
+    }
+}
+
+void VersionSwitch::engineLost()
+{
+    mLoaded.clear();
+}
+
+void VersionSwitch::orderEnded(std::string_view version, bool wasAccepted, Instant now)
+{
+    const auto it = mOrdered.find(version);
+    if (it != mOrdered.end()) {
+        mOrdered.erase(it);
+    }
+    if (!wasAccepted) {
+        mNextOrderAt = now + sOrderRetry;
+    }
+}
+
+std::vector<const VersionTarget *> VersionSwitch::targets() const
+{
+    std::vector<const VersionTarget *> all;
+    for (const auto *target : {&mServing, &mSpread, &mPrevious}) {
+        const auto known
+            = [&](const VersionTarget *other) { return other->version == (*target)->version; };
+        if (*target && std::ranges::none_of(all, known)) {
+            all.push_back(&**target);
+        }
+    }
+    return all;
+}
+
+bool VersionSwitch::isTarget(std::string_view version) const
+{
+    return std::ranges::any_of(
+        targets(), [&](const VersionTarget *target) { return target->version == version; });
+}
+
+bool VersionSwitch::isLoaded(const VersionTarget &target) const
+{
+    return std::ranges::any_of(mLoaded, [&](const LoadedVersion &loaded) {
+        return loaded.version == target.version && loaded.manifestDigest == target.manifestDigest;
+    });
+}
+
+std::vector<SwitchAction> VersionSwitch::next(Instant now, bool mayLoad)
+{
+    std::vector<SwitchAction> actions;
+    if (mFetchingVersion && !isTarget(*mFetchingVersion)) {
+        actions.emplace_back(StopFetch{*mFetchingVersion});
+        mFetchingVersion.reset();
+    }
+    std::erase_if(mFetched, [&](const auto &pair) { return !isTarget(pair.first); });
+
+    const bool mayOrder = now >= mNextOrderAt;
+    for (const VersionTarget *target : targets()) {
+        if (isLoaded(*target)) {
+            continue;
+        }
+        const auto have = mFetched.find(target->version);
+        const bool verified = have != mFetched.end() && have->second == target->manifestDigest;
+        if (!verified && !mFetchingVersion) {
+            mFetchingVersion = target->version;
+            mFetchingDigest = target->manifestDigest;
+            actions.emplace_back(StartFetch{*target});
+        }
+        if (verified && mayOrder && mayLoad && !mOrdered.contains(target->version)) {
+            mOrdered.insert(target->version);
+            actions.emplace_back(OrderLoad{*target});
+        }
+    }
+    for (const LoadedVersion &loaded : mLoaded) {
+        const bool unwanted = !isTarget(loaded.version) && mServing && isLoaded(*mServing);
+        if (unwanted && mayOrder && !mOrdered.contains(loaded.version)) {
+            mOrdered.insert(loaded.version);
+            actions.emplace_back(OrderUnload{loaded.version});
+        }
+    }
+    return actions;
+}
+
+std::vector<std::string> VersionSwitch::announced() const
+{
+    std::vector<std::string> versions;
+    for (const VersionTarget *target : targets()) {
+        if (isLoaded(*target)) {
+            versions.push_back(target->version);
+        }
+    }
+    return versions;
+}
+
+bool VersionSwitch::serves(std::string_view version) const
+{
+    return std::ranges::any_of(targets(), [&](const VersionTarget *target) {
+        return target->version == version && isLoaded(*target);
+    });
+}
+
+std::optional<VersionTarget> VersionSwitch::fetching() const
+{
+    if (!mFetchingVersion) {
+        return std::nullopt;
+    }
+    return VersionTarget{*mFetchingVersion, mFetchingDigest};
+}
+
+std::optional<std::string> VersionSwitch::waitingToLoad() const
+{
+    for (const VersionTarget *target : targets()) {
+        if (mFetched.contains(target->version) && !isLoaded(*target)) {
+            return target->version;
+        }
+    }
+    return std::nullopt;
+}
+
+} // namespace Loom
--- /dev/null
+++ b/src/loomjunctiond/linkservice.cpp
@@ -0,0 +1,266 @@
+/*
+ * linkservice.cpp
+ * Copyright 2026, the loomjunction authors
+ *
+ * This file is part of loomjunction (loomjunctiond).
+ * SPDX-License-Identifier: BSD-2-Clause
+ */
+
+#include "linkservice.h"
+
+#include "clock.h"
+#include "configservice.h"
+#include "jsonlog.h"
+#include "listservice.h"
+#include "platformservice.h"
+#include "rendezvous.h"
+#include "watchsession.h"
+
+#include <algorithm>
+
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+
+namespace Loom {
+
+namespace {
+
+constexpr std::chrono::milliseconds sConnectTimeout{1'000};
+constexpr std::chrono::milliseconds sRetry{300};
+// An agent speaks every second; a link this silent is dropped and made anew.
+constexpr std::chrono::milliseconds sAgentSilence{5'000};
+constexpr std::chrono::hours sEntrySilence{24};
+// Other entries that one entry exchanges configuration with.
+constexpr std::size_t sEntryPeers = 3;
+
+} // namespace
+
+tl::expected<void, std::string> LinkService::start(Kernel &kernel)
+{
+    mPlatform = &kernel.find<PlatformService>(PlatformService::sName);
+    mConfig = &kernel.find<ConfigService>(ConfigService::sName);
+    mList = &kernel.find<ListService>(ListService::sName);
+    mExecutor = kernel.executor();
+    mList->addListener([this] { takeList(); });
+    mServer = std::make_unique<PeerServer>(
+        mExecutor, [this](PeerStreamPtr stream) { return servePeer(std::move(stream)); });
+    return mServer->listen(mPlatform->settings().peers);
+}
+
+void LinkService::stop()
+{
+    mStopped = true;
+    mServer->stopListening();
+    for (const auto &[box, link] : mLinks) {
+        link->wanted = false;
+        if (link->connection) {
+            link->connection->goAway();
+        }
+    }
+}
+
+bool LinkService::isLinkedTo(const ListedBox &agent, std::string_view entry) const
+{
+    std::vector<std::string> entries;
+    for (const ListedBox &listed : mList->entries()) {
+        entries.push_back(listed.box);
+    }
+    const std::size_t most = std::get<EntrySettings>(mPlatform->settings().role).linksPerAgent;
+    const auto order = rendezvousOrder(agent.box, entries, most);
+    return std::ranges::any_of(order, [&](std::size_t index) { return entries[index] == entry; });
+}
+
+void LinkService::takeList()
+{
+    std::vector<std::string> wanted;
+    std::vector<std::string> otherEntries;
+    for (const ListedBox &box : mList->boxes()) {
+        if (box.isEntry) {
+            if (box.box != mPlatform->box()) {
+                otherEntries.push_back(box.box);
+            }
+            continue;
+        }
+        if (isLinkedTo(box, mPlatform->box())) {
+            wanted.push_back(box.box);
+            mUpstreams.list(box.box, box.dataCentre, box.service, box.isLeaving);
+            ensureLink(box);
+        }
+    }
+    for (const std::size_t index :
+         rendezvousOrder(mPlatform->box() + "/config", otherEntries, sEntryPeers)) {
+        wanted.push_back(otherEntries[index]);
+        ensureLink(*mList->find(otherEntries[index]));
+    }
+    for (auto it = mLinks.begin(); it != mLinks.end();) {
+        const bool stays = std::ranges::find(wanted, it->first) != wanted.end();
+        if (stays) {
+            ++it;
+            continue;
+        }
+        it->second->wanted = false;
+        if (it->second->connection) {
+            it->second->connection->close();
+        }
+        mUpstreams.remove(it->first);
+        mAgents.erase(it->first);
+        it = mLinks.erase(it);
+    }
+}
+
+void LinkService::ensureLink(const ListedBox &box)
+{
+    LinkPtr &link = mLinks[box.box];
+    if (link && link->endpoint == box.peers) {
+        return;
+    }
+    if (link) {
+        link->wanted = false;
+        if (link->connection) {
+            link->connection->close();
+        }
+    }
+    link = std::make_shared<Link>();
+    link->endpoint = box.peers;
+    link->isAgent = !box.isEntry;
+    asio::co_spawn(mExecutor, keep(*this, box.box, link), asio::detached);
+}
+
+awaitable<void> LinkService::keep(LinkService &self, std::string box, LinkPtr link)
+{
+    while (link->wanted && !self.mStopped) {
+        co_await self.watch(box, link);
+        if (link->isAgent && link->wanted) {
+            self.mUpstreams.disconnected(box);
+        }
+        co_await sleepFor(sRetry);
+    }
+}
+
+awaitable<void> LinkService::watch(const std::string &box, const LinkPtr &link)
+{
+    auto connected = co_await PeerConnection::connect(link->endpoint, sConnectTimeout);
+    if (!connected || !link->wanted) {
+        co_return;
+    }
+    link->connection = *connected;
+    const PeerStreamPtr stream = (*connected)->open("/watch");
+    if (!stream) {
+        co_return;
+    }
+    WatchSession::Callbacks callbacks;
+    callbacks.onAgentStatus
+        = [this, box](const wire::AgentStatus &status) { takeAgentStatus(box, status); };
+    callbacks.onEntryStatus = [this, box](const wire::EntryStatus &status) {
+        mDrainingEntries[box] = status.draining();
+    };
+    link->session
+        = std::make_shared<WatchSession>(*mPlatform, *mConfig, stream, std::move(callbacks));
+    co_await link->session->run(link->isAgent ? std::chrono::milliseconds(sAgentSilence)
+                                              : std::chrono::milliseconds(sEntrySilence));
+    link->session.reset();
+    (*connected)->close();
+    logLine(LogLevel::Debug, "link-down", {{"peer", box}});
+}
+
+void LinkService::takeAgentStatus(const std::string &box, const wire::AgentStatus &status)
+{
+    UpstreamReport report;
+    report.incarnation = status.incarnation();
+    report.versions = {status.loaded_versions().begin(), status.loaded_versions().end()};
+    report.inFlight = status.in_flight();
+    report.capacity = status.capacity();
+    report.isLeaving = status.leaving();
+    report.isUpstreamAlive = status.upstream_alive();
+    mUpstreams.report(box, report, now());
+    AgentView &view = mAgents[box];
+    view.status = status;
+    const auto link = mLinks.find(box);
+    if (link != mLinks.end() && link->second->session) {
+        view.configOffset = link->second->session->ackedOffset();
+    }
+}
+
+awaitable<void> LinkService::servePeer(PeerStreamPtr stream)
+{
+    if (stream->path() != "/watch") {
+        mPlatform->metrics().count("unknown_streams");
+        stream->reset();
+        co_return;
+    }
+    auto box = std::make_shared<std::string>();
+    WatchSession::Callbacks callbacks;
+    callbacks.onHello = [box](const wire::Hello &hello) { *box = hello.box(); };
+    callbacks.onEntryStatus = [this, box](const wire::EntryStatus &status) {
+        mDrainingEntries[*box] = status.draining();
+    };
+    auto session
+        = std::make_shared<WatchSession>(*mPlatform, *mConfig, stream, std::move(callbacks));
+    std::erase_if(mServed, [](const auto &weak) { return weak.expired(); });
+    mServed.push_back(session);
+    if (mDraining) {
+        announceDraining();
+    }
+    co_await session->run(sEntrySilence);
+    mDrainingEntries.erase(*box);
+}
+
+PeerConnectionPtr LinkService::connection(std::string_view box) const
+{
+    const auto it = mLinks.find(box);
+    if (it == mLinks.end() || !it->second->connection || !it->second->connection->isOpen()) {
+        return nullptr;
+    }
+    return it->second->connection;
+}
+
+awaitable<PeerConnectionPtr> LinkService::freshConnection(std::string box,
+                                                          std::chrono::milliseconds timeout)
+{
+    const auto it = mLinks.find(box);
+    if (it == mLinks.end()) {
+        co_return nullptr;
+    }
+    auto connected = co_await PeerConnection::connect(it->second->endpoint, timeout);
+    co_return connected ? *connected : nullptr;
+}
+
+bool LinkService::isDraining(std::string_view entry) const
+{
+    const auto it = mDrainingEntries.find(entry);
+    return it != mDrainingEntries.end() && it->second;
+}
+
+void LinkService::announceDraining()
+{
+    mDraining = true;
+    wire::WatchFrame frame;
+    frame.mutable_entry_status()->set_draining(true);
+    for (const auto &[box, link] : mLinks) {
+        if (!link->isAgent && link->session) {
+            link->session->send(frame);
+        }
+    }
+    for (const auto &weak : mServed) {
+        if (const auto session = weak.lock()) {
+            session->send(frame);
+        }
+    }
+}
+
+std::vector<ListedBox> LinkService::entriesFor(std::string_view service) const
+{
+    const std::vector<ListedBox> entries = mList->entries();
+    std::vector<ListedBox> found;
+    for (const ListedBox &entry : entries) {
+        const bool linked = std::ranges::any_of(mList->boxes(), [&](const ListedBox &box) {
+            return !box.isEntry && box.service == service && isLinkedTo(box, entry.box);
+        });
+        if (linked && !isDraining(entry.box)) {
+            found.push_back(entry);
+        }
+    }
+    return found.empty() ? entries : found;
+}
+
+} // namespace Loom
--- /dev/null
+++ b/src/loomjunctiond/weightfetch.cpp
@@ -0,0 +1,312 @@
+/*
+ * weightfetch.cpp
+ * Copyright 2026, the loomjunction authors
+ *
+ * This file is part of loomjunction (loomjunctiond).
+ * SPDX-License-Identifier: BSD-2-Clause
+ */
+
+#include "weightfetch.h"
+
+#include "agentlinks.h"
+#include "clock.h"
+#include "digest.h"
+#include "jsonlog.h"
+#include "overload.h"
+#include "platformservice.h"
+#include "rendezvous.h"
+
+#include <algorithm>
+
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+
+namespace Loom {
+
+namespace {
+
+constexpr std::chrono::milliseconds sManifestStep{50};
+constexpr std::chrono::milliseconds sManifestTurn{1'000};
+constexpr std::chrono::milliseconds sManifestTimeout{5'000};
+constexpr std::chrono::milliseconds sChunkTimeout{10'000};
+constexpr std::chrono::milliseconds sOriginTimeout{60'000};
+constexpr std::chrono::milliseconds sPlanStep{100};
+constexpr std::chrono::milliseconds sFollowRetry{500};
+// The other side sends an empty update at least this often.
+constexpr std::chrono::milliseconds sFollowSilence{5'000};
+
+} // namespace
+
+WeightFetch::WeightFetch(VersionTarget target, ChunkPlan::Options options, Parts parts)
+    : mTarget(std::move(target))
+    , mOptions(options)
+    , mParts(std::move(parts))
+    , mProgress(mParts.store.added().executor())
+{
+}
+
+void WeightFetch::cancel()
+{
+    mCancelled = true;
+    mProgress.notify();
+}
+
+awaitable<void> WeightFetch::run(std::shared_ptr<WeightFetch> self)
+{
+    const Instant begun = now();
+    while (!self->mCancelled && !co_await self->fetchManifest()) {
+        co_await sleepFor(sManifestStep);
+    }
+    if (self->mCancelled) {
+        co_return;
+    }
+    co_await self->fetchChunks();
+    if (self->mCancelled) {
+        co_return;
+    }
+    const auto took = std::chrono::duration_cast<Milliseconds>(now() - begun);
+    logLine(LogLevel::Info, "weights-fetched",
+            {{"version", self->mTarget.version},
+             {"milliseconds", took.count()},
+             {"originBytes", self->mParts.counts.originBytes},
+             {"peerBytes", self->mParts.counts.peerBytes}});
+    self->mParts.onComplete();
+}
+
+awaitable<bool> WeightFetch::fetchManifest()
+{
+    if (StoredVersion *stored = mParts.store.find(mTarget.manifestDigest)) {
+        beginPlan(*stored);
+        co_return true;
+    }
+    const std::string &self = mParts.platform.box();
+    const std::string key = "manifest/" + mTarget.manifestDigest;
+    const Instant begun = now();
+    for (std::uint64_t round = 0; !mCancelled; ++round) {
+        std::vector<std::string> boxes{self};
+        for (const SwarmMember &member : mParts.members()) {
+            if (member.box != self) {
+                boxes.push_back(member.box);
+            }
+        }
+        const auto order = rendezvousOrder(key, boxes, boxes.size());
+        const auto own
+            = std::ranges::find_if(order, [&](auto index) { return boxes[index] == self; });
+        const auto rank = static_cast<std::uint32_t>(own - order.begin());
+        const auto turn = sManifestTurn * static_cast<int>(rank / mOptions.originCopies);
+        const bool mine = now() - begun >= turn;
+        const std::string &asked = boxes[order[round % order.size()]];
+        std::string text;
+        if (mine) {
+            text = co_await manifestFromOrigin();
+        } else if (asked != self) {
+            text = co_await manifestFromPeer(asked);
+        }
+        if (keepManifest(text)) {
+            co_return true;
+        }
+        co_await sleepFor(sManifestStep);
+    }
+    co_return false;
+}
+
+bool WeightFetch::keepManifest(const std::string &text)
+{
+    if (text.empty() || sha256Hex(text) != mTarget.manifestDigest) {
+        return false;
+    }
+    auto manifest = Manifest::parse(text);
+    if (!manifest) {
+        logLine(LogLevel::Error, "manifest-unreadable", {{"problem", manifest.error()}});
+        return false;
+    }
+    beginPlan(mParts.store.open(mTarget.manifestDigest, std::move(*manifest), text));
+    return true;
+}
+
+void WeightFetch::beginPlan(StoredVersion &stored)
+{
+    const PlatformService &platform = mParts.platform;
+    mPlan = std::make_unique<ChunkPlan>(mTarget.manifestDigest, stored.manifest.chunkCount(),
+                                        SwarmMember{platform.box(), platform.settings().dataCentre},
+                                        mOptions, now());
+    for (std::uint32_t index = 0; index < stored.has.size(); ++index) {
+        if (stored.has[index]) {
+            mPlan->adopt(index);
+        }
+    }
+}
+
+awaitable<std::string> WeightFetch::manifestFromOrigin()
+{
+    HttpCall call{mParts.platform.settings().origin,
+                  "GET",
+                  "/manifests/" + mTarget.manifestDigest,
+                  {},
+                  {},
+                  sManifestTimeout};
+    const auto response = co_await mParts.platform.http().send(std::move(call));
+    if (!response || response->status != 200) {
+        co_return std::string();
+    }
+    mParts.counts.originBytes += response->body.size();
+    co_return response->body;
+}
+
+awaitable<std::string> WeightFetch::manifestFromPeer(std::string box)
+{
+    const PeerStreamPtr stream = co_await mParts.links.open(std::move(box), "/chunk");
+    if (!stream) {
+        co_return std::string();
+    }
+    wire::ChunkRequest request;
+    request.set_manifest_digest(mTarget.manifestDigest);
+    request.set_manifest(true);
+    stream->send(request);
+    stream->finish();
+    const auto deadline = std::chrono::steady_clock::now() + sManifestTimeout;
+    const auto answer = co_await stream->receiveMessage<wire::ChunkAnswer>(deadline);
+    stream->reset();
+    co_return answer &&*answer ? (*answer)->data() : std::string();
+}
+
+awaitable<void> WeightFetch::fetchChunks()
+{
+    const auto executor = co_await asio::this_coro::executor;
+    while (!mCancelled && !mPlan->isComplete()) {
+        mPlan->setMembers(mParts.members());
+        followNeighbours();
+        const Microseconds debt = mParts.ingress.debt(now());
+        if (debt.count() > 0) {
+            co_await sleepFor(debt);
+            continue;
+        }
+        for (ChunkFetch &fetch : mPlan->next(now())) {
+            asio::co_spawn(executor, fetchOne(shared_from_this(), std::move(fetch)),
+                           asio::detached);
+        }
+        co_await mProgress.waitFor(sPlanStep);
+    }
+}
+
+void WeightFetch::followNeighbours()
+{
+    for (const std::string &box : mPlan->neighbours()) {
+        if (mFollowed.insert(box).second) {
+            asio::co_spawn(mProgress.executor(), follow(shared_from_this(), box), asio::detached);
+        }
+    }
+}
+
+awaitable<void> WeightFetch::follow(std::shared_ptr<WeightFetch> self, std::string box)
+{
+    const auto isWanted = [&] {
+        return !self->mCancelled && !self->mPlan->isComplete() && self->mPlan->isNeighbour(box);
+    };
+    while (isWanted()) {
+        const PeerStreamPtr stream = co_await self->mParts.links.open(box, "/have");
+        if (stream) {
+            wire::HaveRequest request;
+            request.set_manifest_digest(self->mTarget.manifestDigest);
+            request.set_box(self->mParts.platform.box());
+            stream->send(request);
+            while (isWanted()) {
+                const auto deadline = std::chrono::steady_clock::now() + sFollowSilence;
+                const auto update = co_await stream->receiveMessage<wire::HaveUpdate>(deadline);
+                if (!update || !*update) {
+                    break;
+                }
+                for (const std::uint32_t index : (*update)->added()) {
+                    self->mPlan->peerHas(box, index);
+                }
+                self->mProgress.notify();
+            }
+            stream->reset();
+            self->mPlan->peerGone(box);
+        }
+        co_await sleepFor(sFollowRetry);
+    }
+    self->mFollowed.erase(box);
+}
+
+awaitable<void> WeightFetch::fetchOne(std::shared_ptr<WeightFetch> self, ChunkFetch fetch)
+{
+    const auto *peer = std::get_if<FromPeer>(&fetch.source);
+    tl::expected<std::string, ChunkFailure> data = tl::unexpected(ChunkFailure::Gone);
+    if (peer == nullptr) {
+        data = co_await self->fromOrigin(fetch.index);
+    } else {
+        data = co_await self->fromPeer(fetch.index, peer->box);
+    }
+    self->take(fetch, std::move(data));
+    self->mProgress.notify();
+}
+
+awaitable<tl::expected<std::string, ChunkFailure>> WeightFetch::fromOrigin(std::uint32_t index)
+{
+    HttpCall call;
+    call.endpoint = mParts.platform.settings().origin;
+    call.method = "GET";
+    call.target = "/chunks/" + mTarget.manifestDigest + "/" + std::to_string(index);
+    call.timeout = sOriginTimeout;
+    auto response = co_await mParts.platform.http().send(std::move(call));
+    if (!response || response->status != 200) {
+        co_return tl::unexpected(ChunkFailure::Gone);
+    }
+    mParts.counts.originBytes += response->body.size();
+    co_return std::move(response->body);
+}
+
+awaitable<tl::expected<std::string, ChunkFailure>> WeightFetch::fromPeer(std::uint32_t index,
+                                                                         std::string box)
+{
+    const PeerStreamPtr stream = co_await mParts.links.open(std::move(box), "/chunk");
+    if (!stream) {
+        co_return tl::unexpected(ChunkFailure::Gone);
+    }
+    wire::ChunkRequest request;
+    request.set_manifest_digest(mTarget.manifestDigest);
+    request.set_index(index);
+    stream->send(request);
+    stream->finish();
+    const auto deadline = std::chrono::steady_clock::now() + sChunkTimeout;
+    auto answer = co_await stream->receiveMessage<wire::ChunkAnswer>(deadline);
+    if (!answer || !*answer) {
+        stream->reset();
+        const bool late = !answer && answer.error() == PeerError::TimedOut;
+        co_return tl::unexpected(late ? ChunkFailure::TimedOut : ChunkFailure::Gone);
+    }
+    wire::ChunkAnswer &chunk = **answer;
+    if (chunk.busy()) {
+        co_return tl::unexpected(ChunkFailure::Busy);
+    }
+    if (!chunk.found()) {
+        co_return tl::unexpected(ChunkFailure::Missing);
+    }
+    mParts.counts.peerBytes += chunk.data().size();
+    co_return std::move(*chunk.mutable_data());
+}
+
+void WeightFetch::take(const ChunkFetch &fetch, tl::expected<std::string, ChunkFailure> data)
+{
+    StoredVersion *stored = mParts.store.find(mTarget.manifestDigest);
+    if (stored == nullptr || mCancelled) {
+        return;
+    }
+    if (data) {
+        mParts.ingress.take(data->size(), now());
+        const bool intact = sha256Hex(*data) == stored->manifest.chunkDigests[fetch.index];
+        if (intact) {
+            mParts.store.put(mTarget.manifestDigest, fetch.index, std::move(*data));
+            mPlan->received(fetch.index, fetch.source, now());
+            return;
+        }
+        data = tl::unexpected(ChunkFailure::Corrupt);
+        ++mParts.counts.badChunks;
+        logLine(LogLevel::Warning, "chunk-corrupt",
+                {{"version", mTarget.version}, {"index", fetch.index}});
+    }
+    mPlan->failed(fetch.index, fetch.source, data.error(), now());
+}
+
+} // namespace Loom
--- /dev/null
+++ b/src/loomjunctiond/weightfetch.h
@@ -0,0 +1,89 @@
+/*
+ * weightfetch.h
+ * Copyright 2026, the loomjunction authors
+ *
+ * This file is part of loomjunction (loomjunctiond).
+ * SPDX-License-Identifier: BSD-2-Clause
+ */
+
+#pragma once
+
+#include "chunkplan.h"
+#include "chunkstore.h"
+#include "peer.h"
+#include "tokenbucket.h"
+#include "versionswitch.h"
+
+#include <cstdint>
+#include <functional>
+#include <memory>
+#include <set>
+#include <string>
+#include <string_view>
+
+namespace Loom {
+
+class AgentLinks;
+class PlatformService;
+
+/** Bytes moved by the fetches of one agent. */
+struct FetchCounts
+{
+    std::uint64_t originBytes = 0;
+    std::uint64_t peerBytes = 0;
+    std::uint64_t badChunks = 0;
+};
+
+/**
+ * One version being fetched: carries out what a ChunkPlan decides. Ends by
+ * itself once complete or cancelled. Owned by the weights service.
+ */
+class WeightFetch : public std::enable_shared_from_this<WeightFetch>
+{
+public:
+    struct Parts
+    {
+        PlatformService &platform;
+        AgentLinks &links;
+        ChunkStore &store;
+        TokenBucket &ingress;
+        FetchCounts &counts;
+        std::function<std::vector<SwarmMember>()> members;
+        std::function<void()> onComplete;
+    };
+
+    WeightFetch(VersionTarget target, ChunkPlan::Options options, Parts parts);
+
+    /** Runs until every chunk is in the store, or until cancel(). */
+    static awaitable<void> run(std::shared_ptr<WeightFetch> self);
+    void cancel();
+
+    const VersionTarget &target() const { return mTarget; }
+    std::uint32_t haveCount() const { return mPlan ? mPlan->haveCount() : 0; }
+    std::uint32_t chunkCount() const { return mPlan ? mPlan->chunkCount() : 0; }
+
+private:
+    awaitable<bool> fetchManifest();
+    awaitable<std::string> manifestFromOrigin();
+    awaitable<std::string> manifestFromPeer(std::string box);
+    bool keepManifest(const std::string &text);
+    void beginPlan(StoredVersion &stored);
+    awaitable<void> fetchChunks();
+    void followNeighbours();
+    static awaitable<void> follow(std::shared_ptr<WeightFetch> self, std::string box);
+    static awaitable<void> fetchOne(std::shared_ptr<WeightFetch> self, ChunkFetch fetch);
+    awaitable<tl::expected<std::string, ChunkFailure>> fromOrigin(std::uint32_t index);
+    awaitable<tl::expected<std::string, ChunkFailure>> fromPeer(std::uint32_t index,
+                                                                std::string box);
+    void take(const ChunkFetch &fetch, tl::expected<std::string, ChunkFailure> data);
+
+    VersionTarget mTarget;
+    ChunkPlan::Options mOptions;
+    Parts mParts;
+    std::unique_ptr<ChunkPlan> mPlan;
+    std::set<std::string> mFollowed;
+    bool mCancelled = false;
+    Signal mProgress;
+};
+
+} // namespace Loom
--- /dev/null
+++ b/src/loomjunctiond/weightservice.h
@@ -0,0 +1,84 @@
+/*
+ * weightservice.h
+ * Copyright 2026, the loomjunction authors
+ *
+ * This file is part of loomjunction (loomjunctiond).
+ * SPDX-License-Identifier: BSD-2-Clause
+ */
+
+#pragma once
+
+#include "chunkstore.h"
+#include "daemonsettings.h"
+#include "kernel.h"
+#include "peer.h"
+#include "tokenbucket.h"
+#include "weightfetch.h"
+
+#include <memory>
+#include <string>
+#include <string_view>
+
+namespace Loom {
+
+class AgentLinks;
+class ConfigService;
+class ListService;
+class OrderService;
+class PlatformService;
+class UpstreamService;
+
+/**
+ * Brings the versions that the configuration wants to this box: fetches,
+ * serves other agents, has the engine load, and lets go of what is old.
+ */
+class WeightService final : public Service
+{
+public:
+    static constexpr std::string_view sName = "weights";
+
+    WeightService(const asio::any_io_executor &executor, const AgentSettings &settings);
+
+    std::string_view name() const override { return sName; }
+    tl::expected<void, std::string> start(Kernel &kernel) override;
+    void stop() override;
+
+    awaitable<void> serveHave(PeerStreamPtr stream);
+    awaitable<void> serveChunk(PeerStreamPtr stream);
+
+    const FetchCounts &counts() const { return mCounts; }
+    const WeightFetch *fetch() const { return mFetch.get(); }
+
+private:
+    awaitable<void> drive();
+    void takeTargets();
+    void perform(const SwitchAction &action);
+    void beginFetch(const VersionTarget &target);
+    awaitable<void> loadVersion(VersionTarget target);
+    awaitable<void> unloadVersion(std::string version);
+    awaitable<bool> handToEngine(const VersionTarget &target);
+    awaitable<bool> isMyTurn();
+    awaitable<bool> hasLoaded(std::string box, std::string version);
+    std::optional<VersionTarget> targetNamed(std::string_view key) const;
+    std::vector<SwarmMember> members() const;
+
+    asio::any_io_executor mExecutor;
+    PlatformService *mPlatform = nullptr;
+    ConfigService *mConfig = nullptr;
+    ListService *mList = nullptr;
+    UpstreamService *mUpstream = nullptr;
+    OrderService *mOrders = nullptr;
+    AgentLinks *mLinks = nullptr;
+    ChunkStore mStore;
+    TokenBucket mIngress;
+    TokenBucket mEgress;
+    FetchCounts mCounts;
+    std::shared_ptr<WeightFetch> mFetch;
+    std::uint32_t mUploads = 0;
+    Signal mWake;
+    Instant mWaitingSince;
+    bool mWasWaiting = false;
+    bool mStopped = false;
+};
+
+} // namespace Loom
