--- a/src/libloomjunction/core/admission.cpp
+++ b/src/libloomjunction/core/admission.cpp
@@ -87,7 +87,9 @@
         const bool active = other.inFlight > 0 || now - other.lastAsked <= sActiveFor;
         weights += active ? other.weight : 0;
     }
-    return std::max(1.0, mLimit * share.weight / std::max(weights, 1.0));
+    const double fair = mLimit * share.weight / std::max(weights, 1.0);
+    // Even a lone account leaves the reserve, or the next one would find no room.
+    return std::max(1.0, std::min(fair, mLimit * sContendedFrom));
 }
 
 void Admission::release(std::string_view account, bool upstreamRefused, Instant now)
--- a/src/loomjunctiond/callfront.cpp
+++ b/src/loomjunctiond/callfront.cpp
@@ -40,6 +40,8 @@
 constexpr std::uint64_t sMostKeys = 64;
 constexpr std::uint64_t sAccountSpread = 8;
 constexpr std::int64_t sPercent = 100;
+// Time in which the other entries hear that this one drains.
+constexpr Milliseconds sDrainSpread{1'000};
 
 CallEnding refused(RefusalReason reason, std::string detail, Milliseconds retryAfter = {})
 {
@@ -151,7 +153,7 @@
     }
     logLine(LogLevel::Info, "entry-draining",
             {{"lifetimeMs", lifetime.count()}, {"inFlight", mInFlight}});
-    co_await sleepFor(lifetime);
+    co_await sleepFor(lifetime + sDrainSpread);
     while (mInFlight > 0) {
         co_await mEnded.waitFor(std::chrono::seconds(1));
     }
--- a/src/loomjunctiond/linkservice.cpp
+++ b/src/loomjunctiond/linkservice.cpp
@@ -30,6 +30,9 @@
 // An agent speaks every second; a link this silent is dropped and made anew.
 constexpr std::chrono::milliseconds sAgentSilence{5'000};
 constexpr std::chrono::hours sEntrySilence{24};
+// A draining entry repeats itself; its mark fades when it has stopped.
+constexpr std::chrono::seconds sAnnounceEvery{5};
+constexpr std::chrono::seconds sDrainingKept{20};
 // Other entries that one entry exchanges configuration with.
 constexpr std::size_t sEntryPeers = 3;
 
@@ -151,9 +154,7 @@
     WatchSession::Callbacks callbacks;
     callbacks.onAgentStatus
         = [this, box](const wire::AgentStatus &status) { takeAgentStatus(box, status); };
-    callbacks.onEntryStatus = [this, box](const wire::EntryStatus &status) {
-        mDrainingEntries[box] = status.draining();
-    };
+    callbacks.onEntryStatus = [this](const wire::EntryStatus &status) { takeEntryStatus(status); };
     link->session
         = std::make_shared<WatchSession>(*mPlatform, *mConfig, stream, std::move(callbacks));
     co_await link->session->run(link->isAgent ? std::chrono::milliseconds(sAgentSilence)
@@ -188,21 +189,13 @@
         stream->reset();
         co_return;
     }
-    auto box = std::make_shared<std::string>();
     WatchSession::Callbacks callbacks;
-    callbacks.onHello = [box](const wire::Hello &hello) { *box = hello.box(); };
-    callbacks.onEntryStatus = [this, box](const wire::EntryStatus &status) {
-        mDrainingEntries[*box] = status.draining();
-    };
+    callbacks.onEntryStatus = [this](const wire::EntryStatus &status) { takeEntryStatus(status); };
     auto session
         = std::make_shared<WatchSession>(*mPlatform, *mConfig, stream, std::move(callbacks));
     std::erase_if(mServed, [](const auto &weak) { return weak.expired(); });
     mServed.push_back(session);
-    if (mDraining) {
-        announceDraining();
-    }
     co_await session->run(sEntrySilence);
-    mDrainingEntries.erase(*box);
 }
 
 PeerConnectionPtr LinkService::connection(std::string_view box) const
@@ -228,14 +221,43 @@
 bool LinkService::isDraining(std::string_view entry) const
 {
     const auto it = mDrainingEntries.find(entry);
-    return it != mDrainingEntries.end() && it->second;
+    return it != mDrainingEntries.end() && now() - it->second.heard < sDrainingKept;
 }
 
 void LinkService::announceDraining()
 {
-    mDraining = true;
+    asio::co_spawn(mExecutor, repeatDraining(*this), asio::detached);
+}
+
+awaitable<void> LinkService::repeatDraining(LinkService &self)
+{
+    // Starting from the time, a box that drains again in a later life is heard anew.
+    self.mLastAnnouncement = static_cast<std::uint64_t>(wallNow().count());
+    while (!self.mStopped) {
+        wire::EntryStatus status;
+        status.set_draining_box(self.mPlatform->box());
+        status.set_announcement(++self.mLastAnnouncement);
+        self.relay(status);
+        co_await sleepFor(sAnnounceEvery);
+    }
+}
+
+void LinkService::takeEntryStatus(const wire::EntryStatus &status)
+{
+    Draining &known = mDrainingEntries[status.draining_box()];
+    const bool isNews = status.announcement() > known.announcement;
+    if (!isNews) {
+        return;
+    }
+    known.announcement = status.announcement();
+    known.heard = now();
+    relay(status);
+}
+
+void LinkService::relay(const wire::EntryStatus &status)
+{
     wire::WatchFrame frame;
-    frame.mutable_entry_status()->set_draining(true);
+    *frame.mutable_entry_status() = status;
     for (const auto &[box, link] : mLinks) {
         if (!link->isAgent && link->session) {
             link->session->send(frame);
--- a/src/loomjunctiond/linkservice.h
+++ b/src/loomjunctiond/linkservice.h
@@ -55,9 +55,9 @@
     awaitable<PeerConnectionPtr> freshConnection(std::string box,
                                                  std::chrono::milliseconds timeout);
     const std::map<std::string, AgentView, std::less<>> &agents() const { return mAgents; }
-    /** Whether another entry says it is draining. */
+    /** Whether another entry has said lately that it is draining. */
     bool isDraining(std::string_view entry) const;
-    /** Tells the other entries that this one drains. */
+    /** Tells the other entries, now and from time to time, that this one drains. */
     void announceDraining();
 
     /** The entries that hold links to agents of @p service; callers are sent to them. */
@@ -81,6 +81,9 @@
     awaitable<void> watch(const std::string &box, const LinkPtr &link);
     void takeAgentStatus(const std::string &box, const wire::AgentStatus &status);
     awaitable<void> servePeer(PeerStreamPtr stream);
+    void takeEntryStatus(const wire::EntryStatus &status);
+    void relay(const wire::EntryStatus &status);
+    static awaitable<void> repeatDraining(LinkService &self);
 
     PlatformService *mPlatform = nullptr;
     ConfigService *mConfig = nullptr;
@@ -89,10 +92,15 @@
     UpstreamTable mUpstreams;
     std::map<std::string, LinkPtr, std::less<>> mLinks;
     std::map<std::string, AgentView, std::less<>> mAgents;
-    std::map<std::string, bool, std::less<>> mDrainingEntries;
+    struct Draining
+    {
+        std::uint64_t announcement = 0;
+        Instant heard;
+    };
+    std::map<std::string, Draining, std::less<>> mDrainingEntries;
     std::vector<std::weak_ptr<class WatchSession>> mServed;
     std::unique_ptr<PeerServer> mServer;
-    bool mDraining = false;
+    std::uint64_t mLastAnnouncement = 0; ///< zero: not draining
     bool mStopped = false;
 };
 
--- /dev/null
+++ b/tests/config/test_fold.cpp
@@ -0,0 +1,144 @@
+/*
+ * test_fold.cpp
+ * Copyright 2026, the loomjunction authors
+ *
+ * This file is part of loomjunction (tests).
+ * SPDX-License-Identifier: BSD-2-Clause
+ */
+
+#define BOOST_TEST_MODULE config
+#include <boost/test/unit_test.hpp>
+
+#include "configstate.h"
+#include "fakelog.h"
+
+using namespace Loom;
+
+namespace {
+
+constexpr std::string_view sKey = "calls.deadlineMs";
+
+ConfigState stateWithService()
+{
+    ConfigState state;
+    BOOST_REQUIRE(state.apply(createAccount("a", "center"), 0).accepted);
+    BOOST_REQUIRE(state.apply(createService("s", "scorer", "center", "texas"), 1).accepted);
+    return state;
+}
+
+} // namespace
+
+BOOST_AUTO_TEST_CASE(values_are_inherited_and_overridden)
+{
+    ConfigState state = stateWithService();
+    BOOST_TEST(state.explain("scorer", sKey).scope == "");
+    state.apply(setChange("1", 1, "/", "calls.deadlineMs", "1000"), 2);
+    BOOST_TEST(state.integer("scorer", sKey) == 1000);
+    state.apply(setChange("2", 2, "/region/texas", "calls.deadlineMs", "2000"), 3);
+    BOOST_TEST(state.integer("scorer", sKey) == 2000);
+    // Where region and client account disagree, the client account decides.
+    state.apply(setChange("3", 3, "/account/center", "calls.deadlineMs", "3000"), 4);
+    BOOST_TEST(state.explain("scorer", sKey).scope == "/account/center");
+    state.apply(setChange("4", 4, "/service/scorer", "calls.deadlineMs", "4000"), 5);
+    BOOST_TEST(state.integer("scorer", sKey) == 4000);
+}
+
+BOOST_AUTO_TEST_CASE(the_later_of_two_racing_operators_is_refused)
+{
+    ConfigState state = stateWithService();
+    const auto first = setChange("first", 1, "/service/scorer", "calls.deadlineMs", "100");
+    const auto second = setChange("second", 1, "/service/scorer", "calls.deadlineMs", "200");
+    BOOST_TEST(state.apply(first, 2).accepted);
+    const ChangeResult lost = state.apply(second, 3);
+    BOOST_TEST(!lost.accepted);
+    BOOST_TEST(lost.reason.starts_with("race"));
+    BOOST_TEST(state.integer("scorer", sKey) == 100);
+    // Having seen the first, the second operator may decide again.
+    BOOST_TEST(state.apply(setChange("third", 3, "/service/scorer", "calls.deadlineMs", "200"), 4)
+                   .accepted);
+}
+
+BOOST_AUTO_TEST_CASE(a_race_with_a_removal_is_refused_too)
+{
+    ConfigState state = stateWithService();
+    state.apply(setChange("1", 1, "/", "calls.deadlineMs", "100"), 2);
+    wire::ConfigChange unset;
+    unset.set_change_id("unset");
+    unset.set_base(2);
+    unset.add_operations()->mutable_unset_value()->set_scope("/");
+    unset.mutable_operations(0)->mutable_unset_value()->set_key("calls.deadlineMs");
+    BOOST_TEST(state.apply(unset, 3).accepted);
+    BOOST_TEST(!state.apply(setChange("2", 2, "/", "calls.deadlineMs", "300"), 4).accepted);
+}
+
+BOOST_AUTO_TEST_CASE(a_repeated_change_id_folds_to_nothing)
+{
+    ConfigState state = stateWithService();
+    const auto change = setChange("x", 1, "/", "calls.deadlineMs", "100");
+    state.apply(change, 2);
+    state.apply(setChange("y", 2, "/", "calls.deadlineMs", "200"), 3);
+    const ChangeResult again = state.apply(change, 4);
+    BOOST_TEST(again.accepted);
+    BOOST_TEST(again.offset == 2u);
+    BOOST_TEST(state.integer("scorer", sKey) == 200);
+}
+
+BOOST_AUTO_TEST_CASE(bad_values_are_refused_and_name_the_field)
+{
+    ConfigState state = stateWithService();
+    const auto refusal
+        = [&](const std::string &scope, const std::string &key, const std::string &value) {
+              static int sNumber = 0;
+              const auto change
+                  = setChange("bad" + std::to_string(++sNumber), state.asOf(), scope, key, value);
+              const ChangeResult result = state.apply(change, state.asOf() + 1);
+              BOOST_TEST(!result.accepted);
+              return result.reason;
+          };
+    BOOST_TEST(refusal("/", "no.such", "1").find("no.such") != std::string::npos);
+    BOOST_TEST(refusal("/", "calls.deadlineMs", "true").find("calls.deadlineMs")
+               != std::string::npos);
+    BOOST_TEST(refusal("/", "calls.deadlineMs", "0").find("found 0") != std::string::npos);
+    BOOST_TEST(refusal("/nowhere", "calls.deadlineMs", "1").find("/nowhere") != std::string::npos);
+    BOOST_TEST(refusal("/service/none", "calls.deadlineMs", "1").find("none") != std::string::npos);
+    BOOST_TEST(refusal("/service/scorer", "model.version", "\"v9\"").find("v9")
+               != std::string::npos);
+    BOOST_TEST(refusal("/", "model.version", "\"v9\"").find("service") != std::string::npos);
+}
+
+BOOST_AUTO_TEST_CASE(a_change_is_made_whole_or_not_at_all)
+{
+    ConfigState state = stateWithService();
+    wire::ConfigChange change = setChange("both", 1, "/", "calls.deadlineMs", "100");
+    *change.add_operations() = setChange("", 1, "/", "no.such", "1").operations(0);
+    BOOST_TEST(!state.apply(change, 2).accepted);
+    BOOST_TEST(state.explain("scorer", sKey).scope == "");
+}
+
+BOOST_AUTO_TEST_CASE(a_version_name_never_means_two_sets_of_weights)
+{
+    ConfigState state = stateWithService();
+    wire::ConfigChange change;
+    change.set_change_id("p1");
+    wire::PublishVersion &publish = *change.add_operations()->mutable_publish_version();
+    publish.set_service("scorer");
+    publish.set_version("v1");
+    publish.set_manifest_digest(std::string(64, 'a'));
+    publish.set_size_bytes(10);
+    publish.set_chunk_bytes(4096);
+    BOOST_TEST(state.apply(change, 2).accepted);
+    change.set_change_id("p2");
+    change.mutable_operations(0)->mutable_publish_version()->set_manifest_digest(
+        std::string(64, 'b'));
+    BOOST_TEST(!state.apply(change, 3).accepted);
+}
+
+BOOST_AUTO_TEST_CASE(a_snapshot_carries_the_whole_state)
+{
+    ConfigState state = stateWithService();
+    state.apply(setChange("1", 1, "/account/center", "calls.deadlineMs", "77"), 2);
+    const ConfigState copy = ConfigState::fromSnapshot(state.snapshot());
+    BOOST_TEST(copy.asOf() == state.asOf());
+    BOOST_TEST(copy.snapshot().SerializeAsString() == state.snapshot().SerializeAsString());
+    BOOST_TEST(copy.fate("1").has_value());
+}
--- /dev/null
+++ b/tests/config/test_replica.cpp
@@ -0,0 +1,220 @@
+/*
+ * test_replica.cpp
+ * Copyright 2026, the loomjunction authors
+ *
+ * This file is part of loomjunction (tests).
+ * SPDX-License-Identifier: BSD-2-Clause
+ */
+
+#include <boost/test/unit_test.hpp>
+
+#include "configreplica.h"
+#include "fakelog.h"
+
+using namespace Loom;
+
+namespace {
+
+/** A log with an account and @p changes values, each overwriting the last. */
+FakeLog logWith(int changes)
+{
+    FakeLog log;
+    log.append(createAccount("a", "center"), at(0));
+    for (int i = 0; i < changes; ++i) {
+        log.append(setChange("c" + std::to_string(i), log.next() - 1, "/", "calls.deadlineMs",
+                             std::to_string(i + 1)),
+                   at(i));
+    }
+    return log;
+}
+
+void writeSnapshot(FakeLog &log, const ConfigReplica &replica, Instant now)
+{
+    for (const wire::ConfigRecord &record : snapshotRecords(replica.state().snapshot())) {
+        log.append(record.SerializeAsString(), now);
+    }
+}
+
+FeedResult readAll(ConfigReplica &replica, const FakeLog &log, Instant now)
+{
+    return replica.feedLog(log.read(replica.readFrom(), now), log.first(), now);
+}
+
+std::int64_t value(const ConfigReplica &replica)
+{
+    return replica.state().integer("", "calls.deadlineMs");
+}
+
+} // namespace
+
+BOOST_AUTO_TEST_CASE(a_replica_follows_the_log)
+{
+    FakeLog log = logWith(5);
+    ConfigReplica replica;
+    BOOST_TEST((readAll(replica, log, at(10)) == FeedResult::Applied));
+    BOOST_TEST(value(replica) == 5);
+    BOOST_TEST(replica.nextOffset() == log.next());
+}
+
+BOOST_AUTO_TEST_CASE(a_gap_is_never_folded_over)
+{
+    FakeLog log = logWith(5);
+    log.trimTo(3); // no snapshot anywhere
+    ConfigReplica replica;
+    BOOST_TEST((readAll(replica, log, at(10)) == FeedResult::Gap));
+    BOOST_TEST(!replica.isReady());
+}
+
+BOOST_AUTO_TEST_CASE(a_new_box_boots_from_the_newest_snapshot)
+{
+    FakeLog log = logWith(5);
+    ConfigReplica writer;
+    readAll(writer, log, at(10));
+    writeSnapshot(log, writer, at(10));
+    log.append(setChange("late", log.next(), "/", "calls.deadlineMs", "99"), at(20));
+    log.trimTo(6);
+    ConfigReplica replica;
+    BOOST_TEST((readAll(replica, log, at(30)) == FeedResult::Applied));
+    BOOST_TEST(value(replica) == 99);
+    readAll(writer, log, at(30));
+    BOOST_TEST(replica.state().snapshot().SerializeAsString()
+               == writer.state().snapshot().SerializeAsString());
+}
+
+BOOST_AUTO_TEST_CASE(a_snapshot_that_does_not_reach_the_kept_records_is_not_used)
+{
+    FakeLog log = logWith(3);
+    ConfigReplica early;
+    readAll(early, log, at(5));
+    const auto old = snapshotRecords(early.state().snapshot());
+    for (int i = 0; i < 4; ++i) {
+        log.append(setChange("m" + std::to_string(i), log.next() - 1, "/", "calls.deadlineMs",
+                             std::to_string(50 + i)),
+                   at(6));
+    }
+    log.trimTo(log.next()); // everything that the snapshot lacks is gone
+    for (const wire::ConfigRecord &record : old) {
+        log.append(record.SerializeAsString(), at(7));
+    }
+    ConfigReplica replica;
+    BOOST_TEST((readAll(replica, log, at(8)) == FeedResult::Gap));
+    BOOST_TEST(!replica.isReady());
+}
+
+BOOST_AUTO_TEST_CASE(a_frozen_box_catches_up_over_a_snapshot_and_never_goes_back)
+{
+    FakeLog log = logWith(3);
+    ConfigReplica frozen;
+    ConfigReplica writer;
+    readAll(frozen, log, at(5));
+    for (int i = 0; i < 20; ++i) {
+        log.append(setChange("n" + std::to_string(i), log.next() - 1, "/", "calls.deadlineMs",
+                             std::to_string(100 + i)),
+                   at(6));
+    }
+    readAll(writer, log, at(7));
+    writeSnapshot(log, writer, at(7));
+    log.trimTo(15);
+    const std::uint64_t before = frozen.nextOffset();
+    BOOST_TEST((readAll(frozen, log, at(9)) == FeedResult::Applied));
+    BOOST_TEST(frozen.nextOffset() > before);
+    BOOST_TEST(value(frozen) == 119);
+}
+
+BOOST_AUTO_TEST_CASE(an_old_snapshot_from_a_peer_reverts_nothing)
+{
+    FakeLog log = logWith(3);
+    ConfigReplica replica;
+    readAll(replica, log, at(5));
+    wire::ConfigUpdate old;
+    *old.mutable_snapshot() = replica.state().snapshot();
+    log.append(setChange("new", log.next() - 1, "/", "calls.deadlineMs", "500"), at(6));
+    readAll(replica, log, at(7));
+    replica.feedPeer(old, at(8));
+    BOOST_TEST(value(replica) == 500);
+    BOOST_TEST(replica.nextOffset() == log.next());
+}
+
+BOOST_AUTO_TEST_CASE(peers_equalise_while_the_log_is_down)
+{
+    FakeLog log = logWith(3);
+    ConfigReplica ahead;
+    ConfigReplica behind;
+    ConfigReplica fresh;
+    readAll(behind, log, at(5));
+    log.append(setChange("last", log.next() - 1, "/", "calls.deadlineMs", "321"), at(6));
+    readAll(ahead, log, at(7));
+    const auto delta = ahead.updateFor(behind.state().asOf(), true);
+    BOOST_REQUIRE(delta.has_value());
+    BOOST_TEST(!delta->has_snapshot());
+    BOOST_TEST(delta->records_size() == 1);
+    behind.feedPeer(*delta, at(8));
+    BOOST_TEST(value(behind) == 321);
+    const auto whole = ahead.updateFor(0, false);
+    BOOST_REQUIRE(whole.has_value());
+    fresh.feedPeer(*whole, at(9));
+    BOOST_TEST(value(fresh) == 321);
+    BOOST_TEST(!ahead.updateFor(fresh.state().asOf(), true).has_value());
+}
+
+BOOST_AUTO_TEST_CASE(a_peer_far_behind_gets_a_snapshot)
+{
+    FakeLog log = logWith(static_cast<int>(ConfigReplica::sTailKept) + 50);
+    ConfigReplica ahead;
+    readAll(ahead, log, at(5));
+    const auto update = ahead.updateFor(3, true);
+    BOOST_REQUIRE(update.has_value());
+    BOOST_TEST(update->has_snapshot());
+}
+
+BOOST_AUTO_TEST_CASE(records_that_skip_some_are_refused)
+{
+    FakeLog log = logWith(5);
+    ConfigReplica replica;
+    wire::ConfigUpdate update;
+    for (const wire::StoredRecord &record : log.read(2, at(1))) {
+        *update.add_records() = record;
+    }
+    BOOST_TEST((replica.feedPeer(update, at(1)) == FeedResult::Gap));
+    BOOST_TEST(!replica.isReady());
+}
+
+BOOST_AUTO_TEST_CASE(corrupt_snapshots_are_not_adopted)
+{
+    FakeLog log = logWith(5);
+    ConfigReplica writer;
+    readAll(writer, log, at(5));
+    auto records = snapshotRecords(writer.state().snapshot());
+    std::string &data = *records.back().mutable_snapshot_chunk()->mutable_data();
+    data[data.size() / 2] ^= 1;
+    for (const wire::ConfigRecord &record : records) {
+        log.append(record.SerializeAsString(), at(6));
+    }
+    log.trimTo(6);
+    ConfigReplica replica;
+    BOOST_TEST((readAll(replica, log, at(7)) == FeedResult::Gap));
+    BOOST_TEST(!replica.isReady());
+}
+
+BOOST_AUTO_TEST_CASE(snapshots_are_due_by_count_and_before_they_expire)
+{
+    SnapshotPolicy policy;
+    policy.changes = 10;
+    policy.retention = Milliseconds(30'000);
+    FakeLog log = logWith(9);
+    ConfigReplica replica;
+    readAll(replica, log, at(9));
+    writeSnapshot(log, replica, at(10));
+    readAll(replica, log, at(10));
+    BOOST_TEST(!policy.delay(replica, 0, at(20)).has_value());
+    // Even with no further change the snapshot must be renewed while it lives.
+    BOOST_TEST(policy.delay(replica, 0, at(10'011)).has_value());
+    BOOST_TEST(policy.delay(replica, 3, at(10'011))->count() == 6'000);
+    for (int i = 0; i < 12; ++i) {
+        log.append(setChange("k" + std::to_string(i), log.next() - 1, "/", "calls.deadlineMs",
+                             std::to_string(i + 1)),
+                   at(30));
+    }
+    readAll(replica, log, at(31));
+    BOOST_TEST(policy.delay(replica, 0, at(32)).has_value());
+}
--- /dev/null
+++ b/tests/faults/placeholder.cpp
@@ -0,0 +1,11 @@
+/*
+ * placeholder.cpp
+ * Copyright 2026, the loomjunction authors
+ *
+ * This file is part of loomjunction (tests).
+ * SPDX-License-Identifier: BSD-2-Clause
+ */
+
+#define BOOST_TEST_MODULE faults
+#include <boost/test/unit_test.hpp>
+BOOST_AUTO_TEST_CASE(none) { }
--- /dev/null
+++ b/tests/leases/test_orderlease.cpp
@@ -0,0 +1,169 @@
+/*
+ * test_orderlease.cpp
+ * Copyright 2026, the loomjunction authors
+ *
+ * This file is part of loomjunction (tests).
+ * SPDX-License-Identifier: BSD-2-Clause
+ */
+
+#define BOOST_TEST_MODULE leases
+#include <boost/test/unit_test.hpp>
+
+#include "fakelog.h"
+#include "orderlease.h"
+
+#include <random>
+
+using namespace Loom;
+
+namespace {
+
+OrderLease::Options options(bool engineChecks)
+{
+    OrderLease::Options made;
+    made.engineChecks = engineChecks;
+    return made;
+}
+
+/** Claims and reads back until orders are permitted or @p until passes. */
+std::optional<Instant> acquire(OrderLease &lease, FakeLog &log, Instant from, Instant until)
+{
+    for (Instant now = from; now < until; now += Milliseconds(50)) {
+        lease.feed(log.read(lease.nextOffset(), now), now);
+        if (lease.permit(now)) {
+            return now;
+        }
+        if (const auto claim = lease.claimIfDue(now)) {
+            log.append(claim->SerializeAsString(), now);
+        }
+    }
+    return std::nullopt;
+}
+
+} // namespace
+
+BOOST_AUTO_TEST_CASE(the_only_agent_gets_its_lease_at_once)
+{
+    FakeLog log;
+    OrderLease lease("box", 1, options(false));
+    const auto got = acquire(lease, log, at(0), at(1'000));
+    BOOST_REQUIRE(got.has_value());
+    BOOST_TEST((*got < at(200)));
+}
+
+BOOST_AUTO_TEST_CASE(a_successor_waits_until_the_holder_has_surely_stopped)
+{
+    FakeLog log;
+    OrderLease holder("box", 1, options(false));
+    OrderLease successor("box", 2, options(false));
+    BOOST_REQUIRE(acquire(holder, log, at(0), at(1'000)));
+    const auto taken = acquire(successor, log, at(2'000), at(60'000));
+    BOOST_REQUIRE(taken.has_value());
+    // The holder never read the successor's claim: it was frozen meanwhile.
+    const OrderLease::Options standard;
+    BOOST_TEST(!holder.permit(*taken - standard.orderDelay).has_value());
+    BOOST_TEST(!holder.permit(*taken).has_value());
+}
+
+BOOST_AUTO_TEST_CASE(a_holder_thawed_past_its_lease_gives_no_order)
+{
+    FakeLog log;
+    OrderLease holder("box", 1, options(false));
+    BOOST_REQUIRE(acquire(holder, log, at(0), at(1'000)));
+    BOOST_TEST(holder.permit(at(10'000)).has_value());
+    BOOST_TEST(!holder.permit(at(18'000)).has_value());
+}
+
+BOOST_AUTO_TEST_CASE(an_engine_that_checks_lets_the_successor_go_at_once)
+{
+    FakeLog log;
+    OrderLease holder("box", 1, options(true));
+    OrderLease successor("box", 2, options(true));
+    BOOST_REQUIRE(acquire(holder, log, at(0), at(1'000)));
+    const auto taken = acquire(successor, log, at(2'000), at(60'000));
+    BOOST_REQUIRE(taken.has_value());
+    BOOST_TEST((*taken < at(2'500)));
+    BOOST_TEST(*successor.permit(*taken) > *holder.permit(*taken));
+}
+
+BOOST_AUTO_TEST_CASE(a_claim_whose_append_was_lost_gives_no_later_end)
+{
+    // Sent twice; only the first copy reached the log. Counting from the
+    // second would let the holder go on after a successor has begun.
+    FakeLog log;
+    OrderLease holder("box", 1, options(false));
+    const auto first = holder.claimIfDue(at(0));
+    BOOST_REQUIRE(first.has_value());
+    log.append(first->SerializeAsString(), at(10));
+    BOOST_REQUIRE(holder.claimIfDue(at(5'000)).has_value()); // answer lost; this one vanishes
+    holder.feed(log.read(0, at(5'100)), at(5'100));
+    BOOST_TEST(holder.permit(at(17'900)).has_value());
+    BOOST_TEST(!holder.permit(at(18'000)).has_value());
+}
+
+BOOST_AUTO_TEST_CASE(a_renewal_that_lands_late_does_not_revive_a_lost_term)
+{
+    FakeLog log;
+    OrderLease old("box", 1, options(false));
+    OrderLease fresh("box", 2, options(false));
+    BOOST_REQUIRE(acquire(old, log, at(0), at(1'000)));
+    const auto renewal = old.claimIfDue(at(15'000)); // under way while the box freezes
+    BOOST_REQUIRE(renewal.has_value());
+    const auto taken = acquire(fresh, log, at(15'100), at(100'000));
+    BOOST_REQUIRE(taken.has_value());
+    log.append(renewal->SerializeAsString(), *taken);
+    old.feed(log.read(old.nextOffset(), *taken), *taken);
+    BOOST_TEST(!old.permit(*taken).has_value());
+    fresh.feed(log.read(fresh.nextOffset(), *taken), *taken);
+    BOOST_TEST(!(old.permit(*taken + Milliseconds(1)) && fresh.permit(*taken + Milliseconds(1))));
+}
+
+BOOST_AUTO_TEST_CASE(random_schedules_never_permit_two_holders_at_once)
+{
+    // Three lives of one box freeze, thaw, lose appends and read late.
+    for (std::uint64_t seed = 1; seed <= 300; ++seed) {
+        std::mt19937_64 random(seed);
+        FakeLog log;
+        std::vector<OrderLease> lives;
+        for (std::uint64_t life = 1; life <= 3; ++life) {
+            lives.emplace_back("box", life, options(false));
+        }
+        std::vector<Instant> frozenUntil(lives.size());
+        struct UnderWay
+        {
+            std::string data;
+            Instant lands;
+        };
+        std::vector<UnderWay> underWay;
+        for (Instant now = at(0); now < at(150'000); now += Milliseconds(100)) {
+            std::erase_if(underWay, [&](const UnderWay &claim) {
+                const bool lands = claim.lands <= now;
+                if (lands) {
+                    log.append(claim.data, now);
+                }
+                return lands;
+            });
+            int holders = 0;
+            for (std::size_t i = 0; i < lives.size(); ++i) {
+                holders += lives[i].permit(now) ? 1 : 0;
+                if (now < frozenUntil[i]) {
+                    continue;
+                }
+                if (random() % 100 == 0) {
+                    frozenUntil[i] = now + Milliseconds(random() % 40'000);
+                    continue;
+                }
+                if (random() % 4 != 0) {
+                    lives[i].feed(log.read(lives[i].nextOffset(), now), now);
+                }
+                const auto claim = lives[i].claimIfDue(now);
+                if (claim && random() % 5 != 0) {
+                    underWay.push_back({claim->SerializeAsString(),
+                                        now + Milliseconds(random() % 4 == 0 ? 6'000 : 100)});
+                }
+            }
+            BOOST_REQUIRE_MESSAGE(holders <= 1,
+                                  "seed " << seed << " at " << now.time_since_epoch().count());
+        }
+    }
+}
--- /dev/null
+++ b/tests/weights/test_chunkplan.cpp
@@ -0,0 +1,183 @@
+/*
+ * test_chunkplan.cpp
+ * Copyright 2026, the loomjunction authors
+ *
+ * This file is part of loomjunction (tests).
+ * SPDX-License-Identifier: BSD-2-Clause
+ */
+
+#include <boost/test/unit_test.hpp>
+
+#include "chunkplan.h"
+#include "digest.h"
+#include "fakelog.h"
+#include "manifest.h"
+
+#include <algorithm>
+#include <map>
+#include <set>
+
+using namespace Loom;
+
+namespace {
+
+constexpr std::uint32_t sChunks = 40;
+
+std::vector<SwarmMember> swarm(int count)
+{
+    std::vector<SwarmMember> members;
+    for (int i = 0; i < count; ++i) {
+        members.push_back({"box-" + std::to_string(i), "dc-" + std::to_string(i % 3)});
+    }
+    return members;
+}
+
+/** Chunks that box @p name pulls from the origin when nobody else exists for it. */
+std::set<std::uint32_t> ownOriginChunks(const SwarmMember &self,
+                                        const std::vector<SwarmMember> &members,
+                                        std::uint32_t copies)
+{
+    ChunkPlan::Options options;
+    options.originParallel = sChunks;
+    options.originCopies = copies;
+    ChunkPlan plan("digest", sChunks, self, options, at(0));
+    plan.setMembers(members);
+    std::set<std::uint32_t> chunks;
+    for (const ChunkFetch &fetch : plan.next(at(0))) {
+        BOOST_TEST(std::holds_alternative<FromOrigin>(fetch.source));
+        chunks.insert(fetch.index);
+    }
+    return chunks;
+}
+
+} // namespace
+
+BOOST_AUTO_TEST_CASE(each_chunk_is_pulled_by_exactly_the_copies_asked_for)
+{
+    for (const std::uint32_t copies : {1U, 2U, 4U}) {
+        const auto members = swarm(12);
+        std::map<std::uint32_t, std::uint32_t> pulls;
+        for (const SwarmMember &member : members) {
+            for (const std::uint32_t index : ownOriginChunks(member, members, copies)) {
+                ++pulls[index];
+            }
+        }
+        BOOST_TEST(pulls.size() == sChunks);
+        for (const auto &[index, count] : pulls) {
+            BOOST_TEST(count == copies);
+        }
+    }
+}
+
+BOOST_AUTO_TEST_CASE(when_a_member_dies_its_chunks_go_to_the_next_in_order)
+{
+    auto members = swarm(5);
+    std::set<std::uint32_t> covered;
+    for (std::size_t i = 1; i < members.size(); ++i) {
+        const std::vector<SwarmMember> living(members.begin() + 1, members.end());
+        covered.merge(ownOriginChunks(members[i], living, 1));
+    }
+    BOOST_TEST(covered.size() == sChunks);
+}
+
+BOOST_AUTO_TEST_CASE(a_stalled_member_is_stepped_in_for)
+{
+    const auto members = swarm(3);
+    ChunkPlan::Options options;
+    options.originParallel = sChunks;
+    ChunkPlan plan("digest", sChunks, members[0], options, at(0));
+    plan.setMembers(members);
+    const std::size_t own = plan.next(at(0)).size();
+    BOOST_TEST(own < sChunks);
+    BOOST_TEST(plan.next(at(1)).empty());
+    const Instant later = at(0) + options.takeover * 2;
+    BOOST_TEST(own + plan.next(later).size() == sChunks);
+}
+
+BOOST_AUTO_TEST_CASE(neighbours_are_asked_rarest_first_and_within_limits)
+{
+    const auto members = swarm(4);
+    ChunkPlan::Options options;
+    options.originParallel = 0;
+    options.peerParallel = 3;
+    options.perPeerParallel = 2;
+    ChunkPlan plan("digest", sChunks, members[0], options, at(0));
+    plan.setMembers(members);
+    for (std::uint32_t index = 0; index < sChunks; ++index) {
+        plan.peerHas("box-1", index);
+        plan.peerHas("box-2", index);
+    }
+    plan.peerHas("box-3", 7); // no rarer than the others now, but held by three
+    const auto asked = plan.next(at(0));
+    BOOST_TEST(asked.size() == 3u);
+    BOOST_TEST(std::ranges::none_of(asked, [](const ChunkFetch &f) { return f.index == 7; }));
+    std::map<std::string, int> perPeer;
+    for (const ChunkFetch &fetch : asked) {
+        ++perPeer[std::get<FromPeer>(fetch.source).box];
+    }
+    for (const auto &[box, count] : perPeer) {
+        BOOST_TEST(count <= 2);
+    }
+    BOOST_TEST(plan.next(at(1)).empty());
+}
+
+BOOST_AUTO_TEST_CASE(a_sender_of_a_bad_chunk_is_avoided)
+{
+    const auto members = swarm(2);
+    ChunkPlan::Options options;
+    options.originParallel = 0;
+    ChunkPlan plan("digest", 4, members[0], options, at(0));
+    plan.setMembers(members);
+    plan.peerHas("box-1", 0);
+    plan.peerHas("box-1", 1);
+    for (const ChunkFetch &fetch : plan.next(at(0))) {
+        plan.failed(fetch.index, fetch.source, ChunkFailure::Corrupt, at(1));
+    }
+    BOOST_TEST(!plan.has(0));
+    BOOST_TEST(plan.next(at(1'000)).empty());
+}
+
+BOOST_AUTO_TEST_CASE(the_swarm_is_one_whole_whatever_its_size)
+{
+    for (const int count : {2, 3, 12, 97}) {
+        const auto members = swarm(count);
+        std::map<std::string, std::vector<std::string>> edges;
+        for (const SwarmMember &member : members) {
+            ChunkPlan plan("digest", 4, member, {}, at(0));
+            plan.setMembers(members);
+            edges[member.box] = plan.neighbours();
+            BOOST_TEST(edges[member.box].size() <= ChunkPlan::Options().neighbours + 1);
+        }
+        std::set<std::string> reached{members[0].box};
+        std::vector<std::string> open{members[0].box};
+        while (!open.empty()) {
+            const std::string box = open.back();
+            open.pop_back();
+            for (const std::string &next : edges[box]) {
+                if (reached.insert(next).second) {
+                    open.push_back(next);
+                }
+            }
+        }
+        BOOST_TEST(reached.size() == static_cast<std::size_t>(count));
+    }
+}
+
+BOOST_AUTO_TEST_CASE(a_manifest_names_every_byte)
+{
+    std::string weights(10'000, '\0');
+    for (std::size_t i = 0; i < weights.size(); ++i) {
+        weights[i] = static_cast<char>(i * 31);
+    }
+    const auto bytes = std::as_bytes(std::span(weights.data(), weights.size()));
+    const Manifest made = Manifest::ofWeights("scorer", "v1", bytes, 4'096);
+    BOOST_TEST(made.chunkCount() == 3u);
+    BOOST_TEST(made.chunkSize(2) == 10'000u - 2 * 4'096u);
+    const auto parsed = Manifest::parse(made.text());
+    BOOST_REQUIRE(parsed.has_value());
+    BOOST_TEST(parsed->text() == made.text());
+    weights[5'000] ^= 1;
+    BOOST_TEST(Manifest::ofWeights("scorer", "v1", bytes, 4'096).text() != made.text());
+    BOOST_TEST(!Manifest::parse("{}").has_value());
+    BOOST_TEST(!Manifest::parse("no").has_value());
+}
