Benches for path, config, rollout and control; fetch policies to compare with

util/run-bench config first said 943 ms from accepted to in force. Cause: the entry noted what an agent acknowledged only with its next heartbeat; the configuration itself had been there long before. Ruled out: the push (woken by the fold).

--- a/src/libloomjunction/core/chunkplan.cpp
+++ b/src/libloomjunction/core/chunkplan.cpp
@@ -88,7 +88,7 @@
     }
 }
 
-void ChunkPlan::chooseNeighbours()
+std::vector<std::string> ChunkPlan::swarmNeighbours() const
 {
     std::vector<std::string> near;
     std::vector<std::string> all;
@@ -101,33 +101,59 @@
             near.push_back(member.box);
         }
     }
-    const auto pick = [&](const std::vector<std::string> &from, std::size_t count) {
-        std::vector<std::string> chosen;
-        for (const std::size_t index : rendezvousOrder(mSelf.box + "/" + mDigest, from, count)) {
-            chosen.push_back(from[index]);
-        }
-        return chosen;
-    };
+    const std::string key = mSelf.box + "/" + mDigest;
     const std::uint32_t far = std::max<std::uint32_t>(1, mOptions.neighbours / sFarEvery);
-    std::vector<std::string> wanted = pick(near, mOptions.neighbours - far);
-    for (const std::string &box : pick(all, all.size())) {
-        const bool enough = wanted.size() >= mOptions.neighbours;
-        if (enough) {
-            break;
-        }
+    std::vector<std::string> wanted;
+    const auto want = [&](const std::string &box) {
         if (std::ranges::find(wanted, box) == wanted.end()) {
             wanted.push_back(box);
         }
+    };
+    for (const std::size_t index : rendezvousOrder(key, near, mOptions.neighbours - far)) {
+        want(near[index]);
+    }
+    for (const std::size_t index : rendezvousOrder(key, all, all.size())) {
+        if (wanted.size() >= mOptions.neighbours) {
+            break;
+        }
+        want(all[index]);
     }
     // The next member in order keeps the whole swarm one connected ring.
-    const auto next = std::ranges::upper_bound(all, mSelf.box);
     if (!all.empty()) {
-        const std::string &successor = next == all.end() ? all.front() : *next;
-        if (std::ranges::find(wanted, successor) == wanted.end()) {
-            wanted.push_back(successor);
-        }
+        const auto next = std::ranges::upper_bound(all, mSelf.box);
+        want(next == all.end() ? all.front() : *next);
     }
+    return wanted;
+}
 
+std::vector<std::string> ChunkPlan::chainNeighbours() const
+{
+    const auto self = std::ranges::find(mMembers, mSelf.box, &SwarmMember::box);
+    if (self == mMembers.begin()) {
+        return {};
+    }
+    return {std::prev(self)->box};
+}
+
+bool ChunkPlan::isNear(std::string_view box) const
+{
+    const auto it = std::ranges::find(mMembers, box, &SwarmMember::box);
+    return it != mMembers.end() && it->dataCentre == mSelf.dataCentre;
+}
+
+void ChunkPlan::chooseNeighbours()
+{
+    std::vector<std::string> wanted;
+    switch (mOptions.policy) {
+    case FetchPolicy::Swarm:
+        wanted = swarmNeighbours();
+        break;
+    case FetchPolicy::Chain:
+        wanted = chainNeighbours();
+        break;
+    case FetchPolicy::OriginOnly:
+        break;
+    }
     for (auto it = mPeers.begin(); it != mPeers.end();) {
         const bool stays = std::ranges::find(wanted, it->first) != wanted.end();
         if (stays) {
@@ -142,7 +168,7 @@
     for (const std::string &box : wanted) {
         Peer &peer = mPeers[box];
         peer.has.resize(mChunks.size());
-        peer.sameDataCentre = std::ranges::find(near, box) != near.end();
+        peer.sameDataCentre = isNear(box);
     }
 }
 
@@ -192,6 +218,14 @@
     if (chunk.originRetryAt > now) {
         return false;
     }
+    switch (mOptions.policy) {
+    case FetchPolicy::OriginOnly:
+        return true;
+    case FetchPolicy::Chain:
+        return mPeers.empty();
+    case FetchPolicy::Swarm:
+        break;
+    }
     if (chunk.originRank < mOptions.originCopies) {
         return true;
     }
--- a/src/libloomjunction/core/chunkplan.h
+++ b/src/libloomjunction/core/chunkplan.h
@@ -55,6 +55,14 @@
     std::string dataCentre;
 };
 
+/** How chunks spread. Swarm is what runs; the others are there to be compared with. */
+enum class FetchPolicy : std::uint8_t
+{
+    Swarm,
+    OriginOnly, ///< everybody pulls everything from the origin
+    Chain, ///< each member pulls from the one before it, the first from the origin
+};
+
 /**
  * Decides which chunk one agent asks whom for, without a leader: every chunk
  * has responsible members by rendezvous, who pull it from the origin; all
@@ -66,6 +74,7 @@
 public:
     struct Options
     {
+        FetchPolicy policy = FetchPolicy::Swarm;
         std::uint32_t originCopies = 1; ///< members that pull a chunk from the origin
         std::uint32_t originParallel = 2; ///< requests open to the origin
         std::uint32_t peerParallel = 6; ///< requests open to all neighbours
@@ -131,6 +140,9 @@
 
     void rankChunks();
     void chooseNeighbours();
+    std::vector<std::string> swarmNeighbours() const;
+    std::vector<std::string> chainNeighbours() const;
+    bool isNear(std::string_view box) const;
     void planOrigin(std::vector<ChunkFetch> &out, Instant now);
     void planPeers(std::vector<ChunkFetch> &out, Instant now);
     bool mayPullFromOrigin(const Chunk &chunk, Instant now) const;
--- a/src/loomjunctiond/daemonsettings.cpp
+++ b/src/loomjunctiond/daemonsettings.cpp
@@ -33,6 +33,18 @@
     return entry;
 }
 
+FetchPolicy readFetch(SettingsReader &reader)
+{
+    if (!reader.has("fetch")) {
+        return FetchPolicy::Swarm;
+    }
+    const std::string name = reader.oneOf("fetch", {"swarm", "origin", "chain"});
+    if (name == "origin") {
+        return FetchPolicy::OriginOnly;
+    }
+    return name == "chain" ? FetchPolicy::Chain : FetchPolicy::Swarm;
+}
+
 AgentSettings readAgent(SettingsReader reader)
 {
     AgentSettings agent;
@@ -44,6 +56,7 @@
     agent.linkMbit = reader.integer("linkMbit", 0, sMostMbit, 0);
     agent.weightCacheMib
         = static_cast<std::uint32_t>(reader.integer("weightCacheMib", 1, sMostCacheMib, 2048));
+    agent.fetch = readFetch(reader);
     reader.refuseUnknown();
     return agent;
 }
--- a/src/loomjunctiond/daemonsettings.h
+++ b/src/loomjunctiond/daemonsettings.h
@@ -9,6 +9,7 @@
 #pragma once
 
 #include "asynctypes.h"
+#include "chunkplan.h"
 #include "instant.h"
 #include "jsonlog.h"
 
@@ -40,6 +41,7 @@
     std::uint32_t capacity = 16; ///< calls handed to the upstream at once
     std::int64_t linkMbit = 0; ///< of this box's link, each way; 0: no limit
     std::uint32_t weightCacheMib = 2048;
+    FetchPolicy fetch = FetchPolicy::Swarm;
 };
 
 /** The daemon's settings file. */
--- a/src/loomjunctiond/linkservice.cpp
+++ b/src/loomjunctiond/linkservice.cpp
@@ -155,6 +155,9 @@
     callbacks.onAgentStatus
         = [this, box](const wire::AgentStatus &status) { takeAgentStatus(box, status); };
     callbacks.onEntryStatus = [this](const wire::EntryStatus &status) { takeEntryStatus(status); };
+    if (link->isAgent) {
+        callbacks.onAck = [this, box](std::uint64_t offset) { mAgents[box].configOffset = offset; };
+    }
     link->session
         = std::make_shared<WatchSession>(*mPlatform, *mConfig, stream, std::move(callbacks));
     co_await link->session->run(link->isAgent ? std::chrono::milliseconds(sAgentSilence)
@@ -174,12 +177,7 @@
     report.isLeaving = status.leaving();
     report.isUpstreamAlive = status.upstream_alive();
     mUpstreams.report(box, report, now());
-    AgentView &view = mAgents[box];
-    view.status = status;
-    const auto link = mLinks.find(box);
-    if (link != mLinks.end() && link->second->session) {
-        view.configOffset = link->second->session->ackedOffset();
-    }
+    mAgents[box].status = status;
 }
 
 awaitable<void> LinkService::servePeer(PeerStreamPtr stream)
--- a/src/loomjunctiond/watchsession.cpp
+++ b/src/loomjunctiond/watchsession.cpp
@@ -94,7 +94,7 @@
         mPeerOffset = frame.hello().config_offset();
         mPeerKnown = true;
         if (mPeerHasConfig) {
-            mAcked = mPeerOffset;
+            noteAck(mPeerOffset);
         }
         mHelloSeen.notify();
         if (mCallbacks.onHello) {
@@ -105,7 +105,7 @@
         takeConfig(frame.config());
         return;
     case wire::WatchFrame::kAck:
-        mAcked = std::max(mAcked.value_or(0), frame.ack().offset());
+        noteAck(frame.ack().offset());
         return;
     case wire::WatchFrame::kAgentStatus:
         if (mCallbacks.onAgentStatus) {
@@ -122,6 +122,13 @@
     }
 }
 
+void WatchSession::noteAck(std::uint64_t offset)
+{
+    if (mCallbacks.onAck) {
+        mCallbacks.onAck(offset);
+    }
+}
+
 void WatchSession::takeConfig(const wire::ConfigUpdate &update)
 {
     if (mConfig.feedPeer(update) == FeedResult::Gap) {
--- a/src/loomjunctiond/watchsession.h
+++ b/src/loomjunctiond/watchsession.h
@@ -33,6 +33,7 @@
         std::function<void(const wire::Hello &)> onHello;
         std::function<void(const wire::AgentStatus &)> onAgentStatus;
         std::function<void(const wire::EntryStatus &)> onEntryStatus;
+        std::function<void(std::uint64_t)> onAck; ///< offset in force at the other side
     };
 
     WatchSession(PlatformService &platform, ConfigService &config, PeerStreamPtr stream,
@@ -43,12 +44,11 @@
     void send(const wire::WatchFrame &frame) { mStream->send(frame); }
     bool isOpen() const { return mStream->isOpen(); }
     const std::string &peerBox() const { return mPeerBox; }
-    /** Offset that the other side said it has in force; nothing before it spoke. */
-    std::optional<std::uint64_t> ackedOffset() const { return mAcked; }
 
 private:
     static awaitable<void> pushConfig(std::shared_ptr<WatchSession> self);
     void sendHello();
+    void noteAck(std::uint64_t offset);
     void take(const wire::WatchFrame &frame);
     void takeConfig(const wire::ConfigUpdate &update);
 
@@ -60,7 +60,6 @@
     bool mPeerKnown = false;
     bool mPeerHasConfig = false;
     std::uint64_t mPeerOffset = 0;
-    std::optional<std::uint64_t> mAcked;
     Signal mHelloSeen;
 };
 
--- a/src/loomjunctiond/weightservice.cpp
+++ b/src/loomjunctiond/weightservice.cpp
@@ -149,6 +149,7 @@
 {
     const std::string &service = mUpstream->settings().service;
     ChunkPlan::Options options;
+    options.policy = mUpstream->settings().fetch;
     options.originCopies
         = static_cast<std::uint32_t>(mConfig->state().integer(service, "rollout.originCopies"));
     options.seed = mPlatform->random();
--- /dev/null
+++ b/util/bench.py
@@ -0,0 +1,362 @@
+# This file is part of loomjunction.
+# SPDX-License-Identifier: BSD-2-Clause
+"""Benchmarks; see util/run-bench and docs/operators/benchmarks.md."""
+
+import argparse
+import hashlib
+import json
+import os
+import signal
+import sys
+import time
+
+from loomlab import HOST, Lab, program, request_json, wait_for
+
+CLOCK_TICKS = os.sysconf("SC_CLK_TCK")
+PAGE = os.sysconf("SC_PAGE_SIZE")
+ACCOUNTS = ["center-%02d" % number for number in range(1, 11)]
+
+
+def emit(**fields):
+    print(json.dumps(fields), flush=True)
+
+
+def note(text):
+    print(text, file=sys.stderr, flush=True)
+
+
+def processor_seconds(process):
+    with open("/proc/%d/stat" % process.child.pid) as file:
+        fields = file.read().rsplit(")", 1)[1].split()
+    return (int(fields[11]) + int(fields[12])) / CLOCK_TICKS
+
+
+def resident_mib(process):
+    with open("/proc/%d/statm" % process.child.pid) as file:
+        return int(file.read().split()[1]) * PAGE / 1048576
+
+
+def set_up(lab, agents, entries=1, engine_options=(), agent_options=None, service="scorer-llm"):
+    for number in range(entries):
+        lab.add_entry("entry-%d" % (number + 1), "dfw-a")
+    wait_for("the log to be followed",
+             lambda: all(lab.admin(e, "health")["logReachable"] for e in lab.entries))
+    for account in ACCOUNTS:
+        lab.loomctl("account", "create", account)
+    lab.loomctl("service", "create", service)
+    add_replicas(lab, agents, engine_options, agent_options or {}, service)
+    lab.wait_ready()
+
+
+def add_replicas(lab, count, engine_options, agent_options, service):
+    ports = lab.engines(count, *engine_options)
+    added = []
+    for number, port in enumerate(ports):
+        added.append(lab.add_agent("box-%03d" % (number + 1), service, port,
+                                   ["dfw-a", "hou-a", "sat-a"][number % 3], announce=False,
+                                   **agent_options))
+    lab.announce(added)
+
+
+def publish(lab, version, size, seed, service="scorer-llm"):
+    path = lab.write_weights(version, size, seed)
+    done = lab.loomctl("--json", "model", "publish", service, version, path)
+    return json.loads(done.stdout)["wholeDigest"]
+
+
+def serve_version(lab, version, size=262144, seed=1, service="scorer-llm"):
+    digest = publish(lab, version, size, seed, service)
+    lab.loomctl("model", "promote", service, version)
+    lab.wait_version(service, version)
+    return digest
+
+
+def start_load(lab, *options, name="load"):
+    seeds = ",".join("%s:%d" % (HOST, entry.callers) for entry in lab.entries)
+    command = [program("loombench"), "--service", "scorer-llm", "--seed-entry", seeds]
+    return lab.start("%s-%d" % (name, len(lab.processes)), command + list(options))
+
+
+def finish(load):
+    load.child.wait()
+    return json.loads(load.log_text().strip().splitlines()[-1])
+
+
+def run_load(lab, *options):
+    return finish(start_load(lab, *options))
+
+
+# ---- path -------------------------------------------------------------------
+
+def bench_path(options):
+    """Latency that entry and agent add, and requests per second of entry core."""
+    with Lab(log_level="warning") as lab:
+        set_up(lab, options.agents, agent_options={"capacity": 4096},
+               engine_options=("--slots", 4096))
+        lab.loomctl("settings", "set", "/", "admission.maxInFlight", "4096")
+        digest = serve_version(lab, "v1")
+        common = ("--account", ",".join(ACCOUNTS), "--weights", "v1=" + digest, "--tokens", 1)
+        direct = ("--direct", "%s:%d" % (HOST, lab.agents[0].upstream_port),
+                  "--direct-version", "v1")
+        for concurrency in options.concurrency:
+            path_case(lab, options, concurrency, common, direct)
+
+
+def path_case(lab, options, concurrency, common, direct):
+    entry, agent = lab.entries[0].process, lab.agents[0].process
+    size = ("--concurrency", concurrency, "--seconds", options.seconds)
+    run_load(lab, *common, *size[:2], "--seconds", 0.5)
+    before = processor_seconds(entry), processor_seconds(agent)
+    whole = run_load(lab, *common, *size)
+    spent = processor_seconds(entry) - before[0]
+    agent_spent = processor_seconds(agent) - before[1]
+    # The added latency is read at half the closed-loop rate, with the base in turn.
+    rate = ("--rate", whole["answeredPerSecond"] / 2)
+    half = run_load(lab, *common, *size, *rate)
+    base = run_load(lab, *common, *size, *rate, *direct)
+    emit(bench="path", concurrency=concurrency,
+         addedP50Ms=round(half["p50Ms"] - base["p50Ms"], 3),
+         addedP95Ms=round(half["p95Ms"] - base["p95Ms"], 3),
+         addedP99Ms=round(half["p99Ms"] - base["p99Ms"], 3),
+         requestsPerSecondPerCore=round(whole["answered"] / spent),
+         requestsPerSecondPerAgentCore=round(whole["answered"] / agent_spent * options.agents)
+         if options.agents == 1 else None,
+         requestsPerSecond=round(whole["answeredPerSecond"]), bad=whole["bad"],
+         halfLoadRate=round(whole["answeredPerSecond"] / 2), baseP50Ms=round(base["p50Ms"], 3),
+         baseP99Ms=round(base["p99Ms"], 3))
+
+
+# ---- config -----------------------------------------------------------------
+
+def offsets_in_force(lab):
+    """Configuration offset that each agent says it has folded."""
+    offsets = {}
+    for entry in lab.entries:
+        for row in lab.admin(entry, "upstreams")["upstreams"]:
+            if row.get("configOffset") is not None:
+                offsets[row["box"]] = max(offsets.get(row["box"], 0), row["configOffset"])
+    return offsets
+
+
+def bench_config(options):
+    """Time from accepted to in force on every box, log healthy or down just after."""
+    with Lab(log_level="warning") as lab:
+        set_up(lab, options.agents, entries=options.entries)
+        durations, reverts, last = [], 0, {}
+        began, first = time.monotonic(), request_json(lab.log_port, "GET", "/stats")[1]["appends"]
+        for number in range(options.changes):
+            done = lab.loomctl("--json", "settings", "set", "/", "calls.deadlineMs",
+                               str(1000 + number))
+            accepted = time.monotonic()
+            offset = json.loads(done.stdout)["offset"]
+            if options.log_down:
+                request_json(lab.log_port, "POST", "/control", {"down": True})
+
+            def in_force():
+                nonlocal reverts
+                seen = offsets_in_force(lab)
+                reverts += sum(1 for box, value in seen.items() if value < last.get(box, 0))
+                last.update(seen)
+                entries = [lab.admin(entry, "health")["offset"] for entry in lab.entries]
+                return (len(seen) == options.agents and min(seen.values()) >= offset
+                        and min(entries) >= offset)
+
+            wait_for("change %d in force" % number, in_force, step=0.002)
+            durations.append((time.monotonic() - accepted) * 1000)
+            if options.log_down:
+                request_json(lab.log_port, "POST", "/control", {"down": False})
+                wait_for("the log to be back",
+                         lambda: all(lab.admin(e, "health")["logReachable"] for e in lab.entries))
+        spent = time.monotonic() - began
+        appends = request_json(lab.log_port, "GET", "/stats")[1]["appends"] - first
+        durations.sort()
+        emit(bench="config", agents=options.agents, entries=options.entries,
+             logDown=options.log_down, changes=options.changes,
+             p50Ms=round(durations[len(durations) // 2], 1), maxMs=round(durations[-1], 1),
+             appendsPerSecond=round(appends / spent, 2),
+             appendsPerChange=round(appends / options.changes, 2), reverts=reverts)
+
+
+# ---- control ----------------------------------------------------------------
+
+def metric(entry, name):
+    import http.client
+    connection = http.client.HTTPConnection(HOST, entry.operators, timeout=5)
+    connection.request("GET", "/metrics")
+    text = connection.getresponse().read().decode()
+    connection.close()
+    for line in text.splitlines():
+        if line.startswith(name + " "):
+            return float(line.split()[-1])
+    return 0.0
+
+
+def bench_control(options):
+    """Idle cost of control for each process, and what one change adds."""
+    agents = options.processes - options.entries
+    with Lab(log_level="warning") as lab:
+        set_up(lab, agents, entries=options.entries)
+        serve_version(lab, "v1")
+        time.sleep(3)
+        for changes in (0, options.changes_per_second):
+            control_case(lab, options, changes)
+
+
+def control_case(lab, options, changes):
+    groups = {"entry": [entry.process for entry in lab.entries],
+              "agent": [agent.process for agent in lab.agents]}
+    before = {role: sum(map(processor_seconds, group)) for role, group in groups.items()}
+    bytes_before = sum(metric(entry, "loom_peer_bytes") for entry in lab.entries)
+    appends_before = request_json(lab.log_port, "GET", "/stats")[1]["appends"]
+    began, made = time.monotonic(), 0
+    while time.monotonic() - began < options.seconds:
+        if changes and made < (time.monotonic() - began) * changes:
+            lab.loomctl("settings", "set", "/", "calls.deadlineMs", str(1000 + made))
+            made += 1
+        else:
+            time.sleep(0.02)
+    seconds = time.monotonic() - began
+    bytes_after = sum(metric(entry, "loom_peer_bytes") for entry in lab.entries)
+    appends = request_json(lab.log_port, "GET", "/stats")[1]["appends"] - appends_before
+    moved = (bytes_after - bytes_before) / seconds
+    for role, group in groups.items():
+        spent = sum(map(processor_seconds, group)) - before[role]
+        emit(bench="control", role=role, processes=options.processes, entries=options.entries,
+             changesPerSecond=round(made / seconds, 2),
+             cpuPercent=round(100 * spent / seconds / len(group), 3),
+             residentMib=round(max(map(resident_mib, group)), 1),
+             # Nearly all of it crosses between entries and agents.
+             bytesPerSecond=round(moved / len(group)),
+             linksPerProcess=len(lab.agents) if role == "entry" else len(lab.entries),
+             messagesPerSecond=round(len(lab.agents) * len(lab.entries) / len(group), 1),
+             appendsPerSecond=round(appends / seconds, 2))
+
+
+# ---- rollout ----------------------------------------------------------------
+
+class Holders:
+    """Follows which replicas hold a version, through the entries."""
+
+    def __init__(self, lab, version):
+        self.lab, self.version = lab, version
+
+    def boxes(self):
+        found = set()
+        for entry in self.lab.entries:
+            for row in self.lab.admin(entry, "upstreams")["upstreams"]:
+                if self.version in row["versions"]:
+                    found.add(row["box"])
+        return found
+
+
+def inject(lab, fault, lower_bound, seed):
+    """Starts a fault; gives the boxes that need not finish and how to end it."""
+    import random
+    chosen = random.Random(seed)
+    if fault == "kill":
+        victims = chosen.sample(lab.agents, max(1, len(lab.agents) // 10))
+        time.sleep(lower_bound * 0.4)
+        for agent in victims:
+            agent.process.kill()
+        return {agent.box for agent in victims}
+    if fault == "stall":
+        victim = chosen.choice(lab.agents)
+        time.sleep(lower_bound * 0.4)
+        victim.process.send(signal.SIGSTOP)
+        return {victim.box}
+    if fault == "corrupt":
+        request_json(lab.origin_port, "POST", "/control", {"corruptPerMille": 20})
+    if fault == "origin-down":
+        time.sleep(lower_bound * 0.25)
+        request_json(lab.origin_port, "POST", "/control", {"down": True})
+        time.sleep(lower_bound * 0.5)  # a quarter of the window of two S/B
+        request_json(lab.origin_port, "POST", "/control", {"down": False})
+    return set()
+
+
+def rollout_once(options, policy, fault):
+    size = int(options.model_mib * 1048576)
+    lower_bound = size * 8 / (options.link_mbit * 1e6)
+    fetch = {"origin-only": "origin", "chain": "chain"}.get(policy, "swarm")
+    with Lab(log_level="warning", origin_mbit=options.origin_mbit) as lab:
+        set_up(lab, options.replicas, entries=options.entries,
+               engine_options=("--load-ms", 0),
+               agent_options={"linkMbit": options.link_mbit, "fetch": fetch,
+                              "engineChecksFence": True})
+        copies = 4 if policy == "time-first" else 1
+        lab.loomctl("settings", "set", "/", "rollout.originCopies", copies)
+        lab.loomctl("settings", "set", "/", "rollout.maxLoadingPercent", options.max_loading)
+        path = lab.write_weights("v1", size, options.seed)
+        with open(path, "rb") as file:
+            digest = hashlib.sha256(file.read()).hexdigest()
+        lab.loomctl("model", "publish", "scorer-llm", "v1", path, "--no-spread",
+                    "--chunk-kib", options.chunk_kib)
+        request_json(lab.origin_port, "POST", "/control", {"resetCounts": True})
+        lab.loomctl("settings", "set", "/service/scorer-llm", "model.version", "v1")
+        began = time.monotonic()
+        excused = inject(lab, fault, lower_bound, options.seed)
+        holders = Holders(lab, "v1")
+        wanted = {agent.box for agent in lab.agents} - excused
+        wait_for("every live replica holds v1", lambda: wanted <= holders.boxes(), seconds=600,
+                 step=0.02)
+        seconds = time.monotonic() - began
+        sent = request_json(lab.origin_port, "GET", "/stats")[1]["bytesOut"]
+        rows = lab.admin(lab.entries[0], "upstreams")["upstreams"]
+        check = run_load(lab, "--account", ACCOUNTS[0], "--weights", "v1=" + digest,
+                         "--concurrency", 16, "--seconds", 2)
+        emit(bench="rollout", policy=policy, replicas=options.replicas,
+             modelMib=options.model_mib, linkMbit=options.link_mbit,
+             originMbit=options.origin_mbit, seed=options.seed, seconds=round(seconds, 2),
+             lowerBoundSeconds=round(lower_bound, 2), ratio=round(seconds / lower_bound, 2),
+             originCopies=round(sent / size, 2),
+             maxLinkCopies=round(max((row.get("originBytes", 0) + row.get("peerBytes", 0)) / size
+                                     for row in rows), 2),
+             badChunks=sum(row.get("badChunks", 0) for row in rows), fault=fault,
+             finished=len(wanted & holders.boxes()), answered=check["answered"],
+             badAnswers=check["bad"])
+
+
+def bench_rollout(options):
+    """Seconds until a version is on N replicas, against the lower bound S/B."""
+    for policy in options.policy:
+        rollout_once(options, policy, options.fault)
+
+
+def main():
+    parser = argparse.ArgumentParser()
+    cases = parser.add_subparsers(dest="case", required=True)
+    path = cases.add_parser("path")
+    path.add_argument("--concurrency", type=int, nargs="+", default=[1, 16, 256])
+    path.add_argument("--agents", type=int, default=1)
+    path.add_argument("--seconds", type=float, default=4)
+    config = cases.add_parser("config")
+    config.add_argument("--agents", type=int, default=16)
+    config.add_argument("--entries", type=int, default=6)
+    config.add_argument("--changes", type=int, default=20)
+    config.add_argument("--log-down", action="store_true")
+    control = cases.add_parser("control")
+    control.add_argument("--processes", type=int, default=16)
+    control.add_argument("--entries", type=int, default=4)
+    control.add_argument("--seconds", type=float, default=10)
+    control.add_argument("--changes-per-second", type=float, default=5)
+    rollout = cases.add_parser("rollout")
+    rollout.add_argument("--replicas", type=int, default=12)
+    rollout.add_argument("--entries", type=int, default=1)
+    rollout.add_argument("--model-mib", type=float, default=16)
+    rollout.add_argument("--chunk-kib", type=int, default=128)
+    rollout.add_argument("--link-mbit", type=int, default=40)
+    rollout.add_argument("--origin-mbit", type=int, default=80)
+    rollout.add_argument("--max-loading", type=int, default=100)
+    rollout.add_argument("--policy", nargs="+",
+                         choices=["time-first", "bytes-first", "origin-only", "chain"],
+                         default=["time-first", "bytes-first"])
+    rollout.add_argument("--fault", choices=["none", "kill", "stall", "corrupt", "origin-down"],
+                         default="none")
+    rollout.add_argument("--seed", type=int, default=1)
+    options = parser.parse_args()
+    {"path": bench_path, "config": bench_config, "control": bench_control,
+     "rollout": bench_rollout}[options.case](options)
+
+
+if __name__ == "__main__":
+    main()
