Chunks go to the engine as they come; engine stand-ins share less

Each verified chunk now goes on at once, and the load follows the last one. Ruled out: leases (7 appends a second).

--- a/src/libloomjunction/core/manifest.cpp
+++ b/src/libloomjunction/core/manifest.cpp
@@ -119,11 +119,15 @@
     manifest.version = version;
     manifest.sizeBytes = weights.size();
     manifest.chunkBytes = chunkBytes;
-    manifest.wholeDigest = sha256Hex(weights);
     for (std::size_t begin = 0; begin < weights.size(); begin += chunkBytes) {
         const std::size_t size = std::min<std::size_t>(chunkBytes, weights.size() - begin);
         manifest.chunkDigests.push_back(sha256Hex(weights.subspan(begin, size)));
     }
+    std::string all;
+    for (const std::string &digest : manifest.chunkDigests) {
+        all += digest;
+    }
+    manifest.wholeDigest = sha256Hex(all);
     return manifest;
 }
 
--- a/src/libloomjunction/core/manifest.h
+++ b/src/libloomjunction/core/manifest.h
@@ -26,7 +26,7 @@
     std::uint64_t sizeBytes = 0;
     std::uint32_t chunkBytes = 0;
     std::vector<std::string> chunkDigests; ///< hex SHA-256 each
-    std::string wholeDigest; ///< hex SHA-256 of all bytes
+    std::string wholeDigest; ///< hex SHA-256 of all chunk digests in order
 
     std::uint32_t chunkCount() const { return static_cast<std::uint32_t>(chunkDigests.size()); }
     /** Bytes of chunk @p index; the last one may be shorter. */
--- a/src/loomjunctiond/weightservice.cpp
+++ b/src/loomjunctiond/weightservice.cpp
@@ -167,7 +167,9 @@
                              }};
     mFetch = std::make_shared<WeightFetch>(target, options, std::move(parts));
     logLine(LogLevel::Info, "fetch-begun", {{"version", target.version}});
+    mHanded.erase(target.manifestDigest);
     asio::co_spawn(mExecutor, WeightFetch::run(mFetch), asio::detached);
+    asio::co_spawn(mExecutor, handWhileFetching(mFetch), asio::detached);
 }
 
 awaitable<bool> WeightService::isMyTurn()
@@ -221,7 +223,10 @@
 
 awaitable<void> WeightService::loadVersion(VersionTarget target)
 {
-    const bool handed = co_await handToEngine(target);
+    // An engine that restarted has lost what it was given: after a failed
+    // order everything is handed over again.
+    const bool early = mHanded.erase(target.manifestDigest) > 0;
+    const bool handed = early || co_await handToEngine(target);
     const bool accepted = handed && co_await mOrders->load(target.version, target.manifestDigest);
     co_await mUpstream->refresh();
     mUpstream->versions().orderEnded(target.version, accepted, now());
@@ -236,31 +241,58 @@
     mWake.notify();
 }
 
+awaitable<void> WeightService::handWhileFetching(std::shared_ptr<WeightFetch> fetch)
+{
+    // The engine gets each verified chunk as it comes, so that the last one is
+    // followed by the load and not by a second transfer.
+    const std::string digest = fetch->target().manifestDigest;
+    std::size_t handed = 0;
+    while (!mStopped && mFetch == fetch) {
+        const StoredVersion *stored = mStore.find(digest);
+        if (stored != nullptr && handed == stored->manifest.chunkCount()) {
+            mHanded.insert(digest);
+            mWake.notify();
+            co_return;
+        }
+        if (stored == nullptr || handed == stored->order.size()) {
+            co_await mStore.added().waitFor(sDriveStep);
+            continue;
+        }
+        const bool taken = co_await handChunk(digest, stored->order[handed]);
+        if (!taken) {
+            co_return; // loadVersion() hands over everything anew
+        }
+        ++handed;
+    }
+}
+
 awaitable<bool> WeightService::handToEngine(const VersionTarget &target)
 {
     const StoredVersion *stored = mStore.find(target.manifestDigest);
-    if (stored == nullptr) {
-        co_return false;
-    }
-    const std::uint32_t count = stored->manifest.chunkCount();
+    const std::uint32_t count = stored == nullptr ? 0 : stored->manifest.chunkCount();
     for (std::uint32_t index = 0; index < count; ++index) {
-        stored = mStore.find(target.manifestDigest);
-        if (stored == nullptr || !stored->has[index]) {
-            co_return false;
-        }
-        HttpCall call;
-        call.endpoint = mUpstream->settings().upstream;
-        call.method = "PUT";
-        call.target = "/v1/weights/" + target.manifestDigest + "/" + std::to_string(index)
-            + "?count=" + std::to_string(count);
-        call.body = stored->chunks[index];
-        call.timeout = sEngineTimeout;
-        const auto response = co_await mPlatform->http().send(std::move(call));
-        if (!response || response->status != 200) {
+        if (!co_await handChunk(target.manifestDigest, index)) {
             co_return false;
         }
     }
-    co_return true;
+    co_return count > 0;
+}
+
+awaitable<bool> WeightService::handChunk(std::string digest, std::uint32_t index)
+{
+    const StoredVersion *stored = mStore.find(digest);
+    if (stored == nullptr || !stored->has[index]) {
+        co_return false;
+    }
+    HttpCall call;
+    call.endpoint = mUpstream->settings().upstream;
+    call.method = "PUT";
+    call.target = "/v1/weights/" + digest + "/" + std::to_string(index)
+        + "?count=" + std::to_string(stored->manifest.chunkCount());
+    call.body = stored->chunks[index];
+    call.timeout = sEngineTimeout;
+    const auto response = co_await mPlatform->http().send(std::move(call));
+    co_return response && response->status == 200;
 }
 
 awaitable<void> WeightService::serveHave(PeerStreamPtr stream)
--- a/src/loomjunctiond/weightservice.h
+++ b/src/loomjunctiond/weightservice.h
@@ -16,6 +16,7 @@
 #include "weightfetch.h"
 
 #include <memory>
+#include <set>
 #include <string>
 #include <string_view>
 
@@ -56,7 +57,9 @@
     void beginFetch(const VersionTarget &target);
     awaitable<void> loadVersion(VersionTarget target);
     awaitable<void> unloadVersion(std::string version);
+    awaitable<void> handWhileFetching(std::shared_ptr<WeightFetch> fetch);
     awaitable<bool> handToEngine(const VersionTarget &target);
+    awaitable<bool> handChunk(std::string digest, std::uint32_t index);
     awaitable<bool> isMyTurn();
     awaitable<bool> hasLoaded(std::string box, std::string version);
     std::optional<VersionTarget> targetNamed(std::string_view key) const;
@@ -74,6 +77,7 @@
     TokenBucket mEgress;
     FetchCounts mCounts;
     std::shared_ptr<WeightFetch> mFetch;
+    std::set<std::string> mHanded; ///< manifests whose chunks the engine has been given
     std::uint32_t mUploads = 0;
     Signal mWake;
     Instant mWaitingSince;
--- a/src/loomstandin/enginestandin.cpp
+++ b/src/loomstandin/enginestandin.cpp
@@ -174,18 +174,18 @@
 {
     const auto it = mWeights.find(manifest);
     const bool whole = it != mWeights.end() && it->second.chunkCount > 0
-        && it->second.chunks.size() == it->second.chunkCount;
+        && it->second.digests.size() == it->second.chunkCount;
     if (!whole) {
         co_await exchange.respond(errorResponse(409, "weights are not whole"));
         co_return;
     }
-    std::string bytes;
-    for (const auto &[index, chunk] : it->second.chunks) {
-        bytes += chunk;
+    std::string digests;
+    for (const auto &[index, digest] : it->second.digests) {
+        digests += digest;
     }
     mWeights.erase(it);
     co_await sleepFor(mOptions.load);
-    mLoaded[version] = {manifest, sha256Hex(bytes)};
+    mLoaded[version] = {manifest, sha256Hex(digests)};
     co_await exchange.respond(jsonResponse(200, boost::json::object{}));
 }
 
@@ -198,7 +198,7 @@
     Weights &weights = mWeights[manifest];
     weights.chunkCount
         = static_cast<std::uint32_t>(queryNumber(exchange.request(), "count", weights.chunkCount));
-    weights.chunks[index] = exchange.request().body;
+    weights.digests[index] = sha256Hex(exchange.request().body);
     co_await exchange.respond(jsonResponse(200, boost::json::object{}));
 }
 
--- a/src/loomstandin/enginestandin.h
+++ b/src/loomstandin/enginestandin.h
@@ -44,15 +44,14 @@
 private:
     struct Weights
     {
-        std::uint64_t sizeBytes = 0;
         std::uint32_t chunkCount = 0;
-        std::map<std::uint32_t, std::string> chunks;
+        std::map<std::uint32_t, std::string> digests; ///< of the chunks' real bytes
     };
 
     struct Loaded
     {
         std::string manifestDigest;
-        std::string weightsDigest; ///< of the bytes really loaded
+        std::string weightsDigest; ///< of the digests of the chunks really loaded
     };
 
     struct Refusal
--- a/util/bench.py
+++ b/util/bench.py
@@ -3,14 +3,13 @@
 """Benchmarks; see util/run-bench and docs/operators/benchmarks.md."""
 
 import argparse
-import hashlib
 import json
 import os
 import signal
 import sys
 import time
 
-from loomlab import HOST, Lab, program, request_json, wait_for
+from loomlab import HOST, Lab, program, request_json, wait_for, whole_digest
 
 CLOCK_TICKS = os.sysconf("SC_CLK_TCK")
 PAGE = os.sysconf("SC_PAGE_SIZE")
@@ -274,11 +273,21 @@
     return set()
 
 
+def slowest_fetch(lab):
+    """Of the agents that finished, by their own logs; the rest of the time is loading."""
+    slowest = 0
+    for agent in lab.agents:
+        for line in agent.process.log_text().splitlines():
+            if '"weights-fetched"' in line:
+                slowest = max(slowest, json.loads(line)["milliseconds"])
+    return slowest / 1000
+
+
 def rollout_once(options, policy, fault):
     size = int(options.model_mib * 1048576)
     lower_bound = size * 8 / (options.link_mbit * 1e6)
     fetch = {"origin-only": "origin", "chain": "chain"}.get(policy, "swarm")
-    with Lab(log_level="warning", origin_mbit=options.origin_mbit) as lab:
+    with Lab(origin_mbit=options.origin_mbit) as lab:
         set_up(lab, options.replicas, entries=options.entries,
                engine_options=("--load-ms", 0),
                agent_options={"linkMbit": options.link_mbit, "fetch": fetch,
@@ -287,8 +296,7 @@
         lab.loomctl("settings", "set", "/", "rollout.originCopies", copies)
         lab.loomctl("settings", "set", "/", "rollout.maxLoadingPercent", options.max_loading)
         path = lab.write_weights("v1", size, options.seed)
-        with open(path, "rb") as file:
-            digest = hashlib.sha256(file.read()).hexdigest()
+        digest = whole_digest(path, options.chunk_kib)
         lab.loomctl("model", "publish", "scorer-llm", "v1", path, "--no-spread",
                     "--chunk-kib", options.chunk_kib)
         request_json(lab.origin_port, "POST", "/control", {"resetCounts": True})
@@ -312,6 +320,7 @@
              maxLinkCopies=round(max((row.get("originBytes", 0) + row.get("peerBytes", 0)) / size
                                      for row in rows), 2),
              badChunks=sum(row.get("badChunks", 0) for row in rows), fault=fault,
+             slowestFetchSeconds=round(slowest_fetch(lab), 2),
              finished=len(wanted & holders.boxes()), answered=check["answered"],
              badAnswers=check["bad"])
 
--- a/util/demo.py
+++ b/util/demo.py
@@ -8,7 +8,7 @@
 import sys
 import time
 
-from loomlab import HOST, Lab, program, request_json, wait_for
+from loomlab import HOST, Lab, program, request_json, wait_for, whole_digest
 
 DATA_CENTRES = ["dfw-a", "hou-a", "sat-a"]
 ACCOUNTS = ["center-%02d" % number for number in range(1, 11)]
@@ -118,9 +118,7 @@
         weights = {"v1": first["wholeDigest"]}
 
         path = lab.write_weights("v2.bin", size, 2)
-        import hashlib
-        with open(path, "rb") as file:
-            weights["v2"] = hashlib.sha256(file.read()).hexdigest()
+        weights["v2"] = whole_digest(path)
         say("Live requests begin: essays to scorer-llm, answers to exam-app that may run once")
         loads = [start_load(lab, "scorer-llm", weights, "--concurrency", 32, "--rate", 800),
                  start_load(lab, "exam-app", {}, "--concurrency", 8, "--rate", 200, "--once")]
--- a/util/loomlab.py
+++ b/util/loomlab.py
@@ -5,6 +5,7 @@
 Every process started here is stopped here, by its own id.
 """
 
+import hashlib
 import http.client
 import json
 import os
@@ -17,6 +18,7 @@
 import time
 
 HOST = "127.0.0.1"
+ENGINES_PER_PROCESS = 4
 ROOT = os.path.dirname(os.path.dirname(os.path.abspath(__file__)))
 
 
@@ -83,6 +85,15 @@
     raise AssertionError("did not happen: " + what)
 
 
+def whole_digest(path, chunk_kib=256):
+    """What answers from these weights must carry: the digest of all chunk digests."""
+    every = hashlib.sha256()
+    with open(path, "rb") as file:
+        while chunk := file.read(chunk_kib * 1024):
+            every.update(hashlib.sha256(chunk).hexdigest().encode())
+    return every.hexdigest()
+
+
 class Process:
     """A child process and the file that its log goes to."""
 
@@ -165,9 +176,13 @@
         wait_for("port %d open" % port, is_open)
 
     def engines(self, count, *options):
+        """Engines on consecutive ports, a few in each process."""
         first = self.ports.block(count)
-        self.stand_in("engine", first, "--count", count, *options)
-        self.wait_port(first + count - 1)
+        for begin in range(first, first + count, ENGINES_PER_PROCESS):
+            here = min(ENGINES_PER_PROCESS, first + count - begin)
+            self.stand_in("engine", begin, "--count", here, *options)
+        for port in range(first, first + count):
+            self.wait_port(port)
         return list(range(first, first + count))
 
     def plain(self, count, *options):
