--- a/src/loomjunctiond/callsender.cpp
+++ b/src/loomjunctiond/callsender.cpp
@@ -131,6 +131,8 @@
     }
     if (co_await revoke(box, start.attempt())) {
         mPlatform.metrics().count("attempts_revoked");
+        // The agent answers, yet what went over the link never reached it.
+        mLinks.doubt(box);
         const bool late = reason == UnknownReason::DeadlinePassed;
         soFar.outcome = NotRun{late ? RefusalReason::DeadlinePassed : RefusalReason::Revoked,
                                sRevokedRetryAfter};
@@ -159,8 +161,7 @@
 bool CallSender::isSilent(const std::string &box) const
 {
     const Upstream *upstream = mLinks.upstreams().find(box);
-    return upstream == nullptr || !upstream->isConnected
-        || now() - upstream->lastHeard > UpstreamTable::sSilence;
+    return upstream == nullptr || now() - upstream->lastHeard > UpstreamTable::sSilence;
 }
 
 } // namespace Loom
--- a/src/loomjunctiond/linkservice.cpp
+++ b/src/loomjunctiond/linkservice.cpp
@@ -163,7 +163,8 @@
     co_await link->session->run(link->isAgent ? std::chrono::milliseconds(sAgentSilence)
                                               : std::chrono::milliseconds(sEntrySilence));
     link->session.reset();
-    (*connected)->close();
+    // Not closed at once: answers to calls under way may still come on it.
+    (*connected)->goAway();
     logLine(LogLevel::Debug, "link-down", {{"peer", box}});
 }
 
@@ -205,6 +206,17 @@
     return it->second->connection;
 }
 
+void LinkService::doubt(std::string_view box)
+{
+    const auto it = mLinks.find(box);
+    if (it == mLinks.end() || !it->second->session) {
+        return;
+    }
+    logLine(LogLevel::Warning, "link-doubted", {{"peer", box}});
+    it->second->connection.reset();
+    it->second->session->end();
+}
+
 awaitable<PeerConnectionPtr> LinkService::freshConnection(std::string box,
                                                           std::chrono::milliseconds timeout)
 {
--- a/src/loomjunctiond/linkservice.h
+++ b/src/loomjunctiond/linkservice.h
@@ -54,6 +54,8 @@
     /** Connects anew, for a question that must not go over a doubtful connection. */
     awaitable<PeerConnectionPtr> freshConnection(std::string box,
                                                  std::chrono::milliseconds timeout);
+    /** The link to @p box does not deliver: makes a new one; calls on the old one go on. */
+    void doubt(std::string_view box);
     const std::map<std::string, AgentView, std::less<>> &agents() const { return mAgents; }
     /** Whether another entry has said lately that it is draining. */
     bool isDraining(std::string_view entry) const;
--- a/src/loomjunctiond/watchsession.h
+++ b/src/loomjunctiond/watchsession.h
@@ -43,6 +43,8 @@
     awaitable<void> run(std::chrono::milliseconds silence);
     void send(const wire::WatchFrame &frame) { mStream->send(frame); }
     bool isOpen() const { return mStream->isOpen(); }
+    /** Ends the stream; run() returns. */
+    void end() { mStream->reset(); }
     const std::string &peerBox() const { return mPeerBox; }
 
 private:
