--- a/src/libloomjunction/core/configstate.cpp
+++ b/src/libloomjunction/core/configstate.cpp
@@ -10,6 +10,8 @@
 
 #include "settingschema.h"
 
+#include <vector>
+
 #include <boost/json.hpp>
 
 namespace Loom {
@@ -21,6 +23,8 @@
 constexpr std::string_view sSpreadVersionKey = "model.spread";
 constexpr std::string_view sServicePrefix = "/service/";
 constexpr std::string_view sAccountPrefix = "/account/";
+// Versions that may stand in while a promoted one is not there yet.
+constexpr std::size_t sServedBeforeKept = 4;
 constexpr std::uint32_t sLeastChunkBytes = 1024;
 constexpr std::uint32_t sMostChunkBytes = 4 * 1024 * 1024;
 
@@ -69,6 +73,19 @@
     return !error && value.is_int64() ? value.as_int64() : 0;
 }
 
+/** Puts @p before first among the versions that @p entry has served; @p now serves. */
+void noteServed(wire::ServiceEntry &entry, const std::string &before, const std::string &now)
+{
+    std::vector<std::string> served{before};
+    for (const std::string &older : entry.served_before()) {
+        const bool kept = older != before && older != now && served.size() < sServedBeforeKept;
+        if (kept) {
+            served.push_back(older);
+        }
+    }
+    entry.mutable_served_before()->Assign(served.begin(), served.end());
+}
+
 bool isVersionKey(std::string_view key)
 {
     return key == sServedVersionKey || key == sSpreadVersionKey;
@@ -296,7 +313,7 @@
         const auto it = mServices.find(set.scope().substr(sServicePrefix.size()));
         const std::string before = textOf(value.json);
         if (it != mServices.end() && !before.empty() && !isTextOf(set.value(), before)) {
-            it->second.set_previous_version(before);
+            noteServed(it->second, before, textOf(set.value()));
         }
     }
     value.json = set.value();
--- a/src/libloomjunction/core/versionswitch.cpp
+++ b/src/libloomjunction/core/versionswitch.cpp
@@ -29,7 +29,9 @@
 void VersionSwitch::setTargets(std::optional<VersionTarget> serving,
                                std::optional<VersionTarget> spread)
 {
-    if (!isSame(serving, mServing) && mServing) {
+    // Only a version that is really loaded can stand in: one that was itself
+    // on its way must not push out the version that serves.
+    if (!isSame(serving, mServing) && mServing && isLoaded(*mServing)) {
         mPrevious = mServing;
     }
     mServing = std::move(serving);
--- a/src/loomjunctiond/adminapi.cpp
+++ b/src/loomjunctiond/adminapi.cpp
@@ -217,7 +217,7 @@
         row["region"] = entry.region();
         row["version"] = config.text(name, "model.version");
         row["spread"] = config.text(name, "model.spread");
-        row["previous"] = entry.previous_version();
+        row["previous"] = entry.served_before().empty() ? "" : entry.served_before(0);
         services.push_back(std::move(row));
     }
     json::array accounts;
--- a/src/loomjunctiond/callfront.cpp
+++ b/src/loomjunctiond/callfront.cpp
@@ -171,7 +171,9 @@
     ServicePolicy policy;
     const wire::ServiceEntry *entry = state.service(name);
     policy.isModel = entry != nullptr && entry->kind() == wire::SERVICE_MODEL;
-    policy.previousVersion = entry == nullptr ? std::string() : entry->previous_version();
+    if (entry != nullptr) {
+        policy.servedBefore = {entry->served_before().begin(), entry->served_before().end()};
+    }
     policy.isRepeatable = state.isTrue(name, "calls.repeatable");
     policy.version = state.text(name, "model.version");
     policy.minReadyPercent = state.integer(name, "rollout.minReadyPercent");
@@ -401,9 +403,17 @@
     const auto ready = static_cast<std::int64_t>(upstreams.countReady(name, policy.version, at));
     const auto usable = static_cast<std::int64_t>(upstreams.countReady(name, "", at));
     const bool enough = ready > 0 && ready * sPercent >= usable * policy.minReadyPercent;
-    const bool canFallBack = !policy.previousVersion.empty()
-        && upstreams.countReady(name, policy.previousVersion, at) > 0;
-    return enough || !canFallBack ? policy.version : policy.previousVersion;
+    if (enough) {
+        return policy.version;
+    }
+    // Not just the last one: promotions may follow each other faster than
+    // replicas can load.
+    for (const std::string &older : policy.servedBefore) {
+        if (upstreams.countReady(name, older, at) > 0) {
+            return older;
+        }
+    }
+    return policy.version;
 }
 
 std::optional<std::string> CallFront::chooseBox(const CallRequest &request,
--- a/src/loomjunctiond/callfront.h
+++ b/src/loomjunctiond/callfront.h
@@ -39,7 +39,7 @@
     bool isModel = true;
     bool isRepeatable = true;
     std::string version;
-    std::string previousVersion;
+    std::vector<std::string> servedBefore; ///< newest first
     std::int64_t minReadyPercent = 0;
     Milliseconds deadline{0};
     std::uint32_t maxInFlight = 0;
--- a/tests/config/test_fold.cpp
+++ b/tests/config/test_fold.cpp
@@ -142,3 +142,29 @@
     BOOST_TEST(copy.snapshot().SerializeAsString() == state.snapshot().SerializeAsString());
     BOOST_TEST(copy.fate("1").has_value());
 }
+
+BOOST_AUTO_TEST_CASE(versions_served_before_are_kept_newest_first)
+{
+    ConfigState state = stateWithService();
+    const auto serve = [&](const std::string &version) {
+        wire::ConfigChange publish;
+        publish.set_change_id("publish " + version + std::to_string(state.asOf()));
+        wire::PublishVersion &one = *publish.add_operations()->mutable_publish_version();
+        one.set_service("scorer");
+        one.set_version(version);
+        one.set_manifest_digest(std::string(64, 'a'));
+        one.set_size_bytes(10);
+        one.set_chunk_bytes(4096);
+        state.apply(publish, state.asOf() + 1);
+        const auto change = setChange("serve " + std::to_string(state.asOf()), state.asOf(),
+                                      "/service/scorer", "model.version", "\"" + version + "\"");
+        BOOST_TEST(state.apply(change, state.asOf() + 1).accepted);
+    };
+    for (const char *version : {"v1", "v2", "v3", "v2"}) {
+        serve(version);
+    }
+    const auto &before = state.service("scorer")->served_before();
+    const std::vector<std::string> expected{"v3", "v1"};
+    BOOST_TEST(std::vector<std::string>(before.begin(), before.end()) == expected,
+               boost::test_tools::per_element());
+}
