--- a/examples/embedded_fold.cpp
+++ b/examples/embedded_fold.cpp
@@ -35,7 +35,7 @@
 {
     wire::ConfigChange change;
     change.set_change_id(id);
-    change.set_base(0);
+    change.set_base(ConfigState::sNothing); // its author has seen nothing yet
     wire::SetValue &set = *change.add_operations()->mutable_set_value();
     set.set_scope("/");
     set.set_key("calls.deadlineMs");
--- a/src/libloomjunction/core/configstate.cpp
+++ b/src/libloomjunction/core/configstate.cpp
@@ -129,7 +129,7 @@
     trial.mFates.clear();
     trial.mFateById.clear();
     for (const wire::ConfigOperation &operation : change.operations()) {
-        const std::string reason = trial.operationProblem(operation, change.base());
+        std::string reason = trial.operationProblem(operation, change.base());
         if (!reason.empty()) {
             return reason;
         }
