--- a/src/libloomjunction/core/configreplica.cpp
+++ b/src/libloomjunction/core/configreplica.cpp
@@ -17,7 +17,7 @@
 namespace {
 
 // A record must stay well under what an append may carry.
-constexpr std::size_t sSnapshotChunkBytes = std::size_t {64} * 1024;
+constexpr std::size_t sSnapshotChunkBytes = std::size_t{64} * 1024;
 // A snapshot must be renewed while two more tries still fit into the retention.
 constexpr int sSnapshotsPerRetention = 3;
 
--- a/src/libloomjunction/core/oncetable.h
+++ b/src/libloomjunction/core/oncetable.h
@@ -84,8 +84,8 @@
     /** Keys remembered at most; beyond, calls are refused rather than forgotten. */
     static constexpr std::size_t sMost = 100'000;
     /** Larger answers are not kept: a repeat hears that it ran, as unknown. */
-    static constexpr std::size_t sMostBodyBytes = std::size_t {64} * 1024;
-    static constexpr std::size_t sMostStoredBytes = std::size_t {32} * 1024 * 1024;
+    static constexpr std::size_t sMostBodyBytes = std::size_t{64} * 1024;
+    static constexpr std::size_t sMostStoredBytes = std::size_t{32} * 1024 * 1024;
 
 private:
     struct Running
--- a/src/libloomjunction/net/http.cpp
+++ b/src/libloomjunction/net/http.cpp
@@ -24,7 +24,7 @@
 namespace beast = boost::beast;
 namespace http = boost::beast::http;
 
-constexpr std::size_t sReadPieceBytes = std::size_t {64} * 1024;
+constexpr std::size_t sReadPieceBytes = std::size_t{64} * 1024;
 constexpr std::size_t sMostIdlePerServer = 256;
 constexpr std::string_view sJsonType = "application/json";
 
--- a/src/libloomjunction/net/http.h
+++ b/src/libloomjunction/net/http.h
@@ -72,7 +72,7 @@
 
 struct HttpLimits
 {
-    std::uint64_t bodyBytes = std::uint64_t {4} * 1024 * 1024;
+    std::uint64_t bodyBytes = std::uint64_t{4} * 1024 * 1024;
     std::uint32_t headerBytes = 16 * 1024;
     std::chrono::seconds idle{60};
 };
--- a/src/libloomjunction/net/peer.cpp
+++ b/src/libloomjunction/net/peer.cpp
@@ -25,11 +25,11 @@
 namespace {
 
 constexpr std::size_t sLengthBytes = 4;
-constexpr std::size_t sReadBytes = std::size_t {64} * 1024;
-constexpr std::size_t sWriteBytes = std::size_t {128} * 1024;
-constexpr std::size_t sHighWaterBytes = std::size_t {256} * 1024;
+constexpr std::size_t sReadBytes = std::size_t{64} * 1024;
+constexpr std::size_t sWriteBytes = std::size_t{128} * 1024;
+constexpr std::size_t sHighWaterBytes = std::size_t{256} * 1024;
 // Sent data is cut off the queue once this much of it is behind.
-constexpr std::size_t sTrimBytes = std::size_t {64} * 1024;
+constexpr std::size_t sTrimBytes = std::size_t{64} * 1024;
 
 std::uint64_t sTotalBytes = 0;
 
--- a/src/loomjunctiond/callservice.cpp
+++ b/src/loomjunctiond/callservice.cpp
@@ -169,11 +169,16 @@
                                                             const wire::CallStart &start)
 {
     Upstreamed result;
+    const Instant begun = now();
     const auto onData = [&](const HttpResponse &head, std::string_view data) {
         return forward(stream, start, head, data, result);
     };
     const auto response = co_await mPlatform->http().stream(upstreamCall(start), onData);
     result.outcome = outcomeOf(start, response);
+    const bool answered = std::holds_alternative<Answered>(result.outcome);
+    if (answered && mOnFirstByte && result.firstByte > begun) {
+        mOnFirstByte(result.firstByte - begun);
+    }
     co_return result;
 }
 
@@ -189,6 +194,9 @@
     if (!stream->isOpen() && mayAbort) {
         co_return false;
     }
+    if (result.bytes == 0) {
+        result.firstByte = now();
+    }
     result.bytes += data.size();
     const bool pass = start.stream() && head.status == 200 && start.once_key().empty();
     if (!pass) {
--- a/src/loomjunctiond/callservice.h
+++ b/src/loomjunctiond/callservice.h
@@ -13,6 +13,7 @@
 #include "upstreamservice.h"
 #include "wire.pb.h"
 
+#include <functional>
 #include <string>
 #include <string_view>
 
@@ -33,6 +34,12 @@
     /** Refuses new calls, then waits for those in flight. */
     awaitable<void> drain() override;
 
+    /** Calls @p listener with the upstream's first-byte latency of each answered call. */
+    void setLatencyListener(std::function<void(Microseconds)> listener)
+    {
+        mOnFirstByte = std::move(listener);
+    }
+
     awaitable<void> serveCall(PeerStreamPtr stream);
     awaitable<void> serveRevoke(PeerStreamPtr stream);
 
@@ -43,6 +50,7 @@
         std::string body;
         std::uint64_t bytes = 0;
         bool isKeySpent = false;
+        Instant firstByte;
     };
 
     awaitable<void> serve(PeerStreamPtr stream, const wire::CallStart &start);
@@ -58,6 +66,7 @@
     PlatformService *mPlatform = nullptr;
     UpstreamService *mUpstream = nullptr;
     ConfigService *mConfig = nullptr;
+    std::function<void(Microseconds)> mOnFirstByte;
     Signal mEnded;
 };
 
--- a/src/loomjunctiond/daemonsettings.cpp
+++ b/src/loomjunctiond/daemonsettings.cpp
@@ -20,6 +20,19 @@
 constexpr std::int64_t sMostCacheMib = 1'048'576;
 constexpr std::int64_t sMostChanges = 1'000'000;
 
+RoutePolicy readRouting(SettingsReader &reader)
+{
+    if (!reader.has("routing")) {
+        return RoutePolicy::PrefixAffinity;
+    }
+    const std::string name
+        = reader.oneOf("routing", {"random", "least-in-flight", "prefix-affinity"});
+    if (name == "random") {
+        return RoutePolicy::Random;
+    }
+    return name == "least-in-flight" ? RoutePolicy::LeastInFlight : RoutePolicy::PrefixAffinity;
+}
+
 EntrySettings readEntry(SettingsReader reader)
 {
     EntrySettings entry{};
@@ -29,6 +42,7 @@
         = static_cast<std::uint32_t>(reader.integer("linksPerAgent", 1, sMostLinks, 7));
     entry.snapshotChanges
         = static_cast<std::uint64_t>(reader.integer("snapshotChanges", 1, sMostChanges, 200));
+    entry.routing = readRouting(reader);
     reader.refuseUnknown();
     return entry;
 }
--- a/src/loomjunctiond/daemonsettings.h
+++ b/src/loomjunctiond/daemonsettings.h
@@ -12,6 +12,7 @@
 #include "chunkplan.h"
 #include "instant.h"
 #include "jsonlog.h"
+#include "upstreamtable.h"
 
 #include <cstdint>
 #include <string>
@@ -29,6 +30,7 @@
     Tcp::endpoint operators; ///< where loomctl reaches it
     std::uint32_t linksPerAgent; ///< entries that hold a link to one agent
     std::uint64_t snapshotChanges;
+    RoutePolicy routing = RoutePolicy::PrefixAffinity;
 };
 
 /** Settings of the agent role: one upstream box. */
--- a/src/loomjunctiond/linkservice.cpp
+++ b/src/loomjunctiond/linkservice.cpp
@@ -44,6 +44,7 @@
     mConfig = &kernel.find<ConfigService>(ConfigService::sName);
     mList = &kernel.find<ListService>(ListService::sName);
     mExecutor = kernel.executor();
+    mUpstreams.setPolicy(std::get<EntrySettings>(mPlatform->settings().role).routing);
     mList->addListener([this] { takeList(); });
     mServer = std::make_unique<PeerServer>(
         mExecutor, [this](PeerStreamPtr stream) { return servePeer(std::move(stream)); });
--- a/src/loomjunctiond/weightservice.cpp
+++ b/src/loomjunctiond/weightservice.cpp
@@ -9,6 +9,7 @@
 #include "weightservice.h"
 
 #include "agentlinks.h"
+#include "callservice.h"
 #include "clock.h"
 #include "configservice.h"
 #include "jsonlog.h"
@@ -50,6 +51,7 @@
     , mStore(executor, settings.weightCacheMib * sMib)
     , mIngress(static_cast<double>(settings.linkMbit) * sBytesPerMbit, sBurstBytes)
     , mEgress(static_cast<double>(settings.linkMbit) * sBytesPerMbit, sBurstBytes)
+    , mRate(static_cast<double>(settings.linkMbit) * sBytesPerMbit)
     , mWake(executor)
 {
 }
@@ -62,6 +64,9 @@
     mUpstream = &kernel.find<UpstreamService>(UpstreamService::sName);
     mOrders = &kernel.find<OrderService>(OrderService::sName);
     mLinks = &kernel.find<AgentLinks>(AgentLinks::sName);
+    kernel.find<CallService>(CallService::sName).setLatencyListener([this](Microseconds latency) {
+        noteLiveLatency(latency);
+    });
     mConfig->addListener([this] {
         takeTargets();
         mWake.notify();
@@ -107,9 +112,18 @@
     return all;
 }
 
+void WeightService::noteLiveLatency(Microseconds latency)
+{
+    const bool transferring = mUploads > 0 || mUpstream->versions().fetching().has_value();
+    mRate.noteLatency(latency, transferring);
+}
+
 awaitable<void> WeightService::drive()
 {
     while (!mStopped) {
+        const double rate = mRate.rate(now());
+        mIngress.setRate(rate);
+        mEgress.setRate(rate);
         const bool waiting = mUpstream->versions().isWaitingToLoad();
         if (waiting && !mWasWaiting) {
             mWaitingSince = now();
--- a/src/loomjunctiond/weightservice.h
+++ b/src/loomjunctiond/weightservice.h
@@ -14,6 +14,7 @@
 #include "peer.h"
 #include "tokenbucket.h"
 #include "weightfetch.h"
+#include "yieldingrate.h"
 
 #include <memory>
 #include <set>
@@ -47,6 +48,9 @@
     awaitable<void> serveHave(PeerStreamPtr stream);
     awaitable<void> serveChunk(PeerStreamPtr stream);
 
+    /** First-byte latency of a live request at this box. */
+    void noteLiveLatency(Microseconds latency);
+
     const FetchCounts &counts() const { return mCounts; }
     const WeightFetch *fetch() const { return mFetch.get(); }
 
@@ -75,6 +79,7 @@
     ChunkStore mStore;
     TokenBucket mIngress;
     TokenBucket mEgress;
+    YieldingRate mRate;
     FetchCounts mCounts;
     std::shared_ptr<WeightFetch> mFetch;
     std::set<std::string> mHanded; ///< manifests whose chunks the engine has been given
--- /dev/null
+++ b/tests/weights/test_yieldingrate.cpp
@@ -0,0 +1,47 @@
+/*
+ * test_yieldingrate.cpp
+ * Copyright 2026, the loomjunction authors
+ *
+ * This file is part of loomjunction (tests).
+ * SPDX-License-Identifier: BSD-2-Clause
+ */
+
+#include <boost/test/unit_test.hpp>
+
+#include "fakelog.h"
+#include "yieldingrate.h"
+
+using namespace Loom;
+
+BOOST_AUTO_TEST_CASE(transfers_give_way_to_live_requests_and_grow_back)
+{
+    YieldingRate rate(1'000'000);
+    for (int i = 0; i < 100; ++i) {
+        rate.noteLatency(Milliseconds(10), false);
+    }
+    BOOST_TEST(rate.rate(at(1'000)) == 1'000'000);
+    for (int i = 0; i < 100; ++i) {
+        rate.noteLatency(Milliseconds(40), true);
+    }
+    for (int step = 0; step < 20; ++step) {
+        rate.rate(at(2'000 + step * 200));
+    }
+    // It keeps a floor, or a rollout under load would never end.
+    BOOST_TEST(rate.rate(at(7'000)) == 1'000'000 * YieldingRate::sLeastShare,
+               boost::test_tools::tolerance(1e-9));
+    for (int i = 0; i < 100; ++i) {
+        rate.noteLatency(Milliseconds(10), true);
+    }
+    for (int step = 0; step < 40; ++step) {
+        rate.rate(at(8'000 + step * 200));
+    }
+    BOOST_TEST(rate.rate(at(20'000)) == 1'000'000);
+}
+
+BOOST_AUTO_TEST_CASE(without_live_requests_nothing_is_held_back)
+{
+    YieldingRate rate(5'000);
+    for (int step = 0; step < 20; ++step) {
+        BOOST_TEST(rate.rate(at(step * 200)) == 5'000);
+    }
+}
--- a/util/bench.py
+++ b/util/bench.py
@@ -9,7 +9,7 @@
 import sys
 import time
 
-from loomlab import HOST, Lab, program, request_json, wait_for, whole_digest
+from loomlab import HOST, Lab, program, request, request_json, wait_for, whole_digest
 
 CLOCK_TICKS = os.sysconf("SC_CLK_TCK")
 PAGE = os.sysconf("SC_PAGE_SIZE")
@@ -179,11 +179,7 @@
 # ---- control ----------------------------------------------------------------
 
 def metric(entry, name):
-    import http.client
-    connection = http.client.HTTPConnection(HOST, entry.operators, timeout=5)
-    connection.request("GET", "/metrics")
-    text = connection.getresponse().read().decode()
-    connection.close()
+    text = request(entry.operators, "GET", "/metrics")[2]
     for line in text.splitlines():
         if line.startswith(name + " "):
             return float(line.split()[-1])
@@ -331,6 +327,132 @@
         rollout_once(options, policy, options.fault)
 
 
+# ---- burst ------------------------------------------------------------------
+
+def burst_lab(options, lab, **agent_options):
+    """Engines with a fixed room, so that what is offered over it must be refused."""
+    set_up(lab, options.replicas, entries=options.entries,
+           engine_options=("--slots", 8, "--queue", 0, "--prefill-ms", 20,
+                           "--cached-prefill-ms", 8, "--token-ms", 2,
+                           "--report-lag-ms", options.report_lag_ms),
+           agent_options={"capacity": 8, "engineChecksFence": True, **agent_options})
+    # Each entry keeps its part of the engines' slots in flight.
+    lab.loomctl("settings", "set", "/", "admission.maxInFlight",
+                max(4, options.replicas * 8 // options.entries))
+
+
+def live_load(lab, options, digests, accounts, rate, *more, concurrency=64, name="live"):
+    weights = []
+    for version, digest in digests.items():
+        weights += ["--weights", "%s=%s" % (version, digest)]
+    return start_load(lab, *weights, "--account", ",".join(accounts), "--rate", rate,
+                      "--concurrency", concurrency, "--seconds", options.seconds,
+                      "--seed", options.seed, "--prefixes", 200, *more, name=name)
+
+
+def retries_sent(lab):
+    total = 0
+    for entry in lab.entries:
+        text = request(entry.operators, "GET", "/metrics")[2]
+        for line in text.splitlines():
+            if line.startswith("loom_retries_total"):
+                total += float(line.split()[-1])
+    return total
+
+
+def burst_row(case, options, result, **more):
+    emit(bench="burst", case=case, seed=options.seed, replicas=options.replicas,
+         goodputPerSecond=round(result["answeredPerSecond"], 1), sent=result["sent"],
+         answered=result["answered"], notRun=result["notRun"], unknown=result["unknown"],
+         bad=result["bad"], p50Ms=round(result["p50Ms"], 2), p95Ms=round(result["p95Ms"], 2),
+         p99Ms=round(result["p99Ms"], 2), refusalP99Ms=round(result["refusalP99Ms"], 2),
+         reasons=result["reasons"], **more)
+
+
+def burst_rollout(options):
+    """Live latency during a rollout against the same load without one."""
+    with Lab(log_level="warning", origin_mbit=options.origin_mbit) as lab:
+        burst_lab(options, lab, linkMbit=options.link_mbit)
+        digests = {"v1": serve_version(lab, "v1")}
+        rate = options.replicas * 8 / 0.03 * 0.5  # half of what the engines can answer
+        quiet = finish(live_load(lab, options, digests, ACCOUNTS, rate))
+        size = int(options.model_mib * 1048576)
+        path = lab.write_weights("v2", size, 2)
+        digests["v2"] = whole_digest(path)
+        load = live_load(lab, options, digests, ACCOUNTS, rate)
+        time.sleep(0.5)
+        began = time.monotonic()
+        lab.loomctl("model", "publish", "scorer-llm", "v2", path)
+        lab.wait_version("scorer-llm", "v2")
+        took = time.monotonic() - began
+        busy = finish(load)
+        burst_row("rollout-base", options, quiet)
+        burst_row("rollout", options, busy, rolloutSeconds=round(took, 2),
+                  p99Ratio=round(busy["p99Ms"] / quiet["p99Ms"], 3),
+                  p95Ratio=round(busy["p95Ms"] / quiet["p95Ms"], 3))
+
+
+def burst_account(options):
+    """One large account offers five times its part; the others keep theirs."""
+    with Lab(log_level="warning") as lab:
+        burst_lab(options, lab)
+        digests = {"v1": serve_version(lab, "v1")}
+        room = options.replicas * 8 / 0.03
+        small, large = ACCOUNTS[1:], ACCOUNTS[:1]
+        base = finish(live_load(lab, options, digests, small, room * 0.4))
+        before = retries_sent(lab)
+        burst = live_load(lab, options, digests, large, room * 0.2 * 5 * 2, "--ignore-retry-after",
+                          concurrency=512, name="large")
+        others = finish(live_load(lab, options, digests, small, room * 0.4))
+        flood = finish(burst)
+        burst_row("account-base", options, base)
+        burst_row("account", options, others,
+                  othersKeep=round(others["answered"] / max(base["answered"], 1), 3),
+                  burstAnswered=flood["answered"], burstSent=flood["sent"],
+                  burstRefusalP99Ms=round(flood["refusalP99Ms"], 2),
+                  retriesPerRequest=round((retries_sent(lab) - before)
+                                          / max(others["sent"] + flood["sent"], 1), 4))
+
+
+def burst_engine_loss(options):
+    """A quarter of the boxes dies under load."""
+    with Lab(log_level="warning") as lab:
+        burst_lab(options, lab)
+        digests = {"v1": serve_version(lab, "v1")}
+        rate = options.replicas * 8 / 0.03 * 0.4
+        before = retries_sent(lab)
+        load = live_load(lab, options, digests, ACCOUNTS, rate)
+        time.sleep(options.seconds / 3)
+        for agent in lab.agents[:max(1, options.replicas // 4)]:
+            agent.process.kill()
+        result = finish(load)
+        burst_row("engine-loss", options, result,
+                  retriesPerRequest=round((retries_sent(lab) - before) / result["sent"], 4))
+
+
+def burst_routing(options):
+    """Prefix affinity against random and least-in-flight choice, same load."""
+    for policy in ("random", "least-in-flight", "prefix-affinity"):
+        with Lab(log_level="warning") as lab:
+            lab.entry_defaults = {"routing": policy}
+            burst_lab(options, lab)
+            digests = {"v1": serve_version(lab, "v1")}
+            rate = options.replicas * 8 / 0.03 * 0.5
+            result = finish(live_load(lab, options, digests, ACCOUNTS, rate))
+            states = [request_json(agent.upstream_port, "GET", "/v1/state")[1]
+                      for agent in lab.agents]
+            hits = sum(state["cacheHits"] for state in states)
+            served = sum(state["served"] for state in states)
+            burst_row("routing", options, result, policy=policy,
+                      cacheHitPercent=round(100 * hits / max(served, 1), 1),
+                      reportLagMs=options.report_lag_ms)
+
+
+def bench_burst(options):
+    {"rollout": burst_rollout, "account": burst_account, "engine-loss": burst_engine_loss,
+     "routing": burst_routing}[options.burst](options)
+
+
 def main():
     parser = argparse.ArgumentParser()
     cases = parser.add_subparsers(dest="case", required=True)
@@ -362,9 +484,20 @@
     rollout.add_argument("--fault", choices=["none", "kill", "stall", "corrupt", "origin-down"],
                          default="none")
     rollout.add_argument("--seed", type=int, default=1)
+    burst = cases.add_parser("burst")
+    burst.add_argument("--case", dest="burst", default="account",
+                       choices=["rollout", "account", "engine-loss", "routing"])
+    burst.add_argument("--seed", type=int, default=1)
+    burst.add_argument("--replicas", type=int, default=12)
+    burst.add_argument("--entries", type=int, default=2)
+    burst.add_argument("--seconds", type=float, default=8)
+    burst.add_argument("--report-lag-ms", type=int, default=0)
+    burst.add_argument("--model-mib", type=float, default=16)
+    burst.add_argument("--link-mbit", type=int, default=40)
+    burst.add_argument("--origin-mbit", type=int, default=80)
     options = parser.parse_args()
     {"path": bench_path, "config": bench_config, "control": bench_control,
-     "rollout": bench_rollout}[options.case](options)
+     "rollout": bench_rollout, "burst": bench_burst}[options.case](options)
 
 
 if __name__ == "__main__":
--- a/util/loomlab.py
+++ b/util/loomlab.py
@@ -143,6 +143,7 @@
         self.ports = PortPool()
         self.processes = []
         self.entries, self.agents = [], []
+        self.entry_defaults = {}
         self.log_level, self.keep_logs = log_level, keep_logs
         self.log_port = self.ports.block(1)
         self.list_port = self.ports.block(1)
@@ -208,7 +209,7 @@
         entry = Entry(box, data_centre, region)
         first = self.ports.block(3)
         entry.callers, entry.operators, entry.peers = first, first + 1, first + 2
-        entry.options = options
+        entry.options = {**self.entry_defaults, **options}
         self.entries.append(entry)
         self.start_entry(entry)
         if announce:
