--- a/src/libloomjunction/core/chunkplan.cpp
+++ b/src/libloomjunction/core/chunkplan.cpp
@@ -17,6 +17,10 @@
 
 namespace {
 
+// A swarm that brings nothing for this many times its usual gap has stalled.
+constexpr double sStallGaps = 10;
+constexpr double sGapWeight = 0.1;
+constexpr Microseconds sLeastTakeover{500'000};
 constexpr Milliseconds sOriginRetry{1'000};
 constexpr Milliseconds sBusyPause{20};
 constexpr Milliseconds sMissingPause{200};
@@ -213,6 +217,15 @@
     return out;
 }
 
+Microseconds ChunkPlan::takeoverAfter() const
+{
+    if (mMeanGapMicroseconds <= 0) {
+        return mOptions.takeover;
+    }
+    const auto stalled = Microseconds(static_cast<std::int64_t>(mMeanGapMicroseconds * sStallGaps));
+    return std::clamp<Microseconds>(stalled, sLeastTakeover, mOptions.takeover);
+}
+
 bool ChunkPlan::mayPullFromOrigin(const Chunk &chunk, Instant now) const
 {
     if (chunk.originRetryAt > now) {
@@ -233,7 +246,7 @@
     // after the other, counted from this box's last progress, so that a swarm
     // that still moves pulls nothing twice.
     const std::uint32_t turn = chunk.originRank / mOptions.originCopies;
-    return chunk.holders == 0 && now - mLastProgress >= mOptions.takeover * static_cast<int>(turn);
+    return chunk.holders == 0 && now - mLastProgress >= takeoverAfter() * static_cast<int>(turn);
 }
 
 void ChunkPlan::planOrigin(std::vector<ChunkFetch> &out, Instant now)
@@ -333,6 +346,9 @@
 {
     closeRequest(source);
     adopt(index);
+    const auto gap = static_cast<double>((now - mLastProgress).count());
+    const bool isFirst = mMeanGapMicroseconds <= 0;
+    mMeanGapMicroseconds += (isFirst ? 1.0 : sGapWeight) * (gap - mMeanGapMicroseconds);
     mLastProgress = now;
 }
 
--- a/src/libloomjunction/core/chunkplan.h
+++ b/src/libloomjunction/core/chunkplan.h
@@ -80,7 +80,7 @@
         std::uint32_t peerParallel = 6; ///< requests open to all neighbours
         std::uint32_t perPeerParallel = 2; ///< requests open to one neighbour
         std::uint32_t neighbours = 8;
-        Milliseconds takeover{4'000}; ///< without progress, the next member in order steps in
+        Milliseconds takeover{4'000}; ///< longest wait before the next member steps in
         std::uint64_t seed = 1;
     };
 
@@ -145,6 +145,7 @@
     bool isNear(std::string_view box) const;
     void planOrigin(std::vector<ChunkFetch> &out, Instant now);
     void planPeers(std::vector<ChunkFetch> &out, Instant now);
+    Microseconds takeoverAfter() const;
     bool mayPullFromOrigin(const Chunk &chunk, Instant now) const;
     std::optional<std::string> bestHolder(std::uint32_t index, Instant now) const;
     void closeRequest(const ChunkSource &source);
@@ -159,6 +160,7 @@
     std::uint32_t mOpenOrigin = 0;
     std::uint32_t mOpenPeers = 0;
     Instant mLastProgress;
+    double mMeanGapMicroseconds = 0; ///< smoothed, between chunks that came
     std::mt19937_64 mRandom;
 };
 
--- a/src/libloomjunction/net/asynctypes.cpp
+++ b/src/libloomjunction/net/asynctypes.cpp
@@ -9,6 +9,7 @@
 #include "asynctypes.h"
 
 #include <charconv>
+#include <memory>
 
 namespace Loom {
 
@@ -41,6 +42,30 @@
     co_await timer.async_wait(sAsValue);
 }
 
+awaitable<tl::expected<Tcp::socket, boost::system::error_code>>
+connectWithin(Tcp::endpoint endpoint, std::chrono::milliseconds timeout)
+{
+    const auto executor = co_await asio::this_coro::executor;
+    // Shared with the timer's handler, which may run after this coroutine ended.
+    auto socket = std::make_shared<Tcp::socket>(executor);
+    asio::steady_timer timer(executor, timeout);
+    timer.async_wait([socket](const boost::system::error_code &error) {
+        if (!error) {
+            boost::system::error_code ignored;
+            socket->close(ignored);
+        }
+    });
+    auto [error] = co_await socket->async_connect(endpoint, sAsValue);
+    timer.cancel();
+    if (!error && !socket->is_open()) {
+        error = asio::error::timed_out;
+    }
+    if (error) {
+        co_return tl::unexpected(error);
+    }
+    co_return std::move(*socket);
+}
+
 awaitable<bool> Signal::waitUntil(std::chrono::steady_clock::time_point until)
 {
     asio::steady_timer timer(mExecutor, until);
--- a/src/libloomjunction/net/asynctypes.h
+++ b/src/libloomjunction/net/asynctypes.h
@@ -36,6 +36,10 @@
 /** Suspends for @p span. */
 awaitable<void> sleepFor(std::chrono::microseconds span);
 
+/** A connection to @p endpoint, made within @p timeout, or why there is none. */
+awaitable<tl::expected<Tcp::socket, boost::system::error_code>>
+connectWithin(Tcp::endpoint endpoint, std::chrono::milliseconds timeout);
+
 /**
  * Wakes coroutines that wait for something to change. A wake-up while nobody
  * waits is not kept: waiters check their condition first. One thread only.
--- a/src/libloomjunction/net/http.cpp
+++ b/src/libloomjunction/net/http.cpp
@@ -8,6 +8,8 @@
 
 #include "http.h"
 
+#include "listener.h"
+
 #include <algorithm>
 #include <deque>
 #include <map>
@@ -201,7 +203,7 @@
 {
 public:
     Impl(const asio::any_io_executor &executor, HttpHandler handler, HttpLimits limits)
-        : mAcceptor(executor)
+        : mExecutor(executor)
         , mHandler(std::move(handler))
         , mLimits(limits)
     {
@@ -209,55 +211,26 @@
 
     tl::expected<void, std::string> listen(const Tcp::endpoint &endpoint)
     {
-        boost::system::error_code error;
-        mAcceptor.open(endpoint.protocol(), error);
-        if (!error) {
-            mAcceptor.set_option(asio::socket_base::reuse_address(true), error);
-        }
-        if (!error) {
-            mAcceptor.bind(endpoint, error);
-        }
-        if (!error) {
-            mAcceptor.listen(asio::socket_base::max_listen_connections, error);
-        }
-        if (error) {
-            return tl::unexpected("cannot listen on " + endpointText(endpoint) + ": "
-                                  + error.message());
-        }
-        mLocal = mAcceptor.local_endpoint();
-        asio::co_spawn(mAcceptor.get_executor(), acceptLoop(shared_from_this()), asio::detached);
-        return {};
+        mListener = std::make_shared<Listener>(
+            mExecutor, [weak = weak_from_this()](Tcp::socket socket) {
+                if (const auto self = weak.lock()) {
+                    asio::co_spawn(self->mExecutor, serve(self, std::move(socket)), asio::detached);
+                }
+            });
+        return mListener->listen(endpoint);
     }
 
-    Tcp::endpoint localEndpoint() const { return mLocal; }
+    Tcp::endpoint localEndpoint() const { return mListener->localEndpoint(); }
 
     void stop()
     {
         mStopping = true;
-        boost::system::error_code ignored;
-        mAcceptor.close(ignored);
-    }
-
-private:
-    static awaitable<void> acceptLoop(std::shared_ptr<Impl> self)
-    {
-        while (!self->mStopping) {
-            auto [error, socket] = co_await self->mAcceptor.async_accept(sAsValue);
-            if (error == asio::error::operation_aborted || self->mStopping) {
-                co_return;
-            }
-            if (error) {
-                // Out of descriptors, most likely: let some connections end first.
-                co_await sleepFor(std::chrono::milliseconds(10));
-                continue;
-            }
-            boost::system::error_code ignored;
-            socket.set_option(Tcp::no_delay(true), ignored);
-            asio::co_spawn(self->mAcceptor.get_executor(), serve(self, std::move(socket)),
-                           asio::detached);
+        if (mListener) {
+            mListener->stop();
         }
     }
 
+private:
     static awaitable<void> serve(std::shared_ptr<Impl> self, Tcp::socket socket)
     {
         beast::tcp_stream stream(std::move(socket));
@@ -292,10 +265,10 @@
         co_return exchange.mayContinue();
     }
 
-    Tcp::acceptor mAcceptor;
+    asio::any_io_executor mExecutor;
     HttpHandler mHandler;
     HttpLimits mLimits;
-    Tcp::endpoint mLocal;
+    std::shared_ptr<Listener> mListener;
     bool mStopping = false;
 };
 
--- a/src/libloomjunction/net/peer.cpp
+++ b/src/libloomjunction/net/peerconnection.cpp
@@ -1,17 +1,15 @@
 /*
- * peer.cpp
+ * peerconnection.cpp
  * Copyright 2026, the loomjunction authors
  *
  * This file is part of loomjunction (libloomjunction).
  * SPDX-License-Identifier: BSD-2-Clause
  */
 
-#include "peer.h"
+#include "peerconnection.h"
 
-#include <algorithm>
 #include <array>
-#include <cstring>
-#include <set>
+#include <utility>
 
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
@@ -24,12 +22,8 @@
 
 namespace {
 
-constexpr std::size_t sLengthBytes = 4;
 constexpr std::size_t sReadBytes = std::size_t{64} * 1024;
 constexpr std::size_t sWriteBytes = std::size_t{128} * 1024;
-constexpr std::size_t sHighWaterBytes = std::size_t{256} * 1024;
-// Sent data is cut off the queue once this much of it is behind.
-constexpr std::size_t sTrimBytes = std::size_t{64} * 1024;
 
 std::uint64_t sTotalBytes = 0;
 
@@ -41,170 +35,8 @@
             value.size(), NGHTTP2_NV_FLAG_NONE};
 }
 
-void appendLength(std::string &out, std::uint32_t length)
-{
-    for (int shift = 24; shift >= 0; shift -= 8) {
-        out.push_back(static_cast<char>((length >> static_cast<unsigned>(shift)) & 0xFFU));
-    }
-}
-
-std::uint32_t readLength(std::string_view bytes)
-{
-    std::uint32_t length = 0;
-    for (std::size_t i = 0; i < sLengthBytes; ++i) {
-        length = (length << 8U) | static_cast<unsigned char>(bytes[i]);
-    }
-    return length;
-}
-
 } // namespace
 
-// ---- PeerStream ------------------------------------------------------------
-
-PeerStream::PeerStream(std::shared_ptr<PeerConnection> connection, std::string path)
-    : mConnection(std::move(connection))
-    , mPath(std::move(path))
-    , mReadable(mConnection->executor())
-    , mWritable(mConnection->executor())
-{
-}
-
-void PeerStream::send(const google::protobuf::MessageLite &message)
-{
-    if (mClosed || mFinished) {
-        return;
-    }
-    const std::size_t size = message.ByteSizeLong();
-    appendLength(mOut, static_cast<std::uint32_t>(size));
-    message.AppendToString(&mOut);
-    mConnection->resume(mId);
-}
-
-awaitable<bool> PeerStream::drained()
-{
-    while (!mClosed && mOut.size() - mOutBegin > sHighWaterBytes) {
-        co_await mWritable.waitFor(std::chrono::hours(1));
-    }
-    co_return !mClosed;
-}
-
-void PeerStream::finish()
-{
-    if (mClosed || mFinished) {
-        return;
-    }
-    mFinished = true;
-    mConnection->resume(mId);
-}
-
-void PeerStream::reset()
-{
-    if (mClosed) {
-        return;
-    }
-    const std::shared_ptr<PeerConnection> connection = mConnection;
-    connection->resetStream(mId);
-    close(PeerError::Reset);
-}
-
-awaitable<tl::expected<std::optional<std::string>, PeerError>>
-PeerStream::receive(Deadline deadline)
-{
-    const PeerStreamPtr self = shared_from_this();
-    while (mIn.empty()) {
-        if (mEnded) {
-            co_return std::optional<std::string>();
-        }
-        if (mClosed) {
-            co_return tl::unexpected(mError);
-        }
-        const bool inTime = co_await mReadable.waitUntil(deadline);
-        if (!inTime && mIn.empty() && !mEnded && !mClosed) {
-            co_return tl::unexpected(PeerError::TimedOut);
-        }
-    }
-    std::string message = std::move(mIn.front());
-    mIn.pop_front();
-    if (mIn.empty() && mUnconsumed > 0) {
-        mConnection->consume(mId, std::exchange(mUnconsumed, 0));
-    }
-    co_return std::optional<std::string>(std::move(message));
-}
-
-bool PeerStream::takeData(std::string_view data)
-{
-    mPartial += data;
-    mUnconsumed += data.size();
-    std::size_t at = 0;
-    while (mPartial.size() - at >= sLengthBytes) {
-        const std::uint32_t length = readLength(std::string_view(mPartial).substr(at));
-        if (length > mConnection->mLimits.messageBytes) {
-            return false;
-        }
-        if (mPartial.size() - at - sLengthBytes < length) {
-            break;
-        }
-        mIn.push_back(mPartial.substr(at + sLengthBytes, length));
-        at += sLengthBytes + length;
-    }
-    mPartial.erase(0, at);
-    if (!mIn.empty()) {
-        mReadable.notify();
-    } else {
-        // A message larger than the window must be able to arrive.
-        mConnection->consume(mId, std::exchange(mUnconsumed, 0));
-    }
-    return true;
-}
-
-std::ptrdiff_t PeerStream::giveData(char *buffer, std::size_t size, bool &ended)
-{
-    const std::size_t waiting = mOut.size() - mOutBegin;
-    const std::size_t given = std::min(size, waiting);
-    std::memcpy(buffer, mOut.data() + mOutBegin, given);
-    mOutBegin += given;
-    if (mOutBegin == mOut.size()) {
-        mOut.clear();
-        mOutBegin = 0;
-    } else if (mOutBegin > sTrimBytes) {
-        mOut.erase(0, mOutBegin);
-        mOutBegin = 0;
-    }
-    mWritable.notify();
-    ended = mFinished && mOut.empty();
-    return static_cast<std::ptrdiff_t>(given);
-}
-
-void PeerStream::noteEnd()
-{
-    // A stream that ends inside a message was cut, whatever the frame says.
-    if (mPartial.empty()) {
-        mEnded = true;
-    }
-    mReadable.notify();
-}
-
-void PeerStream::close(PeerError error)
-{
-    if (mClosed) {
-        return;
-    }
-    mClosed = true;
-    mError = error;
-    mOut.clear();
-    mOutBegin = 0;
-    mReadable.notify();
-    mWritable.notify();
-}
-
-void PeerStream::closeMalformed()
-{
-    const std::shared_ptr<PeerConnection> connection = mConnection;
-    connection->close();
-}
-
-// ---- nghttp2 callbacks -----------------------------------------------------
-
 /** Bridges the C callbacks; each gets the connection as user data. */
 struct PeerCallbacks
 {
@@ -281,8 +113,6 @@
     }
 };
 
-// ---- PeerConnection --------------------------------------------------------
-
 PeerConnection::PeerConnection(Tcp::socket socket, bool isServer, PeerStreamHandler handler,
                                PeerLimits limits)
     : mSocket(std::move(socket))
@@ -329,21 +159,11 @@
 PeerConnection::connect(Tcp::endpoint endpoint, std::chrono::milliseconds timeout,
                         PeerLimits limits)
 {
-    const auto executor = co_await asio::this_coro::executor;
-    auto socket = std::make_shared<Tcp::socket>(executor);
-    asio::steady_timer timer(executor, timeout);
-    bool late = false;
-    timer.async_wait([socket, &late](const boost::system::error_code &error) {
-        if (!error) {
-            late = true;
-            boost::system::error_code ignored;
-            socket->close(ignored);
-        }
-    });
-    auto [error] = co_await socket->async_connect(endpoint, sAsValue);
-    const bool expired = timer.cancel() == 0;
-    if (error || expired) {
-        co_return tl::unexpected(late || expired ? PeerError::TimedOut : PeerError::NotConnected);
+    auto socket = co_await connectWithin(endpoint, timeout);
+    if (!socket) {
+        const bool late = socket.error() == asio::error::operation_aborted
+            || socket.error() == asio::error::timed_out;
+        co_return tl::unexpected(late ? PeerError::TimedOut : PeerError::NotConnected);
     }
     PeerConnectionPtr connection(new PeerConnection(std::move(*socket), false, {}, limits));
     connection->begin();
@@ -554,104 +374,4 @@
     return sTotalBytes;
 }
 
-// ---- PeerServer ------------------------------------------------------------
-
-class PeerServer::Impl : public std::enable_shared_from_this<PeerServer::Impl>
-{
-public:
-    Impl(const asio::any_io_executor &executor, PeerStreamHandler handler, PeerLimits limits)
-        : mAcceptor(executor)
-        , mHandler(std::move(handler))
-        , mLimits(limits)
-    {
-    }
-
-    tl::expected<void, std::string> listen(const Tcp::endpoint &endpoint)
-    {
-        boost::system::error_code error;
-        mAcceptor.open(endpoint.protocol(), error);
-        if (!error) {
-            mAcceptor.set_option(asio::socket_base::reuse_address(true), error);
-        }
-        if (!error) {
-            mAcceptor.bind(endpoint, error);
-        }
-        if (!error) {
-            mAcceptor.listen(asio::socket_base::max_listen_connections, error);
-        }
-        if (error) {
-            return tl::unexpected("cannot listen on " + endpointText(endpoint) + ": "
-                                  + error.message());
-        }
-        mLocal = mAcceptor.local_endpoint();
-        asio::co_spawn(mAcceptor.get_executor(), acceptLoop(shared_from_this()), asio::detached);
-        return {};
-    }
-
-    Tcp::endpoint localEndpoint() const { return mLocal; }
-
-    void stop()
-    {
-        mStopping = true;
-        boost::system::error_code ignored;
-        mAcceptor.close(ignored);
-        for (const auto &weak : mConnections) {
-            if (const PeerConnectionPtr connection = weak.lock()) {
-                connection->goAway();
-            }
-        }
-    }
-
-private:
-    static awaitable<void> acceptLoop(std::shared_ptr<Impl> self)
-    {
-        while (!self->mStopping) {
-            auto [error, socket] = co_await self->mAcceptor.async_accept(sAsValue);
-            if (error == asio::error::operation_aborted || self->mStopping) {
-                co_return;
-            }
-            if (error) {
-                co_await sleepFor(std::chrono::milliseconds(10));
-                continue;
-            }
-            std::erase_if(self->mConnections, [](const auto &weak) { return weak.expired(); });
-            self->mConnections.push_back(
-                PeerConnection::accept(std::move(socket), self->mHandler, self->mLimits));
-        }
-    }
-
-    Tcp::acceptor mAcceptor;
-    PeerStreamHandler mHandler;
-    PeerLimits mLimits;
-    Tcp::endpoint mLocal;
-    std::vector<std::weak_ptr<PeerConnection>> mConnections;
-    bool mStopping = false;
-};
-
-PeerServer::PeerServer(const asio::any_io_executor &executor, PeerStreamHandler handler,
-                       PeerLimits limits)
-    : mImpl(std::make_shared<Impl>(executor, std::move(handler), limits))
-{
-}
-
-PeerServer::~PeerServer()
-{
-    mImpl->stop();
-}
-
-tl::expected<void, std::string> PeerServer::listen(const Tcp::endpoint &endpoint)
-{
-    return mImpl->listen(endpoint);
-}
-
-Tcp::endpoint PeerServer::localEndpoint() const
-{
-    return mImpl->localEndpoint();
-}
-
-void PeerServer::stopListening()
-{
-    mImpl->stop();
-}
-
 } // namespace Loom
--- a/src/libloomjunction/net/peer.h
+++ b/src/libloomjunction/net/peerstream.h
@@ -1,5 +1,5 @@
 /*
- * peer.h
+ * peerstream.h
  * Copyright 2026, the loomjunction authors
  *
  * This file is part of loomjunction (libloomjunction).
@@ -14,7 +14,6 @@
 #include <cstdint>
 #include <deque>
 #include <functional>
-#include <map>
 #include <memory>
 #include <optional>
 #include <string>
@@ -22,8 +21,6 @@
 
 #include <google/protobuf/message_lite.h>
 
-struct nghttp2_session;
-
 namespace Loom {
 
 /** Why a stream or connection between two processes is of no more use. */
@@ -115,95 +112,4 @@
 /** Runs a stream that the other side opened. */
 using PeerStreamHandler = std::function<awaitable<void>(PeerStreamPtr)>;
 
-struct PeerLimits
-{
-    std::uint32_t messageBytes = 16 * 1024 * 1024;
-    std::uint32_t streamWindow = 1024 * 1024;
-    std::int32_t connectionWindow = 16 * 1024 * 1024;
-    std::uint32_t streams = 4096;
-};
-
-/** One nghttp2 connection between two of the system's processes. */
-class PeerConnection : public std::enable_shared_from_this<PeerConnection>
-{
-public:
-    /** Connects; the error is NotConnected or TimedOut. */
-    static awaitable<tl::expected<std::shared_ptr<PeerConnection>, PeerError>>
-    connect(Tcp::endpoint endpoint, std::chrono::milliseconds timeout, PeerLimits limits = {});
-
-    /** Serves the streams that come in on @p socket. */
-    static std::shared_ptr<PeerConnection> accept(Tcp::socket socket, PeerStreamHandler handler,
-                                                  PeerLimits limits = {});
-
-    ~PeerConnection();
-    PeerConnection(const PeerConnection &) = delete;
-    PeerConnection &operator=(const PeerConnection &) = delete;
-
-    /** Opens a stream; null on a closed connection. */
-    PeerStreamPtr open(std::string_view path);
-    bool isOpen() const { return !mClosed; }
-    std::size_t openStreams() const { return mStreams.size(); }
-    std::uint64_t bytesIn() const { return mBytesIn; }
-    std::uint64_t bytesOut() const { return mBytesOut; }
-    /** Tells the other side to open no more streams; those open go on. */
-    void goAway();
-    void close();
-    asio::any_io_executor executor() { return mSocket.get_executor(); }
-
-    /** Counts over all connections of the process, for metrics and the control bench. */
-    static std::uint64_t totalBytes();
-
-private:
-    friend class PeerStream;
-    friend struct PeerCallbacks;
-
-    PeerConnection(Tcp::socket socket, bool isServer, PeerStreamHandler handler, PeerLimits limits);
-
-    void begin();
-    void readMore();
-    void wantWrite();
-    void flush();
-    void fail();
-    void resume(std::int32_t id);
-    void resetStream(std::int32_t id);
-    void consume(std::int32_t id, std::size_t bytes);
-    void incoming(std::int32_t id, std::string path);
-    PeerStreamPtr find(std::int32_t id) const;
-
-    Tcp::socket mSocket;
-    bool mIsServer;
-    PeerStreamHandler mHandler;
-    PeerLimits mLimits;
-    nghttp2_session *mSession = nullptr;
-    std::map<std::int32_t, PeerStreamPtr> mStreams;
-    std::map<std::int32_t, std::string> mPendingPaths;
-    std::string mReadBuffer;
-    std::string mWriteBuffer;
-    bool mWriting = false;
-    bool mFlushPosted = false;
-    bool mClosed = false;
-    std::uint64_t mBytesIn = 0;
-    std::uint64_t mBytesOut = 0;
-};
-
-using PeerConnectionPtr = std::shared_ptr<PeerConnection>;
-
-/** Accepts connections from other processes of the system. */
-class PeerServer
-{
-public:
-    PeerServer(const asio::any_io_executor &executor, PeerStreamHandler handler,
-               PeerLimits limits = {});
-    ~PeerServer();
-
-    tl::expected<void, std::string> listen(const Tcp::endpoint &endpoint);
-    Tcp::endpoint localEndpoint() const;
-    /** Takes no new connections; those open are told to open no more streams. */
-    void stopListening();
-
-private:
-    class Impl;
-    std::shared_ptr<Impl> mImpl;
-};
-
 } // namespace Loom
--- a/src/loombench/main.cpp
+++ b/src/loombench/main.cpp
@@ -7,6 +7,7 @@
  */
 
 #include "loadgenerator.h"
+#include "statebench.h"
 
 #include <csignal>
 #include <iostream>
@@ -61,30 +62,41 @@
 
 int main(int argc, char **argv)
 {
-    CLI::App app{"loombench: sends load as callers do and judges every answer"};
+    CLI::App app{"loombench: sends load as callers do and judges every answer; measures state"};
+    app.require_subcommand(1);
+    CLI::App *load = app.add_subcommand("load", "send requests and judge the answers");
     LoadOptions options;
     std::vector<std::string> seeds;
     std::vector<std::string> weights;
     std::string direct;
-    app.add_option("--seed-entry", seeds, "entries to ask for addresses")->delimiter(',');
-    app.add_option("--direct", direct, "engine to call without the system");
-    app.add_option("--direct-version", options.directVersion, "version asked of that engine");
-    app.add_option("--service", options.service, "service to call")->required();
-    app.add_option("--account", options.accounts, "client accounts")->delimiter(',')->required();
-    app.add_option("--shares", options.shares, "workers of each account, relative")->delimiter(',');
-    app.add_option("--weights", weights, "VERSION=DIGEST that answers must carry");
-    app.add_option("--concurrency", options.concurrency, "workers");
-    app.add_option("--rate", options.ratePerSecond, "requests a second; 0: closed loop");
-    app.add_option("--seconds", options.seconds, "how long; 0: until SIGTERM");
-    app.add_option("--tokens", options.tokens, "tokens asked for");
-    app.add_option("--prefixes", options.prefixes, "distinct prompt starts; 0: all differ");
-    app.add_option("--deadline-ms", options.deadlineMs, "deadline of each request");
-    app.add_option("--seed", options.seed, "of the random choices");
-    app.add_flag("--stream", options.stream, "ask for answers in pieces");
-    app.add_flag("--once", options.once, "calls that may run once, with issued keys");
-    app.add_flag("!--ignore-retry-after", options.obeyRetryAfter, "come back at once when refused");
+    load->add_option("--seed-entry", seeds, "entries to ask for addresses")->delimiter(',');
+    load->add_option("--direct", direct, "engine to call without the system");
+    load->add_option("--direct-version", options.directVersion, "version asked of that engine");
+    load->add_option("--service", options.service, "service to call")->required();
+    load->add_option("--account", options.accounts, "client accounts")->delimiter(',')->required();
+    load->add_option("--shares", options.shares, "workers of each account")->delimiter(',');
+    load->add_option("--weights", weights, "VERSION=DIGEST that answers must carry");
+    load->add_option("--concurrency", options.concurrency, "workers");
+    load->add_option("--rate", options.ratePerSecond, "requests a second; 0: closed loop");
+    load->add_option("--seconds", options.seconds, "how long; 0: until SIGTERM");
+    load->add_option("--tokens", options.tokens, "tokens asked for");
+    load->add_option("--prefixes", options.prefixes, "distinct prompt starts; 0: all differ");
+    load->add_option("--deadline-ms", options.deadlineMs, "deadline of each request");
+    load->add_option("--seed", options.seed, "of the random choices");
+    load->add_flag("--stream", options.stream, "ask for answers in pieces");
+    load->add_flag("--once", options.once, "calls that may run once, with issued keys");
+    load->add_flag("!--ignore-retry-after", options.obeyRetryAfter, "come back at once");
+    CLI::App *state = app.add_subcommand("state", "memory and time of the state kept");
+    std::uint32_t services = 1'000;
+    std::uint32_t keys = 50'000;
+    state->add_option("--services", services, "services, of ten values each");
+    state->add_option("--keys", keys, "once keys, claims and attempts");
     CLI11_PARSE(app, argc, argv);
 
+    if (*state) {
+        std::cout << boost::json::serialize(measureState(services, keys)) << "\n";
+        return 0;
+    }
     for (const std::string &seed : seeds) {
         if (!readEndpoint("--seed-entry", seed, options.seeds.emplace_back())) {
             return sExitUsage;
--- a/src/loomjunctiond/agentlinks.h
+++ b/src/loomjunctiond/agentlinks.h
@@ -8,8 +8,9 @@
 
 #pragma once
 
+#include "instant.h"
 #include "kernel.h"
-#include "peer.h"
+#include "peerconnection.h"
 
 #include <map>
 #include <string>
@@ -19,7 +20,7 @@
 
 class ListService;
 
-/** Connections of this process to agents, opened on demand and kept. */
+/** Connections of this process to agents, opened on demand and kept while in use. */
 class AgentLinks final : public Service
 {
 public:
@@ -33,8 +34,17 @@
     awaitable<PeerStreamPtr> open(std::string box, std::string path);
 
 private:
+    struct Link
+    {
+        PeerConnectionPtr connection;
+        Instant lastUsed;
+    };
+
+    awaitable<void> closeIdle();
+
     ListService *mList = nullptr;
-    std::map<std::string, PeerConnectionPtr> mConnections;
+    std::map<std::string, Link> mLinks;
+    bool mStopped = false;
 };
 
 } // namespace Loom
--- a/src/loomjunctiond/agentport.h
+++ b/src/loomjunctiond/agentport.h
@@ -9,7 +9,7 @@
 #pragma once
 
 #include "kernel.h"
-#include "peer.h"
+#include "peerserver.h"
 #include "wire.pb.h"
 
 #include <memory>
--- a/src/loomjunctiond/callsender.h
+++ b/src/loomjunctiond/callsender.h
@@ -10,7 +10,7 @@
 
 #include "instant.h"
 #include "outcome.h"
-#include "peer.h"
+#include "peerconnection.h"
 #include "wire.pb.h"
 
 #include <cstdint>
--- a/src/loomjunctiond/callservice.cpp
+++ b/src/loomjunctiond/callservice.cpp
@@ -174,7 +174,7 @@
         return forward(stream, start, head, data, result);
     };
     const auto response = co_await mPlatform->http().stream(upstreamCall(start), onData);
-    result.outcome = outcomeOf(start, response);
+    result.outcome = outcomeOf(start, response, result.abortedBecause);
     const bool answered = std::holds_alternative<Answered>(result.outcome);
     if (answered && mOnFirstByte && result.firstByte > begun) {
         mOnFirstByte(result.firstByte - begun);
@@ -187,6 +187,7 @@
                                      Upstreamed &result)
 {
     if (!isRightVersion(start, head)) {
+        result.abortedBecause = UnknownReason::VersionMismatch;
         co_return false;
     }
     // A call that may run once goes on to its end, so that its answer can be kept.
@@ -223,7 +224,8 @@
 }
 
 Outcome CallService::outcomeOf(const wire::CallStart &start,
-                               const tl::expected<HttpResponse, HttpError> &response) const
+                               const tl::expected<HttpResponse, HttpError> &response,
+                               UnknownReason abortedBecause) const
 {
     if (response) {
         const bool refused = !response->header("Engine-Refused").empty();
@@ -244,7 +246,7 @@
     case HttpFailure::TimedOut:
         return Unknown{UnknownReason::DeadlinePassed};
     case HttpFailure::Aborted:
-        return Unknown{UnknownReason::VersionMismatch};
+        return Unknown{abortedBecause};
     case HttpFailure::Cut:
         return Unknown{UnknownReason::UpstreamCut};
     }
--- a/src/loomjunctiond/callservice.h
+++ b/src/loomjunctiond/callservice.h
@@ -9,7 +9,7 @@
 #pragma once
 
 #include "kernel.h"
-#include "peer.h"
+#include "peerconnection.h"
 #include "upstreamservice.h"
 #include "wire.pb.h"
 
@@ -51,6 +51,7 @@
         std::uint64_t bytes = 0;
         bool isKeySpent = false;
         Instant firstByte;
+        UnknownReason abortedBecause = UnknownReason::LinkCut; ///< if we gave the upstream up
     };
 
     awaitable<void> serve(PeerStreamPtr stream, const wire::CallStart &start);
@@ -59,7 +60,8 @@
                             const HttpResponse &head, std::string_view data, Upstreamed &result);
     HttpCall upstreamCall(const wire::CallStart &start) const;
     Outcome outcomeOf(const wire::CallStart &start,
-                      const tl::expected<HttpResponse, HttpError> &response) const;
+                      const tl::expected<HttpResponse, HttpError> &response,
+                      UnknownReason abortedBecause) const;
     bool isRightVersion(const wire::CallStart &start, const HttpResponse &head) const;
     void answer(PeerStream &stream, const wire::CallStart &start, const Upstreamed &result);
 
--- a/src/loomjunctiond/claimservice.cpp
+++ b/src/loomjunctiond/claimservice.cpp
@@ -46,6 +46,7 @@
     while (!mStopped) {
         const auto batch
             = co_await mPlatform->log().read(sClaimStream, mTable.nextOffset(), sLongPoll);
+        mLogReachable = batch.has_value();
         if (!batch) {
             co_await sleepFor(sRetry);
             continue;
@@ -86,6 +87,9 @@
     if (const auto known = settled()) {
         co_return *known;
     }
+    if (!mLogReachable) {
+        co_return ClaimOutcome{};
+    }
     wire::KeyClaim claim;
     claim.set_key(key.unique);
     claim.set_service(wanted.service);
--- a/src/loomjunctiond/claimservice.h
+++ b/src/loomjunctiond/claimservice.h
@@ -41,7 +41,8 @@
 
     /**
      * The home of @p key: the one claimed first in the log, or @p wanted when
-     * this claim is the first. No home when the log does not answer in time.
+     * this claim is the first. No home when the log does not answer in time;
+     * at once while it is known not to.
      */
     awaitable<ClaimOutcome> settle(CallerKey key, ClaimedHome wanted,
                                    std::chrono::milliseconds wait);
@@ -55,6 +56,7 @@
     ClaimBatcher mBatcher;
     Signal mFolded;
     Signal mWaiting;
+    bool mLogReachable = true;
     bool mStopped = false;
 };
 
--- a/src/loomjunctiond/linkservice.h
+++ b/src/loomjunctiond/linkservice.h
@@ -9,7 +9,7 @@
 #pragma once
 
 #include "kernel.h"
-#include "peer.h"
+#include "peerserver.h"
 #include "upstreamtable.h"
 #include "wire.pb.h"
 
--- a/src/loomjunctiond/upstreamservice.cpp
+++ b/src/loomjunctiond/upstreamservice.cpp
@@ -96,17 +96,8 @@
 awaitable<void> UpstreamService::askPlain()
 {
     // Its protocol is the callers' own; all that can be asked is whether it listens.
-    Tcp::socket socket(co_await asio::this_coro::executor);
-    asio::steady_timer timer(socket.get_executor(), sPollTimeout);
-    timer.async_wait([&socket](const boost::system::error_code &error) {
-        if (!error) {
-            boost::system::error_code ignored;
-            socket.close(ignored);
-        }
-    });
-    auto [error] = co_await socket.async_connect(mSettings->upstream, sAsValue);
-    timer.cancel();
-    setAlive(!error);
+    const auto connected = co_await connectWithin(mSettings->upstream, sPollTimeout);
+    setAlive(connected.has_value());
 }
 
 void UpstreamService::setAlive(bool alive)
--- a/src/loomjunctiond/watchsession.h
+++ b/src/loomjunctiond/watchsession.h
@@ -9,7 +9,7 @@
 #pragma once
 
 #include "configservice.h"
-#include "peer.h"
+#include "peerconnection.h"
 #include "wire.pb.h"
 
 #include <functional>
--- a/src/loomjunctiond/weightfetch.cpp
+++ b/src/loomjunctiond/weightfetch.cpp
@@ -28,7 +28,11 @@
 constexpr std::chrono::milliseconds sManifestStep{50};
 constexpr std::chrono::milliseconds sManifestTurn{1'000};
 constexpr std::chrono::milliseconds sManifestTimeout{5'000};
-constexpr std::chrono::milliseconds sChunkTimeout{10'000};
+// A neighbour that takes this many times longer than usual is given up.
+constexpr double sSlowFactor = 6;
+constexpr double sChunkTimeWeight = 0.1;
+constexpr std::chrono::milliseconds sLeastChunkTimeout{1'000};
+constexpr std::chrono::milliseconds sMostChunkTimeout{10'000};
 constexpr std::chrono::milliseconds sOriginTimeout{60'000};
 constexpr std::chrono::milliseconds sPlanStep{100};
 constexpr std::chrono::milliseconds sFollowRetry{500};
@@ -257,6 +261,16 @@
     co_return std::move(response->body);
 }
 
+std::chrono::milliseconds WeightFetch::chunkTimeout() const
+{
+    if (mMeanChunkSeconds <= 0) {
+        return sMostChunkTimeout;
+    }
+    const auto slow = std::chrono::milliseconds(
+        static_cast<std::int64_t>(mMeanChunkSeconds * sSlowFactor * 1000));
+    return std::clamp(slow, sLeastChunkTimeout, sMostChunkTimeout);
+}
+
 awaitable<tl::expected<std::string, ChunkFailure>> WeightFetch::fromPeer(std::uint32_t index,
                                                                          std::string box)
 {
@@ -269,7 +283,8 @@
     request.set_index(index);
     stream->send(request);
     stream->finish();
-    const auto deadline = std::chrono::steady_clock::now() + sChunkTimeout;
+    const auto begun = std::chrono::steady_clock::now();
+    const auto deadline = begun + chunkTimeout();
     auto answer = co_await stream->receiveMessage<wire::ChunkAnswer>(deadline);
     if (!answer || !*answer) {
         stream->reset();
@@ -284,6 +299,9 @@
         co_return tl::unexpected(ChunkFailure::Missing);
     }
     mParts.counts.peerBytes += chunk.data().size();
+    const std::chrono::duration<double> took = std::chrono::steady_clock::now() - begun;
+    const double weight = mMeanChunkSeconds <= 0 ? 1.0 : sChunkTimeWeight;
+    mMeanChunkSeconds += weight * (took.count() - mMeanChunkSeconds);
     co_return std::move(*chunk.mutable_data());
 }
 
--- a/src/loomjunctiond/weightfetch.h
+++ b/src/loomjunctiond/weightfetch.h
@@ -10,7 +10,7 @@
 
 #include "chunkplan.h"
 #include "chunkstore.h"
-#include "peer.h"
+#include "peerconnection.h"
 #include "tokenbucket.h"
 #include "versionswitch.h"
 
@@ -75,6 +75,7 @@
     awaitable<tl::expected<std::string, ChunkFailure>> fromOrigin(std::uint32_t index);
     awaitable<tl::expected<std::string, ChunkFailure>> fromPeer(std::uint32_t index,
                                                                 std::string box);
+    std::chrono::milliseconds chunkTimeout() const;
     void take(const ChunkFetch &fetch, tl::expected<std::string, ChunkFailure> data);
 
     VersionTarget mTarget;
@@ -82,6 +83,7 @@
     Parts mParts;
     std::unique_ptr<ChunkPlan> mPlan;
     std::set<std::string> mFollowed;
+    double mMeanChunkSeconds = 0; ///< smoothed time that a chunk from a neighbour takes
     bool mCancelled = false;
     Signal mProgress;
 };
--- a/src/loomjunctiond/weightservice.h
+++ b/src/loomjunctiond/weightservice.h
@@ -11,7 +11,7 @@
 #include "chunkstore.h"
 #include "daemonsettings.h"
 #include "kernel.h"
-#include "peer.h"
+#include "peerconnection.h"
 #include "tokenbucket.h"
 #include "weightfetch.h"
 #include "yieldingrate.h"
--- a/src/loomstandin/liststandin.cpp
+++ b/src/loomstandin/liststandin.cpp
@@ -23,9 +23,8 @@
 
 } // namespace
 
-ListStandIn::ListStandIn(const asio::any_io_executor &executor, Options options)
-    : mExecutor(executor)
-    , mOptions(options)
+ListStandIn::ListStandIn(Options options)
+    : mOptions(options)
 {
 }
 
@@ -123,22 +122,13 @@
     if (!endpoint) {
         co_return;
     }
-    Tcp::socket socket(mExecutor);
-    asio::steady_timer timer(mExecutor, sProbeTimeout);
-    timer.async_wait([&socket](const boost::system::error_code &error) {
-        if (!error) {
-            boost::system::error_code ignored;
-            socket.close(ignored);
-        }
-    });
-    auto [error] = co_await socket.async_connect(*endpoint, sAsValue);
-    timer.cancel();
+    const bool answers = (co_await connectWithin(*endpoint, sProbeTimeout)).has_value();
     const auto it = mBoxes.find(name);
     if (it == mBoxes.end()) {
         co_return;
     }
     const bool wasDead = it->second.failures >= sFailuresUntilDead;
-    it->second.failures = error ? it->second.failures + 1 : 0;
+    it->second.failures = answers ? 0 : it->second.failures + 1;
     const bool isDead = it->second.failures >= sFailuresUntilDead;
     if (wasDead != isDead) {
         changed();
--- a/src/loomstandin/liststandin.h
+++ b/src/loomstandin/liststandin.h
@@ -30,7 +30,7 @@
         Milliseconds probeEvery{1'000}; ///< zero: boxes are never probed
     };
 
-    ListStandIn(const asio::any_io_executor &executor, Options options);
+    explicit ListStandIn(Options options);
 
     awaitable<void> handle(HttpExchange &exchange);
     /** Notices dead boxes, as the platform would. Runs for ever. */
@@ -49,7 +49,6 @@
     boost::json::array liveBoxes() const;
     awaitable<void> probe(std::string name);
 
-    asio::any_io_executor mExecutor;
     Options mOptions;
     std::map<std::string, Box> mBoxes;
     struct Pending
--- a/src/loomstandin/main.cpp
+++ b/src/loomstandin/main.cpp
@@ -169,7 +169,7 @@
     if (*list) {
         return serveAll(common, [&](Host &host) {
             const ListStandIn::Options options{Milliseconds(lagMs), Milliseconds(probeMs)};
-            auto standIn = std::make_shared<ListStandIn>(host.executor(), options);
+            auto standIn = std::make_shared<ListStandIn>(options);
             asio::co_spawn(
                 host.executor(), [standIn] { return standIn->probeLoop(); }, asio::detached);
             return handlerOf(standIn);
--- a/tests/transport/test_peer.cpp
+++ b/tests/transport/test_peer.cpp
@@ -11,7 +11,7 @@
 
 #include "http.h"
 #include "logclient.h"
-#include "peer.h"
+#include "peerserver.h"
 #include "wire.pb.h"
 
 #include <boost/asio/co_spawn.hpp>
--- a/util/bench.py
+++ b/util/bench.py
@@ -5,7 +5,9 @@
 import argparse
 import json
 import os
+import random
 import signal
+import subprocess
 import sys
 import time
 
@@ -72,7 +74,7 @@
 
 def start_load(lab, *options, name="load"):
     seeds = ",".join("%s:%d" % (HOST, entry.callers) for entry in lab.entries)
-    command = [program("loombench"), "--service", "scorer-llm", "--seed-entry", seeds]
+    command = [program("loombench"), "load", "--service", "scorer-llm", "--seed-entry", seeds]
     return lab.start("%s-%d" % (name, len(lab.processes)), command + list(options))
 
 
@@ -246,7 +248,6 @@
 
 def inject(lab, fault, lower_bound, seed):
     """Starts a fault; gives the boxes that need not finish and how to end it."""
-    import random
     chosen = random.Random(seed)
     if fault == "kill":
         victims = chosen.sample(lab.agents, max(1, len(lab.agents) // 10))
@@ -453,6 +454,16 @@
      "routing": burst_routing}[options.burst](options)
 
 
+# ---- state ------------------------------------------------------------------
+
+def bench_state(options):
+    """Bytes and time for each piece of state that processes keep."""
+    done = subprocess.run([program("loombench"), "state", "--services", str(options.services),
+                           "--keys", str(options.keys)], capture_output=True, text=True,
+                          check=True)
+    emit(**json.loads(done.stdout))
+
+
 def main():
     parser = argparse.ArgumentParser()
     cases = parser.add_subparsers(dest="case", required=True)
@@ -495,9 +506,12 @@
     burst.add_argument("--model-mib", type=float, default=16)
     burst.add_argument("--link-mbit", type=int, default=40)
     burst.add_argument("--origin-mbit", type=int, default=80)
+    state = cases.add_parser("state")
+    state.add_argument("--services", type=int, default=1000)
+    state.add_argument("--keys", type=int, default=50000)
     options = parser.parse_args()
     {"path": bench_path, "config": bench_config, "control": bench_control,
-     "rollout": bench_rollout, "burst": bench_burst}[options.case](options)
+     "rollout": bench_rollout, "burst": bench_burst, "state": bench_state}[options.case](options)
 
 
 if __name__ == "__main__":
--- a/util/demo.py
+++ b/util/demo.py
@@ -45,7 +45,7 @@
 
 def start_load(lab, service, weights, *options):
     seeds = ",".join("%s:%d" % (HOST, entry.callers) for entry in lab.entries)
-    command = [program("loombench"), "--service", service, "--account", ",".join(ACCOUNTS),
+    command = [program("loombench"), "load", "--service", service, "--account", ",".join(ACCOUNTS),
                "--seed-entry", seeds, "--seconds", 0]
     for version, digest in weights.items():
         command += ["--weights", "%s=%s" % (version, digest)]
