--- a/src/libloomjunction/core/configstate.cpp
+++ b/src/libloomjunction/core/configstate.cpp
@@ -101,18 +101,13 @@
     }
     ChangeResult result;
     result.offset = offset;
-    result.reason = problem(change);
+    result.reason = performAll(change, offset);
     result.accepted = result.reason.empty();
-    if (result.accepted) {
-        for (const wire::ConfigOperation &operation : change.operations()) {
-            perform(operation, offset);
-        }
-    }
     remember(change, result);
     return result;
 }
 
-std::string ConfigState::problem(const wire::ConfigChange &change) const
+std::string ConfigState::performAll(const wire::ConfigChange &change, std::uint64_t offset)
 {
     if (change.change_id().empty()) {
         return "changeId: expected text, found none";
@@ -120,24 +115,81 @@
     if (change.operations().empty()) {
         return "operations: expected at least one, found none";
     }
-    if (change.operations_size() == 1) {
-        return operationProblem(change.operations(0), change.base());
-    }
-    // Each operation is judged against the state left by the ones before it,
-    // so a change may create a service and set its values; all or nothing.
-    ConfigState trial = *this;
-    trial.mFates.clear();
-    trial.mFateById.clear();
+    // Each operation is judged against the state left by the ones before it, so
+    // a change may create a service and set its values; all or nothing. What it
+    // touches is kept for going back: copying the whole state instead took 1.1
+    // ms a change at 1,000 services.
+    Undo undo;
     for (const wire::ConfigOperation &operation : change.operations()) {
-        std::string reason = trial.operationProblem(operation, change.base());
+        std::string reason = operationProblem(operation, change.base());
         if (!reason.empty()) {
+            restore(undo);
             return reason;
         }
-        trial.perform(operation, change.base());
+        keepFor(undo, operation);
+        perform(operation, offset);
     }
     return {};
 }
 
+void ConfigState::keepFor(Undo &undo, const wire::ConfigOperation &operation) const
+{
+    const auto keep = [](auto &kept, const auto &map, const auto &key) {
+        const auto it = map.find(key);
+        // The first time counts: later operations of the change see its own work.
+        kept.try_emplace(key, it == map.end() ? std::nullopt : std::optional(it->second));
+    };
+    switch (operation.operation_case()) {
+    case wire::ConfigOperation::kSetValue: {
+        const wire::SetValue &set = operation.set_value();
+        const Place place{set.scope(), set.key()};
+        keep(undo.settings, mSettings, place);
+        keep(undo.removed, mRemoved, place);
+        if (set.scope().starts_with(sServicePrefix)) {
+            keep(undo.services, mServices, set.scope().substr(sServicePrefix.size()));
+        }
+        return;
+    }
+    case wire::ConfigOperation::kUnsetValue: {
+        const Place place{operation.unset_value().scope(), operation.unset_value().key()};
+        keep(undo.settings, mSettings, place);
+        keep(undo.removed, mRemoved, place);
+        return;
+    }
+    case wire::ConfigOperation::kCreateService:
+        keep(undo.services, mServices, operation.create_service().name());
+        return;
+    case wire::ConfigOperation::kCreateAccount:
+        keep(undo.accounts, mAccounts, operation.create_account().name());
+        return;
+    case wire::ConfigOperation::kPublishVersion: {
+        const wire::PublishVersion &publish = operation.publish_version();
+        keep(undo.versions, mVersions, Place{publish.service(), publish.version()});
+        return;
+    }
+    case wire::ConfigOperation::OPERATION_NOT_SET:
+        return;
+    }
+}
+
+void ConfigState::restore(const Undo &undo)
+{
+    const auto putBack = [](auto &map, const auto &kept) {
+        for (const auto &[key, before] : kept) {
+            if (before) {
+                map[key] = *before;
+            } else if (const auto it = map.find(key); it != map.end()) {
+                map.erase(it);
+            }
+        }
+    };
+    putBack(mSettings, undo.settings);
+    putBack(mRemoved, undo.removed);
+    putBack(mServices, undo.services);
+    putBack(mAccounts, undo.accounts);
+    putBack(mVersions, undo.versions);
+}
+
 std::string ConfigState::operationProblem(const wire::ConfigOperation &operation,
                                           std::uint64_t base) const
 {
@@ -258,7 +310,9 @@
                               std::uint64_t base) const
 {
     const bool nothingSeen = base == sNothing;
-    const auto newer = [&](std::uint64_t offset) { return nothingSeen || offset > base; };
+    // What the change being folded has itself written is no race.
+    const auto newer
+        = [&](std::uint64_t offset) { return offset != mAsOf && (nothingSeen || offset > base); };
     if (const auto it = mSettings.find({scope, key}); it != mSettings.end()) {
         return newer(it->second.offset);
     }
--- a/src/libloomjunction/core/configstate.h
+++ b/src/libloomjunction/core/configstate.h
@@ -104,7 +104,21 @@
     static constexpr std::size_t sFatesKept = 2048;
 
 private:
-    std::string problem(const wire::ConfigChange &change) const;
+    using Place = std::pair<std::string, std::string>; ///< scope and key, or service and version
+
+    /** What a change has touched, as it was before; nothing: it was not there. */
+    struct Undo
+    {
+        std::map<Place, std::optional<SettingValue>> settings;
+        std::map<Place, std::optional<std::uint64_t>> removed;
+        std::map<std::string, std::optional<wire::ServiceEntry>> services;
+        std::map<std::string, std::optional<wire::AccountEntry>> accounts;
+        std::map<Place, std::optional<wire::VersionEntry>> versions;
+    };
+
+    std::string performAll(const wire::ConfigChange &change, std::uint64_t offset);
+    void keepFor(Undo &undo, const wire::ConfigOperation &operation) const;
+    void restore(const Undo &undo);
     std::string operationProblem(const wire::ConfigOperation &operation, std::uint64_t base) const;
     std::string setProblem(const wire::SetValue &set, std::uint64_t base) const;
     std::string versionProblem(const wire::PublishVersion &publish) const;
--- a/src/loombench/statebench.cpp
+++ b/src/loombench/statebench.cpp
@@ -14,10 +14,11 @@
 #include "configreplica.h"
 #include "oncekey.h"
 
-#include <fstream>
+#include <algorithm>
+#include <array>
 #include <string>
 
-#include <unistd.h>
+#include <malloc.h>
 
 namespace Loom {
 
@@ -27,18 +28,16 @@
 constexpr std::size_t sAnswerBytes = 200;
 constexpr std::uint64_t sLife = 1;
 
-std::uint64_t residentBytes()
+/** Bytes handed out by the allocator; the resident set would hide what is reused. */
+std::uint64_t allocatedBytes()
 {
-    std::ifstream file("/proc/self/statm");
-    std::uint64_t total = 0;
-    std::uint64_t resident = 0;
-    file >> total >> resident;
-    return resident * static_cast<std::uint64_t>(sysconf(_SC_PAGESIZE));
+    const struct mallinfo2 info = mallinfo2();
+    return info.uordblks + info.hblkhd;
 }
 
 std::int64_t growth(std::uint64_t before)
 {
-    return static_cast<std::int64_t>(residentBytes()) - static_cast<std::int64_t>(before);
+    return static_cast<std::int64_t>(allocatedBytes()) - static_cast<std::int64_t>(before);
 }
 
 wire::StoredRecord recordOf(const wire::ConfigChange &change, std::uint64_t offset)
@@ -77,7 +76,7 @@
 
 void measureConfiguration(std::uint32_t services, boost::json::object &out)
 {
-    const std::uint64_t before = residentBytes();
+    const std::uint64_t before = allocatedBytes();
     ConfigReplica replica;
     const Instant begun = now();
     for (std::uint32_t number = 0; number < services; ++number) {
@@ -94,7 +93,7 @@
 
 void measureKeys(std::uint32_t keys, boost::json::object &out)
 {
-    const std::uint64_t before = residentBytes();
+    const std::uint64_t before = allocatedBytes();
     CallGate gate(sLife);
     gate.setCapacity(keys);
     gate.setUpstreamAlive(true);
@@ -119,7 +118,7 @@
 
 void measureClaims(std::uint32_t keys, boost::json::object &out)
 {
-    const std::uint64_t before = residentBytes();
+    const std::uint64_t before = allocatedBytes();
     ClaimTable table;
     const WallMilliseconds wall = wallNow();
     for (std::uint32_t number = 0; number < keys; ++number) {
--- a/src/loomjunctiond/linkservice.cpp
+++ b/src/loomjunctiond/linkservice.cpp
@@ -63,21 +63,26 @@
     }
 }
 
-bool LinkService::isLinkedTo(const ListedBox &agent, std::string_view entry) const
+std::vector<std::string> LinkService::linkedEntries(const ListedBox &agent,
+                                                    std::span<const std::string> entries) const
 {
-    std::vector<std::string> entries;
-    for (const ListedBox &listed : mList->entries()) {
-        entries.push_back(listed.box);
-    }
     const std::size_t most = std::get<EntrySettings>(mPlatform->settings().role).linksPerAgent;
-    const auto order = rendezvousOrder(agent.box, entries, most);
-    return std::ranges::any_of(order, [&](std::size_t index) { return entries[index] == entry; });
+    std::vector<std::string> linked;
+    for (const std::size_t index : rendezvousOrder(agent.box, entries, most)) {
+        linked.push_back(entries[index]);
+    }
+    return linked;
 }
 
 void LinkService::takeList()
 {
     std::vector<std::string> wanted;
     std::vector<std::string> otherEntries;
+    std::vector<std::string> entries;
+    for (const ListedBox &entry : mList->entries()) {
+        entries.push_back(entry.box);
+    }
+    mServiceEntries.clear();
     for (const ListedBox &box : mList->boxes()) {
         if (box.isEntry) {
             if (box.box != mPlatform->box()) {
@@ -85,7 +90,9 @@
             }
             continue;
         }
-        if (isLinkedTo(box, mPlatform->box())) {
+        const std::vector<std::string> linked = linkedEntries(box, entries);
+        mServiceEntries[box.service].insert(linked.begin(), linked.end());
+        if (std::ranges::find(linked, mPlatform->box()) != linked.end()) {
             wanted.push_back(box.box);
             mUpstreams.list(box.box, box.dataCentre, box.service, box.isLeaving);
             ensureLink(box);
@@ -283,16 +290,15 @@
 
 std::vector<ListedBox> LinkService::entriesFor(std::string_view service) const
 {
-    const std::vector<ListedBox> entries = mList->entries();
-    std::vector<ListedBox> found;
-    for (const ListedBox &entry : entries) {
-        const bool linked = std::ranges::any_of(mList->boxes(), [&](const ListedBox &box) {
-            return !box.isEntry && box.service == service && isLinkedTo(box, entry.box);
-        });
-        if (linked && !isDraining(entry.box)) {
-            found.push_back(entry);
-        }
+    std::vector<ListedBox> entries = mList->entries();
+    const auto it = mServiceEntries.find(service);
+    if (it == mServiceEntries.end()) {
+        return entries;
     }
+    std::vector<ListedBox> found;
+    std::ranges::copy_if(entries, std::back_inserter(found), [&](const ListedBox &entry) {
+        return it->second.contains(entry.box) && !isDraining(entry.box);
+    });
     return found.empty() ? entries : found;
 }
 
--- a/src/loomjunctiond/linkservice.h
+++ b/src/loomjunctiond/linkservice.h
@@ -17,6 +17,8 @@
 #include <map>
 #include <memory>
 #include <optional>
+#include <set>
+#include <span>
 #include <string>
 #include <string_view>
 
@@ -77,7 +79,9 @@
     using LinkPtr = std::shared_ptr<Link>;
 
     void takeList();
-    bool isLinkedTo(const ListedBox &agent, std::string_view entry) const;
+    /** Those of @p entries that hold a link to @p agent; the same on every entry. */
+    std::vector<std::string> linkedEntries(const ListedBox &agent,
+                                           std::span<const std::string> entries) const;
     void ensureLink(const ListedBox &box);
     static awaitable<void> keep(LinkService &self, std::string box, LinkPtr link);
     awaitable<void> watch(const std::string &box, const LinkPtr &link);
@@ -100,6 +104,8 @@
         Instant heard;
     };
     std::map<std::string, Draining, std::less<>> mDrainingEntries;
+    /** By service, made anew with each list: address answers must not compute it. */
+    std::map<std::string, std::set<std::string>, std::less<>> mServiceEntries;
     std::vector<std::weak_ptr<class WatchSession>> mServed;
     std::unique_ptr<PeerServer> mServer;
     std::uint64_t mLastAnnouncement = 0; ///< zero: not draining
--- a/tests/config/test_fold.cpp
+++ b/tests/config/test_fold.cpp
@@ -115,6 +115,44 @@
     BOOST_TEST(state.explain("scorer", sKey).scope == "");
 }
 
+BOOST_AUTO_TEST_CASE(a_change_may_build_on_its_own_operations)
+{
+    ConfigState state;
+    wire::ConfigChange change = createAccount("all", "center");
+    change.set_base(ConfigState::sNothing);
+    *change.add_operations() = createService("", "scorer", "center", "").operations(0);
+    const auto set = [&](const std::string &value) {
+        *change.add_operations()
+            = setChange("", 0, "/service/scorer", "calls.deadlineMs", value).operations(0);
+    };
+    set("100");
+    set("200");
+    BOOST_TEST(state.apply(change, 0).accepted);
+    BOOST_TEST(state.integer("scorer", sKey) == 200);
+}
+
+BOOST_AUTO_TEST_CASE(a_refused_change_leaves_everything_as_it_was)
+{
+    ConfigState state = stateWithService();
+    state.apply(setChange("1", 1, "/", "calls.deadlineMs", "100"), 2);
+    const auto parts = [](const ConfigState &from) {
+        wire::ConfigSnapshot snapshot = from.snapshot();
+        snapshot.clear_fates();
+        snapshot.clear_as_of();
+        return snapshot.SerializeAsString();
+    };
+    const std::string before = parts(state);
+    wire::ConfigChange change = createAccount("broken", "another");
+    change.set_base(2);
+    *change.add_operations() = setChange("", 2, "/", "calls.deadlineMs", "300").operations(0);
+    wire::UnsetValue &unset = *change.add_operations()->mutable_unset_value();
+    unset.set_scope("/");
+    unset.set_key("calls.deadlineMs");
+    *change.add_operations() = setChange("", 2, "/", "no.such", "1").operations(0);
+    BOOST_TEST(!state.apply(change, 3).accepted);
+    BOOST_TEST(parts(state) == before);
+}
+
 BOOST_AUTO_TEST_CASE(a_version_name_never_means_two_sets_of_weights)
 {
     ConfigState state = stateWithService();
--- a/tests/leases/test_orderlease.cpp
+++ b/tests/leases/test_orderlease.cpp
@@ -65,6 +65,21 @@
     BOOST_TEST(!holder.permit(*taken).has_value());
 }
 
+BOOST_AUTO_TEST_CASE(a_claim_sent_before_the_other_was_read_waits_too)
+{
+    FakeLog log;
+    OrderLease first("box", 1, options(false));
+    OrderLease second("box", 2, options(false));
+    log.append(first.claimIfDue(at(0))->SerializeAsString(), at(10));
+    log.append(second.claimIfDue(at(5))->SerializeAsString(), at(20));
+    second.feed(log.read(0, at(30)), at(30));
+    // The first is frozen and has read only its own claim.
+    const auto own = log.read(0, at(30));
+    first.feed({own.data(), 1}, at(30));
+    BOOST_TEST(first.permit(at(40)).has_value());
+    BOOST_TEST(!second.permit(at(40)).has_value());
+}
+
 BOOST_AUTO_TEST_CASE(a_holder_thawed_past_its_lease_gives_no_order)
 {
     FakeLog log;
--- a/tests/weights/test_versionswitch.cpp
+++ b/tests/weights/test_versionswitch.cpp
@@ -56,6 +56,18 @@
     BOOST_TEST(hasAction<OrderLoad>(one.next(at(2), true)));
 }
 
+BOOST_AUTO_TEST_CASE(weights_of_another_manifest_are_not_loaded_by_that_name)
+{
+    VersionSwitch one;
+    one.setTargets(sOne, std::nullopt);
+    one.next(at(0), true);
+    one.fetched("v1", "d1");
+    one.setTargets(VersionTarget{"v1", "d1-anew"}, std::nullopt);
+    const auto actions = one.next(at(1), true);
+    BOOST_TEST(!hasAction<OrderLoad>(actions));
+    BOOST_TEST(hasAction<StartFetch>(actions));
+}
+
 BOOST_AUTO_TEST_CASE(only_what_the_engine_reports_exactly_is_announced)
 {
     VersionSwitch one = servingOne();
--- a/util/bench.py
+++ b/util/bench.py
@@ -96,7 +96,9 @@
                engine_options=("--slots", 4096))
         lab.loomctl("settings", "set", "/", "admission.maxInFlight", "4096")
         digest = serve_version(lab, "v1")
-        common = ("--account", ",".join(ACCOUNTS), "--weights", "v1=" + digest, "--tokens", 1)
+        common = ("--account", ",".join(ACCOUNTS), "--weights", "v1=" + digest, "--tokens", options.tokens)
+        if options.stream:
+            common += ("--stream",)
         direct = ("--direct", "%s:%d" % (HOST, lab.agents[0].upstream_port),
                   "--direct-version", "v1")
         for concurrency in options.concurrency:
@@ -122,6 +124,8 @@
          requestsPerSecondPerCore=round(whole["answered"] / spent),
          requestsPerSecondPerAgentCore=round(whole["answered"] / agent_spent * options.agents)
          if options.agents == 1 else None,
+         tokensPerSecondPerCore=round(whole["answered"] * options.tokens / spent),
+         stream=options.stream, tokens=options.tokens,
          requestsPerSecond=round(whole["answeredPerSecond"]), bad=whole["bad"],
          halfLoadRate=round(whole["answeredPerSecond"] / 2), baseP50Ms=round(base["p50Ms"], 3),
          baseP99Ms=round(base["p99Ms"], 3))
@@ -469,6 +473,8 @@
     cases = parser.add_subparsers(dest="case", required=True)
     path = cases.add_parser("path")
     path.add_argument("--concurrency", type=int, nargs="+", default=[1, 16, 256])
+    path.add_argument("--tokens", type=int, default=1)
+    path.add_argument("--stream", action="store_true")
     path.add_argument("--agents", type=int, default=1)
     path.add_argument("--seconds", type=float, default=4)
     config = cases.add_parser("config")
