Streamed answers: no temporary inside an awaited call; a crash fails its test

Ruled out: the lifetime of the lambda (it lives in the awaiting frame). It is a named local now. New test: 24 streams at once, failing before (the entry died), passing after.

The lab now fails any test in which a process crashed.

--- a/src/loomjunctiond/callrunner.cpp
+++ b/src/loomjunctiond/callrunner.cpp
@@ -146,6 +146,8 @@
     std::vector<std::string> tried;
     CallEnding ending = refusedEnding(RefusalReason::NoUpstream, "no upstream can take this now",
                                       sNoUpstreamRetryAfter);
+    // Not inside the awaited call: GCC 12 destroys such a temporary twice.
+    const PieceHandler pieces = request.wantsStream ? onPiece : PieceHandler();
     bool mayHaveRun = false;
     bool full = false;
     while (tried.size() < sMostAttempts) {
@@ -155,8 +157,9 @@
             break;
         }
         tried.push_back(*box);
-        ending = endingOf(co_await mSender.send(*box, startOf(request, version), request.deadline,
-                                                request.wantsStream ? onPiece : PieceHandler()));
+        AttemptResult result
+            = co_await mSender.send(*box, startOf(request, version), request.deadline, pieces);
+        ending = endingOf(std::move(result));
         ending.version = version;
         mayHaveRun = mayHaveRun || std::holds_alternative<Unknown>(ending.outcome);
         full = full || isFull(ending.outcome);
--- a/tests/process/test_links.py
+++ b/tests/process/test_links.py
@@ -70,7 +70,25 @@
             pass
 
 
+def test_many_streamed_answers_at_once_are_whole():
+    lab = basic_lab(entries=1, plain=0, engines=2, engine_options=("--token-ms", 2))
+    with lab:
+        path = lab.write_weights("v1", 300000, 1)
+        lab.loomctl("model", "publish", "scorer-llm", "v1", path)
+        lab.loomctl("model", "promote", "scorer-llm", "v1")
+        lab.wait_version("scorer-llm", "v1")
+        pending = []
+        for number in range(24):
+            body = {"id": "s%d" % number, "prompt": "p", "maxTokens": 40, "stream": True}
+            pending.append(in_background(call, lab.entries[0], "scorer-llm", body, Loom_Stream="1"))
+        for number, result in enumerate(pending):
+            value = result().json()
+            assert value["request"] == "s%d" % number, value
+            assert value["tokens"] == ["t%d" % token for token in range(40)], value
+
+
 if __name__ == "__main__":
-    main(test_a_call_cut_while_it_runs_is_unknown_and_runs_once,
+    main(test_many_streamed_answers_at_once_are_whole,
+         test_a_call_cut_while_it_runs_is_unknown_and_runs_once,
          test_what_was_called_not_run_does_not_run_when_it_arrives_late,
          test_a_streamed_answer_that_is_cut_never_looks_whole)
--- a/util/loomlab.py
+++ b/util/loomlab.py
@@ -19,6 +19,7 @@
 
 HOST = "127.0.0.1"
 ENGINES_PER_PROCESS = 4
+CRASHES = (-signal.SIGABRT, -signal.SIGSEGV, -signal.SIGBUS)
 ROOT = os.path.dirname(os.path.dirname(os.path.abspath(__file__)))
 
 
@@ -272,9 +273,13 @@
         return self
 
     def __exit__(self, kind, error, trace):
-        if kind is not None:
+        crashed = [process for process in self.processes if process.child.poll() in CRASHES]
+        if kind is not None or crashed:
             self.print_failure()
         self.stop()
+        # A crash looks like a cut link to the others, and must not pass for one.
+        if crashed and kind is None:
+            raise AssertionError("crashed: " + ", ".join(process.name for process in crashed))
 
     def print_failure(self):
         for process in self.processes:
