--- a/src/libloomjunction/core/admission.cpp
+++ b/src/libloomjunction/core/admission.cpp
@@ -136,18 +136,4 @@
     return std::clamp(wait, sLeastRetryAfter, sMostRetryAfter);
 }
 
-void RetryBudget::noteRequest()
-{
-    mSaved = std::min(sMost, mSaved + mPercent);
-}
-
-bool RetryBudget::take()
-{
-    if (mPercent == 0 || mSaved < sOneRetry) {
-        return false;
-    }
-    mSaved -= sOneRetry;
-    return true;
-}
-
 } // namespace Loom
--- /dev/null
+++ b/src/libloomjunction/core/claimbatcher.h
@@ -0,0 +1,39 @@
+/*
+ * claimbatcher.h
+ * Copyright 2026, the loomjunction authors
+ *
+ * This file is part of loomjunction (libloomjunction).
+ * SPDX-License-Identifier: BSD-2-Clause
+ */
+
+#pragma once
+
+#include "instant.h"
+#include "wire.pb.h"
+
+#include <cstddef>
+#include <deque>
+#include <string_view>
+#include <utility>
+
+namespace Loom {
+
+/**
+ * Gathers claims into one append at a time, so that appends grow with time
+ * and not with calls. Pure: the shell sends what take() hands out.
+ */
+class ClaimBatcher
+{
+public:
+    void add(wire::KeyClaim claim) { mWaiting.push_back(std::move(claim)); }
+    bool isEmpty() const { return mWaiting.empty(); }
+    /** Up to sMostPerBatch waiting claims as one record. */
+    wire::ClaimBatch take(std::string_view writer, WallMilliseconds wallNow);
+
+    static constexpr std::size_t sMostPerBatch = 512;
+
+private:
+    std::deque<wire::KeyClaim> mWaiting;
+};
+
+} // namespace Loom
--- a/src/libloomjunction/core/claimtable.cpp
+++ b/src/libloomjunction/core/claimtable.cpp
@@ -70,17 +70,4 @@
     }
 }
 
-wire::ClaimBatch ClaimBatcher::take(std::string_view writer, WallMilliseconds wallNow)
-{
-    wire::ClaimBatch batch;
-    batch.set_writer(std::string(writer));
-    batch.set_written_at_ms(static_cast<std::uint64_t>(wallNow.count()));
-    const std::size_t count = std::min(mWaiting.size(), sMostPerBatch);
-    for (std::size_t i = 0; i < count; ++i) {
-        *batch.add_claims() = std::move(mWaiting.front());
-        mWaiting.pop_front();
-    }
-    return batch;
-}
-
 } // namespace Loom
--- a/src/libloomjunction/core/claimtable.h
+++ b/src/libloomjunction/core/claimtable.h
@@ -73,22 +73,4 @@
     std::deque<Remembered> mOrder;
 };
 
-/**
- * Gathers claims into one append at a time, so that appends grow with time
- * and not with calls. Pure: the shell sends what take() hands out.
- */
-class ClaimBatcher
-{
-public:
-    void add(wire::KeyClaim claim) { mWaiting.push_back(std::move(claim)); }
-    bool isEmpty() const { return mWaiting.empty(); }
-    /** Up to sMostPerBatch waiting claims as one record. */
-    wire::ClaimBatch take(std::string_view writer, WallMilliseconds wallNow);
-
-    static constexpr std::size_t sMostPerBatch = 512;
-
-private:
-    std::deque<wire::KeyClaim> mWaiting;
-};
-
 } // namespace Loom
--- a/src/libloomjunction/core/configreplica.cpp
+++ b/src/libloomjunction/core/configreplica.cpp
@@ -8,61 +8,10 @@
 
 #include "configreplica.h"
 
-#include "digest.h"
-
 #include <algorithm>
 
 namespace Loom {
 
-namespace {
-
-// A record must stay well under what an append may carry.
-constexpr std::size_t sSnapshotChunkBytes = std::size_t{64} * 1024;
-// A snapshot must be renewed while two more tries still fit into the retention.
-constexpr int sSnapshotsPerRetention = 3;
-
-} // namespace
-
-std::optional<wire::ConfigSnapshot> SnapshotAssembler::add(const wire::SnapshotChunk &chunk)
-{
-    if (chunk.count() == 0 || chunk.index() >= chunk.count()) {
-        return std::nullopt;
-    }
-    const std::string name = std::to_string(chunk.as_of()) + "/" + chunk.digest();
-    Parts &parts = mParts[name];
-    parts.data[chunk.index()] = chunk.data();
-    if (parts.data.size() < chunk.count()) {
-        return std::nullopt;
-    }
-    std::string whole;
-    for (const auto &[index, data] : parts.data) {
-        whole += data;
-    }
-    mParts.erase(name);
-    wire::ConfigSnapshot snapshot;
-    if (sha256Hex(whole) != chunk.digest() || !snapshot.ParseFromString(whole)) {
-        return std::nullopt;
-    }
-    return snapshot;
-}
-
-std::vector<wire::ConfigRecord> snapshotRecords(const wire::ConfigSnapshot &snapshot)
-{
-    const std::string whole = snapshot.SerializeAsString();
-    const std::string digest = sha256Hex(whole);
-    const std::size_t count = (whole.size() + sSnapshotChunkBytes - 1) / sSnapshotChunkBytes;
-    std::vector<wire::ConfigRecord> records;
-    for (std::size_t index = 0; index < count; ++index) {
-        wire::SnapshotChunk &chunk = *records.emplace_back().mutable_snapshot_chunk();
-        chunk.set_as_of(snapshot.as_of());
-        chunk.set_index(static_cast<std::uint32_t>(index));
-        chunk.set_count(static_cast<std::uint32_t>(count));
-        chunk.set_digest(digest);
-        chunk.set_data(whole.substr(index * sSnapshotChunkBytes, sSnapshotChunkBytes));
-    }
-    return records;
-}
-
 std::uint64_t ConfigReplica::nextOffset() const
 {
     return mState.isEmpty() ? 0 : mState.asOf() + 1;
@@ -239,22 +188,4 @@
     }
 }
 
-std::optional<Milliseconds> SnapshotPolicy::delay(const ConfigReplica &replica, std::size_t rank,
-                                                  Instant now) const
-{
-    if (!replica.isReady()) {
-        return std::nullopt;
-    }
-    const bool many = replica.changesSinceSnapshot() >= changes;
-    const Milliseconds oldest = retention / sSnapshotsPerRetention;
-    const bool old = !replica.snapshotTime() || now - *replica.snapshotTime() >= oldest;
-    // Without any change since the log began there is nothing worth a snapshot,
-    // but one that exists must be renewed before it expires.
-    const bool worthwhile = replica.changesSinceSnapshot() > 0 || replica.snapshotTime();
-    if (!worthwhile || (!many && !old)) {
-        return std::nullopt;
-    }
-    return rankDelay * static_cast<int>(rank);
-}
-
 } // namespace Loom
--- a/src/libloomjunction/core/configreplica.h
+++ b/src/libloomjunction/core/configreplica.h
@@ -10,6 +10,7 @@
 
 #include "configstate.h"
 #include "instant.h"
+#include "snapshotassembler.h"
 #include "wire.pb.h"
 
 #include <cstdint>
@@ -30,25 +31,6 @@
     Gap, ///< records between the replica and the offered ones are missing
 };
 
-/** Gathers the chunks of snapshots until one is complete and its digest fits. */
-class SnapshotAssembler
-{
-public:
-    /** The snapshot that @p chunk completes, if it does and its digest holds. */
-    std::optional<wire::ConfigSnapshot> add(const wire::SnapshotChunk &chunk);
-    void clear() { mParts.clear(); }
-
-private:
-    struct Parts
-    {
-        std::map<std::uint32_t, std::string> data;
-    };
-    std::map<std::string, Parts> mParts; // by "asOf/digest"
-};
-
-/** Cuts @p snapshot into records for the log. */
-std::vector<wire::ConfigRecord> snapshotRecords(const wire::ConfigSnapshot &snapshot);
-
 /**
  * One box's copy of the configuration. It is fed from the log, from peers or
  * from a snapshot, in any mixture; it never skips a record and never goes to
@@ -111,20 +93,4 @@
     std::optional<Instant> mSnapshotTime;
 };
 
-/** When an entry should append a snapshot. */
-struct SnapshotPolicy
-{
-    std::uint64_t changes = 200; ///< after this many changes
-    Milliseconds retention{3'600'000}; ///< how long the log keeps records
-    Milliseconds rankDelay{2'000}; ///< wait per place in the rendezvous order
-
-    /**
-     * How long to wait before writing, for the entry at place @p rank of the
-     * rendezvous order; nothing while no snapshot is due. A later place waits
-     * longer and finds it done, so that about one is written.
-     */
-    std::optional<Milliseconds> delay(const ConfigReplica &replica, std::size_t rank,
-                                      Instant now) const;
-};
-
 } // namespace Loom
--- /dev/null
+++ b/src/libloomjunction/core/snapshotassembler.h
@@ -0,0 +1,40 @@
+/*
+ * snapshotassembler.h
+ * Copyright 2026, the loomjunction authors
+ *
+ * This file is part of loomjunction (libloomjunction).
+ * SPDX-License-Identifier: BSD-2-Clause
+ */
+
+#pragma once
+
+#include "wire.pb.h"
+
+#include <cstdint>
+#include <map>
+#include <optional>
+#include <string>
+#include <vector>
+
+namespace Loom {
+
+/** Gathers the chunks of snapshots until one is complete and its digest fits. */
+class SnapshotAssembler
+{
+public:
+    /** The snapshot that @p chunk completes, if it does and its digest holds. */
+    std::optional<wire::ConfigSnapshot> add(const wire::SnapshotChunk &chunk);
+    void clear() { mParts.clear(); }
+
+private:
+    struct Parts
+    {
+        std::map<std::uint32_t, std::string> data;
+    };
+    std::map<std::string, Parts> mParts; // by "asOf/digest"
+};
+
+/** Cuts @p snapshot into records for the log. */
+std::vector<wire::ConfigRecord> snapshotRecords(const wire::ConfigSnapshot &snapshot);
+
+} // namespace Loom
--- a/src/loomjunctiond/callrunner.h
+++ b/src/loomjunctiond/callrunner.h
@@ -11,6 +11,7 @@
 #include "admission.h"
 #include "callrequest.h"
 #include "callsender.h"
+#include "retrybudget.h"
 
 #include <optional>
 #include <span>
--- a/src/loomjunctiond/claimservice.h
+++ b/src/loomjunctiond/claimservice.h
@@ -8,6 +8,7 @@
 
 #pragma once
 
+#include "claimbatcher.h"
 #include "claimtable.h"
 #include "kernel.h"
 #include "oncekey.h"
--- a/src/loomjunctiond/configtail.h
+++ b/src/loomjunctiond/configtail.h
@@ -10,6 +10,7 @@
 
 #include "configreplica.h"
 #include "kernel.h"
+#include "snapshotpolicy.h"
 #include "wire.pb.h"
 
 #include <optional>
--- a/tests/calls/test_claims.cpp
+++ b/tests/calls/test_claims.cpp
@@ -8,6 +8,7 @@
 
 #include <boost/test/unit_test.hpp>
 
+#include "claimbatcher.h"
 #include "claimtable.h"
 #include "fakelog.h"
 #include "oncekey.h"
--- a/tests/config/test_replica.cpp
+++ b/tests/config/test_replica.cpp
@@ -10,6 +10,7 @@
 
 #include "configreplica.h"
 #include "fakelog.h"
+#include "snapshotpolicy.h"
 
 using namespace Loom;
 
--- a/tests/routing/test_routing.cpp
+++ b/tests/routing/test_routing.cpp
@@ -13,6 +13,7 @@
 #include "burnreport.h"
 #include "fakelog.h"
 #include "rendezvous.h"
+#include "retrybudget.h"
 #include "upstreamtable.h"
 
 #include <map>
