--- a/spec/atmostonce.pml
+++ b/spec/atmostonce.pml
@@ -10,6 +10,10 @@
  * Left out: several keys (they share nothing), batching of claims (an append of
  * many is many appends in a row), the upstream behind the home.
  *
+ * ISSUED: the key names its home (0) and the incarnation it had when it was
+ * made; no claim, no log.
+ *
+ * Held variants: ISSUED.
  * Broken variants: NO_CLAIM, NO_INCARNATION, NO_MEMORY, NO_COVER.
  */
 #define HOMES 2
@@ -34,10 +38,14 @@
     do
     :: tries < 2 ->
         tries++;
+#ifdef ISSUED
+        home = 0; view = 0;
+#else
         if :: home = 0 :: home = 1 fi;
         view = inc[home];
+#endif
         /* time passes: the view may be stale when it is used */
-#ifndef NO_CLAIM
+#if !defined(NO_CLAIM) && !defined(ISSUED)
         if
         :: claims < CLAIMS ->
             atomic { claimHome[claims] = home; claimInc[claims] = view; claims++ }
--- a/src/loombench/loadgenerator.cpp
+++ b/src/loombench/loadgenerator.cpp
@@ -10,6 +10,7 @@
 
 #include "clock.h"
 #include "jsonhttp.h"
+#include "oncekey.h"
 
 #include <algorithm>
 
@@ -224,6 +225,8 @@
     if (mOptions.once) {
         key = addresses.keys.back();
         addresses.keys.pop_back();
+    } else if (mOptions.ownKeys) {
+        key = makeUuid7(wallNow(), mRandom(), mRandom());
     }
     const std::string id
         = account + "-" + std::to_string(mOptions.seed) + "-" + std::to_string(number);
--- a/src/loombench/loadgenerator.h
+++ b/src/loombench/loadgenerator.h
@@ -41,6 +41,7 @@
     std::uint32_t promptCharacters = 64;
     bool stream = false;
     bool once = false; ///< calls that may run once, with issued keys
+    bool ownKeys = false; ///< calls that may run once, with keys of our own
     bool obeyRetryAfter = true;
     std::int64_t deadlineMs = 10'000;
     std::uint64_t seed = 1;
--- a/src/loombench/main.cpp
+++ b/src/loombench/main.cpp
@@ -85,6 +85,7 @@
     load->add_option("--seed", options.seed, "of the random choices");
     load->add_flag("--stream", options.stream, "ask for answers in pieces");
     load->add_flag("--once", options.once, "calls that may run once, with issued keys");
+    load->add_flag("--own-keys", options.ownKeys, "calls that may run once, with own UUIDv7 keys");
     load->add_flag("!--ignore-retry-after", options.obeyRetryAfter, "come back at once");
     CLI::App *state = app.add_subcommand("state", "memory and time of the state kept");
     std::uint32_t services = 1'000;
--- a/src/loomjunctiond/adminapi.cpp
+++ b/src/loomjunctiond/adminapi.cpp
@@ -116,12 +116,7 @@
         co_await exchange.respond(jsonResponse(202, answer));
         mRequestDrain();
     } else if (path == "/metrics") {
-        mPlatform->metrics().set("peer_bytes", "",
-                                 static_cast<std::int64_t>(PeerConnection::totalBytes()));
-        HttpResponse response;
-        response.headers.push_back({"Content-Type", "text/plain; version=0.0.4"});
-        response.body = mPlatform->metrics().text();
-        co_await exchange.respond(std::move(response));
+        co_await exchange.respond(mPlatform->metricsResponse());
     } else {
         co_await exchange.respond(errorResponse(404, "no such path"));
     }
--- a/src/loomjunctiond/daemonsettings.cpp
+++ b/src/loomjunctiond/daemonsettings.cpp
@@ -71,6 +71,9 @@
     agent.weightCacheMib
         = static_cast<std::uint32_t>(reader.integer("weightCacheMib", 1, sMostCacheMib, 2048));
     agent.fetch = readFetch(reader);
+    if (reader.has("operators")) {
+        agent.operators = reader.endpoint("operators");
+    }
     reader.refuseUnknown();
     return agent;
 }
--- a/src/loomjunctiond/daemonsettings.h
+++ b/src/loomjunctiond/daemonsettings.h
@@ -15,6 +15,7 @@
 #include "upstreamtable.h"
 
 #include <cstdint>
+#include <optional>
 #include <string>
 #include <variant>
 #include <vector>
@@ -44,6 +45,7 @@
     std::int64_t linkMbit = 0; ///< of this box's link, each way; 0: no limit
     std::uint32_t weightCacheMib = 2048;
     FetchPolicy fetch = FetchPolicy::Swarm;
+    std::optional<Tcp::endpoint> operators; ///< where metrics are read; nothing: nowhere
 };
 
 /** The daemon's settings file. */
--- a/src/loomjunctiond/main.cpp
+++ b/src/loomjunctiond/main.cpp
@@ -20,6 +20,7 @@
 #include "kernel.h"
 #include "linkservice.h"
 #include "listservice.h"
+#include "metricsservice.h"
 #include "orderservice.h"
 #include "overload.h"
 #include "platformservice.h"
@@ -101,6 +102,7 @@
         mKernel.add(std::make_unique<CallService>(executor));
         mKernel.add(std::make_unique<WeightService>(executor, agent));
         mKernel.add(std::make_unique<AgentPort>());
+        mKernel.add(std::make_unique<MetricsService>());
     }
 
     void waitForSignal()
--- a/src/loomjunctiond/platformservice.cpp
+++ b/src/loomjunctiond/platformservice.cpp
@@ -9,6 +9,7 @@
 #include "platformservice.h"
 
 #include "clock.h"
+#include "peerconnection.h"
 
 namespace Loom {
 
@@ -33,4 +34,13 @@
     mIncarnation = ((time << sIncarnationRandomBits) | noise) & sIncarnationMask;
 }
 
+HttpResponse PlatformService::metricsResponse()
+{
+    mMetrics.set("peer_bytes", "", static_cast<std::int64_t>(PeerConnection::totalBytes()));
+    HttpResponse response;
+    response.headers.push_back({"Content-Type", "text/plain; version=0.0.4"});
+    response.body = mMetrics.text();
+    return response;
+}
+
 } // namespace Loom
--- a/src/loomjunctiond/platformservice.h
+++ b/src/loomjunctiond/platformservice.h
@@ -38,6 +38,8 @@
     HttpClient &http() { return mHttp; }
     LogClient &log() { return mLog; }
     Metrics &metrics() { return mMetrics; }
+    /** All metrics of this process, as collectors read them. */
+    HttpResponse metricsResponse();
     std::uint64_t random() { return mRandom(); }
 
 private:
--- a/tests/process/test_config.py
+++ b/tests/process/test_config.py
@@ -81,6 +81,9 @@
             status = request_json(lab.log_port, "GET", "/streams/config/records?from=0")[1]
             return status["first"] > offset
         wait_for("the change's own record to expire", trimmed)
+        # Nobody is left who could hand it over: only the log's snapshot can.
+        for box in lab.entries + lab.agents:
+            box.process.kill()
         late = lab.add_entry("entry-late", "sat-a", announce=False)
         wait_for("the late entry to be ready", lambda: lab.admin(late, "health")["ready"])
         assert value_at(lab, late) == 4444
--- a/tests/process/test_input.py
+++ b/tests/process/test_input.py
@@ -85,12 +85,21 @@
 
 
 def test_metrics_and_logs_have_their_names():
-    with basic_lab(entries=1, log_level="debug") as lab:
+    with basic_lab(entries=1, plain=0, log_level="debug") as lab:
         entry = lab.entries[0]
+        lab.loomctl("service", "create", SERVICE, "--kind", "plain")
+        port = lab.ports.block(1)
+        lab.add_agent("exam-1", SERVICE, lab.plain(1)[0], kind="plain",
+                      operators="%s:%d" % (HOST, port))
+        lab.wait_ready()
         answer = call(entry, SERVICE, {"id": "traced"})
         text = request(entry.operators, "GET", "/metrics")[2]
         assert 'loom_calls_total{of="answered"} 1' in text, text
         assert 'loom_call_milliseconds{of="exam-app",quantile="0.95"}' in text, text
+        text = request(port, "GET", "/metrics")[2]
+        assert 'loom_agent_calls_total{of="answered"} 1' in text, text
+        health = request_json(port, "GET", "/admin/health")[1]
+        assert health["upstreamAlive"] and not health["leaving"], health
         # One request id through entry and agent.
         wanted = '"request":"%s"' % answer.headers["Loom-Request-Id"]
         logs = [p for p in lab.processes if wanted in p.log_text()]
--- a/util/bench.py
+++ b/util/bench.py
@@ -458,6 +458,47 @@
      "routing": burst_routing}[options.burst](options)
 
 
+# ---- once -------------------------------------------------------------------
+
+def bench_once(options):
+    """Calls that may run once: keys that name their home against keys claimed in the log."""
+    with Lab(log_level="warning") as lab:
+        for number in range(options.entries):
+            lab.add_entry("entry-%d" % (number + 1), "dfw-a")
+        wait_for("the log to be followed",
+                 lambda: all(lab.admin(e, "health")["logReachable"] for e in lab.entries))
+        lab.loomctl("account", "create", ACCOUNTS[0])
+        lab.loomctl("service", "create", "scorer-llm", "--kind", "plain")
+        lab.loomctl("settings", "set", "/service/scorer-llm", "calls.repeatable", "false")
+        for number, port in enumerate(lab.plain(3, "--delay-ms", 2)):
+            lab.add_agent("exam-%d" % (number + 1), "scorer-llm", port, kind="plain")
+        lab.wait_ready()
+        for log_down in (False, True):
+            request_json(lab.log_port, "POST", "/control", {"down": log_down})
+            if log_down:
+                wait_for("the outage to be seen", lambda: not any(
+                    lab.admin(e, "health")["logReachable"] for e in lab.entries))
+            for way, flag in (("issued", "--once"), ("claimed", "--own-keys")):
+                once_case(lab, options, way, flag, log_down)
+
+
+def once_case(lab, options, way, flag, log_down):
+    before = request_json(lab.log_port, "GET", "/stats")[1]["appends"]
+    result = run_load(lab, "--account", ACCOUNTS[0], "--concurrency", 16, "--rate", options.rate,
+                      "--seconds", options.seconds, "--deadline-ms", 4000, flag,
+                      "--ignore-retry-after")
+    appends = request_json(lab.log_port, "GET", "/stats")[1]["appends"] - before
+    twice = 0
+    for agent in lab.agents:
+        runs = request_json(agent.upstream_port, "GET", "/runs")[1]["runs"]
+        twice += sum(1 for count in runs.values() if count > 1)
+    emit(bench="once", way=way, logDown=log_down, entries=options.entries, rate=options.rate,
+         sent=result["sent"], answeredPercent=round(100 * result["answered"] / result["sent"], 1),
+         p50Ms=round(result["p50Ms"], 2), p99Ms=round(result["p99Ms"], 2),
+         refusalP99Ms=round(result["refusalP99Ms"], 2), reasons=result["reasons"],
+         appendsPerSecond=round(appends / result["seconds"], 1), ranTwice=twice)
+
+
 # ---- state ------------------------------------------------------------------
 
 def bench_state(options):
@@ -512,12 +553,16 @@
     burst.add_argument("--model-mib", type=float, default=16)
     burst.add_argument("--link-mbit", type=int, default=40)
     burst.add_argument("--origin-mbit", type=int, default=80)
+    once = cases.add_parser("once")
+    once.add_argument("--entries", type=int, default=2)
+    once.add_argument("--rate", type=float, default=300)
+    once.add_argument("--seconds", type=float, default=5)
     state = cases.add_parser("state")
     state.add_argument("--services", type=int, default=1000)
     state.add_argument("--keys", type=int, default=50000)
     options = parser.parse_args()
     {"path": bench_path, "config": bench_config, "control": bench_control,
-     "rollout": bench_rollout, "burst": bench_burst, "state": bench_state}[options.case](options)
+     "rollout": bench_rollout, "burst": bench_burst, "state": bench_state, "once": bench_once}[options.case](options)
 
 
 if __name__ == "__main__":
