What a peer hands over counts as in force there

An agent that had handed a record to an entry was never sent it by that entry, so it never acknowledged it there, and the entry's view of that agent stood still though the value was in force. Ruled out: the configuration itself (all agents had it; the log shows no gap). What comes from a peer now counts as acknowledged by it.

--- a/src/loomjunctiond/watchsession.cpp
+++ b/src/loomjunctiond/watchsession.cpp
@@ -140,7 +140,9 @@
     if (!mConfig.isReady()) {
         return;
     }
-    // It has all it sent: nothing of that needs to go back to it.
+    // It has all it sent: nothing of that needs to go back to it, and it will
+    // not acknowledge what it was never sent.
+    noteAck(update.covers_up_to());
     mPeerOffset = std::max(mPeerOffset, update.covers_up_to());
     mPeerHasConfig = true;
     wire::WatchFrame frame;
--- a/tests/process/test_config.py
+++ b/tests/process/test_config.py
@@ -106,6 +106,16 @@
         assert seen == sorted(seen), seen
 
 
+def test_an_entry_that_never_reaches_the_log_follows_and_knows_its_agents():
+    with basic_lab(entries=1) as lab:
+        blind = lab.add_entry("entry-blind", "hou-a", log_port=lab.ports.block(1))
+        lab.wait_ready()
+        for value in range(100, 105):
+            offset = json.loads(set_value(lab, value, entries=lab.entries[:1]).stdout)["offset"]
+            wait_in_force(lab, offset, [blind])
+            assert value_at(lab, blind) == value
+
+
 def test_bad_values_are_refused_and_name_the_field():
     with basic_lab(plain=0) as lab:
         for arguments, word in ((("/", KEY, "0"), KEY), (("/", "no.such", "1"), "no.such"),
@@ -123,4 +133,5 @@
          test_an_outage_right_after_acceptance_holds_nothing_up,
          test_a_new_box_after_the_log_was_trimmed_has_the_whole_state,
          test_a_frozen_entry_catches_up_and_goes_back_on_nothing,
+         test_an_entry_that_never_reaches_the_log_follows_and_knows_its_agents,
          test_bad_values_are_refused_and_name_the_field)
--- a/util/loomlab.py
+++ b/util/loomlab.py
@@ -206,8 +206,10 @@
                              "list": "%s:%d" % (HOST, self.list_port),
                              "origin": "%s:%d" % (HOST, self.origin_port)}}
 
-    def add_entry(self, box, data_centre="dfw-a", region="texas", announce=True, **options):
+    def add_entry(self, box, data_centre="dfw-a", region="texas", announce=True, log_port=None,
+                  **options):
         entry = Entry(box, data_centre, region)
+        entry.log_port = log_port or self.log_port
         first = self.ports.block(3)
         entry.callers, entry.operators, entry.peers = first, first + 1, first + 2
         entry.options = {**self.entry_defaults, **options}
@@ -220,6 +222,7 @@
     def start_entry(self, entry):
         settings = self.common_settings(entry)
         settings["role"] = "entry"
+        settings["platform"]["log"] = "%s:%d" % (HOST, entry.log_port)
         settings["entry"] = {"callers": "%s:%d" % (HOST, entry.callers),
                              "operators": "%s:%d" % (HOST, entry.operators), **entry.options}
         path = self.settings_file(entry.box, settings)
