Once keys measured: issued against claimed

The bench first reported calls run twice: its cases shared a seed and so their call ids.

Calls in the test of a stopped agent now outlast its grace, so that it rests on the drain's wait alone ('drain-waits' had not been noticed).

--- a/tests/process/test_leaving.py
+++ b/tests/process/test_leaving.py
@@ -11,7 +11,8 @@
 
 
 def test_a_stopped_agent_finishes_its_calls_and_gets_no_new_ones():
-    with basic_lab(plain_options=("--delay-ms", 800)) as lab:
+    # Calls run for longer than the agent's grace after it says that it leaves.
+    with basic_lab(plain_options=("--delay-ms", 4000)) as lab:
         leaver = lab.agents[0]
         pending = [in_background(call, lab.entries[n % 2], SERVICE, {"id": "p%d" % n})
                    for n in range(24)]
--- a/util/bench.py
+++ b/util/bench.py
@@ -486,7 +486,7 @@
     before = request_json(lab.log_port, "GET", "/stats")[1]["appends"]
     result = run_load(lab, "--account", ACCOUNTS[0], "--concurrency", 16, "--rate", options.rate,
                       "--seconds", options.seconds, "--deadline-ms", 4000, flag,
-                      "--ignore-retry-after")
+                      "--ignore-retry-after", "--seed", 1 + 2 * log_down + (way == "claimed"))
     appends = request_json(lab.log_port, "GET", "/stats")[1]["appends"] - before
     twice = 0
     for agent in lab.agents:
