--- /dev/null
+++ b/src/libloomjunction/core/replicaset.h
@@ -0,0 +1,152 @@
+/*
+ * replicaset.h
+ * Copyright 2026, the loomjunction authors
+ *
+ * This file is part of loomjunction (libloomjunction).
+ * SPDX-License-Identifier: BSD-2-Clause
+ */
+
+#pragma once
+
+#include "instant.h"
+#include "routetable.h"
+
+#include <cstdint>
+#include <map>
+#include <optional>
+#include <span>
+#include <string>
+#include <string_view>
+#include <variant>
+#include <vector>
+
+namespace Loom {
+
+/** What a replica says of itself in the store. One life of it has one id. */
+struct ReplicaRecord
+{
+    std::string id;
+    std::string service;
+    std::string address; ///< IP:PORT
+    std::string dataCentre;
+    std::uint32_t slots = 1;
+    bool isDraining = false;
+    /** Version of the weights that are loaded whole; zero: none, or a plain service. */
+    std::uint64_t weightsVersion = 0;
+};
+
+/** What the agent of a replica's box says of it, as it stands right now. */
+struct ReplicaLoad
+{
+    std::uint32_t running = 0;
+    std::uint32_t waiting = 0;
+    std::uint64_t memoryUsed = 0;
+    std::uint64_t memoryTotal = 0;
+    double pace = 1; ///< above one: slower than it should be
+    std::uint64_t weightsVersion = 0; ///< loaded whole; zero: none
+    bool isAccepting = true; ///< false while it loads weights or leaves
+};
+
+/** How a request that was sent to a replica ended, for the choice of later ones. */
+enum class ReplicaOutcome : std::uint8_t
+{
+    Answered,
+    Failed, ///< it answered with a failure of its own
+    Refused, ///< it said that it did not run the request
+    Broken, ///< no answer, or none that can be trusted
+    Unreachable, ///< no connection; nothing was sent
+    Abandoned, ///< the caller left, or its time was over
+};
+
+/** One replica as this entry sees it. */
+struct Replica
+{
+    ReplicaRecord record;
+    std::uint32_t inFlight = 0; ///< sent by this entry and not ended
+    std::optional<ReplicaLoad> load; ///< what its agent said last
+    Instant loadAt;
+    std::uint32_t startedSince = 0; ///< by this entry since the agent spoke
+    std::uint32_t endedSince = 0; ///< of those, and of earlier ones
+    Instant avoidedUntil;
+    std::uint32_t failures = 0; ///< in a row
+    double failureRate = 0; ///< smoothed share of requests that failed
+    double answerMs = 0; ///< smoothed time to an answer or a first event
+    Instant goneAt; ///< the store took its record away; zero: it did not
+
+    std::uint64_t weightsVersion() const;
+};
+
+/** What a request needs of a replica. */
+struct ReplicaQuery
+{
+    std::string_view service;
+    std::string_view dataCentre; ///< of this entry
+    const EngineFigures *engine = nullptr; ///< null for a plain service
+    Milliseconds goal{0};
+    std::uint64_t leastVersion = 0; ///< of the weights; zero: any, and none is needed
+    std::uint32_t entries = 1; ///< that share the replicas
+    std::span<const std::string> excluded; ///< ids
+    std::uint64_t random = 0;
+};
+
+/** No replica of the service can take a request now, whatever its load. */
+struct NoneUsable
+{
+    std::uint32_t known = 0;
+};
+/** All are too busy to answer within the goal. */
+struct AllBusy
+{
+    Milliseconds comeBack{0};
+    double leastLoad = 0; ///< requests for each slot at the least busy one
+};
+struct ChosenReplica
+{
+    std::string id;
+    double load = 0; ///< requests there, for each slot, as believed
+    Milliseconds loadAge{-1}; ///< of the agent's report; below zero: none
+};
+using ReplicaChoice = std::variant<ChosenReplica, AllBusy, NoneUsable>;
+
+/**
+ * The replicas that an entry sends requests to without an agent in between,
+ * and the choice among them. Owned by the replica service.
+ */
+class ReplicaSet
+{
+public:
+    /** A record of the store, new or changed. Draining is final for one id. */
+    void put(const ReplicaRecord &record);
+    /** The record was taken away; @p trusted: by a store that was well all the while. */
+    void remove(std::string_view id, bool trusted, Instant now);
+    /** An agent's report on the replica at @p address. */
+    void report(std::string_view address, const ReplicaLoad &load, Instant now);
+    /** The agent of @p address cannot be heard any more. */
+    void reportLost(std::string_view address);
+
+    ReplicaChoice choose(const ReplicaQuery &query, Instant now) const;
+
+    void began(std::string_view id);
+    void ended(std::string_view id, ReplicaOutcome outcome, Instant now);
+    /** The time to an answer or a first event at @p id. */
+    void noteAnswerTime(std::string_view id, Microseconds took);
+
+    const Replica *find(std::string_view id) const;
+    const std::map<std::string, Replica, std::less<>> &all() const { return mReplicas; }
+
+    /** Takes replicas out for good that no request uses any more. */
+    void sweep(Instant now);
+
+private:
+    bool isUsable(const Replica &replica, const ReplicaQuery &query, Instant now) const;
+    double estimatedRequests(const Replica &replica, const ReplicaQuery &query, Instant now) const;
+
+    std::map<std::string, Replica, std::less<>> mReplicas;
+};
+
+/** Requests beyond the slots of an engine that still meet @p goal. */
+double queueWithinGoal(const EngineFigures &engine, Milliseconds goal);
+/** Mean time between two ends of requests at a full engine. Milliseconds. */
+double meanTurnMs(const EngineFigures &engine);
+
+} // namespace Loom
--- /dev/null
+++ b/src/libloomjunction/core/routetable.cpp
@@ -0,0 +1,98 @@
+/*
+ * routetable.cpp
+ * Copyright 2026, the loomjunction authors
+ *
+ * This file is part of loomjunction (libloomjunction).
+ * SPDX-License-Identifier: BSD-2-Clause
+ */
+
+#include "routetable.h"
+
+namespace Loom {
+
+namespace {
+
+// A blank can stand in neither a host nor a path.
+std::string routeKey(std::string_view host, std::string_view prefix)
+{
+    std::string key;
+    key.reserve(host.size() + 1 + prefix.size());
+    key += host;
+    key += ' ';
+    key += prefix;
+    return key;
+}
+
+} // namespace
+
+RouteTable::RouteTable(RouteConfig config)
+    : mConfig(std::move(config))
+{
+    for (const Route &route : mConfig.routes) {
+        mRoutes.emplace(routeKey(route.host, route.pathPrefix), &route);
+    }
+    for (const ClientAccount &account : mConfig.accounts) {
+        for (const std::string &key : account.keys) {
+            mKeys.emplace(key, &account);
+        }
+    }
+    for (const ServiceFigures &service : mConfig.services) {
+        mServices.emplace(service.name, &service);
+    }
+}
+
+const Route *RouteTable::match(std::string_view host, std::string_view path) const
+{
+    // Prefixes end with a slash, so only the slashes of the path can end one.
+    for (std::size_t slash = path.rfind('/'); slash != std::string_view::npos;
+         slash = slash == 0 ? std::string_view::npos : path.rfind('/', slash - 1)) {
+        const auto it = mRoutes.find(routeKey(host, path.substr(0, slash + 1)));
+        if (it != mRoutes.end()) {
+            return it->second;
+        }
+    }
+    return nullptr;
+}
+
+const ClientAccount *RouteTable::accountOf(std::string_view key) const
+{
+    const auto it = mKeys.find(std::string(key));
+    return it == mKeys.end() ? nullptr : it->second;
+}
+
+const ServiceFigures *RouteTable::service(std::string_view name) const
+{
+    const auto it = mServices.find(std::string(name));
+    return it == mServices.end() ? nullptr : it->second;
+}
+
+const OriginFigures *RouteTable::origin() const
+{
+    for (const ServiceFigures &service : mConfig.services) {
+        if (service.origin) {
+            return &*service.origin;
+        }
+    }
+    return nullptr;
+}
+
+const RouteTarget *pickTarget(const Route &route, std::uint64_t random)
+{
+    std::uint64_t total = 0;
+    for (const RouteTarget &target : route.targets) {
+        total += target.weight;
+    }
+    if (total == 0) {
+        return route.targets.empty() ? nullptr : &route.targets.front();
+    }
+    std::uint64_t left = random % total;
+    for (const RouteTarget &target : route.targets) {
+        if (left < target.weight) {
+            return &target;
+        }
+        left -= target.weight;
+    }
+    return &route.targets.back();
+}
+
+} // namespace Loom
--- /dev/null
+++ b/src/libloomjunction/core/weightsgoal.cpp
@@ -0,0 +1,57 @@
+/*
+ * weightsgoal.cpp
+ * Copyright 2026, the loomjunction authors
+ *
+ * This file is part of loomjunction (libloomjunction).
+ * SPDX-License-Identifier: BSD-2-Clause
+ */
+
+#include "weightsgoal.h"
+
+namespace Loom {
+
+namespace {
+
+// A request may wait at a replica before it begins, so sending stops this much earlier.
+constexpr Milliseconds sSendMargin{1'200};
+
+} // namespace
+
+void WeightsGoal::name(std::string_view model, std::uint64_t version, Instant learnedAt)
+{
+    auto &versions = mModels[std::string(model)];
+    const auto [it, isNew] = versions.emplace(version, NamedVersion{version, 0, learnedAt});
+    if (isNew && it != versions.begin()) {
+        it->second.before = std::prev(it)->first;
+    }
+}
+
+std::uint64_t WeightsGoal::newest(std::string_view model) const
+{
+    const NamedVersion *named = find(model);
+    return named == nullptr ? 1 : named->version;
+}
+
+std::uint64_t WeightsGoal::oldestAllowed(std::string_view model, Instant now) const
+{
+    const auto it = mModels.find(model);
+    if (it == mModels.end()) {
+        return 1;
+    }
+    // A version is due once it was named for long enough; all before it are over.
+    std::uint64_t oldest = 1;
+    for (const auto &[version, named] : it->second) {
+        if (now >= named.learnedAt + mLimit - sSendMargin) {
+            oldest = version;
+        }
+    }
+    return oldest;
+}
+
+const NamedVersion *WeightsGoal::find(std::string_view model) const
+{
+    const auto it = mModels.find(model);
+    return it == mModels.end() || it->second.empty() ? nullptr : &it->second.rbegin()->second;
+}
+
+} // namespace Loom
--- /dev/null
+++ b/src/libloomjunction/core/weightsgoal.h
@@ -0,0 +1,56 @@
+/*
+ * weightsgoal.h
+ * Copyright 2026, the loomjunction authors
+ *
+ * This file is part of loomjunction (libloomjunction).
+ * SPDX-License-Identifier: BSD-2-Clause
+ */
+
+#pragma once
+
+#include "instant.h"
+
+#include <cstdint>
+#include <map>
+#include <string>
+#include <string_view>
+
+namespace Loom {
+
+/** Version that operators named for one model, and when this process learned of it. */
+struct NamedVersion
+{
+    std::uint64_t version = 1;
+    std::uint64_t before = 0; ///< the one named before it; zero: none
+    Instant learnedAt;
+};
+
+/**
+ * Which versions of weights may still begin requests. An older one may, until
+ * @p limit after a newer one was named. Owned by the configuration's service.
+ */
+class WeightsGoal
+{
+public:
+    explicit WeightsGoal(Milliseconds limit)
+        : mLimit(limit)
+    {
+    }
+
+    void setLimit(Milliseconds limit) { mLimit = limit; }
+
+    /** @p model has @p version; @p learnedAt lies in the past for an old record. */
+    void name(std::string_view model, std::uint64_t version, Instant learnedAt);
+    /** The version to bring replicas to; 1 where none was named. */
+    std::uint64_t newest(std::string_view model) const;
+    /** The oldest version that may begin a request that is sent now. */
+    std::uint64_t oldestAllowed(std::string_view model, Instant now) const;
+    const NamedVersion *find(std::string_view model) const;
+
+private:
+    Milliseconds mLimit;
+    /** By version: when it was learned. */
+    std::map<std::string, std::map<std::uint64_t, NamedVersion>, std::less<>> mModels;
+};
+
+} // namespace Loom
--- /dev/null
+++ b/src/libloomjunction/gateway/directconfig.cpp
@@ -0,0 +1,111 @@
+/*
+ * directconfig.cpp
+ * Copyright 2026, the loomjunction authors
+ *
+ * This file is part of loomjunction (libloomjunction).
+ * SPDX-License-Identifier: BSD-2-Clause
+ */
+
+#include "directconfig.h"
+
+#include "clock.h"
+#include "feedservice.h"
+#include "jsonlog.h"
+#include "overload.h"
+
+namespace Loom {
+
+namespace {
+
+// Without word from the store or an entry for so long, a newer configuration
+// may be in force elsewhere.
+constexpr Milliseconds sStaleAfter{3'000};
+// Nobody knows when a version was named that this process finds at its start:
+// older weights may begin requests for this long after it.
+constexpr Milliseconds sStartGrace{1'500};
+
+} // namespace
+
+DirectConfig::DirectConfig(RecordPort &records, const DirectBounds &bounds)
+    : mRecords(records)
+    , mBounds(bounds)
+    , mWeights(bounds.weightsTime)
+{
+}
+
+tl::expected<void, std::string> DirectConfig::start(Kernel &kernel)
+{
+    mFeeds = &kernel.find<FeedService>(FeedService::sName);
+    mFeeds->listen(Feed::Operators, [this](const FeedChange &change) { take(change); });
+    return {};
+}
+
+void DirectConfig::setBounds(const DirectBounds &bounds)
+{
+    mBounds = bounds;
+    mWeights.setLimit(bounds.weightsTime);
+}
+
+bool DirectConfig::mayBeStale() const
+{
+    const auto age = mFeeds->age(Feed::Operators);
+    return !age || *age > sStaleAfter;
+}
+
+void DirectConfig::take(const FeedChange &change)
+{
+    if (!change.record.value) {
+        return; // what was accepted stays in force
+    }
+    auto record = mRecords.operatorRecord(change.record.key, *change.record.value);
+    if (!record) {
+        logLine(LogLevel::Error, "operator-record-refused",
+                {{"key", change.record.key},
+                 {"offset", change.record.offset},
+                 {"problem", record.error()}});
+        return;
+    }
+    std::visit(Overload{
+                   [&](RouteConfig &config) { install(std::move(config), change); },
+                   [&](const NamedWeights &named) { nameWeights(named, change); },
+                   [](const UnrelatedRecord &) {},
+               },
+               *record);
+}
+
+void DirectConfig::install(RouteConfig config, const FeedChange &change)
+{
+    const std::uint64_t before = mTable ? mTable->version() : 0;
+    const bool isNewer = !mTable || config.version > before;
+    logLine(LogLevel::Info, isNewer ? "config-in-force" : "config-passed-over",
+            {{"version", config.version},
+             {"before", before},
+             {"offset", change.record.offset},
+             {"ageMs", std::chrono::duration_cast<Milliseconds>(change.age).count()},
+             {"routes", config.routes.size()},
+             {"accounts", config.accounts.size()}});
+    if (!isNewer) {
+        return;
+    }
+    mTable = std::make_shared<const RouteTable>(std::move(config));
+    for (const Listener &listener : mListeners) {
+        listener();
+    }
+}
+
+void DirectConfig::nameWeights(const NamedWeights &named, const FeedChange &change)
+{
+    const Microseconds most = mBounds.weightsTime - sStartGrace;
+    const Microseconds age = std::min(change.age, most);
+    mWeights.name(named.model, named.version, now() - age);
+    logLine(LogLevel::Info, "weights-named",
+            {{"model", named.model},
+             {"version", named.version},
+             {"offset", change.record.offset},
+             {"ageMs", std::chrono::duration_cast<Milliseconds>(change.age).count()}});
+    for (const Listener &listener : mListeners) {
+        listener();
+    }
+}
+
+} // namespace Loom
--- /dev/null
+++ b/src/libloomjunction/gateway/directconfig.h
@@ -0,0 +1,60 @@
+/*
+ * directconfig.h
+ * Copyright 2026, the loomjunction authors
+ *
+ * This file is part of loomjunction (libloomjunction).
+ * SPDX-License-Identifier: BSD-2-Clause
+ */
+
+#pragma once
+
+#include "directsettings.h"
+#include "kernel.h"
+#include "ports.h"
+#include "routetable.h"
+#include "weightsgoal.h"
+
+#include <functional>
+#include <vector>
+
+namespace Loom {
+
+class FeedService;
+struct FeedChange;
+
+/** The operators' configuration and named weights, as this process believes them. */
+class DirectConfig final : public Service
+{
+public:
+    static constexpr std::string_view sName = "direct-config";
+    using Listener = std::function<void()>;
+
+    DirectConfig(RecordPort &records, const DirectBounds &bounds);
+
+    std::string_view name() const override { return sName; }
+    tl::expected<void, std::string> start(Kernel &kernel) override;
+
+    /** The configuration in force; null before the first is known. */
+    const RouteTablePtr &table() const { return mTable; }
+    const WeightsGoal &weights() const { return mWeights; }
+    /** A route or key that is not in the table may be in a newer one. */
+    bool mayBeStale() const;
+
+    /** Calls @p listener after each change of either. */
+    void addListener(Listener listener) { mListeners.push_back(std::move(listener)); }
+    void setBounds(const DirectBounds &bounds);
+
+private:
+    void take(const FeedChange &change);
+    void install(RouteConfig config, const FeedChange &change);
+    void nameWeights(const NamedWeights &named, const FeedChange &change);
+
+    RecordPort &mRecords;
+    DirectBounds mBounds;
+    FeedService *mFeeds = nullptr;
+    RouteTablePtr mTable;
+    WeightsGoal mWeights;
+    std::vector<Listener> mListeners;
+};
+
+} // namespace Loom
--- /dev/null
+++ b/src/libloomjunction/gateway/directsettings.cpp
@@ -0,0 +1,122 @@
+/*
+ * directsettings.cpp
+ * Copyright 2026, the loomjunction authors
+ *
+ * This file is part of loomjunction (libloomjunction).
+ * SPDX-License-Identifier: BSD-2-Clause
+ */
+
+#include "directsettings.h"
+
+#include "settingsfile.h"
+
+namespace Loom {
+
+namespace {
+
+constexpr std::int64_t sMostMbit = 1'000'000;
+constexpr std::int64_t sMostMilliseconds = 3'600'000;
+constexpr std::int64_t sMostPermille = 10'000;
+constexpr std::int64_t sMostExtra = 1'000'000;
+constexpr double sPermille = 1'000;
+constexpr std::string_view sGateway = "gateway";
+constexpr std::string_view sStager = "stager";
+
+Milliseconds milliseconds(SettingsReader &reader, std::string_view field, Milliseconds standard)
+{
+    return Milliseconds(reader.integer(field, 0, sMostMilliseconds, standard.count()));
+}
+
+DirectBounds readBounds(SettingsReader reader)
+{
+    DirectBounds bounds;
+    bounds.drainTime = milliseconds(reader, "drainMs", bounds.drainTime);
+    bounds.stopTime = milliseconds(reader, "stopMs", bounds.stopTime);
+    bounds.addressLifetime = milliseconds(reader, "addressLifetimeMs", bounds.addressLifetime);
+    bounds.weightsTime = milliseconds(reader, "weightsMs", bounds.weightsTime);
+    bounds.retries.window = milliseconds(reader, "retryWindowMs", bounds.retries.window);
+    bounds.retries.ratio
+        = static_cast<double>(reader.integer("retryPermille", 0, sMostPermille, 100)) / sPermille;
+    bounds.retries.extra = static_cast<double>(reader.integer("retryExtra", 0, sMostExtra, 10));
+    reader.refuseUnknown();
+    return bounds;
+}
+
+GatewaySettings readGateway(SettingsReader reader)
+{
+    GatewaySettings gateway;
+    gateway.callers = reader.endpoint("callers");
+    gateway.readiness = reader.endpoint("readiness");
+    gateway.addresses = reader.endpoint("addresses");
+    reader.refuseUnknown();
+    return gateway;
+}
+
+StagerSettings readStager(SettingsReader reader)
+{
+    StagerSettings stager;
+    stager.service = reader.text("service");
+    stager.engine = reader.endpoint("engine");
+    stager.linkMbit = reader.integer("linkMbit", 0, sMostMbit, 0);
+    reader.refuseUnknown();
+    return stager;
+}
+
+std::string joinLines(const std::vector<std::string> &lines)
+{
+    std::string text;
+    for (const std::string &line : lines) {
+        text += (text.empty() ? "" : "\n") + line;
+    }
+    return text;
+}
+
+} // namespace
+
+tl::expected<DirectSettings, std::string> loadDirectSettings(const std::string &path)
+{
+    const auto object = SettingsReader::load(path);
+    if (!object) {
+        return tl::unexpected(object.error());
+    }
+    std::vector<std::string> problems;
+    SettingsReader reader(path, "", *object, problems);
+    DirectSettings settings;
+    settings.box = reader.text("box");
+    settings.dataCentre = reader.text("dataCentre");
+    settings.region = reader.text("region");
+    settings.peers = reader.endpoint("peers");
+    settings.store = reader.endpoint("store");
+    settings.seeds = reader.endpoints("seeds");
+    settings.logLevel = logLevel(reader.text("logLevel", "info"));
+    if (reader.has("metrics")) {
+        settings.metrics = reader.endpoint("metrics");
+    }
+    if (reader.has("bounds")) {
+        settings.bounds = readBounds(reader.child("bounds"));
+    }
+    const std::string role = reader.oneOf("role", {sGateway, sStager});
+    if (role == sGateway) {
+        settings.role = readGateway(reader.child(sGateway));
+    } else if (role == sStager) {
+        settings.role = readStager(reader.child(sStager));
+    }
+    reader.refuseUnknown();
+    if (!problems.empty()) {
+        return tl::unexpected(joinLines(problems));
+    }
+    return settings;
+}
+
+bool isDirectRole(const std::string &path)
+{
+    const auto object = SettingsReader::load(path);
+    if (!object) {
+        return false;
+    }
+    const boost::json::value *role = object->if_contains("role");
+    return role != nullptr && role->is_string()
+        && (role->as_string() == sGateway || role->as_string() == sStager);
+}
+
+} // namespace Loom
--- /dev/null
+++ b/src/libloomjunction/gateway/feedservice.cpp
@@ -0,0 +1,324 @@
+/*
+ * feedservice.cpp
+ * Copyright 2026, the loomjunction authors
+ *
+ * This file is part of loomjunction (libloomjunction).
+ * SPDX-License-Identifier: BSD-2-Clause
+ */
+
+#include "feedservice.h"
+
+#include "clock.h"
+#include "jsonlog.h"
+#include "peerhub.h"
+#include "wire.pb.h"
+
+#include <random>
+
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+
+namespace Loom {
+
+namespace {
+
+constexpr std::string_view sFollowPath = "/follow";
+// A call to the store has a price, and one that is under way tells of a lost
+// store only when it should have come back: each wait is that trade.
+constexpr Milliseconds sOperatorsWait{2'000};
+constexpr Milliseconds sReplicasWait{2'000};
+constexpr Milliseconds sMembersWait{8'000};
+// Records that come close together are read in one call.
+constexpr Milliseconds sReplicasPause{200};
+constexpr Milliseconds sOperatorsPause{20};
+constexpr Milliseconds sRetryLeast{100};
+constexpr Milliseconds sRetryMost{400};
+// A peer says something at least this often; its silence is longer.
+constexpr Milliseconds sRelayKeepAlive{500};
+constexpr Milliseconds sRelaySilence{1'500};
+// While a peer is followed, the store is tried again after this time.
+constexpr Milliseconds sRelayTurn{1'000};
+// Following a peer by choice, the store is not tried at all for this long.
+constexpr Milliseconds sRelayLongTurn{30'000};
+constexpr Milliseconds sRelayBatch{10};
+// The store's word that a record is gone counts only when it was well for so long.
+constexpr Milliseconds sStoreTrust{3'000};
+constexpr std::chrono::milliseconds sRequestTimeout{2'000};
+// Of records that were there at the first read: long ago, as far as is known.
+constexpr Microseconds sUnknownAge = std::chrono::hours(24);
+
+Milliseconds jitter(Milliseconds least, Milliseconds most)
+{
+    static std::mt19937 random{std::random_device{}()};
+    std::uniform_int_distribution<std::int64_t> spread(least.count(), most.count());
+    return Milliseconds(spread(random));
+}
+
+} // namespace
+
+FeedService::FeedService(StorePort &store, std::string box, FeedPreference preference)
+    : mStore(store)
+    , mBox(std::move(box))
+    , mPreference(preference)
+{
+}
+
+void FeedService::listen(Feed feed, Listener listener)
+{
+    state(feed).listeners.push_back(std::move(listener));
+}
+
+tl::expected<void, std::string> FeedService::start(Kernel &kernel)
+{
+    mHub = &kernel.find<PeerHub>(PeerHub::sName);
+    mChanged = std::make_unique<Signal>(kernel.executor());
+    mHub->serve(std::string(sFollowPath),
+                [this](PeerStreamPtr stream) { return serveFollower(std::move(stream)); });
+    for (const Feed feed : {Feed::Operators, Feed::Replicas, Feed::Members}) {
+        const bool isNeeded = mPreference == FeedPreference::Store || feed != Feed::Replicas;
+        if (isNeeded) {
+            asio::co_spawn(kernel.executor(), follow(feed), asio::detached);
+        }
+    }
+    return {};
+}
+
+Milliseconds FeedService::waitOf(Feed feed) const
+{
+    switch (feed) {
+    case Feed::Operators:
+        return sOperatorsWait;
+    case Feed::Replicas:
+        return sReplicasWait;
+    case Feed::Members:
+        return sMembersWait;
+    }
+    return sMembersWait;
+}
+
+std::optional<Microseconds> FeedService::age(Feed feed) const
+{
+    const auto &completeAt = state(feed).completeAt;
+    if (!completeAt) {
+        return std::nullopt;
+    }
+    return now() - *completeAt;
+}
+
+awaitable<void> FeedService::follow(Feed feed)
+{
+    while (!mStopped) {
+        bool good = false;
+        if (mPreference == FeedPreference::Store) {
+            good = co_await readStore(feed) || co_await readPeer(feed);
+        } else {
+            good = co_await readPeer(feed) || co_await readStore(feed);
+        }
+        if (!good) {
+            co_await sleepFor(jitter(sRetryLeast, sRetryMost));
+        }
+    }
+}
+
+// Reads on until the store fails; false when it gave nothing at all.
+awaitable<bool> FeedService::readStore(Feed feed)
+{
+    FeedState &state = this->state(feed);
+    bool gaveSomething = false;
+    // A process that prefers its peers uses the store for one read at a time.
+    const bool isOnce = mPreference == FeedPreference::Peers;
+    while (!mStopped) {
+        if (!state.isSynced) {
+            if (!co_await sync(feed)) {
+                co_return gaveSomething;
+            }
+            gaveSomething = true;
+        }
+        const std::uint64_t from = state.book.nextOffset();
+        const Milliseconds wait = isOnce ? sRetryLeast : waitOf(feed);
+        const auto batch = co_await mStore.read(feed, from, wait);
+        if (!batch) {
+            noteStore(feed, batch.error() == StoreError::Forgotten, storeErrorName(batch.error()));
+            state.isSynced = false;
+            if (batch.error() == StoreError::Forgotten) {
+                continue;
+            }
+            co_return gaveSomething;
+        }
+        gaveSomething = true;
+        noteStore(feed, true, "read");
+        for (const FeedRecord &record : batch->records) {
+            apply(feed, record, Microseconds(0));
+        }
+        state.book.setNextOffset(batch->next);
+        state.completeAt = now();
+        if (!batch->records.empty()) {
+            mChanged->notify();
+            co_await sleepFor(feed == Feed::Replicas ? sReplicasPause : sOperatorsPause);
+        }
+        if (isOnce) {
+            co_return true;
+        }
+    }
+    co_return gaveSomething;
+}
+
+awaitable<bool> FeedService::sync(Feed feed)
+{
+    FeedState &state = this->state(feed);
+    const auto batch = co_await mStore.newest(feed);
+    if (!batch) {
+        noteStore(feed, false, storeErrorName(batch.error()));
+        co_return false;
+    }
+    noteStore(feed, true, "full read");
+    // How long ago old records were written is not known at the first read.
+    const Microseconds age = state.isFirst ? sUnknownAge : Microseconds(0);
+    for (const std::string &key : state.book.applySnapshot(batch->records, batch->next)) {
+        state.learnedAt[key] = now() - age;
+        announce(feed, state.book.all().find(key)->second, age);
+    }
+    state.isFirst = false;
+    state.isSynced = true;
+    state.completeAt = now();
+    mChanged->notify();
+    co_return true;
+}
+
+void FeedService::noteStore(Feed feed, bool reached, std::string_view why)
+{
+    FeedState &state = this->state(feed);
+    if (!reached) {
+        state.hasStoreFailed = true;
+        state.storeFailedAt = now();
+    }
+    if (state.isStoreReached == reached) {
+        return;
+    }
+    state.isStoreReached = reached;
+    logLine(reached ? LogLevel::Info : LogLevel::Warning, reached ? "store-regained" : "store-lost",
+            {{"feed", feedName(feed)}, {"why", why}, {"offset", state.book.nextOffset()}});
+}
+
+void FeedService::apply(Feed feed, const FeedRecord &record, Microseconds age)
+{
+    FeedState &state = this->state(feed);
+    if (!state.book.apply(record)) {
+        return;
+    }
+    state.learnedAt[record.key] = now() - std::min(age, sUnknownAge);
+    announce(feed, record, age);
+}
+
+void FeedService::announce(Feed feed, const FeedRecord &record, Microseconds age)
+{
+    FeedState &state = this->state(feed);
+    ++state.changes;
+    const bool isTrusted = !state.hasStoreFailed || now() - state.storeFailedAt > sStoreTrust;
+    const FeedChange change{record, age, isTrusted};
+    for (const Listener &listener : state.listeners) {
+        listener(change);
+    }
+}
+
+// Follows one entry for a while; false when it could not be reached or went silent.
+awaitable<bool> FeedService::readPeer(Feed feed)
+{
+    const std::vector<Tcp::endpoint> peers = mPeers ? mPeers() : std::vector<Tcp::endpoint>();
+    if (peers.empty()) {
+        co_return false;
+    }
+    const Tcp::endpoint address = peers[mTurn++ % peers.size()];
+    const PeerStreamPtr stream = co_await mHub->open(address, std::string(sFollowPath));
+    if (!stream) {
+        co_return false;
+    }
+    wire::FollowRequest request;
+    request.set_feed(static_cast<std::uint32_t>(feed));
+    request.set_box(mBox);
+    stream->send(request);
+    const bool isPreferred = mPreference == FeedPreference::Peers;
+    const auto until = now() + (isPreferred ? sRelayLongTurn : sRelayTurn);
+    bool heard = false;
+    FeedState &state = this->state(feed);
+    while (!mStopped && now() < until) {
+        const auto deadline = std::chrono::steady_clock::now() + sRelaySilence;
+        const auto update = co_await stream->receiveMessage<wire::FollowUpdate>(deadline);
+        if (!update || !*update) {
+            stream->reset();
+            co_return false;
+        }
+        heard = true;
+        for (const wire::RelayedRecord &relayed : (*update)->records()) {
+            FeedRecord record{relayed.key(), std::nullopt, relayed.offset()};
+            if (!relayed.removed()) {
+                record.value = relayed.value();
+            }
+            apply(feed, record, Milliseconds(relayed.age_ms()));
+        }
+        const Instant completeAt = now() - Milliseconds((*update)->age_ms());
+        if (!state.completeAt || *state.completeAt < completeAt) {
+            state.completeAt = completeAt;
+        }
+        if ((*update)->records_size() > 0) {
+            mChanged->notify();
+        }
+    }
+    stream->reset();
+    co_return heard;
+}
+
+awaitable<void> FeedService::serveFollower(PeerStreamPtr stream)
+{
+    const auto deadline = std::chrono::steady_clock::now() + sRequestTimeout;
+    const auto request = co_await stream->receiveMessage<wire::FollowRequest>(deadline);
+    if (!request || !*request || (*request)->feed() >= sFeedCount) {
+        stream->reset();
+        co_return;
+    }
+    const Feed feed = static_cast<Feed>((*request)->feed());
+    FeedState &state = this->state(feed);
+    std::map<std::string, std::uint64_t, std::less<>> sent;
+    std::uint64_t seen = 0;
+    bool isFirst = true;
+    while (stream->isOpen() && !mStopped) {
+        wire::FollowUpdate update;
+        if (isFirst || seen != state.changes) {
+            seen = state.changes;
+            for (const auto &[key, record] : state.book.all()) {
+                // A removal may share its offset with the record that it takes away.
+                const std::uint64_t rank = record.offset * 2 + (record.value ? 1 : 2);
+                std::uint64_t &known = sent[key];
+                if (known >= rank) {
+                    continue;
+                }
+                known = rank;
+                wire::RelayedRecord &relayed = *update.add_records();
+                relayed.set_key(key);
+                relayed.set_removed(!record.value);
+                relayed.set_value(record.value.value_or(std::string()));
+                relayed.set_offset(record.offset);
+                const auto age
+                    = std::chrono::duration_cast<Milliseconds>(now() - state.learnedAt[key]);
+                relayed.set_age_ms(static_cast<std::uint64_t>(age.count()));
+            }
+        }
+        if (!state.completeAt && update.records_size() == 0) {
+            stream->reset(); // nothing is known here either
+            co_return;
+        }
+        const auto age = std::chrono::duration_cast<Milliseconds>(
+            state.completeAt ? now() - *state.completeAt : Microseconds(std::chrono::hours(1)));
+        update.set_age_ms(static_cast<std::uint64_t>(age.count()));
+        update.set_next_offset(state.book.nextOffset());
+        stream->send(update);
+        isFirst = false;
+        const Instant until = now() + sRelayKeepAlive;
+        while (stream->isOpen() && seen == state.changes && now() < until) {
+            co_await mChanged->waitUntil(steadyTime(until));
+        }
+        co_await sleepFor(sRelayBatch);
+    }
+}
+
+} // namespace Loom
--- /dev/null
+++ b/src/libloomjunction/gateway/gatewaycall.cpp
@@ -0,0 +1,539 @@
+/*
+ * gatewaycall.cpp
+ * Copyright 2026, the loomjunction authors
+ *
+ * This file is part of loomjunction (libloomjunction).
+ * SPDX-License-Identifier: BSD-2-Clause
+ */
+
+#include "gatewaycall.h"
+
+#include "clock.h"
+#include "directconfig.h"
+#include "eventsplitter.h"
+#include "jsonlog.h"
+#include "memberservice.h"
+#include "metrics.h"
+#include "overload.h"
+#include "replicaservice.h"
+
+#include <algorithm>
+#include <random>
+
+namespace Loom {
+
+namespace {
+
+// Before the first configuration, and while none may be fresh, callers come back soon.
+constexpr Milliseconds sNoConfigComeBack{300};
+constexpr Milliseconds sNoReplicaComeBack{400};
+constexpr Milliseconds sRefusedComeBack{200};
+// A request without a time of its own, on a route without one.
+constexpr Milliseconds sStandardTime{10'000};
+// With less than this left, an answer would come too late to be sent for.
+constexpr Milliseconds sLeastTime{20};
+// Connections that could not be made; nothing was sent, but time passes.
+constexpr std::uint32_t sMostFailedConnects = 3;
+// Answers of earlier requests that may lie before ours on a kept connection.
+constexpr int sMostForeignAnswers = 2;
+constexpr std::size_t sMostWholeAnswer = std::size_t{16} * 1024 * 1024;
+// A stream that is silent this many times its longest good pause is broken, but
+// not before this time: passes grow long when many prompts are read.
+constexpr int sSilentPauses = 4;
+constexpr Milliseconds sLeastStreamSilence{1'000};
+// Before its first event a stream may wait in the replica's queue.
+constexpr int sSilentGoals = 4;
+constexpr Milliseconds sLeastFirstSilence{1'200};
+constexpr int sBadRequest = 400;
+
+std::uint64_t randomNumber()
+{
+    static std::mt19937_64 random{std::random_device{}()};
+    return random();
+}
+
+std::string_view linkErrorName(LinkError error)
+{
+    switch (error) {
+    case LinkError::NotConnected:
+        return "not connected";
+    case LinkError::Closed:
+        return "connection closed";
+    case LinkError::Malformed:
+        return "no proper answer";
+    case LinkError::TimedOut:
+        return "silent";
+    case LinkError::Cancelled:
+        return "cancelled";
+    }
+    return "unknown";
+}
+
+HttpResponse jsonError(int status, std::string_view reason)
+{
+    return HttpResponse::json(status, R"({"error":")" + std::string(reason) + R"("})");
+}
+
+} // namespace
+
+GatewayCall::GatewayCall(CallParts parts, HttpExchange &exchange)
+    : mParts(parts)
+    , mExchange(exchange)
+    , mArrived(now())
+    , mTable(parts.config.table())
+    , mRandom(randomNumber())
+    , mDeadlineTimer(exchange.executor())
+{
+}
+
+GatewayCall::~GatewayCall() = default;
+
+awaitable<void> GatewayCall::run()
+{
+    if (auto refusal = prepare()) {
+        co_await refuse(std::move(*refusal));
+        co_return;
+    }
+    startWatching();
+    co_await tryReplicas();
+    mDeadlineTimer.cancel();
+}
+
+std::optional<GatewayCall::Refusal> GatewayCall::prepare()
+{
+    mCaller = mParts.calls.callerFields(mExchange.request());
+    if (!mTable) {
+        return Refusal{503, "no configuration is known yet", sNoConfigComeBack};
+    }
+    const bool mayBeStale = mParts.config.mayBeStale();
+    mRoute = mTable->match(mCaller.host, mExchange.request().path());
+    if (mRoute == nullptr) {
+        if (mayBeStale) {
+            return Refusal{503, "no such route in a configuration that may be old",
+                           sNoConfigComeBack};
+        }
+        return Refusal{404, "no such route", std::nullopt};
+    }
+    if (auto refusal = findAccount()) {
+        return refusal;
+    }
+    if (mCaller.id.empty()) {
+        return Refusal{sBadRequest, "request id: expected one, found none or several",
+                       std::nullopt};
+    }
+    const RouteTarget *target = pickTarget(*mRoute, mRandom);
+    if (target == nullptr) {
+        return Refusal{503, "the route has no service", sNoReplicaComeBack};
+    }
+    mServiceName = target->service;
+    mService = mTable->service(mServiceName);
+    const Milliseconds routeTime = mRoute->timeout.count() > 0 ? mRoute->timeout : sStandardTime;
+    mDeadline = mArrived + std::min(routeTime, mCaller.deadline.value_or(routeTime));
+    return std::nullopt;
+}
+
+std::optional<GatewayCall::Refusal> GatewayCall::findAccount()
+{
+    const bool needsKey = !mTable->config().accounts.empty() && !mRoute->isOpen;
+    if (!needsKey) {
+        return std::nullopt;
+    }
+    const ClientAccount *account = mCaller.key.empty() ? nullptr : mTable->accountOf(mCaller.key);
+    if (account != nullptr) {
+        mAccount = account->name;
+        return std::nullopt;
+    }
+    if (!mCaller.key.empty() && mParts.config.mayBeStale()) {
+        return Refusal{503, "no such key in a configuration that may be old", sNoConfigComeBack};
+    }
+    return Refusal{401, "no such key", std::nullopt};
+}
+
+void GatewayCall::startWatching()
+{
+    // Handlers that are queued already may run after the call has ended.
+    const std::weak_ptr<bool> alive = mAlive;
+    mExchange.watchCaller([this, alive] {
+        if (alive.expired()) {
+            return;
+        }
+        mIsCallerGone = true;
+        if (mLink) {
+            mLink->cancel();
+        }
+    });
+    mDeadlineTimer.expires_at(steadyTime(mDeadline));
+    mDeadlineTimer.async_wait([this, alive](const boost::system::error_code &error) {
+        if (error || alive.expired()) {
+            return;
+        }
+        mIsTimeOver = true;
+        if (mLink) {
+            mLink->cancel();
+        }
+    });
+}
+
+Milliseconds GatewayCall::timeLeft() const
+{
+    return std::chrono::duration_cast<Milliseconds>(mDeadline - now());
+}
+
+ReplicaChoice GatewayCall::choose() const
+{
+    ReplicaQuery query;
+    query.service = mServiceName;
+    query.dataCentre = mParts.settings.dataCentre;
+    query.goal = mRoute->goal;
+    query.entries = mParts.members.gatewayCount();
+    query.excluded = mExcluded;
+    query.random = mRandom + mSends;
+    if (mService != nullptr && mService->engine) {
+        query.engine = &*mService->engine;
+        query.leastVersion = mParts.config.weights().oldestAllowed(mCaller.model, now());
+    }
+    return mParts.replicas.replicas().choose(query, now());
+}
+
+awaitable<void> GatewayCall::tryReplicas()
+{
+    mParts.replicas.budget(mServiceName).noteRequest();
+    Refusal last{503, "no replica can take it", sNoReplicaComeBack};
+    std::optional<TryUnknown> unknown;
+    while (true) {
+        const ReplicaChoice choice = choose();
+        const auto *chosen = std::get_if<ChosenReplica>(&choice);
+        if (chosen == nullptr) {
+            if (const auto *busy = std::get_if<AllBusy>(&choice); busy && mExcluded.empty()) {
+                last = {503, "all replicas are busy", busy->comeBack};
+            }
+            break;
+        }
+        const ChosenReplica replica = *chosen;
+        TryResult result = co_await tryOnce(replica);
+        if (std::holds_alternative<TryDone>(result)) {
+            co_return;
+        }
+        mExcluded.push_back(replica.id);
+        if (auto *over = std::get_if<TryOver>(&result)) {
+            co_await giveUp(mSends == 0 ? 503 : 504, over->reason);
+            co_return;
+        }
+        if (auto *failed = std::get_if<TryUnknown>(&result)) {
+            const bool again = mayRepeat(*failed);
+            unknown = std::move(*failed);
+            if (!again) {
+                break;
+            }
+        }
+        if (auto *notRun = std::get_if<TryNotRun>(&result)) {
+            last = {503, notRun->reason, sRefusedComeBack};
+        }
+        const bool wasSent = mSends > 0;
+        const bool mayGoOn = mSends < std::max<std::uint32_t>(mRoute->attempts, 1)
+            && mFailedConnects < sMostFailedConnects && timeLeft() > sLeastTime;
+        if (!mayGoOn || (wasSent && !mParts.replicas.takeRepeat(mServiceName))) {
+            break;
+        }
+    }
+    if (!unknown) {
+        co_await refuse(std::move(last));
+        co_return;
+    }
+    if (unknown->answer && !mIsHeadSent) {
+        const int status = unknown->answer->status;
+        co_await mExchange.respond(std::move(*unknown->answer));
+        logEnd(status, "answered", unknown->reason);
+        co_return;
+    }
+    co_await giveUp(502, unknown->reason);
+}
+
+bool GatewayCall::mayRepeat(const TryUnknown &) const
+{
+    if (!mRoute->mayRepeat() || mIsCallerGone || mIsTimeOver) {
+        return false;
+    }
+    // Behind events that the caller has, only a resumed stream can follow.
+    return !mIsHeadSent || (mRoute->isResumable && mRoute->isStream);
+}
+
+awaitable<TryResult> GatewayCall::tryOnce(ChosenReplica chosen)
+{
+    const Replica *replica = mParts.replicas.replicas().find(chosen.id);
+    mTriedReplica = chosen.id;
+    mTriedLoad = chosen.load;
+    mTriedLoadAge = chosen.loadAge;
+    const std::string address = replica->record.address;
+    const std::uint32_t cap = mService == nullptr ? 0 : mService->connectionCap;
+    mParts.replicas.replicas().began(chosen.id);
+    auto link = co_await mParts.replicas.link(chosen.id, address, cap);
+    const Replica *still = mParts.replicas.replicas().find(chosen.id);
+    const bool isDraining = still == nullptr || still->record.isDraining;
+    if (!link || mIsCallerGone || mIsTimeOver || isDraining) {
+        ReplicaOutcome outcome = ReplicaOutcome::Abandoned;
+        if (link) {
+            mParts.replicas.giveBack(chosen.id, std::move(*link));
+        } else {
+            ++mFailedConnects;
+            outcome = ReplicaOutcome::Unreachable;
+        }
+        mParts.replicas.replicas().ended(chosen.id, outcome, now());
+        if (mIsCallerGone || mIsTimeOver) {
+            co_return TryOver{"time was over before a replica was reached"};
+        }
+        co_return TryNotRun{"the replica could not be reached"};
+    }
+    mLink = std::move(*link);
+    TryResult result = co_await exchangeWith(chosen.id);
+    const ReplicaOutcome outcome
+        = std::visit(Overload{
+                         [](const TryDone &) { return ReplicaOutcome::Answered; },
+                         [](const TryNotRun &) { return ReplicaOutcome::Refused; },
+                         [](const TryUnknown &failed) {
+                             return failed.answer ? ReplicaOutcome::Failed : ReplicaOutcome::Broken;
+                         },
+                         [](const TryOver &) { return ReplicaOutcome::Abandoned; },
+                     },
+                     result);
+    mParts.replicas.replicas().ended(chosen.id, outcome, now());
+    mParts.replicas.giveBack(chosen.id, std::move(mLink));
+    if (!std::holds_alternative<TryDone>(result)) {
+        mParts.metrics.count("loom_tries_failed_total", mServiceName);
+    }
+    co_return result;
+}
+
+OutgoingFields GatewayCall::outgoingFields(std::string_view replicaId) const
+{
+    OutgoingFields fields;
+    fields.deadline = timeLeft();
+    fields.replicaId = replicaId;
+    fields.account = mAccount;
+    fields.lastEvent = mLastEvent ? mLastEvent : mCaller.lastEvent;
+    if (mService != nullptr && mService->engine) {
+        const Replica *replica = mParts.replicas.replicas().find(replicaId);
+        const std::uint64_t newest = mParts.config.weights().newest(mCaller.model);
+        // An older version may change under the request, and either may run it.
+        if (replica != nullptr && replica->weightsVersion() == newest) {
+            fields.weightsVersion = newest;
+        }
+    }
+    return fields;
+}
+
+awaitable<TryResult> GatewayCall::exchangeWith(std::string replicaId)
+{
+    const HttpRequest &request = mExchange.request();
+    const OutgoingFields fields = outgoingFields(replicaId);
+    const std::vector<HttpHeader> headers = mParts.calls.outgoing(request, fields);
+    const LinkRequest outgoing{request.method, request.target, headers, request.body};
+    ++mSends;
+    const Instant sent = now();
+    auto head = co_await ownHead(outgoing);
+    if (!head) {
+        co_return afterLinkError(head.error());
+    }
+    if (!mRoute->isStream) {
+        mParts.replicas.replicas().noteAnswerTime(replicaId, now() - sent);
+    }
+    co_return co_await takeAnswer(std::move(*head));
+}
+
+// Reads heads until one answers this request: a surplus answer to an earlier
+// one may stand before it on a kept connection.
+awaitable<tl::expected<LinkHead, LinkError>> GatewayCall::ownHead(LinkRequest request)
+{
+    const Milliseconds silence = mRoute->isStream
+        ? std::max(sLeastFirstSilence, mRoute->goal * sSilentGoals)
+        : std::max<Milliseconds>(timeLeft(), sLeastTime);
+    const auto deadline = steadyTime(std::min(mDeadline + sLeastTime, now() + silence));
+    auto head = co_await mLink->exchange(request, deadline);
+    for (int foreign = 0; head && foreign < sMostForeignAnswers; ++foreign) {
+        const std::string id = mParts.calls.answerFields(*head).requestId;
+        if (id == mCaller.id || id.empty()) {
+            break;
+        }
+        mParts.metrics.count("loom_foreign_answers_total", mServiceName);
+        logLine(LogLevel::Warning, "foreign-answer",
+                {{"id", mCaller.id}, {"replica", mTriedReplica}, {"answerTo", id}});
+        head = co_await mLink->nextHead(deadline);
+    }
+    co_return std::move(head);
+}
+
+TryResult GatewayCall::afterLinkError(LinkError error)
+{
+    if (mIsCallerGone) {
+        return TryOver{"the caller left"};
+    }
+    if (mIsTimeOver) {
+        return TryOver{"time was over"};
+    }
+    return TryUnknown{std::string(linkErrorName(error)), std::nullopt};
+}
+
+awaitable<TryResult> GatewayCall::takeAnswer(LinkHead head)
+{
+    const AnswerFields fields = mParts.calls.answerFields(head);
+    if (fields.isNotRun) {
+        const auto deadline = steadyTime(mDeadline);
+        co_await mLink->readWhole(sMostWholeAnswer, deadline);
+        co_return TryNotRun{"replica refused: " + std::to_string(head.status)};
+    }
+    if (fields.requestId != mCaller.id) {
+        mLink->cancel();
+        co_return TryUnknown{"answer to another request", std::nullopt};
+    }
+    const bool isSuccess = head.status / 100 == 2;
+    if (isSuccess && !fields.isSigned) {
+        mLink->cancel();
+        co_return TryUnknown{"answer without signature", std::nullopt};
+    }
+    if (isSuccess && fields.isStream) {
+        co_return co_await passStream(std::move(head));
+    }
+    co_return co_await passWhole(std::move(head));
+}
+
+awaitable<TryResult> GatewayCall::passWhole(LinkHead head)
+{
+    const auto deadline = steadyTime(mDeadline + sLeastTime);
+    auto body = co_await mLink->readWhole(sMostWholeAnswer, deadline);
+    if (!body) {
+        co_return afterLinkError(body.error());
+    }
+    if (mIsHeadSent) {
+        // A resumed stream was refused with a failure; the caller has its head already.
+        co_return TryUnknown{"failure " + std::to_string(head.status) + " on resuming",
+                             std::nullopt};
+    }
+    HttpResponse response{head.status, mParts.calls.answerHeaders(head), std::move(*body)};
+    if (head.status >= 500) {
+        co_return TryUnknown{"failure of the replica's own", std::move(response)};
+    }
+    noteAnswerBegun();
+    const bool sent = co_await mExchange.respond(std::move(response));
+    logEnd(head.status, sent ? "answered" : "caller left", "");
+    co_return TryDone{};
+}
+
+awaitable<TryResult> GatewayCall::passStream(LinkHead head)
+{
+    EventSplitter splitter;
+    const Milliseconds pause = std::max(sLeastStreamSilence, mRoute->pauseGoal * sSilentPauses);
+    Milliseconds silence = std::max(sLeastFirstSilence, mRoute->goal * sSilentGoals);
+    const std::string replica = mTriedReplica;
+    const Instant begun = now();
+    bool isFirst = true;
+    while (true) {
+        const auto deadline = steadyTime(std::min(mDeadline + sLeastTime, now() + silence));
+        const auto piece = co_await mLink->readBody(deadline);
+        if (!piece) {
+            co_return afterLinkError(piece.error());
+        }
+        if (piece->empty()) {
+            break;
+        }
+        std::string passed;
+        for (const StreamEvent &event : splitter.feed(*piece)) {
+            const bool isRepeat = event.id && mLastEvent && *event.id <= *mLastEvent;
+            if (isRepeat) {
+                continue;
+            }
+            passed += event.text;
+            if (event.id) {
+                mLastEvent = event.id;
+            }
+        }
+        if (passed.empty()) {
+            continue;
+        }
+        silence = pause;
+        if (isFirst) {
+            isFirst = false;
+            mParts.replicas.replicas().noteAnswerTime(replica, now() - begun);
+        }
+        if (!mIsHeadSent) {
+            noteAnswerBegun();
+            mIsHeadSent = true;
+            HttpResponse begin{head.status, mParts.calls.answerHeaders(head), {}};
+            co_await mExchange.beginStream(std::move(begin));
+        }
+        if (!co_await mExchange.write(passed)) {
+            mIsCallerGone = true;
+            mLink->cancel();
+            co_return TryOver{"the caller left"};
+        }
+    }
+    if (splitter.pending() > 0) {
+        co_return TryUnknown{"stream ended within an event", std::nullopt};
+    }
+    if (!mIsHeadSent) {
+        noteAnswerBegun();
+        mIsHeadSent = true;
+        HttpResponse begin{head.status, mParts.calls.answerHeaders(head), {}};
+        co_await mExchange.beginStream(std::move(begin));
+    }
+    const bool sent = co_await mExchange.endStream();
+    logEnd(head.status, sent ? "answered" : "caller left", "");
+    co_return TryDone{};
+}
+
+void GatewayCall::noteAnswerBegun()
+{
+    if (!mFirstAnswer) {
+        mFirstAnswer = std::chrono::duration_cast<Milliseconds>(now() - mArrived);
+        mParts.metrics.observe("loom_first_answer_ms", mServiceName,
+                               static_cast<double>(mFirstAnswer->count()));
+    }
+}
+
+awaitable<void> GatewayCall::refuse(Refusal refusal)
+{
+    if (mIsHeadSent || mIsCallerGone) {
+        co_await giveUp(502, refusal.reason);
+        co_return;
+    }
+    HttpResponse response = jsonError(refusal.status, refusal.reason);
+    if (refusal.comeBack) {
+        response.headers.push_back(mParts.calls.comeBack(*refusal.comeBack));
+    }
+    co_await mExchange.respond(std::move(response));
+    logEnd(refusal.status, "refused", refusal.reason);
+}
+
+awaitable<void> GatewayCall::giveUp(int status, std::string reason)
+{
+    if (mIsHeadSent || mIsCallerGone) {
+        mExchange.abort(); // a cut answer must not look whole
+        logEnd(0, mIsCallerGone ? "caller left" : "cut", reason);
+        co_return;
+    }
+    HttpResponse response = jsonError(status, reason);
+    co_await mExchange.respond(std::move(response));
+    logEnd(status, "unknown", reason);
+}
+
+void GatewayCall::logEnd(int status, std::string_view outcome, std::string_view reason)
+{
+    const auto took = std::chrono::duration_cast<Milliseconds>(now() - mArrived);
+    mParts.metrics.count("loom_calls_total", outcome);
+    logLine(LogLevel::Info, "call",
+            {{"id", mCaller.id},
+             {"route", mRoute == nullptr ? std::string_view() : std::string_view(mRoute->name)},
+             {"service", mServiceName},
+             {"account", mAccount},
+             {"config", mTable ? mTable->version() : 0},
+             {"status", status},
+             {"outcome", outcome},
+             {"reason", reason},
+             {"sends", mSends},
+             {"replica", mTriedReplica},
+             {"load", mTriedLoad},
+             {"loadAgeMs", mTriedLoadAge.count()},
+             {"firstMs", mFirstAnswer ? mFirstAnswer->count() : -1},
+             {"tookMs", took.count()}});
+}
+
+} // namespace Loom
--- /dev/null
+++ b/src/libloomjunction/gateway/gatewaycall.h
@@ -0,0 +1,134 @@
+/*
+ * gatewaycall.h
+ * Copyright 2026, the loomjunction authors
+ *
+ * This file is part of loomjunction (libloomjunction).
+ * SPDX-License-Identifier: BSD-2-Clause
+ */
+
+#pragma once
+
+#include "directsettings.h"
+#include "http.h"
+#include "httplink.h"
+#include "instant.h"
+#include "ports.h"
+#include "routetable.h"
+
+#include <cstdint>
+#include <memory>
+#include <optional>
+#include <string>
+#include <variant>
+#include <vector>
+
+namespace Loom {
+
+class DirectConfig;
+class MemberService;
+class Metrics;
+class ReplicaService;
+
+/** What the calls of one gateway share. */
+struct CallParts
+{
+    const DirectSettings &settings;
+    CallPort &calls;
+    DirectConfig &config;
+    ReplicaService &replicas;
+    MemberService &members;
+    Metrics &metrics;
+};
+
+/** How one try at one replica ended. */
+struct TryDone
+{
+}; ///< the caller has its whole answer
+struct TryNotRun
+{
+    std::string reason;
+}; ///< the request surely did not run there
+struct TryUnknown
+{
+    std::string reason;
+    std::optional<HttpResponse> answer; ///< a failure of the replica's own, if it gave one
+}; ///< it may have run
+struct TryOver
+{
+    std::string reason;
+}; ///< time is over, or the caller left: no further try
+using TryResult = std::variant<TryDone, TryNotRun, TryUnknown, TryOver>;
+
+/**
+ * One request of a caller: finds its route, sends it to replicas as often as
+ * the route, the budget and its time allow, and answers it exactly once.
+ * Lives as long as its exchange.
+ */
+class GatewayCall
+{
+public:
+    GatewayCall(CallParts parts, HttpExchange &exchange);
+    ~GatewayCall();
+    GatewayCall(const GatewayCall &) = delete;
+    GatewayCall &operator=(const GatewayCall &) = delete;
+
+    awaitable<void> run();
+
+private:
+    struct Refusal
+    {
+        int status = 503;
+        std::string reason;
+        std::optional<Milliseconds> comeBack;
+    };
+
+    std::optional<Refusal> prepare();
+    std::optional<Refusal> findAccount();
+    awaitable<void> tryReplicas();
+    awaitable<TryResult> tryOnce(ChosenReplica chosen);
+    awaitable<TryResult> exchangeWith(std::string replicaId);
+    awaitable<TryResult> takeAnswer(LinkHead head);
+    awaitable<TryResult> passWhole(LinkHead head);
+    awaitable<TryResult> passStream(LinkHead head);
+    awaitable<tl::expected<LinkHead, LinkError>> ownHead(LinkRequest request);
+    TryResult afterLinkError(LinkError error);
+    ReplicaChoice choose() const;
+    OutgoingFields outgoingFields(std::string_view replicaId) const;
+    bool mayRepeat(const TryUnknown &failed) const;
+    Milliseconds timeLeft() const;
+
+    awaitable<void> refuse(Refusal refusal);
+    awaitable<void> giveUp(int status, std::string reason);
+    void startWatching();
+    void noteAnswerBegun();
+    void logEnd(int status, std::string_view outcome, std::string_view reason);
+
+    CallParts mParts;
+    HttpExchange &mExchange;
+    const Instant mArrived;
+    RouteTablePtr mTable;
+    const Route *mRoute = nullptr;
+    const ServiceFigures *mService = nullptr;
+    std::string mServiceName;
+    CallerFields mCaller;
+    std::string mAccount;
+    Instant mDeadline; ///< the caller's time and the route's, whichever ends first
+    std::uint64_t mRandom = 0;
+
+    std::unique_ptr<HttpLink> mLink; ///< of the try under way
+    asio::steady_timer mDeadlineTimer;
+    std::vector<std::string> mExcluded; ///< replicas that were tried
+    std::uint32_t mSends = 0;
+    std::uint32_t mFailedConnects = 0;
+    std::shared_ptr<bool> mAlive = std::make_shared<bool>(true);
+    bool mIsCallerGone = false;
+    bool mIsHeadSent = false;
+    bool mIsTimeOver = false;
+    std::optional<std::uint64_t> mLastEvent; ///< the last one that the caller got
+    std::optional<Milliseconds> mFirstAnswer; ///< from arrival to the first byte of an answer
+    std::string mTriedReplica;
+    double mTriedLoad = 0;
+    Milliseconds mTriedLoadAge{-1};
+};
+
+} // namespace Loom
--- /dev/null
+++ b/src/libloomjunction/gateway/gatewayfront.h
@@ -0,0 +1,60 @@
+/*
+ * gatewayfront.h
+ * Copyright 2026, the loomjunction authors
+ *
+ * This file is part of loomjunction (libloomjunction).
+ * SPDX-License-Identifier: BSD-2-Clause
+ */
+
+#pragma once
+
+#include "directsettings.h"
+#include "kernel.h"
+#include "ports.h"
+
+#include <memory>
+
+namespace Loom {
+
+class DirectConfig;
+class FeedService;
+class MemberService;
+class Metrics;
+class ReplicaService;
+
+/** Where callers' requests come in; also says whether this gateway is ready. */
+class GatewayFront final : public Service
+{
+public:
+    static constexpr std::string_view sName = "gateway-front";
+
+    GatewayFront(CallPort &calls, Metrics &metrics, const DirectSettings &settings);
+
+    std::string_view name() const override { return sName; }
+    tl::expected<void, std::string> start(Kernel &kernel) override;
+    awaitable<void> drain() override;
+    void stop() override;
+
+    /** Callers may be sent here. */
+    bool isReady() const;
+    bool isLeaving() const { return mIsLeaving; }
+    std::uint32_t inFlight() const { return mInFlight; }
+
+private:
+    awaitable<void> handle(HttpExchange &exchange);
+    void takeLimits();
+
+    CallPort &mCalls;
+    Metrics &mMetrics;
+    const DirectSettings &mSettings;
+    DirectConfig *mConfig = nullptr;
+    FeedService *mFeeds = nullptr;
+    MemberService *mMembers = nullptr;
+    ReplicaService *mReplicas = nullptr;
+    std::unique_ptr<HttpServer> mServer;
+    std::uint32_t mInFlight = 0;
+    std::chrono::steady_clock::time_point mLastCall;
+    bool mIsLeaving = false;
+};
+
+} // namespace Loom
--- /dev/null
+++ b/src/libloomjunction/gateway/memberservice.cpp
@@ -0,0 +1,310 @@
+/*
+ * memberservice.cpp
+ * Copyright 2026, the loomjunction authors
+ *
+ * This file is part of loomjunction (libloomjunction).
+ * SPDX-License-Identifier: BSD-2-Clause
+ */
+
+#include "memberservice.h"
+
+#include "clock.h"
+#include "feedservice.h"
+#include "jsonhttp.h"
+#include "jsonlog.h"
+#include "peerhub.h"
+#include "wire.pb.h"
+
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+
+namespace Loom {
+
+namespace {
+
+constexpr std::string_view sStatusPath = "/gateway-status";
+constexpr Milliseconds sStatusEvery{400};
+// Three states missed: dead, cut off, or standing still.
+constexpr Milliseconds sStatusSilence{1'300};
+constexpr std::chrono::milliseconds sRedialPause{300};
+constexpr std::chrono::milliseconds sRecordRetry{400};
+constexpr std::chrono::milliseconds sScanEvery{200};
+// A gateway that was not heard for longer than a retry window spends nothing of it.
+constexpr Milliseconds sMayBeAlive{15'000};
+constexpr std::string_view sGatewayRole = "gateway";
+constexpr std::string_view sStagerRole = "stager";
+
+std::optional<Member> readMember(std::string_view value)
+{
+    const boost::json::object object = jsonObject(value);
+    const auto peers = parseEndpoint(jsonText(object, "peers"));
+    if (!peers) {
+        return std::nullopt;
+    }
+    Member member;
+    member.box = jsonText(object, "box");
+    member.dataCentre = jsonText(object, "dataCentre");
+    member.isGateway = jsonText(object, "role") == sGatewayRole;
+    member.peers = *peers;
+    member.callers = jsonText(object, "callers");
+    member.service = jsonText(object, "service");
+    member.incarnation = static_cast<std::uint64_t>(jsonInteger(object, "incarnation", 0));
+    return member;
+}
+
+} // namespace
+
+MemberService::MemberService(StorePort &store, const DirectSettings &settings,
+                             std::uint64_t incarnation)
+    : mStore(store)
+    , mSettings(settings)
+    , mKey(endpointText(settings.peers))
+    , mIncarnation(incarnation)
+{
+}
+
+tl::expected<void, std::string> MemberService::start(Kernel &kernel)
+{
+    mFeeds = &kernel.find<FeedService>(FeedService::sName);
+    mHub = &kernel.find<PeerHub>(PeerHub::sName);
+    mChanged = std::make_unique<Signal>(kernel.executor());
+    mFeeds->listen(Feed::Members, [this](const FeedChange &change) { take(change); });
+    mFeeds->setPeers([this] { return gatewayAddresses(); });
+    asio::co_spawn(kernel.executor(), keepRecord(), asio::detached);
+    if (mSettings.isGateway()) {
+        mHub->serve(std::string(sStatusPath),
+                    [this](PeerStreamPtr stream) { return serveStatus(std::move(stream)); });
+        asio::co_spawn(kernel.executor(), followGateways(), asio::detached);
+    }
+    return {};
+}
+
+void MemberService::stop()
+{
+    mStopped = true;
+    mChanged->notify();
+}
+
+std::string MemberService::ownValue() const
+{
+    boost::json::object value;
+    value["box"] = mSettings.box;
+    value["dataCentre"] = mSettings.dataCentre;
+    value["peers"] = endpointText(mSettings.peers);
+    value["incarnation"] = mIncarnation;
+    if (const auto *gateway = std::get_if<GatewaySettings>(&mSettings.role)) {
+        value["role"] = sGatewayRole;
+        value["callers"] = endpointText(gateway->callers);
+    } else if (const auto *stager = std::get_if<StagerSettings>(&mSettings.role)) {
+        value["role"] = sStagerRole;
+        value["service"] = stager->service;
+    }
+    return boost::json::serialize(value);
+}
+
+awaitable<void> MemberService::keepRecord()
+{
+    while (!mStopped && !mIsLeaving && !mIsRecorded) {
+        const std::string value = ownValue();
+        const auto done = co_await mStore.put(mKey, value);
+        mIsRecorded = done.has_value();
+        if (mIsRecorded) {
+            logLine(LogLevel::Info, "member-recorded",
+                    {{"key", mKey}, {"incarnation", mIncarnation}});
+            co_return;
+        }
+        co_await sleepFor(sRecordRetry);
+    }
+}
+
+awaitable<void> MemberService::leave()
+{
+    mIsLeaving = true;
+    const auto done = co_await mStore.put(mKey, std::nullopt);
+    logLine(done ? LogLevel::Info : LogLevel::Warning, "member-record-removed",
+            {{"key", mKey}, {"done", done.has_value()}});
+}
+
+void MemberService::take(const FeedChange &change)
+{
+    const std::string &key = change.record.key;
+    if (key == mKey) {
+        // A late append of an earlier life must not take this one's record away.
+        const bool isOwn = change.record.value
+            && static_cast<std::uint64_t>(
+                   jsonInteger(jsonObject(*change.record.value), "incarnation", 0))
+                == mIncarnation;
+        if (!isOwn && mIsRecorded && !mIsLeaving) {
+            mIsRecorded = false;
+            asio::co_spawn(mChanged->executor(), keepRecord(), asio::detached);
+        }
+        return;
+    }
+    if (!change.record.value) {
+        const bool wasKnown = mMembers.erase(key) > 0;
+        if (wasKnown) {
+            logLine(LogLevel::Info, "member-left", {{"member", key}});
+        }
+        return;
+    }
+    const auto member = readMember(*change.record.value);
+    if (!member) {
+        logLine(LogLevel::Warning, "member-record-refused", {{"member", key}});
+        return;
+    }
+    logLine(LogLevel::Info, "member-came",
+            {{"member", key}, {"box", member->box}, {"incarnation", member->incarnation}});
+    mMembers[key] = *member;
+}
+
+std::vector<Member> MemberService::others() const
+{
+    std::vector<Member> all;
+    for (const auto &[key, member] : mMembers) {
+        all.push_back(member);
+    }
+    return all;
+}
+
+std::vector<Member> MemberService::stagersOf(std::string_view service) const
+{
+    std::vector<Member> all;
+    for (const auto &[key, member] : mMembers) {
+        if (!member.isGateway && member.service == service) {
+            all.push_back(member);
+        }
+    }
+    return all;
+}
+
+std::vector<Tcp::endpoint> MemberService::gatewayAddresses() const
+{
+    std::vector<Tcp::endpoint> heard;
+    std::vector<Tcp::endpoint> all;
+    for (const auto &[key, member] : mMembers) {
+        if (!member.isGateway) {
+            continue;
+        }
+        all.push_back(member.peers);
+        const auto it = mStates.find(key);
+        if (it != mStates.end() && it->second.heardAt
+            && now() - *it->second.heardAt < sStatusSilence) {
+            heard.push_back(member.peers);
+        }
+    }
+    if (!heard.empty()) {
+        return heard;
+    }
+    for (const Tcp::endpoint &seed : mSettings.seeds) {
+        if (seed != mSettings.peers && std::ranges::find(all, seed) == all.end()) {
+            all.push_back(seed);
+        }
+    }
+    return all;
+}
+
+std::vector<Member> MemberService::usableGateways() const
+{
+    std::vector<Member> usable;
+    for (const auto &[key, state] : mStates) {
+        const bool isHeard = state.heardAt && now() - *state.heardAt < sStatusSilence;
+        const auto member = mMembers.find(key);
+        if (isHeard && state.isReady && !state.isLeaving && member != mMembers.end()) {
+            usable.push_back(member->second);
+        }
+    }
+    return usable;
+}
+
+std::uint32_t MemberService::gatewayCount() const
+{
+    std::uint32_t count = 1;
+    for (const auto &[key, member] : mMembers) {
+        if (!member.isGateway) {
+            continue;
+        }
+        const auto it = mStates.find(key);
+        const bool isSilent = it != mStates.end() && it->second.heardAt
+            && now() - *it->second.heardAt > sMayBeAlive;
+        count += isSilent ? 0 : 1;
+    }
+    return count;
+}
+
+void MemberService::noteChange()
+{
+    ++mStatusChanges;
+    mChanged->notify();
+}
+
+awaitable<void> MemberService::followGateways()
+{
+    while (!mStopped) {
+        for (const auto &[key, member] : mMembers) {
+            if (member.isGateway && !mFollowed[key]) {
+                mFollowed[key] = true;
+                asio::co_spawn(mChanged->executor(), followGateway(key), asio::detached);
+            }
+        }
+        co_await sleepFor(sScanEvery);
+    }
+}
+
+awaitable<void> MemberService::followGateway(std::string key)
+{
+    while (!mStopped && mMembers.contains(key)) {
+        const Tcp::endpoint address = mMembers[key].peers;
+        const PeerStreamPtr stream = co_await mHub->open(address, std::string(sStatusPath));
+        while (stream && !mStopped) {
+            const auto deadline = std::chrono::steady_clock::now() + sStatusSilence;
+            const auto status = co_await stream->receiveMessage<wire::MemberStatus>(deadline);
+            if (!status || !*status) {
+                stream->reset();
+                stream->connection()->close(); // silent: a new connection finds out sooner
+                break;
+            }
+            GatewayState &state = mStates[key];
+            const bool wasReady = state.isReady && !state.isLeaving;
+            state.isReady = (*status)->ready();
+            state.isLeaving = (*status)->leaving();
+            state.incarnation = (*status)->incarnation();
+            state.configVersion = (*status)->config_version();
+            state.heardAt = now();
+            if (wasReady != (state.isReady && !state.isLeaving)) {
+                logLine(LogLevel::Info, "gateway-state",
+                        {{"member", key},
+                         {"ready", state.isReady},
+                         {"leaving", state.isLeaving},
+                         {"incarnation", state.incarnation}});
+            }
+        }
+        GatewayState &state = mStates[key];
+        if (state.isReady) {
+            logLine(LogLevel::Warning, "gateway-lost", {{"member", key}});
+            state.isReady = false;
+        }
+        co_await sleepFor(sRedialPause);
+    }
+    mFollowed[key] = false;
+}
+
+awaitable<void> MemberService::serveStatus(PeerStreamPtr stream)
+{
+    while (stream->isOpen() && !mStopped) {
+        const GatewayState state = mStatus ? mStatus() : GatewayState();
+        wire::MemberStatus status;
+        status.set_box(mSettings.box);
+        status.set_incarnation(mIncarnation);
+        status.set_ready(state.isReady);
+        status.set_leaving(state.isLeaving);
+        status.set_config_version(state.configVersion);
+        stream->send(status);
+        const std::uint64_t seen = mStatusChanges;
+        const Instant until = now() + sStatusEvery;
+        while (stream->isOpen() && seen == mStatusChanges && now() < until && !mStopped) {
+            co_await mChanged->waitUntil(steadyTime(until));
+        }
+    }
+}
+
+} // namespace Loom
--- /dev/null
+++ b/src/libloomjunction/gateway/memberservice.h
@@ -0,0 +1,111 @@
+/*
+ * memberservice.h
+ * Copyright 2026, the loomjunction authors
+ *
+ * This file is part of loomjunction (libloomjunction).
+ * SPDX-License-Identifier: BSD-2-Clause
+ */
+
+#pragma once
+
+#include "directsettings.h"
+#include "instant.h"
+#include "kernel.h"
+#include "peerstream.h"
+#include "ports.h"
+
+#include <cstdint>
+#include <map>
+#include <optional>
+#include <string>
+#include <vector>
+
+namespace Loom {
+
+class FeedService;
+class PeerHub;
+struct FeedChange;
+
+/** One process of the system, as its record in the store tells. */
+struct Member
+{
+    std::string box;
+    std::string dataCentre;
+    bool isGateway = false;
+    Tcp::endpoint peers;
+    std::string callers; ///< of a gateway: IP:PORT where callers connect
+    std::string service; ///< of a stager
+    std::uint64_t incarnation = 0;
+};
+
+/** What a gateway heard of another one directly. */
+struct GatewayState
+{
+    bool isReady = false;
+    bool isLeaving = false;
+    std::uint64_t incarnation = 0;
+    std::uint64_t configVersion = 0;
+    std::optional<Instant> heardAt;
+};
+
+/**
+ * Who takes part. Each process puts a record of itself into the store when it
+ * starts and takes it away when it leaves; gateways follow each other's
+ * state over their own links, which tells of dead ones sooner than any list.
+ */
+class MemberService final : public Service
+{
+public:
+    static constexpr std::string_view sName = "members";
+    using StatusSource = std::function<GatewayState()>;
+
+    MemberService(StorePort &store, const DirectSettings &settings, std::uint64_t incarnation);
+
+    std::string_view name() const override { return sName; }
+    tl::expected<void, std::string> start(Kernel &kernel) override;
+    void stop() override;
+
+    /** This gateway's own state, told to the others. */
+    void setStatusSource(StatusSource source) { mStatus = std::move(source); }
+    /** Tells the others at once that the own state changed. */
+    void noteChange();
+    /** Takes the own record away. */
+    awaitable<void> leave();
+
+    /** Members other than this process. */
+    std::vector<Member> others() const;
+    std::vector<Member> stagersOf(std::string_view service) const;
+    /** Peer addresses of other gateways: those known, else the seeds. */
+    std::vector<Tcp::endpoint> gatewayAddresses() const;
+    /** Gateways that callers may use now, this one not among them. */
+    std::vector<Member> usableGateways() const;
+    /** Gateways that may be alive, this one among them. */
+    std::uint32_t gatewayCount() const;
+    std::uint64_t incarnation() const { return mIncarnation; }
+
+private:
+    awaitable<void> keepRecord();
+    awaitable<void> followGateways();
+    awaitable<void> followGateway(std::string key);
+    awaitable<void> serveStatus(PeerStreamPtr stream);
+    void take(const FeedChange &change);
+    std::string ownValue() const;
+
+    StorePort &mStore;
+    DirectSettings mSettings;
+    std::string mKey;
+    std::uint64_t mIncarnation;
+    FeedService *mFeeds = nullptr;
+    PeerHub *mHub = nullptr;
+    StatusSource mStatus;
+    std::map<std::string, Member> mMembers;
+    std::map<std::string, GatewayState> mStates;
+    std::map<std::string, bool> mFollowed;
+    std::unique_ptr<Signal> mChanged;
+    std::uint64_t mStatusChanges = 0;
+    bool mIsRecorded = false;
+    bool mIsLeaving = false;
+    bool mStopped = false;
+};
+
+} // namespace Loom
--- /dev/null
+++ b/src/libloomjunction/gateway/replicaservice.h
@@ -0,0 +1,84 @@
+/*
+ * replicaservice.h
+ * Copyright 2026, the loomjunction authors
+ *
+ * This file is part of loomjunction (libloomjunction).
+ * SPDX-License-Identifier: BSD-2-Clause
+ */
+
+#pragma once
+
+#include "directsettings.h"
+#include "httplink.h"
+#include "kernel.h"
+#include "peerstream.h"
+#include "ports.h"
+#include "replicaset.h"
+#include "sharedretrybudget.h"
+
+#include <deque>
+#include <map>
+#include <memory>
+#include <string>
+
+namespace Loom {
+
+class DirectConfig;
+class FeedService;
+class MemberService;
+class Metrics;
+class PeerHub;
+struct FeedChange;
+
+/**
+ * The replicas that a gateway sends requests to: what is known of each, the
+ * connections to them, and what may be repeated.
+ */
+class ReplicaService final : public Service
+{
+public:
+    static constexpr std::string_view sName = "replicas";
+
+    ReplicaService(RecordPort &records, Metrics &metrics, const DirectSettings &settings);
+
+    std::string_view name() const override { return sName; }
+    tl::expected<void, std::string> start(Kernel &kernel) override;
+    void stop() override { mStopped = true; }
+
+    ReplicaSet &replicas() { return mReplicas; }
+    /** The budget of repeats at @p service. */
+    SharedRetryBudget &budget(const std::string &service);
+    /** Takes one repeat of a request at @p service. */
+    bool takeRepeat(const std::string &service);
+
+    /** A link to the replica @p id at @p address, kept or new. */
+    awaitable<tl::expected<std::unique_ptr<HttpLink>, LinkError>>
+    link(std::string id, std::string address, std::uint32_t connectionCap);
+    /** Gives a link back; kept where it can be used again. */
+    void giveBack(const std::string &id, std::unique_ptr<HttpLink> link);
+
+private:
+    struct Pool
+    {
+        std::deque<std::unique_ptr<HttpLink>> idle; ///< the last used at the end
+        std::uint32_t open = 0; ///< idle and in use
+    };
+
+    void take(const FeedChange &change);
+    awaitable<void> takeLoads(PeerStreamPtr stream);
+    awaitable<void> sweepLoop();
+    std::unique_ptr<HttpLink> takeIdle(Pool &pool);
+    static void closeExpired(Pool &pool, std::chrono::steady_clock::time_point time);
+
+    RecordPort &mRecords;
+    Metrics &mMetrics;
+    RetryBounds mBounds;
+    Instant mBorn;
+    MemberService *mMembers = nullptr;
+    ReplicaSet mReplicas;
+    std::map<std::string, Pool> mPools; ///< by replica id
+    std::map<std::string, SharedRetryBudget> mBudgets;
+    bool mStopped = false;
+};
+
+} // namespace Loom
--- /dev/null
+++ b/src/libloomjunction/gateway/statsfront.cpp
@@ -0,0 +1,43 @@
+/*
+ * statsfront.cpp
+ * Copyright 2026, the loomjunction authors
+ *
+ * This file is part of loomjunction (libloomjunction).
+ * SPDX-License-Identifier: BSD-2-Clause
+ */
+
+#include "statsfront.h"
+
+#include "jsonhttp.h"
+#include "metrics.h"
+
+namespace Loom {
+
+StatsFront::StatsFront(const Metrics &metrics, Tcp::endpoint address)
+    : mMetrics(metrics)
+    , mAddress(std::move(address))
+{
+}
+
+tl::expected<void, std::string> StatsFront::start(Kernel &kernel)
+{
+    mServer = std::make_unique<HttpServer>(
+        kernel.executor(), [this](HttpExchange &exchange) { return handle(exchange); });
+    return mServer->listen(mAddress);
+}
+
+void StatsFront::stop()
+{
+    mServer->stopListening();
+}
+
+awaitable<void> StatsFront::handle(HttpExchange &exchange)
+{
+    HttpResponse response = errorResponse(404, "no such path");
+    if (exchange.request().path() == "/metrics") {
+        response = {200, {{"Content-Type", "text/plain; version=0.0.4"}}, mMetrics.text()};
+    }
+    co_await exchange.respond(std::move(response));
+}
+
+} // namespace Loom
--- /dev/null
+++ b/src/libloomjunction/gateway/statsfront.h
@@ -0,0 +1,40 @@
+/*
+ * statsfront.h
+ * Copyright 2026, the loomjunction authors
+ *
+ * This file is part of loomjunction (libloomjunction).
+ * SPDX-License-Identifier: BSD-2-Clause
+ */
+
+#pragma once
+
+#include "http.h"
+#include "kernel.h"
+
+#include <memory>
+
+namespace Loom {
+
+class Metrics;
+
+/** Serves the process's metrics in the text exposition format. */
+class StatsFront final : public Service
+{
+public:
+    static constexpr std::string_view sName = "stats-front";
+
+    StatsFront(const Metrics &metrics, Tcp::endpoint address);
+
+    std::string_view name() const override { return sName; }
+    tl::expected<void, std::string> start(Kernel &kernel) override;
+    void stop() override;
+
+private:
+    awaitable<void> handle(HttpExchange &exchange);
+
+    const Metrics &mMetrics;
+    Tcp::endpoint mAddress;
+    std::unique_ptr<HttpServer> mServer;
+};
+
+} // namespace Loom
--- a/src/libloomjunction/kernel/settingsfile.cpp
+++ b/src/libloomjunction/kernel/settingsfile.cpp
@@ -128,6 +128,31 @@
     return *parsed;
 }
 
+std::vector<Tcp::endpoint> SettingsReader::endpoints(std::string_view field)
+{
+    const boost::json::value *found = value(field);
+    if (found == nullptr) {
+        return {};
+    }
+    std::vector<Tcp::endpoint> all;
+    bool fits = found->is_array();
+    if (fits) {
+        for (const boost::json::value &item : found->as_array()) {
+            const auto parsed = item.is_string()
+                ? parseEndpoint(item.as_string())
+                : tl::expected<Tcp::endpoint, std::string>(tl::unexpected(std::string()));
+            fits = fits && parsed;
+            if (parsed) {
+                all.push_back(*parsed);
+            }
+        }
+    }
+    if (!fits) {
+        problem(field, "a list of IP:PORT", found);
+    }
+    return all;
+}
+
 std::string SettingsReader::oneOf(std::string_view field,
                                   std::initializer_list<std::string_view> choices)
 {
--- a/src/libloomjunction/kernel/settingsfile.h
+++ b/src/libloomjunction/kernel/settingsfile.h
@@ -42,6 +42,8 @@
                          std::int64_t standard);
     bool boolean(std::string_view field, bool standard);
     Tcp::endpoint endpoint(std::string_view field);
+    /** A list of IP:PORT; empty where the field is absent. */
+    std::vector<Tcp::endpoint> endpoints(std::string_view field);
     std::string oneOf(std::string_view field, std::initializer_list<std::string_view> choices);
 
     /** A nested object; an empty one where it is absent or wrong. */
--- a/src/libloomjunction/net/http.h
+++ b/src/libloomjunction/net/http.h
@@ -68,13 +68,17 @@
     virtual awaitable<bool> endStream() = 0;
     /** Cuts the connection, so that what was sent never looks whole. */
     virtual void abort() = 0;
+    /** Calls @p onGone once, when the caller closes before the answer is out. */
+    virtual void watchCaller(std::function<void()> onGone) = 0;
+    virtual asio::any_io_executor executor() = 0;
 };
 
 struct HttpLimits
 {
     std::uint64_t bodyBytes = std::uint64_t{4} * 1024 * 1024;
     std::uint32_t headerBytes = 16 * 1024;
-    std::chrono::seconds idle{60};
+    std::chrono::milliseconds idle{60'000}; ///< for a request to begin, and for its body
+    std::chrono::milliseconds header{60'000}; ///< from the first byte to the whole header
 };
 
 using HttpHandler = std::function<awaitable<void>(HttpExchange &)>;
@@ -90,8 +94,14 @@
     tl::expected<void, std::string> listen(const Tcp::endpoint &endpoint);
     /** The address in use, e.g. after asking for port 0. */
     Tcp::endpoint localEndpoint() const;
-    /** Takes no new connections and closes idle ones after their answer. */
+    /** Holds for connections that are open, too. */
+    void setLimits(HttpLimits limits);
+    /** From now on every answer closes its connection; new ones are still taken. */
+    void beginDrain();
+    /** Takes no new connections and closes open ones after their answer. */
     void stopListening();
+    /** Closes the connections on which no request is under way. */
+    void closeIdle();
 
 private:
     class Impl;
--- /dev/null
+++ b/src/libloomjunction/net/httpclient.cpp
@@ -0,0 +1,193 @@
+/*
+ * httpclient.cpp
+ * Copyright 2026, the loomjunction authors
+ *
+ * This file is part of loomjunction (libloomjunction).
+ * SPDX-License-Identifier: BSD-2-Clause
+ */
+
+#include "http.h"
+
+#include "httpfields.h"
+
+#include <deque>
+#include <map>
+
+#include <boost/beast/core.hpp>
+#include <boost/beast/http.hpp>
+
+namespace Loom {
+
+namespace {
+
+namespace beast = boost::beast;
+namespace http = boost::beast::http;
+
+constexpr std::size_t sReadPieceBytes = std::size_t{64} * 1024;
+constexpr std::size_t sMostIdlePerServer = 256;
+
+} // namespace
+
+class HttpClient::Impl : public std::enable_shared_from_this<HttpClient::Impl>
+{
+public:
+    using Stream = std::unique_ptr<beast::tcp_stream>;
+
+    explicit Impl(const asio::any_io_executor &executor)
+        : mExecutor(executor)
+    {
+    }
+
+    static awaitable<tl::expected<HttpResponse, HttpError>>
+    run(std::shared_ptr<Impl> self, HttpCall call, HttpDataHandler onData)
+    {
+        const auto deadline = std::chrono::steady_clock::now() + call.timeout;
+        auto connected = co_await self->connect(call.endpoint, deadline);
+        if (!connected) {
+            co_return tl::unexpected(connected.error());
+        }
+        Stream stream = std::move(*connected);
+        auto result = co_await exchange(*stream, call, onData, deadline);
+        if (result && result->second) {
+            self->keep(call.endpoint, std::move(stream));
+        }
+        if (!result) {
+            co_return tl::unexpected(result.error());
+        }
+        co_return std::move(result->first);
+    }
+
+private:
+    using Exchanged = std::pair<HttpResponse, bool>; // the answer; may the connection be kept?
+
+    awaitable<tl::expected<Stream, HttpError>>
+    connect(const Tcp::endpoint &endpoint, std::chrono::steady_clock::time_point deadline)
+    {
+        if (Stream kept = takeKept(endpoint)) {
+            co_return std::move(kept);
+        }
+        auto stream = std::make_unique<beast::tcp_stream>(mExecutor);
+        stream->expires_at(deadline);
+        auto [error] = co_await stream->async_connect(endpoint, sAsValue);
+        if (error) {
+            co_return tl::unexpected(HttpError{HttpFailure::NotConnected, error.message()});
+        }
+        boost::system::error_code ignored;
+        stream->socket().set_option(Tcp::no_delay(true), ignored);
+        co_return std::move(stream);
+    }
+
+    Stream takeKept(const Tcp::endpoint &endpoint)
+    {
+        std::deque<Stream> &idle = mIdle[endpoint];
+        while (!idle.empty()) {
+            Stream stream = std::move(idle.back());
+            idle.pop_back();
+            if (isStillOpen(*stream)) {
+                return stream;
+            }
+        }
+        return nullptr;
+    }
+
+    // A server may have closed a kept connection; using it would make a call
+    // that never ran look as if it might have.
+    static bool isStillOpen(beast::tcp_stream &stream)
+    {
+        char probe = 0;
+        boost::system::error_code error;
+        stream.socket().non_blocking(true, error);
+        stream.socket().receive(asio::buffer(&probe, 1), Tcp::socket::message_peek, error);
+        return error == asio::error::would_block || error == asio::error::try_again;
+    }
+
+    void keep(const Tcp::endpoint &endpoint, Stream stream)
+    {
+        std::deque<Stream> &idle = mIdle[endpoint];
+        stream->expires_never();
+        if (idle.size() < sMostIdlePerServer) {
+            idle.push_back(std::move(stream));
+        }
+    }
+
+    static HttpError failure(const beast::error_code &error)
+    {
+        const bool late = error == beast::error::timeout;
+        return {late ? HttpFailure::TimedOut : HttpFailure::Cut, error.message()};
+    }
+
+    static awaitable<tl::expected<Exchanged, HttpError>>
+    exchange(beast::tcp_stream &stream, HttpCall &call, const HttpDataHandler &onData,
+             std::chrono::steady_clock::time_point deadline)
+    {
+        http::request<http::string_body> message(http::string_to_verb(call.method), call.target,
+                                                 11);
+        message.set(http::field::host, endpointText(call.endpoint));
+        fillHeaders(message, call.headers);
+        message.body() = std::move(call.body);
+        message.prepare_payload();
+        stream.expires_at(deadline);
+        auto [writeError, sent] = co_await http::async_write(stream, message, sAsValue);
+        if (writeError) {
+            co_return tl::unexpected(failure(writeError));
+        }
+        co_return co_await readAnswer(stream, onData);
+    }
+
+    static awaitable<tl::expected<Exchanged, HttpError>> readAnswer(beast::tcp_stream &stream,
+                                                                    const HttpDataHandler &onData)
+    {
+        beast::flat_buffer buffer;
+        http::response_parser<http::buffer_body> parser;
+        parser.body_limit(boost::none);
+        auto [headError, headSize]
+            = co_await http::async_read_header(stream, buffer, parser, sAsValue);
+        if (headError) {
+            co_return tl::unexpected(failure(headError));
+        }
+        HttpResponse response;
+        response.status = static_cast<int>(parser.get().result_int());
+        response.headers = copyHeaders(parser.get());
+        std::string piece(sReadPieceBytes, '\0');
+        while (!parser.is_done()) {
+            parser.get().body().data = piece.data();
+            parser.get().body().size = piece.size();
+            auto [error, size] = co_await http::async_read_some(stream, buffer, parser, sAsValue);
+            if (error && error != http::error::need_buffer) {
+                co_return tl::unexpected(failure(error));
+            }
+            const std::size_t filled = piece.size() - parser.get().body().size;
+            const std::string_view data(piece.data(), filled);
+            if (!onData) {
+                response.body += data;
+            } else if (!data.empty() && !co_await onData(response, data)) {
+                co_return tl::unexpected(HttpError{HttpFailure::Aborted, "given up"});
+            }
+        }
+        const bool reusable = parser.get().keep_alive() && buffer.size() == 0;
+        co_return Exchanged(std::move(response), reusable);
+    }
+
+    asio::any_io_executor mExecutor;
+    std::map<Tcp::endpoint, std::deque<Stream>> mIdle;
+};
+
+HttpClient::HttpClient(const asio::any_io_executor &executor)
+    : mImpl(std::make_shared<Impl>(executor))
+{
+}
+
+HttpClient::~HttpClient() = default;
+
+awaitable<tl::expected<HttpResponse, HttpError>> HttpClient::send(HttpCall call)
+{
+    return Impl::run(mImpl, std::move(call), {});
+}
+
+awaitable<tl::expected<HttpResponse, HttpError>> HttpClient::stream(HttpCall call,
+                                                                    HttpDataHandler onData)
+{
+    return Impl::run(mImpl, std::move(call), std::move(onData));
+}
+
+} // namespace Loom
--- /dev/null
+++ b/src/libloomjunction/net/httpserver.cpp
@@ -0,0 +1,367 @@
+/*
+ * httpserver.cpp
+ * Copyright 2026, the loomjunction authors
+ *
+ * This file is part of loomjunction (libloomjunction).
+ * SPDX-License-Identifier: BSD-2-Clause
+ */
+
+#include "http.h"
+
+#include "httpfields.h"
+#include "listener.h"
+
+#include <set>
+
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <boost/beast/core.hpp>
+#include <boost/beast/http.hpp>
+
+namespace Loom {
+
+namespace {
+
+namespace beast = boost::beast;
+namespace http = boost::beast::http;
+
+constexpr std::size_t sFirstReadBytes = std::size_t{16} * 1024;
+constexpr std::string_view sContinue = "HTTP/1.1 100 Continue\r\n\r\n";
+// A HEAD request's answer has headers only, whatever they say of a body.
+constexpr std::string_view sHeadMethod = "HEAD";
+
+HttpRequest toRequest(http::request<http::string_body> &&message)
+{
+    HttpRequest request;
+    request.method = message.method_string();
+    request.target = message.target();
+    request.headers = copyHeaders(message);
+    request.body = std::move(message.body());
+    return request;
+}
+
+/** Tells a handler once that its caller has closed the connection. */
+class GoneWatch : public std::enable_shared_from_this<GoneWatch>
+{
+public:
+    GoneWatch(Tcp::socket &socket, std::function<void()> onGone)
+        : mSocket(socket)
+        , mOnGone(std::move(onGone))
+    {
+    }
+
+    // The wait may outlive the exchange: it then finds nobody.
+    void wait()
+    {
+        mSocket.async_wait(Tcp::socket::wait_read,
+                           [weak = weak_from_this()](const boost::system::error_code &error) {
+                               if (const auto self = weak.lock()) {
+                                   self->look(error);
+                               }
+                           });
+    }
+
+private:
+    void look(const boost::system::error_code &waitError)
+    {
+        if (waitError == asio::error::operation_aborted) {
+            return;
+        }
+        char probe = 0;
+        boost::system::error_code error;
+        mSocket.receive(asio::buffer(&probe, 1), Tcp::socket::message_peek, error);
+        if (error == asio::error::would_block || error == asio::error::try_again) {
+            wait();
+            return;
+        }
+        if (error && mOnGone) {
+            mOnGone();
+        }
+        // Without an error the next request is there already: the caller lives.
+    }
+
+    Tcp::socket &mSocket;
+    std::function<void()> mOnGone;
+};
+
+/** What all connections of one server share. */
+struct ServerState
+{
+    HttpLimits limits;
+    bool isDraining = false;
+    bool isStopped = false;
+    std::set<beast::tcp_stream *> idle; ///< connections that wait for a request
+};
+
+class ServerExchange final : public HttpExchange
+{
+public:
+    ServerExchange(beast::tcp_stream &stream, HttpRequest request, bool keepAlive,
+                   const ServerState &state)
+        : mStream(stream)
+        , mRequest(std::move(request))
+        , mKeepAlive(keepAlive)
+        , mState(state)
+    {
+    }
+
+    const HttpRequest &request() const override { return mRequest; }
+
+    awaitable<bool> respond(HttpResponse response) override
+    {
+        decideKeepAlive();
+        http::response<http::string_body> message(static_cast<http::status>(response.status), 11);
+        fillHeaders(message, response.headers);
+        message.body() = std::move(response.body);
+        message.keep_alive(mKeepAlive);
+        if (mRequest.method != sHeadMethod) {
+            message.prepare_payload();
+        }
+        auto [error, sent] = co_await http::async_write(mStream, message, sAsValue);
+        co_return noteSent(!error, true);
+    }
+
+    awaitable<bool> beginStream(HttpResponse head) override
+    {
+        decideKeepAlive();
+        http::response<http::empty_body> message(static_cast<http::status>(head.status), 11);
+        fillHeaders(message, head.headers);
+        message.keep_alive(mKeepAlive);
+        message.chunked(true);
+        http::response_serializer<http::empty_body> serializer(message);
+        auto [error, sent] = co_await http::async_write_header(mStream, serializer, sAsValue);
+        co_return noteSent(!error, false);
+    }
+
+    awaitable<bool> write(std::string_view data) override
+    {
+        if (data.empty()) {
+            co_return mAlive;
+        }
+        auto [error, sent] = co_await asio::async_write(
+            mStream, http::make_chunk(asio::buffer(data.data(), data.size())), sAsValue);
+        co_return noteSent(!error, false);
+    }
+
+    awaitable<bool> endStream() override
+    {
+        auto [error, sent] = co_await asio::async_write(mStream, http::make_chunk_last(), sAsValue);
+        co_return noteSent(!error, true);
+    }
+
+    void abort() override
+    {
+        mAlive = false;
+        mStream.close();
+    }
+
+    void watchCaller(std::function<void()> onGone) override
+    {
+        boost::system::error_code ignored;
+        mStream.socket().non_blocking(true, ignored);
+        mWatch = std::make_shared<GoneWatch>(mStream.socket(), std::move(onGone));
+        mWatch->wait();
+    }
+
+    asio::any_io_executor executor() override { return mStream.get_executor(); }
+    bool mayContinue() const { return mAlive && mComplete && mKeepAlive; }
+
+private:
+    void decideKeepAlive() { mKeepAlive = mKeepAlive && !mState.isDraining && !mState.isStopped; }
+
+    bool noteSent(bool good, bool complete)
+    {
+        mAlive = mAlive && good;
+        mComplete = mComplete || complete;
+        return mAlive;
+    }
+
+    beast::tcp_stream &mStream;
+    HttpRequest mRequest;
+    bool mKeepAlive;
+    const ServerState &mState;
+    std::shared_ptr<GoneWatch> mWatch;
+    bool mAlive = true;
+    bool mComplete = false;
+};
+
+HttpResponse badInput(const beast::error_code &error)
+{
+    if (error == http::error::body_limit) {
+        return HttpResponse::json(413, R"({"error":"body: larger than the limit"})");
+    }
+    if (error == http::error::header_limit || error == http::error::buffer_overflow) {
+        return HttpResponse::json(431, R"({"error":"headers: larger than the limit"})");
+    }
+    return HttpResponse::json(400, R"({"error":"request: not valid HTTP"})");
+}
+
+bool isPeerGone(const beast::error_code &error)
+{
+    return error == http::error::end_of_stream || error == http::error::partial_message
+        || error == beast::error::timeout || error.category() == asio::error::get_system_category()
+        || error == asio::error::eof;
+}
+
+} // namespace
+
+class HttpServer::Impl : public std::enable_shared_from_this<HttpServer::Impl>
+{
+public:
+    Impl(const asio::any_io_executor &executor, HttpHandler handler, HttpLimits limits)
+        : mExecutor(executor)
+        , mHandler(std::move(handler))
+    {
+        mState.limits = limits;
+    }
+
+    tl::expected<void, std::string> listen(const Tcp::endpoint &endpoint)
+    {
+        mListener = std::make_shared<Listener>(
+            mExecutor, [weak = weak_from_this()](Tcp::socket socket) {
+                if (const auto self = weak.lock()) {
+                    asio::co_spawn(self->mExecutor, serve(self, std::move(socket)), asio::detached);
+                }
+            });
+        return mListener->listen(endpoint);
+    }
+
+    Tcp::endpoint localEndpoint() const { return mListener->localEndpoint(); }
+    void setLimits(HttpLimits limits) { mState.limits = limits; }
+    void beginDrain() { mState.isDraining = true; }
+
+    void stop()
+    {
+        mState.isStopped = true;
+        if (mListener) {
+            mListener->stop();
+        }
+    }
+
+    void closeIdle()
+    {
+        for (beast::tcp_stream *stream : mState.idle) {
+            stream->cancel();
+        }
+    }
+
+private:
+    static awaitable<void> serve(std::shared_ptr<Impl> self, Tcp::socket socket)
+    {
+        beast::tcp_stream stream(std::move(socket));
+        beast::flat_buffer buffer;
+        bool open = true;
+        while (open) {
+            open = co_await serveOne(*self, stream, buffer) && !self->mState.isStopped;
+        }
+        boost::system::error_code ignored;
+        stream.socket().shutdown(Tcp::socket::shutdown_send, ignored);
+    }
+
+    // Waits for the first bytes of a request, as long as a connection may rest.
+    static awaitable<bool> waitForRequest(Impl &self, beast::tcp_stream &stream,
+                                          beast::flat_buffer &buffer)
+    {
+        if (buffer.size() > 0) {
+            co_return true;
+        }
+        self.mState.idle.insert(&stream);
+        stream.expires_after(self.mState.limits.idle);
+        auto [error, size]
+            = co_await stream.async_read_some(buffer.prepare(sFirstReadBytes), sAsValue);
+        self.mState.idle.erase(&stream);
+        buffer.commit(size);
+        co_return !error;
+    }
+
+    static awaitable<bool> serveOne(Impl &self, beast::tcp_stream &stream,
+                                    beast::flat_buffer &buffer)
+    {
+        if (!co_await waitForRequest(self, stream, buffer)) {
+            co_return false;
+        }
+        http::request_parser<http::string_body> parser;
+        parser.body_limit(self.mState.limits.bodyBytes);
+        parser.header_limit(self.mState.limits.headerBytes);
+        stream.expires_after(self.mState.limits.header);
+        auto [headError, headSize]
+            = co_await http::async_read_header(stream, buffer, parser, sAsValue);
+        if (headError) {
+            co_await refuse(stream, headError, self.mState);
+            co_return false;
+        }
+        stream.expires_after(self.mState.limits.idle);
+        if (!parser.is_done()
+            && beast::iequals(parser.get()[http::field::expect], "100-continue")) {
+            co_await asio::async_write(stream, asio::buffer(sContinue), sAsValue);
+        }
+        auto [error, size] = co_await http::async_read(stream, buffer, parser, sAsValue);
+        stream.expires_never();
+        if (error) {
+            co_await refuse(stream, error, self.mState);
+            co_return false;
+        }
+        const bool keepAlive = parser.get().keep_alive();
+        ServerExchange exchange(stream, toRequest(parser.release()), keepAlive, self.mState);
+        co_await self.mHandler(exchange);
+        co_return exchange.mayContinue();
+    }
+
+    static awaitable<void> refuse(beast::tcp_stream &stream, beast::error_code error,
+                                  const ServerState &state)
+    {
+        if (isPeerGone(error)) {
+            co_return;
+        }
+        ServerExchange refusal(stream, {}, false, state);
+        co_await refusal.respond(badInput(error));
+    }
+
+    asio::any_io_executor mExecutor;
+    HttpHandler mHandler;
+    ServerState mState;
+    std::shared_ptr<Listener> mListener;
+};
+
+HttpServer::HttpServer(const asio::any_io_executor &executor, HttpHandler handler,
+                       HttpLimits limits)
+    : mImpl(std::make_shared<Impl>(executor, std::move(handler), limits))
+{
+}
+
+HttpServer::~HttpServer()
+{
+    mImpl->stop();
+}
+
+tl::expected<void, std::string> HttpServer::listen(const Tcp::endpoint &endpoint)
+{
+    return mImpl->listen(endpoint);
+}
+
+Tcp::endpoint HttpServer::localEndpoint() const
+{
+    return mImpl->localEndpoint();
+}
+
+void HttpServer::setLimits(HttpLimits limits)
+{
+    mImpl->setLimits(limits);
+}
+
+void HttpServer::beginDrain()
+{
+    mImpl->beginDrain();
+}
+
+void HttpServer::stopListening()
+{
+    mImpl->stop();
+}
+
+void HttpServer::closeIdle()
+{
+    mImpl->closeIdle();
+}
+
+} // namespace Loom
--- /dev/null
+++ b/src/loomjunctiond/directdaemon.cpp
@@ -0,0 +1,154 @@
+/*
+ * directdaemon.cpp
+ * Copyright 2026, the loomjunction authors
+ *
+ * This file is part of loomjunction (loomjunctiond).
+ * SPDX-License-Identifier: BSD-2-Clause
+ */
+
+#include "directdaemon.h"
+
+#include "addressfront.h"
+#include "directconfig.h"
+#include "feedservice.h"
+#include "gatewayfront.h"
+#include "jsonlog.h"
+#include "memberservice.h"
+#include "peerhub.h"
+#include "platform.h"
+#include "replicaservice.h"
+#include "statsfront.h"
+
+#include <csignal>
+#include <random>
+
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+
+namespace Loom {
+
+namespace {
+
+// Last answers and frames leave before the loop ends.
+constexpr std::chrono::milliseconds sLastWords{100};
+
+std::uint64_t newIncarnation()
+{
+    std::random_device device;
+    // Positive as a signed number, so that it stands in JSON unchanged.
+    return (std::uint64_t{device()} << 31 | device() >> 1) & 0x3fffffffffffffffULL;
+}
+
+} // namespace
+
+DirectDaemon::DirectDaemon(std::string settingsPath, DirectSettings settings)
+    : mSettingsPath(std::move(settingsPath))
+    , mSettings(std::move(settings))
+    , mIncarnation(newIncarnation())
+    , mPorts(Platform::makePorts(mContext.get_executor(), mSettings))
+    , mKernel(mContext.get_executor())
+    , mSignals(mContext, SIGTERM, SIGINT, SIGHUP)
+{
+    std::signal(SIGPIPE, SIG_IGN);
+    addServices();
+}
+
+DirectDaemon::~DirectDaemon() = default;
+
+void DirectDaemon::addServices()
+{
+    const auto preference = mSettings.isGateway() ? FeedPreference::Store : FeedPreference::Peers;
+    mKernel.add(std::make_unique<PeerHub>(mSettings.peers));
+    mKernel.add(std::make_unique<FeedService>(*mPorts.store, mSettings.box, preference));
+    mKernel.add(std::make_unique<MemberService>(*mPorts.store, mSettings, mIncarnation));
+    mKernel.add(std::make_unique<DirectConfig>(*mPorts.records, mSettings.bounds));
+    if (mSettings.isGateway()) {
+        addGateway();
+    } else {
+        addStager();
+    }
+    if (mSettings.metrics) {
+        mKernel.add(std::make_unique<StatsFront>(mMetrics, *mSettings.metrics));
+    }
+}
+
+void DirectDaemon::addGateway()
+{
+    mKernel.add(std::make_unique<ReplicaService>(*mPorts.records, mMetrics, mSettings));
+    mKernel.add(std::make_unique<GatewayFront>(*mPorts.calls, mMetrics, mSettings));
+    mKernel.add(std::make_unique<AddressFront>(*mPorts.calls, mSettings));
+}
+
+void DirectDaemon::addStager() { }
+
+tl::expected<void, std::string> DirectDaemon::run()
+{
+    auto started = mKernel.start();
+    if (!started) {
+        return started;
+    }
+    logLine(LogLevel::Info, "started",
+            {{"role", mSettings.isGateway() ? "gateway" : "stager"},
+             {"incarnation", mIncarnation},
+             {"dataCentre", mSettings.dataCentre},
+             {"peers", endpointText(mSettings.peers)},
+             {"store", endpointText(mSettings.store)}});
+    waitForSignal();
+    mContext.run();
+    logLine(LogLevel::Info, "stopped", {});
+    return {};
+}
+
+void DirectDaemon::waitForSignal()
+{
+    mSignals.async_wait([this](const boost::system::error_code &error, int signal) {
+        if (error) {
+            return;
+        }
+        if (signal == SIGHUP) {
+            reload();
+        } else {
+            beginStop();
+        }
+        waitForSignal();
+    });
+}
+
+void DirectDaemon::reload()
+{
+    const auto settings = loadDirectSettings(mSettingsPath);
+    if (!settings) {
+        logLine(LogLevel::Error, "reload-refused", {{"problem", settings.error()}});
+        return;
+    }
+    // Addresses and role belong to a life of the process; bounds may change in it.
+    mSettings.bounds = settings->bounds;
+    mSettings.logLevel = settings->logLevel;
+    mKernel.find<DirectConfig>(DirectConfig::sName).setBounds(mSettings.bounds);
+    logLine(LogLevel::Info, "reloaded",
+            {{"stopMs", mSettings.bounds.stopTime.count()},
+             {"weightsMs", mSettings.bounds.weightsTime.count()}});
+}
+
+// The first call drains, a second one stops at once.
+void DirectDaemon::beginStop()
+{
+    if (mStopping) {
+        logLine(LogLevel::Warning, "stopping-at-once", {});
+        mContext.stop();
+        return;
+    }
+    mStopping = true;
+    logLine(LogLevel::Info, "stopping", {});
+    asio::co_spawn(mContext, drainAndStop(), asio::detached);
+}
+
+awaitable<void> DirectDaemon::drainAndStop()
+{
+    co_await mKernel.drain();
+    mKernel.stop();
+    co_await sleepFor(sLastWords);
+    mContext.stop();
+}
+
+} // namespace Loom
--- a/src/loomjunctiond/main.cpp
+++ b/src/loomjunctiond/main.cpp
@@ -16,6 +16,7 @@
 #include "configservice.h"
 #include "configtail.h"
 #include "daemonsettings.h"
+#include "directdaemon.h"
 #include "jsonlog.h"
 #include "kernel.h"
 #include "linkservice.h"
@@ -143,6 +144,28 @@
     bool mStopping = false;
 };
 
+// The roles that work with replicas directly; see docs/decisions/0007-platform.md.
+int runDirect(const std::string &path, bool checkOnly)
+{
+    auto settings = loadDirectSettings(path);
+    if (!settings) {
+        std::cerr << settings.error() << "\n";
+        return sExitSettings;
+    }
+    if (checkOnly) {
+        std::cout << path << ": well\n";
+        return 0;
+    }
+    initializeLog("loomjunctiond", settings->box, settings->logLevel);
+    DirectDaemon daemon(path, std::move(*settings));
+    const auto ended = daemon.run();
+    if (!ended) {
+        std::cerr << ended.error() << "\n";
+        return sExitStart;
+    }
+    return 0;
+}
+
 } // namespace
 
 int main(int argc, char **argv)
@@ -154,6 +177,9 @@
     app.add_flag("--check", checkOnly, "only check the settings file");
     CLI11_PARSE(app, argc, argv);
 
+    if (isDirectRole(path)) {
+        return runDirect(path, checkOnly);
+    }
     auto settings = loadDaemonSettings(path);
     if (!settings) {
         std::cerr << settings.error() << "\n";
