Agents stage weights and report load; weight exchange moves into the library

Cause: replicas that are added come empty, and named versions reached none. WeightFetch, ChunkStore and the new ChunkServer know no platform any more and serve both agents.

--- /dev/null
+++ b/src/libloomjunction/core/reloadturn.cpp
@@ -0,0 +1,53 @@
+/*
+ * reloadturn.cpp
+ * Copyright 2026, the loomjunction authors
+ *
+ * This file is part of loomjunction (libloomjunction).
+ * SPDX-License-Identifier: BSD-2-Clause
+ */
+
+#include "reloadturn.h"
+
+#include "rendezvous.h"
+
+#include <algorithm>
+#include <vector>
+
+namespace Loom {
+
+namespace {
+
+// Chunks take about a quarter of the time to arrive. After the last turn a
+// replica still has to end what is running, and to take the weights.
+constexpr double sFirstTurn = 0.25;
+constexpr double sLastTurn = 0.68;
+
+Milliseconds part(Milliseconds whole, double share)
+{
+    return Milliseconds(static_cast<std::int64_t>(static_cast<double>(whole.count()) * share));
+}
+
+} // namespace
+
+ReloadTurn::ReloadTurn(Milliseconds limit)
+    : mFirst(part(limit, sFirstTurn))
+    , mLast(part(limit, sLastTurn))
+{
+}
+
+Instant ReloadTurn::at(std::string_view versionKey, std::string_view self,
+                       std::span<const std::string> members, Instant namedAt) const
+{
+    std::vector<std::string> all(members.begin(), members.end());
+    if (std::ranges::find(all, self) == all.end()) {
+        all.emplace_back(self);
+    }
+    const auto order = rendezvousOrder(versionKey, all, all.size());
+    const auto own
+        = std::ranges::find_if(order, [&](std::size_t index) { return all[index] == self; });
+    const auto rank = static_cast<std::int64_t>(own - order.begin());
+    const auto last = std::max<std::int64_t>(static_cast<std::int64_t>(all.size()) - 1, 1);
+    return namedAt + mFirst + (mLast - mFirst) * rank / last;
+}
+
+} // namespace Loom
--- a/src/libloomjunction/core/weightsgoal.cpp
+++ b/src/libloomjunction/core/weightsgoal.cpp
@@ -48,6 +48,16 @@
     return oldest;
 }
 
+Instant WeightsGoal::learnedAt(std::string_view model, std::uint64_t version) const
+{
+    const auto it = mModels.find(model);
+    if (it == mModels.end()) {
+        return {};
+    }
+    const auto named = it->second.find(version);
+    return named == it->second.end() ? Instant() : named->second.learnedAt;
+}
+
 const NamedVersion *WeightsGoal::find(std::string_view model) const
 {
     const auto it = mModels.find(model);
--- a/src/libloomjunction/core/weightsgoal.h
+++ b/src/libloomjunction/core/weightsgoal.h
@@ -45,6 +45,9 @@
     std::uint64_t newest(std::string_view model) const;
     /** The oldest version that may begin a request that is sent now. */
     std::uint64_t oldestAllowed(std::string_view model, Instant now) const;
+    /** When @p version was named; the start of time where it was not. */
+    Instant learnedAt(std::string_view model, std::uint64_t version) const;
+    /** The newest version named for @p model; null: none. */
     const NamedVersion *find(std::string_view model) const;
 
 private:
--- a/src/libloomjunction/gateway/memberservice.cpp
+++ b/src/libloomjunction/gateway/memberservice.cpp
@@ -153,7 +153,7 @@
         return;
     }
     logLine(LogLevel::Info, "member-came",
-            {{"member", key}, {"box", member->box}, {"incarnation", member->incarnation}});
+            {{"member", key}, {"memberBox", member->box}, {"incarnation", member->incarnation}});
     mMembers[key] = *member;
 }
 
--- /dev/null
+++ b/src/libloomjunction/gateway/stageservice.cpp
@@ -0,0 +1,484 @@
+/*
+ * stageservice.cpp
+ * Copyright 2026, the loomjunction authors
+ *
+ * This file is part of loomjunction (libloomjunction).
+ * SPDX-License-Identifier: BSD-2-Clause
+ */
+
+#include "stageservice.h"
+
+#include "clock.h"
+#include "digest.h"
+#include "directconfig.h"
+#include "jsonlog.h"
+#include "loadreporter.h"
+#include "memberservice.h"
+#include "metrics.h"
+#include "peerhub.h"
+#include "wire.pb.h"
+
+#include <algorithm>
+#include <random>
+
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+
+namespace Loom {
+
+namespace {
+
+constexpr std::string_view sManifestPath = "/manifest";
+// The engine is on this box; asking it costs a fraction of a millisecond.
+constexpr Milliseconds sLookEvery{50};
+constexpr Milliseconds sWeightsEvery{50};
+constexpr Milliseconds sRetryPause{200};
+// Gateways must have heard that the replica takes nothing before it is ordered to load.
+constexpr Milliseconds sTellFirst{30};
+constexpr std::chrono::milliseconds sPeerTime{1'000};
+// An order that got no answer and shows no effect for so long was not taken.
+constexpr Milliseconds sOrderLost{1'500};
+constexpr std::uint64_t sStoreBytes = std::uint64_t{48} * 1024 * 1024;
+// Live answers share the link with these: few at once keep its queue short.
+constexpr std::uint32_t sMostUploads = 2;
+constexpr std::uint32_t sOriginParallel = 2;
+constexpr std::uint32_t sPeerParallel = 3;
+constexpr std::uint32_t sNeighbours = 10;
+constexpr Milliseconds sTakeover{2'000};
+
+std::uint64_t randomSeed()
+{
+    std::random_device device;
+    return std::uint64_t{device()} << 32 | device();
+}
+
+std::string versionKey(std::string_view model, std::uint64_t version)
+{
+    return std::string(model) + "@" + std::to_string(version);
+}
+
+} // namespace
+
+StageService::StageService(EnginePort &engine, Metrics &metrics, const DirectSettings &settings)
+    : mEngine(engine)
+    , mMetrics(metrics)
+    , mSettings(settings)
+    , mStager(std::get<StagerSettings>(settings.role))
+{
+}
+
+tl::expected<void, std::string> StageService::start(Kernel &kernel)
+{
+    mConfig = &kernel.find<DirectConfig>(DirectConfig::sName);
+    mMembers = &kernel.find<MemberService>(MemberService::sName);
+    mHub = &kernel.find<PeerHub>(PeerHub::sName);
+    mReporter = &kernel.find<LoadReporter>(LoadReporter::sName);
+    mWake = std::make_unique<Signal>(kernel.executor());
+    mStore = std::make_unique<ChunkStore>(kernel.executor(), sStoreBytes);
+    mServer = std::make_unique<ChunkServer>(*mStore, mEgress, sMostUploads);
+    mHub->serve(std::string(sHavePath),
+                [this](PeerStreamPtr stream) { return mServer->serveHave(std::move(stream)); });
+    mHub->serve(std::string(sChunkPath),
+                [this](PeerStreamPtr stream) { return mServer->serveChunk(std::move(stream)); });
+    mHub->serve(std::string(sManifestPath),
+                [this](PeerStreamPtr stream) { return serveManifest(std::move(stream)); });
+    mConfig->addListener([this] { mWake->notify(); });
+    asio::co_spawn(kernel.executor(), drive(), asio::detached);
+    asio::co_spawn(kernel.executor(), drivePeers(), asio::detached);
+    return {};
+}
+
+void StageService::stop()
+{
+    mStopped = true;
+    mServer->stop();
+    if (mFetch) {
+        mFetch->cancel();
+    }
+    mWake->notify();
+}
+
+// Looks at the engine, and tells the gateways.
+awaitable<void> StageService::drive()
+{
+    while (!mStopped) {
+        co_await lookAtEngine();
+        co_await sleepFor(sLookEvery);
+    }
+}
+
+awaitable<bool> StageService::lookAtEngine()
+{
+    const EngineFigures *engine = figures();
+    auto report = co_await mEngine.report(engine == nullptr ? 0 : engine->layers);
+    const bool wasReached = mReport.has_value();
+    if (wasReached != report.has_value()) {
+        logLine(report ? LogLevel::Info : LogLevel::Warning,
+                report ? "engine-regained" : "engine-lost", {});
+    }
+    mReport = std::move(report);
+    tellLoad();
+    co_return mReport.has_value();
+}
+
+void StageService::tellLoad()
+{
+    ReplicaLoad load;
+    if (mReport) {
+        load.running = mReport->running;
+        load.waiting = mReport->waiting;
+        load.memoryUsed = mReport->memoryUsed;
+        load.memoryTotal = mReport->memoryTotal;
+        load.pace = mReport->pace;
+        const auto whole = std::ranges::find_if(mReport->loaded, &LoadedWeights::isWhole);
+        load.weightsVersion = whole == mReport->loaded.end() ? 0 : whole->version;
+    }
+    load.isAccepting = mReport && !mReport->isBusy && !mIsLoading;
+    mReporter->set(load);
+}
+
+const EngineFigures *StageService::figures() const
+{
+    const RouteTablePtr &table = mConfig->table();
+    if (!table) {
+        return nullptr;
+    }
+    const ServiceFigures *service = table->service(mStager.service);
+    return service == nullptr || !service->engine ? nullptr : &*service->engine;
+}
+
+std::optional<Tcp::endpoint> StageService::origin() const
+{
+    const RouteTablePtr &table = mConfig->table();
+    const OriginFigures *figures = table ? table->origin() : nullptr;
+    if (figures == nullptr) {
+        return std::nullopt;
+    }
+    const auto address = parseEndpoint(figures->address);
+    return address ? std::optional(*address) : std::nullopt;
+}
+
+std::uint64_t StageService::loadedVersion(std::string_view model) const
+{
+    if (!mReport) {
+        return 0;
+    }
+    for (const LoadedWeights &loaded : mReport->loaded) {
+        if (loaded.model == model && loaded.isWhole) {
+            return loaded.version;
+        }
+    }
+    return 0;
+}
+
+awaitable<void> StageService::drivePeers()
+{
+    while (!mStopped) {
+        if (mReport && figures() != nullptr && !figures()->models.empty()) {
+            co_await bringWeights();
+        }
+        co_await mWake->waitFor(sWeightsEvery);
+    }
+}
+
+// One step towards the newest named version.
+awaitable<void> StageService::bringWeights()
+{
+    const std::string model = figures()->models.front();
+    const std::uint64_t newest = mConfig->weights().newest(model);
+    const std::uint64_t loaded = loadedVersion(model);
+    if (mIsLoading) {
+        const bool isOver = !mReport->isBusy && now() - mOrderedAt > sOrderLost;
+        if (loaded == mOpened || isOver) {
+            logLine(
+                LogLevel::Info, "load-ended",
+                {{"model", model},
+                 {"version", mOpened},
+                 {"loaded", loaded},
+                 {"tookMs", std::chrono::duration_cast<Milliseconds>(now() - mOrderedAt).count()}});
+            mIsLoading = false;
+            tellLoad();
+        }
+        co_return;
+    }
+    const bool isInHand = mOpened != 0 && mStore->find(mDigest) != nullptr;
+    const bool isFetched = isInHand && mFetch && mFetch->isComplete();
+    // What is fetched whole is loaded before a newer one is begun: it is due sooner.
+    const bool isLoadDue = isFetched && loaded < mOpened;
+    if (isLoadDue) {
+        if (loaded == 0 || isMyTurn(model, mOpened)) {
+            co_await loadStaged(model, mOpened);
+        }
+        if (mOpened == newest || loaded == 0) {
+            co_return;
+        }
+    }
+    if (mOpened == newest && isInHand) {
+        co_return;
+    }
+    if (isLoadDue && mOpened < newest) {
+        co_return;
+    }
+    if (!co_await openVersion(model, newest)) {
+        co_await sleepFor(sRetryPause);
+        co_return;
+    }
+    co_await adoptStage(model);
+    beginFetch(model, newest);
+}
+
+bool StageService::isMyTurn(const std::string &model, std::uint64_t version) const
+{
+    const NamedVersion *named = mConfig->weights().find(model);
+    if (named == nullptr) {
+        return true;
+    }
+    std::vector<std::string> boxes;
+    for (const Member &member : mMembers->stagersOf(mStager.service)) {
+        boxes.push_back(member.box);
+    }
+    const ReloadTurn turn(mSettings.bounds.weightsTime);
+    const Instant learnedAt = mConfig->weights().learnedAt(model, version);
+    return now() >= turn.at(versionKey(model, version), mSettings.box, boxes, learnedAt);
+}
+
+// Gets the manifest of a version, so that its chunks can be fetched.
+awaitable<bool> StageService::openVersion(std::string model, std::uint64_t version)
+{
+    auto text = co_await manifestText(model, version);
+    if (!text) {
+        logLine(LogLevel::Warning, "manifest-missing",
+                {{"model", model}, {"version", version}, {"problem", text.error()}});
+        co_return false;
+    }
+    auto manifest = Manifest::parse(*text);
+    if (!manifest) {
+        logLine(LogLevel::Error, "manifest-unreadable", {{"problem", manifest.error()}});
+        co_return false;
+    }
+    if (mFetch) {
+        mFetch->cancel();
+        mFetch.reset();
+    }
+    mDigest = sha256Hex(*text);
+    mOpened = version;
+    if (mStore->find(mDigest) == nullptr) {
+        mStore->open(mDigest, std::move(*manifest), *text);
+    }
+    co_return true;
+}
+
+awaitable<tl::expected<std::string, std::string>> StageService::manifestText(std::string model,
+                                                                             std::uint64_t version)
+{
+    std::string problem = "no origin is configured";
+    if (const auto address = origin()) {
+        const auto manifest = co_await mEngine.manifest(*address, model, version);
+        if (manifest) {
+            co_return manifest->text();
+        }
+        problem = manifest.error();
+    }
+    std::string text = co_await manifestFromPeers(model, version);
+    if (!text.empty()) {
+        co_return std::move(text);
+    }
+    co_return tl::unexpected(std::move(problem));
+}
+
+awaitable<std::string> StageService::manifestFromPeers(std::string model, std::uint64_t version)
+{
+    for (const Member &member : mMembers->stagersOf(mStager.service)) {
+        const PeerStreamPtr stream = co_await mHub->open(member.peers, std::string(sManifestPath));
+        if (!stream) {
+            continue;
+        }
+        wire::ManifestRequest request;
+        request.set_model(model);
+        request.set_version(version);
+        stream->send(request);
+        const auto deadline = std::chrono::steady_clock::now() + sPeerTime;
+        const auto answer = co_await stream->receiveMessage<wire::ManifestAnswer>(deadline);
+        stream->reset();
+        if (answer && *answer && (*answer)->found()) {
+            co_return (*answer)->text();
+        }
+    }
+    co_return std::string();
+}
+
+awaitable<void> StageService::serveManifest(PeerStreamPtr stream)
+{
+    const auto deadline = std::chrono::steady_clock::now() + sPeerTime;
+    const auto request = co_await stream->receiveMessage<wire::ManifestRequest>(deadline);
+    if (!request || !*request) {
+        stream->reset();
+        co_return;
+    }
+    wire::ManifestAnswer answer;
+    const StoredVersion *stored = mStore->find(mDigest);
+    const bool isAsked = stored != nullptr && (*request)->version() == mOpened
+        && stored->manifest.service == (*request)->model();
+    if (isAsked) {
+        answer.set_found(true);
+        answer.set_text(stored->manifestText);
+    }
+    stream->send(answer);
+    stream->finish();
+}
+
+// What lies in the stage since an earlier life need not come over the network.
+awaitable<void> StageService::adoptStage(std::string model)
+{
+    const std::string digest = mDigest;
+    const std::uint32_t count = mStore->find(digest)->manifest.chunkCount();
+    std::uint32_t adopted = 0;
+    for (std::uint32_t index = 0; index < count && !mStopped; ++index) {
+        auto data = co_await mEngine.stageGet(model, index);
+        StoredVersion *stored = mStore->find(digest);
+        if (stored == nullptr) {
+            co_return;
+        }
+        const bool isRight = data && sha256Hex(*data) == stored->manifest.chunkDigests[index];
+        if (isRight && !stored->has[index]) {
+            mStore->put(digest, index, std::move(*data));
+            ++adopted;
+        }
+        // A stage that begins with another version holds nothing of this one.
+        if (!isRight && index == 0) {
+            break;
+        }
+    }
+    logLine(LogLevel::Info, "stage-adopted", {{"version", mOpened}, {"chunks", adopted}});
+}
+
+void StageService::beginFetch(const std::string &model, std::uint64_t version)
+{
+    ChunkPlan::Options options;
+    options.originParallel = sOriginParallel;
+    options.peerParallel = sPeerParallel;
+    options.neighbours = sNeighbours;
+    options.takeover = sTakeover;
+    options.seed = randomSeed();
+    WeightFetch::Parts parts{
+        {mSettings.box, mSettings.dataCentre},
+        [this](std::string box, std::string path) {
+            return openBox(std::move(box), std::move(path));
+        },
+        []() -> awaitable<std::string> { co_return std::string(); },
+        [this, model, version](std::uint32_t index) { return originChunk(model, version, index); },
+        *mStore,
+        mIngress,
+        mCounts,
+        [this] { return members(); },
+        [this] { mWake->notify(); }};
+    mFetch = std::make_shared<WeightFetch>(VersionTarget{std::to_string(version), mDigest}, options,
+                                           std::move(parts));
+    logLine(LogLevel::Info, "fetch-begun", {{"model", model}, {"version", version}});
+    asio::co_spawn(mWake->executor(), WeightFetch::run(mFetch), asio::detached);
+}
+
+awaitable<tl::expected<std::string, ChunkFailure>>
+StageService::originChunk(std::string model, std::uint64_t version, std::uint32_t index)
+{
+    const auto address = origin();
+    if (!address) {
+        co_return tl::unexpected(ChunkFailure::Gone);
+    }
+    auto data = co_await mEngine.piece(*address, model, version, index);
+    if (!data) {
+        co_return tl::unexpected(ChunkFailure::Gone);
+    }
+    mMetrics.count("loom_origin_bytes_total", model, data->size());
+    co_return std::move(*data);
+}
+
+std::vector<SwarmMember> StageService::members() const
+{
+    std::vector<SwarmMember> all;
+    for (const Member &member : mMembers->stagersOf(mStager.service)) {
+        all.push_back({member.box, member.dataCentre});
+    }
+    return all;
+}
+
+awaitable<PeerStreamPtr> StageService::openBox(std::string box, std::string path)
+{
+    for (const Member &member : mMembers->stagersOf(mStager.service)) {
+        if (member.box == box) {
+            co_return co_await mHub->open(member.peers, std::move(path));
+        }
+    }
+    co_return nullptr;
+}
+
+// Stages, reads back, and orders the load; false where it has to be tried again.
+awaitable<bool> StageService::loadStaged(std::string model, std::uint64_t version)
+{
+    if (mReport->isBusy) {
+        co_return false; // a load under way still reads the stage
+    }
+    if (!co_await isStageRight(model)) {
+        if (!co_await fillStage(model) || !co_await isStageRight(model)) {
+            co_await sleepFor(sRetryPause);
+            co_return false;
+        }
+    }
+    mIsLoading = true;
+    mOrderedAt = now();
+    tellLoad();
+    co_await sleepFor(sTellFirst);
+    if (!co_await lookAtEngine() || mReport->isBusy) {
+        mIsLoading = false;
+        co_return false;
+    }
+    const std::uint64_t ordersTaken = mReport->ordersTaken;
+    const OrderAnswer answer = co_await mEngine.load(model, version, ordersTaken);
+    logLine(LogLevel::Info, "load-ordered",
+            {{"model", model},
+             {"version", version},
+             {"answer", static_cast<int>(answer)},
+             {"ordersTaken", ordersTaken},
+             {"running", mReport ? mReport->running : 0}});
+    if (answer == OrderAnswer::Refused) {
+        mIsLoading = false;
+        co_await sleepFor(sRetryPause);
+    }
+    co_return answer != OrderAnswer::Refused;
+}
+
+awaitable<bool> StageService::fillStage(std::string model)
+{
+    const std::string digest = mDigest;
+    const std::uint32_t count = mStore->find(digest)->manifest.chunkCount();
+    for (std::uint32_t index = 0; index < count && !mStopped; ++index) {
+        const StoredVersion *stored = mStore->find(digest);
+        if (stored == nullptr || !stored->has[index]) {
+            co_return false;
+        }
+        std::string data = stored->chunks[index];
+        if (!co_await mEngine.stagePut(model, index, std::move(data))) {
+            logLine(LogLevel::Warning, "stage-put-failed", {{"index", index}});
+            co_return false;
+        }
+    }
+    co_return true;
+}
+
+awaitable<bool> StageService::isStageRight(std::string model)
+{
+    const std::string digest = mDigest;
+    const std::uint32_t count = mStore->find(digest)->manifest.chunkCount();
+    for (std::uint32_t index = 0; index < count && !mStopped; ++index) {
+        const auto data = co_await mEngine.stageGet(model, index);
+        const StoredVersion *stored = mStore->find(digest);
+        const bool isRight
+            = stored != nullptr && data && sha256Hex(*data) == stored->manifest.chunkDigests[index];
+        if (!isRight) {
+            co_return false;
+        }
+    }
+    co_return count > 0;
+}
+
+} // namespace Loom
--- /dev/null
+++ b/src/libloomjunction/gateway/stageservice.h
@@ -0,0 +1,98 @@
+/*
+ * stageservice.h
+ * Copyright 2026, the loomjunction authors
+ *
+ * This file is part of loomjunction (libloomjunction).
+ * SPDX-License-Identifier: BSD-2-Clause
+ */
+
+#pragma once
+
+#include "chunkserver.h"
+#include "chunkstore.h"
+#include "directsettings.h"
+#include "kernel.h"
+#include "ports.h"
+#include "reloadturn.h"
+#include "tokenbucket.h"
+#include "weightfetch.h"
+
+#include <memory>
+#include <optional>
+#include <string>
+
+namespace Loom {
+
+class DirectConfig;
+class LoadReporter;
+class MemberService;
+class Metrics;
+class PeerHub;
+
+/**
+ * Brings the named weights to the engine of this box: gets their chunks from
+ * the origin and other agents, puts them into the engine's stage when it is
+ * this box's turn, reads them back, and orders the load only when every one
+ * is right. Nobody else gives this engine orders.
+ */
+class StageService final : public Service
+{
+public:
+    static constexpr std::string_view sName = "stage";
+
+    StageService(EnginePort &engine, Metrics &metrics, const DirectSettings &settings);
+
+    std::string_view name() const override { return sName; }
+    tl::expected<void, std::string> start(Kernel &kernel) override;
+    void stop() override;
+
+private:
+    awaitable<void> drive();
+    awaitable<void> drivePeers();
+    awaitable<bool> lookAtEngine();
+    awaitable<void> bringWeights();
+    awaitable<bool> openVersion(std::string model, std::uint64_t version);
+    awaitable<tl::expected<std::string, std::string>> manifestText(std::string model,
+                                                                   std::uint64_t version);
+    awaitable<std::string> manifestFromPeers(std::string model, std::uint64_t version);
+    awaitable<void> adoptStage(std::string model);
+    awaitable<tl::expected<std::string, ChunkFailure>>
+    originChunk(std::string model, std::uint64_t version, std::uint32_t index);
+    void beginFetch(const std::string &model, std::uint64_t version);
+    awaitable<bool> loadStaged(std::string model, std::uint64_t version);
+    awaitable<bool> fillStage(std::string model);
+    awaitable<bool> isStageRight(std::string model);
+    bool isMyTurn(const std::string &model, std::uint64_t version) const;
+    awaitable<void> serveManifest(PeerStreamPtr stream);
+    std::vector<SwarmMember> members() const;
+    awaitable<PeerStreamPtr> openBox(std::string box, std::string path);
+    std::optional<Tcp::endpoint> origin() const;
+    const EngineFigures *figures() const;
+    std::uint64_t loadedVersion(std::string_view model) const;
+    void tellLoad();
+
+    EnginePort &mEngine;
+    Metrics &mMetrics;
+    const DirectSettings &mSettings;
+    const StagerSettings &mStager;
+    DirectConfig *mConfig = nullptr;
+    MemberService *mMembers = nullptr;
+    PeerHub *mHub = nullptr;
+    LoadReporter *mReporter = nullptr;
+    std::unique_ptr<ChunkStore> mStore;
+    TokenBucket mIngress{0, 0};
+    TokenBucket mEgress{0, 0};
+    std::unique_ptr<ChunkServer> mServer;
+    FetchCounts mCounts;
+    std::shared_ptr<WeightFetch> mFetch;
+    std::unique_ptr<Signal> mWake;
+
+    std::optional<EngineReport> mReport;
+    std::string mDigest; ///< of the manifest of the version in hand
+    std::uint64_t mOpened = 0; ///< the version in hand; zero: none
+    Instant mOrderedAt;
+    bool mIsLoading = false; ///< an order is out and the engine has not said it is done
+    bool mStopped = false;
+};
+
+} // namespace Loom
--- /dev/null
+++ b/src/libloomjunction/weights/chunkserver.cpp
@@ -0,0 +1,94 @@
+/*
+ * chunkserver.cpp
+ * Copyright 2026, the loomjunction authors
+ *
+ * This file is part of loomjunction (libloomjunction).
+ * SPDX-License-Identifier: BSD-2-Clause
+ */
+
+#include "chunkserver.h"
+
+#include "clock.h"
+#include "wire.pb.h"
+
+namespace Loom {
+
+namespace {
+
+constexpr std::chrono::milliseconds sHaveEvery{10};
+constexpr std::chrono::milliseconds sHaveKeepAlive{1'000};
+constexpr std::chrono::milliseconds sRequestTimeout{5'000};
+
+} // namespace
+
+ChunkServer::ChunkServer(ChunkStore &store, TokenBucket &egress, std::uint32_t mostUploads)
+    : mStore(store)
+    , mEgress(egress)
+    , mMostUploads(mostUploads)
+{
+}
+
+awaitable<void> ChunkServer::serveHave(PeerStreamPtr stream)
+{
+    const auto deadline = std::chrono::steady_clock::now() + sRequestTimeout;
+    const auto request = co_await stream->receiveMessage<wire::HaveRequest>(deadline);
+    if (!request || !*request) {
+        stream->reset();
+        co_return;
+    }
+    const std::string digest = (*request)->manifest_digest();
+    std::size_t sent = 0;
+    Instant lastSent;
+    while (stream->isOpen() && !mStopped) {
+        const StoredVersion *stored = mStore.find(digest);
+        const std::size_t count = stored == nullptr ? 0 : stored->order.size();
+        const bool quiet = now() - lastSent >= sHaveKeepAlive;
+        if (count < sent) {
+            stream->reset(); // dropped and begun anew: the follower must forget it all
+            co_return;
+        }
+        if (count > sent || quiet) {
+            wire::HaveUpdate update;
+            for (; sent < count; ++sent) {
+                update.add_added(stored->order[sent]);
+            }
+            stream->send(update);
+            lastSent = now();
+            // Chunks that come close together go out in one update.
+            co_await sleepFor(sHaveEvery);
+            continue;
+        }
+        co_await mStore.added().waitFor(sHaveKeepAlive);
+    }
+}
+
+awaitable<void> ChunkServer::serveChunk(PeerStreamPtr stream)
+{
+    const auto deadline = std::chrono::steady_clock::now() + sRequestTimeout;
+    const auto request = co_await stream->receiveMessage<wire::ChunkRequest>(deadline);
+    if (!request || !*request) {
+        stream->reset();
+        co_return;
+    }
+    wire::ChunkAnswer answer;
+    const std::uint32_t index = (*request)->index();
+    const StoredVersion *stored = mStore.find((*request)->manifest_digest());
+    if (stored != nullptr && (*request)->manifest()) {
+        answer.set_found(true);
+        answer.set_data(stored->manifestText);
+    } else if (stored != nullptr && index < stored->has.size() && stored->has[index]) {
+        if (mUploads >= mMostUploads) {
+            answer.set_busy(true);
+        } else {
+            ++mUploads;
+            answer.set_found(true);
+            answer.set_data(stored->chunks[index]);
+            co_await sleepFor(mEgress.take(answer.data().size(), now()));
+            --mUploads;
+        }
+    }
+    stream->send(answer);
+    stream->finish();
+}
+
+} // namespace Loom
--- /dev/null
+++ b/src/libloomjunction/weights/chunkserver.h
@@ -0,0 +1,47 @@
+/*
+ * chunkserver.h
+ * Copyright 2026, the loomjunction authors
+ *
+ * This file is part of loomjunction (libloomjunction).
+ * SPDX-License-Identifier: BSD-2-Clause
+ */
+
+#pragma once
+
+#include "chunkstore.h"
+#include "peerstream.h"
+#include "tokenbucket.h"
+
+#include <cstdint>
+#include <string_view>
+
+namespace Loom {
+
+/** Stream paths on which agents exchange chunks. */
+inline constexpr std::string_view sHavePath = "/have";
+inline constexpr std::string_view sChunkPath = "/chunk";
+
+/** Gives other agents the chunks that this one holds, at the pace of its link. */
+class ChunkServer
+{
+public:
+    /** @p mostUploads: chunks on their way out at once; more are told that this box is busy. */
+    ChunkServer(ChunkStore &store, TokenBucket &egress, std::uint32_t mostUploads);
+
+    /** Tells which chunks of a version are here, as they come. */
+    awaitable<void> serveHave(PeerStreamPtr stream);
+    /** Answers one request for a chunk or a manifest. */
+    awaitable<void> serveChunk(PeerStreamPtr stream);
+    void stop() { mStopped = true; }
+
+    std::uint32_t uploads() const { return mUploads; }
+
+private:
+    ChunkStore &mStore;
+    TokenBucket &mEgress;
+    std::uint32_t mMostUploads;
+    std::uint32_t mUploads = 0;
+    bool mStopped = false;
+};
+
+} // namespace Loom
--- a/src/loomjunctiond/chunkstore.h
+++ b/src/libloomjunction/weights/chunkstore.h
@@ -2,7 +2,7 @@
  * chunkstore.h
  * Copyright 2026, the loomjunction authors
  *
- * This file is part of loomjunction (loomjunctiond).
+ * This file is part of loomjunction (libloomjunction).
  * SPDX-License-Identifier: BSD-2-Clause
  */
 
--- a/src/loomjunctiond/weightfetch.cpp
+++ b/src/libloomjunction/weights/weightfetch.cpp
@@ -2,19 +2,19 @@
  * weightfetch.cpp
  * Copyright 2026, the loomjunction authors
  *
- * This file is part of loomjunction (loomjunctiond).
+ * This file is part of loomjunction (libloomjunction).
  * SPDX-License-Identifier: BSD-2-Clause
  */
 
 #include "weightfetch.h"
 
-#include "agentlinks.h"
+#include "chunkserver.h"
 #include "clock.h"
 #include "digest.h"
 #include "jsonlog.h"
 #include "overload.h"
-#include "platformservice.h"
 #include "rendezvous.h"
+#include "wire.pb.h"
 
 #include <algorithm>
 
@@ -33,7 +33,6 @@
 constexpr double sChunkTimeWeight = 0.1;
 constexpr std::chrono::milliseconds sLeastChunkTimeout{1'000};
 constexpr std::chrono::milliseconds sMostChunkTimeout{10'000};
-constexpr std::chrono::milliseconds sOriginTimeout{60'000};
 constexpr std::chrono::milliseconds sPlanStep{100};
 constexpr std::chrono::milliseconds sFollowRetry{500};
 // The other side sends an empty update at least this often.
@@ -83,7 +82,7 @@
         beginPlan(*stored);
         co_return true;
     }
-    const std::string &self = mParts.platform.box();
+    const std::string &self = mParts.self.box;
     const std::string key = "manifest/" + mTarget.manifestDigest;
     const Instant begun = now();
     for (std::uint64_t round = 0; !mCancelled; ++round) {
@@ -130,10 +129,8 @@
 
 void WeightFetch::beginPlan(StoredVersion &stored)
 {
-    const PlatformService &platform = mParts.platform;
     mPlan = std::make_unique<ChunkPlan>(mTarget.manifestDigest, stored.manifest.chunkCount(),
-                                        SwarmMember{platform.box(), platform.settings().dataCentre},
-                                        mOptions, now());
+                                        mParts.self, mOptions, now());
     for (std::uint32_t index = 0; index < stored.has.size(); ++index) {
         if (stored.has[index]) {
             mPlan->adopt(index);
@@ -143,23 +140,20 @@
 
 awaitable<std::string> WeightFetch::manifestFromOrigin()
 {
-    HttpCall call{mParts.platform.settings().origin,
-                  "GET",
-                  "/manifests/" + mTarget.manifestDigest,
-                  {},
-                  {},
-                  sManifestTimeout};
-    const auto response = co_await mParts.platform.http().send(std::move(call));
-    if (!response || response->status != 200) {
-        co_return std::string();
-    }
-    mParts.counts.originBytes += response->body.size();
-    co_return response->body;
+    std::string text = co_await mParts.originManifest();
+    mParts.counts.originBytes += text.size();
+    co_return text;
+}
+
+awaitable<PeerStreamPtr> WeightFetch::openPeer(std::string box, std::string_view path)
+{
+    std::string named(path);
+    co_return co_await mParts.open(std::move(box), std::move(named));
 }
 
 awaitable<std::string> WeightFetch::manifestFromPeer(std::string box)
 {
-    const PeerStreamPtr stream = co_await mParts.links.open(std::move(box), "/chunk");
+    const PeerStreamPtr stream = co_await openPeer(std::move(box), sChunkPath);
     if (!stream) {
         co_return std::string();
     }
@@ -208,11 +202,11 @@
         return !self->mCancelled && !self->mPlan->isComplete() && self->mPlan->isNeighbour(box);
     };
     while (isWanted()) {
-        const PeerStreamPtr stream = co_await self->mParts.links.open(box, "/have");
+        const PeerStreamPtr stream = co_await self->openPeer(box, sHavePath);
         if (stream) {
             wire::HaveRequest request;
             request.set_manifest_digest(self->mTarget.manifestDigest);
-            request.set_box(self->mParts.platform.box());
+            request.set_box(self->mParts.self.box);
             stream->send(request);
             while (isWanted()) {
                 const auto deadline = std::chrono::steady_clock::now() + sFollowSilence;
@@ -248,17 +242,11 @@
 
 awaitable<tl::expected<std::string, ChunkFailure>> WeightFetch::fromOrigin(std::uint32_t index)
 {
-    HttpCall call;
-    call.endpoint = mParts.platform.settings().origin;
-    call.method = "GET";
-    call.target = "/chunks/" + mTarget.manifestDigest + "/" + std::to_string(index);
-    call.timeout = sOriginTimeout;
-    auto response = co_await mParts.platform.http().send(std::move(call));
-    if (!response || response->status != 200) {
-        co_return tl::unexpected(ChunkFailure::Gone);
+    auto data = co_await mParts.originChunk(index);
+    if (data) {
+        mParts.counts.originBytes += data->size();
     }
-    mParts.counts.originBytes += response->body.size();
-    co_return std::move(response->body);
+    co_return std::move(data);
 }
 
 std::chrono::milliseconds WeightFetch::chunkTimeout() const
@@ -274,7 +262,7 @@
 awaitable<tl::expected<std::string, ChunkFailure>> WeightFetch::fromPeer(std::uint32_t index,
                                                                          std::string box)
 {
-    const PeerStreamPtr stream = co_await mParts.links.open(std::move(box), "/chunk");
+    const PeerStreamPtr stream = co_await openPeer(std::move(box), sChunkPath);
     if (!stream) {
         co_return tl::unexpected(ChunkFailure::Gone);
     }
--- a/src/loomjunctiond/weightfetch.h
+++ b/src/libloomjunction/weights/weightfetch.h
@@ -2,7 +2,7 @@
  * weightfetch.h
  * Copyright 2026, the loomjunction authors
  *
- * This file is part of loomjunction (loomjunctiond).
+ * This file is part of loomjunction (libloomjunction).
  * SPDX-License-Identifier: BSD-2-Clause
  */
 
@@ -23,9 +23,6 @@
 
 namespace Loom {
 
-class AgentLinks;
-class PlatformService;
-
 /** Bytes moved by the fetches of one agent. */
 struct FetchCounts
 {
@@ -43,8 +40,14 @@
 public:
     struct Parts
     {
-        PlatformService &platform;
-        AgentLinks &links;
+        SwarmMember self;
+        /** A stream to another agent; null where it cannot be reached. */
+        std::function<awaitable<PeerStreamPtr>(std::string box, std::string path)> open;
+        /** The manifest's text; empty where the origin does not give it. */
+        std::function<awaitable<std::string>()> originManifest;
+        /** A chunk as the origin sends it, not verified yet. */
+        std::function<awaitable<tl::expected<std::string, ChunkFailure>>(std::uint32_t index)>
+            originChunk;
         ChunkStore &store;
         TokenBucket &ingress;
         FetchCounts &counts;
@@ -59,12 +62,14 @@
     void cancel();
 
     const VersionTarget &target() const { return mTarget; }
+    bool isComplete() const { return mPlan && mPlan->isComplete(); }
     std::uint32_t haveCount() const { return mPlan ? mPlan->haveCount() : 0; }
     std::uint32_t chunkCount() const { return mPlan ? mPlan->chunkCount() : 0; }
 
 private:
     awaitable<bool> fetchManifest();
     awaitable<std::string> manifestFromOrigin();
+    awaitable<PeerStreamPtr> openPeer(std::string box, std::string_view path);
     awaitable<std::string> manifestFromPeer(std::string box);
     bool keepManifest(const std::string &text);
     void beginPlan(StoredVersion &stored);
--- a/src/loomjunctiond/agentport.cpp
+++ b/src/loomjunctiond/agentport.cpp
@@ -59,9 +59,9 @@
     } else if (path == "/status") {
         co_await serveStatus(std::move(stream));
     } else if (path == "/have") {
-        co_await mWeights->serveHave(std::move(stream));
+        co_await mWeights->server().serveHave(std::move(stream));
     } else if (path == "/chunk") {
-        co_await mWeights->serveChunk(std::move(stream));
+        co_await mWeights->server().serveChunk(std::move(stream));
     } else {
         mPlatform->metrics().count("unknown_streams");
         stream->reset();
--- a/src/loomjunctiond/directdaemon.cpp
+++ b/src/loomjunctiond/directdaemon.cpp
@@ -13,10 +13,12 @@
 #include "feedservice.h"
 #include "gatewayfront.h"
 #include "jsonlog.h"
+#include "loadreporter.h"
 #include "memberservice.h"
 #include "peerhub.h"
 #include "platform.h"
 #include "replicaservice.h"
+#include "stageservice.h"
 #include "statsfront.h"
 
 #include <csignal>
@@ -79,7 +81,12 @@
     mKernel.add(std::make_unique<AddressFront>(*mPorts.calls, mSettings));
 }
 
-void DirectDaemon::addStager() { }
+void DirectDaemon::addStager()
+{
+    const auto &stager = std::get<StagerSettings>(mSettings.role);
+    mKernel.add(std::make_unique<LoadReporter>(endpointText(stager.engine)));
+    mKernel.add(std::make_unique<StageService>(*mPorts.engine, mMetrics, mSettings));
+}
 
 tl::expected<void, std::string> DirectDaemon::run()
 {
--- a/src/loomjunctiond/weightservice.cpp
+++ b/src/loomjunctiond/weightservice.cpp
@@ -30,11 +30,10 @@
 namespace {
 
 constexpr std::chrono::milliseconds sDriveStep{200};
-constexpr std::chrono::milliseconds sHaveEvery{10};
-constexpr std::chrono::milliseconds sHaveKeepAlive{1'000};
-constexpr std::chrono::milliseconds sRequestTimeout{5'000};
 constexpr std::chrono::milliseconds sStatusTimeout{500};
 constexpr std::chrono::milliseconds sEngineTimeout{30'000};
+constexpr std::chrono::milliseconds sManifestTimeout{5'000};
+constexpr std::chrono::milliseconds sOriginTimeout{60'000};
 // A wave that does not finish in this time does not hold the next one up.
 constexpr std::chrono::seconds sWaveLimit{10};
 // Chunks on their way out at once; more are told that this box is busy.
@@ -51,6 +50,7 @@
     , mStore(executor, settings.weightCacheMib * sMib)
     , mIngress(static_cast<double>(settings.linkMbit) * sBytesPerMbit, sBurstBytes)
     , mEgress(static_cast<double>(settings.linkMbit) * sBytesPerMbit, sBurstBytes)
+    , mServer(mStore, mEgress, sMostUploads)
     , mRate(static_cast<double>(settings.linkMbit) * sBytesPerMbit)
     , mWake(executor)
 {
@@ -78,6 +78,7 @@
 void WeightService::stop()
 {
     mStopped = true;
+    mServer.stop();
     if (mFetch) {
         mFetch->cancel();
     }
@@ -114,7 +115,7 @@
 
 void WeightService::noteLiveLatency(Microseconds latency)
 {
-    const bool transferring = mUploads > 0 || mUpstream->versions().fetching().has_value();
+    const bool transferring = mServer.uploads() > 0 || mUpstream->versions().fetching().has_value();
     mRate.noteLatency(latency, transferring);
 }
 
@@ -167,18 +168,24 @@
     options.originCopies
         = static_cast<std::uint32_t>(mConfig->state().integer(service, "rollout.originCopies"));
     options.seed = mPlatform->random();
-    WeightFetch::Parts parts{*mPlatform,
-                             *mLinks,
-                             mStore,
-                             mIngress,
-                             mCounts,
-                             [this] { return members(); },
-                             [this, target] {
-                                 mUpstream->versions().fetched(target.version,
-                                                               target.manifestDigest);
-                                 mWake.notify();
-                                 mUpstream->noteChange();
-                             }};
+    const auto open = [this](std::string box, std::string path) {
+        return mLinks->open(std::move(box), std::move(path));
+    };
+    const std::string digest = target.manifestDigest;
+    WeightFetch::Parts parts{
+        {mPlatform->box(), mPlatform->settings().dataCentre},
+        open,
+        [this, digest] { return originManifest(digest); },
+        [this, digest](std::uint32_t index) { return originChunk(digest, index); },
+        mStore,
+        mIngress,
+        mCounts,
+        [this] { return members(); },
+        [this, target] {
+            mUpstream->versions().fetched(target.version, target.manifestDigest);
+            mWake.notify();
+            mUpstream->noteChange();
+        }};
     mFetch = std::make_shared<WeightFetch>(target, options, std::move(parts));
     logLine(LogLevel::Info, "fetch-begun", {{"version", target.version}});
     mHanded.erase(target.manifestDigest);
@@ -186,6 +193,35 @@
     asio::co_spawn(mExecutor, handWhileFetching(mFetch), asio::detached);
 }
 
+awaitable<std::string> WeightService::originManifest(std::string digest)
+{
+    HttpCall call;
+    call.endpoint = mPlatform->settings().origin;
+    call.method = "GET";
+    call.target = "/manifests/" + digest;
+    call.timeout = sManifestTimeout;
+    const auto response = co_await mPlatform->http().send(std::move(call));
+    if (!response || response->status != 200) {
+        co_return std::string();
+    }
+    co_return response->body;
+}
+
+awaitable<tl::expected<std::string, ChunkFailure>> WeightService::originChunk(std::string digest,
+                                                                              std::uint32_t index)
+{
+    HttpCall call;
+    call.endpoint = mPlatform->settings().origin;
+    call.method = "GET";
+    call.target = "/chunks/" + digest + "/" + std::to_string(index);
+    call.timeout = sOriginTimeout;
+    auto response = co_await mPlatform->http().send(std::move(call));
+    if (!response || response->status != 200) {
+        co_return tl::unexpected(ChunkFailure::Gone);
+    }
+    co_return std::move(response->body);
+}
+
 awaitable<bool> WeightService::isMyTurn()
 {
     const std::string &service = mUpstream->settings().service;
@@ -309,67 +345,4 @@
     co_return response && response->status == 200;
 }
 
-awaitable<void> WeightService::serveHave(PeerStreamPtr stream)
-{
-    const auto deadline = std::chrono::steady_clock::now() + sRequestTimeout;
-    const auto request = co_await stream->receiveMessage<wire::HaveRequest>(deadline);
-    if (!request || !*request) {
-        stream->reset();
-        co_return;
-    }
-    const std::string digest = (*request)->manifest_digest();
-    std::size_t sent = 0;
-    Instant lastSent;
-    while (stream->isOpen() && !mStopped) {
-        const StoredVersion *stored = mStore.find(digest);
-        const std::size_t count = stored == nullptr ? 0 : stored->order.size();
-        const bool quiet = now() - lastSent >= sHaveKeepAlive;
-        if (count < sent) {
-            stream->reset(); // dropped and begun anew: the follower must forget it all
-            co_return;
-        }
-        if (count > sent || quiet) {
-            wire::HaveUpdate update;
-            for (; sent < count; ++sent) {
-                update.add_added(stored->order[sent]);
-            }
-            stream->send(update);
-            lastSent = now();
-            // Chunks that come close together go out in one update.
-            co_await sleepFor(sHaveEvery);
-            continue;
-        }
-        co_await mStore.added().waitFor(sHaveKeepAlive);
-    }
-}
-
-awaitable<void> WeightService::serveChunk(PeerStreamPtr stream)
-{
-    const auto deadline = std::chrono::steady_clock::now() + sRequestTimeout;
-    const auto request = co_await stream->receiveMessage<wire::ChunkRequest>(deadline);
-    if (!request || !*request) {
-        stream->reset();
-        co_return;
-    }
-    wire::ChunkAnswer answer;
-    const std::uint32_t index = (*request)->index();
-    const StoredVersion *stored = mStore.find((*request)->manifest_digest());
-    if (stored != nullptr && (*request)->manifest()) {
-        answer.set_found(true);
-        answer.set_data(stored->manifestText);
-    } else if (stored != nullptr && index < stored->has.size() && stored->has[index]) {
-        if (mUploads >= sMostUploads) {
-            answer.set_busy(true);
-        } else {
-            ++mUploads;
-            answer.set_found(true);
-            answer.set_data(stored->chunks[index]);
-            co_await sleepFor(mEgress.take(answer.data().size(), now()));
-            --mUploads;
-        }
-    }
-    stream->send(answer);
-    stream->finish();
-}
-
 } // namespace Loom
--- a/src/loomjunctiond/weightservice.h
+++ b/src/loomjunctiond/weightservice.h
@@ -8,6 +8,7 @@
 
 #pragma once
 
+#include "chunkserver.h"
 #include "chunkstore.h"
 #include "daemonsettings.h"
 #include "kernel.h"
@@ -45,8 +46,8 @@
     tl::expected<void, std::string> start(Kernel &kernel) override;
     void stop() override;
 
-    awaitable<void> serveHave(PeerStreamPtr stream);
-    awaitable<void> serveChunk(PeerStreamPtr stream);
+    /** Gives other agents what this one holds. */
+    ChunkServer &server() { return mServer; }
 
     /** First-byte latency of a live request at this box. */
     void noteLiveLatency(Microseconds latency);
@@ -64,6 +65,9 @@
     awaitable<void> handWhileFetching(std::shared_ptr<WeightFetch> fetch);
     awaitable<bool> handToEngine(const VersionTarget &target);
     awaitable<bool> handChunk(std::string digest, std::uint32_t index);
+    awaitable<std::string> originManifest(std::string digest);
+    awaitable<tl::expected<std::string, ChunkFailure>> originChunk(std::string digest,
+                                                                   std::uint32_t index);
     awaitable<bool> isMyTurn();
     awaitable<bool> hasLoaded(std::string box, std::string version);
     std::optional<VersionTarget> targetNamed(std::string_view key) const;
@@ -79,11 +83,11 @@
     ChunkStore mStore;
     TokenBucket mIngress;
     TokenBucket mEgress;
+    ChunkServer mServer;
     YieldingRate mRate;
     FetchCounts mCounts;
     std::shared_ptr<WeightFetch> mFetch;
     std::set<std::string> mHanded; ///< manifests whose chunks the engine has been given
-    std::uint32_t mUploads = 0;
     Signal mWake;
     Instant mWaitingSince;
     bool mWasWaiting = false;
