--- a/src/libloomjunction/core/chunkplan.cpp
+++ b/src/libloomjunction/core/chunkplan.cpp
@@ -85,9 +85,14 @@
     for (std::uint32_t index = 0; index < mChunks.size(); ++index) {
         const std::string key = mDigest + "#" + std::to_string(index);
         const std::uint64_t own = rendezvousWeight(key, mSelf.box);
-        mChunks[index].originRank = static_cast<std::uint32_t>(
+        const auto isBefore = [&](const SwarmMember &member) {
+            return member.box != mSelf.box && rendezvousWeight(key, member.box) > own;
+        };
+        mChunks[index].originRank
+            = static_cast<std::uint32_t>(std::ranges::count_if(mMembers, isBefore));
+        mChunks[index].importRank = static_cast<std::uint32_t>(
             std::ranges::count_if(mMembers, [&](const SwarmMember &member) {
-                return member.box != mSelf.box && rendezvousWeight(key, member.box) > own;
+                return member.dataCentre == mSelf.dataCentre && isBefore(member);
             }));
     }
 }
@@ -249,6 +254,16 @@
     return chunk.holders == 0 && now - mLastProgress >= takeoverAfter() * static_cast<int>(turn);
 }
 
+// Far copies are dear: one member of each data centre brings a chunk in. The
+// next in order steps in when nothing comes any more.
+bool ChunkPlan::mayImport(const Chunk &chunk, Instant now) const
+{
+    if (!mOptions.nearOnly || chunk.importRank == 0) {
+        return true;
+    }
+    return now - mLastProgress >= takeoverAfter() * static_cast<int>(chunk.importRank);
+}
+
 void ChunkPlan::planOrigin(std::vector<ChunkFetch> &out, Instant now)
 {
     // The rarest first here too: a chunk that a neighbour holds can wait.
@@ -305,9 +320,10 @@
 {
     const std::string *best = nullptr;
     std::pair<std::uint32_t, bool> bestCost;
+    const bool mayBeFar = mayImport(mChunks[index], now);
     for (const auto &[box, peer] : mPeers) {
-        const bool usable
-            = peer.has[index] && peer.open < mOptions.perPeerParallel && peer.avoidedUntil <= now;
+        const bool usable = peer.has[index] && peer.open < mOptions.perPeerParallel
+            && peer.avoidedUntil <= now && (peer.sameDataCentre || mayBeFar);
         if (!usable) {
             continue;
         }
--- a/src/libloomjunction/core/chunkplan.h
+++ b/src/libloomjunction/core/chunkplan.h
@@ -80,6 +80,8 @@
         std::uint32_t peerParallel = 6; ///< requests open to all neighbours
         std::uint32_t perPeerParallel = 2; ///< requests open to one neighbour
         std::uint32_t neighbours = 8;
+        /** Each chunk enters a data centre once; the others there wait for it. */
+        bool nearOnly = false;
         Milliseconds takeover{4'000}; ///< longest wait before the next member steps in
         std::uint64_t seed = 1;
     };
@@ -125,6 +127,7 @@
     {
         State state = State::Missing;
         std::uint32_t originRank = 0; ///< our place in the rendezvous order of this chunk
+        std::uint32_t importRank = 0; ///< our place among the members of our data centre
         std::uint32_t holders = 0; ///< neighbours known to have it
         std::uint32_t tieBreak = 0;
         Instant originRetryAt;
@@ -146,6 +149,7 @@
     void planOrigin(std::vector<ChunkFetch> &out, Instant now);
     void planPeers(std::vector<ChunkFetch> &out, Instant now);
     Microseconds takeoverAfter() const;
+    bool mayImport(const Chunk &chunk, Instant now) const;
     bool mayPullFromOrigin(const Chunk &chunk, Instant now) const;
     std::optional<std::string> bestHolder(std::uint32_t index, Instant now) const;
     void closeRequest(const ChunkSource &source);
--- a/src/libloomjunction/gateway/directsettings.cpp
+++ b/src/libloomjunction/gateway/directsettings.cpp
@@ -14,7 +14,7 @@
 
 namespace {
 
-constexpr std::int64_t sMostMbit = 1'000'000;
+constexpr double sMostMbit = 1'000'000;
 constexpr std::int64_t sMostMilliseconds = 3'600'000;
 constexpr std::int64_t sMostPermille = 10'000;
 constexpr std::int64_t sMostExtra = 1'000'000;
@@ -57,7 +57,7 @@
     StagerSettings stager;
     stager.service = reader.text("service");
     stager.engine = reader.endpoint("engine");
-    stager.linkMbit = reader.integer("linkMbit", 0, sMostMbit, 0);
+    stager.linkMbit = reader.real("linkMbit", 0, sMostMbit, 0);
     reader.refuseUnknown();
     return stager;
 }
--- a/src/libloomjunction/gateway/directsettings.h
+++ b/src/libloomjunction/gateway/directsettings.h
@@ -36,7 +36,7 @@
 {
     std::string service;
     Tcp::endpoint engine;
-    std::int64_t linkMbit = 0; ///< of this box, each way; 0: no limit
+    double linkMbit = 0; ///< of this box, each way; 0: no limit
 };
 
 /** Bounds that the platform's users hold the system to. */
--- a/src/libloomjunction/gateway/stageservice.cpp
+++ b/src/libloomjunction/gateway/stageservice.cpp
@@ -41,9 +41,13 @@
 constexpr std::uint64_t sStoreBytes = std::uint64_t{48} * 1024 * 1024;
 // Live answers share the link with these: few at once keep its queue short.
 constexpr std::uint32_t sMostUploads = 2;
+// Of the link, for chunks on their way out; the rest is for answers to callers.
+constexpr double sLinkShare = 0.65;
+constexpr double sBytesPerMbit = 125'000;
+constexpr double sBurstBytes = 8.0 * 1024;
 constexpr std::uint32_t sOriginParallel = 2;
 constexpr std::uint32_t sPeerParallel = 3;
-constexpr std::uint32_t sNeighbours = 10;
+constexpr std::uint32_t sNeighbours = 12;
 constexpr Milliseconds sTakeover{2'000};
 
 std::uint64_t randomSeed()
@@ -64,6 +68,8 @@
     , mMetrics(metrics)
     , mSettings(settings)
     , mStager(std::get<StagerSettings>(settings.role))
+    , mIngress(0, 0)
+    , mEgress(mStager.linkMbit * sBytesPerMbit * sLinkShare, sBurstBytes)
 {
 }
 
@@ -358,6 +364,7 @@
     options.originParallel = sOriginParallel;
     options.peerParallel = sPeerParallel;
     options.neighbours = sNeighbours;
+    options.nearOnly = true;
     options.takeover = sTakeover;
     options.seed = randomSeed();
     WeightFetch::Parts parts{
--- a/src/libloomjunction/gateway/stageservice.h
+++ b/src/libloomjunction/gateway/stageservice.h
@@ -80,8 +80,8 @@
     PeerHub *mHub = nullptr;
     LoadReporter *mReporter = nullptr;
     std::unique_ptr<ChunkStore> mStore;
-    TokenBucket mIngress{0, 0};
-    TokenBucket mEgress{0, 0};
+    TokenBucket mIngress;
+    TokenBucket mEgress;
     std::unique_ptr<ChunkServer> mServer;
     FetchCounts mCounts;
     std::shared_ptr<WeightFetch> mFetch;
--- a/src/libloomjunction/kernel/settingsfile.cpp
+++ b/src/libloomjunction/kernel/settingsfile.cpp
@@ -100,6 +100,21 @@
     return found->as_int64();
 }
 
+double SettingsReader::real(std::string_view field, double least, double most, double standard)
+{
+    const boost::json::value *found = value(field);
+    if (found == nullptr) {
+        return standard;
+    }
+    const double number = found->is_number() ? found->to_number<double>() : least - 1;
+    if (number < least || number > most) {
+        problem(field, "a number from " + std::to_string(least) + " to " + std::to_string(most),
+                found);
+        return standard;
+    }
+    return number;
+}
+
 bool SettingsReader::boolean(std::string_view field, bool standard)
 {
     const boost::json::value *found = value(field);
--- a/src/libloomjunction/kernel/settingsfile.h
+++ b/src/libloomjunction/kernel/settingsfile.h
@@ -40,6 +40,7 @@
     std::string text(std::string_view field, std::string_view standard);
     std::int64_t integer(std::string_view field, std::int64_t least, std::int64_t most,
                          std::int64_t standard);
+    double real(std::string_view field, double least, double most, double standard);
     bool boolean(std::string_view field, bool standard);
     Tcp::endpoint endpoint(std::string_view field);
     /** A list of IP:PORT; empty where the field is absent. */
--- a/src/libloomjunction/weights/chunkserver.cpp
+++ b/src/libloomjunction/weights/chunkserver.cpp
@@ -18,6 +18,7 @@
 constexpr std::chrono::milliseconds sHaveEvery{10};
 constexpr std::chrono::milliseconds sHaveKeepAlive{1'000};
 constexpr std::chrono::milliseconds sRequestTimeout{5'000};
+constexpr std::size_t sSliceBytes = std::size_t{8} * 1024;
 
 } // namespace
 
@@ -70,25 +71,42 @@
         stream->reset();
         co_return;
     }
-    wire::ChunkAnswer answer;
     const std::uint32_t index = (*request)->index();
     const StoredVersion *stored = mStore.find((*request)->manifest_digest());
+    const bool isHere = stored != nullptr && index < stored->has.size() && stored->has[index];
+    wire::ChunkAnswer answer;
     if (stored != nullptr && (*request)->manifest()) {
         answer.set_found(true);
         answer.set_data(stored->manifestText);
-    } else if (stored != nullptr && index < stored->has.size() && stored->has[index]) {
-        if (mUploads >= mMostUploads) {
-            answer.set_busy(true);
-        } else {
-            ++mUploads;
-            answer.set_found(true);
-            answer.set_data(stored->chunks[index]);
-            co_await sleepFor(mEgress.take(answer.data().size(), now()));
-            --mUploads;
-        }
+    } else if (isHere && mUploads < mMostUploads) {
+        const std::string data = stored->chunks[index];
+        ++mUploads;
+        co_await sendSlices(stream, data);
+        --mUploads;
+        stream->finish();
+        co_return;
+    } else {
+        answer.set_busy(isHere);
     }
     stream->send(answer);
     stream->finish();
 }
 
+// In slices, so that live answers on the same link never wait behind a whole chunk.
+awaitable<void> ChunkServer::sendSlices(PeerStreamPtr stream, std::string_view data)
+{
+    while (!data.empty() && stream->isOpen()) {
+        const std::string_view slice = data.substr(0, sSliceBytes);
+        data.remove_prefix(slice.size());
+        co_await sleepFor(mEgress.take(slice.size(), now()));
+        wire::ChunkAnswer answer;
+        answer.set_found(true);
+        answer.set_data(std::string(slice));
+        stream->send(answer);
+        if (!co_await stream->drained()) {
+            co_return;
+        }
+    }
+}
+
 } // namespace Loom
--- a/src/libloomjunction/weights/chunkserver.h
+++ b/src/libloomjunction/weights/chunkserver.h
@@ -37,6 +37,8 @@
     std::uint32_t uploads() const { return mUploads; }
 
 private:
+    awaitable<void> sendSlices(PeerStreamPtr stream, std::string_view data);
+
     ChunkStore &mStore;
     TokenBucket &mEgress;
     std::uint32_t mMostUploads;
--- a/src/libloomjunction/weights/weightfetch.cpp
+++ b/src/libloomjunction/weights/weightfetch.cpp
@@ -273,24 +273,28 @@
     stream->finish();
     const auto begun = std::chrono::steady_clock::now();
     const auto deadline = begun + chunkTimeout();
-    auto answer = co_await stream->receiveMessage<wire::ChunkAnswer>(deadline);
-    if (!answer || !*answer) {
-        stream->reset();
-        const bool late = !answer && answer.error() == PeerError::TimedOut;
-        co_return tl::unexpected(late ? ChunkFailure::TimedOut : ChunkFailure::Gone);
-    }
-    wire::ChunkAnswer &chunk = **answer;
-    if (chunk.busy()) {
-        co_return tl::unexpected(ChunkFailure::Busy);
-    }
-    if (!chunk.found()) {
-        co_return tl::unexpected(ChunkFailure::Missing);
+    std::string data;
+    while (true) {
+        const auto answer = co_await stream->receiveMessage<wire::ChunkAnswer>(deadline);
+        if (!answer) {
+            stream->reset();
+            const bool late = answer.error() == PeerError::TimedOut;
+            co_return tl::unexpected(late ? ChunkFailure::TimedOut : ChunkFailure::Gone);
+        }
+        if (!*answer) {
+            break; // every slice is here
+        }
+        if (!(*answer)->found()) {
+            co_return tl::unexpected((*answer)->busy() ? ChunkFailure::Busy
+                                                       : ChunkFailure::Missing);
+        }
+        data += (*answer)->data();
     }
-    mParts.counts.peerBytes += chunk.data().size();
+    mParts.counts.peerBytes += data.size();
     const std::chrono::duration<double> took = std::chrono::steady_clock::now() - begun;
     const double weight = mMeanChunkSeconds <= 0 ? 1.0 : sChunkTimeWeight;
     mMeanChunkSeconds += weight * (took.count() - mMeanChunkSeconds);
-    co_return std::move(*chunk.mutable_data());
+    co_return std::move(data);
 }
 
 void WeightFetch::take(const ChunkFetch &fetch, tl::expected<std::string, ChunkFailure> data)
--- /dev/null
+++ b/tests/direct/test_eventsplitter.cpp
@@ -0,0 +1,42 @@
+/*
+ * test_eventsplitter.cpp
+ * Copyright 2026, the loomjunction authors
+ *
+ * This file is part of loomjunction (tests).
+ * SPDX-License-Identifier: BSD-2-Clause
+ */
+
+#include <boost/test/unit_test.hpp>
+
+#include "eventsplitter.h"
+
+using namespace Loom;
+
+BOOST_AUTO_TEST_CASE(only_whole_events_come_out)
+{
+    EventSplitter splitter;
+    BOOST_TEST(splitter.feed("id: 1\ndata: a").empty());
+    const auto events = splitter.feed("\n\nid: 2\ndata: b\n\nid: 3\nda");
+    BOOST_TEST(events.size() == 2U);
+    BOOST_TEST(events[0].text == "id: 1\ndata: a\n\n");
+    BOOST_TEST(*events[0].id == 1U);
+    BOOST_TEST(*events[1].id == 2U);
+    BOOST_TEST(splitter.pending() == 8U);
+}
+
+BOOST_AUTO_TEST_CASE(an_id_is_found_wherever_it_stands)
+{
+    EventSplitter splitter;
+    const auto events = splitter.feed("versions: 3\ndata: id: 9\nid:12\n\ndata: x\n\n");
+    BOOST_TEST(events.size() == 2U);
+    BOOST_TEST(*events[0].id == 12U);
+    BOOST_TEST(!events[1].id.has_value());
+}
+
+BOOST_AUTO_TEST_CASE(carriage_returns_end_events_too)
+{
+    EventSplitter splitter;
+    const auto events = splitter.feed("id: 1\r\ndata: a\r\n\r\nid: 2\r\ndata: b\r\n\r\n");
+    BOOST_TEST(events.size() == 2U);
+    BOOST_TEST(*events[1].id == 2U);
+}
--- /dev/null
+++ b/tests/direct/test_replicaset.cpp
@@ -0,0 +1,146 @@
+/*
+ * test_replicaset.cpp
+ * Copyright 2026, the loomjunction authors
+ *
+ * This file is part of loomjunction (tests).
+ * SPDX-License-Identifier: BSD-2-Clause
+ */
+
+#include <boost/test/unit_test.hpp>
+
+#include "fakelog.h"
+#include "replicaset.h"
+
+using namespace Loom;
+
+namespace {
+
+EngineFigures engine()
+{
+    EngineFigures figures;
+    figures.slots = 16;
+    figures.stepMs = 7.4;
+    figures.perSequenceMs = 0.0387;
+    figures.contextMsPerK = 0.0203;
+    figures.readTokensPerMs = 31.9;
+    figures.stepsPerPass = 6;
+    figures.usualPrompt = 973;
+    figures.usualAnswer = 106;
+    return figures;
+}
+
+const EngineFigures sEngine = engine();
+
+ReplicaRecord record(std::string id, std::string dataCentre, std::uint64_t version = 1)
+{
+    ReplicaRecord record;
+    record.id = id;
+    record.service = "scorer";
+    record.address = "10.0.0.1:" + id.substr(1);
+    record.dataCentre = std::move(dataCentre);
+    record.slots = 16;
+    record.weightsVersion = version;
+    return record;
+}
+
+ReplicaQuery query()
+{
+    ReplicaQuery query;
+    query.service = "scorer";
+    query.dataCentre = "here";
+    query.engine = &sEngine;
+    query.goal = Milliseconds(400);
+    query.leastVersion = 1;
+    return query;
+}
+
+std::string chosen(const ReplicaSet &set, const ReplicaQuery &asked, Instant now)
+{
+    const ReplicaChoice choice = set.choose(asked, now);
+    const auto *replica = std::get_if<ChosenReplica>(&choice);
+    return replica == nullptr ? "" : replica->id;
+}
+
+} // namespace
+
+BOOST_AUTO_TEST_CASE(draining_gone_and_empty_replicas_get_nothing)
+{
+    ReplicaSet set;
+    set.put(record("r1", "here"));
+    BOOST_TEST(chosen(set, query(), at(0)) == "r1");
+    ReplicaRecord draining = record("r1", "here");
+    draining.isDraining = true;
+    set.put(draining);
+    BOOST_TEST(chosen(set, query(), at(0)) == "");
+    // A late record of the same life does not bring it back.
+    set.put(record("r1", "here"));
+    BOOST_TEST(chosen(set, query(), at(0)) == "");
+    set.put(record("r2", "here", 0));
+    BOOST_TEST(chosen(set, query(), at(0)) == "");
+    set.put(record("r3", "here"));
+    set.remove("r3", true, at(10));
+    BOOST_TEST(chosen(set, query(), at(10)) == "");
+}
+
+BOOST_AUTO_TEST_CASE(a_record_that_lapsed_with_the_store_is_given_time_to_return)
+{
+    ReplicaSet set;
+    set.put(record("r1", "here"));
+    set.remove("r1", false, at(0));
+    BOOST_TEST(chosen(set, query(), at(2'000)) == "r1");
+    BOOST_TEST(chosen(set, query(), at(2'600)) == "");
+    set.put(record("r1", "here"));
+    BOOST_TEST(chosen(set, query(), at(2'700)) == "r1");
+}
+
+BOOST_AUTO_TEST_CASE(weights_that_are_too_old_or_loading_get_nothing)
+{
+    ReplicaSet set;
+    set.put(record("r1", "here", 1));
+    ReplicaQuery asked = query();
+    asked.leastVersion = 2;
+    BOOST_TEST(chosen(set, asked, at(0)) == "");
+    // The stager of its box knows sooner than the store.
+    ReplicaLoad load;
+    load.weightsVersion = 2;
+    set.report("10.0.0.1:1", load, at(0));
+    BOOST_TEST(chosen(set, asked, at(0)) == "r1");
+    load.isAccepting = false;
+    set.report("10.0.0.1:1", load, at(10));
+    BOOST_TEST(chosen(set, asked, at(10)) == "");
+}
+
+BOOST_AUTO_TEST_CASE(the_less_loaded_replica_is_chosen_and_the_near_one_on_a_tie)
+{
+    ReplicaSet set;
+    set.put(record("r1", "there"));
+    set.put(record("r2", "here"));
+    BOOST_TEST(chosen(set, query(), at(0)) == "r2");
+    ReplicaLoad busy;
+    busy.weightsVersion = 1;
+    busy.running = 4;
+    set.report("10.0.0.1:2", busy, at(0));
+    BOOST_TEST(chosen(set, query(), at(0)) == "r1");
+    // What this gateway sent since the report counts on top of it.
+    for (int i = 0; i < 6; ++i) {
+        set.began("r1");
+    }
+    BOOST_TEST(chosen(set, query(), at(0)) == "r2");
+}
+
+BOOST_AUTO_TEST_CASE(failures_in_a_row_keep_requests_away_for_longer_each_time)
+{
+    ReplicaSet set;
+    set.put(record("r1", "here"));
+    set.began("r1");
+    set.ended("r1", ReplicaOutcome::Broken, at(0));
+    BOOST_TEST(chosen(set, query(), at(200)) == "");
+    BOOST_TEST(chosen(set, query(), at(300)) == "r1");
+    set.began("r1");
+    set.ended("r1", ReplicaOutcome::Broken, at(300));
+    BOOST_TEST(chosen(set, query(), at(700)) == "");
+    BOOST_TEST(chosen(set, query(), at(900)) == "r1");
+    set.began("r1");
+    set.ended("r1", ReplicaOutcome::Answered, at(900));
+    BOOST_TEST(set.find("r1")->failures == 0U);
+}
--- /dev/null
+++ b/tests/direct/test_routetable.cpp
@@ -0,0 +1,70 @@
+/*
+ * test_routetable.cpp
+ * Copyright 2026, the loomjunction authors
+ *
+ * This file is part of loomjunction (tests).
+ * SPDX-License-Identifier: BSD-2-Clause
+ */
+
+#include <boost/test/unit_test.hpp>
+
+#include "routetable.h"
+
+using namespace Loom;
+
+namespace {
+
+Route route(std::string name, std::string host, std::string prefix)
+{
+    Route route;
+    route.name = std::move(name);
+    route.host = std::move(host);
+    route.pathPrefix = std::move(prefix);
+    return route;
+}
+
+RouteTable table()
+{
+    RouteConfig config;
+    config.version = 3;
+    config.routes = {route("all", "a.example", "/"), route("deep", "a.example", "/x/y/"),
+                     route("shallow", "a.example", "/x/"), route("other", "b.example", "/x/")};
+    config.accounts = {{"exams", {"k1", "k2"}, 1}};
+    return RouteTable(std::move(config));
+}
+
+} // namespace
+
+BOOST_AUTO_TEST_CASE(the_longest_prefix_of_the_host_wins)
+{
+    const RouteTable routes = table();
+    BOOST_TEST(routes.match("a.example", "/x/y/z")->name == "deep");
+    BOOST_TEST(routes.match("a.example", "/x/y")->name == "shallow");
+    BOOST_TEST(routes.match("a.example", "/xy")->name == "all");
+    BOOST_TEST(routes.match("b.example", "/x/y/z")->name == "other");
+    BOOST_TEST(routes.match("b.example", "/y/") == nullptr);
+    BOOST_TEST(routes.match("c.example", "/x/") == nullptr);
+    BOOST_TEST(routes.match("a.example", "*") == nullptr);
+}
+
+BOOST_AUTO_TEST_CASE(keys_belong_to_their_account)
+{
+    const RouteTable routes = table();
+    BOOST_TEST(routes.accountOf("k2")->name == "exams");
+    BOOST_TEST(routes.accountOf("k3") == nullptr);
+}
+
+BOOST_AUTO_TEST_CASE(a_split_follows_its_weights)
+{
+    Route split;
+    split.targets = {{"old", 90}, {"new", 10}};
+    int fresh = 0;
+    for (std::uint64_t random = 0; random < 1000; ++random) {
+        fresh += pickTarget(split, random)->service == "new" ? 1 : 0;
+    }
+    BOOST_TEST(fresh == 100);
+    split.targets = {{"only", 0}};
+    BOOST_TEST(pickTarget(split, 5)->service == "only");
+    split.targets.clear();
+    BOOST_TEST(pickTarget(split, 5) == nullptr);
+}
--- /dev/null
+++ b/tests/direct/test_sharedretrybudget.cpp
@@ -0,0 +1,71 @@
+/*
+ * test_sharedretrybudget.cpp
+ * Copyright 2026, the loomjunction authors
+ *
+ * This file is part of loomjunction (tests).
+ * SPDX-License-Identifier: BSD-2-Clause
+ */
+
+#include <boost/test/unit_test.hpp>
+
+#include <vector>
+
+#include "fakelog.h"
+#include "sharedretrybudget.h"
+
+using namespace Loom;
+
+namespace {
+
+const RetryBounds sBounds{0.2, 100, Milliseconds(10'000)};
+
+// Takes what it can every 10 ms for a window, and gives the count.
+int takenIn(std::vector<SharedRetryBudget> &gateways, int fromMs, int toMs, int requestsPerStep)
+{
+    int taken = 0;
+    for (int time = fromMs; time < toMs; time += 10) {
+        for (SharedRetryBudget &gateway : gateways) {
+            for (int request = 0; request < requestsPerStep; ++request) {
+                gateway.noteRequest();
+            }
+            while (gateway.take(static_cast<std::uint32_t>(gateways.size()), at(time))) {
+                ++taken;
+            }
+        }
+    }
+    return taken;
+}
+
+} // namespace
+
+BOOST_AUTO_TEST_CASE(all_gateways_together_stay_within_the_bound)
+{
+    for (const int count : {1, 6, 42}) {
+        std::vector<SharedRetryBudget> gateways(count, SharedRetryBudget(sBounds, at(0)));
+        takenIn(gateways, 0, 20'000, 0); // saved up before the window
+        std::vector<SharedRetryBudget> full = gateways;
+        const int requests = 2 * count * 1000;
+        const int taken = takenIn(full, 60'000, 70'000, 2);
+        BOOST_TEST(taken <= sBounds.ratio * requests + sBounds.extra);
+        BOOST_TEST(taken > 0);
+    }
+}
+
+BOOST_AUTO_TEST_CASE(a_new_life_begins_with_nothing)
+{
+    SharedRetryBudget fresh(sBounds, at(0));
+    BOOST_TEST(!fresh.take(6, at(0)));
+    BOOST_TEST(!fresh.take(6, at(100)));
+}
+
+BOOST_AUTO_TEST_CASE(restarts_grant_no_second_share_within_a_window)
+{
+    // Six gateways spend all they saved, die, and spend all that their new lives get.
+    std::vector<SharedRetryBudget> first(6, SharedRetryBudget(sBounds, at(0)));
+    int taken = takenIn(first, 60'000, 62'000, 0);
+    std::vector<SharedRetryBudget> second(6, SharedRetryBudget(sBounds, at(62'000)));
+    taken += takenIn(second, 62'000, 66'000, 0);
+    std::vector<SharedRetryBudget> third(6, SharedRetryBudget(sBounds, at(66'000)));
+    taken += takenIn(third, 66'000, 70'000, 0);
+    BOOST_TEST(taken <= sBounds.extra);
+}
--- /dev/null
+++ b/tests/direct/test_weightsgoal.cpp
@@ -0,0 +1,60 @@
+/*
+ * test_weightsgoal.cpp
+ * Copyright 2026, the loomjunction authors
+ *
+ * This file is part of loomjunction (tests).
+ * SPDX-License-Identifier: BSD-2-Clause
+ */
+
+#include <boost/test/unit_test.hpp>
+
+#include <set>
+
+#include "fakelog.h"
+#include "reloadturn.h"
+#include "weightsgoal.h"
+
+using namespace Loom;
+
+BOOST_AUTO_TEST_CASE(older_weights_begin_nothing_once_a_newer_version_is_due)
+{
+    WeightsGoal goal(Milliseconds(8'000));
+    BOOST_TEST(goal.newest("m") == 1U);
+    BOOST_TEST(goal.oldestAllowed("m", at(0)) == 1U);
+    goal.name("m", 2, at(10'000));
+    goal.name("m", 3, at(14'000));
+    BOOST_TEST(goal.newest("m") == 3U);
+    BOOST_TEST(goal.oldestAllowed("m", at(16'000)) == 1U);
+    // Stops before the bound, since a request may wait before it begins.
+    BOOST_TEST(goal.oldestAllowed("m", at(17'500)) == 2U);
+    BOOST_TEST(goal.oldestAllowed("m", at(21'500)) == 3U);
+    BOOST_TEST(goal.oldestAllowed("other", at(21'500)) == 1U);
+}
+
+BOOST_AUTO_TEST_CASE(a_version_heard_twice_keeps_its_first_time)
+{
+    WeightsGoal goal(Milliseconds(8'000));
+    goal.name("m", 2, at(1'000));
+    goal.name("m", 2, at(9'000));
+    BOOST_TEST((goal.learnedAt("m", 2) == at(1'000)));
+}
+
+BOOST_AUTO_TEST_CASE(turns_are_spread_and_end_before_the_bound)
+{
+    std::vector<std::string> boxes;
+    for (int box = 0; box < 20; ++box) {
+        boxes.push_back("box-" + std::to_string(box));
+    }
+    const ReloadTurn turn(Milliseconds(8'000));
+    std::set<Instant> moments;
+    for (const std::string &box : boxes) {
+        const Instant moment = turn.at("m@2", box, boxes, at(1'000));
+        BOOST_TEST((moment >= at(3'000)));
+        BOOST_TEST((moment <= at(7'000)));
+        moments.insert(moment);
+    }
+    BOOST_TEST(moments.size() == boxes.size());
+    // A box that does not see itself among the members still has a turn.
+    BOOST_TEST((turn.at("m@2", "new", boxes, at(0)) <= at(6'000)));
+    BOOST_TEST((turn.at("m@2", "alone", {}, at(0)) <= at(6'000)));
+}
