--- a/src/libloomjunction/core/chunkplan.cpp
+++ b/src/libloomjunction/core/chunkplan.cpp
@@ -19,6 +19,8 @@
 
 // A swarm that brings nothing for this many times its usual gap has stalled.
 constexpr double sStallGaps = 10;
+// Of the chunks, before the rest counts as late.
+constexpr double sMostFound = 0.75;
 constexpr double sGapWeight = 0.1;
 constexpr Microseconds sLeastTakeover{500'000};
 constexpr Milliseconds sOriginRetry{1'000};
@@ -55,6 +57,8 @@
     , mOptions(options)
     , mChunks(chunkCount)
     , mLastProgress(now)
+    , mBegun(now)
+    , mLastFound(now)
     , mRandom(options.seed)
 {
     for (Chunk &chunk : mChunks) {
@@ -190,14 +194,19 @@
     return boxes;
 }
 
-void ChunkPlan::peerHas(std::string_view box, std::uint32_t index)
+void ChunkPlan::peerHas(std::string_view box, std::uint32_t index, Instant now)
 {
     const auto it = mPeers.find(box);
     if (it == mPeers.end() || index >= mChunks.size() || it->second.has[index]) {
         return;
     }
     it->second.has[index] = true;
-    ++mChunks[index].holders;
+    Chunk &chunk = mChunks[index];
+    if (chunk.holders == 0 && chunk.state != State::Have) {
+        chunk.heldSince = now;
+        noteFound(chunk, now);
+    }
+    ++chunk.holders;
 }
 
 void ChunkPlan::peerGone(std::string_view box)
@@ -247,11 +256,35 @@
     if (chunk.originRank < mOptions.originCopies) {
         return true;
     }
-    // The responsible members may be dead or stalled. Later members step in one
-    // after the other, counted from this box's last progress, so that a swarm
-    // that still moves pulls nothing twice.
     const std::uint32_t turn = chunk.originRank / mOptions.originCopies;
-    return chunk.holders == 0 && now - mLastProgress >= takeoverAfter() * static_cast<int>(turn);
+    return chunk.holders == 0 && isOverdueAtOrigin(turn, now);
+}
+
+// The responsible members may be dead or stalled: later ones step in one after
+// the other. While chunks still turn up, a new one puts all that off, so that an
+// origin that merely is slow is asked for nothing twice. Once most have turned
+// up, the rest is late by the time that these took, each chunk for itself.
+bool ChunkPlan::isOverdueAtOrigin(std::uint32_t turn, Instant now) const
+{
+    if (!mMostFoundAt) {
+        return now - mLastFound >= takeoverAfter() * static_cast<int>(turn);
+    }
+    const Microseconds most = *mMostFoundAt - mBegun;
+    const Microseconds step = std::clamp<Microseconds>(most, sLeastTakeover, mOptions.takeover);
+    return now - mBegun >= std::max(most * 2, sLeastTakeover) + step * static_cast<int>(turn - 1);
+}
+
+void ChunkPlan::noteFound(Chunk &chunk, Instant now)
+{
+    mLastFound = now;
+    if (chunk.wasFound) {
+        return;
+    }
+    chunk.wasFound = true;
+    ++mFoundCount;
+    if (!mMostFoundAt && mFoundCount >= sMostFound * static_cast<double>(mChunks.size())) {
+        mMostFoundAt = now;
+    }
 }
 
 // Far copies are dear: one member of each data centre brings a chunk in. The
@@ -261,7 +294,7 @@
     if (!mOptions.nearOnly || chunk.importRank == 0) {
         return true;
     }
-    return now - mLastProgress >= takeoverAfter() * static_cast<int>(chunk.importRank);
+    return now - chunk.heldSince >= takeoverAfter() * static_cast<int>(chunk.importRank);
 }
 
 void ChunkPlan::planOrigin(std::vector<ChunkFetch> &out, Instant now)
@@ -350,6 +383,22 @@
     }
 }
 
+ChunkProgress ChunkPlan::progress(Instant now) const
+{
+    ChunkProgress progress;
+    progress.have = mHaveCount;
+    progress.openOrigin = mOpenOrigin;
+    progress.openPeers = mOpenPeers;
+    progress.sinceLast = now - mLastProgress;
+    for (const Chunk &chunk : mChunks) {
+        progress.asked += chunk.state == State::Asked ? 1 : 0;
+        const bool isMissing = chunk.state == State::Missing;
+        progress.held += isMissing && chunk.holders > 0 ? 1 : 0;
+        progress.unheld += isMissing && chunk.holders == 0 ? 1 : 0;
+    }
+    return progress;
+}
+
 void ChunkPlan::adopt(std::uint32_t index)
 {
     if (mChunks[index].state != State::Have) {
@@ -366,6 +415,9 @@
     const bool isFirst = mMeanGapMicroseconds <= 0;
     mMeanGapMicroseconds += (isFirst ? 1.0 : sGapWeight) * (gap - mMeanGapMicroseconds);
     mLastProgress = now;
+    if (std::holds_alternative<FromOrigin>(source)) {
+        noteFound(mChunks[index], now);
+    }
 }
 
 void ChunkPlan::failed(std::uint32_t index, const ChunkSource &source, ChunkFailure why,
--- a/src/libloomjunction/core/chunkplan.h
+++ b/src/libloomjunction/core/chunkplan.h
@@ -48,6 +48,18 @@
     TimedOut
 };
 
+/** How far a plan is, for logs. */
+struct ChunkProgress
+{
+    std::uint32_t have = 0;
+    std::uint32_t asked = 0;
+    std::uint32_t held = 0; ///< missing here, some neighbour has it
+    std::uint32_t unheld = 0; ///< missing here, no neighbour is known to have it
+    std::uint32_t openOrigin = 0;
+    std::uint32_t openPeers = 0;
+    Microseconds sinceLast{0}; ///< since a chunk came
+};
+
 /** Another agent that fetches or holds the same version. */
 struct SwarmMember
 {
@@ -96,7 +108,7 @@
     std::vector<std::string> neighbours() const;
     bool isNeighbour(std::string_view box) const { return mPeers.contains(box); }
 
-    void peerHas(std::string_view box, std::uint32_t index);
+    void peerHas(std::string_view box, std::uint32_t index, Instant now);
     void peerGone(std::string_view box);
 
     /** Requests to send now; each must be answered by received() or failed(). */
@@ -108,6 +120,7 @@
     void received(std::uint32_t index, const ChunkSource &source, Instant now);
     void failed(std::uint32_t index, const ChunkSource &source, ChunkFailure why, Instant now);
 
+    ChunkProgress progress(Instant now) const;
     bool has(std::uint32_t index) const { return mChunks[index].state == State::Have; }
     std::uint32_t haveCount() const { return mHaveCount; }
     std::uint32_t chunkCount() const { return static_cast<std::uint32_t>(mChunks.size()); }
@@ -131,6 +144,8 @@
         std::uint32_t holders = 0; ///< neighbours known to have it
         std::uint32_t tieBreak = 0;
         Instant originRetryAt;
+        bool wasFound = false;
+        Instant heldSince; ///< when a neighbour was first known to have it
     };
 
     struct Peer
@@ -149,6 +164,8 @@
     void planOrigin(std::vector<ChunkFetch> &out, Instant now);
     void planPeers(std::vector<ChunkFetch> &out, Instant now);
     Microseconds takeoverAfter() const;
+    void noteFound(Chunk &chunk, Instant now);
+    bool isOverdueAtOrigin(std::uint32_t turn, Instant now) const;
     bool mayImport(const Chunk &chunk, Instant now) const;
     bool mayPullFromOrigin(const Chunk &chunk, Instant now) const;
     std::optional<std::string> bestHolder(std::uint32_t index, Instant now) const;
@@ -163,7 +180,11 @@
     std::uint32_t mHaveCount = 0;
     std::uint32_t mOpenOrigin = 0;
     std::uint32_t mOpenPeers = 0;
-    Instant mLastProgress;
+    Instant mLastProgress; ///< when a chunk came
+    Instant mBegun;
+    Instant mLastFound; ///< when one came or was first held by a neighbour
+    std::uint32_t mFoundCount = 0; ///< chunks that came, or that a neighbour ever held
+    std::optional<Instant> mMostFoundAt; ///< when that was most of them
     double mMeanGapMicroseconds = 0; ///< smoothed, between chunks that came
     std::mt19937_64 mRandom;
 };
--- a/src/libloomjunction/core/replicaset.cpp
+++ b/src/libloomjunction/core/replicaset.cpp
@@ -21,8 +21,10 @@
 constexpr Milliseconds sFailurePause{250};
 constexpr Milliseconds sMostPause{4'000};
 // A replica whose record lapsed while the store was away may come back within
-// two seconds of the store's return.
-constexpr Milliseconds sLapsePause{2'500};
+// two seconds of the store's return. One that leaves for good must get nothing
+// after its draining time, whatever the store did before: this much earlier
+// its use ends.
+constexpr Milliseconds sDrainMargin{500};
 constexpr double sSmoothing = 0.15;
 // A replica that fails this share of its requests gets only what the others cannot take.
 constexpr double sGreyShare = 0.25;
@@ -91,7 +93,7 @@
     if (it == mReplicas.end() || it->second.goneAt != Instant()) {
         return;
     }
-    it->second.goneAt = trusted ? now : now + sLapsePause;
+    it->second.goneAt = trusted ? now : now + std::max(Milliseconds(0), mDrainTime - sDrainMargin);
 }
 
 void ReplicaSet::report(std::string_view address, const ReplicaLoad &load, Instant now)
--- a/src/libloomjunction/core/replicaset.h
+++ b/src/libloomjunction/core/replicaset.h
@@ -115,6 +115,12 @@
 class ReplicaSet
 {
 public:
+    /** @p drainTime: a replica that leaves gets nothing after it. */
+    explicit ReplicaSet(Milliseconds drainTime)
+        : mDrainTime(drainTime)
+    {
+    }
+
     /** A record of the store, new or changed. Draining is final for one id. */
     void put(const ReplicaRecord &record);
     /** The record was taken away; @p trusted: by a store that was well all the while. */
@@ -141,6 +147,7 @@
     bool isUsable(const Replica &replica, const ReplicaQuery &query, Instant now) const;
     double estimatedRequests(const Replica &replica, const ReplicaQuery &query, Instant now) const;
 
+    Milliseconds mDrainTime;
     std::map<std::string, Replica, std::less<>> mReplicas;
 };
 
--- a/src/libloomjunction/core/weightsgoal.cpp
+++ b/src/libloomjunction/core/weightsgoal.cpp
@@ -12,8 +12,9 @@
 
 namespace {
 
-// A request may wait at a replica before it begins, so sending stops this much earlier.
-constexpr Milliseconds sSendMargin{1'200};
+// A request may wait at a replica, or on a narrow link on its way, before it
+// begins, so sending stops this much earlier.
+constexpr Milliseconds sSendMargin{2'000};
 
 } // namespace
 
--- a/src/libloomjunction/gateway/loadreporter.cpp
+++ b/src/libloomjunction/gateway/loadreporter.cpp
@@ -28,6 +28,8 @@
 constexpr Milliseconds sKeepAlive{500};
 constexpr std::chrono::milliseconds sRedialPause{250};
 constexpr std::chrono::milliseconds sScanEvery{200};
+// A gateway that takes nothing for so long is dialled anew.
+constexpr std::chrono::milliseconds sTakeTime{1'500};
 constexpr double sPermille = 1'000;
 
 bool isSame(const ReplicaLoad &a, const ReplicaLoad &b)
@@ -117,7 +119,8 @@
             report.set_weights_version(mLoad->weightsVersion);
             report.set_accepting(mLoad->isAccepting);
             stream->send(report);
-            if (!co_await stream->drained()) {
+            const auto deadline = std::chrono::steady_clock::now() + sTakeTime;
+            if (!co_await stream->drainedBy(deadline)) {
                 co_return;
             }
         }
--- a/src/libloomjunction/gateway/replicaservice.cpp
+++ b/src/libloomjunction/gateway/replicaservice.cpp
@@ -40,6 +40,7 @@
     , mMetrics(metrics)
     , mBounds(settings.bounds.retries)
     , mBorn(now())
+    , mReplicas(settings.bounds.drainTime)
 {
 }
 
--- a/src/libloomjunction/net/peerstream.cpp
+++ b/src/libloomjunction/net/peerstream.cpp
@@ -18,6 +18,7 @@
 
 namespace {
 
+constexpr std::chrono::hours sLongWait{1};
 constexpr std::size_t sLengthBytes = 4;
 constexpr std::size_t sHighWaterBytes = std::size_t{256} * 1024;
 // Sent data is cut off the queue once this much of it is behind.
@@ -62,10 +63,17 @@
 
 awaitable<bool> PeerStream::drained()
 {
-    while (!mClosed && mOut.size() - mOutBegin > sHighWaterBytes) {
-        co_await mWritable.waitFor(std::chrono::hours(1));
+    co_return co_await drainedBy(Deadline::max());
+}
+
+awaitable<bool> PeerStream::drainedBy(Deadline deadline)
+{
+    const auto isFull = [this] { return mOut.size() - mOutBegin > sHighWaterBytes; };
+    while (!mClosed && isFull() && std::chrono::steady_clock::now() < deadline) {
+        const auto until = std::min(deadline, std::chrono::steady_clock::now() + sLongWait);
+        co_await mWritable.waitUntil(until);
     }
-    co_return !mClosed;
+    co_return !mClosed && !isFull();
 }
 
 void PeerStream::finish()
--- a/src/libloomjunction/net/peerstream.h
+++ b/src/libloomjunction/net/peerstream.h
@@ -55,6 +55,8 @@
     void send(const google::protobuf::MessageLite &message);
     /** Waits until little is queued; false when the stream closed. */
     awaitable<bool> drained();
+    /** As drained(); false, too, when the other side does not take it by @p deadline. */
+    awaitable<bool> drainedBy(Deadline deadline);
     /** No more messages from this side. */
     void finish();
     /** Gives the stream up, both ways. */
--- a/src/libloomjunction/weights/chunkserver.cpp
+++ b/src/libloomjunction/weights/chunkserver.cpp
@@ -103,7 +103,9 @@
         answer.set_found(true);
         answer.set_data(std::string(slice));
         stream->send(answer);
-        if (!co_await stream->drained()) {
+        const auto deadline = std::chrono::steady_clock::now() + sRequestTimeout;
+        if (!co_await stream->drainedBy(deadline)) {
+            stream->reset(); // it stands still: the place is for others
             co_return;
         }
     }
--- a/src/libloomjunction/weights/weightfetch.cpp
+++ b/src/libloomjunction/weights/weightfetch.cpp
@@ -34,6 +34,7 @@
 constexpr std::chrono::milliseconds sLeastChunkTimeout{1'000};
 constexpr std::chrono::milliseconds sMostChunkTimeout{10'000};
 constexpr std::chrono::milliseconds sPlanStep{100};
+constexpr Milliseconds sStall{1'500};
 constexpr std::chrono::milliseconds sFollowRetry{500};
 // The other side sends an empty update at least this often.
 constexpr std::chrono::milliseconds sFollowSilence{5'000};
@@ -183,10 +184,30 @@
             asio::co_spawn(executor, fetchOne(shared_from_this(), std::move(fetch)),
                            asio::detached);
         }
+        logStall();
         co_await mProgress.waitFor(sPlanStep);
     }
 }
 
+void WeightFetch::logStall()
+{
+    const ChunkProgress progress = mPlan->progress(now());
+    if (progress.sinceLast < sStall || now() - mStallLogged < sStall) {
+        return;
+    }
+    mStallLogged = now();
+    logLine(LogLevel::Warning, "fetch-stalled",
+            {{"version", mTarget.version},
+             {"have", progress.have},
+             {"asked", progress.asked},
+             {"held", progress.held},
+             {"unheld", progress.unheld},
+             {"openOrigin", progress.openOrigin},
+             {"openPeers", progress.openPeers},
+             {"members", mParts.members().size()},
+             {"followed", mFollowed.size()}});
+}
+
 void WeightFetch::followNeighbours()
 {
     for (const std::string &box : mPlan->neighbours()) {
@@ -215,7 +236,7 @@
                     break;
                 }
                 for (const std::uint32_t index : (*update)->added()) {
-                    self->mPlan->peerHas(box, index);
+                    self->mPlan->peerHas(box, index, now());
                 }
                 self->mProgress.notify();
             }
--- a/src/libloomjunction/weights/weightfetch.h
+++ b/src/libloomjunction/weights/weightfetch.h
@@ -74,6 +74,7 @@
     bool keepManifest(const std::string &text);
     void beginPlan(StoredVersion &stored);
     awaitable<void> fetchChunks();
+    void logStall();
     void followNeighbours();
     static awaitable<void> follow(std::shared_ptr<WeightFetch> self, std::string box);
     static awaitable<void> fetchOne(std::shared_ptr<WeightFetch> self, ChunkFetch fetch);
@@ -89,6 +90,7 @@
     std::unique_ptr<ChunkPlan> mPlan;
     std::set<std::string> mFollowed;
     double mMeanChunkSeconds = 0; ///< smoothed time that a chunk from a neighbour takes
+    Instant mStallLogged;
     bool mCancelled = false;
     Signal mProgress;
 };
