--- a/src/libloomjunction/core/chunkplan.h
+++ b/src/libloomjunction/core/chunkplan.h
@@ -111,6 +111,8 @@
     void peerHas(std::string_view box, std::uint32_t index, Instant now);
     void peerGone(std::string_view box);
 
+    /** Requests open to neighbours at most from now on, e.g. fewer on a slow link. */
+    void setPeerParallel(std::uint32_t count) { mOptions.peerParallel = count; }
     /** Requests to send now; each must be answered by received() or failed(). */
     std::vector<ChunkFetch> next(Instant now);
 
--- a/src/libloomjunction/core/replicaset.cpp
+++ b/src/libloomjunction/core/replicaset.cpp
@@ -32,6 +32,7 @@
 constexpr double sFarToll = 0.4;
 // Slower than the fastest by this factor is not noise of the requests' sizes.
 constexpr double sSlowFactor = 2.5;
+constexpr double sSlowEngineFactor = 4;
 // Requests that a plain replica may hold beyond its slots before others are refused.
 constexpr double sPlainQueue = 1.0;
 constexpr Milliseconds sPlainComeBack{100};
@@ -117,7 +118,7 @@
     }
 }
 
-bool ReplicaSet::isUsable(const Replica &replica, const ReplicaQuery &query, Instant now) const
+bool ReplicaSet::isUsable(const Replica &replica, const ReplicaQuery &query, Instant now)
 {
     if (replica.record.service != query.service || replica.record.isDraining) {
         return false;
@@ -160,6 +161,25 @@
     return static_cast<double>(replica.inFlight) * std::max<std::uint32_t>(query.entries, 1);
 }
 
+double ReplicaSet::fastestAnswerMs(const ReplicaQuery &query, Instant now) const
+{
+    double fastest = 0;
+    for (const auto &[id, replica] : mReplicas) {
+        const bool counts = replica.answerMs > 0 && isUsable(replica, query, now);
+        if (counts && (fastest == 0 || replica.answerMs < fastest)) {
+            fastest = replica.answerMs;
+        }
+    }
+    return fastest;
+}
+
+bool ReplicaSet::isSlow(const Replica &replica, const ReplicaQuery &query, double fastestMs)
+{
+    // Engines answer later the fuller they are; their load is looked at by itself.
+    const double factor = query.engine == nullptr ? sSlowFactor : sSlowEngineFactor;
+    return fastestMs > 0 && replica.answerMs > fastestMs * factor;
+}
+
 ReplicaChoice ReplicaSet::choose(const ReplicaQuery &query, Instant now) const
 {
     const Replica *best = nullptr;
@@ -168,17 +188,14 @@
     double leastLoad = -1;
     std::uint32_t known = 0;
     std::uint32_t usable = 0;
-    double fastest = 0;
-    for (const auto &[id, replica] : mReplicas) {
-        if (isUsable(replica, query, now) && replica.answerMs > 0
-            && (fastest == 0 || replica.answerMs < fastest)) {
-            fastest = replica.answerMs;
-        }
-    }
+    const double fastest = fastestAnswerMs(query, now);
     std::uint64_t tie = query.random;
     for (const auto &[id, replica] : mReplicas) {
         known += replica.record.service == query.service ? 1 : 0;
-        if (!isUsable(replica, query, now)) {
+        const bool isLate = isSlow(replica, query, fastest);
+        const bool isOverSoon = replica.weightsVersion() < query.soonLeastVersion;
+        const bool mayBeLate = isLate || replica.failures > 0;
+        if (!isUsable(replica, query, now) || (isOverSoon && mayBeLate)) {
             continue;
         }
         ++usable;
@@ -200,7 +217,7 @@
         if (replica.record.dataCentre != query.dataCentre) {
             cost += sFarToll / slots;
         }
-        if (query.engine == nullptr && fastest > 0 && replica.answerMs > fastest * sSlowFactor) {
+        if (isLate) {
             cost += replica.answerMs / fastest;
         }
         if (replica.failureRate > sGreyShare) {
--- a/src/libloomjunction/core/replicaset.h
+++ b/src/libloomjunction/core/replicaset.h
@@ -84,6 +84,8 @@
     const EngineFigures *engine = nullptr; ///< null for a plain service
     Milliseconds goal{0};
     std::uint64_t leastVersion = 0; ///< of the weights; zero: any, and none is needed
+    /** Older weights are over soon: they run nothing at a replica that may be late. */
+    std::uint64_t soonLeastVersion = 0;
     std::uint32_t entries = 1; ///< that share the replicas
     std::span<const std::string> excluded; ///< ids
     std::uint64_t random = 0;
@@ -144,7 +146,9 @@
     void sweep(Instant now);
 
 private:
-    bool isUsable(const Replica &replica, const ReplicaQuery &query, Instant now) const;
+    static bool isUsable(const Replica &replica, const ReplicaQuery &query, Instant now);
+    static bool isSlow(const Replica &replica, const ReplicaQuery &query, double fastestMs);
+    double fastestAnswerMs(const ReplicaQuery &query, Instant now) const;
     double estimatedRequests(const Replica &replica, const ReplicaQuery &query, Instant now) const;
 
     Milliseconds mDrainTime;
--- a/src/libloomjunction/gateway/gatewaycall.cpp
+++ b/src/libloomjunction/gateway/gatewaycall.cpp
@@ -34,6 +34,8 @@
 constexpr Milliseconds sLeastTime{20};
 // Connections that could not be made; nothing was sent, but time passes.
 constexpr std::uint32_t sMostFailedConnects = 3;
+// Before older weights may begin nothing more, slow replicas get nothing for them.
+constexpr Milliseconds sOverSoon{2'500};
 // Answers of earlier requests that may lie before ours on a kept connection.
 constexpr int sMostForeignAnswers = 2;
 constexpr std::size_t sMostWholeAnswer = std::size_t{16} * 1024 * 1024;
@@ -190,7 +192,9 @@
     query.random = mRandom + mSends;
     if (mService != nullptr && mService->engine) {
         query.engine = &*mService->engine;
-        query.leastVersion = mParts.config.weights().oldestAllowed(mCaller.model, now());
+        const WeightsGoal &weights = mParts.config.weights();
+        query.leastVersion = weights.oldestAllowed(mCaller.model, now());
+        query.soonLeastVersion = weights.oldestAllowed(mCaller.model, now() + sOverSoon);
     }
     return mParts.replicas.replicas().choose(query, now());
 }
--- a/src/libloomjunction/gateway/peerhub.cpp
+++ b/src/libloomjunction/gateway/peerhub.cpp
@@ -21,9 +21,19 @@
 // Many times the way between the farthest data centres; a lost opening packet
 // is tried again by the caller.
 constexpr std::chrono::milliseconds sConnectTimeout{600};
+// Bytes of one stream under way at most. Links are narrow, and what waits on one
+// delays the answers and requests that share it.
+constexpr std::uint32_t sStreamWindow = 24 * 1024;
 constexpr std::chrono::seconds sIdle{30};
 constexpr std::chrono::seconds sSweepEvery{10};
 
+PeerLimits peerLimits()
+{
+    PeerLimits limits;
+    limits.streamWindow = sStreamWindow;
+    return limits;
+}
+
 } // namespace
 
 PeerHub::PeerHub(Tcp::endpoint address)
@@ -34,7 +44,8 @@
 tl::expected<void, std::string> PeerHub::start(Kernel &kernel)
 {
     mServer = std::make_unique<PeerServer>(
-        kernel.executor(), [this](PeerStreamPtr stream) { return dispatch(std::move(stream)); });
+        kernel.executor(), [this](PeerStreamPtr stream) { return dispatch(std::move(stream)); },
+        peerLimits());
     asio::co_spawn(kernel.executor(), closeIdle(), asio::detached);
     return mServer->listen(mAddress);
 }
@@ -78,7 +89,8 @@
     if (PeerStreamPtr stream = openKept()) {
         co_return stream;
     }
-    auto connected = co_await PeerConnection::connect(address, sConnectTimeout);
+    const PeerLimits limits = peerLimits();
+    auto connected = co_await PeerConnection::connect(address, sConnectTimeout, limits);
     if (!connected || mStopped) {
         co_return nullptr;
     }
--- a/src/libloomjunction/weights/weightfetch.cpp
+++ b/src/libloomjunction/weights/weightfetch.cpp
@@ -33,6 +33,7 @@
 constexpr double sChunkTimeWeight = 0.1;
 constexpr std::chrono::milliseconds sLeastChunkTimeout{1'000};
 constexpr std::chrono::milliseconds sMostChunkTimeout{10'000};
+constexpr double sSlowChunkSeconds = 0.6;
 constexpr std::chrono::milliseconds sPlanStep{100};
 constexpr Milliseconds sStall{1'500};
 constexpr std::chrono::milliseconds sFollowRetry{500};
@@ -180,6 +181,7 @@
             co_await sleepFor(debt);
             continue;
         }
+        mPlan->setPeerParallel(peerParallel());
         for (ChunkFetch &fetch : mPlan->next(now())) {
             asio::co_spawn(executor, fetchOne(shared_from_this(), std::move(fetch)),
                            asio::detached);
@@ -270,6 +272,13 @@
     co_return std::move(data);
 }
 
+// On a link where chunks take long, several at once only wait for each other,
+// and live requests wait behind them.
+std::uint32_t WeightFetch::peerParallel() const
+{
+    return mMeanChunkSeconds > sSlowChunkSeconds ? 1 : mOptions.peerParallel;
+}
+
 std::chrono::milliseconds WeightFetch::chunkTimeout() const
 {
     if (mMeanChunkSeconds <= 0) {
--- a/src/libloomjunction/weights/weightfetch.h
+++ b/src/libloomjunction/weights/weightfetch.h
@@ -81,6 +81,7 @@
     awaitable<tl::expected<std::string, ChunkFailure>> fromOrigin(std::uint32_t index);
     awaitable<tl::expected<std::string, ChunkFailure>> fromPeer(std::uint32_t index,
                                                                 std::string box);
+    std::uint32_t peerParallel() const;
     std::chrono::milliseconds chunkTimeout() const;
     void take(const ChunkFetch &fetch, tl::expected<std::string, ChunkFailure> data);
 
