Requests that miss their goal wait behind those that can meet it

Cause: while replicas load weights the rest are a little too few, and one queue made all of them late. Now what would miss its goal is sent patient, behind the others, or told to come back if few were; who returns goes first. Loads cut what is left after 0.9 s where every route can resume.

--- a/src/libloomjunction/core/reloadturn.cpp
+++ b/src/libloomjunction/core/reloadturn.cpp
@@ -20,7 +20,7 @@
 // Chunks take about a quarter of the time to arrive. After the last turn a
 // replica still has to end what is running, and to take the weights.
 constexpr double sFirstTurn = 0.25;
-constexpr double sLastTurn = 0.68;
+constexpr double sLastTurn = 0.72;
 
 Milliseconds part(Milliseconds whole, double share)
 {
--- a/src/libloomjunction/core/replicaset.cpp
+++ b/src/libloomjunction/core/replicaset.cpp
@@ -38,6 +38,19 @@
 constexpr Milliseconds sPlainComeBack{100};
 constexpr Milliseconds sLeastComeBack{150};
 constexpr Milliseconds sMostComeBack{1'500};
+// Requests that were refused once wait for this many turns more.
+constexpr double sReturningQueue = 3;
+// Patient requests at a replica, as a part of its slots: about a second's work.
+constexpr double sPatientQueue = 0.6;
+// A refused request comes back when a few turns are over.
+constexpr double sComeBackFactor = 4;
+// A generator of ties only; its quality does not matter.
+constexpr std::uint64_t sTieFactor = 6364136223846793005ULL;
+constexpr std::uint64_t sTieStep = 1442695040888963407ULL;
+constexpr double sTieRange = 1ULL << 24;
+constexpr double sTieWeight = 0.01;
+// Part of the goal that may be planned with; the rest is for what is not known.
+constexpr double sGoalUsed = 0.85;
 // Shares of a pass that pass before and after the reading of a prompt.
 constexpr double sPassesToFirstEvent = 1.5;
 
@@ -71,7 +84,7 @@
         return 0;
     }
     const double base = passMs(engine) * sPassesToFirstEvent + readMs(engine);
-    return std::max(0.0, (static_cast<double>(goal.count()) - base) / turn);
+    return std::max(0.0, (static_cast<double>(goal.count()) * sGoalUsed - base) / turn);
 }
 
 std::uint64_t Replica::weightsVersion() const
@@ -145,8 +158,7 @@
     return version != 0 && version >= query.leastVersion;
 }
 
-double ReplicaSet::estimatedRequests(const Replica &replica, const ReplicaQuery &query,
-                                     Instant now) const
+double ReplicaSet::estimatedRequests(const Replica &replica, const ReplicaQuery &query, Instant now)
 {
     if (replica.load && now - replica.loadAt <= sLoadValid) {
         const double reported = replica.load->running + replica.load->waiting;
@@ -180,11 +192,69 @@
     return fastestMs > 0 && replica.answerMs > fastestMs * factor;
 }
 
+// Patient requests of all gateways that wait at the replica; they delay nobody else.
+double ReplicaSet::patientRequests(const Replica &replica, Instant now)
+{
+    double told = 0;
+    if (replica.load && now - replica.loadAt <= sLoadValid) {
+        told = std::min(replica.load->waitingPatient, replica.load->waiting);
+    }
+    return std::max<double>(told, replica.patientWaiting);
+}
+
+double ReplicaSet::costOf(const Replica &replica, const ReplicaQuery &query, double load,
+                          double fastestMs)
+{
+    const double slots = std::max<std::uint32_t>(replica.record.slots, 1);
+    double cost = load;
+    if (query.engine != nullptr && replica.load) {
+        cost *= std::max(1.0, replica.load->pace);
+    }
+    if (replica.record.dataCentre != query.dataCentre) {
+        cost += sFarToll / slots;
+    }
+    if (isSlow(replica, query, fastestMs)) {
+        cost += replica.answerMs / fastestMs;
+    }
+    if (replica.failureRate > sGreyShare) {
+        cost += replica.failureRate * slots;
+    }
+    return cost;
+}
+
+namespace {
+
+/** The cheapest replica so far. */
+struct Best
+{
+    const Replica *replica = nullptr;
+    double cost = 0;
+    double load = 0;
+
+    void offer(const Replica &other, double otherCost, double otherLoad)
+    {
+        if (replica == nullptr || otherCost < cost) {
+            replica = &other;
+            cost = otherCost;
+            load = otherLoad;
+        }
+    }
+
+    ChosenReplica chosen(bool isPatient, Instant now) const
+    {
+        const auto age = replica->load
+            ? std::chrono::duration_cast<Milliseconds>(now - replica->loadAt)
+            : Milliseconds(-1);
+        return {replica->record.id, isPatient, load, age};
+    }
+};
+
+} // namespace
+
 ReplicaChoice ReplicaSet::choose(const ReplicaQuery &query, Instant now) const
 {
-    const Replica *best = nullptr;
-    double bestCost = 0;
-    double bestLoad = 0;
+    Best prompt;
+    Best patient;
     double leastLoad = -1;
     std::uint32_t known = 0;
     std::uint32_t usable = 0;
@@ -192,69 +262,69 @@
     std::uint64_t tie = query.random;
     for (const auto &[id, replica] : mReplicas) {
         known += replica.record.service == query.service ? 1 : 0;
-        const bool isLate = isSlow(replica, query, fastest);
         const bool isOverSoon = replica.weightsVersion() < query.soonLeastVersion;
-        const bool mayBeLate = isLate || replica.failures > 0;
+        const bool mayBeLate = isSlow(replica, query, fastest) || replica.failures > 0;
         if (!isUsable(replica, query, now) || (isOverSoon && mayBeLate)) {
             continue;
         }
         ++usable;
         const double slots = std::max<std::uint32_t>(replica.record.slots, 1);
-        const double requests = estimatedRequests(replica, query, now);
-        const double queue = query.engine == nullptr ? slots * sPlainQueue
-                                                     : queueWithinGoal(*query.engine, query.goal);
-        const double load = requests / slots;
-        if (leastLoad < 0 || load < leastLoad) {
-            leastLoad = load;
-        }
-        if (requests >= slots + queue) {
-            continue;
-        }
-        double cost = load;
-        if (query.engine != nullptr && replica.load) {
-            cost *= std::max(1.0, replica.load->pace);
-        }
-        if (replica.record.dataCentre != query.dataCentre) {
-            cost += sFarToll / slots;
-        }
-        if (isLate) {
-            cost += replica.answerMs / fastest;
-        }
-        if (replica.failureRate > sGreyShare) {
-            cost += replica.failureRate * slots;
-        }
-        tie = tie * 6364136223846793005ULL + 1442695040888963407ULL;
-        cost += static_cast<double>(tie >> 40) / static_cast<double>(1ULL << 24) * 0.01;
-        if (best == nullptr || cost < bestCost) {
-            best = &replica;
-            bestCost = cost;
-            bestLoad = load;
+        const double all = estimatedRequests(replica, query, now);
+        const double ahead = std::max(0.0, all - patientRequests(replica, now));
+        double queue = query.engine == nullptr ? slots * sPlainQueue
+                                               : queueWithinGoal(*query.engine, query.goal);
+        queue += query.isReturning ? sReturningQueue : 0;
+        const double load = ahead / slots;
+        leastLoad = leastLoad < 0 ? load : std::min(leastLoad, load);
+        tie = tie * sTieFactor + sTieStep;
+        const double noise = static_cast<double>(tie >> 40) / sTieRange * sTieWeight;
+        const double cost = costOf(replica, query, load, fastest) + noise;
+        if (ahead < slots + queue) {
+            prompt.offer(replica, cost, load);
+        } else if (all < slots * (1 + sPatientQueue)) {
+            patient.offer(replica, costOf(replica, query, all / slots, fastest) + noise, load);
         }
     }
-    if (best != nullptr) {
-        const auto age = best->load ? std::chrono::duration_cast<Milliseconds>(now - best->loadAt)
-                                    : Milliseconds(-1);
-        return ChosenReplica{best->record.id, bestLoad, age};
+    if (prompt.replica != nullptr) {
+        return prompt.chosen(false, now);
+    }
+    if (patient.replica != nullptr && query.mayBePatient) {
+        return patient.chosen(true, now);
     }
     if (usable == 0) {
         return NoneUsable{known};
     }
-    Milliseconds comeBack = sPlainComeBack;
-    if (query.engine != nullptr) {
-        const double over = std::max(0.0, leastLoad - 1) * query.engine->slots;
-        const double wait = (over + 1) * meanTurnMs(*query.engine);
-        comeBack = std::clamp(Milliseconds(static_cast<std::int64_t>(wait)), sLeastComeBack,
-                              sMostComeBack);
+    return AllBusy{comeBack(query, leastLoad), leastLoad};
+}
+
+Milliseconds ReplicaSet::comeBack(const ReplicaQuery &query, double leastLoad)
+{
+    if (query.engine == nullptr) {
+        return sPlainComeBack;
     }
-    return AllBusy{comeBack, leastLoad};
+    const double over = std::max(0.0, leastLoad - 1) * query.engine->slots;
+    const double wait = (over + 1) * meanTurnMs(*query.engine) * sComeBackFactor;
+    // Those refused together should not return together.
+    const double spread = 0.75 + 0.5 * static_cast<double>(query.random % 1024) / 1024;
+    const Milliseconds after(static_cast<std::int64_t>(wait * spread));
+    return std::clamp(after, sLeastComeBack, sMostComeBack);
 }
 
-void ReplicaSet::began(std::string_view id)
+void ReplicaSet::began(std::string_view id, bool isPatient)
 {
     const auto it = mReplicas.find(id);
     if (it != mReplicas.end()) {
         ++it->second.inFlight;
         ++it->second.startedSince;
+        it->second.patientWaiting += isPatient ? 1 : 0;
+    }
+}
+
+void ReplicaSet::patienceEnded(std::string_view id)
+{
+    const auto it = mReplicas.find(id);
+    if (it != mReplicas.end() && it->second.patientWaiting > 0) {
+        --it->second.patientWaiting;
     }
 }
 
--- a/src/libloomjunction/core/replicaset.h
+++ b/src/libloomjunction/core/replicaset.h
@@ -40,6 +40,7 @@
 {
     std::uint32_t running = 0;
     std::uint32_t waiting = 0;
+    std::uint32_t waitingPatient = 0; ///< of those: sent as patient, by all gateways
     std::uint64_t memoryUsed = 0;
     std::uint64_t memoryTotal = 0;
     double pace = 1; ///< above one: slower than it should be
@@ -67,6 +68,7 @@
     Instant loadAt;
     std::uint32_t startedSince = 0; ///< by this entry since the agent spoke
     std::uint32_t endedSince = 0; ///< of those, and of earlier ones
+    std::uint32_t patientWaiting = 0; ///< sent by this entry as patient, not begun
     Instant avoidedUntil;
     std::uint32_t failures = 0; ///< in a row
     double failureRate = 0; ///< smoothed share of requests that failed
@@ -87,6 +89,10 @@
     /** Older weights are over soon: they run nothing at a replica that may be late. */
     std::uint64_t soonLeastVersion = 0;
     std::uint32_t entries = 1; ///< that share the replicas
+    /** Waited before, somewhere: goes before others, and waits rather than be refused. */
+    bool isReturning = false;
+    /** May be sent to be answered after the goal, behind all that can still meet it. */
+    bool mayBePatient = false;
     std::span<const std::string> excluded; ///< ids
     std::uint64_t random = 0;
 };
@@ -105,6 +111,7 @@
 struct ChosenReplica
 {
     std::string id;
+    bool isPatient = false; ///< it will be answered after the goal
     double load = 0; ///< requests there, for each slot, as believed
     Milliseconds loadAge{-1}; ///< of the agent's report; below zero: none
 };
@@ -134,7 +141,9 @@
 
     ReplicaChoice choose(const ReplicaQuery &query, Instant now) const;
 
-    void began(std::string_view id);
+    void began(std::string_view id, bool isPatient);
+    /** A patient request has its first event, or ended without one. */
+    void patienceEnded(std::string_view id);
     void ended(std::string_view id, ReplicaOutcome outcome, Instant now);
     /** The time to an answer or a first event at @p id. */
     void noteAnswerTime(std::string_view id, Microseconds took);
@@ -148,8 +157,13 @@
 private:
     static bool isUsable(const Replica &replica, const ReplicaQuery &query, Instant now);
     static bool isSlow(const Replica &replica, const ReplicaQuery &query, double fastestMs);
+    static Milliseconds comeBack(const ReplicaQuery &query, double leastLoad);
     double fastestAnswerMs(const ReplicaQuery &query, Instant now) const;
-    double estimatedRequests(const Replica &replica, const ReplicaQuery &query, Instant now) const;
+    static double estimatedRequests(const Replica &replica, const ReplicaQuery &query,
+                                    Instant now);
+    static double patientRequests(const Replica &replica, Instant now);
+    static double costOf(const Replica &replica, const ReplicaQuery &query, double load,
+                         double fastestMs);
 
     Milliseconds mDrainTime;
     std::map<std::string, Replica, std::less<>> mReplicas;
--- a/src/libloomjunction/gateway/gatewaycall.cpp
+++ b/src/libloomjunction/gateway/gatewaycall.cpp
@@ -130,6 +130,7 @@
     mServiceName = target->service;
     mService = mTable->service(mServiceName);
     const Milliseconds routeTime = mRoute->timeout.count() > 0 ? mRoute->timeout : sStandardTime;
+    mIsReturning = mCaller.deadline && mParts.replicas.hasWaited(mRoute->name, *mCaller.deadline);
     mDeadline = mArrived + std::min(routeTime, mCaller.deadline.value_or(routeTime));
     return std::nullopt;
 }
@@ -190,6 +191,9 @@
     query.entries = mParts.members.gatewayCount();
     query.excluded = mExcluded;
     query.random = mRandom + mSends;
+    // Whoever has an answer's beginning already must not wait for the rest.
+    query.isReturning = mIsReturning || mIsHeadSent;
+    query.mayBePatient = mIsReturning || mIsHeadSent || !mParts.replicas.maySendAway(mServiceName);
     if (mService != nullptr && mService->engine) {
         query.engine = &*mService->engine;
         const WeightsGoal &weights = mParts.config.weights();
@@ -201,7 +205,7 @@
 
 awaitable<void> GatewayCall::tryReplicas()
 {
-    mParts.replicas.budget(mServiceName).noteRequest();
+    mParts.replicas.noteRequest(mServiceName);
     Refusal last{503, "no replica can take it", sNoReplicaComeBack};
     std::optional<TryUnknown> unknown;
     while (true) {
@@ -210,6 +214,7 @@
         if (chosen == nullptr) {
             if (const auto *busy = std::get_if<AllBusy>(&choice); busy && mExcluded.empty()) {
                 last = {503, "all replicas are busy", busy->comeBack};
+                mParts.replicas.noteSentAway(mServiceName);
             }
             break;
         }
@@ -270,7 +275,8 @@
     mTriedLoadAge = chosen.loadAge;
     const std::string address = replica->record.address;
     const std::uint32_t cap = mService == nullptr ? 0 : mService->connectionCap;
-    mParts.replicas.replicas().began(chosen.id);
+    mIsPatient = chosen.isPatient;
+    mParts.replicas.began(chosen.id, chosen.isPatient);
     auto link = co_await mParts.replicas.link(chosen.id, address, cap);
     const Replica *still = mParts.replicas.replicas().find(chosen.id);
     const bool isDraining = still == nullptr || still->record.isDraining;
@@ -282,6 +288,7 @@
             ++mFailedConnects;
             outcome = ReplicaOutcome::Unreachable;
         }
+        endPatience();
         mParts.replicas.replicas().ended(chosen.id, outcome, now());
         if (mIsCallerGone || mIsTimeOver) {
             co_return TryOver{"time was over before a replica was reached"};
@@ -300,6 +307,7 @@
                          [](const TryOver &) { return ReplicaOutcome::Abandoned; },
                      },
                      result);
+    endPatience();
     mParts.replicas.replicas().ended(chosen.id, outcome, now());
     mParts.replicas.giveBack(chosen.id, std::move(mLink));
     if (!std::holds_alternative<TryDone>(result)) {
@@ -308,6 +316,14 @@
     co_return result;
 }
 
+void GatewayCall::endPatience()
+{
+    if (mIsPatient) {
+        mIsPatient = false;
+        mParts.replicas.patienceEnded(mTriedReplica);
+    }
+}
+
 OutgoingFields GatewayCall::outgoingFields(std::string_view replicaId) const
 {
     OutgoingFields fields;
@@ -316,6 +332,9 @@
     fields.account = mAccount;
     fields.lastEvent = mLastEvent ? mLastEvent : mCaller.lastEvent;
     if (mService != nullptr && mService->engine) {
+        fields.urgency = mIsPatient       ? Urgency::Patient
+            : mIsReturning || mIsHeadSent ? Urgency::Returning
+                                          : Urgency::Prompt;
         const Replica *replica = mParts.replicas.replicas().find(replicaId);
         const std::uint64_t newest = mParts.config.weights().newest(mCaller.model);
         // An older version may change under the request, and either may run it.
@@ -456,6 +475,7 @@
         silence = pause;
         if (isFirst) {
             isFirst = false;
+            endPatience();
             mParts.replicas.replicas().noteAnswerTime(replica, now() - begun);
         }
         if (!mIsHeadSent) {
--- a/src/libloomjunction/gateway/gatewaycall.h
+++ b/src/libloomjunction/gateway/gatewaycall.h
@@ -93,6 +93,7 @@
     awaitable<tl::expected<LinkHead, LinkError>> ownHead(LinkRequest request);
     TryResult afterLinkError(LinkError error);
     ReplicaChoice choose() const;
+    void endPatience();
     OutgoingFields outgoingFields(std::string_view replicaId) const;
     bool mayRepeat(const TryUnknown &failed) const;
     Milliseconds timeLeft() const;
@@ -123,6 +124,8 @@
     std::shared_ptr<bool> mAlive = std::make_shared<bool>(true);
     bool mIsCallerGone = false;
     bool mIsHeadSent = false;
+    bool mIsReturning = false; ///< the caller has waited before
+    bool mIsPatient = false; ///< the try under way was sent as patient and has no event yet
     bool mIsTimeOver = false;
     std::optional<std::uint64_t> mLastEvent; ///< the last one that the caller got
     std::optional<Milliseconds> mFirstAnswer; ///< from arrival to the first byte of an answer
--- a/src/libloomjunction/gateway/loadreporter.cpp
+++ b/src/libloomjunction/gateway/loadreporter.cpp
@@ -30,6 +30,8 @@
 constexpr std::chrono::milliseconds sScanEvery{200};
 // A gateway that takes nothing for so long is dialled anew.
 constexpr std::chrono::milliseconds sTakeTime{1'500};
+// Gateways speak only when their count changes; a lost one is noticed by sending.
+constexpr std::chrono::hours sLongSilence{1};
 constexpr double sPermille = 1'000;
 
 bool isSame(const ReplicaLoad &a, const ReplicaLoad &b)
@@ -97,6 +99,7 @@
     while (!mStopped && isMember()) {
         const PeerStreamPtr stream = co_await mHub->open(address, std::string(sLoadPath));
         if (stream) {
+            asio::co_spawn(mChanged->executor(), takeCounts(*this, stream, key), asio::detached);
             co_await send(stream);
             stream->reset();
         }
@@ -105,6 +108,30 @@
     mReported[key] = false;
 }
 
+awaitable<void> LoadReporter::takeCounts(LoadReporter &self, PeerStreamPtr stream, std::string key)
+{
+    while (!self.mStopped) {
+        const auto deadline = std::chrono::steady_clock::now() + sLongSilence;
+        const auto count = co_await stream->receiveMessage<wire::PatientCount>(deadline);
+        if (!count || !*count) {
+            break;
+        }
+        self.mPatient[key] = (*count)->waiting();
+        ++self.mChanges;
+        self.mChanged->notify();
+    }
+    self.mPatient.erase(key);
+}
+
+std::uint32_t LoadReporter::patientWaiting() const
+{
+    std::uint32_t sum = 0;
+    for (const auto &[key, count] : mPatient) {
+        sum += count;
+    }
+    return sum;
+}
+
 awaitable<void> LoadReporter::send(PeerStreamPtr stream)
 {
     while (stream->isOpen() && !mStopped) {
@@ -113,6 +140,7 @@
             report.set_address(mReplica);
             report.set_running(mLoad->running);
             report.set_waiting(mLoad->waiting);
+            report.set_waiting_patient(patientWaiting());
             report.set_memory_used(mLoad->memoryUsed);
             report.set_memory_total(mLoad->memoryTotal);
             report.set_pace_permille(static_cast<std::uint32_t>(mLoad->pace * sPermille));
--- a/src/libloomjunction/gateway/loadreporter.h
+++ b/src/libloomjunction/gateway/loadreporter.h
@@ -40,6 +40,8 @@
     awaitable<void> followMembers();
     awaitable<void> reportTo(std::string key, Tcp::endpoint address);
     awaitable<void> send(PeerStreamPtr stream);
+    static awaitable<void> takeCounts(LoadReporter &self, PeerStreamPtr stream, std::string key);
+    std::uint32_t patientWaiting() const;
 
     std::string mReplica;
     MemberService *mMembers = nullptr;
@@ -49,6 +51,7 @@
     std::uint64_t mChanges = 0;
     std::uint64_t mUrgent = 0; ///< changes that must not wait for the pause between reports
     std::map<std::string, bool> mReported;
+    std::map<std::string, std::uint32_t> mPatient; ///< waiting here, by gateway
     bool mStopped = false;
 };
 
--- a/src/libloomjunction/gateway/peerhub.cpp
+++ b/src/libloomjunction/gateway/peerhub.cpp
@@ -23,7 +23,7 @@
 constexpr std::chrono::milliseconds sConnectTimeout{600};
 // Bytes of one stream under way at most. Links are narrow, and what waits on one
 // delays the answers and requests that share it.
-constexpr std::uint32_t sStreamWindow = 24 * 1024;
+constexpr std::uint32_t sStreamWindow = 16 * 1024;
 constexpr std::chrono::seconds sIdle{30};
 constexpr std::chrono::seconds sSweepEvery{10};
 
--- a/src/libloomjunction/gateway/ports.h
+++ b/src/libloomjunction/gateway/ports.h
@@ -108,6 +108,14 @@
     std::uint32_t answerTokens = 0;
 };
 
+/** Which of the requests that wait at a replica it takes first. */
+enum class Urgency : std::uint8_t
+{
+    Returning, ///< was refused once
+    Prompt,
+    Patient, ///< its goal is missed already
+};
+
 /** What the system adds to a request on its way to a replica. */
 struct OutgoingFields
 {
@@ -116,6 +124,7 @@
     std::string account; ///< empty: none
     std::optional<std::uint64_t> lastEvent;
     std::optional<std::uint64_t> weightsVersion; ///< the only one that may run it
+    std::optional<Urgency> urgency; ///< order in the replica's queue; nothing: it has none
 };
 
 /** What a replica's answer says of itself. */
@@ -175,6 +184,13 @@
     double pace = 1;
 };
 
+/** What happens to the requests that run when weights change. */
+enum class LoadManner : std::uint8_t
+{
+    AfterRunning, ///< they end first
+    CutRunning, ///< they are broken off
+};
+
 enum class OrderAnswer : std::uint8_t
 {
     Begun,
@@ -190,7 +206,7 @@
     virtual ~EnginePort() = default;
     virtual awaitable<std::optional<EngineReport>> report(std::uint32_t layers) = 0;
     /** Orders the engine to load what is staged. @p ordersTaken: of the last report. */
-    virtual awaitable<OrderAnswer> load(std::string model, std::uint64_t version,
+    virtual awaitable<OrderAnswer> load(std::string model, std::uint64_t version, LoadManner manner,
                                         std::uint64_t ordersTaken)
         = 0;
     virtual awaitable<bool> stagePut(std::string model, std::uint32_t index, std::string data) = 0;
--- a/src/libloomjunction/gateway/replicaservice.cpp
+++ b/src/libloomjunction/gateway/replicaservice.cpp
@@ -16,6 +16,8 @@
 #include "peerhub.h"
 #include "wire.pb.h"
 
+#include <cmath>
+
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
 
@@ -31,6 +33,12 @@
 // Of a replica's connections; the rest is for entries that this one cannot see.
 constexpr double sConnectionsUsed = 0.8;
 constexpr double sPermille = 1'000;
+// How far back "of late" reaches: about as long as it takes to come back twice.
+constexpr double sRecentHalfSeconds = 1.0;
+// Of the requests; more would find others before them when they return.
+constexpr double sMostSentAway = 0.12;
+// A caller that tries again has at least this much less time than at first.
+constexpr Milliseconds sWaitedNoticeable{50};
 
 } // namespace
 
@@ -96,10 +104,14 @@
             break;
         }
         const wire::ReplicaLoadReport &told = **report;
-        address = told.address();
+        if (address.empty()) {
+            address = told.address();
+            mLoadStreams[address] = stream;
+        }
         ReplicaLoad load;
         load.running = told.running();
         load.waiting = told.waiting();
+        load.waitingPatient = told.waiting_patient();
         load.memoryUsed = told.memory_used();
         load.memoryTotal = told.memory_total();
         load.pace = told.pace_permille() / sPermille;
@@ -108,11 +120,78 @@
         mReplicas.report(address, load, now());
     }
     stream->reset();
-    if (!address.empty()) {
+    const auto it = mLoadStreams.find(address);
+    if (it != mLoadStreams.end() && it->second == stream) {
+        mLoadStreams.erase(it);
         mReplicas.reportLost(address);
     }
 }
 
+void ReplicaService::began(const std::string &id, bool isPatient)
+{
+    mReplicas.began(id, isPatient);
+    if (isPatient) {
+        tellPatient(id);
+    }
+}
+
+void ReplicaService::patienceEnded(const std::string &id)
+{
+    mReplicas.patienceEnded(id);
+    tellPatient(id);
+}
+
+// The replica's agent adds up what all gateways have there.
+void ReplicaService::tellPatient(const std::string &id)
+{
+    const Replica *replica = mReplicas.find(id);
+    if (replica == nullptr) {
+        return;
+    }
+    const auto it = mLoadStreams.find(replica->record.address);
+    if (it == mLoadStreams.end()) {
+        return;
+    }
+    wire::PatientCount count;
+    count.set_waiting(replica->patientWaiting);
+    it->second->send(count);
+}
+
+ReplicaService::RecentCalls &ReplicaService::recent(const std::string &service)
+{
+    RecentCalls &recent = mRecent[service];
+    const double seconds = std::chrono::duration<double>(now() - recent.at).count();
+    const double kept = std::exp2(-seconds / sRecentHalfSeconds);
+    recent.requests *= kept;
+    recent.sentAway *= kept;
+    recent.at = now();
+    return recent;
+}
+
+void ReplicaService::noteRequest(const std::string &service)
+{
+    budget(service).noteRequest();
+    recent(service).requests += 1;
+}
+
+void ReplicaService::noteSentAway(const std::string &service)
+{
+    recent(service).sentAway += 1;
+}
+
+bool ReplicaService::maySendAway(const std::string &service)
+{
+    const RecentCalls &calls = recent(service);
+    return calls.sentAway < calls.requests * sMostSentAway;
+}
+
+bool ReplicaService::hasWaited(const std::string &route, Milliseconds deadline)
+{
+    Milliseconds &longest = mLongestDeadline[route];
+    longest = std::max(longest, deadline);
+    return deadline < longest - sWaitedNoticeable;
+}
+
 SharedRetryBudget &ReplicaService::budget(const std::string &service)
 {
     return mBudgets.try_emplace(service, mBounds, mBorn).first->second;
--- a/src/libloomjunction/gateway/replicaservice.h
+++ b/src/libloomjunction/gateway/replicaservice.h
@@ -46,8 +46,17 @@
     void stop() override { mStopped = true; }
 
     ReplicaSet &replicas() { return mReplicas; }
-    /** The budget of repeats at @p service. */
-    SharedRetryBudget &budget(const std::string &service);
+    /** A caller's request for @p service came. */
+    void noteRequest(const std::string &service);
+    /** A request that found all replicas busy was told to come back. */
+    void noteSentAway(const std::string &service);
+    /** Few were sent away of late: those who return will find room. */
+    bool maySendAway(const std::string &service);
+    /** Whether a caller of @p route with so much time left had more before. */
+    bool hasWaited(const std::string &route, Milliseconds deadline);
+
+    void began(const std::string &id, bool isPatient);
+    void patienceEnded(const std::string &id);
     /** Takes one repeat of a request at @p service. */
     bool takeRepeat(const std::string &service);
 
@@ -64,6 +73,17 @@
         std::uint32_t open = 0; ///< idle and in use
     };
 
+    /** What one service was asked of late, halved again and again. */
+    struct RecentCalls
+    {
+        double requests = 0;
+        double sentAway = 0;
+        Instant at;
+    };
+
+    SharedRetryBudget &budget(const std::string &service);
+    RecentCalls &recent(const std::string &service);
+    void tellPatient(const std::string &id);
     void take(const FeedChange &change);
     awaitable<void> takeLoads(PeerStreamPtr stream);
     awaitable<void> sweepLoop();
@@ -78,6 +98,9 @@
     ReplicaSet mReplicas;
     std::map<std::string, Pool> mPools; ///< by replica id
     std::map<std::string, SharedRetryBudget> mBudgets;
+    std::map<std::string, RecentCalls> mRecent;
+    std::map<std::string, Milliseconds> mLongestDeadline; ///< by route
+    std::map<std::string, PeerStreamPtr> mLoadStreams; ///< by replica address
     bool mStopped = false;
 };
 
--- a/src/libloomjunction/gateway/stageservice.cpp
+++ b/src/libloomjunction/gateway/stageservice.cpp
@@ -35,6 +35,8 @@
 constexpr Milliseconds sRetryPause{200};
 // Gateways must have heard that the replica takes nothing before it is ordered to load.
 constexpr Milliseconds sTellFirst{30};
+// About the time in which a full engine ends two thirds of what it runs.
+constexpr Milliseconds sEmptyFor{900};
 constexpr std::chrono::milliseconds sPeerTime{1'000};
 // An order that got no answer and shows no effect for so long was not taken.
 constexpr Milliseconds sOrderLost{1'500};
@@ -42,11 +44,11 @@
 // Live answers share the link with these: few at once keep its queue short.
 constexpr std::uint32_t sMostUploads = 2;
 // Of the link, for chunks on their way out; the rest is for answers to callers.
-constexpr double sLinkShare = 0.65;
+constexpr double sLinkShare = 0.85;
 constexpr double sBytesPerMbit = 125'000;
 constexpr double sBurstBytes = 8.0 * 1024;
 constexpr std::uint32_t sOriginParallel = 2;
-constexpr std::uint32_t sPeerParallel = 3;
+constexpr std::uint32_t sPeerParallel = 2;
 constexpr std::uint32_t sNeighbours = 12;
 constexpr Milliseconds sTakeover{2'000};
 
@@ -434,13 +436,14 @@
     mIsLoading = true;
     mOrderedAt = now();
     tellLoad();
-    co_await sleepFor(sTellFirst);
-    if (!co_await lookAtEngine() || mReport->isBusy) {
+    if (!co_await emptyEngine() || mReport->isBusy) {
         mIsLoading = false;
         co_return false;
     }
     const std::uint64_t ordersTaken = mReport->ordersTaken;
-    const OrderAnswer answer = co_await mEngine.load(model, version, ordersTaken);
+    const LoadManner manner = mayCut() ? LoadManner::CutRunning : LoadManner::AfterRunning;
+    mOrderedAt = now();
+    const OrderAnswer answer = co_await mEngine.load(model, version, manner, ordersTaken);
     logLine(LogLevel::Info, "load-ordered",
             {{"model", model},
              {"version", version},
@@ -454,6 +457,35 @@
     co_return answer != OrderAnswer::Refused;
 }
 
+// Gateways send nothing more; what runs is given time to end. Most requests are
+// short, so a few long ones would keep the whole engine idle for the rest.
+awaitable<bool> StageService::emptyEngine()
+{
+    const Instant until = now() + (mayCut() ? sEmptyFor : sTellFirst);
+    do {
+        co_await sleepFor(sTellFirst);
+        if (!co_await lookAtEngine()) {
+            co_return false;
+        }
+    } while (now() < until && mReport->running + mReport->waiting > 0 && !mStopped);
+    co_return true;
+}
+
+// What is broken off goes on at another replica, where every route allows that.
+bool StageService::mayCut() const
+{
+    const RouteTablePtr &table = mConfig->table();
+    if (!table) {
+        return false;
+    }
+    return std::ranges::all_of(table->config().routes, [&](const Route &route) {
+        const bool isOurs = std::ranges::any_of(route.targets, [&](const RouteTarget &target) {
+            return target.service == mStager.service;
+        });
+        return !isOurs || (route.isStream && route.isResumable);
+    });
+}
+
 awaitable<bool> StageService::fillStage(std::string model)
 {
     const std::string digest = mDigest;
--- a/src/libloomjunction/gateway/stageservice.h
+++ b/src/libloomjunction/gateway/stageservice.h
@@ -60,6 +60,8 @@
     originChunk(std::string model, std::uint64_t version, std::uint32_t index);
     void beginFetch(const std::string &model, std::uint64_t version);
     awaitable<bool> loadStaged(std::string model, std::uint64_t version);
+    awaitable<bool> emptyEngine();
+    bool mayCut() const;
     awaitable<bool> fillStage(std::string model);
     awaitable<bool> isStageRight(std::string model);
     bool isMyTurn(const std::string &model, std::uint64_t version) const;
--- a/tests/direct/test_replicaset.cpp
+++ b/tests/direct/test_replicaset.cpp
@@ -125,7 +125,7 @@
     BOOST_TEST(chosen(set, query(), at(0)) == "r1");
     // What this gateway sent since the report counts on top of it.
     for (int i = 0; i < 6; ++i) {
-        set.began("r1");
+        set.began("r1", false);
     }
     BOOST_TEST(chosen(set, query(), at(0)) == "r2");
 }
@@ -134,15 +134,56 @@
 {
     ReplicaSet set(sDrainTime);
     set.put(record("r1", "here"));
-    set.began("r1");
+    set.began("r1", false);
     set.ended("r1", ReplicaOutcome::Broken, at(0));
     BOOST_TEST(chosen(set, query(), at(200)) == "");
     BOOST_TEST(chosen(set, query(), at(300)) == "r1");
-    set.began("r1");
+    set.began("r1", false);
     set.ended("r1", ReplicaOutcome::Broken, at(300));
     BOOST_TEST(chosen(set, query(), at(700)) == "");
     BOOST_TEST(chosen(set, query(), at(900)) == "r1");
-    set.began("r1");
+    set.began("r1", false);
     set.ended("r1", ReplicaOutcome::Answered, at(900));
     BOOST_TEST(set.find("r1")->failures == 0U);
 }
+
+BOOST_AUTO_TEST_CASE(patient_requests_delay_no_prompt_ones)
+{
+    ReplicaSet set(sDrainTime);
+    set.put(record("r1", "here"));
+    ReplicaLoad full;
+    full.weightsVersion = 1;
+    full.running = 16;
+    full.waiting = 6;
+    set.report("10.0.0.1:1", full, at(0));
+    BOOST_TEST(chosen(set, query(), at(0)) == "");
+    ReplicaQuery patient = query();
+    patient.mayBePatient = true;
+    const ReplicaChoice late = set.choose(patient, at(0));
+    BOOST_TEST(std::get<ChosenReplica>(late).isPatient);
+    // Of the same six, five stand behind whoever comes now.
+    full.waitingPatient = 5;
+    set.report("10.0.0.1:1", full, at(10));
+    const ReplicaChoice prompt = set.choose(patient, at(10));
+    BOOST_TEST(!std::get<ChosenReplica>(prompt).isPatient);
+    // There is an end to patience, too.
+    full.waiting = 12;
+    full.waitingPatient = 2;
+    set.report("10.0.0.1:1", full, at(20));
+    BOOST_TEST(std::holds_alternative<AllBusy>(set.choose(patient, at(20))));
+}
+
+BOOST_AUTO_TEST_CASE(a_returning_request_waits_rather_than_be_refused)
+{
+    ReplicaSet set(sDrainTime);
+    set.put(record("r1", "here"));
+    ReplicaLoad full;
+    full.weightsVersion = 1;
+    full.running = 16;
+    full.waiting = 4;
+    set.report("10.0.0.1:1", full, at(0));
+    ReplicaQuery asked = query();
+    BOOST_TEST(chosen(set, asked, at(0)) == "");
+    asked.isReturning = true;
+    BOOST_TEST(chosen(set, asked, at(0)) == "r1");
+}
