Replicas are chosen by the predicted first event, the best of three

Cause: a replica that came back empty from loading got all requests of a tenth of a second from six gateways, and read prompts for the next second (first events up to 1.8 s at a load below a half of its slots). Now the time to the first event is predicted from passes, prompts unread and turns, and each gateway looks at three random replicas. Ruled out: slots (load was 0.5 of them) and links (18 to 22 s, while chunks move, p50 190 ms).

--- /dev/null
+++ b/src/libloomjunction/core/enginemodel.cpp
@@ -0,0 +1,58 @@
+/*
+ * enginemodel.cpp
+ * Copyright 2026, the loomjunction authors
+ *
+ * This file is part of loomjunction (libloomjunction).
+ * SPDX-License-Identifier: BSD-2-Clause
+ */
+
+#include "enginemodel.h"
+
+#include <algorithm>
+
+namespace Loom {
+
+namespace {
+
+// A request comes somewhere within a pass, on average in its middle.
+constexpr double sMiddle = 0.5;
+constexpr double sPerThousand = 1'000;
+
+} // namespace
+
+double EngineModel::pass(double writers) const
+{
+    const double context = (mFigures.usualPrompt + mFigures.usualAnswer / 2) / sPerThousand;
+    const double perWriter = mFigures.perSequenceMs + mFigures.contextMsPerK * context;
+    return mFigures.stepsPerPass * (mFigures.stepMs + writers * perWriter);
+}
+
+double EngineModel::read(double tokens) const
+{
+    return mFigures.readTokensPerMs > 0 ? tokens / mFigures.readTokensPerMs : 0;
+}
+
+double EngineModel::turn() const
+{
+    if (mFigures.slots == 0 || mFigures.stepsPerPass == 0) {
+        return 0;
+    }
+    const double step = pass(mFigures.slots) / mFigures.stepsPerPass;
+    return read(mFigures.usualPrompt) + mFigures.usualAnswer * step / mFigures.slots;
+}
+
+double EngineModel::firstEvent(const EngineWork &work, double promptTokens) const
+{
+    const double slots = std::max<std::uint32_t>(mFigures.slots, 1);
+    const double total = work.running + work.unread;
+    const double queued = std::max(0.0, total + 1 - slots);
+    // Only those that find a slot are read in the next pass.
+    const double readBefore = std::max(0.0, work.unread - queued);
+    const double tokens = promptTokens > 0 ? promptTokens : mFigures.usualPrompt;
+    const double reading = readBefore * read(mFigures.usualPrompt) + read(tokens);
+    const double waiting = queued * turn();
+    const double passes = sMiddle * pass(work.running) + pass(std::min(total + 1, slots));
+    return work.pace * (waiting + passes + reading);
+}
+
+} // namespace Loom
--- a/src/libloomjunction/core/replicaset.cpp
+++ b/src/libloomjunction/core/replicaset.cpp
@@ -28,8 +28,10 @@
 constexpr double sSmoothing = 0.15;
 // A replica that fails this share of its requests gets only what the others cannot take.
 constexpr double sGreyShare = 0.25;
-// The way to another data centre, as a part of the load of one slot.
-constexpr double sFarToll = 0.4;
+// The way to another data centre and back, and what its bytes cost. Milliseconds.
+constexpr double sFarTollMs = 15;
+// A request that fails has to be sent again, or is lost.
+constexpr double sFailureTollMs = 500;
 // Slower than the fastest by this factor is not noise of the requests' sizes.
 constexpr double sSlowFactor = 2.5;
 constexpr double sSlowEngineFactor = 4;
@@ -38,55 +40,19 @@
 constexpr Milliseconds sPlainComeBack{100};
 constexpr Milliseconds sLeastComeBack{150};
 constexpr Milliseconds sMostComeBack{1'500};
-// Requests that were refused once wait for this many turns more.
-constexpr double sReturningQueue = 3;
+// Requests that were refused once may be late by this many turns.
+constexpr double sReturningTurns = 3;
+// Replicas looked at for one request, if one of them meets its goal.
+constexpr std::size_t sSample = 3;
 // Patient requests at a replica, as a part of its slots: about a second's work.
 constexpr double sPatientQueue = 0.6;
 // A refused request comes back when a few turns are over.
 constexpr double sComeBackFactor = 4;
-// A generator of ties only; its quality does not matter.
-constexpr std::uint64_t sTieFactor = 6364136223846793005ULL;
-constexpr std::uint64_t sTieStep = 1442695040888963407ULL;
-constexpr double sTieRange = 1ULL << 24;
-constexpr double sTieWeight = 0.01;
 // Part of the goal that may be planned with; the rest is for what is not known.
 constexpr double sGoalUsed = 0.85;
-// Shares of a pass that pass before and after the reading of a prompt.
-constexpr double sPassesToFirstEvent = 1.5;
-
-double passMs(const EngineFigures &engine)
-{
-    const double context = (engine.usualPrompt + engine.usualAnswer / 2) / 1000;
-    const double perRequest = engine.perSequenceMs + engine.contextMsPerK * context;
-    return engine.stepsPerPass * (engine.stepMs + engine.slots * perRequest);
-}
-
-double readMs(const EngineFigures &engine)
-{
-    return engine.readTokensPerMs > 0 ? engine.usualPrompt / engine.readTokensPerMs : 0;
-}
 
 } // namespace
 
-double meanTurnMs(const EngineFigures &engine)
-{
-    if (engine.slots == 0 || engine.stepsPerPass == 0) {
-        return 0;
-    }
-    const double stepMs = passMs(engine) / engine.stepsPerPass;
-    return readMs(engine) + engine.usualAnswer * stepMs / engine.slots;
-}
-
-double queueWithinGoal(const EngineFigures &engine, Milliseconds goal)
-{
-    const double turn = meanTurnMs(engine);
-    if (turn <= 0) {
-        return 0;
-    }
-    const double base = passMs(engine) * sPassesToFirstEvent + readMs(engine);
-    return std::max(0.0, (static_cast<double>(goal.count()) * sGoalUsed - base) / turn);
-}
-
 std::uint64_t Replica::weightsVersion() const
 {
     return load ? load->weightsVersion : record.weightsVersion;
@@ -158,21 +124,6 @@
     return version != 0 && version >= query.leastVersion;
 }
 
-double ReplicaSet::estimatedRequests(const Replica &replica, const ReplicaQuery &query, Instant now)
-{
-    if (replica.load && now - replica.loadAt <= sLoadValid) {
-        const double reported = replica.load->running + replica.load->waiting;
-        const double since
-            = static_cast<double>(replica.startedSince) - static_cast<double>(replica.endedSince);
-        return std::max<double>(replica.inFlight, reported + since);
-    }
-    if (query.engine == nullptr) {
-        return replica.inFlight;
-    }
-    // Without its agent, the others are taken to send as much as this entry.
-    return static_cast<double>(replica.inFlight) * std::max<std::uint32_t>(query.entries, 1);
-}
-
 double ReplicaSet::fastestAnswerMs(const ReplicaQuery &query, Instant now) const
 {
     double fastest = 0;
@@ -193,106 +144,160 @@
 }
 
 // Patient requests of all gateways that wait at the replica; they delay nobody else.
-double ReplicaSet::patientRequests(const Replica &replica, Instant now)
+std::uint32_t ReplicaSet::patientRequests(const Replica &replica, Instant now)
 {
-    double told = 0;
+    std::uint32_t told = 0;
     if (replica.load && now - replica.loadAt <= sLoadValid) {
         told = std::min(replica.load->waitingPatient, replica.load->waiting);
     }
-    return std::max<double>(told, replica.patientWaiting);
+    return std::max(told, replica.patientWaiting);
 }
 
-double ReplicaSet::costOf(const Replica &replica, const ReplicaQuery &query, double load,
-                          double fastestMs)
+// What the agent said, corrected by what this gateway did since. Without its
+// agent, the others are taken to send as much as this gateway.
+EngineWork ReplicaSet::workOf(const Replica &replica, const ReplicaQuery &query, Instant now)
 {
+    EngineWork work;
+    if (!replica.load || now - replica.loadAt > sLoadValid) {
+        const double all = std::max<std::uint32_t>(query.entries, 1);
+        work.unread = replica.awaiting * all;
+        work.running = (replica.inFlight - std::min(replica.awaiting, replica.inFlight)) * all;
+        return work;
+    }
+    const ReplicaLoad &load = *replica.load;
+    work.pace = std::max(1.0, load.pace);
+    work.running = std::max(0.0, load.running - static_cast<double>(replica.endedSince));
+    work.unread = load.waiting + replica.startedSince;
+    return work;
+}
+
+ReplicaSet::Offer ReplicaSet::engineOffer(const Replica &replica, const ReplicaQuery &query,
+                                          Instant now)
+{
+    const EngineModel model(*query.engine);
     const double slots = std::max<std::uint32_t>(replica.record.slots, 1);
-    double cost = load;
-    if (query.engine != nullptr && replica.load) {
-        cost *= std::max(1.0, replica.load->pace);
-    }
+    EngineWork work = workOf(replica, query, now);
+    const double all = work.running + work.unread;
+    work.unread = std::max(0.0, work.unread - patientRequests(replica, now));
+    Offer offer;
+    offer.load = (work.running + work.unread) / slots;
+    offer.answer = model.firstEvent(work, query.promptTokens);
+    offer.cost = offer.answer;
+    const double goal = static_cast<double>(query.goal.count()) * sGoalUsed
+        + (query.isReturning ? sReturningTurns * model.turn() : 0);
+    offer.isPrompt = offer.answer <= goal;
+    offer.isOpen = all < slots * (1 + sPatientQueue);
+    return offer;
+}
+
+ReplicaSet::Offer ReplicaSet::plainOffer(const Replica &replica, const ReplicaQuery &query)
+{
+    const double slots = std::max<std::uint32_t>(replica.record.slots, 1);
+    Offer offer;
+    offer.load = replica.inFlight / slots;
+    offer.answer = std::max(replica.answerMs, 1.0) * (1 + offer.load);
+    offer.cost = offer.answer;
+    const double queue = query.isReturning ? 2 * sPlainQueue : sPlainQueue;
+    offer.isPrompt = offer.load < 1 + queue;
+    return offer;
+}
+
+ReplicaSet::Offer ReplicaSet::offerOf(const Replica &replica, const ReplicaQuery &query,
+                                      double fastestMs, Instant now)
+{
+    Offer offer
+        = query.engine == nullptr ? plainOffer(replica, query) : engineOffer(replica, query, now);
     if (replica.record.dataCentre != query.dataCentre) {
-        cost += sFarToll / slots;
+        offer.cost += sFarTollMs;
     }
     if (isSlow(replica, query, fastestMs)) {
-        cost += replica.answerMs / fastestMs;
+        offer.cost += replica.answerMs;
     }
     if (replica.failureRate > sGreyShare) {
-        cost += replica.failureRate * slots;
+        offer.cost += replica.failureRate * sFailureTollMs;
     }
-    return cost;
+    return offer;
 }
 
-namespace {
-
-/** The cheapest replica so far. */
-struct Best
+std::vector<const Replica *> ReplicaSet::usableFor(const ReplicaQuery &query, double fastestMs,
+                                                   Instant now) const
 {
-    const Replica *replica = nullptr;
-    double cost = 0;
-    double load = 0;
-
-    void offer(const Replica &other, double otherCost, double otherLoad)
-    {
-        if (replica == nullptr || otherCost < cost) {
-            replica = &other;
-            cost = otherCost;
-            load = otherLoad;
+    std::vector<const Replica *> usable;
+    for (const auto &[id, replica] : mReplicas) {
+        const bool isOverSoon = replica.weightsVersion() < query.soonLeastVersion;
+        const bool mayBeLate = isSlow(replica, query, fastestMs) || replica.failures > 0;
+        if (isUsable(replica, query, now) && !(isOverSoon && mayBeLate)) {
+            usable.push_back(&replica);
         }
     }
+    return usable;
+}
 
-    ChosenReplica chosen(bool isPatient, Instant now) const
-    {
-        const auto age = replica->load
-            ? std::chrono::duration_cast<Milliseconds>(now - replica->loadAt)
-            : Milliseconds(-1);
-        return {replica->record.id, isPatient, load, age};
+namespace {
+
+// A generator of choices; its quality does not matter.
+std::uint64_t nextRandom(std::uint64_t &state)
+{
+    state = state * 6364136223846793005ULL + 1442695040888963407ULL;
+    return state >> 33;
+}
+
+// Moves @p count random ones to the front.
+void shuffleFront(std::vector<const Replica *> &replicas, std::size_t count, std::uint64_t random)
+{
+    std::uint64_t state = random;
+    for (std::size_t i = 0; i < count && i + 1 < replicas.size(); ++i) {
+        const std::size_t other = i + nextRandom(state) % (replicas.size() - i);
+        std::swap(replicas[i], replicas[other]);
     }
-};
+}
 
 } // namespace
 
+// All gateways know the same loads, each a little old. If everyone took the
+// best, one replica that comes back empty would get all requests of a tenth of
+// a second, and would read prompts for the next whole second. So each takes the
+// best of a few.
 ReplicaChoice ReplicaSet::choose(const ReplicaQuery &query, Instant now) const
 {
-    Best prompt;
-    Best patient;
-    double leastLoad = -1;
-    std::uint32_t known = 0;
-    std::uint32_t usable = 0;
     const double fastest = fastestAnswerMs(query, now);
-    std::uint64_t tie = query.random;
-    for (const auto &[id, replica] : mReplicas) {
-        known += replica.record.service == query.service ? 1 : 0;
-        const bool isOverSoon = replica.weightsVersion() < query.soonLeastVersion;
-        const bool mayBeLate = isSlow(replica, query, fastest) || replica.failures > 0;
-        if (!isUsable(replica, query, now) || (isOverSoon && mayBeLate)) {
-            continue;
+    std::vector<const Replica *> usable = usableFor(query, fastest, now);
+    shuffleFront(usable, usable.size(), query.random);
+    const std::size_t sample = query.engine == nullptr ? usable.size() : sSample;
+    const Replica *prompt = nullptr;
+    const Replica *patient = nullptr;
+    Offer promptOffer;
+    Offer patientOffer;
+    double leastLoad = -1;
+    for (std::size_t index = 0; index < usable.size(); ++index) {
+        if (index >= sample && prompt != nullptr) {
+            break;
         }
-        ++usable;
-        const double slots = std::max<std::uint32_t>(replica.record.slots, 1);
-        const double all = estimatedRequests(replica, query, now);
-        const double ahead = std::max(0.0, all - patientRequests(replica, now));
-        double queue = query.engine == nullptr ? slots * sPlainQueue
-                                               : queueWithinGoal(*query.engine, query.goal);
-        queue += query.isReturning ? sReturningQueue : 0;
-        const double load = ahead / slots;
-        leastLoad = leastLoad < 0 ? load : std::min(leastLoad, load);
-        tie = tie * sTieFactor + sTieStep;
-        const double noise = static_cast<double>(tie >> 40) / sTieRange * sTieWeight;
-        const double cost = costOf(replica, query, load, fastest) + noise;
-        if (ahead < slots + queue) {
-            prompt.offer(replica, cost, load);
-        } else if (all < slots * (1 + sPatientQueue)) {
-            patient.offer(replica, costOf(replica, query, all / slots, fastest) + noise, load);
+        const Offer offer = offerOf(*usable[index], query, fastest, now);
+        leastLoad = leastLoad < 0 ? offer.load : std::min(leastLoad, offer.load);
+        if (offer.isPrompt && (prompt == nullptr || offer.cost < promptOffer.cost)) {
+            prompt = usable[index];
+            promptOffer = offer;
+        }
+        if (offer.isOpen && (patient == nullptr || offer.cost < patientOffer.cost)) {
+            patient = usable[index];
+            patientOffer = offer;
         }
     }
-    if (prompt.replica != nullptr) {
-        return prompt.chosen(false, now);
-    }
-    if (patient.replica != nullptr && query.mayBePatient) {
-        return patient.chosen(true, now);
+    const bool isPatient = prompt == nullptr && query.mayBePatient;
+    const Replica *chosen = isPatient ? patient : prompt;
+    if (chosen != nullptr) {
+        const Offer &offer = isPatient ? patientOffer : promptOffer;
+        const auto age = chosen->load
+            ? std::chrono::duration_cast<Milliseconds>(now - chosen->loadAt)
+            : Milliseconds(-1);
+        return ChosenReplica{chosen->record.id, isPatient, offer.load, age, offer.answer};
     }
-    if (usable == 0) {
-        return NoneUsable{known};
+    if (usable.empty()) {
+        const auto known = std::ranges::count_if(mReplicas, [&](const auto &item) {
+            return item.second.record.service == query.service;
+        });
+        return NoneUsable{static_cast<std::uint32_t>(known)};
     }
     return AllBusy{comeBack(query, leastLoad), leastLoad};
 }
@@ -303,7 +308,7 @@
         return sPlainComeBack;
     }
     const double over = std::max(0.0, leastLoad - 1) * query.engine->slots;
-    const double wait = (over + 1) * meanTurnMs(*query.engine) * sComeBackFactor;
+    const double wait = (over + 1) * EngineModel(*query.engine).turn() * sComeBackFactor;
     // Those refused together should not return together.
     const double spread = 0.75 + 0.5 * static_cast<double>(query.random % 1024) / 1024;
     const Milliseconds after(static_cast<std::int64_t>(wait * spread));
@@ -313,18 +318,46 @@
 void ReplicaSet::began(std::string_view id, bool isPatient)
 {
     const auto it = mReplicas.find(id);
-    if (it != mReplicas.end()) {
-        ++it->second.inFlight;
-        ++it->second.startedSince;
-        it->second.patientWaiting += isPatient ? 1 : 0;
+    if (it == mReplicas.end()) {
+        return;
+    }
+    Replica &replica = it->second;
+    ++replica.inFlight;
+    ++replica.startedSince;
+    ++replica.awaiting;
+    replica.patientWaiting += isPatient ? 1 : 0;
+}
+
+void ReplicaSet::stopAwaiting(Replica &replica, bool isPatient)
+{
+    if (replica.awaiting > 0) {
+        --replica.awaiting;
+    }
+    if (isPatient && replica.patientWaiting > 0) {
+        --replica.patientWaiting;
     }
 }
 
-void ReplicaSet::patienceEnded(std::string_view id)
+void ReplicaSet::answerBegan(std::string_view id, bool isPatient, Microseconds took)
 {
     const auto it = mReplicas.find(id);
-    if (it != mReplicas.end() && it->second.patientWaiting > 0) {
-        --it->second.patientWaiting;
+    if (it == mReplicas.end()) {
+        return;
+    }
+    stopAwaiting(it->second, isPatient);
+    if (isPatient) {
+        return; // its time says nothing of the replica
+    }
+    const double ms = std::chrono::duration<double, std::milli>(took).count();
+    double &mean = it->second.answerMs;
+    mean += (mean == 0 ? 1.0 : sSmoothing) * (ms - mean);
+}
+
+void ReplicaSet::answerMissed(std::string_view id, bool isPatient)
+{
+    const auto it = mReplicas.find(id);
+    if (it != mReplicas.end()) {
+        stopAwaiting(it->second, isPatient);
     }
 }
 
@@ -361,17 +394,6 @@
         = std::max(replica.avoidedUntil, now + std::min<Milliseconds>(doubled, sMostPause));
 }
 
-void ReplicaSet::noteAnswerTime(std::string_view id, Microseconds took)
-{
-    const auto it = mReplicas.find(id);
-    if (it == mReplicas.end()) {
-        return;
-    }
-    const double ms = std::chrono::duration<double, std::milli>(took).count();
-    double &mean = it->second.answerMs;
-    mean += (mean == 0 ? 1.0 : sSmoothing) * (ms - mean);
-}
-
 const Replica *ReplicaSet::find(std::string_view id) const
 {
     const auto it = mReplicas.find(id);
--- a/src/libloomjunction/core/replicaset.h
+++ b/src/libloomjunction/core/replicaset.h
@@ -8,6 +8,7 @@
 
 #pragma once
 
+#include "enginemodel.h"
 #include "instant.h"
 #include "routetable.h"
 
@@ -68,7 +69,8 @@
     Instant loadAt;
     std::uint32_t startedSince = 0; ///< by this entry since the agent spoke
     std::uint32_t endedSince = 0; ///< of those, and of earlier ones
-    std::uint32_t patientWaiting = 0; ///< sent by this entry as patient, not begun
+    std::uint32_t awaiting = 0; ///< sent by this entry, without a first byte of an answer
+    std::uint32_t patientWaiting = 0; ///< of those: sent as patient
     Instant avoidedUntil;
     std::uint32_t failures = 0; ///< in a row
     double failureRate = 0; ///< smoothed share of requests that failed
@@ -85,6 +87,7 @@
     std::string_view dataCentre; ///< of this entry
     const EngineFigures *engine = nullptr; ///< null for a plain service
     Milliseconds goal{0};
+    double promptTokens = 0; ///< zero: unknown
     std::uint64_t leastVersion = 0; ///< of the weights; zero: any, and none is needed
     /** Older weights are over soon: they run nothing at a replica that may be late. */
     std::uint64_t soonLeastVersion = 0;
@@ -114,6 +117,7 @@
     bool isPatient = false; ///< it will be answered after the goal
     double load = 0; ///< requests there, for each slot, as believed
     Milliseconds loadAge{-1}; ///< of the agent's report; below zero: none
+    double answerMs = 0; ///< expected time to an answer or a first event
 };
 using ReplicaChoice = std::variant<ChosenReplica, AllBusy, NoneUsable>;
 
@@ -142,11 +146,11 @@
     ReplicaChoice choose(const ReplicaQuery &query, Instant now) const;
 
     void began(std::string_view id, bool isPatient);
-    /** A patient request has its first event, or ended without one. */
-    void patienceEnded(std::string_view id);
+    /** The answer or its first event came, @p took after the request was sent. */
+    void answerBegan(std::string_view id, bool isPatient, Microseconds took);
     void ended(std::string_view id, ReplicaOutcome outcome, Instant now);
-    /** The time to an answer or a first event at @p id. */
-    void noteAnswerTime(std::string_view id, Microseconds took);
+    /** The request ends without an answer; ended() follows. */
+    void answerMissed(std::string_view id, bool isPatient);
 
     const Replica *find(std::string_view id) const;
     const std::map<std::string, Replica, std::less<>> &all() const { return mReplicas; }
@@ -155,23 +159,32 @@
     void sweep(Instant now);
 
 private:
+    /** What a replica can do for one request. Times in milliseconds. */
+    struct Offer
+    {
+        double answer = 0; ///< expected time to an answer or a first event
+        double cost = 0; ///< of choosing it, for comparison
+        double load = 0; ///< requests ahead, for each slot
+        bool isPrompt = false; ///< it meets the goal
+        bool isOpen = false; ///< it takes a request that misses the goal
+    };
+
+    void stopAwaiting(Replica &replica, bool isPatient);
     static bool isUsable(const Replica &replica, const ReplicaQuery &query, Instant now);
     static bool isSlow(const Replica &replica, const ReplicaQuery &query, double fastestMs);
     static Milliseconds comeBack(const ReplicaQuery &query, double leastLoad);
     double fastestAnswerMs(const ReplicaQuery &query, Instant now) const;
-    static double estimatedRequests(const Replica &replica, const ReplicaQuery &query,
-                                    Instant now);
-    static double patientRequests(const Replica &replica, Instant now);
-    static double costOf(const Replica &replica, const ReplicaQuery &query, double load,
-                         double fastestMs);
+    static EngineWork workOf(const Replica &replica, const ReplicaQuery &query, Instant now);
+    static std::uint32_t patientRequests(const Replica &replica, Instant now);
+    static Offer offerOf(const Replica &replica, const ReplicaQuery &query, double fastestMs,
+                         Instant now);
+    static Offer engineOffer(const Replica &replica, const ReplicaQuery &query, Instant now);
+    static Offer plainOffer(const Replica &replica, const ReplicaQuery &query);
+    std::vector<const Replica *> usableFor(const ReplicaQuery &query, double fastestMs,
+                                           Instant now) const;
 
     Milliseconds mDrainTime;
     std::map<std::string, Replica, std::less<>> mReplicas;
 };
 
-/** Requests beyond the slots of an engine that still meet @p goal. */
-double queueWithinGoal(const EngineFigures &engine, Milliseconds goal);
-/** Mean time between two ends of requests at a full engine. Milliseconds. */
-double meanTurnMs(const EngineFigures &engine);
-
 } // namespace Loom
--- a/src/libloomjunction/gateway/gatewaycall.cpp
+++ b/src/libloomjunction/gateway/gatewaycall.cpp
@@ -18,6 +18,7 @@
 #include "replicaservice.h"
 
 #include <algorithm>
+#include <cmath>
 #include <random>
 
 namespace Loom {
@@ -188,6 +189,7 @@
     query.service = mServiceName;
     query.dataCentre = mParts.settings.dataCentre;
     query.goal = mRoute->goal;
+    query.promptTokens = mCaller.promptTokens;
     query.entries = mParts.members.gatewayCount();
     query.excluded = mExcluded;
     query.random = mRandom + mSends;
@@ -272,10 +274,14 @@
     const Replica *replica = mParts.replicas.replicas().find(chosen.id);
     mTriedReplica = chosen.id;
     mTriedLoad = chosen.load;
+    mPredictedMs = chosen.answerMs;
     mTriedLoadAge = chosen.loadAge;
     const std::string address = replica->record.address;
     const std::uint32_t cap = mService == nullptr ? 0 : mService->connectionCap;
     mIsPatient = chosen.isPatient;
+    mWasPatient = mWasPatient || chosen.isPatient;
+    mIsAwaiting = true;
+    mSentAt = now();
     mParts.replicas.began(chosen.id, chosen.isPatient);
     auto link = co_await mParts.replicas.link(chosen.id, address, cap);
     const Replica *still = mParts.replicas.replicas().find(chosen.id);
@@ -288,7 +294,7 @@
             ++mFailedConnects;
             outcome = ReplicaOutcome::Unreachable;
         }
-        endPatience();
+        noteAnswer(false);
         mParts.replicas.replicas().ended(chosen.id, outcome, now());
         if (mIsCallerGone || mIsTimeOver) {
             co_return TryOver{"time was over before a replica was reached"};
@@ -307,7 +313,7 @@
                          [](const TryOver &) { return ReplicaOutcome::Abandoned; },
                      },
                      result);
-    endPatience();
+    noteAnswer(false);
     mParts.replicas.replicas().ended(chosen.id, outcome, now());
     mParts.replicas.giveBack(chosen.id, std::move(mLink));
     if (!std::holds_alternative<TryDone>(result)) {
@@ -316,11 +322,17 @@
     co_return result;
 }
 
-void GatewayCall::endPatience()
+// Once for each try: its answer or first event came, or never will.
+void GatewayCall::noteAnswer(bool hasBegun)
 {
-    if (mIsPatient) {
-        mIsPatient = false;
-        mParts.replicas.patienceEnded(mTriedReplica);
+    if (!mIsAwaiting) {
+        return;
+    }
+    mIsAwaiting = false;
+    if (hasBegun) {
+        mParts.replicas.answerBegan(mTriedReplica, mIsPatient, now() - mSentAt);
+    } else {
+        mParts.replicas.answerMissed(mTriedReplica, mIsPatient);
     }
 }
 
@@ -352,13 +364,13 @@
     const std::vector<HttpHeader> headers = mParts.calls.outgoing(request, fields);
     const LinkRequest outgoing{request.method, request.target, headers, request.body};
     ++mSends;
-    const Instant sent = now();
+    mSentAt = now();
     auto head = co_await ownHead(outgoing);
     if (!head) {
         co_return afterLinkError(head.error());
     }
     if (!mRoute->isStream) {
-        mParts.replicas.replicas().noteAnswerTime(replicaId, now() - sent);
+        noteAnswer(true);
     }
     co_return co_await takeAnswer(std::move(*head));
 }
@@ -446,9 +458,6 @@
     EventSplitter splitter;
     const Milliseconds pause = std::max(sLeastStreamSilence, mRoute->pauseGoal * sSilentPauses);
     Milliseconds silence = std::max(sLeastFirstSilence, mRoute->goal * sSilentGoals);
-    const std::string replica = mTriedReplica;
-    const Instant begun = now();
-    bool isFirst = true;
     while (true) {
         const auto deadline = steadyTime(std::min(mDeadline + sLeastTime, now() + silence));
         const auto piece = co_await mLink->readBody(deadline);
@@ -473,11 +482,7 @@
             continue;
         }
         silence = pause;
-        if (isFirst) {
-            isFirst = false;
-            endPatience();
-            mParts.replicas.replicas().noteAnswerTime(replica, now() - begun);
-        }
+        noteAnswer(true);
         if (!mIsHeadSent) {
             noteAnswerBegun();
             mIsHeadSent = true;
@@ -556,6 +561,9 @@
              {"replica", mTriedReplica},
              {"load", mTriedLoad},
              {"loadAgeMs", mTriedLoadAge.count()},
+             {"predictedMs", std::lround(mPredictedMs)},
+             {"patient", mWasPatient},
+             {"returning", mIsReturning},
              {"firstMs", mFirstAnswer ? mFirstAnswer->count() : -1},
              {"tookMs", took.count()}});
 }
--- a/src/libloomjunction/gateway/gatewaycall.h
+++ b/src/libloomjunction/gateway/gatewaycall.h
@@ -93,7 +93,7 @@
     awaitable<tl::expected<LinkHead, LinkError>> ownHead(LinkRequest request);
     TryResult afterLinkError(LinkError error);
     ReplicaChoice choose() const;
-    void endPatience();
+    void noteAnswer(bool hasBegun);
     OutgoingFields outgoingFields(std::string_view replicaId) const;
     bool mayRepeat(const TryUnknown &failed) const;
     Milliseconds timeLeft() const;
@@ -125,12 +125,16 @@
     bool mIsCallerGone = false;
     bool mIsHeadSent = false;
     bool mIsReturning = false; ///< the caller has waited before
-    bool mIsPatient = false; ///< the try under way was sent as patient and has no event yet
+    bool mIsPatient = false; ///< the try under way was sent as patient
+    bool mIsAwaiting = false; ///< the try under way has no answer yet
+    Instant mSentAt;
     bool mIsTimeOver = false;
     std::optional<std::uint64_t> mLastEvent; ///< the last one that the caller got
     std::optional<Milliseconds> mFirstAnswer; ///< from arrival to the first byte of an answer
     std::string mTriedReplica;
     double mTriedLoad = 0;
+    double mPredictedMs = 0;
+    bool mWasPatient = false;
     Milliseconds mTriedLoadAge{-1};
 };
 
--- a/src/libloomjunction/gateway/replicaservice.cpp
+++ b/src/libloomjunction/gateway/replicaservice.cpp
@@ -135,10 +135,20 @@
     }
 }
 
-void ReplicaService::patienceEnded(const std::string &id)
+void ReplicaService::answerBegan(const std::string &id, bool isPatient, Microseconds took)
 {
-    mReplicas.patienceEnded(id);
-    tellPatient(id);
+    mReplicas.answerBegan(id, isPatient, took);
+    if (isPatient) {
+        tellPatient(id);
+    }
+}
+
+void ReplicaService::answerMissed(const std::string &id, bool isPatient)
+{
+    mReplicas.answerMissed(id, isPatient);
+    if (isPatient) {
+        tellPatient(id);
+    }
 }
 
 // The replica's agent adds up what all gateways have there.
--- a/src/libloomjunction/gateway/replicaservice.h
+++ b/src/libloomjunction/gateway/replicaservice.h
@@ -56,7 +56,8 @@
     bool hasWaited(const std::string &route, Milliseconds deadline);
 
     void began(const std::string &id, bool isPatient);
-    void patienceEnded(const std::string &id);
+    void answerBegan(const std::string &id, bool isPatient, Microseconds took);
+    void answerMissed(const std::string &id, bool isPatient);
     /** Takes one repeat of a request at @p service. */
     bool takeRepeat(const std::string &service);
 
--- a/src/libloomjunction/gateway/stageservice.cpp
+++ b/src/libloomjunction/gateway/stageservice.cpp
@@ -497,7 +497,7 @@
         }
         std::string data = stored->chunks[index];
         if (!co_await mEngine.stagePut(model, index, std::move(data))) {
-            logLine(LogLevel::Warning, "stage-put-failed", {{"index", index}});
+            logLine(LogLevel::Warning, "stage-write-failed", {{"index", index}});
             co_return false;
         }
     }
--- /dev/null
+++ b/tests/direct/test_enginemodel.cpp
@@ -0,0 +1,58 @@
+/*
+ * test_enginemodel.cpp
+ * Copyright 2026, the loomjunction authors
+ *
+ * This file is part of loomjunction (tests).
+ * SPDX-License-Identifier: BSD-2-Clause
+ */
+
+#include <boost/test/unit_test.hpp>
+
+#include "enginemodel.h"
+
+using namespace Loom;
+
+namespace {
+
+EngineFigures figures()
+{
+    EngineFigures figures;
+    figures.slots = 16;
+    figures.stepMs = 8;
+    figures.readTokensPerMs = 32;
+    figures.stepsPerPass = 6;
+    figures.usualPrompt = 960;
+    figures.usualAnswer = 96;
+    return figures;
+}
+
+} // namespace
+
+BOOST_AUTO_TEST_CASE(an_idle_engine_reads_the_prompt_and_plays_a_pass)
+{
+    const EngineFigures told = figures();
+    const EngineModel model(told);
+    BOOST_TEST(model.pass(0) == 48);
+    BOOST_TEST(model.read(640) == 20);
+    // Half a pass until it is looked at, its own reading, and its first pass.
+    BOOST_TEST(model.firstEvent({0, 0, 1}, 640) == 24 + 20 + 48);
+    BOOST_TEST(model.firstEvent({0, 0, 2}, 640) == 2 * (24 + 20 + 48));
+}
+
+BOOST_AUTO_TEST_CASE(prompts_that_wait_are_read_first)
+{
+    const EngineFigures told = figures();
+    const EngineModel model(told);
+    const double alone = model.firstEvent({4, 0, 1}, 960);
+    BOOST_TEST(model.firstEvent({4, 5, 1}, 960) == alone + 5 * 30);
+}
+
+BOOST_AUTO_TEST_CASE(beyond_the_slots_each_turn_counts)
+{
+    const EngineFigures told = figures();
+    const EngineModel model(told);
+    BOOST_TEST(model.turn() == 30 + 96 * 8.0 / 16);
+    const double full = model.firstEvent({15, 0, 1}, 960);
+    BOOST_TEST(model.firstEvent({16, 0, 1}, 960) == full + model.turn());
+    BOOST_TEST(model.firstEvent({16, 3, 1}, 960) == full + 4 * model.turn());
+}
