Silent boxes are spared; loads overlap with the next fetch; the retry budget saves more

The next version was fetched only after the one before was loaded; half of the streams cut by loads were denied their repeat (budget), and came back late.

--- a/src/libloomjunction/core/reloadturn.cpp
+++ b/src/libloomjunction/core/reloadturn.cpp
@@ -17,10 +17,10 @@
 
 namespace {
 
-// Chunks take about a quarter of the time to arrive. After the last turn a
+// Chunks take about two fifths of the time to arrive. After the last turn a
 // replica still has to end what is running, and to take the weights.
-constexpr double sFirstTurn = 0.25;
-constexpr double sLastTurn = 0.72;
+constexpr double sFirstTurn = 0.40;
+constexpr double sLastTurn = 0.75;
 
 Milliseconds part(Milliseconds whole, double share)
 {
--- a/src/libloomjunction/core/replicaset.cpp
+++ b/src/libloomjunction/core/replicaset.cpp
@@ -16,6 +16,8 @@
 
 // An agent speaks several times a second; older reports say little.
 constexpr Milliseconds sLoadValid{1'500};
+// Two reports missed: whatever is sent to that box may lie there for long.
+constexpr Milliseconds sLoadSilence{350};
 // After a refusal, and after a failure in a row, doubled with each up to the most.
 constexpr Milliseconds sRefusalPause{100};
 constexpr Milliseconds sFailurePause{250};
@@ -223,14 +225,18 @@
                                                    Instant now) const
 {
     std::vector<const Replica *> usable;
+    std::vector<const Replica *> silent;
     for (const auto &[id, replica] : mReplicas) {
         const bool isOverSoon = replica.weightsVersion() < query.soonLeastVersion;
         const bool mayBeLate = isSlow(replica, query, fastestMs) || replica.failures > 0;
-        if (isUsable(replica, query, now) && !(isOverSoon && mayBeLate)) {
-            usable.push_back(&replica);
+        if (!isUsable(replica, query, now) || (isOverSoon && mayBeLate)) {
+            continue;
         }
+        // Its agent speaks several times a second: the box may stand still.
+        const bool isSilent = replica.load && now - replica.loadAt > sLoadSilence;
+        (isSilent ? silent : usable).push_back(&replica);
     }
-    return usable;
+    return usable.empty() ? silent : usable;
 }
 
 namespace {
--- a/src/libloomjunction/core/sharedretrybudget.cpp
+++ b/src/libloomjunction/core/sharedretrybudget.cpp
@@ -9,6 +9,7 @@
 #include "sharedretrybudget.h"
 
 #include <algorithm>
+#include <cmath>
 
 namespace Loom {
 
@@ -20,9 +21,11 @@
 // Within a window an entry can spend what it saved and what it earns meanwhile:
 // half each, so that both together are the share.
 constexpr double sSavedPart = 0.5;
-// Earned by requests and not spent yet; more would let one window spend the
-// earnings of another. The part of the extra that is not used makes up for it.
-constexpr double sMostEarned = 4;
+// Earned by requests and not spent yet: what is spent in a window may have been
+// earned before it. The parts of the ratio and of the extra that are not used
+// make up for both.
+constexpr double sLeastSaved = 4;
+constexpr double sSavedRatio = 0.2;
 constexpr double sExtraUsed = 0.7;
 
 } // namespace
@@ -30,12 +33,19 @@
 SharedRetryBudget::SharedRetryBudget(RetryBounds bounds, Instant born)
     : mBounds(bounds)
     , mLast(born)
+    , mLastRequest(born)
 {
 }
 
-void SharedRetryBudget::noteRequest()
+void SharedRetryBudget::noteRequest(Instant now)
 {
-    mEarned = std::min(sMostEarned, mEarned + mBounds.ratio * sRatioUsed);
+    const double seconds = std::chrono::duration<double>(now - mLastRequest).count();
+    const double window = std::chrono::duration<double>(mBounds.window).count();
+    // Requests of about one window, those longer ago counting less and less.
+    mRecentRequests = mRecentRequests * std::exp(-std::max(0.0, seconds) / window) + 1;
+    mLastRequest = now;
+    const double most = sLeastSaved + mRecentRequests * mBounds.ratio * sSavedRatio;
+    mEarned = std::min(most, mEarned + mBounds.ratio * sRatioUsed);
 }
 
 double SharedRetryBudget::share(std::uint32_t entries) const
--- a/src/libloomjunction/core/sharedretrybudget.h
+++ b/src/libloomjunction/core/sharedretrybudget.h
@@ -34,7 +34,7 @@
     SharedRetryBudget(RetryBounds bounds, Instant born);
 
     /** A first request for the service. */
-    void noteRequest();
+    void noteRequest(Instant now);
     /** Takes one repeat; false when the share is spent. @p entries: those that may be alive. */
     bool take(std::uint32_t entries, Instant now);
     double left() const { return mTokens; }
@@ -46,7 +46,9 @@
     RetryBounds mBounds;
     double mTokens = 0;
     double mEarned = 0;
+    double mRecentRequests = 0;
     Instant mLast;
+    Instant mLastRequest;
 };
 
 } // namespace Loom
--- a/src/libloomjunction/gateway/loadreporter.cpp
+++ b/src/libloomjunction/gateway/loadreporter.cpp
@@ -25,7 +25,7 @@
 // Between two reports to one gateway; half a pass of an engine is about as long.
 constexpr Milliseconds sReportEvery{50};
 // A gateway takes silence for the loss of this process.
-constexpr Milliseconds sKeepAlive{500};
+constexpr Milliseconds sKeepAlive{150};
 constexpr std::chrono::milliseconds sRedialPause{250};
 constexpr std::chrono::milliseconds sScanEvery{200};
 // A gateway that takes nothing for so long is dialled anew.
--- a/src/libloomjunction/gateway/replicaservice.cpp
+++ b/src/libloomjunction/gateway/replicaservice.cpp
@@ -180,7 +180,7 @@
 
 void ReplicaService::noteRequest(const std::string &service)
 {
-    budget(service).noteRequest();
+    budget(service).noteRequest(now());
     recent(service).requests += 1;
 }
 
--- a/src/libloomjunction/gateway/stageservice.cpp
+++ b/src/libloomjunction/gateway/stageservice.cpp
@@ -35,20 +35,21 @@
 constexpr Milliseconds sRetryPause{200};
 // Gateways must have heard that the replica takes nothing before it is ordered to load.
 constexpr Milliseconds sTellFirst{30};
-// About the time in which a full engine ends two thirds of what it runs.
-constexpr Milliseconds sEmptyFor{900};
+// An engine loses its time while it runs empty, and other engines theirs while
+// they read again what was cut: at two thirds of a second both together are least.
+constexpr Milliseconds sEmptyFor{700};
 constexpr std::chrono::milliseconds sPeerTime{1'000};
 // An order that got no answer and shows no effect for so long was not taken.
 constexpr Milliseconds sOrderLost{1'500};
 constexpr std::uint64_t sStoreBytes = std::uint64_t{48} * 1024 * 1024;
 // Live answers share the link with these: few at once keep its queue short.
-constexpr std::uint32_t sMostUploads = 2;
+constexpr std::uint32_t sMostUploads = 3;
 // Of the link, for chunks on their way out; the rest is for answers to callers.
-constexpr double sLinkShare = 0.85;
+constexpr double sLinkShare = 0.95;
 constexpr double sBytesPerMbit = 125'000;
 constexpr double sBurstBytes = 8.0 * 1024;
 constexpr std::uint32_t sOriginParallel = 2;
-constexpr std::uint32_t sPeerParallel = 2;
+constexpr std::uint32_t sPeerParallel = 4;
 constexpr std::uint32_t sNeighbours = 12;
 constexpr Milliseconds sTakeover{2'000};
 
@@ -189,50 +190,47 @@
     }
 }
 
-// One step towards the newest named version.
+// One step towards the newest named version. It is fetched at once; what was
+// fetched before it is still loaded, since it is due sooner.
 awaitable<void> StageService::bringWeights()
 {
     const std::string model = figures()->models.front();
     const std::uint64_t newest = mConfig->weights().newest(model);
     const std::uint64_t loaded = loadedVersion(model);
-    if (mIsLoading) {
-        const bool isOver = !mReport->isBusy && now() - mOrderedAt > sOrderLost;
-        if (loaded == mOpened || isOver) {
-            logLine(
-                LogLevel::Info, "load-ended",
-                {{"model", model},
-                 {"version", mOpened},
-                 {"loaded", loaded},
-                 {"tookMs", std::chrono::duration_cast<Milliseconds>(now() - mOrderedAt).count()}});
-            mIsLoading = false;
-            tellLoad();
-        }
-        co_return;
+    if (mFetch && mFetch->isComplete() && mReady.version != mFetching.version) {
+        mReady = mFetching;
     }
-    const bool isInHand = mOpened != 0 && mStore->find(mDigest) != nullptr;
-    const bool isFetched = isInHand && mFetch && mFetch->isComplete();
-    // What is fetched whole is loaded before a newer one is begun: it is due sooner.
-    const bool isLoadDue = isFetched && loaded < mOpened;
-    if (isLoadDue) {
-        if (loaded == 0 || isMyTurn(model, mOpened)) {
-            co_await loadStaged(model, mOpened);
-        }
-        if (mOpened == newest || loaded == 0) {
+    if (mFetching.version < newest || mStore->find(mFetching.digest) == nullptr) {
+        if (!co_await openVersion(model, newest)) {
+            co_await sleepFor(sRetryPause);
             co_return;
         }
+        co_await adoptStage(model);
+        beginFetch(model, newest);
     }
-    if (mOpened == newest && isInHand) {
-        co_return;
-    }
-    if (isLoadDue && mOpened < newest) {
+    if (mIsLoading) {
+        noteLoaded(model, loaded);
         co_return;
     }
-    if (!co_await openVersion(model, newest)) {
-        co_await sleepFor(sRetryPause);
-        co_return;
+    const bool isDue = loaded < mReady.version && mStore->find(mReady.digest) != nullptr;
+    if (isDue && (loaded == 0 || isMyTurn(model, mReady.version))) {
+        const VersionInHand wanted = mReady;
+        co_await loadStaged(model, wanted);
     }
-    co_await adoptStage(model);
-    beginFetch(model, newest);
+}
+
+void StageService::noteLoaded(std::string_view model, std::uint64_t loaded)
+{
+    const bool isOver = !mReport->isBusy && now() - mOrderedAt > sOrderLost;
+    if (loaded != mOrdered && !isOver) {
+        return;
+    }
+    const auto took = std::chrono::duration_cast<Milliseconds>(now() - mOrderedAt);
+    logLine(
+        loaded == mOrdered ? LogLevel::Info : LogLevel::Warning, "load-ended",
+        {{"model", model}, {"version", mOrdered}, {"loaded", loaded}, {"tookMs", took.count()}});
+    mIsLoading = false;
+    tellLoad();
 }
 
 bool StageService::isMyTurn(const std::string &model, std::uint64_t version) const
@@ -268,10 +266,9 @@
         mFetch->cancel();
         mFetch.reset();
     }
-    mDigest = sha256Hex(*text);
-    mOpened = version;
-    if (mStore->find(mDigest) == nullptr) {
-        mStore->open(mDigest, std::move(*manifest), *text);
+    mFetching = {version, sha256Hex(*text)};
+    if (mStore->find(mFetching.digest) == nullptr) {
+        mStore->open(mFetching.digest, std::move(*manifest), *text);
     }
     co_return true;
 }
@@ -324,8 +321,8 @@
         co_return;
     }
     wire::ManifestAnswer answer;
-    const StoredVersion *stored = mStore->find(mDigest);
-    const bool isAsked = stored != nullptr && (*request)->version() == mOpened
+    const StoredVersion *stored = mStore->find(mFetching.digest);
+    const bool isAsked = stored != nullptr && (*request)->version() == mFetching.version
         && stored->manifest.service == (*request)->model();
     if (isAsked) {
         answer.set_found(true);
@@ -338,7 +335,7 @@
 // What lies in the stage since an earlier life need not come over the network.
 awaitable<void> StageService::adoptStage(std::string model)
 {
-    const std::string digest = mDigest;
+    const std::string digest = mFetching.digest;
     const std::uint32_t count = mStore->find(digest)->manifest.chunkCount();
     std::uint32_t adopted = 0;
     for (std::uint32_t index = 0; index < count && !mStopped; ++index) {
@@ -357,7 +354,7 @@
             break;
         }
     }
-    logLine(LogLevel::Info, "stage-adopted", {{"version", mOpened}, {"chunks", adopted}});
+    logLine(LogLevel::Info, "stage-adopted", {{"version", mFetching.version}, {"chunks", adopted}});
 }
 
 void StageService::beginFetch(const std::string &model, std::uint64_t version)
@@ -381,8 +378,8 @@
         mCounts,
         [this] { return members(); },
         [this] { mWake->notify(); }};
-    mFetch = std::make_shared<WeightFetch>(VersionTarget{std::to_string(version), mDigest}, options,
-                                           std::move(parts));
+    mFetch = std::make_shared<WeightFetch>(VersionTarget{std::to_string(version), mFetching.digest},
+                                           options, std::move(parts));
     logLine(LogLevel::Info, "fetch-begun", {{"model", model}, {"version", version}});
     asio::co_spawn(mWake->executor(), WeightFetch::run(mFetch), asio::detached);
 }
@@ -422,18 +419,20 @@
 }
 
 // Stages, reads back, and orders the load; false where it has to be tried again.
-awaitable<bool> StageService::loadStaged(std::string model, std::uint64_t version)
+awaitable<bool> StageService::loadStaged(std::string model, VersionInHand wanted)
 {
     if (mReport->isBusy) {
         co_return false; // a load under way still reads the stage
     }
-    if (!co_await isStageRight(model)) {
-        if (!co_await fillStage(model) || !co_await isStageRight(model)) {
+    if (!co_await isStageRight(model, wanted.digest)) {
+        if (!co_await fillStage(model, wanted.digest)
+            || !co_await isStageRight(model, wanted.digest)) {
             co_await sleepFor(sRetryPause);
             co_return false;
         }
     }
     mIsLoading = true;
+    mOrdered = wanted.version;
     mOrderedAt = now();
     tellLoad();
     if (!co_await emptyEngine() || mReport->isBusy) {
@@ -443,10 +442,10 @@
     const std::uint64_t ordersTaken = mReport->ordersTaken;
     const LoadManner manner = mayCut() ? LoadManner::CutRunning : LoadManner::AfterRunning;
     mOrderedAt = now();
-    const OrderAnswer answer = co_await mEngine.load(model, version, manner, ordersTaken);
+    const OrderAnswer answer = co_await mEngine.load(model, wanted.version, manner, ordersTaken);
     logLine(LogLevel::Info, "load-ordered",
             {{"model", model},
-             {"version", version},
+             {"version", wanted.version},
              {"answer", static_cast<int>(answer)},
              {"ordersTaken", ordersTaken},
              {"running", mReport ? mReport->running : 0}});
@@ -486,9 +485,8 @@
     });
 }
 
-awaitable<bool> StageService::fillStage(std::string model)
+awaitable<bool> StageService::fillStage(std::string model, std::string digest)
 {
-    const std::string digest = mDigest;
     const std::uint32_t count = mStore->find(digest)->manifest.chunkCount();
     for (std::uint32_t index = 0; index < count && !mStopped; ++index) {
         const StoredVersion *stored = mStore->find(digest);
@@ -504,9 +502,8 @@
     co_return true;
 }
 
-awaitable<bool> StageService::isStageRight(std::string model)
+awaitable<bool> StageService::isStageRight(std::string model, std::string digest)
 {
-    const std::string digest = mDigest;
     const std::uint32_t count = mStore->find(digest)->manifest.chunkCount();
     for (std::uint32_t index = 0; index < count && !mStopped; ++index) {
         const auto data = co_await mEngine.stageGet(model, index);
--- a/src/libloomjunction/gateway/stageservice.h
+++ b/src/libloomjunction/gateway/stageservice.h
@@ -47,6 +47,13 @@
     void stop() override;
 
 private:
+    /** A version by its number and the digest of its manifest. */
+    struct VersionInHand
+    {
+        std::uint64_t version = 0; ///< zero: none
+        std::string digest;
+    };
+
     awaitable<void> drive();
     awaitable<void> drivePeers();
     awaitable<bool> lookAtEngine();
@@ -59,11 +66,12 @@
     awaitable<tl::expected<std::string, ChunkFailure>>
     originChunk(std::string model, std::uint64_t version, std::uint32_t index);
     void beginFetch(const std::string &model, std::uint64_t version);
-    awaitable<bool> loadStaged(std::string model, std::uint64_t version);
+    void noteLoaded(std::string_view model, std::uint64_t loaded);
+    awaitable<bool> loadStaged(std::string model, VersionInHand wanted);
     awaitable<bool> emptyEngine();
     bool mayCut() const;
-    awaitable<bool> fillStage(std::string model);
-    awaitable<bool> isStageRight(std::string model);
+    awaitable<bool> fillStage(std::string model, std::string digest);
+    awaitable<bool> isStageRight(std::string model, std::string digest);
     bool isMyTurn(const std::string &model, std::uint64_t version) const;
     awaitable<void> serveManifest(PeerStreamPtr stream);
     std::vector<SwarmMember> members() const;
@@ -90,8 +98,9 @@
     std::unique_ptr<Signal> mWake;
 
     std::optional<EngineReport> mReport;
-    std::string mDigest; ///< of the manifest of the version in hand
-    std::uint64_t mOpened = 0; ///< the version in hand; zero: none
+    VersionInHand mFetching; ///< being fetched, or the last one that was
+    VersionInHand mReady; ///< the newest one that is here whole
+    std::uint64_t mOrdered = 0; ///< the version of the last order
     Instant mOrderedAt;
     bool mIsLoading = false; ///< an order is out and the engine has not said it is done
     bool mStopped = false;
--- a/tests/direct/test_replicaset.cpp
+++ b/tests/direct/test_replicaset.cpp
@@ -209,3 +209,19 @@
     BOOST_TEST(empty > 100);
     BOOST_TEST(empty < 200);
 }
+
+BOOST_AUTO_TEST_CASE(a_replica_whose_agent_fell_silent_is_used_only_when_no_other_is)
+{
+    ReplicaSet set(sDrainTime);
+    set.put(record("r1", "here"));
+    set.put(record("r2", "there"));
+    ReplicaLoad load;
+    load.weightsVersion = 1;
+    set.report("10.0.0.1:1", load, at(0));
+    load.running = 10;
+    set.report("10.0.0.1:2", load, at(400));
+    BOOST_TEST(chosen(set, query(), at(300)) == "r1");
+    BOOST_TEST(chosen(set, query(), at(400)) == "r2");
+    set.remove("r2", true, at(410));
+    BOOST_TEST(chosen(set, query(), at(420)) == "r1");
+}
--- a/tests/direct/test_sharedretrybudget.cpp
+++ b/tests/direct/test_sharedretrybudget.cpp
@@ -26,7 +26,7 @@
     for (int time = fromMs; time < toMs; time += 10) {
         for (SharedRetryBudget &gateway : gateways) {
             for (int request = 0; request < requestsPerStep; ++request) {
-                gateway.noteRequest();
+                gateway.noteRequest(at(time));
             }
             while (gateway.take(static_cast<std::uint32_t>(gateways.size()), at(time))) {
                 ++taken;
@@ -42,12 +42,17 @@
 {
     for (const int count : {1, 6, 42}) {
         std::vector<SharedRetryBudget> gateways(count, SharedRetryBudget(sBounds, at(0)));
-        takenIn(gateways, 0, 20'000, 0); // saved up before the window
-        std::vector<SharedRetryBudget> full = gateways;
+        // A window of requests without a repeat: all that can be saved is saved.
+        for (int time = 50'000; time < 60'000; time += 10) {
+            for (SharedRetryBudget &gateway : gateways) {
+                gateway.noteRequest(at(time));
+                gateway.noteRequest(at(time));
+            }
+        }
         const int requests = 2 * count * 1000;
-        const int taken = takenIn(full, 60'000, 70'000, 2);
+        const int taken = takenIn(gateways, 60'000, 70'000, 2);
         BOOST_TEST(taken <= sBounds.ratio * requests + sBounds.extra);
-        BOOST_TEST(taken > 0);
+        BOOST_TEST(taken > sBounds.ratio * requests / 2);
     }
 }
 
--- a/tests/direct/test_weightsgoal.cpp
+++ b/tests/direct/test_weightsgoal.cpp
@@ -49,7 +49,7 @@
     std::set<Instant> moments;
     for (const std::string &box : boxes) {
         const Instant moment = turn.at("m@2", box, boxes, at(1'000));
-        BOOST_TEST((moment >= at(3'000)));
+        BOOST_TEST((moment >= at(4'200)));
         BOOST_TEST((moment <= at(7'000)));
         moments.insert(moment);
     }
