--- /dev/null
+++ b/tests/platform/test_calls.cpp
@@ -0,0 +1,143 @@
+/*
+ * test_calls.cpp
+ * Copyright 2026, the loomjunction authors
+ *
+ * This file is part of loomjunction (tests).
+ * SPDX-License-Identifier: BSD-2-Clause
+ */
+
+#include <boost/test/unit_test.hpp>
+
+#include "calls.h"
+
+using namespace Loom;
+
+namespace {
+
+HttpRequest request(std::vector<HttpHeader> headers)
+{
+    HttpRequest request;
+    request.method = "POST";
+    request.target = "/a/b/c?q=1";
+    request.headers = std::move(headers);
+    return request;
+}
+
+std::string valueOf(const std::vector<HttpHeader> &headers, std::string_view name)
+{
+    std::string all;
+    for (const HttpHeader &header : headers) {
+        if (header.name == name) {
+            all += "[" + header.value + "]";
+        }
+    }
+    return all;
+}
+
+} // namespace
+
+BOOST_AUTO_TEST_CASE(what_only_the_system_may_set_is_taken_from_callers)
+{
+    const Platform::Calls calls;
+    const HttpRequest forged = request({{"Host", "h.example:80"},
+                                        {"Loomjunction-Request-Id", "id1"},
+                                        {"loomjunction-tenant", "somebody"},
+                                        {"Loomjunction-Target-Instance", "i-9"},
+                                        {"Expect-Version", "9"},
+                                        {"PRIORITY", "0"},
+                                        {"Path", "1.2.3.4:5=0-16"},
+                                        {"Loomjunction-Deadline-Ms", "6000"},
+                                        {"Authorization", "Token k1"},
+                                        {"Connection", "keep-alive, X-Mine"},
+                                        {"X-Mine", "1"},
+                                        {"Transfer-Encoding", "chunked"},
+                                        {"Length-Hint", "80"},
+                                        {"X-Other", "kept"}});
+    OutgoingFields fields;
+    fields.deadline = Milliseconds(5900);
+    fields.replicaId = "i-1";
+    fields.account = "t1";
+    const auto sent = calls.outgoing(forged, fields);
+    BOOST_TEST(valueOf(sent, "Loomjunction-Tenant") == "[t1]");
+    BOOST_TEST(valueOf(sent, "loomjunction-tenant").empty());
+    BOOST_TEST(valueOf(sent, "Loomjunction-Target-Instance") == "[i-1]");
+    BOOST_TEST(valueOf(sent, "Loomjunction-Deadline-Ms") == "[5900]");
+    BOOST_TEST(valueOf(sent, "Loomjunction-Request-Id") == "[id1]");
+    BOOST_TEST(valueOf(sent, "Host") == "[h.example:80]");
+    BOOST_TEST(valueOf(sent, "Length-Hint") == "[80]");
+    BOOST_TEST(valueOf(sent, "X-Other") == "[kept]");
+    for (const auto *name : {"Expect-Version", "PRIORITY", "Path", "Authorization", "Connection",
+                             "X-Mine", "Transfer-Encoding"}) {
+        BOOST_TEST(valueOf(sent, name).empty());
+    }
+}
+
+BOOST_AUTO_TEST_CASE(a_request_is_read_and_doubled_headers_count_as_none)
+{
+    const Platform::Calls calls;
+    const CallerFields fields = calls.callerFields(request({{"Host", "h.example:80"},
+                                                            {"Loomjunction-Request-Id", "id1"},
+                                                            {"Loomjunction-Deadline-Ms", "6000"},
+                                                            {"Loomjunction-Model", "m"},
+                                                            {"Loomjunction-Token-Usage", "1460,80"},
+                                                            {"Last-Event-Id", "12"},
+                                                            {"Authorization", "Token k1"}}));
+    BOOST_TEST(fields.id == "id1");
+    BOOST_TEST(fields.host == "h.example");
+    BOOST_TEST(fields.key == "k1");
+    BOOST_TEST(fields.deadline->count() == 6000);
+    BOOST_TEST(*fields.lastEvent == 12U);
+    BOOST_TEST(fields.promptTokens == 1460U);
+    BOOST_TEST(fields.answerTokens == 80U);
+    const CallerFields doubled = calls.callerFields(request({{"Loomjunction-Request-Id", "id1"},
+                                                             {"loomjunction-request-id", "id2"},
+                                                             {"Loomjunction-Deadline-Ms", "soon"},
+                                                             {"Authorization", "Basic k1"}}));
+    BOOST_TEST(doubled.id.empty());
+    BOOST_TEST(doubled.key.empty());
+    BOOST_TEST(!doubled.deadline.has_value());
+}
+
+BOOST_AUTO_TEST_CASE(answers_say_whether_the_request_ran)
+{
+    const Platform::Calls calls;
+    LinkHead head;
+    head.status = 503;
+    head.headers = {{"Loomjunction-Not-Executed", "1"}};
+    BOOST_TEST(calls.answerFields(head).isNotRun);
+    head.headers.clear();
+    BOOST_TEST(!calls.answerFields(head).isNotRun);
+    head.status = 421;
+    BOOST_TEST(calls.answerFields(head).isNotRun);
+    head.status = 200;
+    head.headers = {{"Content-Type", "text/event-stream"},
+                    {"Loomjunction-Request-Id", "id1"},
+                    {"Loomjunction-Response-Signature", "s"},
+                    {"Connection", "close"},
+                    {"Keep-Alive", "timeout=5"}};
+    const AnswerFields fields = calls.answerFields(head);
+    BOOST_TEST(fields.isStream);
+    BOOST_TEST(fields.isSigned);
+    BOOST_TEST(fields.requestId == "id1");
+    const auto passed = calls.answerHeaders(head);
+    BOOST_TEST(valueOf(passed, "Loomjunction-Response-Signature") == "[s]");
+    BOOST_TEST(valueOf(passed, "Connection").empty());
+    BOOST_TEST(valueOf(passed, "Keep-Alive").empty());
+}
+
+BOOST_AUTO_TEST_CASE(questions_of_callers_and_the_platform)
+{
+    const Platform::Calls calls;
+    HttpRequest question;
+    question.method = "GET";
+    question.target = "/resolve?name=h.example&region=r1&zone=z1";
+    BOOST_TEST(calls.addressQuestion(question)->dataCentre == "z1");
+    BOOST_TEST(!calls.isReadyCheck(question));
+    question.target = "/ready";
+    BOOST_TEST(calls.isReadyCheck(question));
+    BOOST_TEST(!calls.addressQuestion(question).has_value());
+    const std::vector<std::string> addresses{"10.1.0.40:8005"};
+    const HttpResponse answer = calls.addressAnswer(addresses, Milliseconds(1'500));
+    BOOST_TEST(answer.body.find(R"("addresses":["10.1.0.40:8005"])") != std::string::npos);
+    BOOST_TEST(calls.comeBack(Milliseconds(1'250)).value == "1.250");
+}
--- /dev/null
+++ b/tests/platform/test_records.cpp
@@ -0,0 +1,144 @@
+/*
+ * test_records.cpp
+ * Copyright 2026, the loomjunction authors
+ *
+ * This file is part of loomjunction (tests).
+ * SPDX-License-Identifier: BSD-2-Clause
+ */
+
+#define BOOST_TEST_MODULE platform
+#include <boost/test/unit_test.hpp>
+
+#include "engine.h"
+#include "records.h"
+#include "store.h"
+
+using namespace Loom;
+
+namespace {
+
+constexpr std::string_view sConfig = R"({"version":7,
+ "routes":[{"name":"r-1","host":"h.example","path_prefix":"/a/b/","kind":"stream",
+  "timeout_ms":6000,"goal_ms":400,"priority":1,"service":"s1","max_attempts":2,
+  "public":false,"sticky":true,"resumable":true,"gap_aim_ms":300},
+ {"name":"r-2","host":"g.example","path_prefix":"/c/","kind":"unsafe","timeout_ms":1500,
+  "goal_ms":150,"traffic_split":[{"service":"s1","weight":90},{"service":"s2","weight":10}]},
+ {"name":"r-3","host":"g.example","path_prefix":"/d/","kind":"safe","service":"s2"}],
+ "services":[{"name":"s1","max_conns":424,"engine":{"slots":16,"kv_capacity":685000,
+  "stride":6,"models":[{"name":"m1"}],"step_ms":7.4,"per_seq_ms":0.0387,
+  "context_per_k":0.0203,"read_per_s":31900.0,"usual":{"prompt":973,"answer":106},
+  "layers":16}},
+ {"name":"w","origin":"172.20.0.3:8006","link_mbps":15.0},{"name":"s2","max_conns":96}],
+ "limits":{"max_header_bytes":16384,"max_body_bytes":4194304,"header_timeout_ms":3000,
+  "idle_timeout_ms":15000},
+ "tenants":[{"name":"t1","api_keys":["k1","k2"],"priority":1}],"unknown":{"x":1}})";
+
+RouteConfig readConfig(std::string_view text)
+{
+    const Platform::Records records;
+    auto record = records.operatorRecord("config", text);
+    BOOST_REQUIRE(record.has_value());
+    BOOST_REQUIRE(std::holds_alternative<RouteConfig>(*record));
+    return std::get<RouteConfig>(*record);
+}
+
+} // namespace
+
+BOOST_AUTO_TEST_CASE(a_configuration_is_decoded_whole)
+{
+    const RouteConfig config = readConfig(sConfig);
+    BOOST_TEST(config.version == 7U);
+    BOOST_REQUIRE(config.routes.size() == 3U);
+    const Route &stream = config.routes[0];
+    BOOST_TEST(stream.isStream);
+    BOOST_TEST(stream.isResumable);
+    BOOST_TEST(stream.mayRepeat());
+    BOOST_TEST(!stream.isOpen);
+    BOOST_TEST(stream.timeout.count() == 6000);
+    BOOST_TEST(stream.goal.count() == 400);
+    BOOST_TEST(stream.pauseGoal.count() == 300);
+    BOOST_TEST(stream.attempts == 2U);
+    const Route &once = config.routes[1];
+    BOOST_TEST(!once.mayRepeat());
+    BOOST_REQUIRE(once.targets.size() == 2U);
+    BOOST_TEST(once.targets[1].weight == 10U);
+    BOOST_TEST(config.routes[2].mayRepeat());
+    const EngineFigures &engine = *config.services[0].engine;
+    BOOST_TEST(engine.readTokensPerMs == 31.9);
+    BOOST_TEST(engine.stepsPerPass == 6U);
+    BOOST_TEST(engine.models.front() == "m1");
+    BOOST_TEST(config.services[1].origin->address == "172.20.0.3:8006");
+    BOOST_TEST(config.accounts[0].keys.size() == 2U);
+    BOOST_TEST(config.limits.idleTime.count() == 15000);
+}
+
+BOOST_AUTO_TEST_CASE(records_that_cannot_be_read_are_refused_by_field)
+{
+    const Platform::Records records;
+    const auto broken = records.operatorRecord("config", "{\"version\":");
+    BOOST_TEST(!broken.has_value());
+    BOOST_TEST(broken.error().find("version") != std::string::npos);
+    BOOST_TEST(!records.operatorRecord("version/m1", "{}").has_value());
+    BOOST_TEST(!records.replicaRecord("i-1", "not json").has_value());
+    const auto other = records.operatorRecord("something", "{}");
+    BOOST_TEST(std::holds_alternative<UnrelatedRecord>(*other));
+}
+
+BOOST_AUTO_TEST_CASE(a_replica_holds_weights_only_whole)
+{
+    const Platform::Records records;
+    const auto plain = records.replicaRecord(
+        "i-1", R"({"service":"s","address":"1.2.3.4:5","zone":"z","version":"v1","slots":6,
+                   "state":"draining","models":[]})");
+    BOOST_TEST(plain->isDraining);
+    BOOST_TEST(plain->weightsVersion == 0U); // "v1" is its software
+    const auto part = Platform::parseReport(
+        R"({"stage":"hybrid","models":[{"name":"m","version":2}],"busy":true,"sequence":3,
+            "waiting":1,"running":2,"layers":[{"from":0,"target_version":8,"version":2}]})",
+        16);
+    BOOST_TEST(!part->loaded.front().isWhole);
+    BOOST_TEST(part->isBusy);
+    BOOST_TEST(part->ordersTaken == 3U);
+    const auto whole = Platform::parseReport(
+        R"({"models":[{"name":"m","version":2}],"running":2,"layers":[
+            {"from":8,"target_version":16,"version":2},{"from":0,"target_version":8,"version":2}]})",
+        16);
+    BOOST_TEST(whole->loaded.front().isWhole);
+    BOOST_TEST(!Platform::parseReport("{}", 16).has_value());
+}
+
+BOOST_AUTO_TEST_CASE(a_log_read_is_parsed_and_its_lengths_checked)
+{
+    const std::string offsets(16, '\0');
+    const std::string kept = Platform::keyedRecord("config", std::string("{}"));
+    const std::string removed = Platform::keyedRecord("i-1", std::nullopt);
+    const auto batch = Platform::parseLogRead(offsets + kept + removed, 40);
+    BOOST_REQUIRE(batch.has_value());
+    BOOST_TEST(batch->next == 42U);
+    BOOST_TEST(batch->records[0].key == "config");
+    BOOST_TEST(*batch->records[0].value == "{}");
+    BOOST_TEST(batch->records[0].offset == 40U);
+    BOOST_TEST(!batch->records[1].value.has_value());
+    BOOST_TEST(batch->records[1].offset == 41U);
+    const std::string whole = offsets + kept;
+    for (std::size_t size = 0; size < whole.size(); ++size) {
+        const auto cut = Platform::parseLogRead(std::string_view(whole).substr(0, size), 40);
+        BOOST_TEST((!cut || cut->records.empty()));
+    }
+}
+
+BOOST_AUTO_TEST_CASE(a_manifest_of_another_version_is_refused)
+{
+    const std::string text = R"({"model":"m","version":2,"chunk_bytes":32768,"layers":16,)"
+                             R"("digests":[")"
+        + std::string(64, 'a') + R"(",")" + std::string(64, 'b') + R"("]})";
+    const auto manifest = Platform::parseManifest(text, "m", 2);
+    BOOST_REQUIRE(manifest.has_value());
+    BOOST_TEST(manifest->chunkCount() == 2U);
+    // Two agents that ask for themselves must come to the same text.
+    const auto again = Manifest::parse(manifest->text());
+    BOOST_REQUIRE(again.has_value());
+    BOOST_TEST(again->text() == manifest->text());
+    BOOST_TEST(!Platform::parseManifest(text, "m", 3).has_value());
+    BOOST_TEST(!Platform::parseManifest("{}", "m", 2).has_value());
+}
