--- a/src/libloomjunction/kernel/jsonlog.h
+++ b/src/libloomjunction/kernel/jsonlog.h
@@ -45,7 +45,7 @@
     boost::json::value value;
 };
 
-/** Sends glog's output to standard error as bare lines. Call once, early. */
+/** Sends log lines to standard output as they are. Call once, early. */
 void initializeLog(std::string_view program, std::string_view box, LogLevel least);
 
 /** The level of this name; Info for a name not known. */
@@ -53,7 +53,8 @@
 
 /**
  * Writes one JSON line: time, level, box, event and @p fields. Field names
- * are part of the interface to operators; see docs/operators/logs.md.
+ * are part of the interface to operators; see docs/operators/logs.md. Never
+ * blocks: lines beyond a budget per event and second are left out and counted.
  */
 void logLine(LogLevel level, std::string_view event, std::initializer_list<LogField> fields = {});
 
