--- a/src/libloomjunction/core/chunkplan.cpp
+++ b/src/libloomjunction/core/chunkplan.cpp
@@ -23,7 +23,7 @@
 constexpr double sMostFound = 0.75;
 constexpr double sGapWeight = 0.1;
 constexpr Microseconds sLeastTakeover{500'000};
-constexpr Milliseconds sOriginRetry{1'000};
+constexpr Milliseconds sOriginRetry{400};
 constexpr Milliseconds sBusyPause{20};
 constexpr Milliseconds sMissingPause{200};
 constexpr Milliseconds sGonePause{2'000};
--- a/src/libloomjunction/gateway/stageservice.cpp
+++ b/src/libloomjunction/gateway/stageservice.cpp
@@ -52,6 +52,8 @@
 constexpr std::uint32_t sPeerParallel = 4;
 constexpr std::uint32_t sNeighbours = 12;
 constexpr Milliseconds sTakeover{2'000};
+// Of the version in force, the next, and one after it.
+constexpr std::size_t sMostFetches = 3;
 
 std::uint64_t randomSeed()
 {
@@ -101,8 +103,8 @@
 {
     mStopped = true;
     mServer->stop();
-    if (mFetch) {
-        mFetch->cancel();
+    for (const VersionFetch &one : mFetches) {
+        one.fetch->cancel();
     }
     mWake->notify();
 }
@@ -190,23 +192,18 @@
     }
 }
 
-// One step towards the newest named version. It is fetched at once; what was
-// fetched before it is still loaded, since it is due sooner.
+// One step towards the newest named version. It is fetched at once; the one
+// before it goes on, since it is due sooner and the origin may fail any time.
 awaitable<void> StageService::bringWeights()
 {
     const std::string model = figures()->models.front();
     const std::uint64_t newest = mConfig->weights().newest(model);
     const std::uint64_t loaded = loadedVersion(model);
-    if (mFetch && mFetch->isComplete() && mReady.version != mFetching.version) {
-        mReady = mFetching;
-    }
-    if (mFetching.version < newest || mStore->find(mFetching.digest) == nullptr) {
-        if (!co_await openVersion(model, newest)) {
-            co_await sleepFor(sRetryPause);
-            co_return;
-        }
-        co_await adoptStage(model);
-        beginFetch(model, newest);
+    noteFetched();
+    const bool isBegun = !mFetches.empty() && mFetches.back().wanted.version >= newest
+        && mStore->find(mFetches.back().wanted.digest) != nullptr;
+    if (!isBegun && !co_await startFetch(model, newest)) {
+        co_await sleepFor(sRetryPause);
     }
     if (mIsLoading) {
         noteLoaded(model, loaded);
@@ -248,8 +245,25 @@
     return now() >= turn.at(versionKey(model, version), mSettings.box, boxes, learnedAt);
 }
 
-// Gets the manifest of a version, so that its chunks can be fetched.
-awaitable<bool> StageService::openVersion(std::string model, std::uint64_t version)
+void StageService::noteFetched()
+{
+    for (const VersionFetch &one : mFetches) {
+        if (one.fetch->isComplete() && one.wanted.version > mReady.version) {
+            mReady = one.wanted;
+        }
+    }
+    // Whatever is older than one that is here whole is not needed any more.
+    std::erase_if(mFetches, [&](const VersionFetch &one) {
+        const bool isOver = one.wanted.version < mReady.version;
+        if (isOver) {
+            one.fetch->cancel();
+        }
+        return isOver;
+    });
+}
+
+// Gets the manifest of a version and begins to fetch its chunks.
+awaitable<bool> StageService::startFetch(std::string model, std::uint64_t version)
 {
     auto text = co_await manifestText(model, version);
     if (!text) {
@@ -262,14 +276,16 @@
         logLine(LogLevel::Error, "manifest-unreadable", {{"problem", manifest.error()}});
         co_return false;
     }
-    if (mFetch) {
-        mFetch->cancel();
-        mFetch.reset();
+    const VersionInHand wanted{version, sha256Hex(*text)};
+    if (mStore->find(wanted.digest) == nullptr) {
+        mStore->open(wanted.digest, std::move(*manifest), *text);
     }
-    mFetching = {version, sha256Hex(*text)};
-    if (mStore->find(mFetching.digest) == nullptr) {
-        mStore->open(mFetching.digest, std::move(*manifest), *text);
+    co_await adoptStage(model, wanted);
+    while (mFetches.size() >= sMostFetches) {
+        mFetches.front().fetch->cancel();
+        mFetches.erase(mFetches.begin());
     }
+    mFetches.push_back({wanted, beginFetch(model, wanted)});
     co_return true;
 }
 
@@ -321,21 +337,23 @@
         co_return;
     }
     wire::ManifestAnswer answer;
-    const StoredVersion *stored = mStore->find(mFetching.digest);
-    const bool isAsked = stored != nullptr && (*request)->version() == mFetching.version
-        && stored->manifest.service == (*request)->model();
-    if (isAsked) {
-        answer.set_found(true);
-        answer.set_text(stored->manifestText);
+    for (const VersionFetch &one : mFetches) {
+        const StoredVersion *stored = mStore->find(one.wanted.digest);
+        const bool isAsked = stored != nullptr && (*request)->version() == one.wanted.version
+            && stored->manifest.service == (*request)->model();
+        if (isAsked) {
+            answer.set_found(true);
+            answer.set_text(stored->manifestText);
+        }
     }
     stream->send(answer);
     stream->finish();
 }
 
 // What lies in the stage since an earlier life need not come over the network.
-awaitable<void> StageService::adoptStage(std::string model)
+awaitable<void> StageService::adoptStage(std::string model, VersionInHand wanted)
 {
-    const std::string digest = mFetching.digest;
+    const std::string digest = wanted.digest;
     const std::uint32_t count = mStore->find(digest)->manifest.chunkCount();
     std::uint32_t adopted = 0;
     for (std::uint32_t index = 0; index < count && !mStopped; ++index) {
@@ -354,11 +372,13 @@
             break;
         }
     }
-    logLine(LogLevel::Info, "stage-adopted", {{"version", mFetching.version}, {"chunks", adopted}});
+    logLine(LogLevel::Info, "stage-adopted", {{"version", wanted.version}, {"chunks", adopted}});
 }
 
-void StageService::beginFetch(const std::string &model, std::uint64_t version)
+std::shared_ptr<WeightFetch> StageService::beginFetch(const std::string &model,
+                                                      const VersionInHand &wanted)
 {
+    const std::uint64_t version = wanted.version;
     ChunkPlan::Options options;
     options.originParallel = sOriginParallel;
     options.peerParallel = sPeerParallel;
@@ -378,10 +398,11 @@
         mCounts,
         [this] { return members(); },
         [this] { mWake->notify(); }};
-    mFetch = std::make_shared<WeightFetch>(VersionTarget{std::to_string(version), mFetching.digest},
-                                           options, std::move(parts));
+    auto fetch = std::make_shared<WeightFetch>(
+        VersionTarget{std::to_string(version), wanted.digest}, options, std::move(parts));
     logLine(LogLevel::Info, "fetch-begun", {{"model", model}, {"version", version}});
-    asio::co_spawn(mWake->executor(), WeightFetch::run(mFetch), asio::detached);
+    asio::co_spawn(mWake->executor(), WeightFetch::run(fetch), asio::detached);
+    return fetch;
 }
 
 awaitable<tl::expected<std::string, ChunkFailure>>
--- a/src/libloomjunction/gateway/stageservice.h
+++ b/src/libloomjunction/gateway/stageservice.h
@@ -54,18 +54,25 @@
         std::string digest;
     };
 
+    struct VersionFetch
+    {
+        VersionInHand wanted;
+        std::shared_ptr<WeightFetch> fetch;
+    };
+
     awaitable<void> drive();
     awaitable<void> drivePeers();
     awaitable<bool> lookAtEngine();
     awaitable<void> bringWeights();
-    awaitable<bool> openVersion(std::string model, std::uint64_t version);
+    awaitable<bool> startFetch(std::string model, std::uint64_t version);
+    void noteFetched();
     awaitable<tl::expected<std::string, std::string>> manifestText(std::string model,
                                                                    std::uint64_t version);
     awaitable<std::string> manifestFromPeers(std::string model, std::uint64_t version);
-    awaitable<void> adoptStage(std::string model);
+    awaitable<void> adoptStage(std::string model, VersionInHand wanted);
     awaitable<tl::expected<std::string, ChunkFailure>>
     originChunk(std::string model, std::uint64_t version, std::uint32_t index);
-    void beginFetch(const std::string &model, std::uint64_t version);
+    std::shared_ptr<WeightFetch> beginFetch(const std::string &model, const VersionInHand &wanted);
     void noteLoaded(std::string_view model, std::uint64_t loaded);
     awaitable<bool> loadStaged(std::string model, VersionInHand wanted);
     awaitable<bool> emptyEngine();
@@ -94,11 +101,10 @@
     TokenBucket mEgress;
     std::unique_ptr<ChunkServer> mServer;
     FetchCounts mCounts;
-    std::shared_ptr<WeightFetch> mFetch;
     std::unique_ptr<Signal> mWake;
 
     std::optional<EngineReport> mReport;
-    VersionInHand mFetching; ///< being fetched, or the last one that was
+    std::vector<VersionFetch> mFetches; ///< oldest first; the last is the newest named
     VersionInHand mReady; ///< the newest one that is here whole
     std::uint64_t mOrdered = 0; ///< the version of the last order
     Instant mOrderedAt;
