Members that stay silent are forgotten; older weights are used 0.7 s longer

Now a gateway that hears most others removes a record silent for 5 s; one that lives writes it again.

--- a/src/libloomjunction/core/chunkplan.cpp
+++ b/src/libloomjunction/core/chunkplan.cpp
@@ -271,7 +271,8 @@
     }
     const Microseconds most = *mMostFoundAt - mBegun;
     const Microseconds step = std::clamp<Microseconds>(most, sLeastTakeover, mOptions.takeover);
-    return now - mBegun >= std::max(most * 2, sLeastTakeover) + step * static_cast<int>(turn - 1);
+    const Microseconds due = std::max<Microseconds>(most + most / 2, sLeastTakeover);
+    return now - mBegun >= due + step * static_cast<int>(turn - 1);
 }
 
 void ChunkPlan::noteFound(Chunk &chunk, Instant now)
--- a/src/libloomjunction/core/weightsgoal.cpp
+++ b/src/libloomjunction/core/weightsgoal.cpp
@@ -14,7 +14,7 @@
 
 // A request may wait at a replica, or on a narrow link on its way, before it
 // begins, so sending stops this much earlier.
-constexpr Milliseconds sSendMargin{2'000};
+constexpr Milliseconds sSendMargin{1'300};
 
 } // namespace
 
--- a/src/libloomjunction/gateway/loadreporter.cpp
+++ b/src/libloomjunction/gateway/loadreporter.cpp
@@ -138,6 +138,7 @@
         if (mLoad) {
             wire::ReplicaLoadReport report;
             report.set_address(mReplica);
+            report.set_member(mMembers->key());
             report.set_running(mLoad->running);
             report.set_waiting(mLoad->waiting);
             report.set_waiting_patient(patientWaiting());
--- a/src/libloomjunction/gateway/memberservice.cpp
+++ b/src/libloomjunction/gateway/memberservice.cpp
@@ -13,6 +13,7 @@
 #include "jsonhttp.h"
 #include "jsonlog.h"
 #include "peerhub.h"
+#include "rendezvous.h"
 #include "wire.pb.h"
 
 #include <boost/asio/co_spawn.hpp>
@@ -31,6 +32,10 @@
 constexpr std::chrono::milliseconds sScanEvery{200};
 // A gateway that was not heard for longer than a retry window spends nothing of it.
 constexpr Milliseconds sMayBeAlive{15'000};
+// Longer than a restart takes, so that only boxes that stay away are forgotten.
+constexpr Milliseconds sForgetAfter{5'000};
+constexpr Milliseconds sForgetTurn{1'000};
+constexpr std::chrono::milliseconds sForgetEvery{500};
 constexpr std::string_view sGatewayRole = "gateway";
 constexpr std::string_view sStagerRole = "stager";
 
@@ -75,6 +80,7 @@
         mHub->serve(std::string(sStatusPath),
                     [this](PeerStreamPtr stream) { return serveStatus(std::move(stream)); });
         asio::co_spawn(kernel.executor(), followGateways(), asio::detached);
+        asio::co_spawn(kernel.executor(), forgetSilent(), asio::detached);
     }
     return {};
 }
@@ -142,6 +148,7 @@
     }
     if (!change.record.value) {
         const bool wasKnown = mMembers.erase(key) > 0;
+        mCameAt.erase(key);
         if (wasKnown) {
             logLine(LogLevel::Info, "member-left", {{"member", key}});
         }
@@ -154,9 +161,67 @@
     }
     logLine(LogLevel::Info, "member-came",
             {{"member", key}, {"memberBox", member->box}, {"incarnation", member->incarnation}});
+    const auto known = mMembers.find(key);
+    const bool isNewLife
+        = known == mMembers.end() || known->second.incarnation != member->incarnation;
+    if (isNewLife) {
+        mCameAt[key] = now();
+    }
     mMembers[key] = *member;
 }
 
+std::optional<Instant> MemberService::lastHeard(const std::string &key, const Member &member) const
+{
+    if (!member.isGateway) {
+        const auto it = mHeard.find(key);
+        return it == mHeard.end() ? std::nullopt : std::optional(it->second);
+    }
+    const auto it = mStates.find(key);
+    return it == mStates.end() ? std::nullopt : it->second.heardAt;
+}
+
+bool MemberService::isOverdue(const std::string &key, const Member &member) const
+{
+    const auto came = mCameAt.find(key);
+    Instant since = came == mCameAt.end() ? now() : came->second;
+    if (const auto heard = lastHeard(key, member)) {
+        since = std::max(since, *heard);
+    }
+    std::vector<std::string> gateways{mKey};
+    for (const Member &other : usableGateways()) {
+        gateways.push_back(endpointText(other.peers));
+    }
+    // One gateway after the other, so that mostly one writes.
+    const auto order = rendezvousOrder(key, gateways, gateways.size());
+    const auto own = std::ranges::find(order, std::size_t{0}) - order.begin();
+    return now() - since > sForgetAfter + sForgetTurn * own;
+}
+
+// A box that is gone for good takes no record away. Members that it stays
+// responsible for would wait for it; so a gateway removes it, if it hears most
+// of the others. One that lives after all records itself anew.
+awaitable<void> MemberService::forgetSilent()
+{
+    while (!mStopped && !mIsLeaving) {
+        co_await sleepFor(sForgetEvery);
+        std::vector<std::string> overdue;
+        for (const auto &[key, member] : mMembers) {
+            if (isOverdue(key, member)) {
+                overdue.push_back(key);
+            }
+        }
+        const bool isAlone = 2 * overdue.size() > mMembers.size();
+        if (isAlone || !mFeeds->isStoreReached(Feed::Members)) {
+            continue;
+        }
+        for (const std::string &key : overdue) {
+            const auto done = co_await mStore.put(key, std::nullopt);
+            logLine(LogLevel::Warning, "member-forgotten",
+                    {{"member", key}, {"done", done.has_value()}});
+        }
+    }
+}
+
 std::vector<Member> MemberService::others() const
 {
     std::vector<Member> all;
--- a/src/libloomjunction/gateway/memberservice.h
+++ b/src/libloomjunction/gateway/memberservice.h
@@ -8,6 +8,7 @@
 
 #pragma once
 
+#include "clock.h"
 #include "directsettings.h"
 #include "instant.h"
 #include "kernel.h"
@@ -82,12 +83,19 @@
     /** Gateways that may be alive, this one among them. */
     std::uint32_t gatewayCount() const;
     std::uint64_t incarnation() const { return mIncarnation; }
+    /** The key of the own record. */
+    const std::string &key() const { return mKey; }
+    /** A stager spoke to this gateway. */
+    void noteHeard(const std::string &key) { mHeard[key] = now(); }
 
 private:
     awaitable<void> keepRecord();
     awaitable<void> followGateways();
     awaitable<void> followGateway(std::string key);
     awaitable<void> serveStatus(PeerStreamPtr stream);
+    awaitable<void> forgetSilent();
+    bool isOverdue(const std::string &key, const Member &member) const;
+    std::optional<Instant> lastHeard(const std::string &key, const Member &member) const;
     void take(const FeedChange &change);
     std::string ownValue() const;
 
@@ -101,6 +109,8 @@
     std::map<std::string, Member> mMembers;
     std::map<std::string, GatewayState> mStates;
     std::map<std::string, bool> mFollowed;
+    std::map<std::string, Instant> mHeard; ///< stagers, by key
+    std::map<std::string, Instant> mCameAt; ///< when a record was first seen
     std::unique_ptr<Signal> mChanged;
     std::uint64_t mStatusChanges = 0;
     bool mIsRecorded = false;
--- a/src/libloomjunction/gateway/replicaservice.cpp
+++ b/src/libloomjunction/gateway/replicaservice.cpp
@@ -108,6 +108,7 @@
             address = told.address();
             mLoadStreams[address] = stream;
         }
+        mMembers->noteHeard(told.member());
         ReplicaLoad load;
         load.running = told.running();
         load.waiting = told.waiting();
