--- a/src/libloomjunction/gateway/gatewayfront.h
+++ b/src/libloomjunction/gateway/gatewayfront.h
@@ -9,6 +9,7 @@
 #pragma once
 
 #include "directsettings.h"
+#include "http.h"
 #include "kernel.h"
 #include "ports.h"
 
@@ -38,6 +39,8 @@
     /** Callers may be sent here. */
     bool isReady() const;
     bool isLeaving() const { return mIsLeaving; }
+    /** Where requests come in, e.g. after asking for port 0. */
+    Tcp::endpoint localEndpoint() const { return mServer->localEndpoint(); }
     std::uint32_t inFlight() const { return mInFlight; }
 
 private:
--- /dev/null
+++ b/tests/gateway/directlab.cpp
@@ -0,0 +1,115 @@
+/*
+ * directlab.cpp
+ * Copyright 2026, the loomjunction authors
+ *
+ * This file is part of loomjunction (tests).
+ * SPDX-License-Identifier: BSD-2-Clause
+ */
+
+#include "directlab.h"
+
+#include <boost/test/unit_test.hpp>
+
+namespace Loom {
+
+namespace {
+
+constexpr std::chrono::seconds sGenerous{20};
+
+std::string configText(std::uint64_t version)
+{
+    return R"({"version":)" + std::to_string(version) + R"(,"routes":[
+        {"name":"once","host":"h","path_prefix":"/once/","kind":"unsafe","timeout_ms":8000,
+         "goal_ms":500,"service":"plain","max_attempts":2},
+        {"name":"safe","host":"h","path_prefix":"/safe/","kind":"safe","timeout_ms":8000,
+         "goal_ms":500,"service":"plain","max_attempts":2},
+        {"name":"brief","host":"h","path_prefix":"/brief/","kind":"safe","timeout_ms":300,
+         "goal_ms":100,"service":"plain","max_attempts":1},
+        {"name":"stream","host":"h","path_prefix":"/stream/","kind":"stream","timeout_ms":8000,
+         "goal_ms":500,"gap_aim_ms":500,"service":"plain","max_attempts":2,"resumable":true}],
+        "services":[{"name":"plain","max_conns":100}],
+        "tenants":[{"name":"t1","api_keys":["k)" + std::to_string(version) + R"(","k"]}]})";
+}
+
+} // namespace
+
+DirectSettings DirectLab::settings()
+{
+    const Tcp::endpoint anyPort(asio::ip::address_v4::loopback(), 0);
+    DirectSettings settings;
+    settings.box = "gateway-1";
+    settings.dataCentre = "z1";
+    settings.region = "r1";
+    settings.peers = anyPort;
+    settings.store = anyPort;
+    // Repeats are allowed from the start, which is not what is tested here.
+    settings.bounds.retries = {10.0, 100, Milliseconds(1'000)};
+    settings.role = GatewaySettings{anyPort, anyPort, anyPort};
+    return settings;
+}
+
+DirectLab::DirectLab()
+{
+    mKernel.add(std::make_unique<PeerHub>(mSettings.peers));
+    mKernel.add(std::make_unique<FeedService>(store, mSettings.box, FeedPreference::Store));
+    mKernel.add(std::make_unique<MemberService>(store, mSettings, 1));
+    mKernel.add(std::make_unique<DirectConfig>(mRecords, mSettings.bounds));
+    mKernel.add(std::make_unique<ReplicaService>(mRecords, mMetrics, mSettings));
+    mKernel.add(std::make_unique<GatewayFront>(mCalls, mMetrics, mSettings));
+}
+
+ScriptedReplica &DirectLab::addReplica(std::string id, std::string service,
+                                       ScriptedReplica::Script script)
+{
+    mReplicas.push_back(std::make_unique<ScriptedReplica>(context, std::move(script)));
+    const std::string value = R"({"service":")" + service + R"(","address":")"
+        + mReplicas.back()->address() + R"(","zone":"z1","slots":4,"state":"ready"})";
+    store.write(Feed::Replicas, std::move(id), value);
+    return *mReplicas.back();
+}
+
+void DirectLab::writeConfig(std::uint64_t version)
+{
+    store.write(Feed::Operators, "config", configText(version));
+}
+
+void DirectLab::run(std::function<awaitable<void>()> test)
+{
+    BOOST_REQUIRE(mKernel.start().has_value());
+    std::exception_ptr thrown;
+    asio::co_spawn(context, std::move(test), [&](std::exception_ptr error) {
+        thrown = error;
+        context.stop();
+    });
+    context.run();
+    if (thrown) {
+        std::rethrow_exception(thrown);
+    }
+}
+
+awaitable<tl::expected<HttpResponse, HttpError>> DirectLab::call(std::string method,
+                                                                 std::string path, std::string id)
+{
+    HttpCall request;
+    request.endpoint = front().localEndpoint();
+    request.method = std::move(method);
+    request.target = std::move(path);
+    request.headers = {{"Loomjunction-Request-Id", std::move(id)},
+                       {"Loomjunction-Deadline-Ms", "6000"},
+                       {"Authorization", "Token k"}};
+    request.timeout = sGenerous;
+    HttpClient fresh(context.get_executor());
+    request.headers.push_back({"Host", "h"});
+    co_return co_await fresh.send(std::move(request));
+}
+
+awaitable<void> DirectLab::waitFor(std::function<bool()> condition)
+{
+    const auto until = std::chrono::steady_clock::now() + sGenerous;
+    while (!condition()) {
+        BOOST_REQUIRE(std::chrono::steady_clock::now() < until);
+        co_await sleepFor(std::chrono::milliseconds(5));
+    }
+}
+
+} // namespace Loom
--- /dev/null
+++ b/tests/gateway/directlab.h
@@ -0,0 +1,211 @@
+/*
+ * directlab.h
+ * Copyright 2026, the loomjunction authors
+ *
+ * This file is part of loomjunction (tests).
+ * SPDX-License-Identifier: BSD-2-Clause
+ */
+
+#pragma once
+
+#include "calls.h"
+#include "directconfig.h"
+#include "feedservice.h"
+#include "gatewayfront.h"
+#include "memberservice.h"
+#include "metrics.h"
+#include "peerhub.h"
+#include "records.h"
+#include "replicaservice.h"
+
+#include <array>
+#include <functional>
+#include <memory>
+
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/read_until.hpp>
+#include <boost/asio/write.hpp>
+
+namespace Loom {
+
+/** A store in memory, which can be away or forget its history. */
+class MemoryStore final : public StorePort
+{
+public:
+    explicit MemoryStore(const asio::any_io_executor &executor)
+        : mChanged(executor)
+    {
+    }
+
+    bool isAway = false;
+    bool hasForgotten = false; ///< the next read finds its records gone
+
+    void write(Feed feed, std::string key, std::optional<std::string> value)
+    {
+        auto &log = mLogs[static_cast<std::size_t>(feed)];
+        log.push_back({std::move(key), std::move(value), log.size()});
+        mChanged.notify();
+    }
+
+    awaitable<tl::expected<FeedBatch, StoreError>> read(Feed feed, std::uint64_t from,
+                                                        Milliseconds wait) override
+    {
+        const auto &log = mLogs[static_cast<std::size_t>(feed)];
+        if (!isAway && log.size() <= from) {
+            co_await mChanged.waitFor(wait);
+        }
+        if (isAway) {
+            co_return tl::unexpected(StoreError::Unreachable);
+        }
+        if (std::exchange(hasForgotten, false)) {
+            co_return tl::unexpected(StoreError::Forgotten);
+        }
+        FeedBatch batch;
+        for (std::uint64_t offset = from; offset < log.size(); ++offset) {
+            batch.records.push_back(log[offset]);
+        }
+        batch.next = std::max<std::uint64_t>(from, log.size());
+        co_return batch;
+    }
+
+    awaitable<tl::expected<FeedBatch, StoreError>> newest(Feed feed) override
+    {
+        if (isAway) {
+            co_return tl::unexpected(StoreError::Refused);
+        }
+        const auto &log = mLogs[static_cast<std::size_t>(feed)];
+        RecordBook book;
+        for (const FeedRecord &record : log) {
+            book.apply(record);
+        }
+        FeedBatch batch;
+        for (const auto &[key, record] : book.all()) {
+            if (record.value) {
+                batch.records.push_back(record);
+            }
+        }
+        batch.next = log.size();
+        co_return batch;
+    }
+
+    awaitable<tl::expected<void, StoreError>> put(std::string key,
+                                                  std::optional<std::string> value) override
+    {
+        if (isAway) {
+            co_return tl::unexpected(StoreError::Unreachable);
+        }
+        write(Feed::Members, std::move(key), std::move(value));
+        co_return tl::expected<void, StoreError>();
+    }
+
+private:
+    std::array<std::vector<FeedRecord>, sFeedCount> mLogs;
+    Signal mChanged;
+};
+
+/** A replica that answers every request by a script, which gets the request's head. */
+class ScriptedReplica
+{
+public:
+    struct Answer
+    {
+        std::string bytes;
+        bool closes = false;
+    };
+    using Script = std::function<Answer(const std::string &head)>;
+
+    ScriptedReplica(asio::io_context &context, Script script)
+        : mAcceptor(context, Tcp::endpoint(asio::ip::address_v4::loopback(), 0))
+        , mScript(std::move(script))
+    {
+        asio::co_spawn(context, accept(), asio::detached);
+    }
+
+    std::string address() const { return endpointText(mAcceptor.local_endpoint()); }
+    int requests() const { return static_cast<int>(mHeads.size()); }
+    const std::vector<std::string> &heads() const { return mHeads; }
+    /** Connections that the other side has closed. */
+    int closed() const { return mClosed; }
+
+private:
+    awaitable<void> accept()
+    {
+        while (true) {
+            auto [error, socket] = co_await mAcceptor.async_accept(sAsValue);
+            if (error) {
+                co_return;
+            }
+            auto shared = std::make_shared<Tcp::socket>(std::move(socket));
+            asio::co_spawn(mAcceptor.get_executor(), serve(shared), asio::detached);
+        }
+    }
+
+    awaitable<void> serve(std::shared_ptr<Tcp::socket> socket)
+    {
+        std::string buffer;
+        const std::string blank = "\r\n\r\n";
+        while (true) {
+            auto [error, size] = co_await asio::async_read_until(
+                *socket, asio::dynamic_buffer(buffer), blank, sAsValue);
+            if (error) {
+                ++mClosed;
+                co_return;
+            }
+            mHeads.push_back(buffer.substr(0, size));
+            buffer.erase(0, size);
+            const Answer answer = mScript(mHeads.back());
+            co_await asio::async_write(*socket, asio::buffer(answer.bytes), sAsValue);
+            if (answer.closes) {
+                socket->close();
+                co_return;
+            }
+        }
+    }
+
+    Tcp::acceptor mAcceptor;
+    Script mScript;
+    std::vector<std::string> mHeads;
+    int mClosed = 0;
+};
+
+/** One gateway over a store in memory, with scripted replicas. */
+class DirectLab
+{
+public:
+    DirectLab();
+
+    asio::io_context context{1};
+    MemoryStore store{context.get_executor()};
+
+    /** Adds a replica of @p service and its record. */
+    ScriptedReplica &addReplica(std::string id, std::string service,
+                                ScriptedReplica::Script script);
+    void writeConfig(std::uint64_t version);
+
+    /** Runs @p test on the loop until it returns, then ends the gateway. */
+    void run(std::function<awaitable<void>()> test);
+    /** The answer to one request; empty headers get the usual ones. */
+    awaitable<tl::expected<HttpResponse, HttpError>> call(std::string method, std::string path,
+                                                          std::string id);
+    /** Waits until @p condition holds; fails the test after a generous time. */
+    awaitable<void> waitFor(std::function<bool()> condition);
+
+    GatewayFront &front() { return mKernel.find<GatewayFront>(GatewayFront::sName); }
+    DirectConfig &config() { return mKernel.find<DirectConfig>(DirectConfig::sName); }
+    ReplicaService &replicas() { return mKernel.find<ReplicaService>(ReplicaService::sName); }
+
+private:
+    static DirectSettings settings();
+
+    DirectSettings mSettings = settings();
+    Platform::Records mRecords;
+    Platform::Calls mCalls;
+    Metrics mMetrics;
+    Kernel mKernel{context.get_executor()};
+    HttpClient mClient{context.get_executor()};
+    std::vector<std::unique_ptr<ScriptedReplica>> mReplicas;
+};
+
+} // namespace Loom
--- /dev/null
+++ b/tests/gateway/test_gateway.cpp
@@ -0,0 +1,319 @@
+/*
+ * test_gateway.cpp
+ * Copyright 2026, the loomjunction authors
+ *
+ * This file is part of loomjunction (tests).
+ * SPDX-License-Identifier: BSD-2-Clause
+ */
+
+#define BOOST_TEST_MODULE gateway
+#include <boost/test/unit_test.hpp>
+
+#include "directlab.h"
+
+using namespace Loom;
+
+namespace {
+
+std::string idOf(const std::string &head)
+{
+    constexpr std::string_view name = "Loomjunction-Request-Id: ";
+    const std::size_t begin = head.find(name) + name.size();
+    return head.substr(begin, head.find('\r', begin) - begin);
+}
+
+std::string answer(const std::string &id, int status, const std::string &body,
+                   const std::string &more = "Loomjunction-Response-Signature: s\r\n")
+{
+    return "HTTP/1.1 " + std::to_string(status) + " X\r\nLoomjunction-Request-Id: " + id + "\r\n"
+        + more + "Content-Length: " + std::to_string(body.size()) + "\r\n\r\n" + body;
+}
+
+ScriptedReplica::Answer good(const std::string &head)
+{
+    return {answer(idOf(head), 200, "whole"), false};
+}
+
+ScriptedReplica::Answer breaksOff(const std::string &)
+{
+    return {"", true};
+}
+
+ScriptedReplica::Answer refuses(const std::string &head)
+{
+    return {answer(idOf(head), 503, "", "Loomjunction-Not-Executed: 1\r\n"), false};
+}
+
+std::string event(int id)
+{
+    return "id: " + std::to_string(id) + "\ndata: e" + std::to_string(id) + "\n\n";
+}
+
+std::string streamHead(const std::string &id)
+{
+    return "HTTP/1.1 200 OK\r\nLoomjunction-Request-Id: " + id
+        + "\r\nLoomjunction-Response-Signature: s\r\nContent-Type: text/event-stream\r\n"
+          "Transfer-Encoding: chunked\r\n\r\n";
+}
+
+std::string chunk(const std::string &data)
+{
+    std::array<char, 16> size{};
+    std::snprintf(size.data(), size.size(), "%zx\r\n", data.size());
+    return size.data() + data + "\r\n";
+}
+
+awaitable<void> untilReady(DirectLab &lab, std::size_t replicas)
+{
+    co_await lab.waitFor([&lab, replicas] {
+        return lab.front().isReady() && lab.replicas().replicas().all().size() == replicas;
+    });
+}
+
+} // namespace
+
+BOOST_AUTO_TEST_CASE(a_request_reaches_a_replica_and_its_answer_comes_back_whole)
+{
+    DirectLab lab;
+    lab.writeConfig(1);
+    ScriptedReplica &replica = lab.addReplica("i-1", "plain", good);
+    lab.run([&]() -> awaitable<void> {
+        co_await untilReady(lab, 1);
+        const auto response = co_await lab.call("POST", "/once/a", "id1");
+        BOOST_TEST(response->status == 200);
+        BOOST_TEST(response->body == "whole");
+        BOOST_TEST(response->header("Loomjunction-Response-Signature") == "s");
+        BOOST_TEST(replica.heads()[0].find("Loomjunction-Tenant: t1") != std::string::npos);
+        BOOST_TEST(replica.heads()[0].find("Loomjunction-Target-Instance: i-1")
+                   != std::string::npos);
+        BOOST_TEST(replica.heads()[0].find("Authorization") == std::string::npos);
+    });
+}
+
+BOOST_AUTO_TEST_CASE(what_may_run_once_is_never_sent_again_after_an_unknown_end)
+{
+    DirectLab lab;
+    lab.writeConfig(1);
+    ScriptedReplica &first = lab.addReplica("i-1", "plain", breaksOff);
+    ScriptedReplica &second = lab.addReplica("i-2", "plain", breaksOff);
+    lab.run([&]() -> awaitable<void> {
+        co_await untilReady(lab, 2);
+        const auto response = co_await lab.call("POST", "/once/a", "id1");
+        BOOST_TEST(response->status == 502);
+        BOOST_TEST(first.requests() + second.requests() == 1);
+    });
+}
+
+BOOST_AUTO_TEST_CASE(what_may_be_repeated_goes_to_another_replica)
+{
+    DirectLab lab;
+    lab.writeConfig(1);
+    int sends = 0;
+    const auto firstBreaks = [&](const std::string &head) {
+        return ++sends == 1 ? breaksOff(head) : good(head);
+    };
+    ScriptedReplica &first = lab.addReplica("i-1", "plain", firstBreaks);
+    ScriptedReplica &second = lab.addReplica("i-2", "plain", firstBreaks);
+    lab.run([&]() -> awaitable<void> {
+        co_await untilReady(lab, 2);
+        const auto response = co_await lab.call("GET", "/safe/a", "id1");
+        BOOST_TEST(response->status == 200);
+        BOOST_TEST(first.requests() == 1);
+        BOOST_TEST(second.requests() == 1);
+    });
+}
+
+BOOST_AUTO_TEST_CASE(a_refusal_is_passed_on_as_one_with_when_to_come_back)
+{
+    DirectLab lab;
+    lab.writeConfig(1);
+    ScriptedReplica &first = lab.addReplica("i-1", "plain", refuses);
+    ScriptedReplica &second = lab.addReplica("i-2", "plain", refuses);
+    lab.run([&]() -> awaitable<void> {
+        co_await untilReady(lab, 2);
+        const auto response = co_await lab.call("POST", "/once/a", "id1");
+        BOOST_TEST(response->status == 503);
+        BOOST_TEST(!response->header("Retry-After").empty());
+        // It ran nowhere, so another replica was asked; the route allows two.
+        BOOST_TEST(first.requests() == 1);
+        BOOST_TEST(second.requests() == 1);
+    });
+}
+
+BOOST_AUTO_TEST_CASE(an_answer_to_another_request_is_never_given_out)
+{
+    DirectLab lab;
+    lab.writeConfig(1);
+    lab.addReplica("i-1", "plain", [](const std::string &head) {
+        const std::string stale = answer("older", 200, "not yours");
+        return ScriptedReplica::Answer{stale + answer(idOf(head), 200, "yours"), false};
+    });
+    lab.run([&]() -> awaitable<void> {
+        co_await untilReady(lab, 1);
+        const auto response = co_await lab.call("POST", "/once/a", "id1");
+        BOOST_TEST(response->status == 200);
+        BOOST_TEST(response->body == "yours");
+    });
+}
+
+BOOST_AUTO_TEST_CASE(a_success_without_its_signature_is_no_success)
+{
+    DirectLab lab;
+    lab.writeConfig(1);
+    lab.addReplica("i-1", "plain", [](const std::string &head) {
+        return ScriptedReplica::Answer{answer(idOf(head), 200, "whole", ""), false};
+    });
+    lab.run([&]() -> awaitable<void> {
+        co_await untilReady(lab, 1);
+        const auto response = co_await lab.call("POST", "/once/a", "id1");
+        BOOST_TEST(response->status == 502);
+    });
+}
+
+BOOST_AUTO_TEST_CASE(a_broken_stream_goes_on_at_another_replica_without_a_gap_or_a_repeat)
+{
+    DirectLab lab;
+    lab.writeConfig(1);
+    int sends = 0;
+    const auto script = [&](const std::string &head) -> ScriptedReplica::Answer {
+        const std::string begin = streamHead(idOf(head));
+        if (++sends == 1) {
+            // It breaks off within its third event.
+            return {begin + chunk(event(1)) + chunk(event(2)) + chunk("id: 3\nda"), true};
+        }
+        BOOST_TEST(head.find("Last-Event-Id: 2") != std::string::npos);
+        return {begin + chunk(event(2)) + chunk(event(3)) + chunk(event(4)) + "0\r\n\r\n", false};
+    };
+    lab.addReplica("i-1", "plain", script);
+    lab.addReplica("i-2", "plain", script);
+    lab.run([&]() -> awaitable<void> {
+        co_await untilReady(lab, 2);
+        const auto response = co_await lab.call("POST", "/stream/a", "id1");
+        BOOST_TEST(response->status == 200);
+        BOOST_TEST(response->body == event(1) + event(2) + event(3) + event(4));
+        BOOST_TEST(sends == 2);
+    });
+}
+
+BOOST_AUTO_TEST_CASE(a_stream_that_cannot_go_on_never_looks_whole)
+{
+    DirectLab lab;
+    lab.writeConfig(1);
+    lab.addReplica("i-1", "plain", [](const std::string &head) {
+        return ScriptedReplica::Answer{streamHead(idOf(head)) + chunk(event(1)), true};
+    });
+    lab.run([&]() -> awaitable<void> {
+        co_await untilReady(lab, 1);
+        const auto response = co_await lab.call("POST", "/stream/a", "id1");
+        BOOST_TEST(!response.has_value());
+        BOOST_TEST((response.error().failure == HttpFailure::Cut));
+    });
+}
+
+BOOST_AUTO_TEST_CASE(a_silent_replica_is_given_up_at_the_routes_time)
+{
+    DirectLab lab;
+    lab.writeConfig(1);
+    ScriptedReplica &replica = lab.addReplica("i-1", "plain", [](const std::string &) {
+        return ScriptedReplica::Answer{"", false};
+    });
+    lab.run([&]() -> awaitable<void> {
+        co_await untilReady(lab, 1);
+        const auto response = co_await lab.call("GET", "/brief/a", "id1");
+        BOOST_TEST(response->status == 504);
+        // The replica hears of it, too.
+        co_await lab.waitFor([&] { return replica.closed() == 1; });
+    });
+}
+
+BOOST_AUTO_TEST_CASE(a_leaving_caller_ends_the_work_at_the_replica)
+{
+    DirectLab lab;
+    lab.writeConfig(1);
+    ScriptedReplica &replica = lab.addReplica("i-1", "plain", [](const std::string &) {
+        return ScriptedReplica::Answer{"", false};
+    });
+    lab.run([&]() -> awaitable<void> {
+        co_await untilReady(lab, 1);
+        const Tcp::endpoint address = lab.front().localEndpoint();
+        auto caller = co_await connectWithin(address, std::chrono::seconds(5));
+        const std::string request = "POST /once/a HTTP/1.1\r\nHost: h\r\n"
+                                    "Loomjunction-Request-Id: id1\r\n"
+                                    "Authorization: Token k\r\nContent-Length: 0\r\n\r\n";
+        co_await asio::async_write(*caller, asio::buffer(request), sAsValue);
+        co_await lab.waitFor([&] { return replica.requests() == 1; });
+        caller->close();
+        co_await lab.waitFor([&] { return replica.closed() == 1; });
+        co_await lab.waitFor([&] { return lab.front().inFlight() == 0; });
+    });
+}
+
+BOOST_AUTO_TEST_CASE(routes_and_keys_are_judged_by_the_configuration_in_force)
+{
+    DirectLab lab;
+    lab.addReplica("i-1", "plain", good);
+    lab.run([&]() -> awaitable<void> {
+        // Nothing is known yet: that is no reason to say that a route does not exist.
+        const auto early = co_await lab.call("POST", "/once/a", "id1");
+        BOOST_TEST(early->status == 503);
+        lab.writeConfig(5);
+        co_await untilReady(lab, 1);
+        const auto missing = co_await lab.call("POST", "/nowhere/a", "id2");
+        BOOST_TEST(missing->status == 404);
+        lab.writeConfig(4); // an older one that comes late
+        lab.writeConfig(6);
+        co_await lab.waitFor([&] { return lab.config().table()->version() == 6; });
+        const auto fine = co_await lab.call("POST", "/once/a", "id3");
+        BOOST_TEST(fine->status == 200);
+    });
+}
+
+BOOST_AUTO_TEST_CASE(a_draining_replica_gets_nothing_and_a_forgotten_history_is_read_anew)
+{
+    DirectLab lab;
+    lab.writeConfig(1);
+    ScriptedReplica &leaving = lab.addReplica("i-1", "plain", good);
+    ScriptedReplica &staying = lab.addReplica("i-2", "plain", good);
+    lab.run([&]() -> awaitable<void> {
+        co_await untilReady(lab, 2);
+        lab.store.hasForgotten = true;
+        lab.store.write(Feed::Replicas, "i-1",
+                        R"({"service":"plain","address":")" + leaving.address()
+                            + R"(","zone":"z1","slots":4,"state":"draining"})");
+        co_await lab.waitFor([&] {
+            return lab.replicas().replicas().find("i-1")->record.isDraining;
+        });
+        for (int call = 0; call < 5; ++call) {
+            const std::string id = "id" + std::to_string(call);
+            const auto response = co_await lab.call("POST", "/once/a", id);
+            BOOST_TEST(response->status == 200);
+        }
+        BOOST_TEST(leaving.requests() == 0);
+        BOOST_TEST(staying.requests() == 5);
+    });
+}
+
+BOOST_AUTO_TEST_CASE(a_planned_stop_answers_what_is_under_way_and_closes_its_connections)
+{
+    DirectLab lab;
+    lab.writeConfig(1);
+    lab.addReplica("i-1", "plain", good);
+    lab.run([&]() -> awaitable<void> {
+        co_await untilReady(lab, 1);
+        bool hasDrained = false;
+        asio::co_spawn(
+            lab.context,
+            [&]() -> awaitable<void> {
+                co_await lab.front().drain();
+                hasDrained = true;
+            },
+            asio::detached);
+        co_await lab.waitFor([&] { return lab.front().isLeaving(); });
+        BOOST_TEST(!lab.front().isReady());
+        // Callers that have not heard of it yet are still served.
+        const auto response = co_await lab.call("POST", "/once/a", "id1");
+        BOOST_TEST(response->status == 200);
+        BOOST_TEST(response->header("Connection") == "close");
+        co_await lab.waitFor([&] { return hasDrained; });
+    });
+}
