--- a/src/libloomjunction/core/replicaset.cpp
+++ b/src/libloomjunction/core/replicaset.cpp
@@ -32,11 +32,17 @@
 constexpr double sGreyShare = 0.25;
 // The way to another data centre and back, and what its bytes cost. Milliseconds.
 constexpr double sFarTollMs = 15;
+// Requests and events wait on its link. Milliseconds.
+constexpr double sSlowLinkTollMs = 200;
 // A request that fails has to be sent again, or is lost.
 constexpr double sFailureTollMs = 500;
 // Slower than the fastest by this factor is not noise of the requests' sizes.
 constexpr double sSlowFactor = 2.5;
 constexpr double sSlowEngineFactor = 4;
+// Stricter, where being late breaks a promise: twice the fastest is suspicious.
+constexpr double sLateFactor = 2;
+constexpr double sSoonMs = 250;
+constexpr Milliseconds sLoadFresh{150};
 // Requests that a plain replica may hold beyond its slots before others are refused.
 constexpr double sPlainQueue = 1.0;
 constexpr Milliseconds sPlainComeBack{100};
@@ -187,6 +193,9 @@
     offer.cost = offer.answer;
     const double goal = static_cast<double>(query.goal.count()) * sGoalUsed
         + (query.isReturning ? sReturningTurns * model.turn() : 0);
+    if (replica.load && replica.load->isLinkSlow) {
+        offer.cost += sSlowLinkTollMs;
+    }
     offer.isPrompt = offer.answer <= goal;
     offer.isOpen = all < slots * (1 + sPatientQueue);
     return offer;
@@ -221,15 +230,30 @@
     return offer;
 }
 
+// Whether a request that is sent now surely begins within a second: nothing
+// says that its way or its wait is long, and what is known is fresh.
+bool ReplicaSet::beginsSoon(const Replica &replica, const ReplicaQuery &query, double fastestMs,
+                            Instant now)
+{
+    const bool isKnown
+        = replica.load && now - replica.loadAt <= sLoadFresh && !replica.load->isLinkSlow;
+    const bool wasLate = fastestMs > 0 && replica.answerMs > fastestMs * sLateFactor;
+    if (!isKnown || wasLate || replica.failures > 0) {
+        return false;
+    }
+    return engineOffer(replica, query, now).answer <= sSoonMs;
+}
+
 std::vector<const Replica *> ReplicaSet::usableFor(const ReplicaQuery &query, double fastestMs,
                                                    Instant now) const
 {
     std::vector<const Replica *> usable;
     std::vector<const Replica *> silent;
     for (const auto &[id, replica] : mReplicas) {
-        const bool isOverSoon = replica.weightsVersion() < query.soonLeastVersion;
-        const bool mayBeLate = isSlow(replica, query, fastestMs) || replica.failures > 0;
-        if (!isUsable(replica, query, now) || (isOverSoon && mayBeLate)) {
+        const bool isOverSoon
+            = query.engine != nullptr && replica.weightsVersion() < query.soonLeastVersion;
+        if (!isUsable(replica, query, now)
+            || (isOverSoon && !beginsSoon(replica, query, fastestMs, now))) {
             continue;
         }
         // Its agent speaks several times a second: the box may stand still.
--- a/src/libloomjunction/core/replicaset.h
+++ b/src/libloomjunction/core/replicaset.h
@@ -46,6 +46,7 @@
     std::uint64_t memoryTotal = 0;
     double pace = 1; ///< above one: slower than it should be
     std::uint64_t weightsVersion = 0; ///< loaded whole; zero: none
+    bool isLinkSlow = false; ///< what is sent to its box may arrive late
     bool isAccepting = true; ///< false while it loads weights or leaves
 };
 
@@ -89,7 +90,7 @@
     Milliseconds goal{0};
     double promptTokens = 0; ///< zero: unknown
     std::uint64_t leastVersion = 0; ///< of the weights; zero: any, and none is needed
-    /** Older weights are over soon: they run nothing at a replica that may be late. */
+    /** Older weights are over soon: they run only what begins at once. */
     std::uint64_t soonLeastVersion = 0;
     std::uint32_t entries = 1; ///< that share the replicas
     /** Waited before, somewhere: goes before others, and waits rather than be refused. */
@@ -175,6 +176,8 @@
     static Milliseconds comeBack(const ReplicaQuery &query, double leastLoad);
     double fastestAnswerMs(const ReplicaQuery &query, Instant now) const;
     static EngineWork workOf(const Replica &replica, const ReplicaQuery &query, Instant now);
+    static bool beginsSoon(const Replica &replica, const ReplicaQuery &query, double fastestMs,
+                           Instant now);
     static std::uint32_t patientRequests(const Replica &replica, Instant now);
     static Offer offerOf(const Replica &replica, const ReplicaQuery &query, double fastestMs,
                          Instant now);
--- a/src/libloomjunction/gateway/gatewaycall.cpp
+++ b/src/libloomjunction/gateway/gatewaycall.cpp
@@ -35,8 +35,8 @@
 constexpr Milliseconds sLeastTime{20};
 // Connections that could not be made; nothing was sent, but time passes.
 constexpr std::uint32_t sMostFailedConnects = 3;
-// Before older weights may begin nothing more, slow replicas get nothing for them.
-constexpr Milliseconds sOverSoon{2'500};
+// So long before older weights may begin nothing more, they run only what begins at once.
+constexpr Milliseconds sOverSoon{2'700};
 // Answers of earlier requests that may lie before ours on a kept connection.
 constexpr int sMostForeignAnswers = 2;
 constexpr std::size_t sMostWholeAnswer = std::size_t{16} * 1024 * 1024;
@@ -108,6 +108,9 @@
     if (!mTable) {
         return Refusal{503, "no configuration is known yet", sNoConfigComeBack};
     }
+    if (mCaller.host.empty()) {
+        return Refusal{sBadRequest, "host: expected one, found none or several", std::nullopt};
+    }
     const bool mayBeStale = mParts.config.mayBeStale();
     mRoute = mTable->match(mCaller.host, mExchange.request().path());
     if (mRoute == nullptr) {
@@ -402,7 +405,8 @@
     if (mIsCallerGone) {
         return TryOver{"the caller left"};
     }
-    if (mIsTimeOver) {
+    // The link's own deadline may come a moment before the call's.
+    if (mIsTimeOver || timeLeft() < sLeastTime) {
         return TryOver{"time was over"};
     }
     return TryUnknown{std::string(linkErrorName(error)), std::nullopt};
--- a/src/libloomjunction/gateway/gatewayfront.cpp
+++ b/src/libloomjunction/gateway/gatewayfront.cpp
@@ -30,7 +30,11 @@
 constexpr std::chrono::milliseconds sQuiet{700};
 constexpr std::chrono::milliseconds sDrainStep{50};
 // Before the platform's kill: last answers and log lines still have to leave.
-constexpr std::chrono::milliseconds sStopMargin{900};
+constexpr std::chrono::milliseconds sStopMargin{400};
+// Time that a request may need when the replicas are full; with less left until
+// the stop, another gateway has to take it.
+constexpr std::chrono::milliseconds sLongRequest{5'000};
+constexpr Milliseconds sElsewhere{50};
 
 } // namespace
 
@@ -81,6 +85,14 @@
 {
     ++mInFlight;
     mLastCall = std::chrono::steady_clock::now();
+    if (refusesNew()) {
+        HttpResponse response = HttpResponse::json(503, R"({"error":"this gateway is leaving"})");
+        response.headers.push_back(mCalls.comeBack(sElsewhere));
+        co_await exchange.respond(std::move(response));
+        mMetrics.count("loom_calls_total", "refused while leaving");
+        --mInFlight;
+        co_return;
+    }
     GatewayCall call({mSettings, mCalls, *mConfig, *mReplicas, *mMembers, mMetrics}, exchange);
     co_await call.run();
     --mInFlight;
@@ -88,12 +100,14 @@
 
 awaitable<void> GatewayFront::drain()
 {
+    mRefuseFrom = std::chrono::steady_clock::time_point::max();
     mIsLeaving = true;
     mServer->beginDrain();
     mMembers->noteChange();
     asio::co_spawn(co_await asio::this_coro::executor, mMembers->leave(), asio::detached);
     const auto begun = std::chrono::steady_clock::now();
     const auto end = begun + mSettings.bounds.stopTime - sStopMargin;
+    mRefuseFrom = end - sLongRequest;
     while (std::chrono::steady_clock::now() < end) {
         const auto time = std::chrono::steady_clock::now();
         const bool isQuiet = mInFlight == 0 && time - mLastCall > sQuiet;
--- a/src/libloomjunction/gateway/gatewayfront.h
+++ b/src/libloomjunction/gateway/gatewayfront.h
@@ -39,6 +39,8 @@
     /** Callers may be sent here. */
     bool isReady() const;
     bool isLeaving() const { return mIsLeaving; }
+    /** What comes now could not end before the stop. */
+    bool refusesNew() const { return mIsLeaving && std::chrono::steady_clock::now() > mRefuseFrom; }
     /** Where requests come in, e.g. after asking for port 0. */
     Tcp::endpoint localEndpoint() const { return mServer->localEndpoint(); }
     std::uint32_t inFlight() const { return mInFlight; }
@@ -57,6 +59,7 @@
     std::unique_ptr<HttpServer> mServer;
     std::uint32_t mInFlight = 0;
     std::chrono::steady_clock::time_point mLastCall;
+    std::chrono::steady_clock::time_point mRefuseFrom; ///< while leaving
     bool mIsLeaving = false;
 };
 
--- a/src/libloomjunction/gateway/loadreporter.cpp
+++ b/src/libloomjunction/gateway/loadreporter.cpp
@@ -37,7 +37,7 @@
 bool isSame(const ReplicaLoad &a, const ReplicaLoad &b)
 {
     return a.running == b.running && a.waiting == b.waiting && a.isAccepting == b.isAccepting
-        && a.weightsVersion == b.weightsVersion && a.pace == b.pace;
+        && a.weightsVersion == b.weightsVersion && a.pace == b.pace && a.isLinkSlow == b.isLinkSlow;
 }
 
 } // namespace
@@ -68,7 +68,7 @@
         return;
     }
     const bool isUrgent = !mLoad || mLoad->isAccepting != load.isAccepting
-        || mLoad->weightsVersion != load.weightsVersion;
+        || mLoad->weightsVersion != load.weightsVersion || mLoad->isLinkSlow != load.isLinkSlow;
     mLoad = load;
     ++mChanges;
     mUrgent += isUrgent ? 1 : 0;
@@ -147,6 +147,7 @@
             report.set_pace_permille(static_cast<std::uint32_t>(mLoad->pace * sPermille));
             report.set_weights_version(mLoad->weightsVersion);
             report.set_accepting(mLoad->isAccepting);
+            report.set_link_slow(mLoad->isLinkSlow);
             stream->send(report);
             const auto deadline = std::chrono::steady_clock::now() + sTakeTime;
             if (!co_await stream->drainedBy(deadline)) {
--- a/src/libloomjunction/gateway/replicaservice.cpp
+++ b/src/libloomjunction/gateway/replicaservice.cpp
@@ -118,6 +118,7 @@
         load.pace = told.pace_permille() / sPermille;
         load.weightsVersion = told.weights_version();
         load.isAccepting = told.accepting();
+        load.isLinkSlow = told.link_slow();
         mReplicas.report(address, load, now());
     }
     stream->reset();
--- a/src/libloomjunction/gateway/stageservice.cpp
+++ b/src/libloomjunction/gateway/stageservice.cpp
@@ -52,6 +52,8 @@
 constexpr std::uint32_t sPeerParallel = 4;
 constexpr std::uint32_t sNeighbours = 12;
 constexpr Milliseconds sTakeover{2'000};
+// Several times what a chunk takes when it shares an idle link with three others.
+constexpr double sSlowChunkSeconds = 0.5;
 // Of the version in force, the next, and one after it.
 constexpr std::size_t sMostFetches = 3;
 
@@ -144,10 +146,20 @@
         const auto whole = std::ranges::find_if(mReport->loaded, &LoadedWeights::isWhole);
         load.weightsVersion = whole == mReport->loaded.end() ? 0 : whole->version;
     }
+    load.isLinkSlow = isLinkSlow();
     load.isAccepting = mReport && !mReport->isBusy && !mIsLoading;
     mReporter->set(load);
 }
 
+// Chunks tell: requests to the engine come in on the same link.
+bool StageService::isLinkSlow() const
+{
+    return mServer->isSlow() || std::ranges::any_of(mFetches, [](const VersionFetch &one) {
+               return !one.fetch->isComplete()
+                   && one.fetch->recentChunkSeconds() > sSlowChunkSeconds;
+           });
+}
+
 const EngineFigures *StageService::figures() const
 {
     const RouteTablePtr &table = mConfig->table();
--- a/src/libloomjunction/gateway/stageservice.h
+++ b/src/libloomjunction/gateway/stageservice.h
@@ -84,6 +84,7 @@
     std::vector<SwarmMember> members() const;
     awaitable<PeerStreamPtr> openBox(std::string box, std::string path);
     std::optional<Tcp::endpoint> origin() const;
+    bool isLinkSlow() const;
     const EngineFigures *figures() const;
     std::uint64_t loadedVersion(std::string_view model) const;
     void tellLoad();
--- a/src/libloomjunction/net/httpclient.cpp
+++ b/src/libloomjunction/net/httpclient.cpp
@@ -122,8 +122,10 @@
     {
         http::request<http::string_body> message(http::string_to_verb(call.method), call.target,
                                                  11);
-        message.set(http::field::host, endpointText(call.endpoint));
         fillHeaders(message, call.headers);
+        if (message.find(http::field::host) == message.end()) {
+            message.set(http::field::host, endpointText(call.endpoint));
+        }
         message.body() = std::move(call.body);
         message.prepare_payload();
         stream.expires_at(deadline);
--- a/src/libloomjunction/net/peerstream.cpp
+++ b/src/libloomjunction/net/peerstream.cpp
@@ -68,7 +68,17 @@
 
 awaitable<bool> PeerStream::drainedBy(Deadline deadline)
 {
-    const auto isFull = [this] { return mOut.size() - mOutBegin > sHighWaterBytes; };
+    co_return co_await queuedAtMost(sHighWaterBytes, deadline);
+}
+
+awaitable<bool> PeerStream::sentBy(Deadline deadline)
+{
+    co_return co_await queuedAtMost(0, deadline);
+}
+
+awaitable<bool> PeerStream::queuedAtMost(std::size_t most, Deadline deadline)
+{
+    const auto isFull = [this, most] { return mOut.size() - mOutBegin > most; };
     while (!mClosed && isFull() && std::chrono::steady_clock::now() < deadline) {
         const auto until = std::min(deadline, std::chrono::steady_clock::now() + sLongWait);
         co_await mWritable.waitUntil(until);
--- a/src/libloomjunction/net/peerstream.h
+++ b/src/libloomjunction/net/peerstream.h
@@ -57,6 +57,8 @@
     awaitable<bool> drained();
     /** As drained(); false, too, when the other side does not take it by @p deadline. */
     awaitable<bool> drainedBy(Deadline deadline);
+    /** Waits until all that is queued has left, as far as the other side lets it. */
+    awaitable<bool> sentBy(Deadline deadline);
     /** No more messages from this side. */
     void finish();
     /** Gives the stream up, both ways. */
@@ -88,6 +90,7 @@
     friend class PeerConnection;
     friend struct PeerCallbacks;
 
+    awaitable<bool> queuedAtMost(std::size_t most, Deadline deadline);
     bool takeData(std::string_view data);
     std::ptrdiff_t giveData(char *buffer, std::size_t size, bool &ended);
     void noteEnd();
--- a/src/libloomjunction/weights/chunkserver.cpp
+++ b/src/libloomjunction/weights/chunkserver.cpp
@@ -18,6 +18,9 @@
 constexpr std::chrono::milliseconds sHaveEvery{10};
 constexpr std::chrono::milliseconds sHaveKeepAlive{1'000};
 constexpr std::chrono::milliseconds sRequestTimeout{5'000};
+constexpr double sSliceWeight = 0.2;
+// A slice takes some 7 ms on the narrowest link that is well.
+constexpr double sSlowSliceSeconds = 0.06;
 constexpr std::size_t sSliceBytes = std::size_t{8} * 1024;
 
 } // namespace
@@ -78,7 +81,7 @@
     if (stored != nullptr && (*request)->manifest()) {
         answer.set_found(true);
         answer.set_data(stored->manifestText);
-    } else if (isHere && mUploads < mMostUploads) {
+    } else if (isHere && mUploads < mostUploads()) {
         const std::string data = stored->chunks[index];
         ++mUploads;
         co_await sendSlices(stream, data);
@@ -92,6 +95,17 @@
     stream->finish();
 }
 
+bool ChunkServer::isSlow() const
+{
+    return mUploads > 0 && mMeanSliceSeconds > sSlowSliceSeconds;
+}
+
+// Several uploads at once on a slow link only wait for each other.
+std::uint32_t ChunkServer::mostUploads() const
+{
+    return mMeanSliceSeconds > sSlowSliceSeconds ? 1 : mMostUploads;
+}
+
 // In slices, so that live answers on the same link never wait behind a whole chunk.
 awaitable<void> ChunkServer::sendSlices(PeerStreamPtr stream, std::string_view data)
 {
@@ -104,7 +118,13 @@
         answer.set_data(std::string(slice));
         stream->send(answer);
         const auto deadline = std::chrono::steady_clock::now() + sRequestTimeout;
-        if (!co_await stream->drainedBy(deadline)) {
+        const Instant queued = now();
+        const bool sent = co_await stream->sentBy(deadline);
+        // The next slice waits for this one, so a narrow link holds a few of
+        // them at most, and live answers little longer.
+        const double took = std::chrono::duration<double>(now() - queued).count();
+        mMeanSliceSeconds += sSliceWeight * (took - mMeanSliceSeconds);
+        if (!sent) {
             stream->reset(); // it stands still: the place is for others
             co_return;
         }
--- a/src/libloomjunction/weights/chunkserver.h
+++ b/src/libloomjunction/weights/chunkserver.h
@@ -35,14 +35,18 @@
     void stop() { mStopped = true; }
 
     std::uint32_t uploads() const { return mUploads; }
+    /** Slices take long to leave: the box's link is slow. */
+    bool isSlow() const;
 
 private:
+    std::uint32_t mostUploads() const;
     awaitable<void> sendSlices(PeerStreamPtr stream, std::string_view data);
 
     ChunkStore &mStore;
     TokenBucket &mEgress;
     std::uint32_t mMostUploads;
     std::uint32_t mUploads = 0;
+    double mMeanSliceSeconds = 0; ///< smoothed, from queueing a slice to its leaving
     bool mStopped = false;
 };
 
--- a/src/libloomjunction/weights/weightfetch.cpp
+++ b/src/libloomjunction/weights/weightfetch.cpp
@@ -34,6 +34,7 @@
 constexpr std::chrono::milliseconds sLeastChunkTimeout{1'000};
 constexpr std::chrono::milliseconds sMostChunkTimeout{10'000};
 constexpr double sSlowChunkSeconds = 0.6;
+constexpr double sRecentWeight = 0.4;
 constexpr std::chrono::milliseconds sPlanStep{100};
 constexpr Milliseconds sStall{1'500};
 constexpr std::chrono::milliseconds sFollowRetry{500};
@@ -257,7 +258,9 @@
     if (peer == nullptr) {
         data = co_await self->fromOrigin(fetch.index);
     } else {
+        const auto begun = self->mOpenSince.insert(std::chrono::steady_clock::now());
         data = co_await self->fromPeer(fetch.index, peer->box);
+        self->mOpenSince.erase(begun);
     }
     self->take(fetch, std::move(data));
     self->mProgress.notify();
@@ -276,7 +279,17 @@
 // and live requests wait behind them.
 std::uint32_t WeightFetch::peerParallel() const
 {
-    return mMeanChunkSeconds > sSlowChunkSeconds ? 1 : mOptions.peerParallel;
+    return mRecentChunkSeconds > sSlowChunkSeconds ? 1 : mOptions.peerParallel;
+}
+
+double WeightFetch::recentChunkSeconds() const
+{
+    double open = 0;
+    if (!mOpenSince.empty()) {
+        const auto age = std::chrono::steady_clock::now() - *mOpenSince.begin();
+        open = std::chrono::duration<double>(age).count();
+    }
+    return std::max(mRecentChunkSeconds, open);
 }
 
 std::chrono::milliseconds WeightFetch::chunkTimeout() const
@@ -324,6 +337,7 @@
     const std::chrono::duration<double> took = std::chrono::steady_clock::now() - begun;
     const double weight = mMeanChunkSeconds <= 0 ? 1.0 : sChunkTimeWeight;
     mMeanChunkSeconds += weight * (took.count() - mMeanChunkSeconds);
+    mRecentChunkSeconds += sRecentWeight * (took.count() - mRecentChunkSeconds);
     co_return std::move(data);
 }
 
--- a/src/libloomjunction/weights/weightfetch.h
+++ b/src/libloomjunction/weights/weightfetch.h
@@ -63,6 +63,8 @@
 
     const VersionTarget &target() const { return mTarget; }
     bool isComplete() const { return mPlan && mPlan->isComplete(); }
+    /** Time that chunks from neighbours took of late, or that one takes already. */
+    double recentChunkSeconds() const;
     std::uint32_t haveCount() const { return mPlan ? mPlan->haveCount() : 0; }
     std::uint32_t chunkCount() const { return mPlan ? mPlan->chunkCount() : 0; }
 
@@ -90,6 +92,8 @@
     Parts mParts;
     std::unique_ptr<ChunkPlan> mPlan;
     std::set<std::string> mFollowed;
+    double mRecentChunkSeconds = 0; ///< smoothed over the last few
+    std::multiset<std::chrono::steady_clock::time_point> mOpenSince; ///< requests to neighbours
     double mMeanChunkSeconds = 0; ///< smoothed time that a chunk from a neighbour takes
     Instant mStallLogged;
     bool mCancelled = false;
--- a/tests/direct/test_replicaset.cpp
+++ b/tests/direct/test_replicaset.cpp
@@ -225,3 +225,30 @@
     set.remove("r2", true, at(410));
     BOOST_TEST(chosen(set, query(), at(420)) == "r1");
 }
+
+BOOST_AUTO_TEST_CASE(weights_that_are_over_soon_run_only_what_begins_at_once)
+{
+    ReplicaSet set(sDrainTime);
+    set.put(record("r1", "here", 1));
+    ReplicaLoad load;
+    load.weightsVersion = 1;
+    load.running = 3;
+    ReplicaQuery asked = query();
+    asked.soonLeastVersion = 2;
+    BOOST_TEST(chosen(set, asked, at(0)) == ""); // nothing is known of it
+    set.report("10.0.0.1:1", load, at(0));
+    BOOST_TEST(chosen(set, asked, at(100)) == "r1");
+    BOOST_TEST(chosen(set, asked, at(200)) == ""); // known, but a while ago
+    load.isLinkSlow = true;
+    set.report("10.0.0.1:1", load, at(250));
+    BOOST_TEST(chosen(set, asked, at(260)) == "");
+    load.isLinkSlow = false;
+    load.waiting = 8;
+    set.report("10.0.0.1:1", load, at(300));
+    BOOST_TEST(chosen(set, asked, at(310)) == "");
+    load.waiting = 0;
+    set.report("10.0.0.1:1", load, at(400));
+    set.began("r1", false);
+    set.ended("r1", ReplicaOutcome::Failed, at(400));
+    BOOST_TEST(chosen(set, asked, at(410)) == "r1");
+}
--- a/tests/gateway/directlab.cpp
+++ b/tests/gateway/directlab.cpp
@@ -28,7 +28,8 @@
         {"name":"stream","host":"h","path_prefix":"/stream/","kind":"stream","timeout_ms":8000,
          "goal_ms":500,"gap_aim_ms":500,"service":"plain","max_attempts":2,"resumable":true}],
         "services":[{"name":"plain","max_conns":100}],
-        "tenants":[{"name":"t1","api_keys":["k)" + std::to_string(version) + R"(","k"]}]})";
+        "tenants":[{"name":"t1","api_keys":["k)"
+        + std::to_string(version) + R"(","k"]}]})";
 }
 
 } // namespace
--- a/tests/gateway/test_gateway.cpp
+++ b/tests/gateway/test_gateway.cpp
@@ -109,9 +109,8 @@
     DirectLab lab;
     lab.writeConfig(1);
     int sends = 0;
-    const auto firstBreaks = [&](const std::string &head) {
-        return ++sends == 1 ? breaksOff(head) : good(head);
-    };
+    const auto firstBreaks
+        = [&](const std::string &head) { return ++sends == 1 ? breaksOff(head) : good(head); };
     ScriptedReplica &first = lab.addReplica("i-1", "plain", firstBreaks);
     ScriptedReplica &second = lab.addReplica("i-2", "plain", firstBreaks);
     lab.run([&]() -> awaitable<void> {
@@ -280,9 +279,8 @@
         lab.store.write(Feed::Replicas, "i-1",
                         R"({"service":"plain","address":")" + leaving.address()
                             + R"(","zone":"z1","slots":4,"state":"draining"})");
-        co_await lab.waitFor([&] {
-            return lab.replicas().replicas().find("i-1")->record.isDraining;
-        });
+        co_await lab.waitFor(
+            [&] { return lab.replicas().replicas().find("i-1")->record.isDraining; });
         for (int call = 0; call < 5; ++call) {
             const std::string id = "id" + std::to_string(call);
             const auto response = co_await lab.call("POST", "/once/a", id);
@@ -314,6 +312,10 @@
         const auto response = co_await lab.call("POST", "/once/a", "id1");
         BOOST_TEST(response->status == 200);
         BOOST_TEST(response->header("Connection") == "close");
+        // Later ones could not end before the stop: they ran nowhere.
+        co_await lab.waitFor([&] { return lab.front().refusesNew(); });
+        const auto late = co_await lab.call("POST", "/once/a", "id2");
+        BOOST_TEST((!late || late->status == 503));
         co_await lab.waitFor([&] { return hasDrained; });
     });
 }
--- /dev/null
+++ b/tests/process/test_deploy.py
@@ -0,0 +1,89 @@
+# This file is part of loomjunction.
+# SPDX-License-Identifier: BSD-2-Clause
+"""The deploy file's templates, filled as the platform fills them, are accepted by the daemon."""
+
+import json
+import os
+import re
+import subprocess
+import tempfile
+
+from common import main
+from loomlab import program
+
+ROOT = os.path.dirname(os.path.dirname(os.path.dirname(os.path.abspath(__file__))))
+
+BOUNDS = {"drain_ms": 2000, "grace_s": 8, "ttl_max_s": 5, "version_ms": 8000,
+          "retry_window_s": 10, "retry_ratio": 0.2, "retry_extra": 100}
+COMMON = {"zone": "dfw-a", "region": "dfw", "internal_ports": [7700, 7715],
+          "seeds": ["10.1.0.40:8000", "10.2.0.37:8000"], "bounds": BOUNDS,
+          "provider": {"address": "10.200.1.7:8007"}}
+FRONT = dict(COMMON, node="front-dfw-a-1", ip="10.1.0.40",
+             listen={"front": "10.1.0.40:8005", "ready": "10.1.0.40:8002",
+                     "control": "10.1.0.40:8000", "directory": "10.1.0.40:8009"},
+             limits={"link_mbps": 1000.0})
+SIDE = dict(COMMON, node="side-dfw-a-1", ip="10.1.0.43", listen={}, app="10.1.0.43:8001",
+            service="scorer", limits={"link_mbps": 9.4})
+
+
+def value(fields, path):
+    for part in path.split("."):
+        fields = fields[int(part)] if isinstance(fields, list) else fields[part]
+    return fields
+
+
+def fill(template, fields):
+    def gap(match):
+        path, _, form = match.group(1).partition("|")
+        found = value(fields, path)
+        return json.dumps(found) if form == "json" else str(found)
+    return re.sub(r"\{\{([^}]+)\}\}", gap, template)
+
+
+def check(text):
+    with tempfile.NamedTemporaryFile("w", suffix=".toml") as file:
+        file.write(text)
+        file.flush()
+        return subprocess.run([program("loomjunctiond"), "--check", "--config", file.name],
+                              capture_output=True, text=True)
+
+
+def template(name):
+    with open(os.path.join(ROOT, "deploy", name)) as file:
+        return file.read()
+
+
+def test_templates_are_accepted():
+    for name, fields in (("gateway.json", FRONT), ("stager.json", SIDE)):
+        done = check(fill(template(name), fields))
+        assert done.returncode == 0, (name, done.stderr)
+
+
+def test_wrong_settings_name_the_field():
+    good = json.loads(fill(template("gateway.json"), FRONT))
+    for change, word in (
+            (lambda s: s.pop("store"), "store"),
+            (lambda s: s.update(store="nowhere"), "store"),
+            (lambda s: s.update(seeds=["10.1.0.40"]), "seeds"),
+            (lambda s: s["bounds"].update(drainMs=-1), "bounds.drainMs"),
+            (lambda s: s["gateway"].pop("callers"), "gateway.callers"),
+            (lambda s: s.update(surprise=1), "surprise")):
+        settings = json.loads(json.dumps(good))
+        change(settings)
+        done = check(json.dumps(settings))
+        assert done.returncode == 2 and word in done.stderr, (word, done)
+
+
+def test_what_runs_is_what_is_built():
+    with open(os.path.join(ROOT, "deploy", "system.toml")) as file:
+        text = file.read()
+    for path in re.findall(r'^template = "([^"]+)"', text, re.M):
+        assert os.path.exists(os.path.join(ROOT, path)), path
+    for run in re.findall(r'^run = "([^"]+)"', text, re.M):
+        assert run.split()[0] == "target/src/loomjunctiond/loomjunctiond", run
+
+
+if __name__ == "__main__":
+    main(test_templates_are_accepted,
+         test_wrong_settings_name_the_field,
+         test_what_runs_is_what_is_built)
