--- a/src/libloomjunction/gateway/feedservice.cpp
+++ b/src/libloomjunction/gateway/feedservice.cpp
@@ -228,7 +228,7 @@
     if (peers.empty()) {
         co_return false;
     }
-    const Tcp::endpoint address = peers[mTurn++ % peers.size()];
+    const Tcp::endpoint &address = peers[mTurn++ % peers.size()];
     const PeerStreamPtr stream = co_await mHub->open(address, std::string(sFollowPath));
     if (!stream) {
         co_return false;
