A replica's earlier life ends when a later one records itself at its address

Records now end each other by address and offset, and a refusal by another replica ends the one it names. Ruled out: versions (the answer named another replica).

--- a/src/libloomjunction/core/replicaset.cpp
+++ b/src/libloomjunction/core/replicaset.cpp
@@ -66,13 +66,39 @@
     return load ? load->weightsVersion : record.weightsVersion;
 }
 
-void ReplicaSet::put(const ReplicaRecord &record)
+// A replica that starts again keeps its address and takes a new id. The record
+// of its earlier life stays in the store until it has been silent for a while.
+void ReplicaSet::retireEarlierLives(const ReplicaRecord &record, Instant now)
+{
+    for (auto &[id, other] : mReplicas) {
+        const bool isSameAddress = id != record.id && other.record.address == record.address;
+        if (!isSameAddress) {
+            continue;
+        }
+        if (other.record.offset < record.offset) {
+            replaced(id, now);
+        } else if (other.goneAt == Instant()) {
+            replaced(record.id, now);
+        }
+    }
+}
+
+void ReplicaSet::replaced(std::string_view id, Instant now)
+{
+    const auto it = mReplicas.find(id);
+    if (it != mReplicas.end() && (it->second.goneAt == Instant() || it->second.goneAt > now)) {
+        it->second.goneAt = now;
+    }
+}
+
+void ReplicaSet::put(const ReplicaRecord &record, Instant now)
 {
     Replica &replica = mReplicas[record.id];
     const bool wasDraining = replica.record.isDraining;
     replica.record = record;
     replica.record.isDraining = record.isDraining || wasDraining;
     replica.goneAt = Instant();
+    retireEarlierLives(record, now);
 }
 
 void ReplicaSet::remove(std::string_view id, bool trusted, Instant now)
--- a/src/libloomjunction/core/replicaset.h
+++ b/src/libloomjunction/core/replicaset.h
@@ -31,6 +31,7 @@
     std::string address; ///< IP:PORT
     std::string dataCentre;
     std::uint32_t slots = 1;
+    std::uint64_t offset = 0; ///< of the record in the store; later lives have higher ones
     bool isDraining = false;
     /** Version of the weights that are loaded whole; zero: none, or a plain service. */
     std::uint64_t weightsVersion = 0;
@@ -136,9 +137,11 @@
     }
 
     /** A record of the store, new or changed. Draining is final for one id. */
-    void put(const ReplicaRecord &record);
+    void put(const ReplicaRecord &record, Instant now);
     /** The record was taken away; @p trusted: by a store that was well all the while. */
     void remove(std::string_view id, bool trusted, Instant now);
+    /** Another replica answered at the address of @p id, so its life is over. */
+    void replaced(std::string_view id, Instant now);
     /** An agent's report on the replica at @p address. */
     void report(std::string_view address, const ReplicaLoad &load, Instant now);
     /** The agent of @p address cannot be heard any more. */
@@ -170,7 +173,8 @@
         bool isOpen = false; ///< it takes a request that misses the goal
     };
 
-    void stopAwaiting(Replica &replica, bool isPatient);
+    void retireEarlierLives(const ReplicaRecord &record, Instant now);
+    static void stopAwaiting(Replica &replica, bool isPatient);
     static bool isUsable(const Replica &replica, const ReplicaQuery &query, Instant now);
     static bool isSlow(const Replica &replica, const ReplicaQuery &query, double fastestMs);
     static Milliseconds comeBack(const ReplicaQuery &query, double leastLoad);
--- a/src/libloomjunction/gateway/gatewaycall.cpp
+++ b/src/libloomjunction/gateway/gatewaycall.cpp
@@ -416,6 +416,9 @@
 {
     const AnswerFields fields = mParts.calls.answerFields(head);
     if (fields.isNotRun) {
+        if (!fields.replicaId.empty() && fields.replicaId != mTriedReplica) {
+            mParts.replicas.replicas().replaced(mTriedReplica, now());
+        }
         const auto deadline = steadyTime(mDeadline);
         co_await mLink->readWhole(sMostWholeAnswer, deadline);
         co_return TryNotRun{"replica refused: " + std::to_string(head.status)};
--- a/src/libloomjunction/gateway/ports.h
+++ b/src/libloomjunction/gateway/ports.h
@@ -131,6 +131,7 @@
 struct AnswerFields
 {
     std::string requestId;
+    std::string replicaId; ///< which replica answered; empty: it does not say
     bool isSigned = false;
     bool isNotRun = false; ///< the replica says that it did not run the request
     bool isStream = false;
--- a/src/libloomjunction/gateway/replicaservice.cpp
+++ b/src/libloomjunction/gateway/replicaservice.cpp
@@ -73,7 +73,7 @@
         mReplicas.remove(id, change.isTrusted, now());
         return;
     }
-    const auto record = mRecords.replicaRecord(id, *change.record.value);
+    auto record = mRecords.replicaRecord(id, *change.record.value);
     if (!record) {
         logLine(LogLevel::Error, "replica-record-refused",
                 {{"replica", id}, {"problem", record.error()}});
@@ -91,7 +91,8 @@
                  {"weights", record->weightsVersion},
                  {"offset", change.record.offset}});
     }
-    mReplicas.put(*record);
+    record->offset = change.record.offset;
+    mReplicas.put(*record, now());
 }
 
 awaitable<void> ReplicaService::takeLoads(PeerStreamPtr stream)
--- a/tests/direct/test_replicaset.cpp
+++ b/tests/direct/test_replicaset.cpp
@@ -67,18 +67,18 @@
 BOOST_AUTO_TEST_CASE(draining_gone_and_empty_replicas_get_nothing)
 {
     ReplicaSet set(sDrainTime);
-    set.put(record("r1", "here"));
+    set.put(record("r1", "here"), at(0));
     BOOST_TEST(chosen(set, query(), at(0)) == "r1");
     ReplicaRecord draining = record("r1", "here");
     draining.isDraining = true;
-    set.put(draining);
+    set.put(draining, at(0));
     BOOST_TEST(chosen(set, query(), at(0)) == "");
     // A late record of the same life does not bring it back.
-    set.put(record("r1", "here"));
+    set.put(record("r1", "here"), at(0));
     BOOST_TEST(chosen(set, query(), at(0)) == "");
-    set.put(record("r2", "here", 0));
+    set.put(record("r2", "here", 0), at(0));
     BOOST_TEST(chosen(set, query(), at(0)) == "");
-    set.put(record("r3", "here"));
+    set.put(record("r3", "here"), at(0));
     set.remove("r3", true, at(10));
     BOOST_TEST(chosen(set, query(), at(10)) == "");
 }
@@ -86,19 +86,19 @@
 BOOST_AUTO_TEST_CASE(a_record_that_lapsed_with_the_store_is_given_time_to_return)
 {
     ReplicaSet set(sDrainTime);
-    set.put(record("r1", "here"));
+    set.put(record("r1", "here"), at(0));
     set.remove("r1", false, at(0));
     BOOST_TEST(chosen(set, query(), at(1'400)) == "r1");
     // It may have left for good: its use ends before the draining time does.
     BOOST_TEST(chosen(set, query(), at(1'600)) == "");
-    set.put(record("r1", "here"));
+    set.put(record("r1", "here"), at(0));
     BOOST_TEST(chosen(set, query(), at(2'700)) == "r1");
 }
 
 BOOST_AUTO_TEST_CASE(weights_that_are_too_old_or_loading_get_nothing)
 {
     ReplicaSet set(sDrainTime);
-    set.put(record("r1", "here", 1));
+    set.put(record("r1", "here", 1), at(0));
     ReplicaQuery asked = query();
     asked.leastVersion = 2;
     BOOST_TEST(chosen(set, asked, at(0)) == "");
@@ -115,8 +115,8 @@
 BOOST_AUTO_TEST_CASE(the_less_loaded_replica_is_chosen_and_the_near_one_on_a_tie)
 {
     ReplicaSet set(sDrainTime);
-    set.put(record("r1", "there"));
-    set.put(record("r2", "here"));
+    set.put(record("r1", "there"), at(0));
+    set.put(record("r2", "here"), at(0));
     BOOST_TEST(chosen(set, query(), at(0)) == "r2");
     ReplicaLoad busy;
     busy.weightsVersion = 1;
@@ -133,7 +133,7 @@
 BOOST_AUTO_TEST_CASE(failures_in_a_row_keep_requests_away_for_longer_each_time)
 {
     ReplicaSet set(sDrainTime);
-    set.put(record("r1", "here"));
+    set.put(record("r1", "here"), at(0));
     set.began("r1", false);
     set.ended("r1", ReplicaOutcome::Broken, at(0));
     BOOST_TEST(chosen(set, query(), at(200)) == "");
@@ -150,7 +150,7 @@
 BOOST_AUTO_TEST_CASE(patient_requests_delay_no_prompt_ones)
 {
     ReplicaSet set(sDrainTime);
-    set.put(record("r1", "here"));
+    set.put(record("r1", "here"), at(0));
     ReplicaLoad full;
     full.weightsVersion = 1;
     full.running = 16;
@@ -176,7 +176,7 @@
 BOOST_AUTO_TEST_CASE(a_returning_request_waits_rather_than_be_refused)
 {
     ReplicaSet set(sDrainTime);
-    set.put(record("r1", "here"));
+    set.put(record("r1", "here"), at(0));
     ReplicaLoad full;
     full.weightsVersion = 1;
     full.running = 16;
@@ -193,7 +193,7 @@
     ReplicaSet set(sDrainTime);
     for (int index = 1; index <= 20; ++index) {
         const std::string id = "r" + std::to_string(index);
-        set.put(record(id, "here"));
+        set.put(record(id, "here"), at(0));
         ReplicaLoad load;
         load.weightsVersion = 1;
         load.running = index == 1 ? 0 : 12;
@@ -213,8 +213,8 @@
 BOOST_AUTO_TEST_CASE(a_replica_whose_agent_fell_silent_is_used_only_when_no_other_is)
 {
     ReplicaSet set(sDrainTime);
-    set.put(record("r1", "here"));
-    set.put(record("r2", "there"));
+    set.put(record("r1", "here"), at(0));
+    set.put(record("r2", "there"), at(0));
     ReplicaLoad load;
     load.weightsVersion = 1;
     set.report("10.0.0.1:1", load, at(0));
@@ -229,7 +229,7 @@
 BOOST_AUTO_TEST_CASE(weights_that_are_over_soon_run_only_what_begins_at_once)
 {
     ReplicaSet set(sDrainTime);
-    set.put(record("r1", "here", 1));
+    set.put(record("r1", "here", 1), at(0));
     ReplicaLoad load;
     load.weightsVersion = 1;
     load.running = 3;
@@ -252,3 +252,20 @@
     set.ended("r1", ReplicaOutcome::Failed, at(400));
     BOOST_TEST(chosen(set, asked, at(410)) == "r1");
 }
+
+BOOST_AUTO_TEST_CASE(a_new_life_at_an_address_ends_the_earlier_one)
+{
+    ReplicaRecord earlier = record("r1", "here");
+    earlier.offset = 5;
+    ReplicaRecord later = record("r2", "here");
+    later.offset = 9;
+    later.address = earlier.address;
+    for (const bool isLaterFirst : {false, true}) {
+        ReplicaSet set(sDrainTime);
+        set.put(isLaterFirst ? later : earlier, at(0));
+        set.put(isLaterFirst ? earlier : later, at(1));
+        BOOST_TEST(chosen(set, query(), at(2)) == "r2");
+        set.replaced("r2", at(3));
+        BOOST_TEST(chosen(set, query(), at(4)) == "");
+    }
+}
