--- a/src/libloomjunction/gateway/directsettings.cpp
+++ b/src/libloomjunction/gateway/directsettings.cpp
@@ -62,15 +62,6 @@
     return stager;
 }
 
-std::string joinLines(const std::vector<std::string> &lines)
-{
-    std::string text;
-    for (const std::string &line : lines) {
-        text += (text.empty() ? "" : "\n") + line;
-    }
-    return text;
-}
-
 } // namespace
 
 tl::expected<DirectSettings, std::string> loadDirectSettings(const std::string &path)
@@ -103,7 +94,7 @@
     }
     reader.refuseUnknown();
     if (!problems.empty()) {
-        return tl::unexpected(joinLines(problems));
+        return tl::unexpected(joinProblems(problems));
     }
     return settings;
 }
--- a/src/libloomjunction/gateway/peerhub.h
+++ b/src/libloomjunction/gateway/peerhub.h
@@ -8,8 +8,8 @@
 
 #pragma once
 
-#include "instant.h"
 #include "kernel.h"
+#include "peerlinks.h"
 #include "peerserver.h"
 
 #include <functional>
@@ -40,19 +40,11 @@
 
 private:
     awaitable<void> dispatch(PeerStreamPtr stream);
-    awaitable<void> closeIdle();
-
-    struct Link
-    {
-        PeerConnectionPtr connection;
-        Instant lastUsed;
-    };
 
     Tcp::endpoint mAddress;
     std::unique_ptr<PeerServer> mServer;
     std::map<std::string, PeerStreamHandler, std::less<>> mHandlers;
-    std::map<Tcp::endpoint, Link> mLinks;
-    bool mStopped = false;
+    std::unique_ptr<PeerLinks> mLinks;
 };
 
 } // namespace Loom
--- a/src/libloomjunction/kernel/settingsfile.h
+++ b/src/libloomjunction/kernel/settingsfile.h
@@ -12,6 +12,7 @@
 
 #include <cstdint>
 #include <set>
+#include <span>
 #include <string>
 #include <string_view>
 #include <vector>
@@ -66,4 +67,7 @@
     std::set<std::string, std::less<>> mKnown;
 };
 
+/** All @p problems, a line each. */
+std::string joinProblems(std::span<const std::string> problems);
+
 } // namespace Loom
--- a/src/loomjunctiond/agentlinks.h
+++ b/src/loomjunctiond/agentlinks.h
@@ -8,11 +8,11 @@
 
 #pragma once
 
-#include "instant.h"
 #include "kernel.h"
-#include "peerconnection.h"
+#include "peerlinks.h"
 
 #include <map>
+#include <memory>
 #include <string>
 #include <string_view>
 
@@ -34,17 +34,9 @@
     awaitable<PeerStreamPtr> open(std::string box, std::string path);
 
 private:
-    struct Link
-    {
-        PeerConnectionPtr connection;
-        Instant lastUsed;
-    };
-
-    awaitable<void> closeIdle();
-
     ListService *mList = nullptr;
-    std::map<std::string, Link> mLinks;
-    bool mStopped = false;
+    std::unique_ptr<PeerLinks> mLinks;
+    std::map<std::string, Tcp::endpoint> mAddresses; ///< by box, as listed last
 };
 
 } // namespace Loom
--- a/src/loomjunctiond/daemonsettings.cpp
+++ b/src/loomjunctiond/daemonsettings.cpp
@@ -78,15 +78,6 @@
     return agent;
 }
 
-std::string joinLines(const std::vector<std::string> &lines)
-{
-    std::string text;
-    for (const std::string &line : lines) {
-        text += (text.empty() ? "" : "\n") + line;
-    }
-    return text;
-}
-
 } // namespace
 
 tl::expected<DaemonSettings, std::string> loadDaemonSettings(const std::string &path)
@@ -119,7 +110,7 @@
     }
     reader.refuseUnknown();
     if (!problems.empty()) {
-        return tl::unexpected(joinLines(problems));
+        return tl::unexpected(joinProblems(problems));
     }
     return settings;
 }
