Weights reach 76 boxes in time: origin connections end with their call, pulls go in order

Each box kept its connection to the origin after its manifest and chunks; the origin has 48 of them for 76 boxes, so the later ones were reset until a minute had passed (88 failed pulls in one data centre; its last chunk from the origin came at 24.3 s). Ruled out: the spread itself. The same plans in virtual time (tests/weights/ swarmlab) have all chunks everywhere after 4.2 s. Change: calls to the origin close their connection; three boxes ask it for a manifest and the others ask those; members pull chunks in order, one each time the origin's link is free, so that the first ones spread at once (in virtual time: all after 3.6 s instead of 4.2). Tried in virtual time and left out: importers that follow the origin's pullers directly (last after 4.46 s, without pace), 2, 6 or 8 requests at once, 1 or 2 uploads.

--- a/src/libloomjunction/core/chunkplan.cpp
+++ b/src/libloomjunction/core/chunkplan.cpp
@@ -240,8 +240,16 @@
     return std::clamp<Microseconds>(stalled, sLeastTakeover, mOptions.takeover);
 }
 
-bool ChunkPlan::mayPullFromOrigin(const Chunk &chunk, Instant now) const
+// Pulled all at once, chunks would share the origin's link, and all would come
+// at its end; pulled in order, the first ones spread while the rest is on its way.
+bool ChunkPlan::isOriginTurn(std::uint32_t index, Instant now) const
 {
+    return now - mBegun >= mOptions.originPace * index;
+}
+
+bool ChunkPlan::mayPullFromOrigin(std::uint32_t index, Instant now) const
+{
+    const Chunk &chunk = mChunks[index];
     if (chunk.originRetryAt > now) {
         return false;
     }
@@ -254,7 +262,7 @@
         break;
     }
     if (chunk.originRank < mOptions.originCopies) {
-        return true;
+        return isOriginTurn(index, now);
     }
     const std::uint32_t turn = chunk.originRank / mOptions.originCopies;
     return chunk.holders == 0 && isOverdueAtOrigin(turn, now);
@@ -303,8 +311,7 @@
     // The rarest first here too: a chunk that a neighbour holds can wait.
     std::vector<std::uint32_t> wanted;
     for (std::uint32_t index = 0; index < mChunks.size(); ++index) {
-        const Chunk &chunk = mChunks[index];
-        if (chunk.state == State::Missing && mayPullFromOrigin(chunk, now)) {
+        if (mChunks[index].state == State::Missing && mayPullFromOrigin(index, now)) {
             wanted.push_back(index);
         }
     }
--- a/src/libloomjunction/gateway/stageservice.cpp
+++ b/src/libloomjunction/gateway/stageservice.cpp
@@ -13,9 +13,9 @@
 #include "directconfig.h"
 #include "jsonlog.h"
 #include "loadreporter.h"
-#include "memberservice.h"
 #include "metrics.h"
 #include "peerhub.h"
+#include "rendezvous.h"
 #include "wire.pb.h"
 
 #include <algorithm>
@@ -38,7 +38,12 @@
 // An engine loses its time while it runs empty, and other engines theirs while
 // they read again what was cut: at two thirds of a second both together are least.
 constexpr Milliseconds sEmptyFor{700};
-constexpr std::chrono::milliseconds sPeerTime{1'000};
+constexpr std::chrono::milliseconds sPeerTime{500};
+// Boxes that ask the origin for a manifest at once, so that one may be dead.
+constexpr std::size_t sManifestAskers = 3;
+// Others ask it themselves after this time; asking takes some milliseconds.
+constexpr Milliseconds sManifestPatience{600};
+constexpr Milliseconds sManifestPause{40};
 // An order that got no answer and shows no effect for so long was not taken.
 constexpr Milliseconds sOrderLost{1'500};
 constexpr std::uint64_t sStoreBytes = std::uint64_t{48} * 1024 * 1024;
@@ -47,6 +52,7 @@
 // Of the link, for chunks on their way out; the rest is for answers to callers.
 constexpr double sLinkShare = 0.95;
 constexpr double sBytesPerMbit = 125'000;
+constexpr double sMicrosecondsPerSecond = 1e6;
 constexpr double sBurstBytes = 8.0 * 1024;
 constexpr std::uint32_t sOriginParallel = 2;
 constexpr std::uint32_t sPeerParallel = 4;
@@ -301,9 +307,22 @@
     co_return true;
 }
 
+// A few boxes ask the origin, whose connections are few; the others ask those
+// boxes, and the origin only if none has it after a while.
 awaitable<tl::expected<std::string, std::string>> StageService::manifestText(std::string model,
                                                                              std::uint64_t version)
 {
+    const std::vector<Member> askers = manifestAskers(model, version);
+    const bool isAsker = std::ranges::any_of(
+        askers, [&](const Member &member) { return member.box == mSettings.box; });
+    const Instant until = now() + (isAsker ? Milliseconds(0) : sManifestPatience);
+    while (now() < until && !mStopped) {
+        std::string text = co_await manifestFromPeers(model, version, askers);
+        if (!text.empty()) {
+            co_return std::move(text);
+        }
+        co_await sleepFor(sManifestPause);
+    }
     std::string problem = "no origin is configured";
     if (const auto address = origin()) {
         const auto manifest = co_await mEngine.manifest(*address, model, version);
@@ -312,16 +331,41 @@
         }
         problem = manifest.error();
     }
-    std::string text = co_await manifestFromPeers(model, version);
+    const std::vector<Member> all = mMembers->stagersOf(mStager.service);
+    std::string text = co_await manifestFromPeers(model, version, all);
     if (!text.empty()) {
         co_return std::move(text);
     }
     co_return tl::unexpected(std::move(problem));
 }
 
-awaitable<std::string> StageService::manifestFromPeers(std::string model, std::uint64_t version)
+std::vector<Member> StageService::manifestAskers(const std::string &model,
+                                                 std::uint64_t version) const
 {
-    for (const Member &member : mMembers->stagersOf(mStager.service)) {
+    std::vector<Member> all = mMembers->stagersOf(mStager.service);
+    Member self;
+    self.box = mSettings.box;
+    self.dataCentre = mSettings.dataCentre;
+    all.push_back(std::move(self));
+    std::vector<std::string> boxes;
+    for (const Member &member : all) {
+        boxes.push_back(member.box);
+    }
+    std::vector<Member> askers;
+    for (const std::size_t index :
+         rendezvousOrder(versionKey(model, version), boxes, sManifestAskers)) {
+        askers.push_back(all[index]);
+    }
+    return askers;
+}
+
+awaitable<std::string> StageService::manifestFromPeers(std::string model, std::uint64_t version,
+                                                       std::vector<Member> peers)
+{
+    for (const Member &member : peers) {
+        if (member.box == mSettings.box) {
+            continue;
+        }
         const PeerStreamPtr stream = co_await mHub->open(member.peers, std::string(sManifestPath));
         if (!stream) {
             continue;
@@ -387,6 +431,19 @@
     logLine(LogLevel::Info, "stage-adopted", {{"version", wanted.version}, {"chunks", adopted}});
 }
 
+// What the origin's link takes for one chunk; zero where its rate is not told.
+Microseconds StageService::originPace(std::string_view digest) const
+{
+    const RouteTablePtr &table = mConfig->table();
+    const OriginFigures *figures = table ? table->origin() : nullptr;
+    const StoredVersion *stored = mStore->find(digest);
+    if (figures == nullptr || figures->linkMbit <= 0 || stored == nullptr) {
+        return Microseconds(0);
+    }
+    const double seconds = stored->manifest.chunkBytes / (figures->linkMbit * sBytesPerMbit);
+    return Microseconds(static_cast<std::int64_t>(seconds * sMicrosecondsPerSecond));
+}
+
 std::shared_ptr<WeightFetch> StageService::beginFetch(const std::string &model,
                                                       const VersionInHand &wanted)
 {
@@ -397,6 +454,7 @@
     options.neighbours = sNeighbours;
     options.nearOnly = true;
     options.takeover = sTakeover;
+    options.originPace = originPace(wanted.digest);
     options.seed = randomSeed();
     WeightFetch::Parts parts{
         {mSettings.box, mSettings.dataCentre},
--- a/src/libloomjunction/gateway/stageservice.h
+++ b/src/libloomjunction/gateway/stageservice.h
@@ -12,6 +12,7 @@
 #include "chunkstore.h"
 #include "directsettings.h"
 #include "kernel.h"
+#include "memberservice.h"
 #include "ports.h"
 #include "reloadturn.h"
 #include "tokenbucket.h"
@@ -25,7 +26,6 @@
 
 class DirectConfig;
 class LoadReporter;
-class MemberService;
 class Metrics;
 class PeerHub;
 
@@ -68,10 +68,13 @@
     void noteFetched();
     awaitable<tl::expected<std::string, std::string>> manifestText(std::string model,
                                                                    std::uint64_t version);
-    awaitable<std::string> manifestFromPeers(std::string model, std::uint64_t version);
+    std::vector<Member> manifestAskers(const std::string &model, std::uint64_t version) const;
+    awaitable<std::string> manifestFromPeers(std::string model, std::uint64_t version,
+                                             std::vector<Member> peers);
     awaitable<void> adoptStage(std::string model, VersionInHand wanted);
     awaitable<tl::expected<std::string, ChunkFailure>>
     originChunk(std::string model, std::uint64_t version, std::uint32_t index);
+    Microseconds originPace(std::string_view digest) const;
     std::shared_ptr<WeightFetch> beginFetch(const std::string &model, const VersionInHand &wanted);
     void noteLoaded(std::string_view model, std::uint64_t loaded);
     awaitable<bool> loadStaged(std::string model, VersionInHand wanted);
--- a/src/libloomjunction/net/http.h
+++ b/src/libloomjunction/net/http.h
@@ -131,6 +131,8 @@
     std::vector<HttpHeader> headers;
     std::string body;
     std::chrono::milliseconds timeout{5'000};
+    /** False for servers whose few connections many callers share: it ends with the call. */
+    bool keepsConnection = true;
 };
 
 /** Takes the body in pieces, with the answer's status and headers; false aborts the call. */
--- a/src/libloomjunction/net/httpclient.cpp
+++ b/src/libloomjunction/net/httpclient.cpp
@@ -48,7 +48,7 @@
         }
         Stream stream = std::move(*connected);
         auto result = co_await exchange(*stream, call, onData, deadline);
-        if (result && result->second) {
+        if (result && result->second && call.keepsConnection) {
             self->keep(call.endpoint, std::move(stream));
         }
         if (!result) {
@@ -127,6 +127,7 @@
             message.set(http::field::host, endpointText(call.endpoint));
         }
         message.body() = std::move(call.body);
+        message.keep_alive(call.keepsConnection);
         message.prepare_payload();
         stream.expires_at(deadline);
         auto [writeError, sent] = co_await http::async_write(stream, message, sAsValue);
--- /dev/null
+++ b/tests/transport/test_httpclient.cpp
@@ -0,0 +1,116 @@
+/*
+ * test_httpclient.cpp
+ * Copyright 2026, the loomjunction authors
+ *
+ * This file is part of loomjunction (tests).
+ * SPDX-License-Identifier: BSD-2-Clause
+ */
+
+#include <boost/test/unit_test.hpp>
+
+#include "clock.h"
+#include "http.h"
+
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/read_until.hpp>
+#include <boost/asio/write.hpp>
+
+using namespace Loom;
+
+namespace {
+
+/** Keeps each connection open after its answer, and sees which callers close theirs. */
+class PatientServer
+{
+public:
+    explicit PatientServer(asio::io_context &context)
+        : mAcceptor(context, Tcp::endpoint(asio::ip::address_v4::loopback(), 0))
+    {
+        asio::co_spawn(context, acceptAll(), asio::detached);
+    }
+
+    Tcp::endpoint address() const { return mAcceptor.local_endpoint(); }
+    int accepted() const { return mAccepted; }
+    int closedByCaller() const { return mClosed; }
+    void stop() { mAcceptor.close(); }
+
+private:
+    awaitable<void> acceptAll()
+    {
+        while (true) {
+            auto [error, socket] = co_await mAcceptor.async_accept(sAsValue);
+            if (error) {
+                co_return;
+            }
+            ++mAccepted;
+            asio::co_spawn(mAcceptor.get_executor(), serve(std::move(socket)), asio::detached);
+        }
+    }
+
+    awaitable<void> serve(Tcp::socket socket)
+    {
+        const std::string answer = "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok";
+        const std::string blank = "\r\n\r\n";
+        std::string head;
+        while (true) {
+            auto [error, size] = co_await asio::async_read_until(
+                socket, asio::dynamic_buffer(head), blank, sAsValue);
+            if (error) {
+                ++mClosed;
+                co_return;
+            }
+            head.erase(0, size);
+            co_await asio::async_write(socket, asio::buffer(answer), sAsValue);
+        }
+    }
+
+    Tcp::acceptor mAcceptor;
+    int mAccepted = 0;
+    int mClosed = 0;
+};
+
+/** Makes two calls, one after the other, and then lets go of what was kept. */
+void callTwice(bool keepsConnection, int expectedConnections, int expectedClosed)
+{
+    asio::io_context context;
+    PatientServer server(context);
+    bool ended = false;
+    const auto run = [&]() -> awaitable<void> {
+        HttpClient client(context.get_executor());
+        for (int i = 0; i < 2; ++i) {
+            HttpCall call;
+            call.endpoint = server.address();
+            call.method = "GET";
+            call.target = "/";
+            call.keepsConnection = keepsConnection;
+            const auto answer = co_await client.send(std::move(call));
+            BOOST_REQUIRE(answer.has_value());
+            BOOST_TEST(answer->body == "ok");
+        }
+        // The end of a connection that was closed is on its way to the server.
+        for (int turn = 0; turn < 100 && server.closedByCaller() < expectedClosed; ++turn) {
+            co_await sleepFor(std::chrono::milliseconds(5));
+        }
+        BOOST_TEST(server.accepted() == expectedConnections);
+        BOOST_TEST(server.closedByCaller() == expectedClosed);
+        server.stop();
+        ended = true;
+    };
+    asio::co_spawn(context, run(), asio::detached);
+    context.run();
+    BOOST_TEST(ended);
+}
+
+} // namespace
+
+BOOST_AUTO_TEST_CASE(a_connection_is_kept_for_the_next_call)
+{
+    callTwice(true, 1, 0);
+}
+
+BOOST_AUTO_TEST_CASE(a_connection_to_a_server_with_few_of_them_ends_with_its_call)
+{
+    callTwice(false, 2, 2);
+}
--- /dev/null
+++ b/tests/weights/swarmlab.cpp
@@ -0,0 +1,142 @@
+/*
+ * swarmlab.cpp
+ * Copyright 2026, the loomjunction authors
+ *
+ * This file is part of loomjunction (tests).
+ * SPDX-License-Identifier: BSD-2-Clause
+ */
+
+#include "swarmlab.h"
+
+#include "fakelog.h"
+
+#include <algorithm>
+
+namespace Loom {
+
+namespace {
+
+constexpr int sStepMs = 5;
+
+} // namespace
+
+SwarmLab::SwarmLab(Shape shape, const ChunkPlan::Options &options)
+    : mShape(std::move(shape))
+{
+    ChunkPlan::Options own = options;
+    for (const SwarmMember &member : mShape.members) {
+        ++own.seed;
+        mPlans.emplace_back("digest", mShape.chunkCount, member, own, at(0));
+        mPlans.back().setMembers(mShape.members);
+    }
+}
+
+SwarmLab::Result SwarmLab::play(int limitMs)
+{
+    for (int time = 0; time <= limitMs && mCounts.lastMs < 0; time += sStepMs) {
+        transfer(time);
+        tellNews(time);
+        for (std::size_t self = 0; self < mPlans.size(); ++self) {
+            if (isDead(self)) {
+                continue;
+            }
+            for (const ChunkFetch &fetch : mPlans[self].next(at(time))) {
+                admit(self, fetch, time);
+            }
+        }
+        countComplete(mCounts, time);
+    }
+    return mCounts;
+}
+
+bool SwarmLab::isDead(std::size_t member) const
+{
+    return mShape.dead.contains(mShape.members[member].box);
+}
+
+std::size_t SwarmLab::memberOf(const ChunkSource &source) const
+{
+    const auto *peer = std::get_if<FromPeer>(&source);
+    if (peer == nullptr) {
+        return mShape.members.size();
+    }
+    const auto it = std::ranges::find(mShape.members, peer->box, &SwarmMember::box);
+    return static_cast<std::size_t>(it - mShape.members.begin());
+}
+
+void SwarmLab::admit(std::size_t to, const ChunkFetch &fetch, int time)
+{
+    const std::size_t from = memberOf(fetch.source);
+    if (from < mShape.members.size()) {
+        const auto uploads = std::ranges::count(mOpen, from, &Transfer::from);
+        if (uploads >= static_cast<std::ptrdiff_t>(mShape.mostUploads)) {
+            mPlans[to].failed(fetch.index, fetch.source, ChunkFailure::Busy, at(time));
+            return;
+        }
+    }
+    mOpen.push_back({to, fetch, from, mShape.chunkBytes});
+}
+
+void SwarmLab::transfer(int time)
+{
+    std::vector<double> up(mShape.members.size() + 1);
+    std::vector<double> down(mShape.members.size());
+    for (const Transfer &one : mOpen) {
+        ++up[one.from];
+        ++down[one.to];
+    }
+    for (Transfer &one : mOpen) {
+        const bool isOrigin = one.from == mShape.members.size();
+        const double sending = (isOrigin ? mShape.originRate : mShape.linkRate) / up[one.from];
+        one.left -= std::min(sending, mShape.linkRate / down[one.to]) * sStepMs;
+    }
+    for (const Transfer &one : mOpen) {
+        if (one.left <= 0) {
+            deliver(one, time);
+        }
+    }
+    std::erase_if(mOpen, [](const Transfer &one) { return one.left <= 0; });
+}
+
+void SwarmLab::deliver(const Transfer &done, int time)
+{
+    mPlans[done.to].received(done.fetch.index, done.fetch.source, at(time));
+    mNews.push_back({done.to, done.fetch.index, time + mShape.lagMs});
+    if (done.from == mShape.members.size()) {
+        ++mCounts.originChunks;
+    } else if (mShape.members[done.from].dataCentre != mShape.members[done.to].dataCentre) {
+        ++mCounts.farChunks;
+    }
+}
+
+void SwarmLab::tellNews(int time)
+{
+    for (const News &news : mNews) {
+        if (news.dueMs > time) {
+            continue;
+        }
+        const std::string &holder = mShape.members[news.holder].box;
+        for (ChunkPlan &plan : mPlans) {
+            plan.peerHas(holder, news.index, at(time));
+        }
+    }
+    std::erase_if(mNews, [&](const News &news) { return news.dueMs <= time; });
+}
+
+void SwarmLab::countComplete(Result &result, int time) const
+{
+    std::size_t complete = 0;
+    std::size_t living = 0;
+    for (std::size_t self = 0; self < mPlans.size(); ++self) {
+        living += isDead(self) ? 0 : 1;
+        complete += !isDead(self) && mPlans[self].isComplete() ? 1 : 0;
+    }
+    if (complete > 0 && result.firstMs < 0) {
+        result.firstMs = time;
+    }
+    if (complete == living) {
+        result.lastMs = time;
+    }
+}
+
+} // namespace Loom
--- /dev/null
+++ b/tests/weights/swarmlab.h
@@ -0,0 +1,84 @@
+/*
+ * swarmlab.h
+ * Copyright 2026, the loomjunction authors
+ *
+ * This file is part of loomjunction (tests).
+ * SPDX-License-Identifier: BSD-2-Clause
+ */
+
+#pragma once
+
+#include "chunkplan.h"
+
+#include <cstdint>
+#include <set>
+#include <string>
+#include <vector>
+
+namespace Loom {
+
+/**
+ * Many chunk plans in virtual time, over links whose bandwidth their transfers
+ * share. Owned by one test.
+ */
+class SwarmLab
+{
+public:
+    /** The deployment; rates in bytes a millisecond. */
+    struct Shape
+    {
+        std::vector<SwarmMember> members;
+        std::uint32_t chunkCount = 48;
+        double chunkBytes = 49'152;
+        double linkRate = 1'175; ///< 9.4 Mbit/s
+        double originRate = 1'875; ///< 15 Mbit/s
+        std::uint32_t mostUploads = 3; ///< at one member, before others are told to come back
+        std::set<std::string> dead; ///< listed as members, but silent
+        int lagMs = 15; ///< until neighbours hear of a chunk
+    };
+
+    /** What a play came to. Times in milliseconds; negative: not within the limit. */
+    struct Result
+    {
+        int firstMs = -1; ///< the first member that had all
+        int lastMs = -1; ///< every living member had all
+        std::uint32_t originChunks = 0;
+        std::uint32_t farChunks = 0; ///< sent from one data centre to another
+    };
+
+    SwarmLab(Shape shape, const ChunkPlan::Options &options);
+
+    /** Plays until all is everywhere, or until @p limitMs. */
+    Result play(int limitMs);
+
+private:
+    struct Transfer
+    {
+        std::size_t to = 0;
+        ChunkFetch fetch;
+        std::size_t from = 0; ///< beyond the members: the origin
+        double left = 0; ///< bytes
+    };
+    struct News
+    {
+        std::size_t holder = 0;
+        std::uint32_t index = 0;
+        int dueMs = 0;
+    };
+
+    bool isDead(std::size_t member) const;
+    std::size_t memberOf(const ChunkSource &source) const;
+    void admit(std::size_t to, const ChunkFetch &fetch, int time);
+    void transfer(int time);
+    void deliver(const Transfer &done, int time);
+    void tellNews(int time);
+    void countComplete(Result &result, int time) const;
+
+    Shape mShape;
+    std::vector<ChunkPlan> mPlans;
+    std::vector<Transfer> mOpen;
+    std::vector<News> mNews;
+    Result mCounts;
+};
+
+} // namespace Loom
--- /dev/null
+++ b/tests/weights/test_swarm.cpp
@@ -0,0 +1,97 @@
+/*
+ * test_swarm.cpp
+ * Copyright 2026, the loomjunction authors
+ *
+ * This file is part of loomjunction (tests).
+ * SPDX-License-Identifier: BSD-2-Clause
+ */
+
+#include <boost/test/unit_test.hpp>
+
+#include "swarmlab.h"
+
+using namespace Loom;
+
+namespace {
+
+SwarmLab::Shape deployment(int boxes, int dataCentres)
+{
+    SwarmLab::Shape shape;
+    for (int i = 0; i < boxes; ++i) {
+        shape.members.push_back(
+            {"box-" + std::to_string(i), "dc-" + std::to_string(i % dataCentres)});
+    }
+    return shape;
+}
+
+ChunkPlan::Options nearOptions()
+{
+    ChunkPlan::Options options;
+    options.peerParallel = 4;
+    options.neighbours = 12;
+    options.nearOnly = true;
+    options.takeover = Milliseconds(2'000);
+    return options;
+}
+
+/** What the origin and a narrow link need for one copy, one after the other. */
+int copyTimes(const SwarmLab::Shape &shape)
+{
+    const double bytes = shape.chunkCount * shape.chunkBytes;
+    return static_cast<int>(bytes / shape.originRate + bytes / shape.linkRate);
+}
+
+Microseconds originPace(const SwarmLab::Shape &shape)
+{
+    return Microseconds(static_cast<std::int64_t>(1'000 * shape.chunkBytes / shape.originRate));
+}
+
+void report(const SwarmLab::Result &result)
+{
+    BOOST_TEST_MESSAGE("first " << result.firstMs << " ms, last " << result.lastMs << " ms, origin "
+                                << result.originChunks << ", far " << result.farChunks);
+}
+
+} // namespace
+
+BOOST_AUTO_TEST_CASE(chunks_reach_many_boxes_in_four_data_centres_in_a_few_copy_times)
+{
+    const SwarmLab::Shape shape = deployment(76, 4);
+    ChunkPlan::Options options = nearOptions();
+    options.originPace = originPace(shape);
+    SwarmLab lab(shape, options);
+    const SwarmLab::Result result = lab.play(20'000);
+    report(result);
+    BOOST_TEST(result.lastMs > 0);
+    BOOST_TEST(result.lastMs <= copyTimes(shape) * 5 / 4);
+    // A few are asked for twice, when they come late.
+    BOOST_TEST(result.originChunks <= shape.chunkCount * 5 / 4);
+    BOOST_TEST(result.farChunks <= shape.chunkCount * 5);
+}
+
+BOOST_AUTO_TEST_CASE(pulling_in_order_is_sooner_than_pulling_all_at_once)
+{
+    const SwarmLab::Shape shape = deployment(76, 4);
+    ChunkPlan::Options options = nearOptions();
+    const SwarmLab::Result atOnce = SwarmLab(shape, options).play(20'000);
+    options.originPace = originPace(shape);
+    const SwarmLab::Result inOrder = SwarmLab(shape, options).play(20'000);
+    report(atOnce);
+    report(inOrder);
+    BOOST_TEST(inOrder.firstMs < atOnce.firstMs);
+    BOOST_TEST(inOrder.lastMs < atOnce.lastMs);
+}
+
+BOOST_AUTO_TEST_CASE(chunks_reach_the_living_when_a_tenth_is_dead)
+{
+    SwarmLab::Shape shape = deployment(76, 4);
+    for (int i = 0; i < 8; ++i) {
+        shape.dead.insert("box-" + std::to_string(i * 9));
+    }
+    ChunkPlan::Options options = nearOptions();
+    options.originPace = originPace(shape);
+    const SwarmLab::Result result = SwarmLab(shape, options).play(20'000);
+    report(result);
+    BOOST_TEST(result.lastMs > 0);
+    BOOST_TEST(result.lastMs <= copyTimes(shape) * 3);
+}
