Records are relayed within a data centre; two gateways of each read the store for the others

Regions are joined by 30 Mbit/s here, and 76 stagers each had it relayed by a gateway anywhere: 12 MB for each change, then one change each 0.3 s, queued without looking whether the follower takes them. Change: relays go to the nearest gateways; an update waits for the one before it; replicas' and members' records are read by two gateways of each data centre, the others follow those, and read the store themselves once a reader is silent for 0.9 s or its last answer older than 1 s. Bytes that a reset stream had received no longer stay counted in its connection's window.

--- a/src/libloomjunction/gateway/feedservice.cpp
+++ b/src/libloomjunction/gateway/feedservice.cpp
@@ -31,22 +31,45 @@
 // Records that come close together are read in one call.
 constexpr Milliseconds sReplicasPause{200};
 constexpr Milliseconds sOperatorsPause{20};
+constexpr Milliseconds sMembersPause{150};
 constexpr Milliseconds sRetryLeast{100};
 constexpr Milliseconds sRetryMost{400};
-// A peer says something at least this often; its silence is longer.
-constexpr Milliseconds sRelayKeepAlive{500};
-constexpr Milliseconds sRelaySilence{1'500};
+// A peer says something at least this often; its silence is longer. Whoever
+// follows a reader learns nothing while that stands still, and draining replicas
+// must not be used for two seconds: half of that is for noticing.
+constexpr Milliseconds sRelayKeepAlive{300};
+constexpr Milliseconds sRelaySilence{900};
+// A reader with followers asks the store this often whether all is well, and a
+// follower leaves one whose last answer is older.
+constexpr Milliseconds sRelayedWait{600};
+constexpr Milliseconds sRelayedAge{1'000};
 // While a peer is followed, the store is tried again after this time.
 constexpr Milliseconds sRelayTurn{1'000};
 // Following a peer by choice, the store is not tried at all for this long.
 constexpr Milliseconds sRelayLongTurn{30'000};
 constexpr Milliseconds sRelayBatch{10};
+// A follower that takes nothing for so long is lost; a large configuration needs
+// some hundred milliseconds on the narrowest links.
+constexpr std::chrono::milliseconds sTakeTime{3'000};
 // The store's word that a record is gone counts only when it was well for so long.
 constexpr Milliseconds sStoreTrust{3'000};
 constexpr std::chrono::milliseconds sRequestTimeout{2'000};
 // Of records that were there at the first read: long ago, as far as is known.
 constexpr Microseconds sUnknownAge = std::chrono::hours(24);
 
+Milliseconds pauseOf(Feed feed)
+{
+    switch (feed) {
+    case Feed::Operators:
+        return sOperatorsPause;
+    case Feed::Replicas:
+        return sReplicasPause;
+    case Feed::Members:
+        return sMembersPause;
+    }
+    return sOperatorsPause;
+}
+
 Milliseconds jitter(Milliseconds least, Milliseconds most)
 {
     static std::mt19937 random{std::random_device{}()};
@@ -83,8 +106,27 @@
     return {};
 }
 
+// Everybody reads what operators say, which must be in force soon; the records
+// of replicas and members are many, and change often.
+bool FeedService::isFollower(Feed feed) const
+{
+    return feed != Feed::Operators && mReaders && state(feed).isSynced && !mReaders().isReader;
+}
+
+// The store failed of late, or the process that is followed says that its did.
+bool FeedService::isDoubtful(Feed feed) const
+{
+    const FeedState &state = this->state(feed);
+    const bool hasFailed = state.hasStoreFailed && now() - state.storeFailedAt <= sStoreTrust;
+    return hasFailed || state.isRelayDoubtful;
+}
+
 Milliseconds FeedService::waitOf(Feed feed) const
 {
+    const bool isRelayed = feed != Feed::Operators && mReaders && mReaders().isRelayed;
+    if (isRelayed) {
+        return sRelayedWait;
+    }
     switch (feed) {
     case Feed::Operators:
         return sOperatorsWait;
@@ -109,6 +151,9 @@
 {
     while (!mStopped) {
         bool good = false;
+        if (isFollower(feed) && co_await followReader(feed)) {
+            continue;
+        }
         if (mPreference == FeedPreference::Store) {
             good = co_await readStore(feed) || co_await readPeer(feed);
         } else {
@@ -152,11 +197,12 @@
         }
         state.book.setNextOffset(batch->next);
         state.completeAt = now();
+        state.isRelayDoubtful = false;
         if (!batch->records.empty()) {
             mChanged->notify();
-            co_await sleepFor(feed == Feed::Replicas ? sReplicasPause : sOperatorsPause);
+            co_await sleepFor(pauseOf(feed));
         }
-        if (isOnce) {
+        if (isOnce || isFollower(feed)) {
             co_return true;
         }
     }
@@ -214,8 +260,7 @@
 {
     FeedState &state = this->state(feed);
     ++state.changes;
-    const bool isTrusted = !state.hasStoreFailed || now() - state.storeFailedAt > sStoreTrust;
-    const FeedChange change{record, age, isTrusted};
+    const FeedChange change{record, age, !isDoubtful(feed)};
     for (const Listener &listener : state.listeners) {
         listener(change);
     }
@@ -228,7 +273,38 @@
     if (peers.empty()) {
         co_return false;
     }
-    const Tcp::endpoint &address = peers[mTurn++ % peers.size()];
+    // The first ones are near; a failure moves on, and a good turn starts over.
+    const Tcp::endpoint address = peers[mTurn % peers.size()];
+    const bool isPreferred = mPreference == FeedPreference::Peers;
+    const bool good
+        = co_await followPeer(feed, address, isPreferred ? sRelayLongTurn : sRelayTurn);
+    mTurn = good ? 0 : mTurn + 1;
+    co_return good;
+}
+
+// Follows one of those that read the store, until it stands still or its own
+// knowledge grows old; the store itself is read then.
+awaitable<bool> FeedService::followReader(Feed feed)
+{
+    const std::vector<Tcp::endpoint> readers = mReaders().others;
+    if (readers.empty()) {
+        co_return false;
+    }
+    // Followers spread over the readers, and turn to another after each failure.
+    const std::size_t own = std::hash<std::string>()(mBox);
+    const Tcp::endpoint address = readers[(own + mTurn) % readers.size()];
+    const bool good = co_await followPeer(feed, address, sRelayLongTurn);
+    if (!good) {
+        ++mTurn;
+        logLine(LogLevel::Warning, "reader-lost",
+                {{"feed", feedName(feed)}, {"reader", endpointText(address)}});
+    }
+    co_return good;
+}
+
+// False when the peer could not be reached, went silent, or knows nothing new itself.
+awaitable<bool> FeedService::followPeer(Feed feed, Tcp::endpoint address, Milliseconds longest)
+{
     const PeerStreamPtr stream = co_await mHub->open(address, std::string(sFollowPath));
     if (!stream) {
         co_return false;
@@ -237,10 +313,9 @@
     request.set_feed(static_cast<std::uint32_t>(feed));
     request.set_box(mBox);
     stream->send(request);
-    const bool isPreferred = mPreference == FeedPreference::Peers;
-    const auto until = now() + (isPreferred ? sRelayLongTurn : sRelayTurn);
+    const bool isReader = isFollower(feed);
+    const auto until = now() + longest;
     bool heard = false;
-    FeedState &state = this->state(feed);
     while (!mStopped && now() < until) {
         const auto deadline = std::chrono::steady_clock::now() + sRelaySilence;
         const auto update = co_await stream->receiveMessage<wire::FollowUpdate>(deadline);
@@ -249,25 +324,64 @@
             co_return false;
         }
         heard = true;
-        for (const wire::RelayedRecord &relayed : (*update)->records()) {
-            FeedRecord record{relayed.key(), std::nullopt, relayed.offset()};
-            if (!relayed.removed()) {
-                record.value = relayed.value();
-            }
-            apply(feed, record, Milliseconds(relayed.age_ms()));
-        }
-        const Instant completeAt = now() - Milliseconds((*update)->age_ms());
-        if (!state.completeAt || *state.completeAt < completeAt) {
-            state.completeAt = completeAt;
+        takeUpdate(feed, **update);
+        if (isReader && Milliseconds((*update)->age_ms()) > sRelayedAge) {
+            stream->reset();
+            co_return false;
         }
-        if ((*update)->records_size() > 0) {
-            mChanged->notify();
+        if (isReader && !isFollower(feed)) {
+            break; // it is this process's turn to read
         }
     }
     stream->reset();
     co_return heard;
 }
 
+void FeedService::takeUpdate(Feed feed, const wire::FollowUpdate &update)
+{
+    FeedState &state = this->state(feed);
+    state.isRelayDoubtful = update.store_doubtful();
+    for (const wire::RelayedRecord &relayed : update.records()) {
+        FeedRecord record{relayed.key(), std::nullopt, relayed.offset()};
+        if (!relayed.removed()) {
+            record.value = relayed.value();
+        }
+        apply(feed, record, Milliseconds(relayed.age_ms()));
+    }
+    const Instant completeAt = now() - Milliseconds(update.age_ms());
+    if (!state.completeAt || *state.completeAt < completeAt) {
+        state.completeAt = completeAt;
+    }
+    if (update.records_size() > 0) {
+        mChanged->notify();
+    }
+}
+
+// What a follower has not been told yet.
+wire::FollowUpdate FeedService::news(Feed feed,
+                                     std::map<std::string, std::uint64_t, std::less<>> &sent)
+{
+    FeedState &state = this->state(feed);
+    wire::FollowUpdate update;
+    for (const auto &[key, record] : state.book.all()) {
+        // A removal may share its offset with the record that it takes away.
+        const std::uint64_t rank = record.offset * 2 + (record.value ? 1 : 2);
+        std::uint64_t &known = sent[key];
+        if (known >= rank) {
+            continue;
+        }
+        known = rank;
+        wire::RelayedRecord &relayed = *update.add_records();
+        relayed.set_key(key);
+        relayed.set_removed(!record.value);
+        relayed.set_value(record.value.value_or(std::string()));
+        relayed.set_offset(record.offset);
+        const auto age = std::chrono::duration_cast<Milliseconds>(now() - state.learnedAt[key]);
+        relayed.set_age_ms(static_cast<std::uint64_t>(age.count()));
+    }
+    return update;
+}
+
 awaitable<void> FeedService::serveFollower(PeerStreamPtr stream)
 {
     const auto deadline = std::chrono::steady_clock::now() + sRequestTimeout;
@@ -282,27 +396,9 @@
     std::uint64_t seen = 0;
     bool isFirst = true;
     while (stream->isOpen() && !mStopped) {
-        wire::FollowUpdate update;
-        if (isFirst || seen != state.changes) {
-            seen = state.changes;
-            for (const auto &[key, record] : state.book.all()) {
-                // A removal may share its offset with the record that it takes away.
-                const std::uint64_t rank = record.offset * 2 + (record.value ? 1 : 2);
-                std::uint64_t &known = sent[key];
-                if (known >= rank) {
-                    continue;
-                }
-                known = rank;
-                wire::RelayedRecord &relayed = *update.add_records();
-                relayed.set_key(key);
-                relayed.set_removed(!record.value);
-                relayed.set_value(record.value.value_or(std::string()));
-                relayed.set_offset(record.offset);
-                const auto age
-                    = std::chrono::duration_cast<Milliseconds>(now() - state.learnedAt[key]);
-                relayed.set_age_ms(static_cast<std::uint64_t>(age.count()));
-            }
-        }
+        const bool hasNews = isFirst || seen != state.changes;
+        seen = state.changes;
+        wire::FollowUpdate update = hasNews ? news(feed, sent) : wire::FollowUpdate();
         if (!state.completeAt && update.records_size() == 0) {
             stream->reset(); // nothing is known here either
             co_return;
@@ -311,8 +407,14 @@
             state.completeAt ? now() - *state.completeAt : Microseconds(std::chrono::hours(1)));
         update.set_age_ms(static_cast<std::uint64_t>(age.count()));
         update.set_next_offset(state.book.nextOffset());
+        update.set_store_doubtful(isDoubtful(feed));
         stream->send(update);
         isFirst = false;
+        // On a narrow link several changes join to one: only the newest counts.
+        if (!co_await stream->sentBy(std::chrono::steady_clock::now() + sTakeTime)) {
+            stream->reset();
+            co_return;
+        }
         const Instant until = now() + sRelayKeepAlive;
         while (stream->isOpen() && seen == state.changes && now() < until) {
             co_await mChanged->waitUntil(steadyTime(until));
--- a/src/libloomjunction/gateway/feedservice.h
+++ b/src/libloomjunction/gateway/feedservice.h
@@ -23,6 +23,9 @@
 namespace Loom {
 
 class PeerHub;
+namespace wire {
+class FollowUpdate;
+}
 
 /** From where a process learns records first; the other way is used when it fails. */
 enum class FeedPreference : std::uint8_t
@@ -31,6 +34,14 @@
     Peers,
 };
 
+/** Who reads a feed from the store where many processes need it. */
+struct FeedReaders
+{
+    bool isReader = true; ///< this process does
+    bool isRelayed = false; ///< others follow those that do
+    std::vector<Tcp::endpoint> others; ///< the processes that read, this one left out
+};
+
 /** A record that changed, as listeners get it. */
 struct FeedChange
 {
@@ -50,6 +61,7 @@
     static constexpr std::string_view sName = "feeds";
     using Listener = std::function<void(const FeedChange &change)>;
     using PeerAddresses = std::function<std::vector<Tcp::endpoint>()>;
+    using Readers = std::function<FeedReaders()>;
 
     FeedService(StorePort &store, std::string box, FeedPreference preference);
 
@@ -62,6 +74,9 @@
     /** Entries that may be asked for records. */
     void setPeers(PeerAddresses peers) { mPeers = std::move(peers); }
 
+    /** Who reads feeds that need not be read by everybody; without it all do. */
+    void setReaders(Readers readers) { mReaders = std::move(readers); }
+
     /** How long ago the feed was last known to be complete; nothing: never. */
     std::optional<Microseconds> age(Feed feed) const;
     bool isStoreReached(Feed feed) const { return state(feed).isStoreReached; }
@@ -79,6 +94,7 @@
         bool isStoreReached = false;
         bool isSynced = false; ///< the book holds all that the store kept once
         bool isFirst = true; ///< no full read of the store yet in this life
+        bool isRelayDoubtful = false; ///< what the followed process says of its store
         std::uint64_t changes = 0;
     };
 
@@ -89,6 +105,12 @@
     awaitable<bool> readStore(Feed feed);
     awaitable<bool> sync(Feed feed);
     awaitable<bool> readPeer(Feed feed);
+    awaitable<bool> followPeer(Feed feed, Tcp::endpoint address, Milliseconds longest);
+    awaitable<bool> followReader(Feed feed);
+    bool isFollower(Feed feed) const;
+    bool isDoubtful(Feed feed) const;
+    void takeUpdate(Feed feed, const wire::FollowUpdate &update);
+    wire::FollowUpdate news(Feed feed, std::map<std::string, std::uint64_t, std::less<>> &sent);
     void noteStore(Feed feed, bool reached, std::string_view why);
     void apply(Feed feed, const FeedRecord &record, Microseconds age);
     void announce(Feed feed, const FeedRecord &record, Microseconds age);
@@ -100,6 +122,7 @@
     FeedPreference mPreference;
     PeerHub *mHub = nullptr;
     PeerAddresses mPeers;
+    Readers mReaders;
     std::array<FeedState, sFeedCount> mFeeds;
     std::unique_ptr<Signal> mChanged;
     std::uint64_t mTurn = 0;
--- a/src/libloomjunction/gateway/memberservice.cpp
+++ b/src/libloomjunction/gateway/memberservice.cpp
@@ -36,6 +36,10 @@
 constexpr Milliseconds sForgetAfter{5'000};
 constexpr Milliseconds sForgetTurn{1'000};
 constexpr std::chrono::milliseconds sForgetEvery{500};
+// Gateways of a data centre that read the store for the others there, so that
+// one of them may fail.
+constexpr std::size_t sReadersPerDataCentre = 2;
+constexpr std::string_view sReadersKey = "feed-readers";
 constexpr std::string_view sGatewayRole = "gateway";
 constexpr std::string_view sStagerRole = "stager";
 
@@ -77,6 +81,7 @@
     mFeeds->setPeers([this] { return gatewayAddresses(); });
     asio::co_spawn(kernel.executor(), keepRecord(), asio::detached);
     if (mSettings.isGateway()) {
+        mFeeds->setReaders([this] { return feedReaders(); });
         mHub->serve(std::string(sStatusPath),
                     [this](PeerStreamPtr stream) { return serveStatus(std::move(stream)); });
         asio::co_spawn(kernel.executor(), followGateways(), asio::detached);
@@ -242,30 +247,49 @@
     return all;
 }
 
+// Links between data centres are shared by all boxes, so records are relayed
+// within one where possible. Followers spread over the gateways there.
 std::vector<Tcp::endpoint> MemberService::gatewayAddresses() const
 {
-    std::vector<Tcp::endpoint> heard;
-    std::vector<Tcp::endpoint> all;
+    std::vector<Member> heard;
+    std::vector<Member> all;
     for (const auto &[key, member] : mMembers) {
         if (!member.isGateway) {
             continue;
         }
-        all.push_back(member.peers);
+        all.push_back(member);
         const auto it = mStates.find(key);
         if (it != mStates.end() && it->second.heardAt
             && now() - *it->second.heardAt < sStatusSilence) {
-            heard.push_back(member.peers);
+            heard.push_back(member);
         }
     }
+    std::vector<Tcp::endpoint> addresses = nearFirst(heard.empty() ? all : heard);
     if (!heard.empty()) {
-        return heard;
+        return addresses;
     }
     for (const Tcp::endpoint &seed : mSettings.seeds) {
-        if (seed != mSettings.peers && std::ranges::find(all, seed) == all.end()) {
-            all.push_back(seed);
+        if (seed != mSettings.peers && std::ranges::find(addresses, seed) == addresses.end()) {
+            addresses.push_back(seed);
         }
     }
-    return all;
+    return addresses;
+}
+
+std::vector<Tcp::endpoint> MemberService::nearFirst(std::span<const Member> members) const
+{
+    std::vector<std::string> keys;
+    for (const Member &member : members) {
+        keys.push_back(endpointText(member.peers));
+    }
+    std::vector<Tcp::endpoint> near;
+    std::vector<Tcp::endpoint> far;
+    for (const std::size_t index : rendezvousOrder(mKey, keys, keys.size())) {
+        const bool isNear = members[index].dataCentre == mSettings.dataCentre;
+        (isNear ? near : far).push_back(members[index].peers);
+    }
+    near.insert(near.end(), far.begin(), far.end());
+    return near;
 }
 
 std::vector<Member> MemberService::usableGateways() const
@@ -281,6 +305,35 @@
     return usable;
 }
 
+// Calls to the store have a price, and each change would be read by every
+// gateway. Those that read are in each data centre, since the links between
+// them are narrow.
+FeedReaders MemberService::feedReaders() const
+{
+    std::vector<std::string> keys{mKey};
+    std::vector<Tcp::endpoint> addresses{mSettings.peers};
+    for (const Member &member : usableGateways()) {
+        if (member.dataCentre == mSettings.dataCentre) {
+            keys.push_back(endpointText(member.peers));
+            addresses.push_back(member.peers);
+        }
+    }
+    FeedReaders readers;
+    if (keys.size() <= sReadersPerDataCentre) {
+        return readers;
+    }
+    readers.isRelayed = true;
+    readers.isReader = false;
+    for (const std::size_t index : rendezvousOrder(sReadersKey, keys, sReadersPerDataCentre)) {
+        if (index == 0) {
+            readers.isReader = true;
+        } else {
+            readers.others.push_back(addresses[index]);
+        }
+    }
+    return readers;
+}
+
 std::uint32_t MemberService::gatewayCount() const
 {
     std::uint32_t count = 1;
--- a/src/libloomjunction/gateway/memberservice.h
+++ b/src/libloomjunction/gateway/memberservice.h
@@ -18,12 +18,14 @@
 #include <cstdint>
 #include <map>
 #include <optional>
+#include <span>
 #include <string>
 #include <vector>
 
 namespace Loom {
 
 class FeedService;
+struct FeedReaders;
 class PeerHub;
 struct FeedChange;
 
@@ -80,6 +82,8 @@
     std::vector<Tcp::endpoint> gatewayAddresses() const;
     /** Gateways that callers may use now, this one not among them. */
     std::vector<Member> usableGateways() const;
+    /** Which gateways read replicas' and members' records from the store for all. */
+    FeedReaders feedReaders() const;
     /** Gateways that may be alive, this one among them. */
     std::uint32_t gatewayCount() const;
     std::uint64_t incarnation() const { return mIncarnation; }
@@ -95,6 +99,7 @@
     awaitable<void> serveStatus(PeerStreamPtr stream);
     awaitable<void> forgetSilent();
     bool isOverdue(const std::string &key, const Member &member) const;
+    std::vector<Tcp::endpoint> nearFirst(std::span<const Member> members) const;
     std::optional<Instant> lastHeard(const std::string &key, const Member &member) const;
     void take(const FeedChange &change);
     std::string ownValue() const;
--- a/src/libloomjunction/net/peerconnection.cpp
+++ b/src/libloomjunction/net/peerconnection.cpp
@@ -363,6 +363,17 @@
     wantWrite();
 }
 
+// What a reset stream had received and nobody read still counts in the window
+// of the whole connection.
+void PeerConnection::consumeUnread(std::size_t bytes)
+{
+    if (mClosed || bytes == 0) {
+        return;
+    }
+    nghttp2_session_consume_connection(mSession, bytes);
+    wantWrite();
+}
+
 PeerStreamPtr PeerConnection::find(std::int32_t id) const
 {
     const auto it = mStreams.find(id);
--- a/src/libloomjunction/net/peerconnection.h
+++ b/src/libloomjunction/net/peerconnection.h
@@ -68,6 +68,7 @@
     void resume(std::int32_t id);
     void resetStream(std::int32_t id);
     void consume(std::int32_t id, std::size_t bytes);
+    void consumeUnread(std::size_t bytes);
     void incoming(std::int32_t id, std::string path);
     PeerStreamPtr find(std::int32_t id) const;
 
--- a/src/libloomjunction/net/peerstream.cpp
+++ b/src/libloomjunction/net/peerstream.cpp
@@ -189,6 +189,7 @@
     }
     mClosed = true;
     mError = error;
+    mConnection->consumeUnread(std::exchange(mUnconsumed, 0));
     mOut.clear();
     mOutBegin = 0;
     mReadable.notify();
