A randomized soak of real processes; feeds relayed between gateways have tests

util/run-soak plays gateways and stagers as separate processes on loopback: a proxy that delays, resets, cuts one way and silences; signals that stop, pause, kill and restart; a store that is busy, silent, loses answers and its history; replicas that crash, leave, fail, break off and rot. It checks what callers and replicas see.

--- a/tests/gateway/directlab.h
+++ b/tests/gateway/directlab.h
@@ -41,6 +41,7 @@
 
     bool isAway = false;
     bool hasForgotten = false; ///< the next read finds its records gone
+    int reads = 0; ///< so far, of all feeds
 
     void write(Feed feed, std::string key, std::optional<std::string> value)
     {
@@ -52,6 +53,7 @@
     awaitable<tl::expected<FeedBatch, StoreError>> read(Feed feed, std::uint64_t from,
                                                         Milliseconds wait) override
     {
+        ++reads;
         const auto &log = mLogs[static_cast<std::size_t>(feed)];
         if (!isAway && log.size() <= from) {
             co_await mChanged.waitFor(wait);
--- /dev/null
+++ b/tests/gateway/test_feeds.cpp
@@ -0,0 +1,160 @@
+/*
+ * test_feeds.cpp
+ * Copyright 2026, the loomjunction authors
+ *
+ * This file is part of loomjunction (tests).
+ * SPDX-License-Identifier: BSD-2-Clause
+ */
+
+#include <boost/test/unit_test.hpp>
+
+#include "clock.h"
+#include "directlab.h"
+#include "feedservice.h"
+#include "peerhub.h"
+
+using namespace Loom;
+
+namespace {
+
+constexpr std::chrono::seconds sGenerous{20};
+
+Tcp::endpoint freeEndpoint(asio::io_context &context)
+{
+    Tcp::acceptor acceptor(context, Tcp::endpoint(asio::ip::address_v4::loopback(), 0));
+    return acceptor.local_endpoint();
+}
+
+/** One process's feeds, over its own view of the store. */
+class FeedLab
+{
+public:
+    explicit FeedLab(asio::io_context &context)
+        : store(context.get_executor())
+        , address(freeEndpoint(context))
+        , mKernel(context.get_executor())
+    {
+        mKernel.add(std::make_unique<PeerHub>(address));
+        mKernel.add(std::make_unique<FeedService>(store, "box", FeedPreference::Store));
+        feeds().listen(Feed::Replicas, [this](const FeedChange &change) {
+            heard.push_back(change.record.key);
+            isLastTrusted = change.isTrusted;
+        });
+    }
+
+    void start() { BOOST_REQUIRE(mKernel.start().has_value()); }
+    void stop() { mKernel.stop(); }
+    FeedService &feeds() { return mKernel.find<FeedService>(FeedService::sName); }
+    bool hasHeard(std::string_view key) const
+    {
+        return std::ranges::find(heard, key) != heard.end();
+    }
+
+    MemoryStore store;
+    Tcp::endpoint address;
+    std::vector<std::string> heard;
+    bool isLastTrusted = true;
+
+private:
+    Kernel mKernel;
+};
+
+/** A reader of the store, and a follower of it whose own way to the store is another. */
+class RelayLab
+{
+public:
+    RelayLab()
+    {
+        reader.feeds().setReaders([] { return FeedReaders{true, true, {}}; });
+        follower.feeds().setReaders([this] { return FeedReaders{false, true, {reader.address}}; });
+    }
+
+    void run(std::function<awaitable<void>(RelayLab &)> test)
+    {
+        bool ended = false;
+        const auto whole = [&]() -> awaitable<void> {
+            reader.start();
+            follower.start();
+            co_await test(*this);
+            ended = true;
+            reader.stop();
+            follower.stop();
+            context.stop();
+        };
+        asio::co_spawn(context, whole(), asio::detached);
+        context.run();
+        BOOST_TEST(ended);
+    }
+
+    awaitable<void> waitFor(std::function<bool()> condition)
+    {
+        const auto until = std::chrono::steady_clock::now() + sGenerous;
+        while (!condition() && std::chrono::steady_clock::now() < until) {
+            co_await sleepFor(std::chrono::milliseconds(5));
+        }
+        BOOST_TEST(condition());
+    }
+
+    /** Until the follower learns what only the reader can know. */
+    awaitable<void> waitUntilFollowing()
+    {
+        reader.store.write(Feed::Replicas, "first", "value");
+        co_await waitFor([this] { return follower.hasHeard("first"); });
+    }
+
+    asio::io_context context{1};
+    FeedLab reader{context};
+    FeedLab follower{context};
+};
+
+} // namespace
+
+BOOST_AUTO_TEST_CASE(a_follower_learns_from_a_reader_and_asks_the_store_nothing)
+{
+    RelayLab().run([](RelayLab &lab) -> awaitable<void> {
+        co_await lab.waitUntilFollowing();
+        lab.follower.store.write(Feed::Replicas, "unread", "value");
+        lab.reader.store.write(Feed::Replicas, "second", "value");
+        co_await lab.waitFor([&] { return lab.follower.hasHeard("second"); });
+        BOOST_TEST(!lab.follower.hasHeard("unread"));
+    });
+}
+
+BOOST_AUTO_TEST_CASE(a_follower_reads_the_store_itself_once_its_reader_has_lost_it)
+{
+    RelayLab().run([](RelayLab &lab) -> awaitable<void> {
+        co_await lab.waitUntilFollowing();
+        lab.reader.store.isAway = true;
+        lab.follower.store.write(Feed::Replicas, "first", "value");
+        lab.follower.store.write(Feed::Replicas, "own", "value");
+        co_await lab.waitFor([&] { return lab.follower.hasHeard("own"); });
+    });
+}
+
+BOOST_AUTO_TEST_CASE(a_follower_reads_the_store_itself_once_its_reader_is_gone)
+{
+    RelayLab().run([](RelayLab &lab) -> awaitable<void> {
+        co_await lab.waitUntilFollowing();
+        lab.reader.stop();
+        lab.follower.store.write(Feed::Replicas, "first", "value");
+        lab.follower.store.write(Feed::Replicas, "own", "value");
+        co_await lab.waitFor([&] { return lab.follower.hasHeard("own"); });
+    });
+}
+
+BOOST_AUTO_TEST_CASE(a_removal_is_doubtful_where_the_readers_store_failed_of_late)
+{
+    RelayLab().run([](RelayLab &lab) -> awaitable<void> {
+        co_await lab.waitUntilFollowing();
+        BOOST_TEST(lab.follower.isLastTrusted);
+        lab.reader.store.isAway = true;
+        lab.reader.store.write(Feed::Members, "wakes the reads", "value");
+        co_await lab.waitFor([&] { return !lab.reader.feeds().isStoreReached(Feed::Replicas); });
+        lab.reader.store.isAway = false;
+        co_await lab.waitFor([&] { return lab.reader.feeds().isStoreReached(Feed::Replicas); });
+        const std::size_t before = lab.follower.heard.size();
+        lab.reader.store.write(Feed::Replicas, "first", std::nullopt);
+        co_await lab.waitFor([&] { return lab.follower.heard.size() > before; });
+        BOOST_TEST(!lab.follower.isLastTrusted);
+    });
+}
--- /dev/null
+++ b/tests/soak/callers.py
@@ -0,0 +1,113 @@
+# This file is part of loomjunction (tests).
+# SPDX-License-Identifier: BSD-2-Clause
+"""Callers of a soak: what they ask, and what they hold the gateways to."""
+
+import asyncio
+import dataclasses
+import random
+import time
+
+import aiohttp
+
+from replicas import digest
+
+PROMISES_NOT_RUN = (408, 421, 429, 503)
+FORGETS_AFTER = 12.0  # a caller asks for addresses anew at least this often
+
+
+@dataclasses.dataclass
+class Asked:
+    """One request and how it ended, as its caller saw it."""
+
+    name: str
+    kind: str
+    account: str
+    at: float
+    status: int = 0  # 0: no answer
+    ended_at: float = 0.0
+    gateway: str = ""
+
+
+class Caller:
+    """Sends requests one after the other, over connections that it keeps."""
+
+    def __init__(self, world, rng: random.Random, asked, broken_promises):
+        self.world = world
+        self.rng = rng
+        self.asked = asked
+        self.broken = broken_promises
+        self.addresses = []
+        self.heard_at = 0.0
+        self.is_stopped = False
+        self.session = None
+
+    async def run(self):
+        timeout = aiohttp.ClientTimeout(total=8, sock_connect=1)
+        async with aiohttp.ClientSession(timeout=timeout, auto_decompress=False) as self.session:
+            while not self.is_stopped:
+                await self._resolve()
+                if self.addresses:
+                    await self._ask()
+                await asyncio.sleep(self.rng.uniform(0.0, 0.03))
+
+    async def _resolve(self):
+        if self.addresses and time.monotonic() - self.heard_at < 2:
+            return
+        gateways = list(self.world.gateways())
+        self.rng.shuffle(gateways)
+        for gateway in gateways[:3]:
+            url = f"http://{gateway.settings['gateway']['addresses']}/resolve?name=x&zone=north"
+            try:
+                quick = aiohttp.ClientTimeout(total=1)
+                async with self.session.get(url, timeout=quick) as answer:
+                    told = (await answer.json()).get("addresses", [])
+                if told:
+                    self.addresses, self.heard_at = told, time.monotonic()
+                    return
+            except (aiohttp.ClientError, asyncio.TimeoutError, ValueError):
+                continue
+        if time.monotonic() - self.heard_at > FORGETS_AFTER:
+            self.addresses = []
+
+    async def _ask(self):
+        kind = self.rng.choice(("stream", "stream", "once", "safe"))
+        account = self.rng.choice(list(self.world.accounts))
+        name = f"{self.rng.getrandbits(64):016x}"
+        one = Asked(name, kind, account, time.monotonic())
+        one.gateway = self.rng.choice(self.addresses)
+        self.asked.append(one)
+        total = self.rng.randint(2, 10)
+        body = self.rng.randbytes(200)
+        headers = {"Host": "soak.example", "Loomjunction-Request-Id": name,
+                   "Authorization": f"Token {self.world.accounts[account]}",
+                   "Loomjunction-Deadline-Ms": "5000", "Loomjunction-Tenant": "forged",
+                   "Loomjunction-Target-Instance": "forged"}
+        if kind == "stream":
+            headers.update({"Loomjunction-Model": "soak-model",
+                            "Loomjunction-Token-Usage": "100,30"})
+        url = f"http://{one.gateway}/{kind}/x?events={total}"
+        try:
+            async with self.session.post(url, data=body, headers=headers) as answer:
+                text = await answer.read()
+                one.status = answer.status
+                self._check(one, answer, text, total, body)
+        except (aiohttp.ClientError, asyncio.TimeoutError, ConnectionError):
+            one.status = 0
+        one.ended_at = time.monotonic()
+
+    def _check(self, one, answer, text, total, body):
+        signature = answer.headers.get("Loomjunction-Response-Signature", "")
+        if one.status == 200:
+            if not signature.endswith("/" + one.name):
+                self.broken.append(f"MIXED: {one.name} got a success signed '{signature}'")
+            expected = f"{one.name}:{digest(body)}".encode()
+            if one.kind == "stream":
+                expected = b"".join(f"id: {n}\ndata: {one.name}/{n}/{total}\n\n".encode()
+                                    for n in range(1, total + 1))
+            if text != expected:
+                rule = "ORDER" if one.kind == "stream" else "MIXED"
+                self.broken.append(f"{rule}: {one.name} got another body as whole: {text[:200]}")
+        elif one.status in (400, 401, 404, 413, 431):
+            self.broken.append(f"DENIED: {one.name} got {one.status} from {one.gateway}")
+        if one.status == 503 and "Retry-After" not in answer.headers and not signature:
+            self.broken.append(f"REFUSED: {one.name} is not told when to come back")
--- /dev/null
+++ b/tests/soak/replicas.py
@@ -0,0 +1,252 @@
+# This file is part of loomjunction (tests).
+# SPDX-License-Identifier: BSD-2-Clause
+"""Stand-ins of replicas: plain services, and engines with weights and a stage."""
+
+import asyncio
+import dataclasses
+import hashlib
+import json
+import random
+import time
+
+from aiohttp import web
+
+CHUNKS = 6
+CHUNK_BYTES = 4096
+MODEL = "soak-model"
+SERVERS = "keyed.servers"
+ROT_ALLOWED = 3.0  # seconds
+
+
+def chunk(version, index):
+    """The bytes of a chunk, other ones for each version."""
+    return random.Random(f"{version}/{index}").randbytes(CHUNK_BYTES)
+
+
+def digest(data):
+    return hashlib.sha256(data).hexdigest()
+
+
+@dataclasses.dataclass
+class Run:
+    """One request that a replica began to work on."""
+
+    request: str
+    replica: str
+    service: str
+    account: str
+    at: float
+    weights: int
+
+
+class Replica:
+    """One replica, over all its lives; `runs` is shared by all of a soak."""
+
+    def __init__(self, store, runs, rng, service, zone, address, is_engine):
+        self.store = store
+        self.runs = runs
+        self.rng = rng
+        self.service = service
+        self.zone = zone
+        self.address = address  # of its proxy: what callers are told
+        self.is_engine = is_engine
+        self.life = 0
+        self.is_up = True
+        self.draining_since = None
+        self.weights = 1 if is_engine else 0
+        self.rotted_at = 0.0  # last time that its stage went bad
+        self.stage = {index: chunk(1, index) for index in range(CHUNKS)}
+        self.orders = 0
+        self.is_busy = False
+        self.running = 0
+        self.slots = 8
+        self.fails = 0.0  # share of requests that get a failure of its own
+        self.breaks = 0.0  # share of answers that are cut
+        self.loses = 0.0  # share of answers that run and are never given
+        self.broken_promises = []
+
+    @property
+    def id(self):
+        return f"{self.service}-{self.zone}-{self.address[1]}-{self.life}"
+
+    def record(self):
+        entry = {"service": self.service, "address": f"{self.address[0]}:{self.address[1]}",
+                 "zone": self.zone, "version": "v1", "slots": self.slots, "sequence": 1,
+                 "state": "draining" if self.draining_since else "ready", "cold_left_ms": 0}
+        if self.is_engine:
+            entry.update(self._weights_told())
+        self.store.write(SERVERS, self.id, json.dumps(entry).encode())
+
+    def remove_record(self):
+        self.store.write(SERVERS, self.id, None)
+
+    def _weights_told(self):
+        held = self.weights > 0
+        return {"models": [{"name": MODEL, "version": self.weights, "adapters": []}] if held else [],
+                "layers": [{"from": 0, "target_version": 1, "version": self.weights}] if held else []}
+
+    def crash(self):
+        """Its record stays until it starts again; the stage survives."""
+        self.is_up = False
+
+    def restart(self):
+        self.remove_record()
+        self.life += 1
+        self.is_up = True
+        self.draining_since = None
+        self.is_busy = False
+        self.orders = 0
+        self.weights = 0
+        self.record()
+
+    def drain(self):
+        self.draining_since = time.monotonic()
+        self.record()
+
+    async def serve(self, host, port):
+        app = web.Application(client_max_size=1 << 24)
+        app.router.add_get("/report", self._report)
+        app.router.add_post("/order", self._order)
+        app.router.add_put("/stage-put/{model}", self._stage_put)
+        app.router.add_get("/stage-get/{model}", self._stage_get)
+        app.router.add_route("*", "/{path:.*}", self._request)
+        runner = web.AppRunner(app, access_log=None)
+        await runner.setup()
+        await web.TCPSite(runner, host, port).start()
+        return runner
+
+    async def _report(self, request):
+        if not self.is_up:
+            request.transport.abort()
+        told = {"stage": "hybrid", "busy": self.is_busy, "sequence": self.orders, "waiting": 0,
+                "running": self.running, "kv_used": 0, "kv_total": 1000, "handles": 0}
+        return web.json_response({**told, **self._weights_told()})
+
+    async def _stage_put(self, request):
+        self.stage[int(request.query["n"])] = await request.read()
+        return web.Response(status=200)
+
+    async def _stage_get(self, request):
+        data = self.stage.get(int(request.query.get("n", -1)))
+        return web.Response(status=404) if data is None else web.Response(body=data)
+
+    async def _order(self, request):
+        order = json.loads(await request.read())
+        if not self.is_up:
+            request.transport.abort()
+        if self.is_busy or order.get("expected_rev", self.orders) != self.orders:
+            return web.Response(status=409)
+        if self.weights == order["version"]:
+            return web.Response(status=200)
+        staged = [self.stage.get(index) for index in range(CHUNKS)]
+        # What went bad after it was read back cannot be known; the pages allow as long.
+        is_fresh_rot = time.monotonic() - self.rotted_at < ROT_ALLOWED
+        if not is_fresh_rot and staged != [chunk(order["version"], index) for index in range(CHUNKS)]:
+            self.broken_promises.append(f"WHOLE: {self.id} was ordered to load a stage that is "
+                                        f"not version {order['version']}")
+        self.orders += 1
+        self.is_busy = True
+        asyncio.ensure_future(self._load(order["version"], self.life))
+        return web.Response(status=202)
+
+    async def _load(self, version, life):
+        await asyncio.sleep(0.1)
+        if life == self.life:
+            self.weights = version
+            self.is_busy = False
+            self.record()
+
+    def _refusal(self, request):
+        expected = request.headers.get("Expect-Version")
+        wrong = request.headers.get("Loomjunction-Target-Instance", self.id) != self.id
+        if wrong or (self.is_engine and (self.weights == 0 or self.is_busy)):
+            return 421
+        if self.is_engine and expected and int(expected) != self.weights:
+            return 421
+        return 503 if self.running >= self.slots else 0
+
+    async def _request(self, request):
+        name = request.headers.get("Loomjunction-Request-Id", "")
+        body = await request.read()
+        if not self.is_up:
+            request.transport.abort()
+            return web.Response(status=500)
+        common = {"Loomjunction-Request-Id": name, "Loomjunction-Instance-Id": self.id}
+        status = self._refusal(request)
+        if status:
+            return web.Response(status=status, headers={**common, "Loomjunction-Not-Executed": "1"})
+        self.runs.append(Run(name, self.id, self.service,
+                             request.headers.get("Loomjunction-Tenant", ""), time.monotonic(),
+                             self.weights))
+        self.running += 1
+        try:
+            return await self._work(request, name, body, common)
+        finally:
+            self.running -= 1
+
+    async def _work(self, request, name, body, common):
+        life = self.life
+        common["Loomjunction-Response-Signature"] = f"{self.id}/{name}"
+        await asyncio.sleep(self.rng.uniform(0.005, 0.03))
+        if life != self.life or not self.is_up or self.rng.random() < self.loses:
+            request.transport.abort()
+            return web.Response(status=500)
+        if self.rng.random() < self.fails:
+            return web.Response(status=500, headers=common, text="failed")
+        if not self.is_engine:
+            text = f"{name}:{digest(body)}"
+            if self.rng.random() < self.breaks:
+                response = web.StreamResponse(headers={**common, "Content-Length": str(len(text))})
+                await response.prepare(request)
+                await response.write(text[:5].encode())
+                request.transport.abort()
+                return response
+            return web.Response(text=text, headers=common)
+        return await self._stream(request, name, common, life)
+
+    async def _stream(self, request, name, common, life):
+        total = int(request.query.get("events", 6))
+        first = int(request.headers.get("Last-Event-Id", 0)) + 1
+        breaks_at = self.rng.randint(1, total) if self.rng.random() < self.breaks else 0
+        headers = {**common, "Content-Type": "text/event-stream"}
+        response = web.StreamResponse(headers=headers)
+        await response.prepare(request)
+        for event in range(first, total + 1):
+            await asyncio.sleep(0.02)
+            text = f"id: {event}\ndata: {name}/{event}/{total}\n\n".encode()
+            if event == breaks_at or life != self.life or not self.is_up:
+                await response.write(text[:7])  # within an event
+                request.transport.abort()
+                return response
+            await response.write(text)
+        await response.write_eof()
+        return response
+
+
+class Origin:
+    """Where weights come from; it may be slow, spoil what it gives, or be away."""
+
+    def __init__(self, rng):
+        self.rng = rng
+        self.spoils = 0.0
+
+    async def serve(self, host, port):
+        app = web.Application()
+        app.router.add_get("/manifest/{model}", self._manifest)
+        app.router.add_get("/piece/{model}", self._piece)
+        runner = web.AppRunner(app, access_log=None)
+        await runner.setup()
+        await web.TCPSite(runner, host, port).start()
+        return runner
+
+    async def _manifest(self, request):
+        version = int(request.query["version"])
+        digests = [digest(chunk(version, index)) for index in range(CHUNKS)]
+        return web.json_response({"model": MODEL, "version": version, "chunk_bytes": CHUNK_BYTES,
+                                  "layers": 1, "digests": digests})
+
+    async def _piece(self, request):
+        data = chunk(int(request.query["version"]), int(request.query["n"]))
+        if self.rng.random() < self.spoils:
+            data = data[:-1] + bytes([data[-1] ^ 1])
+        return web.Response(body=data)
--- /dev/null
+++ b/tests/soak/soak.py
@@ -0,0 +1,219 @@
+# This file is part of loomjunction (tests).
+# SPDX-License-Identifier: BSD-2-Clause
+"""A randomized soak of real processes: util/run-soak --help.
+
+Faults are drawn from the seed; processes and the network add chance of their
+own, so that a seed that failed may hold when it is played again.
+"""
+
+import argparse
+import asyncio
+import collections
+import logging
+import os
+import random
+import sys
+import tempfile
+import time
+
+from callers import PROMISES_NOT_RUN, Caller
+from faults import Faults
+from world import BOUNDS, World
+
+# Promises with a time hold where nothing was wrong for so long before.
+CONTACT = 4.0
+# Beyond the bounds: this machine may be busy with other work.
+SLACK = 1.0
+CONFIG_APPLY = 2.0
+RECOVERY = 15.0
+
+
+def once_runs(asked, runs):
+    count = collections.Counter(run.request for run in runs)
+    once = {one.name for one in asked if one.kind == "once"}
+    return [f"TWICE: {name} ran {count[name]} times" for name in once if count[name] > 1]
+
+
+def refused_runs(asked, runs):
+    ran = {run.request for run in runs}
+    return [f"REFUSED: {one.name} ({one.kind}) was promised not to run by {one.status}, and ran"
+            for one in asked if one.kind == "once" and one.status in PROMISES_NOT_RUN
+            and one.name in ran]
+
+
+def unasked_runs(asked, runs):
+    account = {one.name: one.account for one in asked}
+    broken = []
+    for run in runs:
+        if run.request.startswith("mark"):
+            continue
+        if run.request not in account:
+            broken.append(f"UNASKED: {run.request} ran, and nobody sent it")
+        elif run.account != account[run.request]:
+            broken.append(f"UNASKED: {run.request} ran as {run.account}, not as its caller")
+    return broken
+
+
+def late_weights(world, runs, calm):
+    broken = []
+    for run in runs:
+        for version, at in world.named:
+            is_late = run.at - at > BOUNDS["weightsMs"] / 1000 + SLACK
+            if run.weights and run.weights < version and is_late and calm(at, run.at):
+                broken.append(f"VERSION: {run.request} began on weights {run.weights}, "
+                              f"{run.at - at:.1f} s after {version} was named")
+    return broken
+
+
+class Soak:
+    """One seed, from the start of all processes to the verdict."""
+
+    def __init__(self, options, seed):
+        self.options = options
+        self.rng = random.Random(seed)
+        self.folder = tempfile.mkdtemp(prefix=f"loom-soak-{seed}-")
+        self.world = World(options.program, self.folder, random.Random(seed + 1),
+                           10_000 + (os.getpid() * 97 + seed * 211) % 18_000, options.gateways,
+                           options.engines)
+        self.asked = []
+        self.broken = []
+        self.begun = time.monotonic()
+        self.faults = Faults(self.world, random.Random(seed + 2), self.say)
+        self.calm_spans = []
+
+    def say(self, text):
+        if self.options.verbose:
+            print(f"  {time.monotonic() - self.begun:6.2f} {text}", flush=True)
+        with open(os.path.join(self.folder, "faults.txt"), "a", encoding="utf-8") as file:
+            file.write(f"{time.time():.3f} {text}\n")
+
+    def was_calm(self, since, until):
+        """Whether no fault was on from a little before `since` to `until`."""
+        return any(begin <= since - CONTACT and until <= end for begin, end in self.calm_spans)
+
+    async def keep_processes(self):
+        calm_from = None
+        while True:
+            for process in self.world.processes:
+                process.keep_alive()
+            is_calm = self.faults.open == 0
+            if is_calm:
+                calm_from = self.faults.last_ended if calm_from is None else calm_from
+                span = (calm_from, time.monotonic())
+                if self.calm_spans and self.calm_spans[-1][0] == calm_from:
+                    self.calm_spans[-1] = span
+                else:
+                    self.calm_spans.append(span)
+            else:
+                calm_from = None
+            await asyncio.sleep(0.05)
+
+    def served(self, since):
+        recent = [one for one in self.asked if one.at >= since and one.ended_at]
+        return len(recent), sum(1 for one in recent if one.status == 200)
+
+    async def wait_served(self, seconds, share):
+        """Waits until that share of a second's requests is served; False: it never was."""
+        until = time.monotonic() + seconds
+        while time.monotonic() < until:
+            since = time.monotonic()
+            await asyncio.sleep(1.0)
+            count, good = self.served(since)
+            if count >= 10 and good >= share * count:
+                return True
+        return False
+
+    async def check_config(self):
+        """Every gateway knows the newest configuration, by the route that only it has."""
+        import aiohttp
+        await asyncio.sleep(CONFIG_APPLY + SLACK)
+        version = self.world.configs[-1][0]
+        async with aiohttp.ClientSession(timeout=aiohttp.ClientTimeout(total=3)) as session:
+            for process in self.world.gateways():
+                url = f"http://{process.settings['gateway']['callers']}/mark-{version}/x"
+                headers = {"Host": "soak.example", "Authorization": "Token key-a",
+                           "Loomjunction-Request-Id": f"mark{self.rng.getrandbits(48):x}",
+                           "Loomjunction-Deadline-Ms": "2000"}
+                try:
+                    async with session.post(url, headers=headers) as answer:
+                        status = answer.status
+                except (aiohttp.ClientError, asyncio.TimeoutError) as error:
+                    status = repr(error)
+                if status in (401, 403, 404):
+                    self.broken.append(f"CONFIG: {process.box} answers {status} on the route of "
+                                       f"configuration {version}")
+
+    async def play(self):
+        await self.world.start()
+        keeper = asyncio.ensure_future(self.keep_processes())
+        callers = [Caller(self.world, random.Random(self.rng.getrandbits(32)), self.asked,
+                          self.broken) for _ in range(self.options.callers)]
+        calling = [asyncio.ensure_future(caller.run()) for caller in callers]
+        if not await self.wait_served(RECOVERY, 0.9):
+            self.broken.append("RECOVER: nothing is served after the start")
+        self.say("served; faults begin")
+        faulting = asyncio.ensure_future(self.faults.run())
+        await asyncio.sleep(self.options.seconds)
+        self.faults.is_stopped = True
+        await faulting
+        self.say("faults are over")
+        if not await self.wait_served(RECOVERY + BOUNDS["stopMs"] / 1000, 0.9):
+            self.broken.append("RECOVER: too little is served after the faults")
+        await self.check_config()
+        for caller in callers:
+            caller.is_stopped = True
+        await asyncio.gather(*calling)
+        keeper.cancel()
+        await self.world.stop()
+        self.judge()
+
+    def judge(self):
+        runs = self.world.runs
+        self.broken += once_runs(self.asked, runs) + refused_runs(self.asked, runs)
+        self.broken += unasked_runs(self.asked, runs)
+        self.broken += late_weights(self.world, runs, self.was_calm)
+        for one in [*self.world.processes, *self.world.replicas]:
+            self.broken += one.broken_promises
+
+
+async def play_seed(options, seed):
+    soak = Soak(options, seed)
+    try:
+        await asyncio.wait_for(soak.play(), options.seconds + 120)
+    except asyncio.TimeoutError:
+        soak.broken.append("STUCK: the soak itself did not come to its end")
+        await soak.world.stop()
+    count, good = soak.served(0)
+    words = collections.Counter(text.split(":")[0] for text in soak.broken)
+    verdict = "held" if not soak.broken else ", ".join(f"{w} {n}" for w, n in words.items())
+    print(f"seed {seed}: {verdict}; {count} asked, {good} served, {len(soak.world.runs)} runs; "
+          f"logs in {soak.folder}", flush=True)
+    for text in soak.broken[:options.show]:
+        print("    " + text, flush=True)
+    return not soak.broken
+
+
+def main():
+    parser = argparse.ArgumentParser(description=__doc__)
+    parser.add_argument("--program", required=True, help="loomjunctiond")
+    parser.add_argument("--seeds", default="", help="seeds to play, with commas between")
+    parser.add_argument("--fresh", type=int, default=0, help="seeds to draw anew besides")
+    parser.add_argument("--seconds", type=float, default=20, help="how long faults come")
+    parser.add_argument("--gateways", type=int, default=4)
+    parser.add_argument("--engines", type=int, default=4)
+    parser.add_argument("--callers", type=int, default=12)
+    parser.add_argument("--show", type=int, default=8, help="broken promises to print")
+    parser.add_argument("--verbose", action="store_true", help="print each fault")
+    options = parser.parse_args()
+    # Callers that leave are part of the play.
+    logging.getLogger("aiohttp.server").setLevel(logging.CRITICAL)
+    logging.getLogger("asyncio").setLevel(logging.CRITICAL)
+    seeds = [int(seed) for seed in options.seeds.split(",") if seed]
+    seeds += [random.SystemRandom().randrange(10**9) for _ in range(options.fresh)]
+    results = [asyncio.run(play_seed(options, seed)) for seed in seeds]
+    print(f"{sum(results)} passed, {len(results) - sum(results)} failed")
+    return 0 if all(results) and results else 1
+
+
+if __name__ == "__main__":
+    sys.exit(main())
