Requests for older weights get no more time than these have; operators' records are relayed, too

Change: the deadline that such a replica is handed ends 0.4 s before its weights are over; it drops what has not begun by then, and a stream that runs goes on elsewhere.

--- a/src/libloomjunction/core/weightsgoal.cpp
+++ b/src/libloomjunction/core/weightsgoal.cpp
@@ -8,6 +8,8 @@
 
 #include "weightsgoal.h"
 
+#include <algorithm>
+
 namespace Loom {
 
 namespace {
@@ -49,6 +51,20 @@
     return oldest;
 }
 
+std::optional<Instant> WeightsGoal::overAt(std::string_view model, std::uint64_t version) const
+{
+    const auto it = mModels.find(model);
+    if (it == mModels.end()) {
+        return std::nullopt;
+    }
+    std::optional<Instant> earliest;
+    for (auto named = it->second.upper_bound(version); named != it->second.end(); ++named) {
+        const Instant over = named->second.learnedAt + mLimit;
+        earliest = std::min(earliest.value_or(over), over);
+    }
+    return earliest;
+}
+
 Instant WeightsGoal::learnedAt(std::string_view model, std::uint64_t version) const
 {
     const auto it = mModels.find(model);
--- a/src/libloomjunction/core/weightsgoal.h
+++ b/src/libloomjunction/core/weightsgoal.h
@@ -12,6 +12,7 @@
 
 #include <cstdint>
 #include <map>
+#include <optional>
 #include <string>
 #include <string_view>
 
@@ -45,6 +46,8 @@
     std::uint64_t newest(std::string_view model) const;
     /** The oldest version that may begin a request that is sent now. */
     std::uint64_t oldestAllowed(std::string_view model, Instant now) const;
+    /** From when on @p version may begin nothing; nothing: no newer one was named. */
+    std::optional<Instant> overAt(std::string_view model, std::uint64_t version) const;
     /** When @p version was named; the start of time where it was not. */
     Instant learnedAt(std::string_view model, std::uint64_t version) const;
     /** The newest version named for @p model; null: none. */
--- a/src/libloomjunction/gateway/feedservice.cpp
+++ b/src/libloomjunction/gateway/feedservice.cpp
@@ -43,6 +43,9 @@
 // follower leaves one whose last answer is older.
 constexpr Milliseconds sRelayedWait{600};
 constexpr Milliseconds sRelayedAge{1'000};
+// Members tell each other of their state; their records need not be as fresh.
+constexpr Milliseconds sRelayedMembersWait{2'500};
+constexpr Milliseconds sRelayedMembersAge{4'000};
 // While a peer is followed, the store is tried again after this time.
 constexpr Milliseconds sRelayTurn{1'000};
 // Following a peer by choice, the store is not tried at all for this long.
@@ -106,11 +109,10 @@
     return {};
 }
 
-// Everybody reads what operators say, which must be in force soon; the records
-// of replicas and members are many, and change often.
+// Once it has read everything itself, so that a start waits for nobody.
 bool FeedService::isFollower(Feed feed) const
 {
-    return feed != Feed::Operators && mReaders && state(feed).isSynced && !mReaders().isReader;
+    return mReaders && state(feed).isSynced && !mReaders().isReader;
 }
 
 // The store failed of late, or the process that is followed says that its did.
@@ -123,9 +125,8 @@
 
 Milliseconds FeedService::waitOf(Feed feed) const
 {
-    const bool isRelayed = feed != Feed::Operators && mReaders && mReaders().isRelayed;
-    if (isRelayed) {
-        return sRelayedWait;
+    if (mReaders && mReaders().isRelayed) {
+        return feed == Feed::Members ? sRelayedMembersWait : sRelayedWait;
     }
     switch (feed) {
     case Feed::Operators:
@@ -313,7 +314,8 @@
     request.set_feed(static_cast<std::uint32_t>(feed));
     request.set_box(mBox);
     stream->send(request);
-    const bool isReader = isFollower(feed);
+    const bool asFollower = isFollower(feed);
+    const Milliseconds mostAge = feed == Feed::Members ? sRelayedMembersAge : sRelayedAge;
     const auto until = now() + longest;
     bool heard = false;
     while (!mStopped && now() < until) {
@@ -325,11 +327,11 @@
         }
         heard = true;
         takeUpdate(feed, **update);
-        if (isReader && Milliseconds((*update)->age_ms()) > sRelayedAge) {
+        if (asFollower && Milliseconds((*update)->age_ms()) > mostAge) {
             stream->reset();
             co_return false;
         }
-        if (isReader && !isFollower(feed)) {
+        if (asFollower && !isFollower(feed)) {
             break; // it is this process's turn to read
         }
     }
--- a/src/libloomjunction/gateway/gatewaycall.cpp
+++ b/src/libloomjunction/gateway/gatewaycall.cpp
@@ -37,6 +37,8 @@
 constexpr std::uint32_t sMostFailedConnects = 3;
 // So long before older weights may begin nothing more, they run only what begins at once.
 constexpr Milliseconds sOverSoon{2'700};
+// Operators may have named a version this much before it was heard here.
+constexpr Milliseconds sNamedBeforeHeard{400};
 // Answers of earlier requests that may lie before ours on a kept connection.
 constexpr int sMostForeignAnswers = 2;
 constexpr std::size_t sMostWholeAnswer = std::size_t{16} * 1024 * 1024;
@@ -355,11 +357,26 @@
         // An older version may change under the request, and either may run it.
         if (replica != nullptr && replica->weightsVersion() == newest) {
             fields.weightsVersion = newest;
+        } else if (replica != nullptr) {
+            fields.deadline = std::min(fields.deadline, timeOfWeights(replica->weightsVersion()));
         }
     }
     return fields;
 }
 
+// A request may lie at a replica for long, as when its box stands still. The
+// replica drops it at its deadline, so it cannot begin after its weights are
+// over. A stream that runs then goes on at another replica.
+Milliseconds GatewayCall::timeOfWeights(std::uint64_t version) const
+{
+    const auto over = mParts.config.weights().overAt(mCaller.model, version);
+    if (!over) {
+        return Milliseconds::max();
+    }
+    const auto left = std::chrono::duration_cast<Milliseconds>(*over - now()) - sNamedBeforeHeard;
+    return std::max(left, sLeastTime);
+}
+
 awaitable<TryResult> GatewayCall::exchangeWith(std::string replicaId)
 {
     const HttpRequest &request = mExchange.request();
--- a/src/libloomjunction/gateway/gatewaycall.h
+++ b/src/libloomjunction/gateway/gatewaycall.h
@@ -95,6 +95,7 @@
     ReplicaChoice choose() const;
     void noteAnswer(bool hasBegun);
     OutgoingFields outgoingFields(std::string_view replicaId) const;
+    Milliseconds timeOfWeights(std::uint64_t version) const;
     bool mayRepeat(const TryUnknown &failed) const;
     Milliseconds timeLeft() const;
 
--- a/tests/direct/test_weightsgoal.cpp
+++ b/tests/direct/test_weightsgoal.cpp
@@ -31,6 +31,18 @@
     BOOST_TEST(goal.oldestAllowed("other", at(20'800)) == 1U);
 }
 
+BOOST_AUTO_TEST_CASE(a_version_is_over_when_the_first_newer_one_is_due)
+{
+    WeightsGoal goal(Milliseconds(8'000));
+    BOOST_TEST(!goal.overAt("m", 1).has_value());
+    goal.name("m", 2, at(10'000));
+    goal.name("m", 3, at(14'000));
+    BOOST_TEST((goal.overAt("m", 1) == at(18'000)));
+    BOOST_TEST((goal.overAt("m", 2) == at(22'000)));
+    BOOST_TEST(!goal.overAt("m", 3).has_value());
+    BOOST_TEST(!goal.overAt("other", 1).has_value());
+}
+
 BOOST_AUTO_TEST_CASE(a_version_heard_twice_keeps_its_first_time)
 {
     WeightsGoal goal(Milliseconds(8'000));
--- a/tests/gateway/test_gateway.cpp
+++ b/tests/gateway/test_gateway.cpp
@@ -270,6 +270,37 @@
     });
 }
 
+BOOST_AUTO_TEST_CASE(a_request_for_older_weights_is_given_no_more_time_than_they_have)
+{
+    constexpr int weightsMs = 6'000; // the caller waits as long
+    DirectLab lab;
+    lab.writeConfig(1);
+    const ScriptedReplica &replica
+        = lab.addReplica("i-1", "engine", [](const std::string &head) -> ScriptedReplica::Answer {
+              return {streamHead(idOf(head)) + chunk(event(1)) + "0\r\n\r\n", false};
+          });
+    const auto handedMs = [&replica] {
+        constexpr std::string_view name = "Loomjunction-Deadline-Ms: ";
+        const std::string &head = replica.heads().back();
+        return std::stoi(head.substr(head.find(name) + name.size()));
+    };
+    lab.run([&]() -> awaitable<void> {
+        co_await untilReady(lab, 1);
+        auto response = co_await lab.call("POST", "/model/a", "id1");
+        BOOST_TEST(response->status == 200);
+        const int before = handedMs();
+        DirectBounds bounds;
+        bounds.weightsTime = Milliseconds(weightsMs);
+        lab.config().setBounds(bounds);
+        lab.store.write(Feed::Operators, "version/m", R"({"model":"m","version":2})");
+        co_await lab.waitFor([&] { return lab.config().weights().newest("m") == 2; });
+        response = co_await lab.call("POST", "/model/a", "id2");
+        BOOST_TEST(response->status == 200);
+        BOOST_TEST(handedMs() < weightsMs - 300);
+        BOOST_TEST(handedMs() < before);
+    });
+}
+
 BOOST_AUTO_TEST_CASE(a_draining_replica_gets_nothing_and_a_forgotten_history_is_read_anew)
 {
     DirectLab lab;
