--- a/src/libloomjunction/core/chunkplan.cpp
+++ b/src/libloomjunction/core/chunkplan.cpp
@@ -240,16 +240,8 @@
     return std::clamp<Microseconds>(stalled, sLeastTakeover, mOptions.takeover);
 }
 
-// Pulled all at once, chunks would share the origin's link, and all would come
-// at its end; pulled in order, the first ones spread while the rest is on its way.
-bool ChunkPlan::isOriginTurn(std::uint32_t index, Instant now) const
+bool ChunkPlan::mayPullFromOrigin(const Chunk &chunk, Instant now) const
 {
-    return now - mBegun >= mOptions.originPace * index;
-}
-
-bool ChunkPlan::mayPullFromOrigin(std::uint32_t index, Instant now) const
-{
-    const Chunk &chunk = mChunks[index];
     if (chunk.originRetryAt > now) {
         return false;
     }
@@ -262,7 +254,7 @@
         break;
     }
     if (chunk.originRank < mOptions.originCopies) {
-        return isOriginTurn(index, now);
+        return true;
     }
     const std::uint32_t turn = chunk.originRank / mOptions.originCopies;
     return chunk.holders == 0 && isOverdueAtOrigin(turn, now);
@@ -311,7 +303,8 @@
     // The rarest first here too: a chunk that a neighbour holds can wait.
     std::vector<std::uint32_t> wanted;
     for (std::uint32_t index = 0; index < mChunks.size(); ++index) {
-        if (mChunks[index].state == State::Missing && mayPullFromOrigin(index, now)) {
+        const Chunk &chunk = mChunks[index];
+        if (chunk.state == State::Missing && mayPullFromOrigin(chunk, now)) {
             wanted.push_back(index);
         }
     }
--- a/src/libloomjunction/core/chunkplan.h
+++ b/src/libloomjunction/core/chunkplan.h
@@ -89,8 +89,6 @@
         FetchPolicy policy = FetchPolicy::Swarm;
         std::uint32_t originCopies = 1; ///< members that pull a chunk from the origin
         std::uint32_t originParallel = 2; ///< requests open to the origin
-        /** What the origin's link takes for a chunk; members pull one after the other. */
-        Microseconds originPace{0};
         std::uint32_t peerParallel = 6; ///< requests open to all neighbours
         std::uint32_t perPeerParallel = 2; ///< requests open to one neighbour
         std::uint32_t neighbours = 8;
@@ -169,10 +167,9 @@
     void planPeers(std::vector<ChunkFetch> &out, Instant now);
     Microseconds takeoverAfter() const;
     void noteFound(Chunk &chunk, Instant now);
-    bool isOriginTurn(std::uint32_t index, Instant now) const;
     bool isOverdueAtOrigin(std::uint32_t turn, Instant now) const;
     bool mayImport(const Chunk &chunk, Instant now) const;
-    bool mayPullFromOrigin(std::uint32_t index, Instant now) const;
+    bool mayPullFromOrigin(const Chunk &chunk, Instant now) const;
     std::optional<std::string> bestHolder(std::uint32_t index, Instant now) const;
     void closeRequest(const ChunkSource &source);
 
--- a/src/libloomjunction/gateway/stageservice.cpp
+++ b/src/libloomjunction/gateway/stageservice.cpp
@@ -52,7 +52,6 @@
 // Of the link, for chunks on their way out; the rest is for answers to callers.
 constexpr double sLinkShare = 0.95;
 constexpr double sBytesPerMbit = 125'000;
-constexpr double sMicrosecondsPerSecond = 1e6;
 constexpr double sBurstBytes = 8.0 * 1024;
 constexpr std::uint32_t sOriginParallel = 2;
 constexpr std::uint32_t sPeerParallel = 4;
@@ -431,19 +430,6 @@
     logLine(LogLevel::Info, "stage-adopted", {{"version", wanted.version}, {"chunks", adopted}});
 }
 
-// What the origin's link takes for one chunk; zero where its rate is not told.
-Microseconds StageService::originPace(std::string_view digest) const
-{
-    const RouteTablePtr &table = mConfig->table();
-    const OriginFigures *figures = table ? table->origin() : nullptr;
-    const StoredVersion *stored = mStore->find(digest);
-    if (figures == nullptr || figures->linkMbit <= 0 || stored == nullptr) {
-        return Microseconds(0);
-    }
-    const double seconds = stored->manifest.chunkBytes / (figures->linkMbit * sBytesPerMbit);
-    return Microseconds(static_cast<std::int64_t>(seconds * sMicrosecondsPerSecond));
-}
-
 std::shared_ptr<WeightFetch> StageService::beginFetch(const std::string &model,
                                                       const VersionInHand &wanted)
 {
@@ -454,7 +440,6 @@
     options.neighbours = sNeighbours;
     options.nearOnly = true;
     options.takeover = sTakeover;
-    options.originPace = originPace(wanted.digest);
     options.seed = randomSeed();
     WeightFetch::Parts parts{
         {mSettings.box, mSettings.dataCentre},
--- a/src/libloomjunction/gateway/stageservice.h
+++ b/src/libloomjunction/gateway/stageservice.h
@@ -74,7 +74,6 @@
     awaitable<void> adoptStage(std::string model, VersionInHand wanted);
     awaitable<tl::expected<std::string, ChunkFailure>>
     originChunk(std::string model, std::uint64_t version, std::uint32_t index);
-    Microseconds originPace(std::string_view digest) const;
     std::shared_ptr<WeightFetch> beginFetch(const std::string &model, const VersionInHand &wanted);
     void noteLoaded(std::string_view model, std::uint64_t loaded);
     awaitable<bool> loadStaged(std::string model, VersionInHand wanted);
