--- a/src/libloomjunction/gateway/feedservice.cpp
+++ b/src/libloomjunction/gateway/feedservice.cpp
@@ -277,8 +277,7 @@
     // The first ones are near; a failure moves on, and a good turn starts over.
     const Tcp::endpoint address = peers[mTurn % peers.size()];
     const bool isPreferred = mPreference == FeedPreference::Peers;
-    const bool good
-        = co_await followPeer(feed, address, isPreferred ? sRelayLongTurn : sRelayTurn);
+    const bool good = co_await followPeer(feed, address, isPreferred ? sRelayLongTurn : sRelayTurn);
     mTurn = good ? 0 : mTurn + 1;
     co_return good;
 }
--- a/tests/transport/test_httpclient.cpp
+++ b/tests/transport/test_httpclient.cpp
@@ -55,8 +55,8 @@
         const std::string blank = "\r\n\r\n";
         std::string head;
         while (true) {
-            auto [error, size] = co_await asio::async_read_until(
-                socket, asio::dynamic_buffer(head), blank, sAsValue);
+            auto [error, size] = co_await asio::async_read_until(socket, asio::dynamic_buffer(head),
+                                                                 blank, sAsValue);
             if (error) {
                 ++mClosed;
                 co_return;
