--- a/src/libloomjunction/gateway/feedservice.cpp
+++ b/src/libloomjunction/gateway/feedservice.cpp
@@ -275,7 +275,7 @@
         co_return false;
     }
     // The first ones are near; a failure moves on, and a good turn starts over.
-    const Tcp::endpoint address = peers[mTurn % peers.size()];
+    const Tcp::endpoint &address = peers[mTurn % peers.size()];
     const bool isPreferred = mPreference == FeedPreference::Peers;
     const bool good = co_await followPeer(feed, address, isPreferred ? sRelayLongTurn : sRelayTurn);
     mTurn = good ? 0 : mTurn + 1;
@@ -292,7 +292,7 @@
     }
     // Followers spread over the readers, and turn to another after each failure.
     const std::size_t own = std::hash<std::string>()(mBox);
-    const Tcp::endpoint address = readers[(own + mTurn) % readers.size()];
+    const Tcp::endpoint &address = readers[(own + mTurn) % readers.size()];
     const bool good = co_await followPeer(feed, address, sRelayLongTurn);
     if (!good) {
         ++mTurn;
--- a/src/libloomjunction/gateway/loadreporter.cpp
+++ b/src/libloomjunction/gateway/loadreporter.cpp
@@ -24,8 +24,6 @@
 constexpr std::string_view sLoadPath = "/replica-load";
 // Between two reports to one gateway; half a pass of an engine is about as long.
 constexpr Milliseconds sReportEvery{50};
-// Links between data centres are narrow and priced, and gateways prefer near replicas.
-constexpr Milliseconds sFarReportEvery{100};
 // A gateway takes silence for the loss of this process.
 constexpr Milliseconds sKeepAlive{150};
 constexpr std::chrono::milliseconds sRedialPause{250};
--- a/src/libloomjunction/gateway/stageservice.cpp
+++ b/src/libloomjunction/gateway/stageservice.cpp
@@ -347,6 +347,7 @@
     self.dataCentre = mSettings.dataCentre;
     all.push_back(std::move(self));
     std::vector<std::string> boxes;
+    boxes.reserve(all.size());
     for (const Member &member : all) {
         boxes.push_back(member.box);
     }
