Admission by room that is shared: who can still be answered in time goes first

Three mechanisms fed it: past 12 % refused, everything was sent as patient; who returned went before fresh requests, though late by then; and every gateway took the best replica it knew, so that one with a free place got some 20 requests before its next report.

Change: a request that missed its goal (counted from the caller's first try) gets only a place that would stand empty; a resumed stream alone goes before others; the room within the shortest common goal is shared among the calls that all gateways expect until the next reports, by chance, and the choice levels the loads.

--- a/src/libloomjunction/core/enginemodel.cpp
+++ b/src/libloomjunction/core/enginemodel.cpp
@@ -27,6 +27,13 @@
     return mFigures.stepsPerPass * (mFigures.stepMs + writers * perWriter);
 }
 
+double EngineModel::steadyPass(double writers) const
+{
+    const double events = mFigures.usualAnswer / std::max(mFigures.stepsPerPass, 1U);
+    const double begun = events > 0 ? writers / events : 0;
+    return pass(writers) + begun * read(mFigures.usualPrompt);
+}
+
 double EngineModel::read(double tokens) const
 {
     return mFigures.readTokensPerMs > 0 ? tokens / mFigures.readTokensPerMs : 0;
@@ -51,8 +58,19 @@
     const double tokens = promptTokens > 0 ? promptTokens : mFigures.usualPrompt;
     const double reading = readBefore * read(mFigures.usualPrompt) + read(tokens);
     const double waiting = queued * turn();
-    const double passes = sMiddle * pass(work.running) + pass(std::min(total + 1, slots));
+    const double passes = sMiddle * steadyPass(work.running) + pass(std::min(total + 1, slots));
     return work.pace * (waiting + passes + reading);
 }
 
+double EngineModel::room(const EngineWork &work, double promptTokens, double limit) const
+{
+    EngineWork with = work;
+    double room = 0;
+    while (room < mFigures.slots && firstEvent(with, promptTokens) <= limit) {
+        with.unread += 1;
+        room += 1;
+    }
+    return room;
+}
+
 } // namespace Loom
--- a/src/libloomjunction/core/enginemodel.h
+++ b/src/libloomjunction/core/enginemodel.h
@@ -35,12 +35,16 @@
 
     /** One pass for @p writers, without reading. */
     double pass(double writers) const;
+    /** The same with the prompts that are read in it while @p writers come and go. */
+    double steadyPass(double writers) const;
     /** Reading a prompt of @p tokens. */
     double read(double tokens) const;
     /** Mean time between two ends of requests at a full engine. */
     double turn() const;
     /** From the arrival of a request to its first event. @p promptTokens: zero for the usual. */
     double firstEvent(const EngineWork &work, double promptTokens) const;
+    /** How many more such requests may come, each with its first event within @p limit. */
+    double room(const EngineWork &work, double promptTokens, double limit) const;
 
 private:
     const EngineFigures &mFigures;
--- a/src/libloomjunction/core/replicaset.cpp
+++ b/src/libloomjunction/core/replicaset.cpp
@@ -8,7 +8,11 @@
 
 #include "replicaset.h"
 
+#include "levelling.h"
+
 #include <algorithm>
+#include <cmath>
+#include <numbers>
 
 namespace Loom {
 
@@ -46,14 +50,27 @@
 // Requests that a plain replica may hold beyond its slots before others are refused.
 constexpr double sPlainQueue = 1.0;
 constexpr Milliseconds sPlainComeBack{100};
+// More than a new connection takes: the caller tried before.
+constexpr Milliseconds sHasWaited{50};
 constexpr Milliseconds sLeastComeBack{150};
 constexpr Milliseconds sMostComeBack{1'500};
-// Requests that were refused once may be late by this many turns.
-constexpr double sReturningTurns = 3;
-// Replicas looked at for one request, if one of them meets its goal.
-constexpr std::size_t sSample = 3;
-// Patient requests at a replica, as a part of its slots: about a second's work.
-constexpr double sPatientQueue = 0.6;
+// Replicas looked at for one request: enough to level their loads, and so few
+// that a choice costs the same among thousands.
+constexpr std::size_t sSample = 16;
+// How far back the rate of calls reaches.
+constexpr double sCallsHalfMs = 1'000;
+// Reports are taken to come at least this often, before any gap was seen.
+constexpr double sUsualGapMs = 100;
+// A goal that fewer calls have does not bound the others.
+constexpr double sFairPart = 0.05;
+// The least that is spread, so that the best replica gets nearly all.
+constexpr double sLeastLevelled = 0.01;
+constexpr double sRandomSteps = 2147483648.0;
+// Parts the draws of the choice from those of the sample; any number does.
+constexpr std::uint64_t sOtherDraws = 0x9e3779b97f4a7c15ULL;
+// Waiting requests that a resumed stream may find at a replica, as a part of its
+// slots: about a second's work.
+constexpr double sResumedQueue = 0.6;
 // A refused request comes back when a few turns are over.
 constexpr double sComeBackFactor = 4;
 // Part of the goal that may be planned with; the rest is for what is not known.
@@ -114,6 +131,12 @@
 {
     for (auto &[id, replica] : mReplicas) {
         if (replica.record.address == address) {
+            if (replica.load) {
+                const double gap = std::chrono::duration<double, std::milli>(now - replica.loadAt)
+                                       .count();
+                replica.reportGapMs += (replica.reportGapMs == 0 ? 1.0 : sSmoothing)
+                    * (gap - replica.reportGapMs);
+            }
             replica.load = load;
             replica.loadAt = now;
             replica.startedSince = 0;
@@ -189,7 +212,8 @@
 
 // What the agent said, corrected by what this gateway did since. Without its
 // agent, the others are taken to send as much as this gateway.
-EngineWork ReplicaSet::workOf(const Replica &replica, const ReplicaQuery &query, Instant now)
+EngineWork ReplicaSet::workOf(const Replica &replica, const ReplicaQuery &query,
+                              Instant now) const
 {
     EngineWork work;
     if (!replica.load || now - replica.loadAt > sLoadValid) {
@@ -206,7 +230,7 @@
 }
 
 ReplicaSet::Offer ReplicaSet::engineOffer(const Replica &replica, const ReplicaQuery &query,
-                                          Instant now)
+                                          Instant now) const
 {
     const EngineModel model(*query.engine);
     const double slots = std::max<std::uint32_t>(replica.record.slots, 1);
@@ -217,13 +241,20 @@
     offer.load = (work.running + work.unread) / slots;
     offer.answer = model.firstEvent(work, query.promptTokens);
     offer.cost = offer.answer;
-    const double goal = static_cast<double>(query.goal.count()) * sGoalUsed
-        + (query.isReturning ? sReturningTurns * model.turn() : 0);
+    const bool isFull = work.running + work.unread >= slots;
+    offer.step = isFull ? model.turn() : model.read(query.engine->usualPrompt);
+    const double goal = static_cast<double>((query.goal - query.waited).count()) * sGoalUsed;
     if (replica.load && replica.load->isLinkSlow) {
         offer.cost += sSlowLinkTollMs;
     }
     offer.isPrompt = offer.answer <= goal;
-    offer.isOpen = all < slots * (1 + sPatientQueue);
+    // What is asked for with a longer goal would otherwise take all the room.
+    const double idle = model.firstEvent({}, 0);
+    const double shortest = std::max<double>(shortestGoal(query.service).count(), 2 * idle);
+    offer.room = model.room(work, 0, std::min(goal, shortest * sGoalUsed));
+    offer.freePlaces = std::max(0.0, slots - all);
+    const double places = query.isResumed ? slots * (1 + sResumedQueue) : slots;
+    offer.isOpen = all + 1 <= places;
     return offer;
 }
 
@@ -234,13 +265,13 @@
     offer.load = replica.inFlight / slots;
     offer.answer = std::max(replica.answerMs, 1.0) * (1 + offer.load);
     offer.cost = offer.answer;
-    const double queue = query.isReturning ? 2 * sPlainQueue : sPlainQueue;
+    const double queue = query.waited > sHasWaited ? 2 * sPlainQueue : sPlainQueue;
     offer.isPrompt = offer.load < 1 + queue;
     return offer;
 }
 
 ReplicaSet::Offer ReplicaSet::offerOf(const Replica &replica, const ReplicaQuery &query,
-                                      double fastestMs, Instant now)
+                                      double fastestMs, Instant now) const
 {
     Offer offer
         = query.engine == nullptr ? plainOffer(replica, query) : engineOffer(replica, query, now);
@@ -259,7 +290,7 @@
 // Whether a request that is sent now surely begins within a second: nothing
 // says that its way or its wait is long, and what is known is fresh.
 bool ReplicaSet::beginsSoon(const Replica &replica, const ReplicaQuery &query, double fastestMs,
-                            Instant now)
+                            Instant now) const
 {
     const bool isKnown
         = replica.load && now - replica.loadAt <= sLoadFresh && !replica.load->isLinkSlow;
@@ -298,6 +329,12 @@
     return state >> 33;
 }
 
+// From 0 up to 1.
+double unitRandom(std::uint64_t &state)
+{
+    return static_cast<double>(nextRandom(state)) / sRandomSteps;
+}
+
 // Moves @p count random ones to the front.
 void shuffleFront(std::vector<const Replica *> &replicas, std::size_t count, std::uint64_t random)
 {
@@ -310,44 +347,123 @@
 
 } // namespace
 
+void ReplicaSet::noteCall(std::string_view service, Milliseconds goal, Instant now)
+{
+    RecentCalls &calls = mCalls.try_emplace(std::string(service)).first->second;
+    const double ms = std::chrono::duration<double, std::milli>(now - calls.at).count();
+    const double kept = std::exp2(-ms / sCallsHalfMs);
+    calls.count = calls.count * kept + 1;
+    for (auto &[other, count] : calls.byGoal) {
+        count *= kept;
+    }
+    calls.byGoal[goal] += 1;
+    calls.at = now;
+}
+
+// The shortest goal that a fair part of the calls has.
+Milliseconds ReplicaSet::shortestGoal(std::string_view service) const
+{
+    const auto it = mCalls.find(service);
+    if (it == mCalls.end()) {
+        return Milliseconds::max();
+    }
+    for (const auto &[goal, count] : it->second.byGoal) {
+        if (goal.count() > 0 && count > it->second.count * sFairPart) {
+            return goal;
+        }
+    }
+    return Milliseconds::max();
+}
+
+double ReplicaSet::callsPerMs(std::string_view service, Instant now) const
+{
+    const auto it = mCalls.find(service);
+    if (it == mCalls.end()) {
+        return 0;
+    }
+    const double ms = std::chrono::duration<double, std::milli>(now - it->second.at).count();
+    const double kept = it->second.count * std::exp2(-ms / sCallsHalfMs);
+    // A steady rate r adds up to r x half-life / ln 2.
+    return kept * std::numbers::ln2 / sCallsHalfMs;
+}
+
 // All gateways know the same loads, each a little old. If everyone took the
-// best, one replica that comes back empty would get all requests of a tenth of
-// a second, and would read prompts for the next whole second. So each takes the
-// best of a few.
+// best replica, one that has a place free would get all requests until its next
+// report. So the requests that are expected until then are spread as would
+// level the loads, and each goes to one replica by chance, in that proportion.
+const ReplicaSet::Candidate *ReplicaSet::pickLevelled(std::span<const Candidate> candidates,
+                                                      double requests, double random)
+{
+    std::vector<LevelledPlace> places;
+    places.reserve(candidates.size());
+    for (const Candidate &candidate : candidates) {
+        places.push_back({candidate.offer.cost, std::max(candidate.offer.step, 1.0)});
+    }
+    const std::vector<double> shares = levelShares(places, requests);
+    double left = requests * random;
+    const Candidate *last = nullptr;
+    for (std::size_t index = 0; index < candidates.size(); ++index) {
+        if (shares[index] <= 0) {
+            continue;
+        }
+        last = &candidates[index];
+        left -= shares[index];
+        if (left < 0) {
+            break;
+        }
+    }
+    return last;
+}
+
 ReplicaChoice ReplicaSet::choose(const ReplicaQuery &query, Instant now) const
 {
     const double fastest = fastestAnswerMs(query, now);
     std::vector<const Replica *> usable = usableFor(query, fastest, now);
     shuffleFront(usable, usable.size(), query.random);
     const std::size_t sample = query.engine == nullptr ? usable.size() : sSample;
-    const Replica *prompt = nullptr;
-    const Replica *patient = nullptr;
-    Offer promptOffer;
-    Offer patientOffer;
+    std::vector<Candidate> prompt;
+    std::vector<Candidate> patient;
     double leastLoad = -1;
-    for (std::size_t index = 0; index < usable.size(); ++index) {
-        if (index >= sample && prompt != nullptr) {
+    double gaps = 0;
+    double room = 0;
+    double freePlaces = 0;
+    std::size_t looked = 0;
+    for (const Replica *replica : usable) {
+        if (looked >= sample && !prompt.empty()) {
             break;
         }
-        const Offer offer = offerOf(*usable[index], query, fastest, now);
+        ++looked;
+        const Offer offer = offerOf(*replica, query, fastest, now);
+        gaps += replica->reportGapMs > 0 ? replica->reportGapMs : sUsualGapMs;
+        room += offer.room;
+        freePlaces += offer.freePlaces;
         leastLoad = leastLoad < 0 ? offer.load : std::min(leastLoad, offer.load);
-        if (offer.isPrompt && (prompt == nullptr || offer.cost < promptOffer.cost)) {
-            prompt = usable[index];
-            promptOffer = offer;
+        if (offer.isPrompt) {
+            prompt.push_back({replica, offer});
         }
-        if (offer.isOpen && (patient == nullptr || offer.cost < patientOffer.cost)) {
-            patient = usable[index];
-            patientOffer = offer;
+        if (offer.isOpen) {
+            patient.push_back({replica, offer});
         }
     }
-    const bool isPatient = prompt == nullptr && query.mayBePatient;
-    const Replica *chosen = isPatient ? patient : prompt;
-    if (chosen != nullptr) {
-        const Offer &offer = isPatient ? patientOffer : promptOffer;
-        const auto age = chosen->load
-            ? std::chrono::duration_cast<Milliseconds>(now - chosen->loadAt)
+    double expected = sLeastLevelled;
+    if (query.engine != nullptr && looked > 0) {
+        // Calls at all gateways until the next reports, for the part that was looked at.
+        const double calls = callsPerMs(query.service, now) * std::max(query.entries, 1U) * gaps
+            / static_cast<double>(usable.size());
+        expected = std::max(expected, calls);
+    }
+    std::uint64_t state = query.random ^ sOtherDraws;
+    const double chance = unitRandom(state);
+    const bool isPrompt = !prompt.empty() && (query.engine == nullptr || chance * expected < room);
+    const bool isPatient = !isPrompt && (query.isResumed || freePlaces > expected);
+    const std::vector<Candidate> &candidates = isPrompt ? prompt : patient;
+    if ((isPrompt || isPatient) && !candidates.empty()) {
+        const Candidate *chosen = pickLevelled(candidates, expected, unitRandom(state));
+        const auto age = chosen->replica->load
+            ? std::chrono::duration_cast<Milliseconds>(now - chosen->replica->loadAt)
             : Milliseconds(-1);
-        return ChosenReplica{chosen->record.id, isPatient, offer.load, age, offer.answer};
+        return ChosenReplica{chosen->replica->record.id, isPatient, chosen->offer.load, age,
+                             chosen->offer.answer};
     }
     if (usable.empty()) {
         const auto known = std::ranges::count_if(mReplicas, [&](const auto &item) {
--- a/src/libloomjunction/core/replicaset.h
+++ b/src/libloomjunction/core/replicaset.h
@@ -69,6 +69,7 @@
     std::uint32_t inFlight = 0; ///< sent by this entry and not ended
     std::optional<ReplicaLoad> load; ///< what its agent said last
     Instant loadAt;
+    double reportGapMs = 0; ///< smoothed time between two reports of its agent
     std::uint32_t startedSince = 0; ///< by this entry since the agent spoke
     std::uint32_t endedSince = 0; ///< of those, and of earlier ones
     std::uint32_t awaiting = 0; ///< sent by this entry, without a first byte of an answer
@@ -94,10 +95,10 @@
     /** Older weights are over soon: they run only what begins at once. */
     std::uint64_t soonLeastVersion = 0;
     std::uint32_t entries = 1; ///< that share the replicas
-    /** Waited before, somewhere: goes before others, and waits rather than be refused. */
-    bool isReturning = false;
-    /** May be sent to be answered after the goal, behind all that can still meet it. */
-    bool mayBePatient = false;
+    /** Since the caller first tried, here or elsewhere; the goal counts from then. */
+    Milliseconds waited{0};
+    /** The caller has the beginning of its answer and waits for the rest. */
+    bool isResumed = false;
     std::span<const std::string> excluded; ///< ids
     std::uint64_t random = 0;
 };
@@ -149,6 +150,8 @@
 
     ReplicaChoice choose(const ReplicaQuery &query, Instant now) const;
 
+    /** A caller's request for @p service came. */
+    void noteCall(std::string_view service, Milliseconds goal, Instant now);
     void began(std::string_view id, bool isPatient);
     /** The answer or its first event came, @p took after the request was sent. */
     void answerBegan(std::string_view id, bool isPatient, Microseconds took);
@@ -168,7 +171,10 @@
     {
         double answer = 0; ///< expected time to an answer or a first event
         double cost = 0; ///< of choosing it, for comparison
+        double step = 1; ///< by which one more request raises the cost
         double load = 0; ///< requests ahead, for each slot
+        double room = 0; ///< further requests that it could take within the goal
+        double freePlaces = 0; ///< slots that nobody runs in or waits for
         bool isPrompt = false; ///< it meets the goal
         bool isOpen = false; ///< it takes a request that misses the goal
     };
@@ -179,18 +185,37 @@
     static bool isSlow(const Replica &replica, const ReplicaQuery &query, double fastestMs);
     static Milliseconds comeBack(const ReplicaQuery &query, double leastLoad);
     double fastestAnswerMs(const ReplicaQuery &query, Instant now) const;
-    static EngineWork workOf(const Replica &replica, const ReplicaQuery &query, Instant now);
-    static bool beginsSoon(const Replica &replica, const ReplicaQuery &query, double fastestMs,
-                           Instant now);
+    EngineWork workOf(const Replica &replica, const ReplicaQuery &query, Instant now) const;
+    bool beginsSoon(const Replica &replica, const ReplicaQuery &query, double fastestMs,
+                    Instant now) const;
     static std::uint32_t patientRequests(const Replica &replica, Instant now);
-    static Offer offerOf(const Replica &replica, const ReplicaQuery &query, double fastestMs,
-                         Instant now);
-    static Offer engineOffer(const Replica &replica, const ReplicaQuery &query, Instant now);
+    Offer offerOf(const Replica &replica, const ReplicaQuery &query, double fastestMs,
+                  Instant now) const;
+    Offer engineOffer(const Replica &replica, const ReplicaQuery &query, Instant now) const;
     static Offer plainOffer(const Replica &replica, const ReplicaQuery &query);
+    /** What this gateway was asked for a service of late, halved again and again. */
+    struct RecentCalls
+    {
+        double count = 0;
+        std::map<Milliseconds, double> byGoal;
+        Instant at;
+    };
+
+    struct Candidate
+    {
+        const Replica *replica = nullptr;
+        Offer offer;
+    };
+
+    Milliseconds shortestGoal(std::string_view service) const;
+    double callsPerMs(std::string_view service, Instant now) const;
+    static const Candidate *pickLevelled(std::span<const Candidate> candidates, double requests,
+                                         double random);
     std::vector<const Replica *> usableFor(const ReplicaQuery &query, double fastestMs,
                                            Instant now) const;
 
     Milliseconds mDrainTime;
+    std::map<std::string, RecentCalls, std::less<>> mCalls; ///< by service
     std::map<std::string, Replica, std::less<>> mReplicas;
 };
 
--- a/src/libloomjunction/gateway/gatewaycall.cpp
+++ b/src/libloomjunction/gateway/gatewaycall.cpp
@@ -136,7 +136,9 @@
     mServiceName = target->service;
     mService = mTable->service(mServiceName);
     const Milliseconds routeTime = mRoute->timeout.count() > 0 ? mRoute->timeout : sStandardTime;
-    mIsReturning = mCaller.deadline && mParts.replicas.hasWaited(mRoute->name, *mCaller.deadline);
+    if (mCaller.deadline) {
+        mWaitedBefore = mParts.replicas.waitedBefore(mRoute->name, *mCaller.deadline);
+    }
     mDeadline = mArrived + std::min(routeTime, mCaller.deadline.value_or(routeTime));
     return std::nullopt;
 }
@@ -198,9 +200,8 @@
     query.entries = mParts.members.gatewayCount();
     query.excluded = mExcluded;
     query.random = mRandom + mSends;
-    // Whoever has an answer's beginning already must not wait for the rest.
-    query.isReturning = mIsReturning || mIsHeadSent;
-    query.mayBePatient = mIsReturning || mIsHeadSent || !mParts.replicas.maySendAway(mServiceName);
+    query.waited = mWaitedBefore + std::chrono::duration_cast<Milliseconds>(now() - mArrived);
+    query.isResumed = mIsHeadSent;
     if (mService != nullptr && mService->engine) {
         query.engine = &*mService->engine;
         const WeightsGoal &weights = mParts.config.weights();
@@ -212,7 +213,7 @@
 
 awaitable<void> GatewayCall::tryReplicas()
 {
-    mParts.replicas.noteRequest(mServiceName);
+    mParts.replicas.noteRequest(mServiceName, mRoute->goal);
     Refusal last{503, "no replica can take it", sNoReplicaComeBack};
     std::optional<TryUnknown> unknown;
     while (true) {
@@ -221,7 +222,6 @@
         if (chosen == nullptr) {
             if (const auto *busy = std::get_if<AllBusy>(&choice); busy && mExcluded.empty()) {
                 last = {503, "all replicas are busy", busy->comeBack};
-                mParts.replicas.noteSentAway(mServiceName);
             }
             break;
         }
@@ -349,9 +349,9 @@
     fields.account = mAccount;
     fields.lastEvent = mLastEvent ? mLastEvent : mCaller.lastEvent;
     if (mService != nullptr && mService->engine) {
-        fields.urgency = mIsPatient       ? Urgency::Patient
-            : mIsReturning || mIsHeadSent ? Urgency::Returning
-                                          : Urgency::Prompt;
+        fields.urgency = mIsHeadSent ? Urgency::Resumed
+            : mIsPatient             ? Urgency::Patient
+                                     : Urgency::Prompt;
         const Replica *replica = mParts.replicas.replicas().find(replicaId);
         const std::uint64_t newest = mParts.config.weights().newest(mCaller.model);
         // An older version may change under the request, and either may run it.
@@ -587,7 +587,8 @@
              {"loadAgeMs", mTriedLoadAge.count()},
              {"predictedMs", std::lround(mPredictedMs)},
              {"patient", mWasPatient},
-             {"returning", mIsReturning},
+             {"waitedBeforeMs", mWaitedBefore.count()},
+             {"deadlineMs", mCaller.deadline ? mCaller.deadline->count() : -1},
              {"firstMs", mFirstAnswer ? mFirstAnswer->count() : -1},
              {"tookMs", took.count()}});
 }
--- a/src/libloomjunction/gateway/gatewaycall.h
+++ b/src/libloomjunction/gateway/gatewaycall.h
@@ -125,7 +125,7 @@
     std::shared_ptr<bool> mAlive = std::make_shared<bool>(true);
     bool mIsCallerGone = false;
     bool mIsHeadSent = false;
-    bool mIsReturning = false; ///< the caller has waited before
+    Milliseconds mWaitedBefore{0}; ///< since the caller's first try, by the time it has left
     bool mIsPatient = false; ///< the try under way was sent as patient
     bool mIsAwaiting = false; ///< the try under way has no answer yet
     Instant mSentAt;
--- a/src/libloomjunction/gateway/ports.h
+++ b/src/libloomjunction/gateway/ports.h
@@ -111,7 +111,7 @@
 /** Which of the requests that wait at a replica it takes first. */
 enum class Urgency : std::uint8_t
 {
-    Returning, ///< was refused once
+    Resumed, ///< the rest of an answer that the caller has begun to read
     Prompt,
     Patient, ///< its goal is missed already
 };
--- a/src/libloomjunction/gateway/replicaservice.cpp
+++ b/src/libloomjunction/gateway/replicaservice.cpp
@@ -33,12 +33,6 @@
 // Of a replica's connections; the rest is for entries that this one cannot see.
 constexpr double sConnectionsUsed = 0.8;
 constexpr double sPermille = 1'000;
-// How far back "of late" reaches: about as long as it takes to come back twice.
-constexpr double sRecentHalfSeconds = 1.0;
-// Of the requests; more would find others before them when they return.
-constexpr double sMostSentAway = 0.12;
-// A caller that tries again has at least this much less time than at first.
-constexpr Milliseconds sWaitedNoticeable{50};
 
 } // namespace
 
@@ -170,39 +164,17 @@
     it->second->send(count);
 }
 
-ReplicaService::RecentCalls &ReplicaService::recent(const std::string &service)
-{
-    RecentCalls &recent = mRecent[service];
-    const double seconds = std::chrono::duration<double>(now() - recent.at).count();
-    const double kept = std::exp2(-seconds / sRecentHalfSeconds);
-    recent.requests *= kept;
-    recent.sentAway *= kept;
-    recent.at = now();
-    return recent;
-}
-
-void ReplicaService::noteRequest(const std::string &service)
+void ReplicaService::noteRequest(const std::string &service, Milliseconds goal)
 {
     budget(service).noteRequest(now());
-    recent(service).requests += 1;
-}
-
-void ReplicaService::noteSentAway(const std::string &service)
-{
-    recent(service).sentAway += 1;
-}
-
-bool ReplicaService::maySendAway(const std::string &service)
-{
-    const RecentCalls &calls = recent(service);
-    return calls.sentAway < calls.requests * sMostSentAway;
+    mReplicas.noteCall(service, goal, now());
 }
 
-bool ReplicaService::hasWaited(const std::string &route, Milliseconds deadline)
+Milliseconds ReplicaService::waitedBefore(const std::string &route, Milliseconds timeLeft)
 {
     Milliseconds &longest = mLongestDeadline[route];
-    longest = std::max(longest, deadline);
-    return deadline < longest - sWaitedNoticeable;
+    longest = std::max(longest, timeLeft);
+    return longest - timeLeft;
 }
 
 SharedRetryBudget &ReplicaService::budget(const std::string &service)
--- a/src/libloomjunction/gateway/replicaservice.h
+++ b/src/libloomjunction/gateway/replicaservice.h
@@ -47,13 +47,9 @@
 
     ReplicaSet &replicas() { return mReplicas; }
     /** A caller's request for @p service came. */
-    void noteRequest(const std::string &service);
-    /** A request that found all replicas busy was told to come back. */
-    void noteSentAway(const std::string &service);
-    /** Few were sent away of late: those who return will find room. */
-    bool maySendAway(const std::string &service);
-    /** Whether a caller of @p route with so much time left had more before. */
-    bool hasWaited(const std::string &route, Milliseconds deadline);
+    void noteRequest(const std::string &service, Milliseconds goal);
+    /** How long ago a caller of @p route with so much time left tried first. */
+    Milliseconds waitedBefore(const std::string &route, Milliseconds timeLeft);
 
     void began(const std::string &id, bool isPatient);
     void answerBegan(const std::string &id, bool isPatient, Microseconds took);
@@ -74,16 +70,7 @@
         std::uint32_t open = 0; ///< idle and in use
     };
 
-    /** What one service was asked of late, halved again and again. */
-    struct RecentCalls
-    {
-        double requests = 0;
-        double sentAway = 0;
-        Instant at;
-    };
-
     SharedRetryBudget &budget(const std::string &service);
-    RecentCalls &recent(const std::string &service);
     void tellPatient(const std::string &id);
     void take(const FeedChange &change);
     awaitable<void> takeLoads(PeerStreamPtr stream);
@@ -99,7 +86,6 @@
     ReplicaSet mReplicas;
     std::map<std::string, Pool> mPools; ///< by replica id
     std::map<std::string, SharedRetryBudget> mBudgets;
-    std::map<std::string, RecentCalls> mRecent;
     std::map<std::string, Milliseconds> mLongestDeadline; ///< by route
     std::map<std::string, PeerStreamPtr> mLoadStreams; ///< by replica address
     bool mStopped = false;
