Chunks are owned evenly, and owners that bring none are stepped in for soon

The origin died 2.5 s after a version was named, and some members' chunks had not been pulled by then: plain rendezvous gives some boxes 7 of 64 chunks and others 1, a box that was cut off kept its five for 3 s, and one spoilt copy was tried again after 400 ms only.

Change: every member owns as many chunks as the others; an owner that brought none when the active owners brought most is stepped in for; a failed pull is tried again after 25 ms, doubled up to 400; the rest of the chunks is late a quarter, no longer a half, after most turned up.

--- a/src/libloomjunction/core/chunkplan.cpp
+++ b/src/libloomjunction/core/chunkplan.cpp
@@ -21,9 +21,20 @@
 constexpr double sStallGaps = 10;
 // Of the chunks, before the rest counts as late.
 constexpr double sMostFound = 0.75;
+// Of the chunks, whose owners must have brought some before others seem silent.
+constexpr double sLeastActive = 0.5;
 constexpr double sGapWeight = 0.1;
 constexpr Microseconds sLeastTakeover{500'000};
-constexpr Milliseconds sOriginRetry{400};
+// Of the time that most chunks took: not there so much later, the rest is late.
+constexpr int sLatePart = 4;
+// Of the time that most chunks took: silent for so much longer, an owner is late.
+constexpr int sSilentPart = 8;
+// Until a chunk that came to any member is known of, at most.
+constexpr Microseconds sNewsTime{250'000};
+// After the first failure of a pull, which may be a spoilt copy that the next one
+// puts right, and the most after doubling, for an origin that is dead.
+constexpr Milliseconds sOriginRetry{25};
+constexpr Milliseconds sMostOriginRetry{400};
 constexpr Milliseconds sBusyPause{20};
 constexpr Milliseconds sMissingPause{200};
 constexpr Milliseconds sGonePause{2'000};
@@ -48,6 +59,22 @@
     return sGonePause;
 }
 
+// The place of @p self among those who take @p key: the owner, then by weight.
+std::uint32_t rankOf(std::string_view key, std::span<const std::string> boxes, std::size_t owner,
+                     std::string_view self)
+{
+    if (boxes[owner] == self) {
+        return 0;
+    }
+    const std::uint64_t own = rendezvousWeight(key, self);
+    std::uint32_t rank = 1;
+    for (std::size_t other = 0; other < boxes.size(); ++other) {
+        const bool isBefore = other != owner && rendezvousWeight(key, boxes[other]) > own;
+        rank += isBefore ? 1 : 0;
+    }
+    return rank;
+}
+
 } // namespace
 
 ChunkPlan::ChunkPlan(std::string_view manifestDigest, std::uint32_t chunkCount, SwarmMember self,
@@ -86,18 +113,28 @@
 
 void ChunkPlan::rankChunks()
 {
+    std::vector<std::string> keys;
+    keys.reserve(mChunks.size());
+    for (std::uint32_t index = 0; index < mChunks.size(); ++index) {
+        keys.push_back(mDigest + "#" + std::to_string(index));
+    }
+    std::vector<std::string> boxes;
+    std::vector<std::string> near;
+    for (const SwarmMember &member : mMembers) {
+        boxes.push_back(member.box);
+        if (member.dataCentre == mSelf.dataCentre) {
+            near.push_back(member.box);
+        }
+    }
+    const std::vector<std::size_t> owners = evenOwners(keys, boxes);
+    const std::vector<std::size_t> importers = evenOwners(keys, near);
+    mFoundOf.assign(mMembers.size(), 0);
     for (std::uint32_t index = 0; index < mChunks.size(); ++index) {
-        const std::string key = mDigest + "#" + std::to_string(index);
-        const std::uint64_t own = rendezvousWeight(key, mSelf.box);
-        const auto isBefore = [&](const SwarmMember &member) {
-            return member.box != mSelf.box && rendezvousWeight(key, member.box) > own;
-        };
-        mChunks[index].originRank
-            = static_cast<std::uint32_t>(std::ranges::count_if(mMembers, isBefore));
-        mChunks[index].importRank = static_cast<std::uint32_t>(
-            std::ranges::count_if(mMembers, [&](const SwarmMember &member) {
-                return member.dataCentre == mSelf.dataCentre && isBefore(member);
-            }));
+        Chunk &chunk = mChunks[index];
+        chunk.owner = static_cast<std::uint32_t>(owners[index]);
+        chunk.originRank = rankOf(keys[index], boxes, owners[index], mSelf.box);
+        chunk.importRank = rankOf(keys[index], near, importers[index], mSelf.box);
+        mFoundOf[chunk.owner] += chunk.wasFound ? 1 : 0;
     }
 }
 
@@ -257,21 +294,57 @@
         return true;
     }
     const std::uint32_t turn = chunk.originRank / mOptions.originCopies;
-    return chunk.holders == 0 && isOverdueAtOrigin(turn, now);
+    return chunk.holders == 0 && isOverdueAtOrigin(chunk, turn, now);
+}
+
+// All members own about as many chunks and share the origin's link: whoever
+// brought none a while after the others were nearly done cannot reach the
+// origin, or is gone.
+std::optional<Instant> ChunkPlan::silentSince(const Chunk &chunk) const
+{
+    if (!mOwnShareAt || !mSharesFoundAt || mFoundOf[chunk.owner] > 0) {
+        return std::nullopt;
+    }
+    const Instant done = std::max(*mOwnShareAt, *mSharesFoundAt);
+    return done + (done - mBegun) / sSilentPart;
+}
+
+// Whether the owners that brought any chunk have brought most of theirs.
+bool ChunkPlan::areSharesFound() const
+{
+    const auto isOfActive = [&](const Chunk &chunk) { return mFoundOf[chunk.owner] > 0; };
+    const auto active = static_cast<double>(std::ranges::count_if(mChunks, isOfActive));
+    const double least = sLeastActive * static_cast<double>(mChunks.size());
+    return active >= least && mFoundCount >= sMostFound * active;
+}
+
+void ChunkPlan::noteOwnShare(Instant now)
+{
+    const auto isOwn = [](const Chunk &chunk) { return chunk.originRank == 0; };
+    const auto isOpen = [&](const Chunk &chunk) {
+        return isOwn(chunk) && chunk.state != State::Have;
+    };
+    if (!mOwnShareAt && std::ranges::any_of(mChunks, isOwn)
+        && std::ranges::none_of(mChunks, isOpen)) {
+        mOwnShareAt = now;
+    }
 }
 
 // The responsible members may be dead or stalled: later ones step in one after
 // the other. While chunks still turn up, a new one puts all that off, so that an
 // origin that merely is slow is asked for nothing twice. Once most have turned
 // up, the rest is late by the time that these took, each chunk for itself.
-bool ChunkPlan::isOverdueAtOrigin(std::uint32_t turn, Instant now) const
+bool ChunkPlan::isOverdueAtOrigin(const Chunk &chunk, std::uint32_t turn, Instant now) const
 {
+    if (const auto silent = silentSince(chunk)) {
+        return now - *silent >= sNewsTime * static_cast<int>(turn);
+    }
     if (!mMostFoundAt) {
         return now - mLastFound >= takeoverAfter() * static_cast<int>(turn);
     }
     const Microseconds most = *mMostFoundAt - mBegun;
     const Microseconds step = std::clamp<Microseconds>(most, sLeastTakeover, mOptions.takeover);
-    const Microseconds due = std::max<Microseconds>(most + most / 2, sLeastTakeover);
+    const Microseconds due = std::max<Microseconds>(most + most / sLatePart, sLeastTakeover);
     return now - mBegun >= due + step * static_cast<int>(turn - 1);
 }
 
@@ -283,6 +356,10 @@
     }
     chunk.wasFound = true;
     ++mFoundCount;
+    ++mFoundOf[chunk.owner];
+    if (!mSharesFoundAt && areSharesFound()) {
+        mSharesFoundAt = now;
+    }
     if (!mMostFoundAt && mFoundCount >= sMostFound * static_cast<double>(mChunks.size())) {
         mMostFoundAt = now;
     }
@@ -416,6 +493,7 @@
     const bool isFirst = mMeanGapMicroseconds <= 0;
     mMeanGapMicroseconds += (isFirst ? 1.0 : sGapWeight) * (gap - mMeanGapMicroseconds);
     mLastProgress = now;
+    noteOwnShare(now);
     if (std::holds_alternative<FromOrigin>(source)) {
         noteFound(mChunks[index], now);
     }
@@ -431,7 +509,9 @@
     }
     const auto *fromPeer = std::get_if<FromPeer>(&source);
     if (fromPeer == nullptr) {
-        chunk.originRetryAt = now + sOriginRetry;
+        const auto doubled = sOriginRetry * (1 << std::min(chunk.originFailures, 10U));
+        chunk.originRetryAt = now + std::min<Milliseconds>(doubled, sMostOriginRetry);
+        ++chunk.originFailures;
         return;
     }
     const auto it = mPeers.find(fromPeer->box);
--- a/src/libloomjunction/core/chunkplan.h
+++ b/src/libloomjunction/core/chunkplan.h
@@ -141,11 +141,13 @@
     struct Chunk
     {
         State state = State::Missing;
-        std::uint32_t originRank = 0; ///< our place in the rendezvous order of this chunk
+        std::uint32_t owner = 0; ///< the member that pulls it from the origin, by index
+        std::uint32_t originRank = 0; ///< our place among those who step in; zero: the owner
         std::uint32_t importRank = 0; ///< our place among the members of our data centre
         std::uint32_t holders = 0; ///< neighbours known to have it
         std::uint32_t tieBreak = 0;
         Instant originRetryAt;
+        std::uint32_t originFailures = 0; ///< in a row
         bool wasFound = false;
         Instant heldSince; ///< when a neighbour was first known to have it
     };
@@ -167,7 +169,10 @@
     void planPeers(std::vector<ChunkFetch> &out, Instant now);
     Microseconds takeoverAfter() const;
     void noteFound(Chunk &chunk, Instant now);
-    bool isOverdueAtOrigin(std::uint32_t turn, Instant now) const;
+    bool isOverdueAtOrigin(const Chunk &chunk, std::uint32_t turn, Instant now) const;
+    std::optional<Instant> silentSince(const Chunk &chunk) const;
+    bool areSharesFound() const;
+    void noteOwnShare(Instant now);
     bool mayImport(const Chunk &chunk, Instant now) const;
     bool mayPullFromOrigin(const Chunk &chunk, Instant now) const;
     std::optional<std::string> bestHolder(std::uint32_t index, Instant now) const;
@@ -179,6 +184,7 @@
     std::vector<Chunk> mChunks;
     std::vector<SwarmMember> mMembers;
     std::map<std::string, Peer, std::less<>> mPeers;
+    std::vector<std::uint32_t> mFoundOf; ///< chunks that turned up, by their owner's index
     std::uint32_t mHaveCount = 0;
     std::uint32_t mOpenOrigin = 0;
     std::uint32_t mOpenPeers = 0;
@@ -186,6 +192,8 @@
     Instant mBegun;
     Instant mLastFound; ///< when one came or was first held by a neighbour
     std::uint32_t mFoundCount = 0; ///< chunks that came, or that a neighbour ever held
+    std::optional<Instant> mOwnShareAt; ///< when all chunks that are ours had come
+    std::optional<Instant> mSharesFoundAt; ///< when most of the active owners' chunks had turned up
     std::optional<Instant> mMostFoundAt; ///< when that was most of them
     double mMeanGapMicroseconds = 0; ///< smoothed, between chunks that came
     std::mt19937_64 mRandom;
--- a/src/libloomjunction/core/rendezvous.cpp
+++ b/src/libloomjunction/core/rendezvous.cpp
@@ -42,4 +42,35 @@
     return order;
 }
 
+// Plain rendezvous gives some nodes several times the even share, and what they
+// own is done last: chunks of 64 for 20 boxes, up to 7 to one.
+std::vector<std::size_t> evenOwners(std::span<const std::string> keys,
+                                    std::span<const std::string> nodes)
+{
+    std::vector<std::size_t> owners;
+    if (nodes.empty()) {
+        return owners;
+    }
+    const std::size_t least = keys.size() / nodes.size();
+    std::vector<std::size_t> owned(nodes.size());
+    owners.reserve(keys.size());
+    for (const std::string &key : keys) {
+        // The last keys, fewer than nodes, go to one more each.
+        const std::size_t most = owners.size() < least * nodes.size() ? least : least + 1;
+        std::size_t best = nodes.size();
+        std::uint64_t bestWeight = 0;
+        for (std::size_t node = 0; node < nodes.size(); ++node) {
+            const std::uint64_t weight = rendezvousWeight(key, nodes[node]);
+            const bool isBetter = best == nodes.size() || weight > bestWeight;
+            if (owned[node] < most && isBetter) {
+                best = node;
+                bestWeight = weight;
+            }
+        }
+        ++owned[best];
+        owners.push_back(best);
+    }
+    return owners;
+}
+
 } // namespace Loom
--- a/src/libloomjunction/core/rendezvous.h
+++ b/src/libloomjunction/core/rendezvous.h
@@ -24,4 +24,12 @@
 std::vector<std::size_t> rendezvousOrder(std::string_view key, std::span<const std::string> nodes,
                                          std::size_t count);
 
+/**
+ * The owner of each of @p keys as an index of @p nodes: the heaviest node that
+ * does not own its even share yet. The same for the same lists in the same
+ * order; a node that comes or goes moves few keys beyond its own.
+ */
+std::vector<std::size_t> evenOwners(std::span<const std::string> keys,
+                                    std::span<const std::string> nodes);
+
 } // namespace Loom
--- a/src/libloomjunction/core/replicaset.cpp
+++ b/src/libloomjunction/core/replicaset.cpp
@@ -132,10 +132,10 @@
     for (auto &[id, replica] : mReplicas) {
         if (replica.record.address == address) {
             if (replica.load) {
-                const double gap = std::chrono::duration<double, std::milli>(now - replica.loadAt)
-                                       .count();
-                replica.reportGapMs += (replica.reportGapMs == 0 ? 1.0 : sSmoothing)
-                    * (gap - replica.reportGapMs);
+                const double gap
+                    = std::chrono::duration<double, std::milli>(now - replica.loadAt).count();
+                replica.reportGapMs
+                    += (replica.reportGapMs == 0 ? 1.0 : sSmoothing) * (gap - replica.reportGapMs);
             }
             replica.load = load;
             replica.loadAt = now;
@@ -212,8 +212,7 @@
 
 // What the agent said, corrected by what this gateway did since. Without its
 // agent, the others are taken to send as much as this gateway.
-EngineWork ReplicaSet::workOf(const Replica &replica, const ReplicaQuery &query,
-                              Instant now) const
+EngineWork ReplicaSet::workOf(const Replica &replica, const ReplicaQuery &query, Instant now) const
 {
     EngineWork work;
     if (!replica.load || now - replica.loadAt > sLoadValid) {
