Stragglers of the chunks are pulled once more; lateness is told by cause

Three members step in for a straggler, one after the other.

Gateways now log and count lateness by cause and the longest pause.

--- a/src/libloomjunction/core/chunkplan.cpp
+++ b/src/libloomjunction/core/chunkplan.cpp
@@ -29,6 +29,10 @@
 constexpr int sLatePart = 4;
 // Of the time that most chunks took: silent for so much longer, an owner is late.
 constexpr int sSilentPart = 8;
+// Of the chunks: with so many here, the rest are stragglers.
+constexpr double sTailPart = 0.85;
+// Members that ask the origin for a straggler, one after the other.
+constexpr std::uint32_t sMostStepIn = 3;
 // Until a chunk that came to any member is known of, at most.
 constexpr Microseconds sNewsTime{250'000};
 // After the first failure of a pull, which may be a spoilt copy that the next one
@@ -321,9 +325,8 @@
 void ChunkPlan::noteOwnShare(Instant now)
 {
     const auto isOwn = [](const Chunk &chunk) { return chunk.originRank == 0; };
-    const auto isOpen = [&](const Chunk &chunk) {
-        return isOwn(chunk) && chunk.state != State::Have;
-    };
+    const auto isOpen
+        = [&](const Chunk &chunk) { return isOwn(chunk) && chunk.state != State::Have; };
     if (!mOwnShareAt && std::ranges::any_of(mChunks, isOwn)
         && std::ranges::none_of(mChunks, isOpen)) {
         mOwnShareAt = now;
@@ -375,13 +378,32 @@
     return now - chunk.heldSince >= takeoverAfter() * static_cast<int>(chunk.importRank);
 }
 
+// Whoever holds the last chunks may be on a link of a tenth of the others'
+// bandwidth, and all would wait for it: seconds, where the origin needs some
+// dozens of milliseconds. Few step in, so that few chunks are sent twice.
+bool ChunkPlan::isStraggler(const Chunk &chunk, Instant now) const
+{
+    const bool isOpen = chunk.state != State::Have && !chunk.isAskedOfOrigin;
+    const bool isTail = mHaveCount >= sTailPart * static_cast<double>(mChunks.size());
+    const bool mayStepIn = mOptions.policy == FetchPolicy::Swarm && chunk.originRank >= 1
+        && chunk.originRank <= sMostStepIn && chunk.originRetryAt <= now;
+    if (!isOpen || !isTail || !mayStepIn || chunk.holders == 0) {
+        return false;
+    }
+    const Microseconds stalled = now - mLastProgress;
+    const Microseconds patience
+        = std::max<Microseconds>((mLastProgress - mBegun) / sSilentPart, sNewsTime);
+    return stalled >= patience * static_cast<int>(chunk.originRank);
+}
+
 void ChunkPlan::planOrigin(std::vector<ChunkFetch> &out, Instant now)
 {
     // The rarest first here too: a chunk that a neighbour holds can wait.
     std::vector<std::uint32_t> wanted;
     for (std::uint32_t index = 0; index < mChunks.size(); ++index) {
         const Chunk &chunk = mChunks[index];
-        if (chunk.state == State::Missing && mayPullFromOrigin(chunk, now)) {
+        const bool isDue = chunk.state == State::Missing && mayPullFromOrigin(chunk, now);
+        if (isDue || isStraggler(chunk, now)) {
             wanted.push_back(index);
         }
     }
@@ -393,6 +415,7 @@
             return;
         }
         mChunks[index].state = State::Asked;
+        mChunks[index].isAskedOfOrigin = true;
         ++mOpenOrigin;
         out.push_back({index, FromOrigin{}});
     }
@@ -507,6 +530,8 @@
     if (chunk.state == State::Asked) {
         chunk.state = State::Missing;
     }
+    const bool wasOrigin = std::holds_alternative<FromOrigin>(source);
+    chunk.isAskedOfOrigin = chunk.isAskedOfOrigin && !wasOrigin;
     const auto *fromPeer = std::get_if<FromPeer>(&source);
     if (fromPeer == nullptr) {
         const auto doubled = sOriginRetry * (1 << std::min(chunk.originFailures, 10U));
--- a/src/libloomjunction/core/chunkplan.h
+++ b/src/libloomjunction/core/chunkplan.h
@@ -148,6 +148,7 @@
         std::uint32_t tieBreak = 0;
         Instant originRetryAt;
         std::uint32_t originFailures = 0; ///< in a row
+        bool isAskedOfOrigin = false;
         bool wasFound = false;
         Instant heldSince; ///< when a neighbour was first known to have it
     };
@@ -172,6 +173,7 @@
     bool isOverdueAtOrigin(const Chunk &chunk, std::uint32_t turn, Instant now) const;
     std::optional<Instant> silentSince(const Chunk &chunk) const;
     bool areSharesFound() const;
+    bool isStraggler(const Chunk &chunk, Instant now) const;
     void noteOwnShare(Instant now);
     bool mayImport(const Chunk &chunk, Instant now) const;
     bool mayPullFromOrigin(const Chunk &chunk, Instant now) const;
--- a/src/libloomjunction/core/replicaset.cpp
+++ b/src/libloomjunction/core/replicaset.cpp
@@ -59,6 +59,9 @@
 constexpr std::size_t sSample = 16;
 // How far back the rate of calls reaches.
 constexpr double sCallsHalfMs = 1'000;
+// From the look at an engine until its report is read here, and a request's way
+// there: what was sent in this time before a report is not counted in it.
+constexpr Milliseconds sReportLag{15};
 // Reports are taken to come at least this often, before any gap was seen.
 constexpr double sUsualGapMs = 100;
 // A goal that fewer calls have does not bound the others.
@@ -139,7 +142,9 @@
             }
             replica.load = load;
             replica.loadAt = now;
-            replica.startedSince = 0;
+            std::erase_if(replica.startedLately,
+                          [&](Instant began) { return began < now - sReportLag; });
+            replica.startedSince = static_cast<std::uint32_t>(replica.startedLately.size());
             replica.endedSince = 0;
         }
     }
@@ -447,7 +452,8 @@
     double expected = sLeastLevelled;
     if (query.engine != nullptr && looked > 0) {
         // Calls at all gateways until the next reports, for the part that was looked at.
-        const double calls = callsPerMs(query.service, now) * std::max(query.entries, 1U) * gaps
+        const double horizon = gaps + static_cast<double>(looked) * sReportLag.count();
+        const double calls = callsPerMs(query.service, now) * std::max(query.entries, 1U) * horizon
             / static_cast<double>(usable.size());
         expected = std::max(expected, calls);
     }
@@ -461,8 +467,9 @@
         const auto age = chosen->replica->load
             ? std::chrono::duration_cast<Milliseconds>(now - chosen->replica->loadAt)
             : Milliseconds(-1);
-        return ChosenReplica{chosen->replica->record.id, isPatient, chosen->offer.load, age,
-                             chosen->offer.answer};
+        // Nobody overtakes a resumed stream, however late it is.
+        return ChosenReplica{chosen->replica->record.id, isPatient && !query.isResumed,
+                             chosen->offer.load, age, chosen->offer.answer};
     }
     if (usable.empty()) {
         const auto known = std::ranges::count_if(mReplicas, [&](const auto &item) {
@@ -486,7 +493,7 @@
     return std::clamp(after, sLeastComeBack, sMostComeBack);
 }
 
-void ReplicaSet::began(std::string_view id, bool isPatient)
+void ReplicaSet::began(std::string_view id, bool isPatient, Instant now)
 {
     const auto it = mReplicas.find(id);
     if (it == mReplicas.end()) {
@@ -495,6 +502,7 @@
     Replica &replica = it->second;
     ++replica.inFlight;
     ++replica.startedSince;
+    replica.startedLately.push_back(now);
     ++replica.awaiting;
     replica.patientWaiting += isPatient ? 1 : 0;
 }
--- a/src/libloomjunction/core/replicaset.h
+++ b/src/libloomjunction/core/replicaset.h
@@ -70,7 +70,8 @@
     std::optional<ReplicaLoad> load; ///< what its agent said last
     Instant loadAt;
     double reportGapMs = 0; ///< smoothed time between two reports of its agent
-    std::uint32_t startedSince = 0; ///< by this entry since the agent spoke
+    std::uint32_t startedSince = 0; ///< by this entry, that the agent cannot have counted
+    std::vector<Instant> startedLately; ///< times of those, and of some before
     std::uint32_t endedSince = 0; ///< of those, and of earlier ones
     std::uint32_t awaiting = 0; ///< sent by this entry, without a first byte of an answer
     std::uint32_t patientWaiting = 0; ///< of those: sent as patient
@@ -152,7 +153,7 @@
 
     /** A caller's request for @p service came. */
     void noteCall(std::string_view service, Milliseconds goal, Instant now);
-    void began(std::string_view id, bool isPatient);
+    void began(std::string_view id, bool isPatient, Instant now);
     /** The answer or its first event came, @p took after the request was sent. */
     void answerBegan(std::string_view id, bool isPatient, Microseconds took);
     void ended(std::string_view id, ReplicaOutcome outcome, Instant now);
--- a/src/libloomjunction/gateway/gatewaycall.cpp
+++ b/src/libloomjunction/gateway/gatewaycall.cpp
@@ -513,6 +513,7 @@
             HttpResponse begin{head.status, mParts.calls.answerHeaders(head), {}};
             co_await mExchange.beginStream(std::move(begin));
         }
+        notePause();
         if (!co_await mExchange.write(passed)) {
             mIsCallerGone = true;
             mLink->cancel();
@@ -542,6 +543,32 @@
     }
 }
 
+void GatewayCall::notePause()
+{
+    const Instant time = now();
+    if (mLastEventAt != Instant()) {
+        const auto pause = std::chrono::duration_cast<Milliseconds>(time - mLastEventAt);
+        mLongestPause = std::max(mLongestPause, pause);
+    }
+    mLastEventAt = time;
+}
+
+// Why an answer that came was late, as far as this gateway can see it.
+std::string_view GatewayCall::latenessCause() const
+{
+    if (mRoute == nullptr || !mFirstAnswer || mRoute->goal.count() == 0) {
+        return "";
+    }
+    if (mWaitedBefore > mRoute->goal) {
+        return "came back late";
+    }
+    if (mWaitedBefore + *mFirstAnswer > mRoute->goal) {
+        return mSends > 1 ? "sent again" : "first event";
+    }
+    const bool isPaused = mRoute->pauseGoal.count() > 0 && mLongestPause > mRoute->pauseGoal;
+    return !isPaused ? "" : mSends > 1 ? "pause of a resumed stream" : "pause";
+}
+
 awaitable<void> GatewayCall::refuse(Refusal refusal)
 {
     if (mIsHeadSent || mIsCallerGone) {
@@ -571,7 +598,11 @@
 void GatewayCall::logEnd(int status, std::string_view outcome, std::string_view reason)
 {
     const auto took = std::chrono::duration_cast<Milliseconds>(now() - mArrived);
+    const std::string_view late = outcome == "answered" ? latenessCause() : "";
     mParts.metrics.count("loom_calls_total", outcome);
+    if (!late.empty()) {
+        mParts.metrics.count("loom_late_total", late);
+    }
     logLine(LogLevel::Info, "call",
             {{"id", mCaller.id},
              {"route", mRoute == nullptr ? std::string_view() : std::string_view(mRoute->name)},
@@ -589,6 +620,8 @@
              {"patient", mWasPatient},
              {"waitedBeforeMs", mWaitedBefore.count()},
              {"deadlineMs", mCaller.deadline ? mCaller.deadline->count() : -1},
+             {"late", late},
+             {"pauseMs", mLongestPause.count()},
              {"firstMs", mFirstAnswer ? mFirstAnswer->count() : -1},
              {"tookMs", took.count()}});
 }
--- a/src/libloomjunction/gateway/gatewaycall.h
+++ b/src/libloomjunction/gateway/gatewaycall.h
@@ -103,6 +103,8 @@
     awaitable<void> giveUp(int status, std::string reason);
     void startWatching();
     void noteAnswerBegun();
+    void notePause();
+    std::string_view latenessCause() const;
     void logEnd(int status, std::string_view outcome, std::string_view reason);
 
     CallParts mParts;
@@ -132,6 +134,8 @@
     bool mIsTimeOver = false;
     std::optional<std::uint64_t> mLastEvent; ///< the last one that the caller got
     std::optional<Milliseconds> mFirstAnswer; ///< from arrival to the first byte of an answer
+    Instant mLastEventAt; ///< when the caller was sent the last event
+    Milliseconds mLongestPause{0}; ///< between two events that the caller was sent
     std::string mTriedReplica;
     double mTriedLoad = 0;
     double mPredictedMs = 0;
--- a/src/libloomjunction/gateway/loadreporter.cpp
+++ b/src/libloomjunction/gateway/loadreporter.cpp
@@ -22,8 +22,9 @@
 namespace {
 
 constexpr std::string_view sLoadPath = "/replica-load";
-// Between two reports to one gateway; half a pass of an engine is about as long.
-constexpr Milliseconds sReportEvery{50};
+// Between two reports to one gateway. Shorter than the time between two looks at
+// the engine, so that each look's news leave at once.
+constexpr Milliseconds sReportEvery{40};
 // A gateway takes silence for the loss of this process.
 constexpr Milliseconds sKeepAlive{150};
 constexpr std::chrono::milliseconds sRedialPause{250};
--- a/src/libloomjunction/gateway/replicaservice.cpp
+++ b/src/libloomjunction/gateway/replicaservice.cpp
@@ -126,7 +126,7 @@
 
 void ReplicaService::began(const std::string &id, bool isPatient)
 {
-    mReplicas.began(id, isPatient);
+    mReplicas.began(id, isPatient, now());
     if (isPatient) {
         tellPatient(id);
     }
--- a/src/libloomjunction/gateway/stageservice.cpp
+++ b/src/libloomjunction/gateway/stageservice.cpp
@@ -53,7 +53,7 @@
 constexpr double sLinkShare = 0.95;
 constexpr double sBytesPerMbit = 125'000;
 constexpr double sBurstBytes = 8.0 * 1024;
-constexpr std::uint32_t sOriginParallel = 2;
+constexpr std::uint32_t sOriginParallel = 1;
 constexpr std::uint32_t sPeerParallel = 4;
 constexpr std::uint32_t sNeighbours = 12;
 constexpr Milliseconds sTakeover{2'000};
--- a/tests/direct/test_replicaset.cpp
+++ b/tests/direct/test_replicaset.cpp
@@ -125,7 +125,7 @@
     BOOST_TEST(chosen(set, query(), at(0)) == "r1");
     // What this gateway sent since the report counts on top of it.
     for (int i = 0; i < 6; ++i) {
-        set.began("r1", false);
+        set.began("r1", false, at(0));
     }
     BOOST_TEST(chosen(set, query(), at(0)) == "r2");
 }
@@ -134,15 +134,15 @@
 {
     ReplicaSet set(sDrainTime);
     set.put(record("r1", "here"), at(0));
-    set.began("r1", false);
+    set.began("r1", false, at(0));
     set.ended("r1", ReplicaOutcome::Broken, at(0));
     BOOST_TEST(chosen(set, query(), at(200)) == "");
     BOOST_TEST(chosen(set, query(), at(300)) == "r1");
-    set.began("r1", false);
+    set.began("r1", false, at(0));
     set.ended("r1", ReplicaOutcome::Broken, at(300));
     BOOST_TEST(chosen(set, query(), at(700)) == "");
     BOOST_TEST(chosen(set, query(), at(900)) == "r1");
-    set.began("r1", false);
+    set.began("r1", false, at(0));
     set.ended("r1", ReplicaOutcome::Answered, at(900));
     BOOST_TEST(set.find("r1")->failures == 0U);
 }
@@ -349,7 +349,7 @@
     BOOST_TEST(chosen(set, asked, at(310)) == "");
     load.waiting = 0;
     set.report("10.0.0.1:1", load, at(400));
-    set.began("r1", false);
+    set.began("r1", false, at(0));
     set.ended("r1", ReplicaOutcome::Failed, at(400));
     BOOST_TEST(chosen(set, asked, at(410)) == "r1");
 }
--- a/tests/weights/test_chunkplan.cpp
+++ b/tests/weights/test_chunkplan.cpp
@@ -266,3 +266,34 @@
     BOOST_TEST(!Manifest::parse("{}").has_value());
     BOOST_TEST(!Manifest::parse("no").has_value());
 }
+
+BOOST_AUTO_TEST_CASE(a_chunk_that_only_a_slow_member_holds_is_pulled_once_more)
+{
+    // All but one chunk are here. Its holder has been asked, and does not bring it.
+    const auto members = swarm(4);
+    ChunkPlan::Options options;
+    options.originParallel = 1;
+    std::uint32_t pulls = 0;
+    for (std::size_t self = 1; self < members.size(); ++self) {
+        ChunkPlan plan("digest", sChunks, members[self], options, at(0));
+        plan.setMembers(members);
+        for (std::uint32_t index = 1; index < sChunks; ++index) {
+            plan.received(index, FromPeer{members[0].box}, at(1'000));
+        }
+        plan.peerHas(members[0].box, 0, at(1'000));
+        for (const ChunkFetch &fetch : plan.next(at(1'000))) {
+            BOOST_TEST(fetch.index == 0U); // asked of its holder, or owned
+        }
+        BOOST_TEST(plan.next(at(1'100)).empty());
+        for (const ChunkFetch &fetch : plan.next(at(4'000))) {
+            BOOST_TEST(std::holds_alternative<FromOrigin>(fetch.source));
+            ++pulls;
+        }
+        // It came from both: it counts once.
+        plan.received(0, FromOrigin{}, at(4'050));
+        BOOST_TEST(plan.isComplete());
+        BOOST_TEST(plan.next(at(9'000)).empty());
+    }
+    BOOST_TEST(pulls >= 1U);
+    BOOST_TEST(pulls <= 3U);
+}
