Turns to load follow the weights' arrival; older weights run what begins well in time

Turns are now spread from when the weights came until 0.80.

The last 1.3 s stay shut: a request's time ends 0.4 s before its weights, so a stream that begins then would be cut.

--- a/src/libloomjunction/core/reloadturn.cpp
+++ b/src/libloomjunction/core/reloadturn.cpp
@@ -20,7 +20,7 @@
 // Chunks take about two fifths of the time to arrive. After the last turn a
 // replica still has to end what is running, and to take the weights.
 constexpr double sFirstTurn = 0.40;
-constexpr double sLastTurn = 0.75;
+constexpr double sLastTurn = 0.80;
 
 Milliseconds part(Milliseconds whole, double share)
 {
@@ -36,7 +36,8 @@
 }
 
 Instant ReloadTurn::at(std::string_view versionKey, std::string_view self,
-                       std::span<const std::string> members, Instant namedAt) const
+                       std::span<const std::string> members, Instant namedAt,
+                       Instant readyAt) const
 {
     std::vector<std::string> all(members.begin(), members.end());
     if (std::ranges::find(all, self) == all.end()) {
@@ -47,7 +48,10 @@
         = std::ranges::find_if(order, [&](std::size_t index) { return all[index] == self; });
     const auto rank = static_cast<std::int64_t>(own - order.begin());
     const auto last = std::max<std::int64_t>(static_cast<std::int64_t>(all.size()) - 1, 1);
-    return namedAt + mFirst + (mLast - mFirst) * rank / last;
+    // Turns that were over before the weights came would all be taken at once.
+    const Instant end = namedAt + mLast;
+    const Instant begin = std::min(std::max(namedAt + mFirst, readyAt), end);
+    return begin + (end - begin) * rank / last;
 }
 
 } // namespace Loom
--- a/src/libloomjunction/core/reloadturn.h
+++ b/src/libloomjunction/core/reloadturn.h
@@ -29,9 +29,12 @@
     /** @p limit: the time from naming a version until older ones may begin nothing. */
     explicit ReloadTurn(Milliseconds limit);
 
-    /** The moment of @p self among @p members (with or without it). */
+    /**
+     * The moment of @p self among @p members (with or without it). @p readyAt:
+     * when the version was here whole; the others have it at about that time.
+     */
     Instant at(std::string_view versionKey, std::string_view self,
-               std::span<const std::string> members, Instant namedAt) const;
+               std::span<const std::string> members, Instant namedAt, Instant readyAt) const;
 
 private:
     Milliseconds mFirst;
--- a/src/libloomjunction/core/replicaset.cpp
+++ b/src/libloomjunction/core/replicaset.cpp
@@ -9,6 +9,7 @@
 #include "replicaset.h"
 
 #include "levelling.h"
+#include "weightsgoal.h"
 
 #include <algorithm>
 #include <cmath>
@@ -45,6 +46,13 @@
 constexpr double sSlowEngineFactor = 4;
 // Stricter, where being late breaks a promise: twice the fastest is suspicious.
 constexpr double sLateFactor = 2;
+// So long before a replica's weights may begin nothing more, what is sent there
+// must begin in time for sure: longer than requests wait at full replicas.
+constexpr Milliseconds sOverSoon{2'700};
+// So long before it, the least doubt counts.
+constexpr Milliseconds sOverNow{1'300};
+// Request and connection on their way to a replica that may be under load.
+constexpr double sWayMs = 400;
 constexpr double sSoonMs = 250;
 constexpr Milliseconds sLoadFresh{150};
 // Requests that a plain replica may hold beyond its slots before others are refused.
@@ -291,18 +299,27 @@
     return offer;
 }
 
-// Whether a request that is sent now surely begins within a second: nothing
-// says that its way or its wait is long, and what is known is fresh.
-bool ReplicaSet::beginsSoon(const Replica &replica, const ReplicaQuery &query, double fastestMs,
-                            Instant now) const
+// Whether a request that is sent now surely begins before the replica's weights
+// are over. With little time left, nothing may say that its way or its wait is
+// long, and what is known must be fresh.
+bool ReplicaSet::beginsInTime(const Replica &replica, const ReplicaQuery &query, double fastestMs,
+                              Instant now) const
 {
-    const bool isKnown
-        = replica.load && now - replica.loadAt <= sLoadFresh && !replica.load->isLinkSlow;
-    const bool wasLate = fastestMs > 0 && replica.answerMs > fastestMs * sLateFactor;
-    if (!isKnown || wasLate || replica.failures > 0) {
+    const auto over = query.weights->overAt(query.model, replica.weightsVersion());
+    if (!over || *over - now >= sOverSoon) {
+        return true;
+    }
+    const bool isHeard = replica.load && now - replica.loadAt <= sLoadSilence;
+    if (!isHeard || replica.load->isLinkSlow || replica.failures > 0) {
         return false;
     }
-    return engineOffer(replica, query, now).answer <= sSoonMs;
+    const double left = std::chrono::duration<double, std::milli>(*over - now).count();
+    const double answer = engineOffer(replica, query, now).answer;
+    if (left > sOverNow.count()) {
+        return answer * sLateFactor + sWayMs <= left;
+    }
+    const bool wasLate = fastestMs > 0 && replica.answerMs > fastestMs * sLateFactor;
+    return now - replica.loadAt <= sLoadFresh && !wasLate && answer <= sSoonMs;
 }
 
 std::vector<const Replica *> ReplicaSet::usableFor(const ReplicaQuery &query, double fastestMs,
@@ -311,10 +328,9 @@
     std::vector<const Replica *> usable;
     std::vector<const Replica *> silent;
     for (const auto &[id, replica] : mReplicas) {
-        const bool isOverSoon
-            = query.engine != nullptr && replica.weightsVersion() < query.soonLeastVersion;
+        const bool isBound = query.engine != nullptr && query.weights != nullptr;
         if (!isUsable(replica, query, now)
-            || (isOverSoon && !beginsSoon(replica, query, fastestMs, now))) {
+            || (isBound && !beginsInTime(replica, query, fastestMs, now))) {
             continue;
         }
         // Its agent speaks several times a second: the box may stand still.
--- a/src/libloomjunction/core/replicaset.h
+++ b/src/libloomjunction/core/replicaset.h
@@ -23,6 +23,8 @@
 
 namespace Loom {
 
+class WeightsGoal;
+
 /** What a replica says of itself in the store. One life of it has one id. */
 struct ReplicaRecord
 {
@@ -93,8 +95,9 @@
     Milliseconds goal{0};
     double promptTokens = 0; ///< zero: unknown
     std::uint64_t leastVersion = 0; ///< of the weights; zero: any, and none is needed
-    /** Older weights are over soon: they run only what begins at once. */
-    std::uint64_t soonLeastVersion = 0;
+    /** Of the named weights and their model: which are over soon. Null for a plain service. */
+    const WeightsGoal *weights = nullptr;
+    std::string_view model;
     std::uint32_t entries = 1; ///< that share the replicas
     /** Since the caller first tried, here or elsewhere; the goal counts from then. */
     Milliseconds waited{0};
@@ -187,8 +190,8 @@
     static Milliseconds comeBack(const ReplicaQuery &query, double leastLoad);
     double fastestAnswerMs(const ReplicaQuery &query, Instant now) const;
     EngineWork workOf(const Replica &replica, const ReplicaQuery &query, Instant now) const;
-    bool beginsSoon(const Replica &replica, const ReplicaQuery &query, double fastestMs,
-                    Instant now) const;
+    bool beginsInTime(const Replica &replica, const ReplicaQuery &query, double fastestMs,
+                      Instant now) const;
     static std::uint32_t patientRequests(const Replica &replica, Instant now);
     Offer offerOf(const Replica &replica, const ReplicaQuery &query, double fastestMs,
                   Instant now) const;
--- a/src/libloomjunction/gateway/gatewaycall.cpp
+++ b/src/libloomjunction/gateway/gatewaycall.cpp
@@ -35,8 +35,6 @@
 constexpr Milliseconds sLeastTime{20};
 // Connections that could not be made; nothing was sent, but time passes.
 constexpr std::uint32_t sMostFailedConnects = 3;
-// So long before older weights may begin nothing more, they run only what begins at once.
-constexpr Milliseconds sOverSoon{2'700};
 // Operators may have named a version this much before it was heard here.
 constexpr Milliseconds sNamedBeforeHeard{400};
 // Answers of earlier requests that may lie before ours on a kept connection.
@@ -206,7 +204,8 @@
         query.engine = &*mService->engine;
         const WeightsGoal &weights = mParts.config.weights();
         query.leastVersion = weights.oldestAllowed(mCaller.model, now());
-        query.soonLeastVersion = weights.oldestAllowed(mCaller.model, now() + sOverSoon);
+        query.weights = &weights;
+        query.model = mCaller.model;
     }
     return mParts.replicas.replicas().choose(query, now());
 }
--- a/src/libloomjunction/gateway/stageservice.cpp
+++ b/src/libloomjunction/gateway/stageservice.cpp
@@ -259,7 +259,7 @@
     }
     const ReloadTurn turn(mSettings.bounds.weightsTime);
     const Instant learnedAt = mConfig->weights().learnedAt(model, version);
-    return now() >= turn.at(versionKey(model, version), mSettings.box, boxes, learnedAt);
+    return now() >= turn.at(versionKey(model, version), mSettings.box, boxes, learnedAt, mReadyAt);
 }
 
 void StageService::noteFetched()
@@ -267,6 +267,7 @@
     for (const VersionFetch &one : mFetches) {
         if (one.fetch->isComplete() && one.wanted.version > mReady.version) {
             mReady = one.wanted;
+            mReadyAt = now();
         }
     }
     // Whatever is older than one that is here whole is not needed any more.
--- a/src/libloomjunction/gateway/stageservice.h
+++ b/src/libloomjunction/gateway/stageservice.h
@@ -109,6 +109,7 @@
     std::optional<EngineReport> mReport;
     std::vector<VersionFetch> mFetches; ///< oldest first; the last is the newest named
     VersionInHand mReady; ///< the newest one that is here whole
+    Instant mReadyAt; ///< since when
     std::uint64_t mOrdered = 0; ///< the version of the last order
     Instant mOrderedAt;
     bool mIsLoading = false; ///< an order is out and the engine has not said it is done
