--- a/src/libloomjunction/core/replicaset.cpp
+++ b/src/libloomjunction/core/replicaset.cpp
@@ -82,6 +82,10 @@
 // Waiting requests that a resumed stream may find at a replica, as a part of its
 // slots: about a second's work.
 constexpr double sResumedQueue = 0.6;
+// A caller's way here and back on a new connection.
+constexpr double sReturnMs = 30;
+// Sooner, a caller that returns would find what it found before.
+constexpr double sLeastReturnMs = 40;
 // A refused request comes back when a few turns are over.
 constexpr double sComeBackFactor = 4;
 // Part of the goal that may be planned with; the rest is for what is not known.
@@ -496,16 +500,25 @@
     return AllBusy{comeBack(query, leastLoad), leastLoad};
 }
 
+// Who can still make it is told to come back within the goal, once: places turn
+// up all the time. Others come back when a few turns are over. Those who are
+// refused together should not return together.
 Milliseconds ReplicaSet::comeBack(const ReplicaQuery &query, double leastLoad)
 {
     if (query.engine == nullptr) {
         return sPlainComeBack;
     }
+    const EngineModel model(*query.engine);
+    const double random = static_cast<double>(query.random % 1024) / 1024;
+    const double left = static_cast<double>((query.goal - query.waited).count()) * sGoalUsed
+        - model.firstEvent({}, query.promptTokens) - sReturnMs;
+    if (left >= sLeastReturnMs) {
+        return Milliseconds(
+            static_cast<std::int64_t>(sLeastReturnMs + (left - sLeastReturnMs) * random));
+    }
     const double over = std::max(0.0, leastLoad - 1) * query.engine->slots;
-    const double wait = (over + 1) * EngineModel(*query.engine).turn() * sComeBackFactor;
-    // Those refused together should not return together.
-    const double spread = 0.75 + 0.5 * static_cast<double>(query.random % 1024) / 1024;
-    const Milliseconds after(static_cast<std::int64_t>(wait * spread));
+    const double wait = (over + 1) * model.turn() * sComeBackFactor;
+    const Milliseconds after(static_cast<std::int64_t>(wait * (0.75 + 0.5 * random)));
     return std::clamp(after, sLeastComeBack, sMostComeBack);
 }
 
