--- a/src/libloomjunction/core/enginemodel.cpp
+++ b/src/libloomjunction/core/enginemodel.cpp
@@ -17,9 +17,6 @@
 // A request comes somewhere within a pass, on average in its middle.
 constexpr double sMiddle = 0.5;
 constexpr double sPerThousand = 1'000;
-// Prompts that wait are read in the pass under way, of which half is left on
-// average; as many others come meanwhile, and are read in the request's own pass.
-constexpr double sReadBefore = 1.5;
 
 } // namespace
 
@@ -59,7 +56,7 @@
     // Only those that find a slot are read in the next pass.
     const double readBefore = std::max(0.0, work.unread - queued);
     const double tokens = promptTokens > 0 ? promptTokens : mFigures.usualPrompt;
-    const double reading = sReadBefore * readBefore * read(mFigures.usualPrompt) + read(tokens);
+    const double reading = readBefore * read(mFigures.usualPrompt) + read(tokens);
     const double waiting = queued * turn();
     const double passes = sMiddle * steadyPass(work.running) + pass(std::min(total + 1, slots));
     return work.pace * (waiting + passes + reading);
