--- a/src/libloomjunction/core/replicaset.cpp
+++ b/src/libloomjunction/core/replicaset.cpp
@@ -36,7 +36,7 @@
 // A replica that fails this share of its requests gets only what the others cannot take.
 constexpr double sGreyShare = 0.25;
 // The way to another data centre and back, and what its bytes cost. Milliseconds.
-constexpr double sFarTollMs = 15;
+constexpr double sFarTollMs = 45;
 // Requests and events wait on its link. Milliseconds.
 constexpr double sSlowLinkTollMs = 200;
 // A request that fails has to be sent again, or is lost.
