Chunks are fetched while the engine still starts; owners take what others hold

Cause: an added replica's stager knew the configuration 0.04 s after its start and began to fetch 1.0 s later, when its engine first answered.

--- a/src/libloomjunction/core/chunkplan.cpp
+++ b/src/libloomjunction/core/chunkplan.cpp
@@ -295,7 +295,8 @@
         break;
     }
     if (chunk.originRank < mOptions.originCopies) {
-        return true;
+        // One copy is enough: who comes later takes it from those who have it.
+        return mOptions.originCopies > 1 || chunk.holders == 0;
     }
     const std::uint32_t turn = chunk.originRank / mOptions.originCopies;
     return chunk.holders == 0 && isOverdueAtOrigin(chunk, turn, now);
--- a/src/libloomjunction/gateway/stageservice.cpp
+++ b/src/libloomjunction/gateway/stageservice.cpp
@@ -33,6 +33,9 @@
 constexpr Milliseconds sLookEvery{50};
 constexpr Milliseconds sWeightsEvery{50};
 constexpr Milliseconds sRetryPause{200};
+// The members' feed is read within some dozens of milliseconds after the start.
+constexpr Milliseconds sMembersPatience{600};
+constexpr Milliseconds sMembersStep{50};
 // Gateways must have heard that the replica takes nothing before it is ordered to load.
 constexpr Milliseconds sTellFirst{30};
 // An engine loses its time while it runs empty, and other engines theirs while
@@ -201,8 +204,14 @@
 
 awaitable<void> StageService::drivePeers()
 {
+    // Whoever knows no other members takes itself for the owner of every chunk.
+    const Instant alone = now() + sMembersPatience;
+    while (!mStopped && now() < alone && mMembers->stagersOf(mStager.service).size() <= 1) {
+        co_await sleepFor(sMembersStep);
+    }
+    co_await sleepFor(sMembersStep);
     while (!mStopped) {
-        if (mReport && figures() != nullptr && !figures()->models.empty()) {
+        if (figures() != nullptr && !figures()->models.empty()) {
             co_await bringWeights();
         }
         co_await mWake->waitFor(sWeightsEvery);
@@ -222,6 +231,9 @@
     if (!isBegun && !co_await startFetch(model, newest)) {
         co_await sleepFor(sRetryPause);
     }
+    if (!mReport) {
+        co_return; // an engine starts about as long as half a fetch takes
+    }
     if (mIsLoading) {
         noteLoaded(model, loaded);
         co_return;
@@ -410,6 +422,9 @@
 // What lies in the stage since an earlier life need not come over the network.
 awaitable<void> StageService::adoptStage(std::string model, VersionInHand wanted)
 {
+    if (!mReport) {
+        co_return; // the engine cannot be asked yet
+    }
     const std::string digest = wanted.digest;
     const std::uint32_t count = mStore->find(digest)->manifest.chunkCount();
     std::uint32_t adopted = 0;
