--- a/src/libloomjunction/core/reloadturn.cpp
+++ b/src/libloomjunction/core/reloadturn.cpp
@@ -36,8 +36,7 @@
 }
 
 Instant ReloadTurn::at(std::string_view versionKey, std::string_view self,
-                       std::span<const std::string> members, Instant namedAt,
-                       Instant readyAt) const
+                       std::span<const std::string> members, Instant namedAt, Instant readyAt) const
 {
     std::vector<std::string> all(members.begin(), members.end());
     if (std::ranges::find(all, self) == all.end()) {
--- a/src/libloomjunction/gateway/gatewaycall.cpp
+++ b/src/libloomjunction/gateway/gatewaycall.cpp
@@ -98,7 +98,11 @@
         co_return;
     }
     startWatching();
-    co_await tryReplicas();
+    if (mIsCallerGone) {
+        co_await giveUp(502, "the caller left before its request was read");
+    } else {
+        co_await tryReplicas();
+    }
     mDeadlineTimer.cancel();
 }
 
--- a/src/libloomjunction/net/httpserver.cpp
+++ b/src/libloomjunction/net/httpserver.cpp
@@ -50,6 +50,10 @@
     {
     }
 
+    // The close may lie behind the request already, as after a standstill.
+    void begin() { look({}); }
+
+private:
     // The wait may outlive the exchange: it then finds nobody.
     void wait()
     {
@@ -61,7 +65,6 @@
                            });
     }
 
-private:
     void look(const boost::system::error_code &waitError)
     {
         if (waitError == asio::error::operation_aborted) {
@@ -160,7 +163,7 @@
         boost::system::error_code ignored;
         mStream.socket().non_blocking(true, ignored);
         mWatch = std::make_shared<GoneWatch>(mStream.socket(), std::move(onGone));
-        mWatch->wait();
+        mWatch->begin();
     }
 
     asio::any_io_executor executor() override { return mStream.get_executor(); }
--- a/tests/gateway/test_gateway.cpp
+++ b/tests/gateway/test_gateway.cpp
@@ -248,6 +248,37 @@
     });
 }
 
+BOOST_AUTO_TEST_CASE(a_caller_that_left_before_its_request_was_read_costs_no_replica_anything)
+{
+    DirectLab lab;
+    lab.writeConfig(1);
+    ScriptedReplica &replica = lab.addReplica("i-1", "plain", good);
+    lab.run([&]() -> awaitable<void> {
+        co_await untilReady(lab, 1);
+        // Leaves a kept connection, so that the way to the replica takes no time.
+        const auto first = co_await lab.call("POST", "/once/a", "first");
+        BOOST_REQUIRE(first);
+        // The gateway stands still while these come and go.
+        constexpr int callers = 5;
+        for (int caller = 0; caller < callers; ++caller) {
+            asio::io_context own{1};
+            Tcp::socket socket(own);
+            socket.connect(lab.front().localEndpoint());
+            const std::string request = "POST /once/a HTTP/1.1\r\nHost: h\r\n"
+                                        "Loomjunction-Request-Id: gone\r\n"
+                                        "Authorization: Token k\r\nContent-Length: 0\r\n\r\n";
+            asio::write(socket, asio::buffer(request));
+            socket.shutdown(Tcp::socket::shutdown_send);
+            socket.close();
+        }
+        // Accepted after those, so it is answered after them.
+        const auto after = co_await lab.call("POST", "/once/a", "after");
+        BOOST_REQUIRE(after);
+        co_await lab.waitFor([&] { return lab.front().inFlight() == 0; });
+        BOOST_TEST(replica.requests() == 2);
+    });
+}
+
 BOOST_AUTO_TEST_CASE(routes_and_keys_are_judged_by_the_configuration_in_force)
 {
     DirectLab lab;
