--- /dev/null
+++ b/tests/direct/overloadlab.cpp
@@ -0,0 +1,224 @@
+/*
+ * overloadlab.cpp
+ * Copyright 2026, the loomjunction authors
+ *
+ * This file is part of loomjunction (tests).
+ * SPDX-License-Identifier: BSD-2-Clause
+ */
+
+#include "overloadlab.h"
+
+#include "fakelog.h"
+
+#include <algorithm>
+#include <variant>
+
+namespace Loom {
+
+namespace {
+
+constexpr int sWayMs = 4;
+constexpr int sReportMs = 50;
+constexpr int sDeadlineMs = 6'000;
+constexpr int sSilenceMs = 2'400; // callers leave when no event comes for so long
+const std::string sService = "scorer";
+
+} // namespace
+
+OverloadLab::OverloadLab(Shape shape)
+    : mShape(std::move(shape))
+    , mEngines(mShape.engines)
+    , mGateways(mShape.gateways, ReplicaSet(Milliseconds(2'000)))
+    , mRandom(mShape.seed)
+{
+    for (ReplicaSet &gateway : mGateways) {
+        for (std::size_t engine = 0; engine < mEngines.size(); ++engine) {
+            ReplicaRecord record;
+            record.id = idOf(engine);
+            record.service = sService;
+            record.address = "10.0.0.1:" + std::to_string(engine + 1);
+            record.dataCentre = "here";
+            record.slots = mShape.figures.slots;
+            record.weightsVersion = 1;
+            gateway.put(record, at(0));
+        }
+    }
+}
+
+std::string OverloadLab::idOf(std::size_t engine) const
+{
+    return "r" + std::to_string(engine);
+}
+
+double OverloadLab::capacity() const
+{
+    const EngineModel model(mShape.figures);
+    return 1'000.0 / model.turn() * static_cast<double>(mEngines.size());
+}
+
+OverloadLab::Second &OverloadLab::secondOf(const Request &request)
+{
+    return mSeconds[static_cast<std::size_t>(request.firstTryAt / 1'000)];
+}
+
+std::vector<OverloadLab::Second> OverloadLab::play(const std::vector<Phase> &phases)
+{
+    std::vector<double> rates;
+    for (const Phase &phase : phases) {
+        rates.insert(rates.end(), static_cast<std::size_t>(phase.seconds), phase.callsPerSecond);
+    }
+    mSeconds.assign(rates.size(), Second());
+    std::exponential_distribution<double> tail(1);
+    double due = 0;
+    const int end = static_cast<int>(rates.size()) * 1'000;
+    for (int time = 0; time < end + sDeadlineMs; ++time) {
+        due += time < end ? rates[static_cast<std::size_t>(time / 1'000)] / 1'000 : 0;
+        std::poisson_distribution<int> arrivals(std::exchange(due, 0));
+        for (int count = time < end ? arrivals(mRandom) : 0; count > 0; --count) {
+            auto request = std::make_shared<Request>();
+            request->gateway = mRandom() % mGateways.size();
+            request->firstTryAt = time;
+            request->prompt = mShape.figures.usualPrompt * std::min(3.0, 0.3 + 0.7 * tail(mRandom));
+            const double events = mShape.figures.usualAnswer / mShape.figures.stepsPerPass;
+            request->eventsLeft = 1 + static_cast<int>((events - 1) * std::min(3.0, tail(mRandom)));
+            ++secondOf(*request).asked;
+            call(std::move(request), time);
+        }
+        while (!mReturning.empty() && mReturning.begin()->first <= time) {
+            const RequestPtr request = mReturning.begin()->second;
+            mReturning.erase(mReturning.begin());
+            call(request, time);
+        }
+        while (!mOnTheWay.empty() && mOnTheWay.begin()->first <= time) {
+            const RequestPtr request = mOnTheWay.begin()->second;
+            mOnTheWay.erase(mOnTheWay.begin());
+            mEngines[request->engine].waiting.push_back(request);
+        }
+        giveUp(time);
+        for (std::size_t engine = 0; engine < mEngines.size(); ++engine) {
+            runEngine(mEngines[engine], time);
+            // Stagers look at different moments.
+            if (time % sReportMs == static_cast<int>(engine * 7 % sReportMs)) {
+                report(engine, time);
+            }
+        }
+    }
+    return mSeconds;
+}
+
+void OverloadLab::call(RequestPtr request, int time)
+{
+    ReplicaSet &gateway = mGateways[request->gateway];
+    gateway.noteCall(sService, mShape.goal, at(time));
+    ReplicaQuery query;
+    query.service = sService;
+    query.dataCentre = "here";
+    query.engine = &mShape.figures;
+    query.goal = mShape.goal;
+    query.waited = Milliseconds(time - request->firstTryAt);
+    query.promptTokens = request->prompt;
+    query.leastVersion = 1;
+    query.entries = static_cast<std::uint32_t>(mGateways.size());
+    query.random = mRandom();
+    const ReplicaChoice choice = gateway.choose(query, at(time));
+    if (const auto *chosen = std::get_if<ChosenReplica>(&choice)) {
+        request->engine = static_cast<std::size_t>(std::stoul(chosen->id.substr(1)));
+        request->isPatient = chosen->isPatient;
+        request->sentAt = time;
+        gateway.began(chosen->id, chosen->isPatient, at(time));
+        mOnTheWay.emplace(time + sWayMs, std::move(request));
+        return;
+    }
+    if (request->isReturn) {
+        ++secondOf(*request).refused;
+        return;
+    }
+    request->isReturn = true;
+    const auto *busy = std::get_if<AllBusy>(&choice);
+    const int third = (sDeadlineMs - (time - request->firstTryAt)) / 3;
+    const int wait = busy ? static_cast<int>(busy->comeBack.count()) : third;
+    mReturning.emplace(time + sWayMs + std::min(wait, third), std::move(request));
+}
+
+void OverloadLab::giveUp(int time)
+{
+    for (Engine &engine : mEngines) {
+        std::erase_if(engine.waiting, [&](const RequestPtr &request) {
+            if (time - request->sentAt < sSilenceMs) {
+                return false;
+            }
+            ReplicaSet &gateway = mGateways[request->gateway];
+            gateway.answerMissed(idOf(request->engine), request->isPatient);
+            gateway.ended(idOf(request->engine), ReplicaOutcome::Abandoned, at(time));
+            ++secondOf(*request).refused;
+            return true;
+        });
+    }
+}
+
+void OverloadLab::runEngine(Engine &engine, int time)
+{
+    if (time < engine.passEndsAt) {
+        return;
+    }
+    endPass(engine, time);
+    beginPass(engine, time);
+}
+
+void OverloadLab::endPass(Engine &engine, int time)
+{
+    for (const RequestPtr &request : engine.inPass) {
+        if (!request->hasBegun) {
+            request->hasBegun = true;
+            const int took = time + sWayMs - request->firstTryAt;
+            const bool isInTime = took <= mShape.goal.count();
+            ++(isInTime ? secondOf(*request).inTime : secondOf(*request).late);
+            mGateways[request->gateway].answerBegan(idOf(request->engine), request->isPatient,
+                                                    Milliseconds(time - request->sentAt));
+        }
+        --request->eventsLeft;
+        if (request->eventsLeft <= 0) {
+            mGateways[request->gateway].ended(idOf(request->engine), ReplicaOutcome::Answered,
+                                              at(time));
+        }
+    }
+    std::erase_if(engine.inPass,
+                  [](const RequestPtr &request) { return request->eventsLeft <= 0; });
+}
+
+void OverloadLab::beginPass(Engine &engine, int time)
+{
+    std::ranges::stable_sort(engine.waiting, {}, [](const RequestPtr &request) {
+        return request->isPatient ? 1 : 0;
+    });
+    const EngineModel model(mShape.figures);
+    double length = 0;
+    while (!engine.waiting.empty() && engine.inPass.size() < mShape.figures.slots) {
+        length += model.read(engine.waiting.front()->prompt);
+        engine.inPass.push_back(engine.waiting.front());
+        engine.waiting.pop_front();
+    }
+    if (engine.inPass.empty()) {
+        return;
+    }
+    length += model.pass(static_cast<double>(engine.inPass.size()));
+    engine.passEndsAt = time + std::max(1, static_cast<int>(length));
+}
+
+void OverloadLab::report(std::size_t engine, int time)
+{
+    ReplicaLoad load;
+    load.weightsVersion = 1;
+    for (const RequestPtr &request : mEngines[engine].inPass) {
+        ++(request->hasBegun ? load.running : load.waiting);
+    }
+    load.waiting += static_cast<std::uint32_t>(mEngines[engine].waiting.size());
+    for (const RequestPtr &request : mEngines[engine].waiting) {
+        load.waitingPatient += request->isPatient ? 1 : 0;
+    }
+    for (ReplicaSet &gateway : mGateways) {
+        gateway.report("10.0.0.1:" + std::to_string(engine + 1), load, at(time));
+    }
+}
+
+} // namespace Loom
--- /dev/null
+++ b/tests/direct/overloadlab.h
@@ -0,0 +1,105 @@
+/*
+ * overloadlab.h
+ * Copyright 2026, the loomjunction authors
+ *
+ * This file is part of loomjunction (tests).
+ * SPDX-License-Identifier: BSD-2-Clause
+ */
+
+#pragma once
+
+#include "enginemodel.h"
+#include "replicaset.h"
+
+#include <cstdint>
+#include <deque>
+#include <map>
+#include <memory>
+#include <random>
+#include <string>
+#include <vector>
+
+namespace Loom {
+
+/**
+ * Gateways, engines and callers in virtual time, a millisecond a step. Gateways
+ * know the engines by reports that lag, and choose with the product's own code.
+ * Owned by one test.
+ */
+class OverloadLab
+{
+public:
+    struct Shape
+    {
+        std::size_t engines = 12;
+        std::size_t gateways = 9;
+        EngineFigures figures;
+        Milliseconds goal{400};
+        std::uint64_t seed = 1;
+    };
+
+    /** Calls a second for some seconds. */
+    struct Phase
+    {
+        int seconds = 0;
+        double callsPerSecond = 0;
+    };
+
+    /** What became of the calls of one second, by their first try. */
+    struct Second
+    {
+        int asked = 0;
+        int inTime = 0;
+        int late = 0;
+        int refused = 0; ///< for good
+    };
+
+    explicit OverloadLab(Shape shape);
+
+    /** One entry a second. */
+    std::vector<Second> play(const std::vector<Phase> &phases);
+    /** Requests a second that the engines finish when all their slots are full. */
+    double capacity() const;
+
+private:
+    struct Request
+    {
+        std::size_t gateway = 0;
+        std::size_t engine = 0;
+        int firstTryAt = 0;
+        int sentAt = 0;
+        double prompt = 0;
+        int eventsLeft = 0;
+        bool isPatient = false;
+        bool isReturn = false;
+        bool hasBegun = false;
+    };
+    using RequestPtr = std::shared_ptr<Request>;
+
+    struct Engine
+    {
+        std::deque<RequestPtr> waiting;
+        std::vector<RequestPtr> inPass; ///< hold a slot, the first event to come or come already
+        int passEndsAt = 0;
+    };
+
+    void call(RequestPtr request, int time);
+    void give(const RequestPtr &request, int time);
+    void giveUp(int time);
+    void runEngine(Engine &engine, int time);
+    void endPass(Engine &engine, int time);
+    void beginPass(Engine &engine, int time);
+    void report(std::size_t engine, int time);
+    Second &secondOf(const Request &request);
+    std::string idOf(std::size_t engine) const;
+
+    Shape mShape;
+    std::vector<Engine> mEngines;
+    std::vector<ReplicaSet> mGateways;
+    std::multimap<int, RequestPtr> mOnTheWay; ///< to an engine, by arrival
+    std::multimap<int, RequestPtr> mReturning; ///< by when the caller comes back
+    std::vector<Second> mSeconds;
+    std::mt19937_64 mRandom;
+};
+
+} // namespace Loom
--- /dev/null
+++ b/tests/direct/test_overload.cpp
@@ -0,0 +1,67 @@
+/*
+ * test_overload.cpp
+ * Copyright 2026, the loomjunction authors
+ *
+ * This file is part of loomjunction (tests).
+ * SPDX-License-Identifier: BSD-2-Clause
+ */
+
+#include <boost/test/unit_test.hpp>
+
+#include "overloadlab.h"
+
+using namespace Loom;
+
+namespace {
+
+OverloadLab::Shape shape(std::uint64_t seed)
+{
+    OverloadLab::Shape shape;
+    shape.seed = seed;
+    shape.figures.slots = 16;
+    shape.figures.stepMs = 7;
+    shape.figures.perSequenceMs = 0.03;
+    shape.figures.contextMsPerK = 0.01;
+    shape.figures.readTokensPerMs = 30;
+    shape.figures.stepsPerPass = 6;
+    shape.figures.usualPrompt = 900;
+    shape.figures.usualAnswer = 120;
+    return shape;
+}
+
+/** Calls in time a second, from second @p begin up to @p end. */
+double goodput(const std::vector<OverloadLab::Second> &seconds, std::size_t begin, std::size_t end)
+{
+    double sum = 0;
+    for (std::size_t second = begin; second < end; ++second) {
+        sum += seconds[second].inTime;
+    }
+    return sum / static_cast<double>(end - begin);
+}
+
+} // namespace
+
+BOOST_AUTO_TEST_CASE(what_is_in_time_does_not_fall_when_more_is_asked_and_is_back_at_once)
+{
+    for (const std::uint64_t seed : {1U, 2U, 3U}) {
+        OverloadLab lab(shape(seed));
+        const double full = lab.capacity();
+        const auto seconds = lab.play({{8, 0.8 * full},
+                                       {8, 1.0 * full},
+                                       {10, 1.3 * full},
+                                       {10, 2.0 * full},
+                                       {8, 0.8 * full}});
+        const double before = goodput(seconds, 2, 8);
+        const double atFull = goodput(seconds, 10, 16);
+        const double over = goodput(seconds, 18, 26);
+        const double twice = goodput(seconds, 28, 36);
+        const double after = goodput(seconds, 38, 44);
+        BOOST_TEST_MESSAGE("capacity " << full << ", in time a second: 0.8 " << before << ", 1.0 "
+                                       << atFull << ", 1.3 " << over << ", 2.0 " << twice
+                                       << ", 0.8 again " << after);
+        BOOST_TEST(before > 0.95 * 0.8 * full);
+        BOOST_TEST(over > 0.9 * atFull);
+        BOOST_TEST(twice > 0.8 * atFull);
+        BOOST_TEST(after > 0.95 * before);
+    }
+}
