--- /dev/null
+++ b/src/libloomjunction/core/replica.h
@@ -0,0 +1,85 @@
+/*
+ * replica.h
+ * Copyright 2026, the loomjunction authors
+ *
+ * This file is part of loomjunction (libloomjunction).
+ * SPDX-License-Identifier: BSD-2-Clause
+ */
+
+#pragma once
+
+#include "instant.h"
+
+#include <cstdint>
+#include <optional>
+#include <string>
+#include <vector>
+
+namespace Loom {
+
+/** What a replica says of itself in the store. One life of it has one id. */
+struct ReplicaRecord
+{
+    std::string id;
+    std::string service;
+    std::string address; ///< IP:PORT
+    std::string dataCentre;
+    std::uint32_t slots = 1;
+    std::uint64_t offset = 0; ///< of the record in the store; later lives have higher ones
+    bool isDraining = false;
+    /** Version of the weights that are loaded whole; zero: none, or a plain service. */
+    std::uint64_t weightsVersion = 0;
+};
+
+/** What the agent of a replica's box says of it, as it stands right now. */
+struct ReplicaLoad
+{
+    std::uint32_t running = 0;
+    std::uint32_t waiting = 0;
+    std::uint32_t waitingPatient = 0; ///< of those: sent as patient, by all gateways
+    std::uint64_t memoryUsed = 0;
+    std::uint64_t memoryTotal = 0;
+    double pace = 1; ///< above one: slower than it should be
+    std::uint64_t weightsVersion = 0; ///< loaded whole; zero: none
+    bool isLinkSlow = false; ///< what is sent to its box may arrive late
+    bool isAccepting = true; ///< false while it loads weights or leaves
+};
+
+/** How a request that was sent to a replica ended, for the choice of later ones. */
+enum class ReplicaOutcome : std::uint8_t
+{
+    Answered,
+    Failed, ///< it answered with a failure of its own
+    Refused, ///< it said that it did not run the request
+    Broken, ///< no answer, or none that can be trusted
+    Unreachable, ///< no connection; nothing was sent
+    Abandoned, ///< the caller left, or its time was over
+};
+
+/** One replica as this entry sees it. */
+struct Replica
+{
+    ReplicaRecord record;
+    std::uint32_t inFlight = 0; ///< sent by this entry and not ended
+    std::optional<ReplicaLoad> load; ///< what its agent said last
+    Instant loadAt;
+    double reportGapMs = 0; ///< smoothed time between two reports of its agent
+    std::uint32_t startedSince = 0; ///< by this entry, that the agent cannot have counted
+    std::vector<Instant> startedLately; ///< times of those, and of some before
+    std::uint32_t endedSince = 0; ///< of those, and of earlier ones
+    std::uint32_t awaiting = 0; ///< sent by this entry, without a first byte of an answer
+    std::uint32_t patientWaiting = 0; ///< of those: sent as patient
+    Instant avoidedUntil;
+    std::uint32_t failures = 0; ///< in a row
+    double failureRate = 0; ///< smoothed share of requests that failed
+    double answerMs = 0; ///< smoothed time to an answer or a first event
+    Instant goneAt; ///< the store took its record away; zero: it did not
+
+    /** Of the weights loaded now: the agent knows sooner than the store. */
+    std::uint64_t weightsVersion() const
+    {
+        return load ? load->weightsVersion : record.weightsVersion;
+    }
+};
+
+} // namespace Loom
--- /dev/null
+++ b/src/libloomjunction/core/replicaoffer.h
@@ -0,0 +1,99 @@
+/*
+ * replicaoffer.h
+ * Copyright 2026, the loomjunction authors
+ *
+ * This file is part of loomjunction (libloomjunction).
+ * SPDX-License-Identifier: BSD-2-Clause
+ */
+
+#pragma once
+
+#include "enginemodel.h"
+#include "replica.h"
+
+#include <cstdint>
+#include <span>
+#include <string>
+#include <string_view>
+
+namespace Loom {
+
+class WeightsGoal;
+
+/** Part of a goal that may be planned with; the rest is for what is not known. */
+inline constexpr double sGoalUsed = 0.85;
+
+/** What a request needs of a replica. */
+struct ReplicaQuery
+{
+    std::string_view service;
+    std::string_view dataCentre; ///< of this entry
+    const EngineFigures *engine = nullptr; ///< null for a plain service
+    Milliseconds goal{0};
+    double promptTokens = 0; ///< zero: unknown
+    std::uint64_t leastVersion = 0; ///< of the weights; zero: any, and none is needed
+    /** Of the named weights and their model: which are over soon. Null for a plain service. */
+    const WeightsGoal *weights = nullptr;
+    std::string_view model;
+    std::uint32_t entries = 1; ///< that share the replicas
+    /** Since the caller first tried, here or elsewhere; the goal counts from then. */
+    Milliseconds waited{0};
+    /** The caller has the beginning of its answer and waits for the rest. */
+    bool isResumed = false;
+    std::span<const std::string> excluded; ///< ids
+    std::uint64_t random = 0;
+};
+
+/** What a replica can do for one request. Times in milliseconds. */
+struct ReplicaOffer
+{
+    double answer = 0; ///< expected time to an answer or a first event
+    double cost = 0; ///< of choosing it, for comparison
+    double step = 1; ///< by which one more request raises the cost
+    double load = 0; ///< requests ahead, for each slot
+    double room = 0; ///< further requests that it could take within the goal
+    double freePlaces = 0; ///< slots that nobody runs in or waits for
+    bool isPrompt = false; ///< it meets the goal
+    bool isOpen = false; ///< it takes a request that misses the goal
+};
+
+/**
+ * Predicts what replicas can do for one request, from what is known of them at
+ * one moment. Lives as long as one choice.
+ */
+class OfferEstimator
+{
+public:
+    /** @p shortestGoal: of the calls for the service; it bounds the room for all. */
+    OfferEstimator(const ReplicaQuery &query, Milliseconds shortestGoal, Instant now)
+        : mQuery(query)
+        , mShortestGoal(shortestGoal)
+        , mNow(now)
+    {
+    }
+
+    /** The fastest usable replica, to compare the others with; zero: unknown. */
+    void setFastestAnswer(double milliseconds) { mFastestMs = milliseconds; }
+
+    /** Whether @p replica may take the request at all, whatever its load. */
+    bool isUsable(const Replica &replica) const;
+    /** Whether the request would surely begin before the replica's weights are over. */
+    bool beginsInTime(const Replica &replica) const;
+    /** Its agent speaks several times a second: the box may stand still. */
+    bool isSilent(const Replica &replica) const;
+    ReplicaOffer offer(const Replica &replica) const;
+
+private:
+    bool isSlow(const Replica &replica) const;
+    std::uint32_t patientRequests(const Replica &replica) const;
+    EngineWork workOf(const Replica &replica) const;
+    ReplicaOffer engineOffer(const Replica &replica) const;
+    ReplicaOffer plainOffer(const Replica &replica) const;
+
+    const ReplicaQuery &mQuery;
+    Milliseconds mShortestGoal;
+    Instant mNow;
+    double mFastestMs = 0;
+};
+
+} // namespace Loom
