--- a/tests/direct/overloadlab.cpp
+++ b/tests/direct/overloadlab.cpp
@@ -188,9 +188,8 @@
 
 void OverloadLab::beginPass(Engine &engine, int time)
 {
-    std::ranges::stable_sort(engine.waiting, {}, [](const RequestPtr &request) {
-        return request->isPatient ? 1 : 0;
-    });
+    std::ranges::stable_sort(engine.waiting, {},
+                             [](const RequestPtr &request) { return request->isPatient ? 1 : 0; });
     const EngineModel model(mShape.figures);
     double length = 0;
     while (!engine.waiting.empty() && engine.inPass.size() < mShape.figures.slots) {
