--- /dev/null
+++ b/tests/direct/test_callrate.cpp
@@ -0,0 +1,43 @@
+/*
+ * test_callrate.cpp
+ * Copyright 2026, the loomjunction authors
+ *
+ * This file is part of loomjunction (tests).
+ * SPDX-License-Identifier: BSD-2-Clause
+ */
+
+#include <boost/test/unit_test.hpp>
+
+#include "callrate.h"
+#include "fakelog.h"
+
+using namespace Loom;
+
+BOOST_AUTO_TEST_CASE(a_steady_rate_is_told_and_forgotten_within_seconds)
+{
+    CallRate rate;
+    for (int call = 0; call < 500; ++call) {
+        rate.note(Milliseconds(400), at(call * 10));
+    }
+    BOOST_TEST(rate.perMs(at(5'000)) == 0.1, boost::test_tools::tolerance(0.05));
+    BOOST_TEST(rate.perMs(at(15'000)) < 0.001);
+}
+
+BOOST_AUTO_TEST_CASE(the_shortest_goal_is_one_that_a_fair_part_of_the_calls_has)
+{
+    CallRate rate;
+    BOOST_TEST((rate.shortestGoal() == Milliseconds::max()));
+    for (int call = 0; call < 400; ++call) {
+        rate.note(Milliseconds(call % 100 == 0 ? 50 : 400), at(call));
+    }
+    BOOST_TEST((rate.shortestGoal() == Milliseconds(400)));
+    for (int call = 400; call < 600; ++call) {
+        rate.note(Milliseconds(call % 4 == 0 ? 300 : 400), at(call));
+    }
+    BOOST_TEST((rate.shortestGoal() == Milliseconds(300)));
+    // Goals of routes that nobody calls any more bound nobody.
+    for (int call = 0; call < 400; ++call) {
+        rate.note(Milliseconds(400), at(20'000 + call));
+    }
+    BOOST_TEST((rate.shortestGoal() == Milliseconds(400)));
+}
--- a/tests/weights/test_chunkplan.cpp
+++ b/tests/weights/test_chunkplan.cpp
@@ -297,3 +297,62 @@
     BOOST_TEST(pulls >= 1U);
     BOOST_TEST(pulls <= 3U);
 }
+
+BOOST_AUTO_TEST_CASE(an_owner_that_brings_nothing_is_stepped_in_for_soon)
+{
+    // The first member cannot reach the origin; the others brought their shares.
+    const auto members = swarm(5);
+    constexpr std::size_t cutOff = 0;
+    ChunkPlan::Options options;
+    options.originParallel = sChunks;
+    std::vector<ChunkPlan> plans;
+    std::vector<std::vector<std::uint32_t>> owned(members.size());
+    for (std::size_t self = 0; self < members.size(); ++self) {
+        plans.emplace_back("digest", sChunks, members[self], options, at(0));
+        plans.back().setMembers(members);
+        for (const ChunkFetch &fetch : plans.back().next(at(0))) {
+            owned[self].push_back(fetch.index);
+        }
+    }
+    std::set<std::uint32_t> pulled;
+    for (std::size_t self = 1; self < members.size(); ++self) {
+        for (std::size_t other = 1; other < members.size(); ++other) {
+            for (const std::uint32_t index : owned[other]) {
+                if (other == self) {
+                    plans[self].received(index, FromOrigin{}, at(1'000));
+                } else {
+                    plans[self].peerHas(members[other].box, index, at(1'000));
+                    plans[self].adopt(index);
+                }
+            }
+        }
+        BOOST_TEST(plans[self].next(at(1'050)).empty());
+        // Long before the takeover of four seconds.
+        for (const ChunkFetch &fetch : plans[self].next(at(2'300))) {
+            pulled.insert(fetch.index);
+        }
+    }
+    BOOST_TEST(pulled.size() == owned[cutOff].size());
+}
+
+BOOST_AUTO_TEST_CASE(a_failed_pull_is_tried_again_soon_and_then_less_often)
+{
+    const auto members = swarm(1);
+    ChunkPlan::Options options;
+    options.originParallel = sChunks;
+    ChunkPlan plan("digest", sChunks, members[0], options, at(0));
+    plan.setMembers(members);
+    BOOST_TEST(plan.next(at(0)).size() == sChunks);
+    plan.failed(0, FromOrigin{}, ChunkFailure::Corrupt, at(100));
+    BOOST_TEST(plan.next(at(110)).empty());
+    BOOST_TEST(plan.next(at(130)).size() == 1U);
+    int tries = 0;
+    for (int time = 140; time < 4'140; time += 10) {
+        if (tries == 0 || !plan.next(at(time)).empty()) {
+            plan.failed(0, FromOrigin{}, ChunkFailure::Gone, at(time));
+            ++tries;
+        }
+    }
+    BOOST_TEST(tries >= 10);
+    BOOST_TEST(tries <= 16);
+}
