--- a/src/libloomjunction/core/replicaoffer.cpp
+++ b/src/libloomjunction/core/replicaoffer.cpp
@@ -134,7 +134,7 @@
     offer.isPrompt = offer.answer <= goal;
     // What is asked for with a longer goal would otherwise take all the room.
     const double idle = model.firstEvent({}, 0);
-    const double shortest = std::max<double>(mShortestGoal.count(), 2 * idle);
+    const double shortest = std::max(static_cast<double>(mShortestGoal.count()), 2 * idle);
     offer.room = model.room(work, 0, std::min(goal, shortest * sGoalUsed));
     offer.freePlaces = std::max(0.0, slots - all);
     const double places = mQuery.isResumed ? slots * (1 + sResumedQueue) : slots;
