--- a/src/libloomjunction/gateway/gatewaycall.cpp
+++ b/src/libloomjunction/gateway/gatewaycall.cpp
@@ -294,6 +294,8 @@
     auto link = co_await mParts.replicas.link(chosen.id, address, cap);
     const Replica *still = mParts.replicas.replicas().find(chosen.id);
     const bool isDraining = still == nullptr || still->record.isDraining;
+    // The close may wait in the loop behind this, when the process stood still.
+    mIsCallerGone = mIsCallerGone || mExchange.hasCallerLeft();
     if (!link || mIsCallerGone || mIsTimeOver || isDraining) {
         ReplicaOutcome outcome = ReplicaOutcome::Abandoned;
         if (link) {
--- a/src/libloomjunction/net/http.h
+++ b/src/libloomjunction/net/http.h
@@ -70,6 +70,9 @@
     virtual void abort() = 0;
     /** Calls @p onGone once, when the caller closes before the answer is out. */
     virtual void watchCaller(std::function<void()> onGone) = 0;
+    /** Whether the caller has closed by now; asks the socket, where watchCaller() waits for the
+     * loop. */
+    virtual bool hasCallerLeft() = 0;
     virtual asio::any_io_executor executor() = 0;
 };
 
--- a/src/libloomjunction/net/httpserver.cpp
+++ b/src/libloomjunction/net/httpserver.cpp
@@ -166,6 +166,15 @@
         mWatch->begin();
     }
 
+    bool hasCallerLeft() override
+    {
+        char probe = 0;
+        boost::system::error_code error;
+        mStream.socket().non_blocking(true, error);
+        mStream.socket().receive(asio::buffer(&probe, 1), Tcp::socket::message_peek, error);
+        return error && error != asio::error::would_block && error != asio::error::try_again;
+    }
+
     asio::any_io_executor executor() override { return mStream.get_executor(); }
     bool mayContinue() const { return mAlive && mComplete && mKeepAlive; }
 
