Bounds are read as real numbers, every one from the platform

Cause: bounds are worked out from sizes, and retry_extra of a small fleet is 3.44; the settings took whole numbers only, so that no gateway started.

Ruled out: rounding in the template, which has no arithmetic.

--- a/src/libloomjunction/gateway/directsettings.cpp
+++ b/src/libloomjunction/gateway/directsettings.cpp
@@ -10,34 +10,45 @@
 
 #include "settingsfile.h"
 
+#include <cmath>
+
 namespace Loom {
 
 namespace {
 
 constexpr double sMostMbit = 1'000'000;
-constexpr std::int64_t sMostMilliseconds = 3'600'000;
-constexpr std::int64_t sMostPermille = 10'000;
-constexpr std::int64_t sMostExtra = 1'000'000;
-constexpr double sPermille = 1'000;
+constexpr double sMostMilliseconds = 3'600'000;
+constexpr double sMostSeconds = 3'600;
+constexpr double sMostRatio = 10;
+constexpr double sMostExtra = 1'000'000;
+constexpr double sMillisecondsPerSecond = 1'000;
 constexpr std::string_view sGateway = "gateway";
 constexpr std::string_view sStager = "stager";
 
+// Platforms give bounds as real numbers, since they are worked out from sizes.
 Milliseconds milliseconds(SettingsReader &reader, std::string_view field, Milliseconds standard)
 {
-    return Milliseconds(reader.integer(field, 0, sMostMilliseconds, standard.count()));
+    const auto usual = static_cast<double>(standard.count());
+    return Milliseconds(std::llround(reader.real(field, 0, sMostMilliseconds, usual)));
+}
+
+Milliseconds seconds(SettingsReader &reader, std::string_view field, Milliseconds standard)
+{
+    const double usual = static_cast<double>(standard.count()) / sMillisecondsPerSecond;
+    const double found = reader.real(field, 0, sMostSeconds, usual);
+    return Milliseconds(std::llround(found * sMillisecondsPerSecond));
 }
 
 DirectBounds readBounds(SettingsReader reader)
 {
     DirectBounds bounds;
     bounds.drainTime = milliseconds(reader, "drainMs", bounds.drainTime);
-    bounds.stopTime = milliseconds(reader, "stopMs", bounds.stopTime);
-    bounds.addressLifetime = milliseconds(reader, "addressLifetimeMs", bounds.addressLifetime);
+    bounds.stopTime = seconds(reader, "stopSeconds", bounds.stopTime);
+    bounds.addressLifetime = seconds(reader, "addressLifetimeSeconds", bounds.addressLifetime);
     bounds.weightsTime = milliseconds(reader, "weightsMs", bounds.weightsTime);
-    bounds.retries.window = milliseconds(reader, "retryWindowMs", bounds.retries.window);
-    bounds.retries.ratio
-        = static_cast<double>(reader.integer("retryPermille", 0, sMostPermille, 100)) / sPermille;
-    bounds.retries.extra = static_cast<double>(reader.integer("retryExtra", 0, sMostExtra, 10));
+    bounds.retries.window = seconds(reader, "retryWindowSeconds", bounds.retries.window);
+    bounds.retries.ratio = reader.real("retryRatio", 0, sMostRatio, bounds.retries.ratio);
+    bounds.retries.extra = reader.real("retryExtra", 0, sMostExtra, bounds.retries.extra);
     reader.refuseUnknown();
     return bounds;
 }
--- a/tests/process/test_deploy.py
+++ b/tests/process/test_deploy.py
@@ -59,6 +59,21 @@
         assert done.returncode == 0, (name, done.stderr)
 
 
+def test_bounds_may_be_fractions():
+    bounds = {"drain_ms": 2000.5, "grace_s": 8.5, "ttl_max_s": 0.5, "version_ms": 8000.0,
+              "retry_window_s": 2.5, "retry_ratio": 0.15, "retry_extra": 34.421052631578945}
+    for name, fields in (("gateway.json", FRONT), ("stager.json", SIDE)):
+        done = check(fill(template(name), dict(fields, bounds=bounds)))
+        assert done.returncode == 0, (name, done.stderr)
+
+
+def test_every_bound_comes_from_the_platform():
+    for name in ("gateway.json", "stager.json"):
+        bounds = re.search(r'"bounds": \{(.*?)\n    \}', template(name), re.S).group(1)
+        for line in bounds.strip().splitlines():
+            assert re.search(r": \{\{bounds\.\w+\}\},?$", line), (name, line)
+
+
 def test_wrong_settings_name_the_field():
     good = json.loads(fill(template("gateway.json"), FRONT))
     for change, word in (
@@ -66,6 +81,8 @@
             (lambda s: s.update(store="nowhere"), "store"),
             (lambda s: s.update(seeds=["10.1.0.40"]), "seeds"),
             (lambda s: s["bounds"].update(drainMs=-1), "bounds.drainMs"),
+            (lambda s: s["bounds"].update(retryExtra="many"), "bounds.retryExtra"),
+            (lambda s: s["bounds"].update(stopSeconds=1e9), "bounds.stopSeconds"),
             (lambda s: s["gateway"].pop("callers"), "gateway.callers"),
             (lambda s: s.update(surprise=1), "surprise")):
         settings = json.loads(json.dumps(good))
@@ -85,5 +102,7 @@
 
 if __name__ == "__main__":
     main(test_templates_are_accepted,
+         test_bounds_may_be_fractions,
+         test_every_bound_comes_from_the_platform,
          test_wrong_settings_name_the_field,
          test_what_runs_is_what_is_built)
--- a/tests/soak/soak.py
+++ b/tests/soak/soak.py
@@ -157,7 +157,7 @@
         self.faults.is_stopped = True
         await faulting
         self.say("faults are over")
-        if not await self.wait_served(RECOVERY + BOUNDS["stopMs"] / 1000, 0.9):
+        if not await self.wait_served(RECOVERY + BOUNDS["stopSeconds"], 0.9):
             self.broken.append("RECOVER: too little is served after the faults")
         await self.check_config()
         for caller in callers:
--- a/tests/soak/world.py
+++ b/tests/soak/world.py
@@ -18,8 +18,8 @@
 CONFIG_KEY = "config"
 OPERATORS = "keyed.op"
 CRASHES = (-signal.SIGABRT, -signal.SIGSEGV, -signal.SIGBUS, -signal.SIGILL, -signal.SIGFPE)
-BOUNDS = {"drainMs": 2000, "stopMs": 8000, "addressLifetimeMs": 5000, "weightsMs": 8000,
-          "retryWindowMs": 10000, "retryPermille": 200, "retryExtra": 100}
+BOUNDS = {"drainMs": 2000, "stopSeconds": 8, "addressLifetimeSeconds": 5, "weightsMs": 8000,
+          "retryWindowSeconds": 10, "retryRatio": 0.2, "retryExtra": 100}
 
 
 class Process:
@@ -65,7 +65,7 @@
         """Starts it again when it ended, as the platform does; says how it ended."""
         if self.is_running():
             overdue = (self.stopping_since is not None and not self.is_frozen
-                       and time.monotonic() - self.stopping_since > BOUNDS["stopMs"] / 1000 + 2)
+                       and time.monotonic() - self.stopping_since > BOUNDS["stopSeconds"] + 2)
             if overdue:
                 self.broken_promises.append(f"STOP: {self.box} outlived its time to stop")
                 self.signal(signal.SIGKILL)
@@ -161,7 +161,7 @@
         settings = {"role": "stager", "box": box, "dataCentre": replica.zone,
                     "region": replica.zone, "peers": f"{HOST}:{self.port()}", "seeds": peers[:3],
                     "store": await self._store_proxy(box, store_port),
-                    "bounds": {"weightsMs": BOUNDS["weightsMs"], "stopMs": BOUNDS["stopMs"]},
+                    "bounds": {"weightsMs": BOUNDS["weightsMs"], "stopSeconds": BOUNDS["stopSeconds"]},
                     "stager": {"service": "engine-svc",
                                "engine": f"{replica.address[0]}:{replica.address[1]}",
                                "linkMbit": 100}}
