--- /dev/null
+++ b/src/libloomjunction/core/askplan.cpp
@@ -0,0 +1,131 @@
+/*
+ * askplan.cpp
+ * Copyright 2026, the loomjunction authors
+ *
+ * This file is part of loomjunction (libloomjunction).
+ * SPDX-License-Identifier: BSD-2-Clause
+ */
+
+#include "askplan.h"
+
+#include "rendezvous.h"
+
+#include <algorithm>
+#include <iterator>
+
+namespace Loom {
+
+namespace {
+
+// A fleet of this size or less is used by everybody as a whole. Beyond it, a
+// gateway that gets a few requests a second would use each replica so seldom
+// that neither connections nor what it knows of them last from one to the next.
+constexpr std::size_t sNeighbours = 16;
+// Of those, in the own data centre where it has as many; the others take what
+// comes when one data centre is asked more than its engines can do.
+constexpr std::size_t sNearNeighbours = 12;
+// The best of four random replicas is nearly as good as the best of all, while
+// the loads are fresh; each further one costs two messages a request.
+constexpr std::size_t sAskedNear = 4;
+// When those four are full, some more: under overload a place is free somewhere
+// most of the time.
+constexpr std::size_t sAskedMore = 6;
+// Of those asked, one that nothing good is known of, to notice when it recovers
+// or has new weights.
+constexpr std::size_t sAskedDoubtful = 1;
+// What an agent said about loading weights holds for about as long as a load takes.
+constexpr Milliseconds sRefusalHolds{250};
+
+std::size_t countOf(AskRound round)
+{
+    return round == AskRound::Near ? sAskedNear : sAskedMore;
+}
+
+std::uint64_t nextRandom(std::uint64_t &state)
+{
+    state = state * 6364136223846793005ULL + 1442695040888963407ULL;
+    return state >> 33;
+}
+
+// Moves up to @p most random ones of @p from to the end of @p to.
+void moveRandom(std::vector<const Replica *> &from, std::size_t most, std::uint64_t &state,
+                std::vector<const Replica *> &to)
+{
+    for (std::size_t count = 0; count < most && !from.empty(); ++count) {
+        const std::size_t index = nextRandom(state) % from.size();
+        to.push_back(from[index]);
+        from[index] = from.back();
+        from.pop_back();
+    }
+}
+
+} // namespace
+
+// The heaviest for this gateway, so that a replica that comes or goes changes
+// one neighbour of some gateways and nothing else.
+void AskPlan::appendHeaviest(std::vector<const Replica *> pool, std::size_t most,
+                             std::vector<const Replica *> &chosen) const
+{
+    const std::size_t kept = std::min(most, pool.size());
+    const auto weight
+        = [&](const Replica *replica) { return rendezvousWeight(mEntry, replica->record.address); };
+    std::ranges::partial_sort(pool, pool.begin() + static_cast<std::ptrdiff_t>(kept),
+                              std::ranges::greater(), weight);
+    chosen.insert(chosen.end(), pool.begin(), pool.begin() + static_cast<std::ptrdiff_t>(kept));
+}
+
+std::vector<const Replica *> AskPlan::neighbours(std::span<const Replica *const> usable) const
+{
+    if (usable.size() <= sNeighbours) {
+        return {usable.begin(), usable.end()};
+    }
+    std::vector<const Replica *> near;
+    std::vector<const Replica *> far;
+    for (const Replica *replica : usable) {
+        const bool isNear = replica->record.dataCentre == mQuery.dataCentre;
+        (isNear ? near : far).push_back(replica);
+    }
+    std::vector<const Replica *> chosen;
+    const std::size_t mostNear
+        = far.size() < sNeighbours - sNearNeighbours ? sNeighbours - far.size() : sNearNeighbours;
+    appendHeaviest(std::move(near), mostNear, chosen);
+    appendHeaviest(std::move(far), sNeighbours - chosen.size(), chosen);
+    return chosen;
+}
+
+// As far as is known: it has weights that may be used, and is not away for a load.
+bool AskPlan::isPromising(const Replica &replica) const
+{
+    const bool isAway
+        = replica.load && !replica.load->isAccepting && mNow - replica.loadAt <= sRefusalHolds;
+    const std::uint64_t version = replica.weightsVersion();
+    return !isAway && version != 0 && version >= mQuery.leastVersion
+        && replica.avoidedUntil <= mNow;
+}
+
+std::vector<const Replica *> AskPlan::choose(AskRound round, std::span<const Replica *const> usable,
+                                             std::span<const std::string> asked) const
+{
+    std::vector<const Replica *> pool = round == AskRound::Anyone
+        ? std::vector<const Replica *>(usable.begin(), usable.end())
+        : neighbours(usable);
+    std::vector<const Replica *> promising;
+    std::vector<const Replica *> doubtful;
+    for (const Replica *replica : pool) {
+        const bool isAsked = std::ranges::find(asked, replica->record.id) != asked.end();
+        const bool isTooFar
+            = round == AskRound::Near && replica->record.dataCentre != mQuery.dataCentre;
+        if (!isAsked && !isTooFar) {
+            (isPromising(*replica) ? promising : doubtful).push_back(replica);
+        }
+    }
+    std::uint64_t state = mQuery.random + static_cast<std::uint64_t>(round);
+    std::vector<const Replica *> chosen;
+    const std::size_t most = countOf(round);
+    const std::size_t doubts = std::min(sAskedDoubtful, doubtful.size());
+    moveRandom(promising, most - doubts, state, chosen);
+    moveRandom(doubtful, most - chosen.size(), state, chosen);
+    return chosen;
+}
+
+} // namespace Loom
--- a/src/libloomjunction/core/replica.h
+++ b/src/libloomjunction/core/replica.h
@@ -29,6 +29,14 @@
     bool isDraining = false;
     /** Version of the weights that are loaded whole; zero: none, or a plain service. */
     std::uint64_t weightsVersion = 0;
+
+    /** The same but for its place in the store. */
+    bool isLike(const ReplicaRecord &other) const
+    {
+        return id == other.id && service == other.service && address == other.address
+            && dataCentre == other.dataCentre && slots == other.slots
+            && isDraining == other.isDraining && weightsVersion == other.weightsVersion;
+    }
 };
 
 /** What the agent of a replica's box says of it, as it stands right now. */
--- a/src/libloomjunction/core/replicaoffer.h
+++ b/src/libloomjunction/core/replicaoffer.h
@@ -41,6 +41,8 @@
     /** The caller has the beginning of its answer and waits for the rest. */
     bool isResumed = false;
     std::span<const std::string> excluded; ///< ids
+    /** Ids whose agents answered just now: only these are chosen from. Empty: all are. */
+    std::span<const std::string> answered;
     std::uint64_t random = 0;
 };
 
--- a/src/libloomjunction/core/replicaset.cpp
+++ b/src/libloomjunction/core/replicaset.cpp
@@ -80,6 +80,13 @@
 {
     Replica &replica = mReplicas[record.id];
     const bool wasDraining = replica.record.isDraining;
+    // Within one life versions only rise: one that is new in the record is newer
+    // than the agent's last word, too.
+    const bool hasNewer = record.weightsVersion > replica.record.weightsVersion;
+    if (hasNewer && replica.load) {
+        replica.load->weightsVersion
+            = std::max(replica.load->weightsVersion, record.weightsVersion);
+    }
     replica.record = record;
     replica.record.isDraining = record.isDraining || wasDraining;
     replica.goneAt = Instant();
@@ -168,14 +175,51 @@
     return fastest;
 }
 
+// Whether it belongs to the service and lives, whatever its load and weights are.
+bool ReplicaSet::mayBeUsed(const Replica &replica, const ReplicaQuery &query, Instant now)
+{
+    const bool isGone = replica.goneAt != Instant() && replica.goneAt <= now;
+    return replica.record.service == query.service && !replica.record.isDraining && !isGone;
+}
+
+std::vector<const Replica *> ReplicaSet::leftFor(const ReplicaQuery &query, Instant now) const
+{
+    std::vector<const Replica *> left;
+    for (const auto &[id, replica] : mReplicas) {
+        if (mayBeUsed(replica, query, now)) {
+            left.push_back(&replica);
+        }
+    }
+    return left;
+}
+
+std::vector<const Replica *> ReplicaSet::neighbours(const ReplicaQuery &query, Instant now) const
+{
+    return AskPlan(mEntry, query, now).neighbours(leftFor(query, now));
+}
+
+std::vector<const Replica *> ReplicaSet::toAsk(const ReplicaQuery &query, AskRound round,
+                                               std::span<const std::string> asked,
+                                               Instant now) const
+{
+    return AskPlan(mEntry, query, now).choose(round, leftFor(query, now), asked);
+}
+
 std::vector<const Replica *> ReplicaSet::usableFor(const ReplicaQuery &query,
                                                    const OfferEstimator &estimator) const
 {
     const bool isBound = query.engine != nullptr && query.weights != nullptr;
+    const auto isAnswered = [&](const Replica &replica) {
+        return query.answered.empty()
+            || std::ranges::find(query.answered, replica.record.id) != query.answered.end();
+    };
     std::vector<const Replica *> usable;
     std::vector<const Replica *> silent;
     for (const auto &[id, replica] : mReplicas) {
-        if (!estimator.isUsable(replica) || (isBound && !estimator.beginsInTime(replica))) {
+        if (!isAnswered(replica) || !estimator.isUsable(replica)) {
+            continue;
+        }
+        if (isBound && !estimator.beginsInTime(replica)) {
             continue;
         }
         (estimator.isSilent(replica) ? silent : usable).push_back(&replica);
@@ -183,9 +227,22 @@
     return usable.empty() ? silent : usable;
 }
 
-ReplicaSet::Survey ReplicaSet::survey(std::span<const Replica *const> usable, std::size_t most,
-                                      const OfferEstimator &estimator)
+// For how long nobody knows what others send to a replica: until its next report,
+// or, where it was asked, since its answer.
+double ReplicaSet::unknownMs(const Replica &replica, const ReplicaQuery &query, Instant now)
 {
+    const auto lag = static_cast<double>(sReportLag.count());
+    if (!query.answered.empty()) {
+        return lag + std::chrono::duration<double, std::milli>(now - replica.loadAt).count();
+    }
+    return lag + (replica.reportGapMs > 0 ? replica.reportGapMs : sUsualGapMs);
+}
+
+ReplicaSet::Survey ReplicaSet::survey(std::span<const Replica *const> usable,
+                                      const ReplicaQuery &query, const OfferEstimator &estimator,
+                                      Instant now)
+{
+    const std::size_t most = query.engine == nullptr ? usable.size() : sSample;
     Survey survey;
     for (const Replica *replica : usable) {
         if (survey.looked >= most && !survey.prompt.empty()) {
@@ -193,8 +250,7 @@
         }
         ++survey.looked;
         const ReplicaOffer offer = estimator.offer(*replica);
-        const double gap = replica->reportGapMs > 0 ? replica->reportGapMs : sUsualGapMs;
-        survey.horizonMs += gap + static_cast<double>(sReportLag.count());
+        survey.horizonMs += unknownMs(*replica, query, now);
         survey.room += offer.room;
         survey.freePlaces += offer.freePlaces;
         survey.leastLoad = survey.looked == 1 ? offer.load : std::min(survey.leastLoad, offer.load);
@@ -260,9 +316,9 @@
         return NoneUsable{countOf(query.service)};
     }
     shuffleFront(usable, usable.size(), query.random);
-    const std::size_t most = query.engine == nullptr ? usable.size() : sSample;
-    const Survey survey = ReplicaSet::survey(usable, most, estimator);
-    const double expected = expectedCalls(query, survey, usable.size(), now);
+    const Survey survey = ReplicaSet::survey(usable, query, estimator, now);
+    const std::size_t sharing = query.answered.empty() ? usable.size() : leftFor(query, now).size();
+    const double expected = expectedCalls(query, survey, sharing, now);
     std::uint64_t state = query.random ^ sOtherDraws;
     const double chance = unitRandom(state);
     const bool isShared = query.engine == nullptr || chance * expected < survey.room;
--- a/src/libloomjunction/core/replicaset.h
+++ b/src/libloomjunction/core/replicaset.h
@@ -8,6 +8,7 @@
 
 #pragma once
 
+#include "askplan.h"
 #include "callrate.h"
 #include "instant.h"
 #include "replica.h"
@@ -52,12 +53,18 @@
 class ReplicaSet
 {
 public:
-    /** @p drainTime: a replica that leaves gets nothing after it. */
-    explicit ReplicaSet(Milliseconds drainTime)
+    /**
+     * @p drainTime: a replica that leaves gets nothing after it. @p entry: the
+     * key of the gateway that chooses, see AskPlan.
+     */
+    explicit ReplicaSet(Milliseconds drainTime, std::string entry = {})
         : mDrainTime(drainTime)
+        , mEntry(std::move(entry))
     {
     }
 
+    void setDrainTime(Milliseconds drainTime) { mDrainTime = drainTime; }
+
     /** A record of the store, new or changed. Draining is final for one id. */
     void put(const ReplicaRecord &record, Instant now);
     /** The record was taken away; @p trusted: by a store that was well all the while. */
@@ -70,6 +77,11 @@
     void reportLost(std::string_view address);
 
     ReplicaChoice choose(const ReplicaQuery &query, Instant now) const;
+    /** Replicas whose agents should be asked before a choice; @p asked: they were. */
+    std::vector<const Replica *> toAsk(const ReplicaQuery &query, AskRound round,
+                                       std::span<const std::string> asked, Instant now) const;
+    /** Replicas of an engine's service that this gateway should keep links to. */
+    std::vector<const Replica *> neighbours(const ReplicaQuery &query, Instant now) const;
 
     /** A caller's request for @p service came. */
     void noteCall(std::string_view service, Milliseconds goal, Instant now);
@@ -99,20 +111,23 @@
         std::vector<Candidate> prompt; ///< meet the goal
         std::vector<Candidate> open; ///< take a request that misses it
         std::size_t looked = 0;
-        double horizonMs = 0; ///< sum of the times until their next reports
+        double horizonMs = 0; ///< sum of the times that their loads are unknown for
         double room = 0;
         double freePlaces = 0;
         double leastLoad = 0;
     };
 
+    static bool mayBeUsed(const Replica &replica, const ReplicaQuery &query, Instant now);
+    std::vector<const Replica *> leftFor(const ReplicaQuery &query, Instant now) const;
     void retireEarlierLives(const ReplicaRecord &record, Instant now);
     static void stopAwaiting(Replica &replica, bool isPatient);
     std::uint32_t countOf(std::string_view service) const;
     double fastestAnswerMs(const OfferEstimator &estimator) const;
     std::vector<const Replica *> usableFor(const ReplicaQuery &query,
                                            const OfferEstimator &estimator) const;
-    static Survey survey(std::span<const Replica *const> usable, std::size_t most,
-                         const OfferEstimator &estimator);
+    static double unknownMs(const Replica &replica, const ReplicaQuery &query, Instant now);
+    static Survey survey(std::span<const Replica *const> usable, const ReplicaQuery &query,
+                         const OfferEstimator &estimator, Instant now);
     double expectedCalls(const ReplicaQuery &query, const Survey &survey, std::size_t usable,
                          Instant now) const;
     static const Candidate &pickLevelled(std::span<const Candidate> candidates, double requests,
@@ -120,6 +135,7 @@
     static Milliseconds comeBack(const ReplicaQuery &query, double leastLoad);
 
     Milliseconds mDrainTime;
+    std::string mEntry;
     std::map<std::string, CallRate, std::less<>> mCalls; ///< by service
     std::map<std::string, Replica, std::less<>> mReplicas;
 };
--- a/src/libloomjunction/gateway/feedservice.cpp
+++ b/src/libloomjunction/gateway/feedservice.cpp
@@ -29,7 +29,6 @@
 constexpr Milliseconds sReplicasWait{2'000};
 constexpr Milliseconds sMembersWait{8'000};
 // Records that come close together are read in one call.
-constexpr Milliseconds sReplicasPause{200};
 constexpr Milliseconds sOperatorsPause{20};
 constexpr Milliseconds sMembersPause{150};
 constexpr Milliseconds sRetryLeast{100};
@@ -60,19 +59,6 @@
 // Of records that were there at the first read: long ago, as far as is known.
 constexpr Microseconds sUnknownAge = std::chrono::hours(24);
 
-Milliseconds pauseOf(Feed feed)
-{
-    switch (feed) {
-    case Feed::Operators:
-        return sOperatorsPause;
-    case Feed::Replicas:
-        return sReplicasPause;
-    case Feed::Members:
-        return sMembersPause;
-    }
-    return sOperatorsPause;
-}
-
 Milliseconds jitter(Milliseconds least, Milliseconds most)
 {
     static std::mt19937 random{std::random_device{}()};
@@ -139,6 +125,20 @@
     return sMembersWait;
 }
 
+// Between two reads that found something.
+Milliseconds FeedService::pauseOf(Feed feed) const
+{
+    switch (feed) {
+    case Feed::Operators:
+        return sOperatorsPause;
+    case Feed::Replicas:
+        return mReplicasPause;
+    case Feed::Members:
+        return sMembersPause;
+    }
+    return sOperatorsPause;
+}
+
 std::optional<Microseconds> FeedService::age(Feed feed) const
 {
     const auto &completeAt = state(feed).completeAt;
@@ -247,10 +247,23 @@
             {{"feed", feedName(feed)}, {"why", why}, {"offset", state.book.nextOffset()}});
 }
 
+// Replicas write every second or so that they are alive. With hundreds of them,
+// relaying that to every process would take more of a box than all else.
+bool FeedService::isPassedOver(Feed feed, const FeedRecord &record) const
+{
+    const FeedState &state = this->state(feed);
+    if (!state.isSame || !record.value) {
+        return false;
+    }
+    const auto known = state.book.all().find(record.key);
+    const bool hasValue = known != state.book.all().end() && known->second.value;
+    return hasValue && known->second.offset < record.offset && state.isSame(known->second, record);
+}
+
 void FeedService::apply(Feed feed, const FeedRecord &record, Microseconds age)
 {
     FeedState &state = this->state(feed);
-    if (!state.book.apply(record)) {
+    if (isPassedOver(feed, record) || !state.book.apply(record)) {
         return;
     }
     state.learnedAt[record.key] = now() - std::min(age, sUnknownAge);
--- a/src/libloomjunction/gateway/feedservice.h
+++ b/src/libloomjunction/gateway/feedservice.h
@@ -62,6 +62,8 @@
     using Listener = std::function<void(const FeedChange &change)>;
     using PeerAddresses = std::function<std::vector<Tcp::endpoint>()>;
     using Readers = std::function<FeedReaders()>;
+    /** Whether a new value of a record says the same as its old one. */
+    using SameMeaning = std::function<bool(const FeedRecord &known, const FeedRecord &next)>;
 
     FeedService(StorePort &store, std::string box, FeedPreference preference);
 
@@ -71,6 +73,11 @@
 
     /** Calls @p listener for every change of @p feed; add before start. */
     void listen(Feed feed, Listener listener);
+    /** Records that say the same again are neither told to listeners nor relayed. */
+    void passOver(Feed feed, SameMeaning isSame) { state(feed).isSame = std::move(isSame); }
+    /** Least time between two reads of replicas' records; a draining one gets requests till then.
+     */
+    void setReplicasPause(Milliseconds pause) { mReplicasPause = pause; }
     /** Entries that may be asked for records. */
     void setPeers(PeerAddresses peers) { mPeers = std::move(peers); }
 
@@ -87,6 +94,7 @@
     {
         RecordBook book;
         std::vector<Listener> listeners;
+        SameMeaning isSame;
         std::map<std::string, Instant> learnedAt;
         std::optional<Instant> completeAt;
         Instant storeFailedAt;
@@ -116,6 +124,8 @@
     void announce(Feed feed, const FeedRecord &record, Microseconds age);
     awaitable<void> serveFollower(PeerStreamPtr stream);
     Milliseconds waitOf(Feed feed) const;
+    Milliseconds pauseOf(Feed feed) const;
+    bool isPassedOver(Feed feed, const FeedRecord &record) const;
 
     StorePort &mStore;
     std::string mBox;
@@ -125,6 +135,7 @@
     Readers mReaders;
     std::array<FeedState, sFeedCount> mFeeds;
     std::unique_ptr<Signal> mChanged;
+    Milliseconds mReplicasPause{200};
     std::uint64_t mTurn = 0;
     bool mStopped = false;
 };
--- a/src/libloomjunction/gateway/gatewaycall.cpp
+++ b/src/libloomjunction/gateway/gatewaycall.cpp
@@ -192,7 +192,7 @@
     return std::chrono::duration_cast<Milliseconds>(mDeadline - now());
 }
 
-ReplicaChoice GatewayCall::choose() const
+awaitable<ReplicaChoice> GatewayCall::choose() const
 {
     ReplicaQuery query;
     query.service = mServiceName;
@@ -211,7 +211,7 @@
         query.weights = &weights;
         query.model = mCaller.model;
     }
-    return mParts.replicas.replicas().choose(query, now());
+    co_return co_await mParts.replicas.choose(query);
 }
 
 awaitable<void> GatewayCall::tryReplicas()
@@ -220,7 +220,11 @@
     Refusal last{503, "no replica can take it", sNoReplicaComeBack};
     std::optional<TryUnknown> unknown;
     while (true) {
-        const ReplicaChoice choice = choose();
+        const ReplicaChoice choice = co_await choose();
+        if (mIsCallerGone || mIsTimeOver) {
+            co_await giveUp(mSends == 0 ? 503 : 504, "time was over before a replica was chosen");
+            co_return;
+        }
         const auto *chosen = std::get_if<ChosenReplica>(&choice);
         if (chosen == nullptr) {
             if (const auto *busy = std::get_if<AllBusy>(&choice); busy && mExcluded.empty()) {
--- a/src/libloomjunction/gateway/gatewaycall.h
+++ b/src/libloomjunction/gateway/gatewaycall.h
@@ -92,7 +92,7 @@
     awaitable<TryResult> passStream(LinkHead head);
     awaitable<tl::expected<LinkHead, LinkError>> ownHead(LinkRequest request);
     TryResult afterLinkError(LinkError error);
-    ReplicaChoice choose() const;
+    awaitable<ReplicaChoice> choose() const;
     void noteAnswer(bool hasBegun);
     OutgoingFields outgoingFields(std::string_view replicaId) const;
     Milliseconds timeOfWeights(std::uint64_t version) const;
--- /dev/null
+++ b/src/libloomjunction/gateway/loadasker.cpp
@@ -0,0 +1,227 @@
+/*
+ * loadasker.cpp
+ * Copyright 2026, the loomjunction authors
+ *
+ * This file is part of loomjunction (libloomjunction).
+ * SPDX-License-Identifier: BSD-2-Clause
+ */
+
+#include "loadasker.h"
+
+#include "clock.h"
+#include "jsonlog.h"
+#include "memberservice.h"
+#include "metrics.h"
+#include "peerhub.h"
+#include "wire.pb.h"
+
+#include <algorithm>
+
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+
+namespace Loom {
+
+namespace {
+
+constexpr std::string_view sLoadPath = "/replica-load";
+// Longer than the way to the farthest data centre and back, with the agent's look
+// at its engine: with some answers at hand, the others are not waited for.
+constexpr Milliseconds sAskTime{15};
+// A box that has used up its share of the processor goes on within a tenth of a
+// second. Nothing is known before the first answer, so that is worth the wait.
+constexpr Milliseconds sAskMost{120};
+// After an unanswered question others are asked for this long: a frozen or dead
+// box costs one request in so many the wait above.
+constexpr Milliseconds sSilentFor{600};
+// The same for a box that answers late; its answer ends it.
+constexpr Milliseconds sLateFor{150};
+// A connection that may have gone silent is not used again.
+constexpr Milliseconds sStreamLost{400};
+constexpr std::chrono::hours sNoDeadline{1};
+constexpr Milliseconds sUnusedFor{5'000};
+constexpr double sPermille = 1'000;
+
+ReplicaLoad loadOf(const wire::ReplicaLoadReport &told)
+{
+    ReplicaLoad load;
+    load.running = told.running();
+    load.waiting = told.waiting();
+    load.waitingPatient = told.waiting_patient();
+    load.memoryUsed = told.memory_used();
+    load.memoryTotal = told.memory_total();
+    load.pace = told.pace_permille() / sPermille;
+    load.weightsVersion = told.weights_version();
+    load.isAccepting = told.accepting();
+    load.isLinkSlow = told.link_slow();
+    return load;
+}
+
+} // namespace
+
+LoadAsker::LoadAsker(Kernel &kernel, Metrics &metrics, Heard heard)
+    : mHub(kernel.find<PeerHub>(PeerHub::sName))
+    , mMembers(kernel.find<MemberService>(MemberService::sName))
+    , mMetrics(metrics)
+    , mHeard(std::move(heard))
+    , mAnswered(kernel.executor())
+{
+}
+
+bool LoadAsker::isSilent(const std::string &address) const
+{
+    const auto it = mLinks.find(address);
+    return it != mLinks.end() && it->second.silentUntil > now();
+}
+
+Instant LoadAsker::heardAt(const std::string &address) const
+{
+    const auto it = mLinks.find(address);
+    return it == mLinks.end() ? Instant() : it->second.heardAt;
+}
+
+void LoadAsker::keepWarm(const LoadQuestion &question)
+{
+    send(question, now());
+}
+
+awaitable<void> LoadAsker::ask(std::vector<LoadQuestion> questions)
+{
+    const Instant began = now();
+    for (const LoadQuestion &question : questions) {
+        send(question, began);
+    }
+    mMetrics.count("loom_load_questions_total", "asked", questions.size());
+    const auto openQuestions = [&] {
+        return std::ranges::count_if(questions, [&](const LoadQuestion &question) {
+            return mLinks[question.address].heardAt < began;
+        });
+    };
+    while (!mStopped) {
+        const auto open = static_cast<std::size_t>(openQuestions());
+        const bool hasSome = open < questions.size();
+        const Instant until = began + (hasSome ? sAskTime : sAskMost);
+        if (open == 0 || now() >= until) {
+            break;
+        }
+        co_await mAnswered.waitUntil(steadyTime(until));
+    }
+    const Instant ended = now();
+    for (const LoadQuestion &question : questions) {
+        Link &link = mLinks[question.address];
+        if (link.heardAt >= began) {
+            continue;
+        }
+        if (ended - link.askedAt >= sAskMost) {
+            noteMissed(question.address, ended);
+        } else {
+            link.silentUntil = std::max(link.silentUntil, ended + sLateFor);
+        }
+    }
+}
+
+void LoadAsker::send(const LoadQuestion &question, Instant now)
+{
+    Link &link = mLinks[question.address];
+    if (link.askedAt != Instant() && now - link.askedAt > sStreamLost) {
+        noteMissed(question.address, now);
+    }
+    link.usedAt = now;
+    link.patientWaiting = question.patientWaiting;
+    if (link.askedAt == Instant()) {
+        link.askedAt = now;
+    }
+    if (link.stream && link.stream->isOpen()) {
+        wire::LoadQuery query;
+        query.set_waiting_patient(question.patientWaiting);
+        link.stream->send(query);
+        return;
+    }
+    link.hasQuestion = true;
+    if (!link.isConnecting) {
+        link.isConnecting = true;
+        asio::co_spawn(mAnswered.executor(), connect(question.address), asio::detached);
+    }
+}
+
+awaitable<void> LoadAsker::connect(std::string address)
+{
+    const auto agent = mMembers.agentOf(address);
+    PeerStreamPtr stream;
+    if (agent) {
+        stream = co_await mHub.open(*agent, std::string(sLoadPath));
+    }
+    Link &link = mLinks[address];
+    link.isConnecting = false;
+    if (!stream || mStopped) {
+        noteMissed(address, now());
+        co_return;
+    }
+    link.stream = stream;
+    asio::co_spawn(mAnswered.executor(), receive(address, stream), asio::detached);
+    if (std::exchange(link.hasQuestion, false)) {
+        wire::LoadQuery query;
+        query.set_waiting_patient(link.patientWaiting);
+        stream->send(query);
+    }
+}
+
+awaitable<void> LoadAsker::receive(std::string address, PeerStreamPtr stream)
+{
+    while (!mStopped) {
+        const auto deadline = std::chrono::steady_clock::now() + sNoDeadline;
+        const auto report = co_await stream->receiveMessage<wire::ReplicaLoadReport>(deadline);
+        if (!report || !*report) {
+            break;
+        }
+        Link &link = mLinks[address];
+        link.heardAt = now();
+        link.askedAt = Instant();
+        link.silentUntil = Instant();
+        mMembers.noteHeard((*report)->member());
+        mHeard((*report)->address(), loadOf(**report));
+        mAnswered.notify();
+    }
+    stream->reset();
+    const auto it = mLinks.find(address);
+    if (it != mLinks.end() && it->second.stream == stream) {
+        it->second.stream.reset();
+    }
+}
+
+void LoadAsker::noteMissed(const std::string &address, Instant now)
+{
+    Link &link = mLinks[address];
+    if (link.silentUntil <= now) {
+        mMetrics.count("loom_load_questions_total", "unanswered");
+        logLine(LogLevel::Info, "agent-silent", {{"replica", address}});
+    }
+    link.silentUntil = now + sSilentFor;
+    dropStream(link);
+}
+
+// Connections may go silent without a reset while new ones work.
+void LoadAsker::dropStream(Link &link)
+{
+    link.askedAt = Instant();
+    link.hasQuestion = false;
+    if (link.stream) {
+        link.stream->connection()->close();
+        link.stream.reset();
+    }
+}
+
+void LoadAsker::closeUnused()
+{
+    const Instant time = now();
+    std::erase_if(mLinks, [&](const auto &item) {
+        const Link &link = item.second;
+        const bool isUnused = !link.isConnecting && time - link.usedAt > sUnusedFor;
+        if (isUnused && link.stream) {
+            link.stream->reset();
+        }
+        return isUnused;
+    });
+}
+
+} // namespace Loom
--- a/src/libloomjunction/gateway/loadreporter.h
+++ b/src/libloomjunction/gateway/loadreporter.h
@@ -8,12 +8,16 @@
 
 #pragma once
 
+#include "clock.h"
 #include "kernel.h"
 #include "peerstream.h"
-#include "replicaset.h"
+#include "replica.h"
 
+#include <cstdint>
+#include <functional>
 #include <map>
 #include <memory>
+#include <optional>
 #include <string>
 
 namespace Loom {
@@ -21,11 +25,18 @@
 class MemberService;
 class PeerHub;
 
-/** Tells every gateway how the replica of this box stands, as soon as it changes. */
+/**
+ * Tells gateways how the replica of this box stands, whenever one asks.
+ * Answers are at most some milliseconds old: a look at the engine costs less
+ * than a wrong choice. What it costs grows with the requests that come here,
+ * not with the number of gateways.
+ */
 class LoadReporter final : public Service
 {
 public:
     static constexpr std::string_view sName = "load-reporter";
+    /** Looks at the engine and calls set(). */
+    using Look = std::function<awaitable<void>()>;
 
     /** @p replica: the address under which the replica is recorded. */
     explicit LoadReporter(std::string replica);
@@ -34,24 +45,22 @@
     tl::expected<void, std::string> start(Kernel &kernel) override;
     void stop() override;
 
+    void setLook(Look look) { mLook = std::move(look); }
     void set(const ReplicaLoad &load);
 
 private:
-    awaitable<void> followMembers();
-    awaitable<void> reportTo(std::string key, Tcp::endpoint address);
-    awaitable<void> send(PeerStreamPtr stream);
-    static awaitable<void> takeCounts(LoadReporter &self, PeerStreamPtr stream, std::string key);
+    awaitable<void> serve(PeerStreamPtr stream);
+    awaitable<void> refresh();
     std::uint32_t patientWaiting() const;
 
     std::string mReplica;
     MemberService *mMembers = nullptr;
-    PeerHub *mHub = nullptr;
-    std::unique_ptr<Signal> mChanged;
+    std::unique_ptr<Signal> mLooked;
+    Look mLook;
+    bool mIsLooking = false;
     std::optional<ReplicaLoad> mLoad;
-    std::uint64_t mChanges = 0;
-    std::uint64_t mUrgent = 0; ///< changes that must not wait for the pause between reports
-    std::map<std::string, bool> mReported;
-    std::map<std::string, std::uint32_t> mPatient; ///< waiting here, by gateway
+    Instant mLoadAt;
+    std::map<const PeerStream *, std::uint32_t> mPatient; ///< waiting here, by gateway
     bool mStopped = false;
 };
 
--- a/src/libloomjunction/gateway/memberservice.cpp
+++ b/src/libloomjunction/gateway/memberservice.cpp
@@ -12,6 +12,7 @@
 #include "feedservice.h"
 #include "jsonhttp.h"
 #include "jsonlog.h"
+#include "memberplan.h"
 #include "peerhub.h"
 #include "rendezvous.h"
 #include "wire.pb.h"
@@ -34,12 +35,11 @@
 constexpr Milliseconds sMayBeAlive{15'000};
 // Longer than a restart takes, so that only boxes that stay away are forgotten.
 constexpr Milliseconds sForgetAfter{5'000};
-constexpr Milliseconds sForgetTurn{1'000};
+constexpr Milliseconds sForgetTurn{500};
+constexpr std::uint64_t sForgetTurns = 8;
 constexpr std::chrono::milliseconds sForgetEvery{500};
-// Gateways of a data centre that read the store for the others there, so that
-// one of them may fail.
-constexpr std::size_t sReadersPerDataCentre = 2;
-constexpr std::string_view sReadersKey = "feed-readers";
+// So few gateways read the store for themselves.
+constexpr std::size_t sLeastRelayed = 6;
 constexpr std::string_view sGatewayRole = "gateway";
 constexpr std::string_view sStagerRole = "stager";
 
@@ -57,6 +57,7 @@
     member.peers = *peers;
     member.callers = jsonText(object, "callers");
     member.service = jsonText(object, "service");
+    member.engine = jsonText(object, "engine");
     member.incarnation = static_cast<std::uint64_t>(jsonInteger(object, "incarnation", 0));
     return member;
 }
@@ -109,6 +110,7 @@
     } else if (const auto *stager = std::get_if<StagerSettings>(&mSettings.role)) {
         value["role"] = sStagerRole;
         value["service"] = stager->service;
+        value["engine"] = endpointText(stager->engine);
     }
     return boost::json::serialize(value);
 }
@@ -152,7 +154,16 @@
         return;
     }
     if (!change.record.value) {
-        const bool wasKnown = mMembers.erase(key) > 0;
+        const auto left = mMembers.find(key);
+        const bool wasKnown = left != mMembers.end();
+        if (wasKnown) {
+            const auto agent = mAgents.find(left->second.engine);
+            if (agent != mAgents.end() && agent->second == key) {
+                mAgents.erase(agent);
+            }
+            mMembers.erase(left);
+            ++mMemberChanges;
+        }
         mCameAt.erase(key);
         if (wasKnown) {
             logLine(LogLevel::Info, "member-left", {{"member", key}});
@@ -172,7 +183,70 @@
     if (isNewLife) {
         mCameAt[key] = now();
     }
+    if (!member->engine.empty()) {
+        mAgents[member->engine] = key;
+    }
     mMembers[key] = *member;
+    ++mMemberChanges;
+}
+
+std::optional<Tcp::endpoint> MemberService::agentOf(const std::string &engine) const
+{
+    const auto agent = mAgents.find(engine);
+    if (agent == mAgents.end()) {
+        return std::nullopt;
+    }
+    const auto member = mMembers.find(agent->second);
+    return member == mMembers.end() ? std::nullopt : std::optional(member->second.peers);
+}
+
+std::vector<Member> MemberService::watchedStagers() const
+{
+    std::vector<Member> stagers;
+    for (const auto &[key, since] : mWatched) {
+        const auto member = mMembers.find(key);
+        if (member != mMembers.end() && !member->second.isGateway) {
+            stagers.push_back(member->second);
+        }
+    }
+    return stagers;
+}
+
+// Works out anew what this gateway does for the others, if members came or went.
+void MemberService::plan()
+{
+    if (mPlannedChanges == mMemberChanges) {
+        return;
+    }
+    mPlannedChanges = mMemberChanges;
+    std::vector<MemberPlace> places;
+    for (const auto &[key, member] : mMembers) {
+        places.push_back({key, member.dataCentre, member.isGateway});
+    }
+    const MemberPlan plan({mKey, mSettings.dataCentre, true}, places);
+    mToFollow = plan.gatewaysToFollow();
+    mReadersEverywhere = plan.readerOrder(ReaderScope::Everywhere);
+    mReadersNear = plan.readerOrder(ReaderScope::DataCentre);
+    std::set<std::string> watched = plan.stagersToWatch();
+    watched.insert(mToFollow.begin(), mToFollow.end());
+    std::erase_if(mWatched, [&](const auto &item) { return !watched.contains(item.first); });
+    for (const std::string &key : watched) {
+        mWatched.try_emplace(key, now());
+    }
+}
+
+// The first in order that lives, as far as this gateway knows.
+const std::string &MemberService::firstAlive(std::span<const std::string> order) const
+{
+    for (const std::string &key : order) {
+        const auto state = mStates.find(key);
+        const bool lives
+            = state != mStates.end() && isUsable(state->second) && mMembers.contains(key);
+        if (key == mKey || lives) {
+            return key;
+        }
+    }
+    return mKey;
 }
 
 std::optional<Instant> MemberService::lastHeard(const std::string &key, const Member &member) const
@@ -187,19 +261,20 @@
 
 bool MemberService::isOverdue(const std::string &key, const Member &member) const
 {
-    const auto came = mCameAt.find(key);
-    Instant since = came == mCameAt.end() ? now() : came->second;
+    const auto watched = mWatched.find(key);
+    if (watched == mWatched.end()) {
+        return false;
+    }
+    Instant since = watched->second;
+    if (const auto came = mCameAt.find(key); came != mCameAt.end()) {
+        since = std::max(since, came->second);
+    }
     if (const auto heard = lastHeard(key, member)) {
         since = std::max(since, *heard);
     }
-    std::vector<std::string> gateways{mKey};
-    for (const Member &other : usableGateways()) {
-        gateways.push_back(endpointText(other.peers));
-    }
-    // One gateway after the other, so that mostly one writes.
-    const auto order = rendezvousOrder(key, gateways, gateways.size());
-    const auto own = std::ranges::find(order, std::size_t{0}) - order.begin();
-    return now() - since > sForgetAfter + sForgetTurn * own;
+    // One watcher after the other, so that mostly one writes.
+    const auto turn = static_cast<std::int64_t>(rendezvousWeight(key, mKey) % sForgetTurns);
+    return now() - since > sForgetAfter + sForgetTurn * turn;
 }
 
 // A box that is gone for good takes no record away. Members that it stays
@@ -215,7 +290,7 @@
                 overdue.push_back(key);
             }
         }
-        const bool isAlone = 2 * overdue.size() > mMembers.size();
+        const bool isAlone = 2 * overdue.size() > mWatched.size();
         if (isAlone || !mFeeds->isStoreReached(Feed::Members)) {
             continue;
         }
@@ -296,9 +371,8 @@
 {
     std::vector<Member> usable;
     for (const auto &[key, state] : mStates) {
-        const bool isHeard = state.heardAt && now() - *state.heardAt < sStatusSilence;
         const auto member = mMembers.find(key);
-        if (isHeard && state.isReady && !state.isLeaving && member != mMembers.end()) {
+        if (isUsable(state) && member != mMembers.end()) {
             usable.push_back(member->second);
         }
     }
@@ -306,34 +380,33 @@
 }
 
 // Calls to the store have a price, and each change would be read by every
-// gateway. Those that read are in each data centre, since the links between
-// them are narrow.
+// gateway. So one of all reads it, one of each data centre follows that one, since
+// the links between them are narrow, and the others follow the one near them.
+// Whoever hears nothing from there, or only what is old, reads the store itself.
 FeedReaders MemberService::feedReaders() const
 {
-    std::vector<std::string> keys{mKey};
-    std::vector<Tcp::endpoint> addresses{mSettings.peers};
-    for (const Member &member : usableGateways()) {
-        if (member.dataCentre == mSettings.dataCentre) {
-            keys.push_back(endpointText(member.peers));
-            addresses.push_back(member.peers);
-        }
-    }
     FeedReaders readers;
-    if (keys.size() <= sReadersPerDataCentre) {
+    if (mReadersEverywhere.size() < sLeastRelayed) {
         return readers;
     }
     readers.isRelayed = true;
-    readers.isReader = false;
-    for (const std::size_t index : rendezvousOrder(sReadersKey, keys, sReadersPerDataCentre)) {
-        if (index == 0) {
-            readers.isReader = true;
-        } else {
-            readers.others.push_back(addresses[index]);
-        }
+    const std::string &reader = firstAlive(mReadersEverywhere);
+    readers.isReader = reader == mKey;
+    if (readers.isReader) {
+        return readers;
     }
+    const std::string &near = firstAlive(mReadersNear);
+    const std::string &followed = near == mKey ? reader : near;
+    readers.others.push_back(mMembers.find(followed)->second.peers);
     return readers;
 }
 
+bool MemberService::isUsable(const GatewayState &state)
+{
+    const bool isHeard = state.heardAt && now() - *state.heardAt < sStatusSilence;
+    return isHeard && state.isReady && !state.isLeaving;
+}
+
 std::uint32_t MemberService::gatewayCount() const
 {
     std::uint32_t count = 1;
@@ -358,9 +431,9 @@
 awaitable<void> MemberService::followGateways()
 {
     while (!mStopped) {
-        for (const auto &[key, member] : mMembers) {
-            if (member.isGateway && !mFollowed[key]) {
-                mFollowed[key] = true;
+        plan();
+        for (const std::string &key : mToFollow) {
+            if (mFollowed.insert(key).second) {
                 asio::co_spawn(mChanged->executor(), followGateway(key), asio::detached);
             }
         }
@@ -370,10 +443,14 @@
 
 awaitable<void> MemberService::followGateway(std::string key)
 {
-    while (!mStopped && mMembers.contains(key)) {
+    while (!mStopped && mToFollow.contains(key)) {
         const Tcp::endpoint address = mMembers[key].peers;
         const PeerStreamPtr stream = co_await mHub->open(address, std::string(sStatusPath));
         while (stream && !mStopped) {
+            if (!mToFollow.contains(key)) {
+                stream->reset();
+                break;
+            }
             const auto deadline = std::chrono::steady_clock::now() + sStatusSilence;
             const auto status = co_await stream->receiveMessage<wire::MemberStatus>(deadline);
             if (!status || !*status) {
@@ -403,7 +480,8 @@
         }
         co_await sleepFor(sRedialPause);
     }
-    mFollowed[key] = false;
+    mStates.erase(key);
+    mFollowed.erase(key);
 }
 
 awaitable<void> MemberService::serveStatus(PeerStreamPtr stream)
--- a/src/libloomjunction/gateway/memberservice.h
+++ b/src/libloomjunction/gateway/memberservice.h
@@ -18,6 +18,7 @@
 #include <cstdint>
 #include <map>
 #include <optional>
+#include <set>
 #include <span>
 #include <string>
 #include <vector>
@@ -38,6 +39,7 @@
     Tcp::endpoint peers;
     std::string callers; ///< of a gateway: IP:PORT where callers connect
     std::string service; ///< of a stager
+    std::string engine; ///< of a stager: IP:PORT of the replica beside it
     std::uint64_t incarnation = 0;
 };
 
@@ -53,8 +55,8 @@
 
 /**
  * Who takes part. Each process puts a record of itself into the store when it
- * starts and takes it away when it leaves; gateways follow each other's
- * state over their own links, which tells of dead ones sooner than any list.
+ * starts and takes it away when it leaves; each gateway follows the state of
+ * some others over its own links, which tells of dead ones sooner than any list.
  */
 class MemberService final : public Service
 {
@@ -78,6 +80,10 @@
     /** Members other than this process. */
     std::vector<Member> others() const;
     std::vector<Member> stagersOf(std::string_view service) const;
+    /** The agent beside the replica at @p engine; nothing: none is known. */
+    std::optional<Tcp::endpoint> agentOf(const std::string &engine) const;
+    /** Agents whose loss this gateway would have to notice. */
+    std::vector<Member> watchedStagers() const;
     /** Peer addresses of other gateways: those known, else the seeds. */
     std::vector<Tcp::endpoint> gatewayAddresses() const;
     /** Gateways that callers may use now, this one not among them. */
@@ -99,6 +105,9 @@
     awaitable<void> serveStatus(PeerStreamPtr stream);
     awaitable<void> forgetSilent();
     bool isOverdue(const std::string &key, const Member &member) const;
+    static bool isUsable(const GatewayState &state);
+    void plan();
+    const std::string &firstAlive(std::span<const std::string> order) const;
     std::vector<Tcp::endpoint> nearFirst(std::span<const Member> members) const;
     std::optional<Instant> lastHeard(const std::string &key, const Member &member) const;
     void take(const FeedChange &change);
@@ -113,9 +122,16 @@
     StatusSource mStatus;
     std::map<std::string, Member> mMembers;
     std::map<std::string, GatewayState> mStates;
-    std::map<std::string, bool> mFollowed;
+    std::set<std::string> mToFollow; ///< gateways whose state is wanted
+    std::set<std::string> mFollowed; ///< gateways that a coroutine follows
     std::map<std::string, Instant> mHeard; ///< stagers, by key
     std::map<std::string, Instant> mCameAt; ///< when a record was first seen
+    std::map<std::string, std::string> mAgents; ///< keys of stagers, by their engine's address
+    std::map<std::string, Instant> mWatched; ///< whose loss is noticed here, and since when
+    std::uint64_t mMemberChanges = 0;
+    std::uint64_t mPlannedChanges = 0; ///< mMemberChanges when all this was worked out
+    std::vector<std::string> mReadersEverywhere; ///< in order
+    std::vector<std::string> mReadersNear; ///< those of this data centre, in order
     std::unique_ptr<Signal> mChanged;
     std::uint64_t mStatusChanges = 0;
     bool mIsRecorded = false;
--- a/src/libloomjunction/gateway/replicaservice.cpp
+++ b/src/libloomjunction/gateway/replicaservice.cpp
@@ -8,15 +8,15 @@
 
 #include "replicaservice.h"
 
+#include "askedchoice.h"
 #include "clock.h"
+#include "directconfig.h"
 #include "feedservice.h"
 #include "jsonlog.h"
 #include "memberservice.h"
 #include "metrics.h"
-#include "peerhub.h"
-#include "wire.pb.h"
 
-#include <cmath>
+#include <algorithm>
 
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
@@ -25,14 +25,18 @@
 
 namespace {
 
-constexpr std::string_view sLoadPath = "/replica-load";
 // Some dozens of times the way between the farthest data centres.
 constexpr std::chrono::milliseconds sConnectTimeout{250};
-constexpr std::chrono::milliseconds sLoadSilence{1'500};
-constexpr std::chrono::milliseconds sSweepEvery{1'000};
+constexpr std::chrono::milliseconds sSweepEvery{500};
+// An agent is asked at least this often, so that its loss shows within a second.
+constexpr Milliseconds sWarmEvery{900};
+// A replica that drains is read of within this part of its draining time; calls to
+// the store have a price, and replicas' heartbeats always give something to read.
+constexpr int sReadsWhileDraining = 10;
+constexpr Milliseconds sLeastPause{100};
+constexpr Milliseconds sMostPause{400};
 // Of a replica's connections; the rest is for entries that this one cannot see.
 constexpr double sConnectionsUsed = 0.8;
-constexpr double sPermille = 1'000;
 
 } // namespace
 
@@ -40,20 +44,28 @@
                                const DirectSettings &settings)
     : mRecords(records)
     , mMetrics(metrics)
+    , mSettings(settings)
     , mBounds(settings.bounds.retries)
     , mBorn(now())
-    , mReplicas(settings.bounds.drainTime)
+    , mReplicas(settings.bounds.drainTime, settings.box)
 {
 }
 
 tl::expected<void, std::string> ReplicaService::start(Kernel &kernel)
 {
     mMembers = &kernel.find<MemberService>(MemberService::sName);
-    kernel.find<FeedService>(FeedService::sName)
-        .listen(Feed::Replicas, [this](const FeedChange &change) { take(change); });
-    kernel.find<PeerHub>(PeerHub::sName)
-        .serve(std::string(sLoadPath),
-               [this](PeerStreamPtr stream) { return takeLoads(std::move(stream)); });
+    FeedService &feeds = kernel.find<FeedService>(FeedService::sName);
+    feeds.listen(Feed::Replicas, [this](const FeedChange &change) { take(change); });
+    feeds.passOver(Feed::Replicas, [this](const FeedRecord &known, const FeedRecord &next) {
+        return saysTheSame(known, next);
+    });
+    feeds.setReplicasPause(
+        std::clamp(mSettings.bounds.drainTime / sReadsWhileDraining, sLeastPause, sMostPause));
+    mConfig = &kernel.find<DirectConfig>(DirectConfig::sName);
+    mAsker = std::make_unique<LoadAsker>(
+        kernel, mMetrics, [this](const std::string &address, const ReplicaLoad &load) {
+            mReplicas.report(address, load, now());
+        });
     asio::co_spawn(kernel.executor(), sweepLoop(), asio::detached);
     return {};
 }
@@ -89,79 +101,111 @@
     mReplicas.put(*record, now());
 }
 
-awaitable<void> ReplicaService::takeLoads(PeerStreamPtr stream)
+bool ReplicaService::saysTheSame(const FeedRecord &known, const FeedRecord &next) const
+{
+    const auto before = mRecords.replicaRecord(known.key, *known.value);
+    const auto after = mRecords.replicaRecord(next.key, *next.value);
+    return before && after && before->isLike(*after);
+}
+
+void ReplicaService::stop()
+{
+    mStopped = true;
+    mAsker->stop();
+}
+
+// The ids of those that answered.
+awaitable<std::vector<std::string>> ReplicaService::askAgents(std::vector<const Replica *> replicas)
+{
+    std::vector<LoadQuestion> questions;
+    std::vector<std::string> ids;
+    for (const Replica *replica : replicas) {
+        questions.push_back({replica->record.address, replica->patientWaiting});
+        ids.push_back(replica->record.id);
+    }
+    const Instant began = now();
+    if (!questions.empty()) {
+        co_await mAsker->ask(questions);
+    }
+    std::vector<std::string> answered;
+    for (std::size_t index = 0; index < ids.size(); ++index) {
+        if (mAsker->heardAt(questions[index].address) >= began) {
+            answered.push_back(ids[index]);
+        }
+    }
+    co_return answered;
+}
+
+awaitable<ReplicaChoice> ReplicaService::choose(ReplicaQuery query)
+{
+    if (query.engine == nullptr) {
+        co_return mReplicas.choose(query, now());
+    }
+    AskedChoice choice(mReplicas, query, silentReplicas());
+    while (!choice.isDone()) {
+        const Instant began = now();
+        const std::vector<std::string> answered = co_await askAgents(choice.toAsk(began));
+        choice.decide(answered, now() - began, now());
+    }
+    co_return choice.choice();
+}
+
+std::vector<std::string> ReplicaService::silentReplicas() const
+{
+    std::vector<std::string> silent;
+    for (const auto &[id, replica] : mReplicas.all()) {
+        if (mAsker->isSilent(replica.record.address)) {
+            silent.push_back(id);
+        }
+    }
+    return silent;
+}
+
+// Links to the agents of the neighbours stand before the first request comes,
+// and an agent that dies is missed although nobody sends it requests.
+void ReplicaService::keepNeighboursWarm()
 {
-    std::string address;
-    while (stream->isOpen() && !mStopped) {
-        const auto deadline = std::chrono::steady_clock::now() + sLoadSilence;
-        const auto report = co_await stream->receiveMessage<wire::ReplicaLoadReport>(deadline);
-        if (!report || !*report) {
-            break;
+    const RouteTablePtr &table = mConfig->table();
+    if (!table) {
+        return;
+    }
+    for (const ServiceFigures &service : table->config().services) {
+        if (!service.engine) {
+            continue;
         }
-        const wire::ReplicaLoadReport &told = **report;
-        if (address.empty()) {
-            address = told.address();
-            mLoadStreams[address] = stream;
+        ReplicaQuery query;
+        query.service = service.name;
+        query.dataCentre = mSettings.dataCentre;
+        query.engine = &*service.engine;
+        for (const Replica *replica : mReplicas.neighbours(query, now())) {
+            keepWarm({replica->record.address, replica->patientWaiting});
         }
-        mMembers->noteHeard(told.member());
-        ReplicaLoad load;
-        load.running = told.running();
-        load.waiting = told.waiting();
-        load.waitingPatient = told.waiting_patient();
-        load.memoryUsed = told.memory_used();
-        load.memoryTotal = told.memory_total();
-        load.pace = told.pace_permille() / sPermille;
-        load.weightsVersion = told.weights_version();
-        load.isAccepting = told.accepting();
-        load.isLinkSlow = told.link_slow();
-        mReplicas.report(address, load, now());
     }
-    stream->reset();
-    const auto it = mLoadStreams.find(address);
-    if (it != mLoadStreams.end() && it->second == stream) {
-        mLoadStreams.erase(it);
-        mReplicas.reportLost(address);
+    for (const Member &stager : mMembers->watchedStagers()) {
+        keepWarm({stager.engine, 0});
+    }
+}
+
+void ReplicaService::keepWarm(const LoadQuestion &question)
+{
+    if (now() - mAsker->heardAt(question.address) >= sWarmEvery) {
+        mAsker->keepWarm(question);
     }
 }
 
 void ReplicaService::began(const std::string &id, bool isPatient)
 {
     mReplicas.began(id, isPatient, now());
-    if (isPatient) {
-        tellPatient(id);
-    }
 }
 
 void ReplicaService::answerBegan(const std::string &id, bool isPatient, Microseconds took)
 {
     mReplicas.answerBegan(id, isPatient, took);
-    if (isPatient) {
-        tellPatient(id);
-    }
 }
 
 void ReplicaService::answerMissed(const std::string &id, bool isPatient)
 {
     mReplicas.answerMissed(id, isPatient);
-    if (isPatient) {
-        tellPatient(id);
-    }
-}
-
-// The replica's agent adds up what all gateways have there.
-void ReplicaService::tellPatient(const std::string &id)
-{
-    const Replica *replica = mReplicas.find(id);
-    if (replica == nullptr) {
-        return;
-    }
-    const auto it = mLoadStreams.find(replica->record.address);
-    if (it == mLoadStreams.end()) {
-        return;
-    }
-    wire::PatientCount count;
-    count.set_waiting(replica->patientWaiting);
-    it->second->send(count);
 }
 
 void ReplicaService::noteRequest(const std::string &service, Milliseconds goal)
@@ -255,6 +299,8 @@
     while (!mStopped) {
         co_await sleepFor(sSweepEvery);
         mReplicas.sweep(now());
+        mAsker->closeUnused();
+        keepNeighboursWarm();
         const auto time = std::chrono::steady_clock::now();
         for (auto &[id, pool] : mPools) {
             closeExpired(pool, time);
--- a/src/libloomjunction/gateway/replicaservice.h
+++ b/src/libloomjunction/gateway/replicaservice.h
@@ -11,7 +11,7 @@
 #include "directsettings.h"
 #include "httplink.h"
 #include "kernel.h"
-#include "peerstream.h"
+#include "loadasker.h"
 #include "ports.h"
 #include "replicaset.h"
 #include "sharedretrybudget.h"
@@ -20,6 +20,7 @@
 #include <map>
 #include <memory>
 #include <string>
+#include <vector>
 
 namespace Loom {
 
@@ -27,7 +28,6 @@
 class FeedService;
 class MemberService;
 class Metrics;
-class PeerHub;
 struct FeedChange;
 
 /**
@@ -43,9 +43,14 @@
 
     std::string_view name() const override { return sName; }
     tl::expected<void, std::string> start(Kernel &kernel) override;
-    void stop() override { mStopped = true; }
+    void stop() override;
 
     ReplicaSet &replicas() { return mReplicas; }
+    /**
+     * Chooses a replica for a request. Agents of engines are asked first; @p query
+     * views data that must outlive the call.
+     */
+    awaitable<ReplicaChoice> choose(ReplicaQuery query);
     /** A caller's request for @p service came. */
     void noteRequest(const std::string &service, Milliseconds goal);
     /** How long ago a caller of @p route with so much time left tried first. */
@@ -71,15 +76,19 @@
     };
 
     SharedRetryBudget &budget(const std::string &service);
-    void tellPatient(const std::string &id);
     void take(const FeedChange &change);
-    awaitable<void> takeLoads(PeerStreamPtr stream);
+    awaitable<std::vector<std::string>> askAgents(std::vector<const Replica *> replicas);
+    std::vector<std::string> silentReplicas() const;
+    void keepNeighboursWarm();
+    void keepWarm(const LoadQuestion &question);
+    bool saysTheSame(const FeedRecord &known, const FeedRecord &next) const;
     awaitable<void> sweepLoop();
     std::unique_ptr<HttpLink> takeIdle(Pool &pool);
     static void closeExpired(Pool &pool, std::chrono::steady_clock::time_point time);
 
     RecordPort &mRecords;
     Metrics &mMetrics;
+    const DirectSettings &mSettings;
     RetryBounds mBounds;
     Instant mBorn;
     MemberService *mMembers = nullptr;
@@ -87,7 +96,8 @@
     std::map<std::string, Pool> mPools; ///< by replica id
     std::map<std::string, SharedRetryBudget> mBudgets;
     std::map<std::string, Milliseconds> mLongestDeadline; ///< by route
-    std::map<std::string, PeerStreamPtr> mLoadStreams; ///< by replica address
+    std::unique_ptr<LoadAsker> mAsker;
+    DirectConfig *mConfig = nullptr;
     bool mStopped = false;
 };
 
--- a/src/libloomjunction/gateway/stageservice.cpp
+++ b/src/libloomjunction/gateway/stageservice.cpp
@@ -31,6 +31,8 @@
 constexpr std::string_view sManifestPath = "/manifest";
 // The engine is on this box; asking it costs a fraction of a millisecond.
 constexpr Milliseconds sLookEvery{50};
+// With nothing to load; gateways that ask have it looked at as they come.
+constexpr Milliseconds sCalmLookEvery{250};
 constexpr Milliseconds sWeightsEvery{50};
 constexpr Milliseconds sRetryPause{200};
 // The members' feed is read within some dozens of milliseconds after the start.
@@ -94,6 +96,7 @@
     mMembers = &kernel.find<MemberService>(MemberService::sName);
     mHub = &kernel.find<PeerHub>(PeerHub::sName);
     mReporter = &kernel.find<LoadReporter>(LoadReporter::sName);
+    mReporter->setLook([this]() -> awaitable<void> { co_await lookAtEngine(); });
     mWake = std::make_unique<Signal>(kernel.executor());
     mStore = std::make_unique<ChunkStore>(kernel.executor(), sStoreBytes);
     mServer = std::make_unique<ChunkServer>(*mStore, mEgress, sMostUploads);
@@ -124,10 +127,21 @@
 {
     while (!mStopped) {
         co_await lookAtEngine();
-        co_await sleepFor(sLookEvery);
+        co_await sleepFor(isCalm() ? sCalmLookEvery : sLookEvery);
     }
 }
 
+// The engine answers, and runs the newest weights that are named.
+bool StageService::isCalm() const
+{
+    const EngineFigures *engine = figures();
+    if (!mReport || mIsLoading || engine == nullptr || engine->models.empty()) {
+        return false;
+    }
+    const std::string &model = engine->models.front();
+    return loadedVersion(model) >= mConfig->weights().newest(model);
+}
+
 awaitable<bool> StageService::lookAtEngine()
 {
     const EngineFigures *engine = figures();
--- a/src/libloomjunction/gateway/stageservice.h
+++ b/src/libloomjunction/gateway/stageservice.h
@@ -63,6 +63,7 @@
     awaitable<void> drive();
     awaitable<void> drivePeers();
     awaitable<bool> lookAtEngine();
+    bool isCalm() const;
     awaitable<void> bringWeights();
     awaitable<bool> startFetch(std::string model, std::uint64_t version);
     void noteFetched();
--- a/tests/direct/overloadlab.cpp
+++ b/tests/direct/overloadlab.cpp
@@ -28,16 +28,18 @@
 OverloadLab::OverloadLab(Shape shape)
     : mShape(std::move(shape))
     , mEngines(mShape.engines)
-    , mGateways(mShape.gateways, ReplicaSet(Milliseconds(2'000)))
     , mRandom(mShape.seed)
 {
+    for (std::size_t gateway = 0; gateway < mShape.gateways; ++gateway) {
+        mGateways.emplace_back(Milliseconds(2'000), "gateway-" + std::to_string(gateway));
+    }
     for (ReplicaSet &gateway : mGateways) {
         for (std::size_t engine = 0; engine < mEngines.size(); ++engine) {
             ReplicaRecord record;
             record.id = idOf(engine);
             record.service = sService;
             record.address = "10.0.0.1:" + std::to_string(engine + 1);
-            record.dataCentre = "here";
+            record.dataCentre = dataCentreOf(engine);
             record.slots = mShape.figures.slots;
             record.weightsVersion = 1;
             gateway.put(record, at(0));
@@ -45,6 +47,11 @@
     }
 }
 
+std::string OverloadLab::dataCentreOf(std::size_t index) const
+{
+    return "z" + std::to_string(index % mShape.dataCentres);
+}
+
 std::string OverloadLab::idOf(std::size_t engine) const
 {
     return "r" + std::to_string(engine);
@@ -98,7 +105,8 @@
         for (std::size_t engine = 0; engine < mEngines.size(); ++engine) {
             runEngine(mEngines[engine], time);
             // Stagers look at different moments.
-            if (time % sReportMs == static_cast<int>(engine * 7 % sReportMs)) {
+            const bool isDue = time % sReportMs == static_cast<int>(engine * 7 % sReportMs);
+            if (isDue && !mShape.isAsked) {
                 report(engine, time);
             }
         }
@@ -112,7 +120,8 @@
     gateway.noteCall(sService, mShape.goal, at(time));
     ReplicaQuery query;
     query.service = sService;
-    query.dataCentre = "here";
+    const std::string dataCentre = dataCentreOf(request->gateway);
+    query.dataCentre = dataCentre;
     query.engine = &mShape.figures;
     query.goal = mShape.goal;
     query.waited = Milliseconds(time - request->firstTryAt);
@@ -120,7 +129,7 @@
     query.leastVersion = 1;
     query.entries = static_cast<std::uint32_t>(mGateways.size());
     query.random = mRandom();
-    const ReplicaChoice choice = gateway.choose(query, at(time));
+    const ReplicaChoice choice = choose(request->gateway, query, time);
     if (const auto *chosen = std::get_if<ChosenReplica>(&choice)) {
         request->engine = static_cast<std::size_t>(std::stoul(chosen->id.substr(1)));
         request->isPatient = chosen->isPatient;
@@ -140,6 +149,30 @@
     mReturning.emplace(time + sWayMs + std::min(wait, third), std::move(request));
 }
 
+// Answers of agents come back within the millisecond, and cover what has reached
+// the engine by then.
+ReplicaChoice OverloadLab::choose(std::size_t gateway, const ReplicaQuery &query, int time)
+{
+    ReplicaSet &replicas = mGateways[gateway];
+    if (!mShape.isAsked) {
+        return replicas.choose(query, at(time));
+    }
+    AskedChoice choice(replicas, query, {});
+    while (!choice.isDone()) {
+        std::vector<std::string> answered;
+        for (const Replica *replica : choice.toAsk(at(time))) {
+            answered.push_back(replica->record.id);
+        }
+        for (const std::string &id : answered) {
+            const auto engine = static_cast<std::size_t>(std::stoul(id.substr(1)));
+            replicas.report("10.0.0.1:" + std::to_string(engine + 1), loadOf(engine), at(time));
+        }
+        mQuestions += answered.size();
+        choice.decide(answered, Microseconds(0), at(time));
+    }
+    return choice.choice();
+}
+
 void OverloadLab::giveUp(int time)
 {
     for (Engine &engine : mEngines) {
@@ -204,7 +237,7 @@
     engine.passEndsAt = time + std::max(1, static_cast<int>(length));
 }
 
-void OverloadLab::report(std::size_t engine, int time)
+ReplicaLoad OverloadLab::loadOf(std::size_t engine) const
 {
     ReplicaLoad load;
     load.weightsVersion = 1;
@@ -215,6 +248,12 @@
     for (const RequestPtr &request : mEngines[engine].waiting) {
         load.waitingPatient += request->isPatient ? 1 : 0;
     }
+    return load;
+}
+
+void OverloadLab::report(std::size_t engine, int time)
+{
+    const ReplicaLoad load = loadOf(engine);
     for (ReplicaSet &gateway : mGateways) {
         gateway.report("10.0.0.1:" + std::to_string(engine + 1), load, at(time));
     }
--- a/tests/direct/overloadlab.h
+++ b/tests/direct/overloadlab.h
@@ -8,6 +8,7 @@
 
 #pragma once
 
+#include "askedchoice.h"
 #include "enginemodel.h"
 #include "replicaset.h"
 
@@ -23,7 +24,8 @@
 
 /**
  * Gateways, engines and callers in virtual time, a millisecond a step. Gateways
- * know the engines by reports that lag, and choose with the product's own code.
+ * know the engines by reports that lag or by asking, and choose with the product's
+ * own code.
  * Owned by one test.
  */
 class OverloadLab
@@ -36,6 +38,9 @@
         EngineFigures figures;
         Milliseconds goal{400};
         std::uint64_t seed = 1;
+        std::size_t dataCentres = 1;
+        /** Gateways ask agents before each choice; otherwise reports come by themselves. */
+        bool isAsked = false;
     };
 
     /** Calls a second for some seconds. */
@@ -56,6 +61,8 @@
 
     explicit OverloadLab(Shape shape);
 
+    /** Questions that agents were asked. */
+    std::uint64_t questions() const { return mQuestions; }
     /** One entry a second. */
     std::vector<Second> play(const std::vector<Phase> &phases);
     /** Requests a second that the engines finish when all their slots are full. */
@@ -89,7 +96,10 @@
     void runEngine(Engine &engine, int time);
     void endPass(Engine &engine, int time);
     void beginPass(Engine &engine, int time);
+    ReplicaChoice choose(std::size_t gateway, const ReplicaQuery &query, int time);
+    ReplicaLoad loadOf(std::size_t engine) const;
     void report(std::size_t engine, int time);
+    std::string dataCentreOf(std::size_t index) const;
     Second &secondOf(const Request &request);
     std::string idOf(std::size_t engine) const;
 
@@ -100,6 +110,7 @@
     std::multimap<int, RequestPtr> mReturning; ///< by when the caller comes back
     std::vector<Second> mSeconds;
     std::mt19937_64 mRandom;
+    std::uint64_t mQuestions = 0;
 };
 
 } // namespace Loom
--- a/tests/direct/test_overload.cpp
+++ b/tests/direct/test_overload.cpp
@@ -65,3 +65,52 @@
         BOOST_TEST(after > 0.95 * before);
     }
 }
+
+namespace {
+
+struct Size
+{
+    std::size_t gateways = 0;
+    std::size_t engines = 0;
+    std::size_t dataCentres = 0;
+};
+
+} // namespace
+
+// Replays a load of 1.3 and 2.0 times what the engines finish, at sizes where
+// each gateway sends one engine something every few seconds.
+BOOST_AUTO_TEST_CASE(gateways_that_ask_keep_what_is_in_time_at_any_size)
+{
+    for (const Size size : {Size{9, 12, 3}, Size{39, 45, 3}, Size{149, 120, 5}}) {
+        OverloadLab::Shape asking = shape(1);
+        asking.gateways = size.gateways;
+        asking.engines = size.engines;
+        asking.dataCentres = size.dataCentres;
+        asking.isAsked = true;
+        asking.figures.slots = 8;
+        OverloadLab lab(asking);
+        const double full = lab.capacity();
+        const auto seconds = lab.play(
+            {{6, 0.8 * full}, {6, 1.0 * full}, {6, 1.3 * full}, {6, 2.0 * full}, {6, 0.8 * full}});
+        const double before = goodput(seconds, 2, 6);
+        const double atFull = goodput(seconds, 8, 12);
+        const double over = goodput(seconds, 14, 18);
+        const double twice = goodput(seconds, 20, 24);
+        const double after = goodput(seconds, 26, 30);
+        double calls = 0;
+        for (const OverloadLab::Second &second : seconds) {
+            calls += second.asked;
+        }
+        const double questions = static_cast<double>(lab.questions()) / calls;
+        BOOST_TEST_MESSAGE(size.gateways
+                           << " gateways, capacity " << full << ", in time a second: 0.8 " << before
+                           << ", 1.0 " << atFull << ", 1.3 " << over << ", 2.0 " << twice
+                           << ", 0.8 again " << after << ", questions a call " << questions);
+        BOOST_TEST(before > 0.95 * 0.8 * full);
+        BOOST_TEST(over > 0.92 * atFull);
+        BOOST_TEST(twice > 0.8 * atFull);
+        BOOST_TEST(after > 0.95 * before);
+        // Two messages each, whatever the size.
+        BOOST_TEST(questions < 12);
+    }
+}
--- /dev/null
+++ b/tests/gateway/scriptedagent.h
@@ -0,0 +1,75 @@
+/*
+ * scriptedagent.h
+ * Copyright 2026, the loomjunction authors
+ *
+ * This file is part of loomjunction (tests).
+ * SPDX-License-Identifier: BSD-2-Clause
+ */
+
+#pragma once
+
+#include "directlab.h"
+#include "peerserver.h"
+#include "wire.pb.h"
+
+#include <memory>
+#include <string>
+
+namespace Loom {
+
+/** The agent of a replica's box: says what the test sets, or nothing. */
+class ScriptedAgent
+{
+public:
+    /** Records itself as a member that stands beside @p replica. */
+    ScriptedAgent(DirectLab &lab, const ScriptedReplica &replica)
+        : mReplica(replica.address())
+        , mServer(lab.context.get_executor(),
+                  [this](PeerStreamPtr stream) { return serve(std::move(stream)); })
+    {
+        BOOST_REQUIRE(
+            mServer.listen(Tcp::endpoint(asio::ip::address_v4::loopback(), 0)).has_value());
+        const std::string peers = endpointText(mServer.localEndpoint());
+        lab.store.write(
+            Feed::Members, peers,
+            R"({"box":"b","dataCentre":"z1","role":"stager","service":"engine","peers":")" + peers
+                + R"(","engine":")" + mReplica + R"(","incarnation":1})");
+    }
+
+    wire::ReplicaLoadReport load = idle();
+    bool isSilent = false;
+    int questions = 0;
+    int streams = 0;
+
+private:
+    static wire::ReplicaLoadReport idle()
+    {
+        wire::ReplicaLoadReport report;
+        report.set_pace_permille(1'000);
+        report.set_weights_version(1);
+        report.set_accepting(true);
+        return report;
+    }
+
+    awaitable<void> serve(PeerStreamPtr stream)
+    {
+        ++streams;
+        while (stream->isOpen()) {
+            const auto deadline = std::chrono::steady_clock::now() + std::chrono::seconds(60);
+            const auto query = co_await stream->receiveMessage<wire::LoadQuery>(deadline);
+            if (!query || !*query) {
+                co_return;
+            }
+            ++questions;
+            if (!isSilent) {
+                load.set_address(mReplica);
+                stream->send(load);
+            }
+        }
+    }
+
+    std::string mReplica;
+    PeerServer mServer;
+};
+
+} // namespace Loom
--- a/tests/gateway/test_feeds.cpp
+++ b/tests/gateway/test_feeds.cpp
@@ -158,3 +158,30 @@
         BOOST_TEST(!lab.follower.isLastTrusted);
     });
 }
+
+BOOST_AUTO_TEST_CASE(a_record_that_says_the_same_again_is_neither_told_nor_relayed)
+{
+    RelayLab lab;
+    lab.reader.feeds().passOver(
+        Feed::Replicas, [](const FeedRecord &known, const FeedRecord &next) {
+            return known.value->front() == next.value->front(); // what follows is a heartbeat
+        });
+    lab.run([](RelayLab &lab) -> awaitable<void> {
+        co_await lab.waitUntilFollowing();
+        for (int beat = 0; beat < 5; ++beat) {
+            lab.reader.store.write(Feed::Replicas, "r", "a" + std::to_string(beat));
+        }
+        lab.reader.store.write(Feed::Replicas, "r", "b0");
+        co_await lab.waitFor([&] { return std::ranges::count(lab.reader.heard, "r") == 2; });
+        lab.reader.store.write(Feed::Replicas, "last", "value");
+        co_await lab.waitFor([&] { return lab.follower.hasHeard("last"); });
+        // Both know the newest value that means something else.
+        for (FeedLab *one : {&lab.reader, &lab.follower}) {
+            BOOST_TEST(*one->feeds().book(Feed::Replicas).all().find("r")->second.value == "b0");
+        }
+        BOOST_TEST(std::ranges::count(lab.follower.heard, "r") <= 2);
+        // A removal always counts.
+        lab.reader.store.write(Feed::Replicas, "r", std::nullopt);
+        co_await lab.waitFor([&] { return std::ranges::count(lab.reader.heard, "r") == 3; });
+    });
+}
