Owners pull their chunks from the origin in turn; three at once from neighbours

Ruled out: more neighbours (20: last later), two at once (first later on 45 boxes).

Test: boxes_pass_chunks_on_while_the_origin_still_sends_others (fails without originSpacing: it compares both).

--- a/src/libloomjunction/core/chunkplan.cpp
+++ b/src/libloomjunction/core/chunkplan.cpp
@@ -29,6 +29,8 @@
 constexpr int sLatePart = 4;
 // Of the time that most chunks took: silent for so much longer, an owner is late.
 constexpr int sSilentPart = 8;
+// A chunk needs some time from the origin to those who wait for it.
+constexpr Microseconds sLeastSilence{150'000};
 // Of the chunks: with so many here, the rest are stragglers.
 constexpr double sTailPart = 0.85;
 // Members that ask the origin for a straggler, one after the other.
@@ -93,6 +95,7 @@
     , mRandom(options.seed)
 {
     for (Chunk &chunk : mChunks) {
+        chunk.place = static_cast<std::uint32_t>(&chunk - mChunks.data());
         chunk.tieBreak = static_cast<std::uint32_t>(mRandom());
     }
     setMembers({});
@@ -281,9 +284,16 @@
     return std::clamp<Microseconds>(stalled, sLeastTakeover, mOptions.takeover);
 }
 
+// If all owners began at once, the origin's link would bring all chunks at the
+// same late moment, and until then boxes would have nothing to pass on.
+Instant ChunkPlan::originTurn(const Chunk &chunk) const
+{
+    return mBegun + mOptions.originSpacing * chunk.place;
+}
+
 bool ChunkPlan::mayPullFromOrigin(const Chunk &chunk, Instant now) const
 {
-    if (chunk.originRetryAt > now) {
+    if (chunk.originRetryAt > now || originTurn(chunk) > now) {
         return false;
     }
     switch (mOptions.policy) {
@@ -310,8 +320,9 @@
     if (!mOwnShareAt || !mSharesFoundAt || mFoundOf[chunk.owner] > 0) {
         return std::nullopt;
     }
-    const Instant done = std::max(*mOwnShareAt, *mSharesFoundAt);
-    return done + (done - mBegun) / sSilentPart;
+    const Instant found = std::max(*mOwnShareAt, *mSharesFoundAt);
+    const Instant done = std::max(found, originTurn(chunk) + mOptions.originSpacing);
+    return done + std::max<Microseconds>((done - mBegun) / sSilentPart, sLeastSilence);
 }
 
 // Whether the owners that brought any chunk have brought most of theirs.
@@ -348,7 +359,9 @@
     }
     const Microseconds most = *mMostFoundAt - mBegun;
     const Microseconds step = std::clamp<Microseconds>(most, sLeastTakeover, mOptions.takeover);
-    const Microseconds due = std::max<Microseconds>(most + most / sLatePart, sLeastTakeover);
+    const Microseconds turned = originTurn(chunk) - mBegun;
+    const Microseconds due = std::max<Microseconds>(
+        {most + most / sLatePart, sLeastTakeover, turned + turned / sLatePart});
     return now - mBegun >= due + step * static_cast<int>(turn - 1);
 }
 
--- a/src/libloomjunction/core/chunkplan.h
+++ b/src/libloomjunction/core/chunkplan.h
@@ -95,6 +95,8 @@
         /** Each chunk enters a data centre once; the others there wait for it. */
         bool nearOnly = false;
         Milliseconds takeover{4'000}; ///< longest wait before the next member steps in
+        /** The origin's time for one chunk; owners begin their pulls one after the other. */
+        Microseconds originSpacing{0};
         std::uint64_t seed = 1;
     };
 
@@ -141,6 +143,7 @@
     struct Chunk
     {
         State state = State::Missing;
+        std::uint32_t place = 0; ///< its index
         std::uint32_t owner = 0; ///< the member that pulls it from the origin, by index
         std::uint32_t originRank = 0; ///< our place among those who step in; zero: the owner
         std::uint32_t importRank = 0; ///< our place among the members of our data centre
@@ -169,6 +172,7 @@
     void planOrigin(std::vector<ChunkFetch> &out, Instant now);
     void planPeers(std::vector<ChunkFetch> &out, Instant now);
     Microseconds takeoverAfter() const;
+    Instant originTurn(const Chunk &chunk) const;
     void noteFound(Chunk &chunk, Instant now);
     bool isOverdueAtOrigin(const Chunk &chunk, std::uint32_t turn, Instant now) const;
     std::optional<Instant> silentSince(const Chunk &chunk) const;
--- a/src/libloomjunction/gateway/stageservice.cpp
+++ b/src/libloomjunction/gateway/stageservice.cpp
@@ -59,7 +59,12 @@
 constexpr double sBytesPerMbit = 125'000;
 constexpr double sBurstBytes = 8.0 * 1024;
 constexpr std::uint32_t sOriginParallel = 1;
-constexpr std::uint32_t sPeerParallel = 4;
+// Of a chunk's time at the origin, before the next owner begins: its link never
+// stands idle between two of them.
+constexpr double sOriginBusy = 0.85;
+constexpr double sMicroseconds = 1'000'000;
+// More at once only share the link, and each chunk is passed on later.
+constexpr std::uint32_t sPeerParallel = 3;
 constexpr std::uint32_t sNeighbours = 12;
 constexpr Milliseconds sTakeover{2'000};
 // Several times what a chunk takes when it shares an idle link with three others.
@@ -461,6 +466,20 @@
     logLine(LogLevel::Info, "stage-adopted", {{"version", wanted.version}, {"chunks", adopted}});
 }
 
+// How long the origin's link needs for one chunk; zero where that is not told.
+Microseconds StageService::originSpacing(const VersionInHand &wanted) const
+{
+    const RouteTablePtr &table = mConfig->table();
+    const OriginFigures *figures = table ? table->origin() : nullptr;
+    const StoredVersion *stored = mStore->find(wanted.digest);
+    if (figures == nullptr || figures->linkMbit <= 0 || stored == nullptr) {
+        return Microseconds(0);
+    }
+    const double bytesPerMicrosecond = figures->linkMbit * sBytesPerMbit / sMicroseconds;
+    const double bytes = stored->manifest.chunkBytes * sOriginBusy;
+    return Microseconds(static_cast<std::int64_t>(bytes / bytesPerMicrosecond));
+}
+
 std::shared_ptr<WeightFetch> StageService::beginFetch(const std::string &model,
                                                       const VersionInHand &wanted)
 {
@@ -471,6 +490,7 @@
     options.neighbours = sNeighbours;
     options.nearOnly = true;
     options.takeover = sTakeover;
+    options.originSpacing = originSpacing(wanted);
     options.seed = randomSeed();
     WeightFetch::Parts parts{
         {mSettings.box, mSettings.dataCentre},
--- a/src/libloomjunction/gateway/stageservice.h
+++ b/src/libloomjunction/gateway/stageservice.h
@@ -75,6 +75,7 @@
     awaitable<void> adoptStage(std::string model, VersionInHand wanted);
     awaitable<tl::expected<std::string, ChunkFailure>>
     originChunk(std::string model, std::uint64_t version, std::uint32_t index);
+    Microseconds originSpacing(const VersionInHand &wanted) const;
     std::shared_ptr<WeightFetch> beginFetch(const std::string &model, const VersionInHand &wanted);
     void noteLoaded(std::string_view model, std::uint64_t loaded);
     awaitable<bool> loadStaged(std::string model, VersionInHand wanted);
--- a/tests/weights/test_swarm.cpp
+++ b/tests/weights/test_swarm.cpp
@@ -73,3 +73,21 @@
     BOOST_TEST(result.lastMs > 0);
     BOOST_TEST(result.lastMs <= copyTimes(shape) * 3);
 }
+
+// Replays one new version for hundreds of boxes.
+BOOST_AUTO_TEST_CASE(boxes_pass_chunks_on_while_the_origin_still_sends_others)
+{
+    const SwarmLab::Shape shape = deployment(204, 5);
+    const SwarmLab::Result together = SwarmLab(shape, nearOptions()).play(20'000);
+    report(together);
+    ChunkPlan::Options options = nearOptions();
+    options.originParallel = 1;
+    options.originSpacing
+        = Microseconds(static_cast<int>(0.85 * shape.chunkBytes / shape.originRate * 1'000));
+    const SwarmLab::Result inTurn = SwarmLab(shape, options).play(20'000);
+    report(inTurn);
+    BOOST_TEST(inTurn.firstMs + 300 < together.firstMs);
+    BOOST_TEST(inTurn.lastMs < together.lastMs);
+    BOOST_TEST(inTurn.originChunks <= shape.chunkCount * 5 / 4);
+    BOOST_TEST(inTurn.farChunks <= shape.chunkCount * 6);
+}
