--- a/src/libloomjunction/core/reloadturn.cpp
+++ b/src/libloomjunction/core/reloadturn.cpp
@@ -17,10 +17,9 @@
 
 namespace {
 
-// Chunks take a third of the time to arrive, or longer: the turns begin with them.
-// After the last turn a replica still has to end what is running, and to take the
-// weights.
-constexpr double sFirstTurn = 0.30;
+// Chunks take about two fifths of the time to arrive. After the last turn a
+// replica still has to end what is running, and to take the weights.
+constexpr double sFirstTurn = 0.40;
 constexpr double sLastTurn = 0.80;
 
 Milliseconds part(Milliseconds whole, double share)
