A certain removal counts at once; late answers count; a reader that lost the store reads for nobody

Ruled out: a relay that puts an old record back (offsets rise; each gateway logged both removals).

Tests: a_certain_removal_ends_the_time_that_a_doubtful_one_gave, a_removal_that_was_heard_late_gives_less_time (both fail without the change).

--- a/src/libloomjunction/core/askedchoice.cpp
+++ b/src/libloomjunction/core/askedchoice.cpp
@@ -16,14 +16,17 @@
                          std::vector<std::string> silent)
     : mReplicas(replicas)
     , mQuery(std::move(query))
-    , mAsked(std::move(silent))
+    , mWaitedBefore(mQuery.waited)
+    , mNotAsked(std::move(silent))
 {
-    mAsked.insert(mAsked.end(), mQuery.excluded.begin(), mQuery.excluded.end());
+    mNotAsked.insert(mNotAsked.end(), mQuery.excluded.begin(), mQuery.excluded.end());
 }
 
 std::vector<const Replica *> AskedChoice::toAsk(Instant now)
 {
-    std::vector<const Replica *> replicas = mReplicas.toAsk(mQuery, mRound, mAsked, now);
+    std::vector<std::string> passedOver = mNotAsked;
+    passedOver.insert(passedOver.end(), mAsked.begin(), mAsked.end());
+    std::vector<const Replica *> replicas = mReplicas.toAsk(mQuery, mRound, passedOver, now);
     for (const Replica *replica : replicas) {
         mAsked.push_back(replica->record.id);
     }
@@ -42,10 +45,10 @@
     return !mAnswered.empty() && (isInTime || (isUsable && mRound != AskRound::Near));
 }
 
-void AskedChoice::decide(std::span<const std::string> answered, Microseconds took, Instant now)
+void AskedChoice::decide(std::vector<std::string> answered, Microseconds took, Instant now)
 {
-    mAnswered.insert(mAnswered.end(), answered.begin(), answered.end());
-    mQuery.waited += std::chrono::duration_cast<Milliseconds>(took);
+    mAnswered = std::move(answered);
+    mQuery.waited = mWaitedBefore + std::chrono::duration_cast<Milliseconds>(took);
     mQuery.answered = mAnswered;
     mChoice = mReplicas.choose(mQuery, now);
     if (isEnough() || mRound == AskRound::Anyone) {
--- a/src/libloomjunction/core/askedchoice.h
+++ b/src/libloomjunction/core/askedchoice.h
@@ -37,8 +37,10 @@
     bool isDone() const { return mIsDone; }
     /** Whom to ask now; may be nobody. decide() must follow. */
     std::vector<const Replica *> toAsk(Instant now);
-    /** Those of toAsk() that answered, @p took after they were asked. */
-    void decide(std::span<const std::string> answered, Microseconds took, Instant now);
+    /** All that were asked so far. */
+    std::span<const std::string> asked() const { return mAsked; }
+    /** Those of asked() that have answered by now; @p took: since the first toAsk(). */
+    void decide(std::vector<std::string> answered, Microseconds took, Instant now);
     const ReplicaChoice &choice() const { return mChoice; }
 
 private:
@@ -46,6 +48,8 @@
 
     const ReplicaSet &mReplicas;
     ReplicaQuery mQuery;
+    const Milliseconds mWaitedBefore;
+    std::vector<std::string> mNotAsked; ///< silent ones, and those tried before
     std::vector<std::string> mAsked;
     std::vector<std::string> mAnswered;
     AskRound mRound = AskRound::Near;
--- a/src/libloomjunction/core/replicaset.cpp
+++ b/src/libloomjunction/core/replicaset.cpp
@@ -93,13 +93,18 @@
     retireEarlierLives(record, now);
 }
 
-void ReplicaSet::remove(std::string_view id, bool trusted, Instant now)
+void ReplicaSet::remove(std::string_view id, bool trusted, Microseconds age, Instant now)
 {
     const auto it = mReplicas.find(id);
-    if (it == mReplicas.end() || it->second.goneAt != Instant()) {
+    if (it == mReplicas.end()) {
         return;
     }
-    it->second.goneAt = trusted ? now : now + std::max(Milliseconds(0), mDrainTime - sDrainMargin);
+    const Milliseconds grace = std::max(Milliseconds(0), mDrainTime - sDrainMargin);
+    const Instant end = trusted ? now : std::max(now, now - age + grace);
+    // Of several removals the strictest counts: a certain one ends the time that a
+    // doubtful one before it gave.
+    Instant &goneAt = it->second.goneAt;
+    goneAt = goneAt == Instant() ? end : std::min(goneAt, end);
 }
 
 void ReplicaSet::report(std::string_view address, const ReplicaLoad &load, Instant now)
--- a/src/libloomjunction/gateway/feedservice.cpp
+++ b/src/libloomjunction/gateway/feedservice.cpp
@@ -13,6 +13,7 @@
 #include "peerhub.h"
 #include "wire.pb.h"
 
+#include <algorithm>
 #include <random>
 
 #include <boost/asio/co_spawn.hpp>
@@ -55,6 +56,8 @@
 constexpr std::chrono::milliseconds sTakeTime{3'000};
 // The store's word that a record is gone counts only when it was well for so long.
 constexpr Milliseconds sStoreTrust{3'000};
+// Whose reads failed more lately does not read for others, if anybody else can.
+constexpr Milliseconds sReaderTrust{5'000};
 constexpr std::chrono::milliseconds sRequestTimeout{2'000};
 // Of records that were there at the first read: long ago, as far as is known.
 constexpr Microseconds sUnknownAge = std::chrono::hours(24);
@@ -109,6 +112,13 @@
     return hasFailed || state.isRelayDoubtful;
 }
 
+bool FeedService::hasStoreFailed() const
+{
+    return std::ranges::any_of(mFeeds, [](const FeedState &state) {
+        return state.hasStoreFailed && now() - state.storeFailedAt <= sReaderTrust;
+    });
+}
+
 Milliseconds FeedService::waitOf(Feed feed) const
 {
     if (mReaders && mReaders().isRelayed) {
--- a/src/libloomjunction/gateway/feedservice.h
+++ b/src/libloomjunction/gateway/feedservice.h
@@ -86,6 +86,8 @@
 
     /** How long ago the feed was last known to be complete; nothing: never. */
     std::optional<Microseconds> age(Feed feed) const;
+    /** A read of the store failed some seconds ago or less. */
+    bool hasStoreFailed() const;
     bool isStoreReached(Feed feed) const { return state(feed).isStoreReached; }
     const RecordBook &book(Feed feed) const { return state(feed).book; }
 
--- a/src/libloomjunction/gateway/loadasker.cpp
+++ b/src/libloomjunction/gateway/loadasker.cpp
@@ -28,14 +28,13 @@
 // Longer than the way to the farthest data centre and back, with the agent's look
 // at its engine: with some answers at hand, the others are not waited for.
 constexpr Milliseconds sAskTime{15};
-// A box that has used up its share of the processor goes on within a tenth of a
-// second. Nothing is known before the first answer, so that is worth the wait.
-constexpr Milliseconds sAskMost{120};
-// After an unanswered question others are asked for this long: a frozen or dead
-// box costs one request in so many the wait above.
-constexpr Milliseconds sSilentFor{600};
-// The same for a box that answers late; its answer ends it.
-constexpr Milliseconds sLateFor{150};
+// Without any, others are asked then; answers that come late still count.
+constexpr Milliseconds sAskMost{50};
+// Others are asked for this long after a question that was answered late or not
+// at all, twice as long after each further one; an answer ends it. A dead box costs
+// one request in so many the wait above.
+constexpr Milliseconds sSilentFor{150};
+constexpr std::uint32_t sMostDoublings = 4;
 // A connection that may have gone silent is not used again.
 constexpr Milliseconds sStreamLost{400};
 constexpr std::chrono::hours sNoDeadline{1};
@@ -106,20 +105,23 @@
         }
         co_await mAnswered.waitUntil(steadyTime(until));
     }
-    const Instant ended = now();
     for (const LoadQuestion &question : questions) {
-        Link &link = mLinks[question.address];
-        if (link.heardAt >= began) {
-            continue;
-        }
-        if (ended - link.askedAt >= sAskMost) {
-            noteMissed(question.address, ended);
-        } else {
-            link.silentUntil = std::max(link.silentUntil, ended + sLateFor);
+        if (mLinks[question.address].heardAt < began) {
+            avoid(question.address, now());
         }
     }
 }
 
+void LoadAsker::avoid(const std::string &address, Instant now)
+{
+    Link &link = mLinks[address];
+    if (link.silentUntil > now) {
+        return;
+    }
+    link.silentUntil = now + sSilentFor * (1 << std::min(link.missed, sMostDoublings));
+    ++link.missed;
+}
+
 void LoadAsker::send(const LoadQuestion &question, Instant now)
 {
     Link &link = mLinks[question.address];
@@ -178,6 +180,7 @@
         link.heardAt = now();
         link.askedAt = Instant();
         link.silentUntil = Instant();
+        link.missed = 0;
         mMembers.noteHeard((*report)->member());
         mHeard((*report)->address(), loadOf(**report));
         mAnswered.notify();
@@ -191,13 +194,11 @@
 
 void LoadAsker::noteMissed(const std::string &address, Instant now)
 {
-    Link &link = mLinks[address];
-    if (link.silentUntil <= now) {
-        mMetrics.count("loom_load_questions_total", "unanswered");
-        logLine(LogLevel::Info, "agent-silent", {{"replica", address}});
-    }
-    link.silentUntil = now + sSilentFor;
-    dropStream(link);
+    mMetrics.count("loom_load_questions_total", "unanswered");
+    logLine(LogLevel::Info, "agent-silent",
+            {{"replica", address}, {"missed", mLinks[address].missed}});
+    avoid(address, now);
+    dropStream(mLinks[address]);
 }
 
 // Connections may go silent without a reset while new ones work.
--- a/src/libloomjunction/gateway/loadasker.h
+++ b/src/libloomjunction/gateway/loadasker.h
@@ -47,7 +47,7 @@
 
     /**
      * Asks all at once and waits until they have answered, or some have and the
-     * others take long. The addresses that did are those heard() was called for.
+     * others take long, or none has for longer; heardAt() tells who did.
      */
     awaitable<void> ask(std::vector<LoadQuestion> questions);
     /** Asks without waiting, so that the link is there when it is needed. */
@@ -71,11 +71,13 @@
         Instant usedAt;
         Instant heardAt;
         Instant silentUntil;
+        std::uint32_t missed = 0; ///< questions in a row, answered late or not at all
     };
 
     void send(const LoadQuestion &question, Instant now);
     awaitable<void> connect(std::string address);
     awaitable<void> receive(std::string address, PeerStreamPtr stream);
+    void avoid(const std::string &address, Instant now);
     void noteMissed(const std::string &address, Instant now);
     void dropStream(Link &link);
 
--- a/src/libloomjunction/gateway/memberservice.cpp
+++ b/src/libloomjunction/gateway/memberservice.cpp
@@ -235,14 +235,20 @@
     }
 }
 
-// The first in order that lives, as far as this gateway knows.
-const std::string &MemberService::firstAlive(std::span<const std::string> order) const
+// The first in order that lives and reaches the store, as far as this gateway knows.
+const std::string &MemberService::firstReader(std::span<const std::string> order) const
 {
     for (const std::string &key : order) {
+        if (key == mKey) {
+            if (!mFeeds->hasStoreFailed()) {
+                return mKey;
+            }
+            continue;
+        }
         const auto state = mStates.find(key);
         const bool lives
             = state != mStates.end() && isUsable(state->second) && mMembers.contains(key);
-        if (key == mKey || lives) {
+        if (lives && !state->second.hasStoreFailed) {
             return key;
         }
     }
@@ -390,12 +396,12 @@
         return readers;
     }
     readers.isRelayed = true;
-    const std::string &reader = firstAlive(mReadersEverywhere);
+    const std::string &reader = firstReader(mReadersEverywhere);
     readers.isReader = reader == mKey;
     if (readers.isReader) {
         return readers;
     }
-    const std::string &near = firstAlive(mReadersNear);
+    const std::string &near = firstReader(mReadersNear);
     const std::string &followed = near == mKey ? reader : near;
     readers.others.push_back(mMembers.find(followed)->second.peers);
     return readers;
@@ -464,6 +470,7 @@
             state.isLeaving = (*status)->leaving();
             state.incarnation = (*status)->incarnation();
             state.configVersion = (*status)->config_version();
+            state.hasStoreFailed = (*status)->store_failed();
             state.heardAt = now();
             if (wasReady != (state.isReady && !state.isLeaving)) {
                 logLine(LogLevel::Info, "gateway-state",
@@ -494,6 +501,7 @@
         status.set_ready(state.isReady);
         status.set_leaving(state.isLeaving);
         status.set_config_version(state.configVersion);
+        status.set_store_failed(mFeeds->hasStoreFailed());
         stream->send(status);
         const std::uint64_t seen = mStatusChanges;
         const Instant until = now() + sStatusEvery;
--- a/src/libloomjunction/gateway/memberservice.h
+++ b/src/libloomjunction/gateway/memberservice.h
@@ -50,6 +50,7 @@
     bool isLeaving = false;
     std::uint64_t incarnation = 0;
     std::uint64_t configVersion = 0;
+    bool hasStoreFailed = false; ///< its reads of the store, of late
     std::optional<Instant> heardAt;
 };
 
@@ -88,7 +89,7 @@
     std::vector<Tcp::endpoint> gatewayAddresses() const;
     /** Gateways that callers may use now, this one not among them. */
     std::vector<Member> usableGateways() const;
-    /** Which gateways read replicas' and members' records from the store for all. */
+    /** Which gateways read the store for all. */
     FeedReaders feedReaders() const;
     /** Gateways that may be alive, this one among them. */
     std::uint32_t gatewayCount() const;
@@ -107,7 +108,7 @@
     bool isOverdue(const std::string &key, const Member &member) const;
     static bool isUsable(const GatewayState &state);
     void plan();
-    const std::string &firstAlive(std::span<const std::string> order) const;
+    const std::string &firstReader(std::span<const std::string> order) const;
     std::vector<Tcp::endpoint> nearFirst(std::span<const Member> members) const;
     std::optional<Instant> lastHeard(const std::string &key, const Member &member) const;
     void take(const FeedChange &change);
--- a/src/libloomjunction/gateway/replicaservice.cpp
+++ b/src/libloomjunction/gateway/replicaservice.cpp
@@ -76,7 +76,7 @@
     if (!change.record.value) {
         logLine(LogLevel::Info, "replica-gone",
                 {{"replica", id}, {"offset", change.record.offset}, {"trusted", change.isTrusted}});
-        mReplicas.remove(id, change.isTrusted, now());
+        mReplicas.remove(id, change.isTrusted, change.age, now());
         return;
     }
     auto record = mRecords.replicaRecord(id, *change.record.value);
@@ -114,26 +114,29 @@
     mAsker->stop();
 }
 
-// The ids of those that answered.
-awaitable<std::vector<std::string>> ReplicaService::askAgents(std::vector<const Replica *> replicas)
+awaitable<void> ReplicaService::askAgents(std::vector<const Replica *> replicas)
 {
     std::vector<LoadQuestion> questions;
-    std::vector<std::string> ids;
     for (const Replica *replica : replicas) {
         questions.push_back({replica->record.address, replica->patientWaiting});
-        ids.push_back(replica->record.id);
     }
-    const Instant began = now();
     if (!questions.empty()) {
-        co_await mAsker->ask(questions);
+        co_await mAsker->ask(std::move(questions));
     }
+}
+
+// Of the replicas @p ids, those whose agents were heard since.
+std::vector<std::string> ReplicaService::answeredSince(Instant since,
+                                                       std::span<const std::string> ids) const
+{
     std::vector<std::string> answered;
-    for (std::size_t index = 0; index < ids.size(); ++index) {
-        if (mAsker->heardAt(questions[index].address) >= began) {
-            answered.push_back(ids[index]);
+    for (const std::string &id : ids) {
+        const Replica *replica = mReplicas.find(id);
+        if (replica != nullptr && mAsker->heardAt(replica->record.address) >= since) {
+            answered.push_back(id);
         }
     }
-    co_return answered;
+    return answered;
 }
 
 awaitable<ReplicaChoice> ReplicaService::choose(ReplicaQuery query)
@@ -142,10 +145,11 @@
         co_return mReplicas.choose(query, now());
     }
     AskedChoice choice(mReplicas, query, silentReplicas());
+    const Instant begun = now();
     while (!choice.isDone()) {
-        const Instant began = now();
-        const std::vector<std::string> answered = co_await askAgents(choice.toAsk(began));
-        choice.decide(answered, now() - began, now());
+        co_await askAgents(choice.toAsk(now()));
+        // Late answers to the questions of an earlier round count, too.
+        choice.decide(answeredSince(begun, choice.asked()), now() - begun, now());
     }
     co_return choice.choice();
 }
--- a/src/libloomjunction/gateway/replicaservice.h
+++ b/src/libloomjunction/gateway/replicaservice.h
@@ -19,6 +19,7 @@
 #include <deque>
 #include <map>
 #include <memory>
+#include <span>
 #include <string>
 #include <vector>
 
@@ -77,7 +78,8 @@
 
     SharedRetryBudget &budget(const std::string &service);
     void take(const FeedChange &change);
-    awaitable<std::vector<std::string>> askAgents(std::vector<const Replica *> replicas);
+    awaitable<void> askAgents(std::vector<const Replica *> replicas);
+    std::vector<std::string> answeredSince(Instant since, std::span<const std::string> ids) const;
     std::vector<std::string> silentReplicas() const;
     void keepNeighboursWarm();
     void keepWarm(const LoadQuestion &question);
--- a/tests/direct/overloadlab.cpp
+++ b/tests/direct/overloadlab.cpp
@@ -159,16 +159,13 @@
     }
     AskedChoice choice(replicas, query, {});
     while (!choice.isDone()) {
-        std::vector<std::string> answered;
         for (const Replica *replica : choice.toAsk(at(time))) {
-            answered.push_back(replica->record.id);
-        }
-        for (const std::string &id : answered) {
+            const std::string &id = replica->record.id;
             const auto engine = static_cast<std::size_t>(std::stoul(id.substr(1)));
             replicas.report("10.0.0.1:" + std::to_string(engine + 1), loadOf(engine), at(time));
+            ++mQuestions;
         }
-        mQuestions += answered.size();
-        choice.decide(answered, Microseconds(0), at(time));
+        choice.decide({choice.asked().begin(), choice.asked().end()}, Microseconds(0), at(time));
     }
     return choice.choice();
 }
--- a/tests/direct/test_replicaset.cpp
+++ b/tests/direct/test_replicaset.cpp
@@ -80,7 +80,7 @@
     set.put(record("r2", "here", 0), at(0));
     BOOST_TEST(chosen(set, query(), at(0)) == "");
     set.put(record("r3", "here"), at(0));
-    set.remove("r3", true, at(10));
+    set.remove("r3", true, Microseconds(0), at(10));
     BOOST_TEST(chosen(set, query(), at(10)) == "");
 }
 
@@ -88,7 +88,7 @@
 {
     ReplicaSet set(sDrainTime);
     set.put(record("r1", "here"), at(0));
-    set.remove("r1", false, at(0));
+    set.remove("r1", false, Microseconds(0), at(0));
     BOOST_TEST(chosen(set, query(), at(1'400)) == "r1");
     // It may have left for good: its use ends before the draining time does.
     BOOST_TEST(chosen(set, query(), at(1'600)) == "");
@@ -96,6 +96,31 @@
     BOOST_TEST(chosen(set, query(), at(2'700)) == "r1");
 }
 
+BOOST_AUTO_TEST_CASE(a_certain_removal_ends_the_time_that_a_doubtful_one_gave)
+{
+    ReplicaSet set(sDrainTime);
+    set.put(record("r1", "here"), at(0));
+    set.remove("r1", false, Microseconds(0), at(0));
+    BOOST_TEST(chosen(set, query(), at(300)) == "r1");
+    set.remove("r1", true, Microseconds(0), at(400));
+    BOOST_TEST(chosen(set, query(), at(400)) == "");
+    // A doubtful one after it changes nothing.
+    set.remove("r1", false, Microseconds(0), at(500));
+    BOOST_TEST(chosen(set, query(), at(500)) == "");
+}
+
+BOOST_AUTO_TEST_CASE(a_removal_that_was_heard_late_gives_less_time)
+{
+    ReplicaSet set(sDrainTime);
+    set.put(record("r1", "here"), at(0));
+    set.remove("r1", false, Milliseconds(1'300), at(1'300));
+    BOOST_TEST(chosen(set, query(), at(1'400)) == "r1");
+    BOOST_TEST(chosen(set, query(), at(1'600)) == "");
+    set.put(record("r2", "here"), at(0));
+    set.remove("r2", false, std::chrono::hours(24), at(5'000));
+    BOOST_TEST(chosen(set, query(), at(5'000)) == "");
+}
+
 BOOST_AUTO_TEST_CASE(weights_that_are_too_old_or_loading_get_nothing)
 {
     ReplicaSet set(sDrainTime);
@@ -324,7 +349,7 @@
     set.report("10.0.0.1:2", load, at(400));
     BOOST_TEST(chosen(set, query(), at(300)) == "r1");
     BOOST_TEST(chosen(set, query(), at(400)) == "r2");
-    set.remove("r2", true, at(410));
+    set.remove("r2", true, Microseconds(0), at(410));
     BOOST_TEST(chosen(set, query(), at(420)) == "r1");
 }
 
