SIGHUP and changes of the settings file take up every bound, the seeds and the log level

Cause: a reload set the bounds of the configuration only; the retry budget, the draining time and the pause between reads kept the old ones for the life of the process, and a file that changed without a signal was not looked at.

What cannot change in a life is named, a line a field. Refused whole where a field is wrong.

--- a/src/libloomjunction/core/sharedretrybudget.h
+++ b/src/libloomjunction/core/sharedretrybudget.h
@@ -33,6 +33,7 @@
 public:
     SharedRetryBudget(RetryBounds bounds, Instant born);
 
+    void setBounds(const RetryBounds &bounds) { mBounds = bounds; }
     /** A first request for the service. */
     void noteRequest(Instant now);
     /** Takes one repeat; false when the share is spent. @p entries: those that may be alive. */
--- a/src/libloomjunction/gateway/directsettings.cpp
+++ b/src/libloomjunction/gateway/directsettings.cpp
@@ -110,6 +110,27 @@
     return settings;
 }
 
+std::vector<std::string> fieldsForRestart(const DirectSettings &running, const DirectSettings &next)
+{
+    std::vector<std::string> fields;
+    const auto note = [&](std::string_view field, bool isSame) {
+        if (!isSame) {
+            fields.emplace_back(field);
+        }
+    };
+    note("box", running.box == next.box);
+    note("dataCentre", running.dataCentre == next.dataCentre);
+    note("region", running.region == next.region);
+    note("peers", running.peers == next.peers);
+    note("store", running.store == next.store);
+    note("metrics", running.metrics == next.metrics);
+    note("role", running.role.index() == next.role.index());
+    if (running.role.index() == next.role.index()) {
+        note(running.isGateway() ? sGateway : sStager, running.role == next.role);
+    }
+    return fields;
+}
+
 bool isDirectRole(const std::string &path)
 {
     const auto object = SettingsReader::load(path);
--- a/src/libloomjunction/gateway/directsettings.h
+++ b/src/libloomjunction/gateway/directsettings.h
@@ -29,6 +29,8 @@
     Tcp::endpoint callers; ///< where requests come in
     Tcp::endpoint readiness; ///< where the platform asks whether it is ready
     Tcp::endpoint addresses; ///< where callers ask which entries to use
+
+    bool operator==(const GatewaySettings &) const = default;
 };
 
 /** Settings of a stager: an agent beside an engine, out of the requests' path. */
@@ -37,6 +39,8 @@
     std::string service;
     Tcp::endpoint engine;
     double linkMbit = 0; ///< of this box, each way; 0: no limit
+
+    bool operator==(const StagerSettings &) const = default;
 };
 
 /** Bounds that the platform's users hold the system to. */
@@ -66,6 +70,10 @@
     bool isGateway() const { return std::holds_alternative<GatewaySettings>(role); }
 };
 
+/** Names of the fields that differ and that a running process cannot take up. */
+std::vector<std::string> fieldsForRestart(const DirectSettings &running,
+                                          const DirectSettings &next);
+
 /** Reads and checks a settings file; the error lists every problem, a line each. */
 tl::expected<DirectSettings, std::string> loadDirectSettings(const std::string &path);
 
--- a/src/libloomjunction/gateway/memberservice.h
+++ b/src/libloomjunction/gateway/memberservice.h
@@ -73,6 +73,8 @@
 
     /** This gateway's own state, told to the others. */
     void setStatusSource(StatusSource source) { mStatus = std::move(source); }
+    /** Gateways to ask while no other is known. */
+    void setSeeds(std::vector<Tcp::endpoint> seeds) { mSettings.seeds = std::move(seeds); }
     /** Tells the others at once that the own state changed. */
     void noteChange();
     /** Takes the own record away. */
--- a/src/libloomjunction/gateway/replicaservice.cpp
+++ b/src/libloomjunction/gateway/replicaservice.cpp
@@ -54,13 +54,12 @@
 tl::expected<void, std::string> ReplicaService::start(Kernel &kernel)
 {
     mMembers = &kernel.find<MemberService>(MemberService::sName);
-    FeedService &feeds = kernel.find<FeedService>(FeedService::sName);
-    feeds.listen(Feed::Replicas, [this](const FeedChange &change) { take(change); });
-    feeds.passOver(Feed::Replicas, [this](const FeedRecord &known, const FeedRecord &next) {
+    mFeeds = &kernel.find<FeedService>(FeedService::sName);
+    mFeeds->listen(Feed::Replicas, [this](const FeedChange &change) { take(change); });
+    mFeeds->passOver(Feed::Replicas, [this](const FeedRecord &known, const FeedRecord &next) {
         return saysTheSame(known, next);
     });
-    feeds.setReplicasPause(
-        std::clamp(mSettings.bounds.drainTime / sReadsWhileDraining, sLeastPause, sMostPause));
+    setBounds(mSettings.bounds);
     mConfig = &kernel.find<DirectConfig>(DirectConfig::sName);
     mAsker = std::make_unique<LoadAsker>(
         kernel, mMetrics, [this](const std::string &address, const ReplicaLoad &load) {
@@ -101,6 +100,17 @@
     mReplicas.put(*record, now());
 }
 
+void ReplicaService::setBounds(const DirectBounds &bounds)
+{
+    mBounds = bounds.retries;
+    for (auto &[service, budget] : mBudgets) {
+        budget.setBounds(mBounds);
+    }
+    mReplicas.setDrainTime(bounds.drainTime);
+    mFeeds->setReplicasPause(
+        std::clamp(bounds.drainTime / sReadsWhileDraining, sLeastPause, sMostPause));
+}
+
 bool ReplicaService::saysTheSame(const FeedRecord &known, const FeedRecord &next) const
 {
     const auto before = mRecords.replicaRecord(known.key, *known.value);
--- a/src/libloomjunction/gateway/replicaservice.h
+++ b/src/libloomjunction/gateway/replicaservice.h
@@ -46,6 +46,9 @@
     tl::expected<void, std::string> start(Kernel &kernel) override;
     void stop() override;
 
+    /** Bounds that changed in the life of the process. */
+    void setBounds(const DirectBounds &bounds);
+
     ReplicaSet &replicas() { return mReplicas; }
     /**
      * Chooses a replica for a request. Agents of engines are asked first; @p query
@@ -91,6 +94,7 @@
     RecordPort &mRecords;
     Metrics &mMetrics;
     const DirectSettings &mSettings;
+    FeedService *mFeeds = nullptr;
     RetryBounds mBounds;
     Instant mBorn;
     MemberService *mMembers = nullptr;
--- a/src/libloomjunction/kernel/jsonlog.cpp
+++ b/src/libloomjunction/kernel/jsonlog.cpp
@@ -110,6 +110,11 @@
 
 } // namespace
 
+void setLogLevel(LogLevel least)
+{
+    sLeast = least;
+}
+
 void initializeLog(std::string_view program, std::string_view box, LogLevel least)
 {
     static std::string sProgram; // glog keeps the pointer
--- a/src/libloomjunction/kernel/jsonlog.h
+++ b/src/libloomjunction/kernel/jsonlog.h
@@ -50,6 +50,8 @@
 
 /** The level of this name; Info for a name not known. */
 LogLevel logLevel(std::string_view name);
+/** Lines below @p least are not written from now on. */
+void setLogLevel(LogLevel least);
 
 /**
  * Writes one JSON line: time, level, box, event and @p fields. Field names
--- a/src/loomjunctiond/directdaemon.cpp
+++ b/src/loomjunctiond/directdaemon.cpp
@@ -22,6 +22,8 @@
 #include "statsfront.h"
 
 #include <csignal>
+#include <fstream>
+#include <iterator>
 #include <random>
 
 #include <boost/asio/co_spawn.hpp>
@@ -34,6 +36,15 @@
 // Last answers and frames leave before the loop ends.
 constexpr std::chrono::milliseconds sLastWords{100};
 
+// A file of a kilobyte: reading it costs less than being told of changes.
+constexpr std::chrono::milliseconds sSettingsEvery{1'000};
+
+std::string textOf(const std::string &path)
+{
+    std::ifstream file(path);
+    return {std::istreambuf_iterator<char>(file), {}};
+}
+
 std::uint64_t newIncarnation()
 {
     std::random_device device;
@@ -100,6 +111,8 @@
              {"dataCentre", mSettings.dataCentre},
              {"peers", endpointText(mSettings.peers)},
              {"store", endpointText(mSettings.store)}});
+    mSettingsText = textOf(mSettingsPath);
+    asio::co_spawn(mContext, watchSettings(), asio::detached);
     waitForSignal();
     mContext.run();
     logLine(LogLevel::Info, "stopped", {});
@@ -113,7 +126,7 @@
             return;
         }
         if (signal == SIGHUP) {
-            reload();
+            reload("signal");
         } else {
             beginStop();
         }
@@ -121,20 +134,49 @@
     });
 }
 
-void DirectDaemon::reload()
+// The file is taken as a whole or refused as a whole.
+void DirectDaemon::reload(std::string_view cause)
 {
+    mSettingsText = textOf(mSettingsPath);
     const auto settings = loadDirectSettings(mSettingsPath);
     if (!settings) {
-        logLine(LogLevel::Error, "reload-refused", {{"problem", settings.error()}});
+        logLine(LogLevel::Error, "reload-refused",
+                {{"cause", cause}, {"problem", settings.error()}});
         return;
     }
-    // Addresses and role belong to a life of the process; bounds may change in it.
+    const std::vector<std::string> later = fieldsForRestart(mSettings, *settings);
     mSettings.bounds = settings->bounds;
     mSettings.logLevel = settings->logLevel;
+    mSettings.seeds = settings->seeds;
+    setLogLevel(mSettings.logLevel);
+    mKernel.find<MemberService>(MemberService::sName).setSeeds(mSettings.seeds);
     mKernel.find<DirectConfig>(DirectConfig::sName).setBounds(mSettings.bounds);
+    if (mSettings.isGateway()) {
+        mKernel.find<ReplicaService>(ReplicaService::sName).setBounds(mSettings.bounds);
+    }
     logLine(LogLevel::Info, "reloaded",
-            {{"stopMs", mSettings.bounds.stopTime.count()},
-             {"weightsMs", mSettings.bounds.weightsTime.count()}});
+            {{"cause", cause},
+             {"drainMs", mSettings.bounds.drainTime.count()},
+             {"stopMs", mSettings.bounds.stopTime.count()},
+             {"addressLifetimeMs", mSettings.bounds.addressLifetime.count()},
+             {"weightsMs", mSettings.bounds.weightsTime.count()},
+             {"retryRatio", mSettings.bounds.retries.ratio},
+             {"retryExtra", mSettings.bounds.retries.extra},
+             {"seeds", mSettings.seeds.size()}});
+    for (const std::string &field : later) {
+        logLine(LogLevel::Warning, "reload-needs-restart", {{"field", field}});
+    }
+}
+
+// The file may change without a signal.
+awaitable<void> DirectDaemon::watchSettings()
+{
+    while (!mStopping) {
+        co_await sleepFor(sSettingsEvery);
+        if (textOf(mSettingsPath) != mSettingsText) {
+            reload("the file changed");
+        }
+    }
 }
 
 // The first call drains, a second one stops at once.
--- a/src/loomjunctiond/directdaemon.h
+++ b/src/loomjunctiond/directdaemon.h
@@ -14,6 +14,7 @@
 #include "ports.h"
 
 #include <string>
+#include <string_view>
 
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/signal_set.hpp>
@@ -38,7 +39,8 @@
     void addStager();
     void waitForSignal();
     void beginStop();
-    void reload();
+    void reload(std::string_view cause);
+    awaitable<void> watchSettings();
     awaitable<void> drainAndStop();
 
     std::string mSettingsPath;
@@ -49,6 +51,7 @@
     PlatformPorts mPorts;
     Kernel mKernel;
     asio::signal_set mSignals;
+    std::string mSettingsText; ///< of the file, as it was read last
     bool mStopping = false;
 };
 
