--- a/src/libloomjunction/core/askedchoice.cpp
+++ b/src/libloomjunction/core/askedchoice.cpp
@@ -12,10 +12,10 @@
 
 namespace Loom {
 
-AskedChoice::AskedChoice(const ReplicaSet &replicas, ReplicaQuery query,
+AskedChoice::AskedChoice(const ReplicaSet &replicas, const ReplicaQuery &query,
                          std::vector<std::string> silent)
     : mReplicas(replicas)
-    , mQuery(std::move(query))
+    , mQuery(query)
     , mWaitedBefore(mQuery.waited)
     , mNotAsked(std::move(silent))
 {
--- a/src/libloomjunction/core/askedchoice.h
+++ b/src/libloomjunction/core/askedchoice.h
@@ -29,7 +29,8 @@
 {
 public:
     /** @p query views data that outlives this; @p silent: ids that need not be asked. */
-    AskedChoice(const ReplicaSet &replicas, ReplicaQuery query, std::vector<std::string> silent);
+    AskedChoice(const ReplicaSet &replicas, const ReplicaQuery &query,
+                std::vector<std::string> silent);
     AskedChoice(const AskedChoice &) = delete;
     AskedChoice &operator=(const AskedChoice &) = delete;
 
--- a/src/libloomjunction/gateway/feedservice.cpp
+++ b/src/libloomjunction/gateway/feedservice.cpp
@@ -53,7 +53,7 @@
 constexpr Milliseconds sRelayLongTurn{30'000};
 constexpr Milliseconds sRelayBatch{10};
 // Shorter values gain little, and would be compressed for each change of theirs.
-constexpr std::size_t sLeastCompressed = 4 * 1024;
+constexpr std::size_t sLeastCompressed = std::size_t{4} * 1024;
 // Many times what the platform's store takes for one record.
 constexpr std::size_t sMostValue = std::size_t{16} * 1024 * 1024;
 // A follower that takes nothing for so long is lost; a large configuration needs
--- a/src/libloomjunction/gateway/replicaservice.cpp
+++ b/src/libloomjunction/gateway/replicaservice.cpp
@@ -127,6 +127,7 @@
 awaitable<void> ReplicaService::askAgents(std::vector<const Replica *> replicas)
 {
     std::vector<LoadQuestion> questions;
+    questions.reserve(replicas.size());
     for (const Replica *replica : replicas) {
         questions.push_back({replica->record.address, replica->patientWaiting});
     }
--- a/tests/gateway/test_asking.cpp
+++ b/tests/gateway/test_asking.cpp
@@ -165,6 +165,7 @@
         BOOST_REQUIRE(kernel.start().has_value());
         auto &hub = kernel.find<PeerHub>(PeerHub::sName);
         std::vector<PeerStreamPtr> gateways;
+        gateways.reserve(4);
         for (int count = 0; count < 4; ++count) {
             gateways.push_back(co_await hub.open(address, "/replica-load"));
         }
