--- a/tests/process/test_reload.py
+++ b/tests/process/test_reload.py
@@ -31,7 +31,11 @@
         self.process = subprocess.Popen([program("loomjunctiond"), "--config", self.path],
                                         stdout=subprocess.PIPE, stderr=subprocess.STDOUT, text=True)
         threading.Thread(target=self._read, daemon=True).start()
-        wait_for("the start", lambda: self.events("started"))
+        try:
+            wait_for("the start", lambda: self.events("started"))
+        except Exception:
+            self.__exit__()
+            raise
         return self
 
     def __exit__(self, *_):
