--- a/src/libloomjunction/net/httpclient.cpp
+++ b/src/libloomjunction/net/httpclient.cpp
@@ -10,6 +10,7 @@
 
 #include "httpfields.h"
 
+#include <algorithm>
 #include <deque>
 #include <map>
 
@@ -134,11 +135,13 @@
         if (writeError) {
             co_return tl::unexpected(failure(writeError));
         }
-        co_return co_await readAnswer(stream, onData);
+        co_return co_await readAnswer(stream, onData, deadline, call.pieceTimeout);
     }
 
-    static awaitable<tl::expected<Exchanged, HttpError>> readAnswer(beast::tcp_stream &stream,
-                                                                    const HttpDataHandler &onData)
+    static awaitable<tl::expected<Exchanged, HttpError>>
+    readAnswer(beast::tcp_stream &stream, const HttpDataHandler &onData,
+               std::chrono::steady_clock::time_point deadline,
+               std::chrono::milliseconds pieceTimeout)
     {
         beast::flat_buffer buffer;
         http::response_parser<http::buffer_body> parser;
@@ -153,6 +156,7 @@
         response.headers = copyHeaders(parser.get());
         std::string piece(sReadPieceBytes, '\0');
         while (!parser.is_done()) {
+            stream.expires_at(std::max(deadline, std::chrono::steady_clock::now() + pieceTimeout));
             parser.get().body().data = piece.data();
             parser.get().body().size = piece.size();
             auto [error, size] = co_await http::async_read_some(stream, buffer, parser, sAsValue);
