Agents' answers carry the time from question to answer

Nothing decides by it yet: a choice near the end of older weights needs to know whether the way to a replica was short just now, and an answer may belong to a question that lay on the way for long. An agent answers the questions on a stream one by one in their order, so the gateway counts them; the wire stays as it is. A question without any answer (an agent that knows nothing of its engine yet) makes the times that follow too long, never too short; the stream is renewed when one is over 400 ms.

--- a/src/libloomjunction/core/replica.h
+++ b/src/libloomjunction/core/replica.h
@@ -53,6 +53,8 @@
     bool isAccepting = true; ///< false while it loads weights or leaves
     /** Requests on their way are counted as waiting, those of this entry among them. */
     bool hasClaims = false;
+    /** From the question until this answer to it was here; zero: it was not asked for. */
+    Microseconds took{0};
 };
 
 /** How a request that was sent to a replica ended, for the choice of later ones. */
--- a/src/libloomjunction/gateway/loadasker.cpp
+++ b/src/libloomjunction/gateway/loadasker.cpp
@@ -37,6 +37,9 @@
 constexpr std::uint32_t sMostDoublings = 4;
 // A connection that may have gone silent is not used again.
 constexpr Milliseconds sStreamLost{400};
+// Of a question that was answered at once; zero stands for none asked.
+constexpr Microseconds sShortest{1};
+constexpr Microseconds sUnasked{0};
 constexpr std::chrono::hours sNoDeadline{1};
 constexpr Milliseconds sUnusedFor{5'000};
 constexpr double sPermille = 1'000;
@@ -148,9 +151,7 @@
         link.askedAt = now;
     }
     if (link.stream && link.stream->isOpen()) {
-        wire::LoadQuery query;
-        query.set_waiting_patient(question.patientWaiting);
-        link.stream->send(query);
+        put(link, now);
         return;
     }
     link.hasQuestion = true;
@@ -160,6 +161,25 @@
     }
 }
 
+void LoadAsker::put(Link &link, Instant askedAt)
+{
+    wire::LoadQuery query;
+    query.set_waiting_patient(link.patientWaiting);
+    link.stream->send(query);
+    link.open.push_back(askedAt);
+}
+
+// An agent answers the questions on a stream one by one, in their order.
+Microseconds LoadAsker::answerTime(Link &link, Instant now)
+{
+    if (link.open.empty()) {
+        return sUnasked;
+    }
+    const Microseconds took = now - link.open.front();
+    link.open.pop_front();
+    return std::max(took, sShortest);
+}
+
 awaitable<void> LoadAsker::connect(std::string address)
 {
     const auto agent = mMembers.agentOf(address);
@@ -174,11 +194,10 @@
         co_return;
     }
     link.stream = stream;
+    link.open.clear();
     asio::co_spawn(mAnswered.executor(), receive(address, stream), asio::detached);
     if (std::exchange(link.hasQuestion, false)) {
-        wire::LoadQuery query;
-        query.set_waiting_patient(link.patientWaiting);
-        stream->send(query);
+        put(link, now());
     }
 }
 
@@ -191,13 +210,22 @@
             break;
         }
         Link &link = mLinks[address];
+        if (link.stream != stream) {
+            break;
+        }
+        ReplicaLoad load = loadOf(**report);
+        load.took = answerTime(link, now());
         link.heardAt = now();
         link.askedAt = Instant();
         link.silentUntil = Instant();
         link.missed = 0;
         mMembers.noteHeard((*report)->member());
-        mHeard((*report)->address(), loadOf(**report));
+        mHeard((*report)->address(), load);
         mAnswered.notify();
+        // So late, or an earlier question had no answer and all times are too long.
+        if (load.took > sStreamLost) {
+            break;
+        }
     }
     stream->reset();
     const auto it = mLinks.find(address);
--- a/src/libloomjunction/gateway/loadasker.h
+++ b/src/libloomjunction/gateway/loadasker.h
@@ -14,6 +14,7 @@
 #include "replica.h"
 
 #include <cstdint>
+#include <deque>
 #include <functional>
 #include <map>
 #include <memory>
@@ -70,6 +71,7 @@
         std::uint32_t patientWaiting = 0; ///< to be told with the next question
         bool hasQuestion = false; ///< one waits for the connection
         Instant askedAt; ///< the oldest question without an answer; zero: none
+        std::deque<Instant> open; ///< questions on the stream that wait for their answers
         Instant usedAt;
         Instant heardAt;
         Instant silentUntil;
@@ -81,6 +83,8 @@
     awaitable<void> receive(std::string address, PeerStreamPtr stream);
     void avoid(const std::string &address, Instant now);
     void noteMissed(const std::string &address, Instant now);
+    static void put(Link &link, Instant askedAt);
+    static Microseconds answerTime(Link &link, Instant now);
     void dropStream(Link &link);
 
     PeerHub &mHub;
--- a/tests/gateway/scriptedagent.h
+++ b/tests/gateway/scriptedagent.h
@@ -38,6 +38,7 @@
 
     wire::ReplicaLoadReport load = idle();
     bool isSilent = false;
+    std::chrono::milliseconds delay{0}; ///< before each answer
     int questions = 0;
     int streams = 0;
 
@@ -61,6 +62,9 @@
                 co_return;
             }
             ++questions;
+            if (delay.count() > 0) {
+                co_await sleepFor(delay);
+            }
             if (!isSilent) {
                 load.set_address(mReplica);
                 stream->send(load);
--- a/tests/gateway/test_asking.cpp
+++ b/tests/gateway/test_asking.cpp
@@ -107,6 +107,23 @@
     });
 }
 
+BOOST_AUTO_TEST_CASE(an_agents_answer_is_kept_with_the_time_it_took)
+{
+    AskingLab test;
+    test.firstAgent.delay = std::chrono::milliseconds(30);
+    const auto took = [&](std::string_view id) {
+        const Replica *replica = test.lab.replicas().replicas().find(id);
+        const bool isKnown = replica != nullptr && replica->load;
+        return isKnown ? replica->load->took : Microseconds(0);
+    };
+    test.lab.run([&]() -> awaitable<void> {
+        co_await test.untilAsked();
+        co_await test.lab.waitFor([&] { return took("i-1") > Microseconds(0); });
+        BOOST_TEST((took("i-1") >= test.firstAgent.delay));
+        co_await test.lab.waitFor([&] { return took("i-2") > Microseconds(0); });
+    });
+}
+
 BOOST_AUTO_TEST_CASE(no_question_is_asked_for_services_without_agents)
 {
     AskingLab test;
