Failing tests: older weights near their end run only where the way was short just now

Two existing cases of test_replicaset now say that the agent was asked and answered in 5 ms, as a gateway's choice does; they passed without it because what was heard up to 350 ms before counted as knowledge of the way. The case in which no agent answered is checked by the new test instead.

--- a/tests/direct/test_askplan.cpp
+++ b/tests/direct/test_askplan.cpp
@@ -10,6 +10,7 @@
 
 #include "askplan.h"
 #include "fakelog.h"
+#include "weightsgoal.h"
 
 #include <algorithm>
 #include <deque>
@@ -135,6 +136,28 @@
     BOOST_TEST(old.size() == 6U);
 }
 
+BOOST_AUTO_TEST_CASE(far_replicas_whose_weights_are_over_soon_are_asked_as_little_as_too_old_ones)
+{
+    Fleet fleet(12, 2);
+    for (std::size_t index = 0; index < 6; ++index) {
+        fleet.replicas[index].record.weightsVersion = 2;
+    }
+    WeightsGoal goal(Milliseconds(8'000));
+    goal.name("m", 2, at(-6'000));
+    ReplicaQuery asked = query();
+    asked.weights = &goal;
+    asked.model = "m";
+    for (std::uint64_t random = 0; random < 50; ++random) {
+        asked.random = random * 7'919;
+        const auto plan = AskPlan("g1", asked, at(0));
+        const auto chosen = plan.choose(AskRound::Anyone, fleet.usable, {});
+        const auto wasted = std::ranges::count_if(chosen, [](const Replica *replica) {
+            return replica->record.dataCentre != "z0" && replica->record.weightsVersion == 1;
+        });
+        BOOST_TEST(wasted == 1);
+    }
+}
+
 BOOST_AUTO_TEST_CASE(a_replica_that_was_away_for_a_load_is_asked_less_until_it_may_be_back)
 {
     Fleet fleet(5, 1);
--- a/tests/direct/test_replicaset.cpp
+++ b/tests/direct/test_replicaset.cpp
@@ -362,9 +362,12 @@
     ReplicaLoad load;
     load.weightsVersion = 1;
     load.running = 3;
+    load.took = Milliseconds(5);
     ReplicaQuery asked = query();
     asked.weights = &goal;
     asked.model = "m";
+    const std::vector<std::string> answered{"r1"};
+    asked.answered = answered;
     BOOST_TEST(chosen(set, asked, at(0)) == ""); // nothing is known of it
     set.report("10.0.0.1:1", load, at(0));
     BOOST_TEST(chosen(set, asked, at(100)) == "r1");
@@ -393,8 +396,11 @@
     asked.weights = &goal;
     asked.model = "m";
     asked.goal = Milliseconds(5'000);
+    const std::vector<std::string> answered{"r1"};
+    asked.answered = answered;
     ReplicaLoad load;
     load.weightsVersion = 1;
+    load.took = Milliseconds(5);
     load.running = 16;
     load.waiting = 2;
     set.report("10.0.0.1:1", load, at(0));
@@ -409,6 +415,66 @@
     BOOST_TEST(chosen(set, asked, at(600)) == "r1");
 }
 
+// A gateway sent requests on older weights to replicas in another data centre 1.58 s
+// and 1.52 s before their end. Sending stopped 1.3 s before it. The link between the
+// data centres stood full, the requests lay on it for 1.50 s, and both began after the
+// end: 22 and 29 ms late. What had been heard of a replica up to 350 ms before counted as
+// knowledge of the way there, and a replica with a silent agent was used when no
+// other was.
+BOOST_AUTO_TEST_CASE(weights_that_are_over_soon_run_only_where_the_way_was_short_just_now)
+{
+    WeightsGoal goal(Milliseconds(8'000));
+    goal.name("m", 2, at(-6'000)); // version 1 may begin requests until 2 s
+    ReplicaSet set(sDrainTime);
+    set.put(record("r1", "here", 1), at(0));
+    ReplicaQuery asked = query();
+    asked.weights = &goal;
+    asked.model = "m";
+    ReplicaLoad load;
+    load.weightsVersion = 1;
+    load.took = Milliseconds(5);
+    set.report("10.0.0.1:1", load, at(0));
+    BOOST_TEST(chosen(set, asked, at(20)) == ""); // no agent answered when it was asked
+    const std::vector<std::string> answered{"r1"};
+    asked.answered = answered;
+    BOOST_TEST(chosen(set, asked, at(20)) == "r1");
+    load.took = Milliseconds(200); // it answered an earlier question, or the link is full
+    set.report("10.0.0.1:1", load, at(30));
+    BOOST_TEST(chosen(set, asked, at(40)) == "");
+    load.took = Microseconds(0); // it spoke unasked: nothing is known of the way there
+    set.report("10.0.0.1:1", load, at(50));
+    BOOST_TEST(chosen(set, asked, at(60)) == "");
+    // Newer weights may be taken wherever they are, and however little is heard.
+    set.put(record("r2", "there", 2), at(60));
+    asked.answered = {};
+    BOOST_TEST(chosen(set, asked, at(60)) == "r2");
+}
+
+// The agents of those replicas had answered at once: the link filled up right after,
+// and a request's reset cannot overtake it on a full link.
+BOOST_AUTO_TEST_CASE(weights_that_are_over_soon_run_nothing_in_another_data_centre)
+{
+    WeightsGoal goal(Milliseconds(8'000));
+    goal.name("m", 2, at(-4'000)); // version 1 may begin requests until 4 s
+    ReplicaSet set(sDrainTime);
+    set.put(record("r1", "there", 1), at(0));
+    ReplicaQuery asked = query();
+    asked.weights = &goal;
+    asked.model = "m";
+    const std::vector<std::string> answered{"r1"};
+    asked.answered = answered;
+    ReplicaLoad load;
+    load.weightsVersion = 1;
+    load.took = Milliseconds(5);
+    set.report("10.0.0.1:1", load, at(1'200));
+    BOOST_TEST(chosen(set, asked, at(1'200)) == "r1");
+    set.report("10.0.0.1:1", load, at(2'400));
+    BOOST_TEST(chosen(set, asked, at(2'400)) == "");
+    load.weightsVersion = 2;
+    set.report("10.0.0.1:1", load, at(2'410));
+    BOOST_TEST(chosen(set, asked, at(2'410)) == "r1");
+}
+
 BOOST_AUTO_TEST_CASE(a_new_life_at_an_address_ends_the_earlier_one)
 {
     ReplicaRecord earlier = record("r1", "here");
