Near the end of older weights only a near replica with an agent that just answered quickly runs them

Cause: in the record two requests on older weights were sent 1.58 and 1.52 s before their end to another data centre, lay 1.50 s on the full link and began 22 and 29 ms late. Sending stops 1.3 s before the end, and what was heard up to 350 ms before counted as knowledge of the way, also where no agent answered the choice's own question.

Now, from 2.7 s before the end on, a replica on older weights must have answered this choice's question, and within 50 ms from the question to its answer; one in another data centre gets nothing on them, and is not asked first. Otherwise the next round asks others, and a caller is refused with when to come back.

The margin of 1.3 s for all stays. Covering a way of 1.5 s for near replicas, too, would end the use of older weights about 2 s before their end, at 6.0 of 8.0 s, while the last replica's turn to load comes at 6.4 s: replicas that wait for their turn would stand idle in the busiest part of a change. Only links between data centres were seen full (waits of 0.71, 0.91, 1.50 and 1.6 s in the record), and a way of up to 2.7 s is covered there. Cost: for 1.4 s of a change far replicas that have not loaded yet take no overflow from other data centres.

Ruled out: a reset of the request's connection for far replicas; on a full link it comes behind the request.

--- a/src/libloomjunction/core/askplan.cpp
+++ b/src/libloomjunction/core/askplan.cpp
@@ -9,6 +9,7 @@
 #include "askplan.h"
 
 #include "rendezvous.h"
+#include "weightsgoal.h"
 
 #include <algorithm>
 #include <iterator>
@@ -93,9 +94,16 @@
     return chosen;
 }
 
-// As far as is known: it has weights that may be used, and is not away for a load.
+// As far as is known: it has weights that may be used, also from here, and is not
+// away for a load.
 bool AskPlan::isPromising(const Replica &replica) const
 {
+    const bool isFar = replica.record.dataCentre != mQuery.dataCentre;
+    const bool isOverSoon = mQuery.weights != nullptr
+        && mQuery.weights->isOverSoon(mQuery.model, replica.weightsVersion(), mNow);
+    if (isFar && isOverSoon) {
+        return false;
+    }
     const bool isAway
         = replica.load && !replica.load->isAccepting && mNow - replica.loadAt <= sRefusalHolds;
     const std::uint64_t version = replica.weightsVersion();
--- a/src/libloomjunction/core/replicaoffer.cpp
+++ b/src/libloomjunction/core/replicaoffer.cpp
@@ -33,11 +33,11 @@
 constexpr double sSlowEngineFactor = 4;
 // Stricter, where being late breaks a promise: twice the fastest is suspicious.
 constexpr double sLateFactor = 2;
-// So long before a replica's weights may begin nothing more, what is sent there
-// must begin in time for sure: longer than requests wait at full replicas.
-constexpr Milliseconds sOverSoon{2'700};
-// So long before it, the least doubt counts.
+// So long before a replica's weights may begin nothing more, the least doubt counts.
 constexpr Milliseconds sOverNow{1'300};
+// An agent that answers within it stands behind a link that is not full: no choice
+// waits longer for its answers.
+constexpr Microseconds sQuickAnswer{50'000};
 // Request and connection on their way to a replica that may be under load.
 constexpr double sWayMs = 400;
 constexpr double sSoonMs = 250;
@@ -169,19 +169,35 @@
     return offer;
 }
 
+// Its agent was asked for this choice, and the way there and back was short.
+bool OfferEstimator::hasJustAnswered(const Replica &replica) const
+{
+    const bool isAnswered
+        = std::ranges::find(mQuery.answered, replica.record.id) != mQuery.answered.end();
+    const bool isHeard = replica.load && mNow - replica.loadAt <= sLoadSilence;
+    if (!isAnswered || !isHeard) {
+        return false;
+    }
+    const Microseconds took = replica.load->took;
+    return took != Microseconds(0) && took <= sQuickAnswer;
+}
+
 // Whether a request that is sent mNow surely begins before the replica's weights
 // are over. With little time left, nothing may say that its way or its wait is
 // long, and what is known must be fresh.
 bool OfferEstimator::beginsInTime(const Replica &replica) const
 {
-    const auto over = mQuery.weights->overAt(mQuery.model, replica.weightsVersion());
-    if (!over || *over - mNow >= sOverSoon) {
+    const std::uint64_t version = replica.weightsVersion();
+    if (!mQuery.weights->isOverSoon(mQuery.model, version, mNow)) {
         return true;
     }
-    const bool isHeard = replica.load && mNow - replica.loadAt <= sLoadSilence;
-    if (!isHeard || replica.load->isLinkSlow || replica.failures > 0) {
+    // A link between data centres may fill up right after an answer, and the reset of
+    // a request that lies on it comes behind the request.
+    const bool isFar = replica.record.dataCentre != mQuery.dataCentre;
+    if (isFar || !hasJustAnswered(replica) || replica.load->isLinkSlow || replica.failures > 0) {
         return false;
     }
+    const auto over = mQuery.weights->overAt(mQuery.model, version);
     const double left = std::chrono::duration<double, std::milli>(*over - mNow).count();
     const double answer = engineOffer(replica).answer;
     if (left > sOverNow.count()) {
--- a/src/libloomjunction/core/replicaoffer.h
+++ b/src/libloomjunction/core/replicaoffer.h
@@ -87,6 +87,7 @@
 
 private:
     bool isSlow(const Replica &replica) const;
+    bool hasJustAnswered(const Replica &replica) const;
     std::uint32_t patientRequests(const Replica &replica) const;
     EngineWork workOf(const Replica &replica) const;
     ReplicaOffer engineOffer(const Replica &replica) const;
--- a/src/libloomjunction/core/weightsgoal.cpp
+++ b/src/libloomjunction/core/weightsgoal.cpp
@@ -17,6 +17,10 @@
 // A request may wait at a replica, or on a narrow link on its way, before it
 // begins, so sending stops this much earlier.
 constexpr Milliseconds sSendMargin{1'300};
+// So long before a version is over, what is sent to it must begin in time for sure:
+// longer than requests wait at full replicas, and than the 1.6 s for which bytes
+// were seen to lie on a full link between data centres, with a wait after it.
+constexpr Milliseconds sOverSoon{2'700};
 
 } // namespace
 
@@ -65,6 +69,12 @@
     return earliest;
 }
 
+bool WeightsGoal::isOverSoon(std::string_view model, std::uint64_t version, Instant now) const
+{
+    const auto over = overAt(model, version);
+    return over && *over - now < sOverSoon;
+}
+
 Instant WeightsGoal::learnedAt(std::string_view model, std::uint64_t version) const
 {
     const auto it = mModels.find(model);
--- a/src/libloomjunction/core/weightsgoal.h
+++ b/src/libloomjunction/core/weightsgoal.h
@@ -48,6 +48,8 @@
     std::uint64_t oldestAllowed(std::string_view model, Instant now) const;
     /** From when on @p version may begin nothing; nothing: no newer one was named. */
     std::optional<Instant> overAt(std::string_view model, std::uint64_t version) const;
+    /** It will be so soon that the way to a replica and the wait there matter. */
+    bool isOverSoon(std::string_view model, std::uint64_t version, Instant now) const;
     /** When @p version was named; the start of time where it was not. */
     Instant learnedAt(std::string_view model, std::uint64_t version) const;
     /** The newest version named for @p model; null: none. */
