Failing tests: what has not begun when its weights are over is given up

The scripted replica may hold back a part of its answer, and a replica of the lab may have newer weights than 1; two routes of an engine are added to the lab.

The third, what_has_begun_goes_on_after_its_weights_are_over, passes before the mend: it is there so that the mend cuts nothing that has begun.

--- a/tests/gateway/directlab.cpp
+++ b/tests/gateway/directlab.cpp
@@ -30,7 +30,11 @@
         {"name":"stream","host":"h","path_prefix":"/stream/","kind":"stream","timeout_ms":8000,
          "goal_ms":500,"gap_aim_ms":500,"service":"plain","max_attempts":2,"resumable":true},
         {"name":"model","host":"h","path_prefix":"/model/","kind":"stream","timeout_ms":8000,
-         "goal_ms":500,"gap_aim_ms":500,"service":"engine","max_attempts":2,"resumable":true}],
+         "goal_ms":500,"gap_aim_ms":500,"service":"engine","max_attempts":2,"resumable":true},
+        {"name":"patient","host":"h","path_prefix":"/patient/","kind":"stream","timeout_ms":8000,
+         "goal_ms":5000,"gap_aim_ms":500,"service":"engine","max_attempts":2,"resumable":true},
+        {"name":"judge","host":"h","path_prefix":"/judge/","kind":"unsafe","timeout_ms":8000,
+         "goal_ms":5000,"service":"engine","max_attempts":2}],
         "services":[{"name":"plain","max_conns":100},
         {"name":"engine","max_conns":100,"engine":{"slots":4,"step_ms":5,"read_per_s":100000,
          "stride":1,"layers":1,"usual":{"prompt":10,"answer":10},"models":[{"name":"m"}]}}],
@@ -66,12 +70,12 @@
 }
 
 ScriptedReplica &DirectLab::addReplica(std::string id, std::string service,
-                                       ScriptedReplica::Script script)
+                                       ScriptedReplica::Script script, std::uint64_t weights)
 {
     mReplicas.push_back(std::make_unique<ScriptedReplica>(context, std::move(script)));
     const std::string value = R"({"service":")" + service + R"(","address":")"
         + mReplicas.back()->address() + R"(","zone":"z1","slots":4,"state":"ready",)"
-        + R"("models":[{"name":"m","version":1}]})";
+        + R"("models":[{"name":"m","version":)" + std::to_string(weights) + "}]}";
     store.write(Feed::Replicas, std::move(id), value);
     return *mReplicas.back();
 }
--- a/tests/gateway/directlab.h
+++ b/tests/gateway/directlab.h
@@ -125,6 +125,8 @@
     {
         std::string bytes;
         bool closes = false;
+        std::function<bool()> holds; ///< the rest waits while it says so
+        std::string rest;
     };
     using Script = std::function<Answer(const std::string &head)>;
 
@@ -169,6 +171,10 @@
             buffer.erase(0, size);
             const Answer answer = mScript(mHeads.back());
             co_await asio::async_write(*socket, asio::buffer(answer.bytes), sAsValue);
+            while (answer.holds && answer.holds()) {
+                co_await sleepFor(std::chrono::milliseconds(5));
+            }
+            co_await asio::async_write(*socket, asio::buffer(answer.rest), sAsValue);
             if (answer.closes) {
                 socket->close();
                 co_return;
@@ -191,9 +197,9 @@
     asio::io_context context{1};
     MemoryStore store{context.get_executor()};
 
-    /** Adds a replica of @p service and its record. */
-    ScriptedReplica &addReplica(std::string id, std::string service,
-                                ScriptedReplica::Script script);
+    /** Adds a replica of @p service and its record, with @p weights loaded. */
+    ScriptedReplica &addReplica(std::string id, std::string service, ScriptedReplica::Script script,
+                                std::uint64_t weights = 1);
     void writeConfig(std::uint64_t version);
 
     /** Runs @p test on the loop until it returns, then ends the gateway. */
--- a/tests/gateway/test_gateway.cpp
+++ b/tests/gateway/test_gateway.cpp
@@ -56,6 +56,30 @@
     return size.data() + data + "\r\n";
 }
 
+ScriptedReplica::Answer staysSilent(const std::string &)
+{
+    return {"", false};
+}
+
+ScriptedReplica::Answer streamsTwo(const std::string &head)
+{
+    return {streamHead(requestIdOf(head)) + chunk(event(1)) + chunk(event(2)) + "0\r\n\r\n", false};
+}
+
+void setWeightsTime(DirectLab &lab, Milliseconds time)
+{
+    DirectBounds bounds;
+    bounds.weightsTime = time;
+    lab.config().setBounds(bounds);
+}
+
+/** Names newer weights than those of the first replicas, once these have requests. */
+awaitable<void> nameNewer(DirectLab &lab)
+{
+    lab.store.write(Feed::Operators, "version/m", R"({"model":"m","version":2})");
+    co_await lab.waitFor([&lab] { return lab.config().weights().newest("m") == 2; });
+}
+
 awaitable<void> untilReady(DirectLab &lab, std::size_t replicas)
 {
     co_await lab.waitFor([&lab, replicas] {
@@ -325,6 +349,107 @@
     });
 }
 
+// Two requests on older weights were sent in time and began 22 and 29 ms after these
+// were over: they had lain on the way to the replica for 1.50 s. The deadline that a
+// request is sent with counts from its arrival, so nothing ended them on the way, nor
+// would anything end one whose replica stands still, or that was sent before the newer
+// weights were named.
+BOOST_AUTO_TEST_CASE(what_has_not_begun_when_its_weights_are_over_goes_on_at_another_replica)
+{
+    DirectLab lab;
+    lab.writeConfig(1);
+    const ScriptedReplica &older = lab.addReplica("i-1", "engine", staysSilent);
+    lab.run([&]() -> awaitable<void> {
+        co_await untilReady(lab, 1);
+        setWeightsTime(lab, Milliseconds(2'000));
+        int closedBefore = 0;
+        const ScriptedReplica *newer = nullptr;
+        asio::co_spawn(
+            lab.context,
+            [&]() -> awaitable<void> {
+                co_await lab.waitFor([&] { return older.requests() == 1; });
+                co_await nameNewer(lab);
+                newer = &lab.addReplica(
+                    "i-2", "engine",
+                    [&](const std::string &head) {
+                        closedBefore = older.closed();
+                        return streamsTwo(head);
+                    },
+                    2);
+            },
+            asio::detached);
+        const auto response = co_await lab.call("POST", "/patient/a", "id1");
+        BOOST_REQUIRE(response);
+        BOOST_TEST(response->status == 200);
+        BOOST_TEST(response->body == event(1) + event(2));
+        BOOST_REQUIRE(newer != nullptr);
+        BOOST_TEST(newer->requests() == 1);
+        // The replica had heard that the request was given up before another got it.
+        BOOST_TEST(closedBefore == 1);
+        // Nothing that it did ended the request.
+        BOOST_TEST(lab.replicas().replicas().find("i-1")->failures == 0U);
+        BOOST_TEST(lab.replicas().replicas().find("i-1")->failureRate == 0);
+    });
+}
+
+BOOST_AUTO_TEST_CASE(what_may_run_once_has_an_unknown_end_when_its_weights_are_over)
+{
+    DirectLab lab;
+    lab.writeConfig(1);
+    const ScriptedReplica &older = lab.addReplica("i-1", "engine", staysSilent);
+    lab.run([&]() -> awaitable<void> {
+        co_await untilReady(lab, 1);
+        setWeightsTime(lab, Milliseconds(2'000));
+        const ScriptedReplica *newer = nullptr;
+        asio::co_spawn(
+            lab.context,
+            [&]() -> awaitable<void> {
+                co_await lab.waitFor([&] { return older.requests() == 1; });
+                co_await nameNewer(lab);
+                newer = &lab.addReplica("i-2", "engine", good, 2);
+            },
+            asio::detached);
+        const auto response = co_await lab.call("POST", "/judge/a", "id1");
+        BOOST_REQUIRE(response);
+        BOOST_TEST(response->status == 502);
+        BOOST_REQUIRE(newer != nullptr);
+        BOOST_TEST(newer->requests() == 0);
+        co_await lab.waitFor([&] { return older.closed() == 1; });
+    });
+}
+
+BOOST_AUTO_TEST_CASE(what_has_begun_goes_on_after_its_weights_are_over)
+{
+    DirectLab lab;
+    lab.writeConfig(1);
+    const auto isOver = [&] {
+        const auto over = lab.config().weights().overAt("m", 1);
+        return over && now() > *over;
+    };
+    const ScriptedReplica &older = lab.addReplica("i-1", "engine", [&](const std::string &head) {
+        const std::string begin = streamHead(requestIdOf(head)) + chunk(event(1));
+        const std::string rest = chunk(event(2)) + "0\r\n\r\n";
+        return ScriptedReplica::Answer{begin, false, [&] { return !isOver(); }, rest};
+    });
+    lab.run([&]() -> awaitable<void> {
+        co_await untilReady(lab, 1);
+        setWeightsTime(lab, Milliseconds(1'600));
+        asio::co_spawn(
+            lab.context,
+            [&]() -> awaitable<void> {
+                co_await lab.waitFor([&] { return older.requests() == 1; });
+                co_await nameNewer(lab);
+            },
+            asio::detached);
+        const auto response = co_await lab.call("POST", "/patient/a", "id1");
+        BOOST_REQUIRE(response);
+        BOOST_TEST(response->status == 200);
+        BOOST_TEST(response->body == event(1) + event(2));
+        BOOST_TEST(older.requests() == 1);
+        BOOST_TEST(isOver());
+    });
+}
+
 BOOST_AUTO_TEST_CASE(a_draining_replica_gets_nothing_and_a_forgotten_history_is_read_anew)
 {
     DirectLab lab;
