--- a/tests/direct/test_replicaset.cpp
+++ b/tests/direct/test_replicaset.cpp
@@ -450,6 +450,28 @@
     BOOST_TEST(chosen(set, asked, at(60)) == "r2");
 }
 
+// A gateway decides from when on weights are too old before it asks agents, and may stand
+// still until they have answered.
+BOOST_AUTO_TEST_CASE(weights_that_came_to_their_end_while_agents_were_asked_run_nothing)
+{
+    WeightsGoal goal(Milliseconds(8'000));
+    goal.name("m", 2, at(-6'000)); // version 1 may begin requests until 2 s
+    ReplicaSet set(sDrainTime);
+    set.put(record("r1", "here", 1), at(0));
+    ReplicaQuery asked = query();
+    asked.weights = &goal;
+    asked.model = "m";
+    const std::vector<std::string> answered{"r1"};
+    asked.answered = answered;
+    ReplicaLoad load;
+    load.weightsVersion = 1;
+    load.took = Milliseconds(5);
+    for (const int time : {1'700, 2'000, 2'500}) {
+        set.report("10.0.0.1:1", load, at(time));
+        BOOST_TEST(chosen(set, asked, at(time)) == "");
+    }
+}
+
 // The agents of those replicas had answered at once: the link filled up right after,
 // and a request's reset cannot overtake it on a full link.
 BOOST_AUTO_TEST_CASE(weights_that_are_over_soon_run_nothing_in_another_data_centre)
--- a/tests/gateway/test_gateway.cpp
+++ b/tests/gateway/test_gateway.cpp
@@ -418,6 +418,35 @@
     });
 }
 
+// A process may stand still, or wait for a connection, between the choice of a replica and
+// the sending.
+BOOST_AUTO_TEST_CASE(what_was_not_sent_before_its_weights_were_over_ran_nowhere)
+{
+    DirectLab lab;
+    lab.writeConfig(1);
+    const ScriptedReplica &older = lab.addReplica("i-1", "engine", staysSilent);
+    lab.run([&]() -> awaitable<void> {
+        co_await untilReady(lab, 1);
+        setWeightsTime(lab, std::chrono::hours(1));
+        co_await nameNewer(lab);
+        asio::co_spawn(
+            lab.context,
+            [&]() -> awaitable<void> {
+                // The replica is chosen, the connection to it is being made.
+                while (lab.replicas().replicas().find("i-1")->inFlight == 0) {
+                    co_await asio::post(lab.context, sAsValue);
+                }
+                setWeightsTime(lab, Milliseconds(0));
+            },
+            asio::detached);
+        const auto response = co_await lab.call("POST", "/judge/a", "id1");
+        BOOST_REQUIRE(response);
+        BOOST_TEST(response->status == 503);
+        BOOST_TEST(!response->header("Retry-After").empty());
+        BOOST_TEST(older.requests() == 0);
+    });
+}
+
 BOOST_AUTO_TEST_CASE(what_has_begun_goes_on_after_its_weights_are_over)
 {
     DirectLab lab;
