What has not begun 0.5 s before its weights are over is given up

On the way there, in the kernel of a box that stands still, and at a replica that got it before newer weights were named, nothing ended it; and what was too old was decided before the agents were asked, and not looked at again after the wait for them and for a connection.

Now the gateway looks at the weights' end while the request has not begun (a stream: no byte of its body; else: no head). 500 ms before the end (400 ms that the naming may be older than known here, 100 ms for the reset's way) it cancels the link. The try's end is unknown, for no fault of the replica: where the route may be repeated it goes on at another replica within budget, attempts and time, else it ends with 502. The deadline handed to the replica ends 100 ms before that (200 ms earlier than till now), so that a replica that holds the request can refuse it in order first. Weights whose give-up time has come are chosen nowhere, and what was chosen but not sent yet ran nowhere.

What it does not do: on a full link the reset lies behind the request. There the rule that older weights run nowhere far from 2.7 s before their end on must hold it; a way of over 2.7 s (or, within one data centre, one that fills up within 50 ms of an agent's answer and holds for over 1.3 s) is not covered by anything a gateway can do.

--- a/src/libloomjunction/core/replicaoffer.cpp
+++ b/src/libloomjunction/core/replicaoffer.cpp
@@ -197,6 +197,11 @@
     if (isFar || !hasJustAnswered(replica) || replica.load->isLinkSlow || replica.failures > 0) {
         return false;
     }
+    // The time passed on while agents were asked.
+    const auto giveUp = mQuery.weights->giveUpAt(mQuery.model, version);
+    if (*giveUp <= mNow) {
+        return false;
+    }
     const auto over = mQuery.weights->overAt(mQuery.model, version);
     const double left = std::chrono::duration<double, std::milli>(*over - mNow).count();
     const double answer = engineOffer(replica).answer;
--- a/src/libloomjunction/core/weightsgoal.cpp
+++ b/src/libloomjunction/core/weightsgoal.cpp
@@ -21,6 +21,10 @@
 // longer than requests wait at full replicas, and than the 1.6 s for which bytes
 // were seen to lie on a full link between data centres, with a wait after it.
 constexpr Milliseconds sOverSoon{2'700};
+// What has not begun is given up so long before its weights are over: operators may
+// have named the newer ones 400 ms before it was heard here, and the end of the
+// connection needs up to 100 ms until the replica drops the request.
+constexpr Milliseconds sGiveUpMargin{500};
 
 } // namespace
 
@@ -75,6 +79,12 @@
     return over && *over - now < sOverSoon;
 }
 
+std::optional<Instant> WeightsGoal::giveUpAt(std::string_view model, std::uint64_t version) const
+{
+    const auto over = overAt(model, version);
+    return over ? std::optional(*over - sGiveUpMargin) : std::nullopt;
+}
+
 Instant WeightsGoal::learnedAt(std::string_view model, std::uint64_t version) const
 {
     const auto it = mModels.find(model);
--- a/src/libloomjunction/core/weightsgoal.h
+++ b/src/libloomjunction/core/weightsgoal.h
@@ -48,6 +48,13 @@
     std::uint64_t oldestAllowed(std::string_view model, Instant now) const;
     /** From when on @p version may begin nothing; nothing: no newer one was named. */
     std::optional<Instant> overAt(std::string_view model, std::uint64_t version) const;
+    /**
+     * When a request that was sent to @p version must be given up unless it has
+     * begun; nothing: no newer one was named.
+     */
+    std::optional<Instant> giveUpAt(std::string_view model, std::uint64_t version) const;
+    /** Until then no version that is the newest @p now must be given up. */
+    Instant lookAgainAt(Instant now) const { return now + mLimit / 2; }
     /** It will be so soon that the way to a replica and the wait there matter. */
     bool isOverSoon(std::string_view model, std::uint64_t version, Instant now) const;
     /** When @p version was named; the start of time where it was not. */
--- a/src/libloomjunction/gateway/gatewaycall.cpp
+++ b/src/libloomjunction/gateway/gatewaycall.cpp
@@ -35,8 +35,9 @@
 constexpr Milliseconds sLeastTime{20};
 // Connections that could not be made; nothing was sent, but time passes.
 constexpr std::uint32_t sMostFailedConnects = 3;
-// Operators may have named a version this much before it was heard here.
-constexpr Milliseconds sNamedBeforeHeard{400};
+// A request's way to a replica and its refusal's way back. With a deadline so much
+// before the request is given up, a replica that holds it can say that it did not run.
+constexpr Milliseconds sRefusalWay{100};
 // Answers of earlier requests that may lie before ours on a kept connection.
 constexpr int sMostForeignAnswers = 2;
 constexpr std::size_t sMostWholeAnswer = std::size_t{16} * 1024 * 1024;
@@ -86,6 +87,7 @@
     , mTable(parts.config.table())
     , mRandom(randomNumber())
     , mDeadlineTimer(exchange.executor())
+    , mWeightsTimer(exchange.executor())
 {
 }
 
@@ -297,10 +299,11 @@
     mParts.replicas.began(chosen.id, chosen.isPatient);
     auto link = co_await mParts.replicas.link(chosen.id, address, cap);
     const Replica *still = mParts.replicas.replicas().find(chosen.id);
-    const bool isDraining = still == nullptr || still->record.isDraining;
+    const bool isUnfit
+        = still == nullptr || still->record.isDraining || areWeightsOver(still->weightsVersion());
     // The close may wait in the loop behind this, when the process stood still.
     mIsCallerGone = mIsCallerGone || mExchange.hasCallerLeft();
-    if (!link || mIsCallerGone || mIsTimeOver || isDraining) {
+    if (!link || mIsCallerGone || mIsTimeOver || isUnfit) {
         ReplicaOutcome outcome = ReplicaOutcome::Abandoned;
         if (link) {
             mParts.replicas.giveBack(chosen.id, std::move(*link));
@@ -317,11 +320,15 @@
     }
     mLink = std::move(*link);
     TryResult result = co_await exchangeWith(chosen.id);
+    stopWatchingWeights();
     const ReplicaOutcome outcome
         = std::visit(Overload{
                          [](const TryDone &) { return ReplicaOutcome::Answered; },
                          [](const TryNotRun &) { return ReplicaOutcome::Refused; },
                          [](const TryUnknown &failed) {
+                             if (failed.isGivenUp) {
+                                 return ReplicaOutcome::Abandoned;
+                             }
                              return failed.answer ? ReplicaOutcome::Failed : ReplicaOutcome::Broken;
                          },
                          [](const TryOver &) { return ReplicaOutcome::Abandoned; },
@@ -378,14 +385,55 @@
 // over. A stream that runs then goes on at another replica.
 Milliseconds GatewayCall::timeOfWeights(std::uint64_t version) const
 {
-    const auto over = mParts.config.weights().overAt(mCaller.model, version);
-    if (!over) {
+    const auto giveUp = mParts.config.weights().giveUpAt(mCaller.model, version);
+    if (!giveUp) {
         return Milliseconds::max();
     }
-    const auto left = std::chrono::duration_cast<Milliseconds>(*over - now()) - sNamedBeforeHeard;
+    const auto left = std::chrono::duration_cast<Milliseconds>(*giveUp - now()) - sRefusalWay;
     return std::max(left, sLeastTime);
 }
 
+// What has not begun on @p version by now might begin too late.
+bool GatewayCall::areWeightsOver(std::uint64_t version) const
+{
+    if (mService == nullptr || !mService->engine) {
+        return false;
+    }
+    const auto giveUp = mParts.config.weights().giveUpAt(mCaller.model, version);
+    return giveUp && *giveUp <= now();
+}
+
+// The deadline of a request counts from its arrival. On its way, and at a replica that
+// stands still, only the end of its connection keeps it from beginning too late.
+void GatewayCall::watchWeights()
+{
+    const Replica *replica = mParts.replicas.replicas().find(mTriedReplica);
+    // It may have loaded newer ones since, and what waits there begins on those.
+    mTriedWeights = std::max(mTriedWeights, replica == nullptr ? 0 : replica->weightsVersion());
+    if (areWeightsOver(mTriedWeights)) {
+        mAreWeightsOver = true;
+        mLink->cancel();
+        return;
+    }
+    const WeightsGoal &weights = mParts.config.weights();
+    const auto giveUp = weights.giveUpAt(mCaller.model, mTriedWeights);
+    mWeightsTimer.expires_at(steadyTime(giveUp.value_or(weights.lookAgainAt(now()))));
+    const std::weak_ptr<bool> alive = mAlive;
+    const std::uint32_t send = mSends;
+    mWeightsTimer.async_wait([this, alive, send](const boost::system::error_code &error) {
+        const bool isOther = error || alive.expired() || send != mSends;
+        if (!isOther && mIsUnbegun) {
+            watchWeights();
+        }
+    });
+}
+
+void GatewayCall::stopWatchingWeights()
+{
+    mIsUnbegun = false;
+    mWeightsTimer.cancel();
+}
+
 awaitable<TryResult> GatewayCall::exchangeWith(std::string replicaId)
 {
     const HttpRequest &request = mExchange.request();
@@ -394,6 +442,12 @@
     const LinkRequest outgoing{request.method, request.target, headers, request.body};
     ++mSends;
     mSentAt = now();
+    mAreWeightsOver = false;
+    mTriedWeights = 0;
+    mIsUnbegun = mService != nullptr && mService->engine;
+    if (mIsUnbegun) {
+        watchWeights();
+    }
     auto head = co_await ownHead(outgoing);
     if (!head) {
         co_return afterLinkError(head.error());
@@ -435,6 +489,9 @@
     if (mIsTimeOver || timeLeft() < sLeastTime) {
         return TryOver{"time was over"};
     }
+    if (mAreWeightsOver) {
+        return TryUnknown{"its weights were over", std::nullopt, true};
+    }
     return TryUnknown{std::string(linkErrorName(error)), std::nullopt};
 }
 
@@ -454,6 +511,9 @@
         co_return TryUnknown{"answer to another request", std::nullopt};
     }
     const bool isSuccess = head.status / 100 == 2;
+    if (!isSuccess || !fields.isStream) {
+        stopWatchingWeights();
+    }
     if (isSuccess && !fields.isSigned) {
         mLink->cancel();
         co_return TryUnknown{"answer without signature", std::nullopt};
@@ -500,6 +560,7 @@
         if (piece->empty()) {
             break;
         }
+        stopWatchingWeights();
         std::string passed;
         for (const StreamEvent &event : splitter.feed(*piece)) {
             const bool isRepeat = event.id && mLastEvent && *event.id <= *mLastEvent;
--- a/src/libloomjunction/gateway/gatewaycall.h
+++ b/src/libloomjunction/gateway/gatewaycall.h
@@ -52,6 +52,7 @@
 {
     std::string reason;
     std::optional<HttpResponse> answer; ///< a failure of the replica's own, if it gave one
+    bool isGivenUp = false; ///< by this gateway, for no fault of the replica
 }; ///< it may have run
 struct TryOver
 {
@@ -102,6 +103,10 @@
     awaitable<void> refuse(Refusal refusal);
     awaitable<void> giveUp(int status, std::string reason);
     void startWatching();
+    /** Gives the try under way up when its weights are over and it has not begun. */
+    void watchWeights();
+    void stopWatchingWeights();
+    bool areWeightsOver(std::uint64_t version) const;
     void noteAnswerBegun();
     void notePause();
     std::string_view latenessCause() const;
@@ -121,6 +126,10 @@
 
     std::unique_ptr<HttpLink> mLink; ///< of the try under way
     asio::steady_timer mDeadlineTimer;
+    asio::steady_timer mWeightsTimer;
+    std::uint64_t mTriedWeights = 0; ///< the newest that the try's replica had while it ran
+    bool mIsUnbegun = false; ///< the try under way runs at an engine and has not begun
+    bool mAreWeightsOver = false; ///< so the try under way was given up
     std::vector<std::string> mExcluded; ///< replicas that were tried
     std::uint32_t mSends = 0;
     std::uint32_t mFailedConnects = 0;
--- a/tests/direct/test_weightsgoal.cpp
+++ b/tests/direct/test_weightsgoal.cpp
@@ -44,6 +44,23 @@
     BOOST_TEST(!goal.overAt("other", 1).has_value());
 }
 
+BOOST_AUTO_TEST_CASE(what_has_not_begun_is_given_up_between_the_last_sending_and_the_end)
+{
+    WeightsGoal goal(Milliseconds(8'000));
+    goal.name("m", 2, at(10'000));
+    BOOST_REQUIRE(goal.giveUpAt("m", 1).has_value());
+    const Instant giveUp = *goal.giveUpAt("m", 1);
+    // What was sent last still has some time to begin.
+    BOOST_TEST((goal.oldestAllowed("m", giveUp - Milliseconds(500)) == 2U));
+    // It may have been named 400 ms before it was heard here.
+    BOOST_TEST((giveUp + Milliseconds(500) <= at(18'000)));
+    // The newest may get a newer one at any time, and is looked at before that is due.
+    BOOST_TEST(!goal.giveUpAt("m", 2).has_value());
+    const Instant look = goal.lookAgainAt(at(20'000));
+    goal.name("m", 3, at(20'000));
+    BOOST_TEST((look < *goal.giveUpAt("m", 2)));
+}
+
 BOOST_AUTO_TEST_CASE(a_version_heard_twice_keeps_its_first_time)
 {
     WeightsGoal goal(Milliseconds(8'000));
