Test: callers are told the gateways of their own data centre (red)

Six gateways in each of two data centres: a caller of either is told all twelve, so half of its requests cross the link between them.

The test needs the port of the address front, so that tells its end point.

--- a/src/libloomjunction/gateway/addressfront.h
+++ b/src/libloomjunction/gateway/addressfront.h
@@ -31,6 +31,9 @@
     tl::expected<void, std::string> start(Kernel &kernel) override;
     void stop() override;
 
+    /** Where callers ask, e.g. after asking for port 0. */
+    Tcp::endpoint localEndpoint() const { return mAddresses->localEndpoint(); }
+
 private:
     awaitable<void> handle(HttpExchange &exchange);
     HttpResponse answer(const AddressQuestion &question) const;
--- a/tests/gateway/directlab.cpp
+++ b/tests/gateway/directlab.cpp
@@ -63,6 +63,7 @@
     mKernel.add(std::make_unique<DirectConfig>(mRecords, mSettings.bounds));
     mKernel.add(std::make_unique<ReplicaService>(mRecords, mMetrics, mSettings));
     mKernel.add(std::make_unique<GatewayFront>(mCalls, mMetrics, mSettings));
+    mKernel.add(std::make_unique<AddressFront>(mCalls, mSettings));
 }
 
 ScriptedReplica &DirectLab::addReplica(std::string id, std::string service,
--- a/tests/gateway/directlab.h
+++ b/tests/gateway/directlab.h
@@ -8,6 +8,7 @@
 
 #pragma once
 
+#include "addressfront.h"
 #include "calls.h"
 #include "directconfig.h"
 #include "feedservice.h"
@@ -205,6 +206,7 @@
     awaitable<void> waitFor(std::function<bool()> condition);
 
     GatewayFront &front() { return mKernel.find<GatewayFront>(GatewayFront::sName); }
+    AddressFront &addresses() { return mKernel.find<AddressFront>(AddressFront::sName); }
     DirectConfig &config() { return mKernel.find<DirectConfig>(DirectConfig::sName); }
     FeedService &feeds() { return mKernel.find<FeedService>(FeedService::sName); }
     ReplicaService &replicas() { return mKernel.find<ReplicaService>(ReplicaService::sName); }
--- /dev/null
+++ b/tests/gateway/test_addresses.cpp
@@ -0,0 +1,171 @@
+/*
+ * test_addresses.cpp
+ * Copyright 2026, the loomjunction authors
+ *
+ * This file is part of loomjunction (tests).
+ * SPDX-License-Identifier: BSD-2-Clause
+ */
+
+#include <boost/test/unit_test.hpp>
+
+#include "directlab.h"
+#include "jsonhttp.h"
+
+#include <algorithm>
+
+using namespace Loom;
+
+namespace {
+
+constexpr std::size_t sGatewaysEach = 6;
+
+/** Another gateway of the lab's store, as far as the members see it. */
+class OtherGateway
+{
+public:
+    OtherGateway(DirectLab &lab, std::string dataCentre, std::string callers)
+        : mSettings(settings(lab, std::move(dataCentre), callers))
+        , mKernel(lab.context.get_executor())
+    {
+        mKernel.add(std::make_unique<PeerHub>(mSettings.peers));
+        mKernel.add(std::make_unique<FeedService>(lab.store, mSettings.box, FeedPreference::Store));
+        mKernel.add(std::make_unique<MemberService>(lab.store, mSettings, 1));
+    }
+
+    void start()
+    {
+        auto &members = mKernel.find<MemberService>(MemberService::sName);
+        members.setStatusSource([this] {
+            GatewayState state;
+            state.isReady = true;
+            state.isLeaving = mIsLeaving;
+            return state;
+        });
+        BOOST_REQUIRE(mKernel.start().has_value());
+    }
+
+    void leave()
+    {
+        mIsLeaving = true;
+        mKernel.find<MemberService>(MemberService::sName).noteChange();
+    }
+
+private:
+    static DirectSettings settings(DirectLab &lab, std::string dataCentre,
+                                   const std::string &callers)
+    {
+        const Tcp::endpoint anyPort(asio::ip::address_v4::loopback(), 0);
+        DirectSettings settings;
+        settings.box = callers;
+        settings.dataCentre = std::move(dataCentre);
+        settings.region = "r1";
+        settings.peers = Tcp::acceptor(lab.context, anyPort).local_endpoint();
+        settings.store = anyPort;
+        settings.role = GatewaySettings{*parseEndpoint(callers), anyPort, anyPort};
+        return settings;
+    }
+
+    DirectSettings mSettings;
+    Kernel mKernel;
+    bool mIsLeaving = false;
+};
+
+/** The lab's gateway in z1 and others in z1 and z2, six in each data centre. */
+class AddressLab : public DirectLab
+{
+public:
+    AddressLab()
+    {
+        writeConfig(1);
+        addReplica("i-1", "plain", [](const std::string &) { return ScriptedReplica::Answer{}; });
+        for (std::size_t index = 1; index <= sGatewaysEach; ++index) {
+            const std::string port = ":" + std::to_string(index);
+            if (index < sGatewaysEach) {
+                others.push_back(std::make_unique<OtherGateway>(*this, "z1", "10.0.1.0" + port));
+            }
+            others.push_back(std::make_unique<OtherGateway>(*this, "z2", "10.0.2.0" + port));
+        }
+    }
+
+    awaitable<std::vector<std::string>> addressesFor(std::string dataCentre)
+    {
+        HttpCall question;
+        question.endpoint = addresses().localEndpoint();
+        question.method = "GET";
+        question.target = "/resolve?name=h&region=r1&zone=" + dataCentre;
+        HttpClient client(context.get_executor());
+        const auto response = co_await client.send(std::move(question));
+        std::vector<std::string> found;
+        if (response && response->status == 200) {
+            const auto told = jsonObject(response->body);
+            for (const auto &address : told.at("addresses").as_array()) {
+                found.emplace_back(address.as_string());
+            }
+        }
+        co_return found;
+    }
+
+    /** Waits for an answer with so many addresses. */
+    awaitable<std::vector<std::string>> untilAddresses(std::string dataCentre, std::size_t count)
+    {
+        std::vector<std::string> found;
+        const auto until = std::chrono::steady_clock::now() + std::chrono::seconds(20);
+        while (found.size() != count && std::chrono::steady_clock::now() < until) {
+            found = co_await addressesFor(dataCentre);
+            co_await sleepFor(std::chrono::milliseconds(20));
+        }
+        co_return found;
+    }
+
+    awaitable<void> begin()
+    {
+        for (const auto &other : others) {
+            other->start();
+        }
+        const auto all = co_await untilAddresses("", 2 * sGatewaysEach);
+        BOOST_TEST(all.size() == 2 * sGatewaysEach);
+    }
+
+    std::vector<std::unique_ptr<OtherGateway>> others;
+};
+
+std::size_t countOf(std::span<const std::string> addresses, std::string_view begin)
+{
+    return static_cast<std::size_t>(std::ranges::count_if(
+        addresses, [&](const std::string &address) { return address.starts_with(begin); }));
+}
+
+} // namespace
+
+// Callers were told the gateways of all data centres and chose among them at
+// random, so that of three data centres' callers two thirds sent their requests
+// over links that all boxes share. One such link stood full: a request that its
+// caller had sent at 47.446 s and left at 47.582 s reached its gateway at 48.79 s,
+// which passed it to a replica within its 12 ms. No gateway can know so early that
+// the caller has left; the request must not lie on such a link.
+BOOST_AUTO_TEST_CASE(callers_are_told_the_gateways_of_their_own_data_centre)
+{
+    AddressLab lab;
+    lab.run([&]() -> awaitable<void> {
+        co_await lab.begin();
+        const auto near = co_await lab.untilAddresses("z1", sGatewaysEach);
+        BOOST_TEST(near.size() == sGatewaysEach);
+        BOOST_TEST(countOf(near, "10.0.2.") == 0);
+        // Also where a gateway elsewhere is asked.
+        const auto far = co_await lab.untilAddresses("z2", sGatewaysEach);
+        BOOST_TEST(far.size() == sGatewaysEach);
+        BOOST_TEST(countOf(far, "10.0.2.") == sGatewaysEach);
+    });
+}
+
+BOOST_AUTO_TEST_CASE(callers_of_unknown_data_centres_are_told_all_gateways_that_stay)
+{
+    AddressLab lab;
+    lab.run([&]() -> awaitable<void> {
+        co_await lab.begin();
+        lab.others.front()->leave();
+        const auto stay = co_await lab.untilAddresses("elsewhere", 2 * sGatewaysEach - 1);
+        BOOST_TEST(stay.size() == 2 * sGatewaysEach - 1);
+        BOOST_TEST(countOf(stay, "10.0.1.0:1") == 0);
+    });
+}
