Callers are told the gateways of their own data centre

Cause: the address answer named gateways of all data centres and callers choose among them at random, so that of three data centres' callers two thirds sent their requests over links that all boxes share. A request that lies on a full one reaches its gateway after its caller has left.

Ruled out: a delay within the gateway; it logged 12 ms from arrival to end and ended other calls meanwhile (docs/incidents/2026-12-narrow-links.md).

AddressChoice decides: the caller's data centre, if it has at least four gateways (two lost and one starting again leave one) and half as many as the largest; else its region; else all. A gateway that listens to few of that data centre's trusts the records of the others there, but not where it hears none of those that it listens to: they may have gone together. Members' records now tell the region; one that does not belongs to none.

Far fallback, weighed: one among fourteen addresses is one request in fourteen over those links, and with none a caller has nowhere to go (nor, with three questions to nearer gateways first, anybody to ask) once its data centre is lost as a whole. How many of those may be lost at once is the operators' word (fault_tolerance), so that many far addresses are told, none for none; of distinct places, and each asked gateway names others.

Not changed: of more than 64, each asked gateway names the same 64 each time, since callers cease to use connections to what a new answer lacks.

The unit tests came with the class and were not seen to fail without it.

--- a/src/libloomjunction/gateway/addressfront.cpp
+++ b/src/libloomjunction/gateway/addressfront.cpp
@@ -20,7 +20,6 @@
 
 // Short enough that callers leave a lost gateway soon; each answer is one small call.
 constexpr Milliseconds sLifetime{2'000};
-constexpr std::size_t sMostAddresses = 64;
 
 } // namespace
 
@@ -61,17 +60,23 @@
     co_await exchange.respond(std::move(response));
 }
 
-HttpResponse AddressFront::answer(const AddressQuestion &) const
+AddressPlace AddressFront::ownPlace() const
 {
-    std::vector<std::string> addresses;
-    if (mFront->isReady()) {
-        addresses.push_back(endpointText(std::get<GatewaySettings>(mSettings.role).callers));
-    }
-    for (const Member &member : mMembers->usableGateways()) {
-        if (addresses.size() < sMostAddresses) {
-            addresses.push_back(member.callers);
-        }
-    }
+    AddressPlace place;
+    place.callers = endpointText(std::get<GatewaySettings>(mSettings.role).callers);
+    place.dataCentre = mSettings.dataCentre;
+    place.region = mSettings.region;
+    place.standing = mFront->isReady() ? GatewayStanding::Heard : GatewayStanding::Out;
+    return place;
+}
+
+HttpResponse AddressFront::answer(const AddressQuestion &question) const
+{
+    std::vector<AddressPlace> places = mMembers->addressPlaces();
+    places.push_back(ownPlace());
+    const AddressChoice choice(mMembers->key(), places, mSettings.losses);
+    const std::vector<std::string> addresses
+        = choice.choose({question.dataCentre, question.region});
     if (addresses.empty()) {
         return errorResponse(503, "no gateway is ready");
     }
--- a/src/libloomjunction/gateway/addressfront.h
+++ b/src/libloomjunction/gateway/addressfront.h
@@ -8,6 +8,7 @@
 
 #pragma once
 
+#include "addresschoice.h"
 #include "directsettings.h"
 #include "kernel.h"
 #include "ports.h"
@@ -36,6 +37,7 @@
 
 private:
     awaitable<void> handle(HttpExchange &exchange);
+    AddressPlace ownPlace() const;
     HttpResponse answer(const AddressQuestion &question) const;
 
     CallPort &mCalls;
--- a/src/libloomjunction/gateway/directsettings.cpp
+++ b/src/libloomjunction/gateway/directsettings.cpp
@@ -21,6 +21,7 @@
 constexpr double sMostSeconds = 3'600;
 constexpr double sMostRatio = 10;
 constexpr double sMostExtra = 1'000'000;
+constexpr int sMostLost = 64;
 constexpr double sMillisecondsPerSecond = 1'000;
 constexpr std::string_view sGateway = "gateway";
 constexpr std::string_view sStager = "stager";
@@ -53,6 +54,15 @@
     return bounds;
 }
 
+LossBounds readLosses(SettingsReader reader)
+{
+    LossBounds losses;
+    losses.dataCentres = static_cast<std::uint32_t>(reader.integer("dataCentres", 0, sMostLost, 0));
+    losses.regions = static_cast<std::uint32_t>(reader.integer("regions", 0, sMostLost, 0));
+    reader.refuseUnknown();
+    return losses;
+}
+
 GatewaySettings readGateway(SettingsReader reader)
 {
     GatewaySettings gateway;
@@ -97,6 +107,9 @@
     if (reader.has("bounds")) {
         settings.bounds = readBounds(reader.child("bounds"));
     }
+    if (reader.has("losses")) {
+        settings.losses = readLosses(reader.child("losses"));
+    }
     const std::string role = reader.oneOf("role", {sGateway, sStager});
     if (role == sGateway) {
         settings.role = readGateway(reader.child(sGateway));
--- a/src/libloomjunction/gateway/directsettings.h
+++ b/src/libloomjunction/gateway/directsettings.h
@@ -8,6 +8,7 @@
 
 #pragma once
 
+#include "addresschoice.h"
 #include "asynctypes.h"
 #include "instant.h"
 #include "jsonlog.h"
@@ -65,6 +66,7 @@
     std::optional<Tcp::endpoint> metrics;
     LogLevel logLevel = LogLevel::Info;
     DirectBounds bounds;
+    LossBounds losses;
     std::variant<GatewaySettings, StagerSettings> role;
 
     bool isGateway() const { return std::holds_alternative<GatewaySettings>(role); }
--- a/src/libloomjunction/gateway/memberservice.cpp
+++ b/src/libloomjunction/gateway/memberservice.cpp
@@ -53,6 +53,7 @@
     Member member;
     member.box = jsonText(object, "box");
     member.dataCentre = jsonText(object, "dataCentre");
+    member.region = jsonText(object, "region");
     member.isGateway = jsonText(object, "role") == sGatewayRole;
     member.peers = *peers;
     member.callers = jsonText(object, "callers");
@@ -102,6 +103,7 @@
     boost::json::object value;
     value["box"] = mSettings.box;
     value["dataCentre"] = mSettings.dataCentre;
+    value["region"] = mSettings.region;
     value["peers"] = endpointText(mSettings.peers);
     value["incarnation"] = mIncarnation;
     if (const auto *gateway = std::get_if<GatewaySettings>(&mSettings.role)) {
@@ -373,16 +375,26 @@
     return near;
 }
 
-std::vector<Member> MemberService::usableGateways() const
+std::vector<AddressPlace> MemberService::addressPlaces() const
 {
-    std::vector<Member> usable;
-    for (const auto &[key, state] : mStates) {
-        const auto member = mMembers.find(key);
-        if (isUsable(state) && member != mMembers.end()) {
-            usable.push_back(member->second);
+    std::vector<AddressPlace> places;
+    for (const auto &[key, member] : mMembers) {
+        if (member.isGateway) {
+            places.push_back({member.callers, member.dataCentre, member.region, standingOf(key)});
         }
     }
-    return usable;
+    return places;
+}
+
+// Only some of all gateways are listened to; of one that is, a state is known
+// once it has spoken or could not be reached.
+GatewayStanding MemberService::standingOf(const std::string &key) const
+{
+    const auto state = mStates.find(key);
+    if (state == mStates.end()) {
+        return GatewayStanding::Unheard;
+    }
+    return isUsable(state->second) ? GatewayStanding::Heard : GatewayStanding::Out;
 }
 
 // Calls to the store have a price, and each change would be read by every
--- a/src/libloomjunction/gateway/memberservice.h
+++ b/src/libloomjunction/gateway/memberservice.h
@@ -8,6 +8,7 @@
 
 #pragma once
 
+#include "addresschoice.h"
 #include "clock.h"
 #include "directsettings.h"
 #include "instant.h"
@@ -35,6 +36,7 @@
 {
     std::string box;
     std::string dataCentre;
+    std::string region; ///< empty: its record does not tell
     bool isGateway = false;
     Tcp::endpoint peers;
     std::string callers; ///< of a gateway: IP:PORT where callers connect
@@ -89,8 +91,8 @@
     std::vector<Member> watchedStagers() const;
     /** Peer addresses of other gateways: those known, else the seeds. */
     std::vector<Tcp::endpoint> gatewayAddresses() const;
-    /** Gateways that callers may use now, this one not among them. */
-    std::vector<Member> usableGateways() const;
+    /** The other gateways, as callers may or may not use them now. */
+    std::vector<AddressPlace> addressPlaces() const;
     /** Which gateways read the store for all. */
     FeedReaders feedReaders() const;
     /** Gateways that may be alive, this one among them. */
@@ -108,6 +110,7 @@
     awaitable<void> serveStatus(PeerStreamPtr stream);
     awaitable<void> forgetSilent();
     bool isOverdue(const std::string &key, const Member &member) const;
+    GatewayStanding standingOf(const std::string &key) const;
     static bool isUsable(const GatewayState &state);
     void plan();
     const std::string &firstReader(std::span<const std::string> order) const;
--- a/src/loomjunctiond/directdaemon.cpp
+++ b/src/loomjunctiond/directdaemon.cpp
@@ -146,6 +146,7 @@
     }
     const std::vector<std::string> later = fieldsForRestart(mSettings, *settings);
     mSettings.bounds = settings->bounds;
+    mSettings.losses = settings->losses;
     mSettings.logLevel = settings->logLevel;
     mSettings.seeds = settings->seeds;
     setLogLevel(mSettings.logLevel);
@@ -162,6 +163,8 @@
              {"weightsMs", mSettings.bounds.weightsTime.count()},
              {"retryRatio", mSettings.bounds.retries.ratio},
              {"retryExtra", mSettings.bounds.retries.extra},
+             {"dataCentresLost", mSettings.losses.dataCentres},
+             {"regionsLost", mSettings.losses.regions},
              {"seeds", mSettings.seeds.size()}});
     for (const std::string &field : later) {
         logLine(LogLevel::Warning, "reload-needs-restart", {{"field", field}});
--- a/tests/gateway/test_addresses.cpp
+++ b/tests/gateway/test_addresses.cpp
@@ -13,12 +13,24 @@
 
 #include <algorithm>
 
+#include <unistd.h>
+
 using namespace Loom;
 
 namespace {
 
 constexpr std::size_t sGatewaysEach = 6;
 
+// Of this process alone, so that no other connection can take the port meanwhile.
+Tcp::endpoint ownEndpoint(asio::io_context &context)
+{
+    static std::uint32_t sUsed = 0;
+    constexpr std::uint32_t loopback = 0x7f000000;
+    const std::uint32_t process = static_cast<std::uint32_t>(getpid()) & 0x7fff;
+    const asio::ip::address_v4 address(loopback | (process + 1) << 8 | ++sUsed);
+    return Tcp::acceptor(context, Tcp::endpoint(address, 0)).local_endpoint();
+}
+
 /** Another gateway of the lab's store, as far as the members see it. */
 class OtherGateway
 {
@@ -59,7 +71,7 @@
         settings.box = callers;
         settings.dataCentre = std::move(dataCentre);
         settings.region = "r1";
-        settings.peers = Tcp::acceptor(lab.context, anyPort).local_endpoint();
+        settings.peers = ownEndpoint(lab.context);
         settings.store = anyPort;
         settings.role = GatewaySettings{*parseEndpoint(callers), anyPort, anyPort};
         return settings;
--- a/tests/process/test_deploy.py
+++ b/tests/process/test_deploy.py
@@ -17,6 +17,7 @@
           "retry_window_s": 10, "retry_ratio": 0.2, "retry_extra": 100}
 COMMON = {"zone": "dfw-a", "region": "dfw", "internal_ports": [7700, 7715],
           "seeds": ["10.1.0.40:8000", "10.2.0.37:8000"], "bounds": BOUNDS,
+          "fault_tolerance": {"machines": 2, "zones": 1, "regions": 0},
           "provider": {"address": "10.200.1.7:8007"}}
 FRONT = dict(COMMON, node="front-dfw-a-1", ip="10.1.0.40",
              listen={"front": "10.1.0.40:8005", "ready": "10.1.0.40:8002",
@@ -83,6 +84,8 @@
             (lambda s: s["bounds"].update(drainMs=-1), "bounds.drainMs"),
             (lambda s: s["bounds"].update(retryExtra="many"), "bounds.retryExtra"),
             (lambda s: s["bounds"].update(stopSeconds=1e9), "bounds.stopSeconds"),
+            (lambda s: s["losses"].update(dataCentres=-1), "losses.dataCentres"),
+            (lambda s: s["losses"].update(regions="some"), "losses.regions"),
             (lambda s: s["gateway"].pop("callers"), "gateway.callers"),
             (lambda s: s.update(surprise=1), "surprise")):
         settings = json.loads(json.dumps(good))
