--- a/tests/gateway/directlab.cpp
+++ b/tests/gateway/directlab.cpp
@@ -29,6 +29,8 @@
          "goal_ms":100,"service":"plain","max_attempts":1},
         {"name":"stream","host":"h","path_prefix":"/stream/","kind":"stream","timeout_ms":8000,
          "goal_ms":500,"gap_aim_ms":500,"service":"plain","max_attempts":2,"resumable":true},
+        {"name":"calm","host":"h","path_prefix":"/calm/","kind":"stream","timeout_ms":600000,
+         "goal_ms":600000,"gap_aim_ms":600000,"service":"plain","max_attempts":1},
         {"name":"model","host":"h","path_prefix":"/model/","kind":"stream","timeout_ms":8000,
          "goal_ms":500,"gap_aim_ms":500,"service":"engine","max_attempts":2,"resumable":true}],
         "services":[{"name":"plain","max_conns":100},
--- a/tests/gateway/scriptedagent.h
+++ b/tests/gateway/scriptedagent.h
@@ -12,6 +12,7 @@
 #include "peerserver.h"
 #include "wire.pb.h"
 
+#include <functional>
 #include <memory>
 #include <string>
 
@@ -38,6 +39,7 @@
 
     wire::ReplicaLoadReport load = idle();
     bool isSilent = false;
+    std::function<void()> onQuestion; ///< before the answer
     int questions = 0;
     int streams = 0;
 
@@ -61,6 +63,9 @@
                 co_return;
             }
             ++questions;
+            if (onQuestion) {
+                onQuestion();
+            }
             if (!isSilent) {
                 load.set_address(mReplica);
                 stream->send(load);
