A caller's close is seen behind bytes of a next request

Cause: the watch and the last look before sending peeked one byte: where bytes of a next request lay, they found those and took the caller for living, the watch for good. A replica then worked on until the route's time.

Both now ask poll() for the hang-up, which shows it whatever lies before it. While bytes lie there, the watch looks every 20 ms: the loop tells of them again and again. A socket that was closed here counts as closed.

Ruled out: waiting for the loop's error event, which a half close does not give.

--- a/src/libloomjunction/net/httpserver.cpp
+++ b/src/libloomjunction/net/httpserver.cpp
@@ -11,13 +11,17 @@
 #include "httpfields.h"
 #include "listener.h"
 
+#include <cerrno>
 #include <set>
 
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
+#include <boost/asio/steady_timer.hpp>
 #include <boost/beast/core.hpp>
 #include <boost/beast/http.hpp>
 
+#include <poll.h>
+
 namespace Loom {
 
 namespace {
@@ -40,6 +44,36 @@
     return request;
 }
 
+// How often a caller is looked at whose next request lies there already: the loop
+// would tell of those bytes again and again, and of no close behind them.
+constexpr std::chrono::milliseconds sLookEvery{20};
+
+/** What a caller's connection shows while its request is under way. */
+enum class CallerSign : std::uint8_t
+{
+    Quiet,
+    Talks, ///< bytes of a next request lie there
+    Gone, ///< it has closed, whatever lies before the close
+};
+
+// A byte that lies before the close hides it from a read, but not from poll().
+CallerSign signOf(Tcp::socket &socket)
+{
+    if (!socket.is_open()) {
+        return CallerSign::Gone;
+    }
+    pollfd asked{socket.native_handle(), POLLIN | POLLRDHUP, 0};
+    int found = 0;
+    do {
+        found = ::poll(&asked, 1, 0);
+    } while (found < 0 && errno == EINTR);
+    constexpr int gone = POLLRDHUP | POLLHUP | POLLERR | POLLNVAL;
+    if (found < 0 || (asked.revents & gone) != 0) {
+        return CallerSign::Gone;
+    }
+    return found == 0 ? CallerSign::Quiet : CallerSign::Talks;
+}
+
 /** Tells a handler once that its caller has closed the connection. */
 class GoneWatch : public std::enable_shared_from_this<GoneWatch>
 {
@@ -47,6 +81,7 @@
     GoneWatch(Tcp::socket &socket, std::function<void()> onGone)
         : mSocket(socket)
         , mOnGone(std::move(onGone))
+        , mNextLook(socket.get_executor())
     {
     }
 
@@ -55,14 +90,19 @@
 
 private:
     // The wait may outlive the exchange: it then finds nobody.
-    void wait()
+    void wait(CallerSign sign)
     {
-        mSocket.async_wait(Tcp::socket::wait_read,
-                           [weak = weak_from_this()](const boost::system::error_code &error) {
-                               if (const auto self = weak.lock()) {
-                                   self->look(error);
-                               }
-                           });
+        const auto again = [weak = weak_from_this()](const boost::system::error_code &error) {
+            if (const auto self = weak.lock()) {
+                self->look(error);
+            }
+        };
+        if (sign == CallerSign::Quiet) {
+            mSocket.async_wait(Tcp::socket::wait_read, again);
+            return;
+        }
+        mNextLook.expires_after(sLookEvery);
+        mNextLook.async_wait(again);
     }
 
     void look(const boost::system::error_code &waitError)
@@ -70,21 +110,19 @@
         if (waitError == asio::error::operation_aborted) {
             return;
         }
-        char probe = 0;
-        boost::system::error_code error;
-        mSocket.receive(asio::buffer(&probe, 1), Tcp::socket::message_peek, error);
-        if (error == asio::error::would_block || error == asio::error::try_again) {
-            wait();
+        const CallerSign sign = signOf(mSocket);
+        if (sign != CallerSign::Gone) {
+            wait(sign);
             return;
         }
-        if (error && mOnGone) {
+        if (mOnGone) {
             mOnGone();
         }
-        // Without an error the next request is there already: the caller lives.
     }
 
     Tcp::socket &mSocket;
     std::function<void()> mOnGone;
+    asio::steady_timer mNextLook;
 };
 
 /** What all connections of one server share. */
@@ -160,20 +198,11 @@
 
     void watchCaller(std::function<void()> onGone) override
     {
-        boost::system::error_code ignored;
-        mStream.socket().non_blocking(true, ignored);
         mWatch = std::make_shared<GoneWatch>(mStream.socket(), std::move(onGone));
         mWatch->begin();
     }
 
-    bool hasCallerLeft() override
-    {
-        char probe = 0;
-        boost::system::error_code error;
-        mStream.socket().non_blocking(true, error);
-        mStream.socket().receive(asio::buffer(&probe, 1), Tcp::socket::message_peek, error);
-        return error && error != asio::error::would_block && error != asio::error::try_again;
-    }
+    bool hasCallerLeft() override { return signOf(mStream.socket()) == CallerSign::Gone; }
 
     asio::any_io_executor executor() override { return mStream.get_executor(); }
     bool mayContinue() const { return mAlive && mComplete && mKeepAlive; }
