Test: what has not left of a given-up request is dropped (red)

A replica that reads a request's head and then pauses: after the caller has left and the gateway has let go, the replica still reads all 3,145,728 bytes of the body and then an ordinary end.

Measured: three of four new cases fail (long body, waiting for the head, within a stream: ordinary end, not a reset); the fourth, a whole answer's connection that ends in the ordinary way, passes and has to stay so.

--- /dev/null
+++ b/tests/gateway/test_givenup.cpp
@@ -0,0 +1,190 @@
+/*
+ * test_givenup.cpp
+ * Copyright 2026, the loomjunction authors
+ *
+ * This file is part of loomjunction (tests).
+ * SPDX-License-Identifier: BSD-2-Clause
+ */
+
+#include <boost/test/unit_test.hpp>
+
+#include "directlab.h"
+
+using namespace Loom;
+
+namespace {
+
+constexpr std::chrono::seconds sGenerous{20};
+constexpr std::size_t sLongBody = std::size_t{3} * 1024 * 1024;
+
+std::string requestText(std::string_view path, std::size_t bodyBytes)
+{
+    return "POST " + std::string(path)
+        + " HTTP/1.1\r\nHost: h\r\nLoomjunction-Request-Id: id1\r\nAuthorization: Token "
+          "k\r\nContent-Length: "
+        + std::to_string(bodyBytes) + "\r\n\r\n" + std::string(bodyBytes, 'b');
+}
+
+/** A replica that reads a request's head and then nothing until it is told to. */
+class PausingReplica
+{
+public:
+    PausingReplica(asio::io_context &context, std::string answer)
+        : mAcceptor(context, Tcp::endpoint(asio::ip::address_v4::loopback(), 0))
+        , mAnswer(std::move(answer))
+        , mMayRead(context.get_executor())
+    {
+        asio::co_spawn(context, accept(), asio::detached);
+    }
+
+    std::string address() const { return endpointText(mAcceptor.local_endpoint()); }
+    void readOn()
+    {
+        mIsReading = true;
+        mMayRead.notify();
+    }
+
+    int heads = 0;
+    std::size_t bytes = 0; ///< read behind the heads
+    std::vector<boost::system::error_code> ends; ///< how connections ended
+
+private:
+    awaitable<void> accept()
+    {
+        while (true) {
+            auto [error, socket] = co_await mAcceptor.async_accept(sAsValue);
+            if (error) {
+                co_return;
+            }
+            auto shared = std::make_shared<Tcp::socket>(std::move(socket));
+            asio::co_spawn(mAcceptor.get_executor(), serve(shared), asio::detached);
+        }
+    }
+
+    awaitable<void> serve(std::shared_ptr<Tcp::socket> socket)
+    {
+        std::string buffer;
+        const std::string blank = "\r\n\r\n";
+        auto [headError, size] = co_await asio::async_read_until(
+            *socket, asio::dynamic_buffer(buffer), blank, sAsValue);
+        if (headError) {
+            ends.push_back(headError);
+            co_return;
+        }
+        ++heads;
+        co_await asio::async_write(*socket, asio::buffer(mAnswer), sAsValue);
+        while (!mIsReading) {
+            co_await mMayRead.waitFor(sGenerous);
+        }
+        bytes += buffer.size() - size;
+        boost::system::error_code end;
+        std::string piece(std::size_t{64} * 1024, '\0');
+        while (!end) {
+            auto [error, count] = co_await socket->async_read_some(asio::buffer(piece), sAsValue);
+            bytes += count;
+            end = error;
+        }
+        ends.push_back(end);
+    }
+
+    Tcp::acceptor mAcceptor;
+    std::string mAnswer;
+    Signal mMayRead;
+    bool mIsReading = false;
+};
+
+/** A gateway with one such replica, and a caller. */
+class GivenUpLab : public DirectLab
+{
+public:
+    explicit GivenUpLab(std::string answer = "")
+        : replica(context, std::move(answer))
+    {
+        writeConfig(1);
+        store.write(Feed::Replicas, "i-1",
+                    R"({"service":"plain","address":")" + replica.address()
+                        + R"(","zone":"z1","slots":4,"state":"ready","models":[]})");
+    }
+
+    awaitable<void> begin(std::string request)
+    {
+        co_await waitFor(
+            [this] { return front().isReady() && replicas().replicas().all().size() == 1; });
+        auto connected = co_await connectWithin(front().localEndpoint(), sGenerous);
+        BOOST_REQUIRE(connected.has_value());
+        caller.emplace(std::move(*connected));
+        co_await asio::async_write(*caller, asio::buffer(request), sAsValue);
+        co_await waitFor([this] { return replica.heads == 1; });
+    }
+
+    awaitable<void> untilEnded()
+    {
+        replica.readOn();
+        co_await waitFor([this] { return replica.ends.size() == 1; });
+    }
+
+    PausingReplica replica;
+    std::optional<Tcp::socket> caller;
+};
+
+} // namespace
+
+// An exchange that is given up was closed in the ordinary way: what had not left
+// the box yet, on a full link or of a long body, was still delivered, and the
+// request then ran for a caller that had left. The replica read all that the
+// system held for it, and an end as behind a whole request.
+BOOST_AUTO_TEST_CASE(what_has_not_left_of_a_request_that_is_given_up_is_dropped)
+{
+    GivenUpLab lab;
+    lab.run([&]() -> awaitable<void> {
+        co_await lab.begin(requestText("/long/a", sLongBody));
+        lab.caller->close();
+        co_await lab.waitFor([&] { return lab.front().inFlight() == 0; });
+        co_await lab.untilEnded();
+        BOOST_TEST((lab.replica.ends.front() == asio::error::connection_reset));
+        BOOST_TEST(lab.replica.bytes < sLongBody);
+    });
+}
+
+BOOST_AUTO_TEST_CASE(a_request_that_waits_for_its_answer_is_reset_when_it_is_given_up)
+{
+    GivenUpLab lab;
+    lab.run([&]() -> awaitable<void> {
+        co_await lab.begin(requestText("/long/a", 0));
+        lab.caller->close();
+        co_await lab.waitFor([&] { return lab.front().inFlight() == 0; });
+        co_await lab.untilEnded();
+        BOOST_TEST((lab.replica.ends.front() == asio::error::connection_reset));
+    });
+}
+
+BOOST_AUTO_TEST_CASE(a_stream_that_is_given_up_is_reset)
+{
+    GivenUpLab lab("HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\n"
+                   "Loomjunction-Response-Signature: s\r\nLoomjunction-Request-Id: id1\r\n"
+                   "Transfer-Encoding: chunked\r\n\r\nf\r\nid: 1\ndata: e\n\n\r\n");
+    lab.run([&]() -> awaitable<void> {
+        co_await lab.begin(requestText("/calm/a", 0));
+        std::string read;
+        co_await asio::async_read_until(*lab.caller, asio::dynamic_buffer(read),
+                                        std::string("data: e"), sAsValue);
+        lab.caller->close();
+        co_await lab.waitFor([&] { return lab.front().inFlight() == 0; });
+        co_await lab.untilEnded();
+        BOOST_TEST((lab.replica.ends.front() == asio::error::connection_reset));
+    });
+}
+
+BOOST_AUTO_TEST_CASE(a_connection_whose_answer_is_whole_ends_in_the_ordinary_way)
+{
+    // It may not be kept, so it is closed once the answer has been passed on.
+    GivenUpLab lab("HTTP/1.1 200 OK\r\nLoomjunction-Response-Signature: s\r\n"
+                   "Loomjunction-Request-Id: id1\r\nConnection: close\r\n"
+                   "Content-Length: 0\r\n\r\n");
+    lab.run([&]() -> awaitable<void> {
+        co_await lab.begin(requestText("/long/a", 0));
+        co_await lab.waitFor([&] { return lab.front().inFlight() == 0; });
+        co_await lab.untilEnded();
+        BOOST_TEST((lab.replica.ends.front() == asio::error::eof));
+    });
+}
