A given-up exchange with a replica is reset, not closed in the ordinary way

Cause: cancel() closed the connection as one that rests. The system went on to deliver what it still held, over a full link for long, and the replica ran the request for nobody. A request was sent and its answer has not ended, or its body is not out: the connection is now reset (linger 0), which drops those bytes. One whose answer is whole ends as before. An earlier answer on a kept connection no longer counts as this request's.

Not covered: a reset is sent once. Where the link drops it, a replica that has the request learns of the end only when it writes; an ordinary end would be sent again, but behind the bytes that are to be dropped. What lies on the link, beyond this box, is delivered in either case. Nor is there a case for a small request whose very write waits on a kept connection.

--- a/src/libloomjunction/net/httplink.cpp
+++ b/src/libloomjunction/net/httplink.cpp
@@ -108,6 +108,8 @@
     awaitable<tl::expected<LinkHead, LinkError>> exchange(LinkRequest request, Deadline deadline)
     {
         mIsHead = request.method == sHeadMethod;
+        mHasSent = true;
+        mParser.reset(); // the answer before counts no more
         std::string head = headText(request);
         mStream.expires_at(deadline);
         if (request.body.size() <= sWriteAtOnceBytes) {
@@ -169,9 +171,15 @@
         co_return std::string_view();
     }
 
+    // Closed in the ordinary way, what has not left this box yet is still delivered,
+    // as over a full link, and the request runs for nobody.
     void cancel()
     {
         mCancelled = true;
+        if (isUnderWay()) {
+            boost::system::error_code ignored;
+            mStream.socket().set_option(asio::socket_base::linger(true, 0), ignored);
+        }
         mStream.close();
     }
 
@@ -192,6 +200,13 @@
     SteadyTime usableUntil() const { return mUsableUntil; }
 
 private:
+    /** A request was sent, and its answer has not ended or its body is not out. */
+    bool isUnderWay() const
+    {
+        const bool isAnswered = mParser && mParser->is_done();
+        return mHasSent && (mWriting || !isAnswered);
+    }
+
     static awaitable<void> writeAll(std::shared_ptr<Impl> self, std::string bytes)
     {
         auto [error, sent]
@@ -228,6 +243,7 @@
     std::string mPiece;
     SteadyTime mUsableUntil;
     bool mIsHead = false;
+    bool mHasSent = false; ///< a request, on this connection
     bool mFramed = false;
     bool mWriting = false;
     bool mWriteFailed = false;
--- a/src/libloomjunction/net/httplink.h
+++ b/src/libloomjunction/net/httplink.h
@@ -72,7 +72,10 @@
     /** The whole body, at most @p most bytes. */
     awaitable<tl::expected<std::string, LinkError>> readWhole(std::size_t most, Deadline deadline);
 
-    /** Ends what is under way with Cancelled; the link is of no more use. */
+    /**
+     * Ends what is under way with Cancelled; the link is of no more use. Without a
+     * whole answer the connection is reset: what has not left yet is dropped.
+     */
     void cancel();
 
     /** The answer is whole, was framed, and another request may follow. */
