--- a/src/libloomjunction/gateway/addressfront.h
+++ b/src/libloomjunction/gateway/addressfront.h
@@ -8,6 +8,7 @@
 
 #pragma once
 
+#include "addresschoice.h"
 #include "directsettings.h"
 #include "kernel.h"
 #include "ports.h"
@@ -31,8 +32,12 @@
     tl::expected<void, std::string> start(Kernel &kernel) override;
     void stop() override;
 
+    /** Where callers ask, e.g. after asking for port 0. */
+    Tcp::endpoint localEndpoint() const { return mAddresses->localEndpoint(); }
+
 private:
     awaitable<void> handle(HttpExchange &exchange);
+    AddressPlace ownPlace() const;
     HttpResponse answer(const AddressQuestion &question) const;
 
     CallPort &mCalls;
--- a/tests/gateway/directlab.cpp
+++ b/tests/gateway/directlab.cpp
@@ -29,6 +29,8 @@
          "goal_ms":100,"service":"plain","max_attempts":1},
         {"name":"stream","host":"h","path_prefix":"/stream/","kind":"stream","timeout_ms":8000,
          "goal_ms":500,"gap_aim_ms":500,"service":"plain","max_attempts":2,"resumable":true},
+        {"name":"calm","host":"h","path_prefix":"/calm/","kind":"stream","timeout_ms":600000,
+         "goal_ms":600000,"gap_aim_ms":600000,"service":"plain","max_attempts":1},
         {"name":"model","host":"h","path_prefix":"/model/","kind":"stream","timeout_ms":8000,
          "goal_ms":500,"gap_aim_ms":500,"service":"engine","max_attempts":2,"resumable":true},
         {"name":"patient","host":"h","path_prefix":"/patient/","kind":"stream","timeout_ms":8000,
@@ -67,6 +69,7 @@
     mKernel.add(std::make_unique<DirectConfig>(mRecords, mSettings.bounds));
     mKernel.add(std::make_unique<ReplicaService>(mRecords, mMetrics, mSettings));
     mKernel.add(std::make_unique<GatewayFront>(mCalls, mMetrics, mSettings));
+    mKernel.add(std::make_unique<AddressFront>(mCalls, mSettings));
 }
 
 ScriptedReplica &DirectLab::addReplica(std::string id, std::string service,
--- a/tests/gateway/scriptedagent.h
+++ b/tests/gateway/scriptedagent.h
@@ -12,6 +12,7 @@
 #include "peerserver.h"
 #include "wire.pb.h"
 
+#include <functional>
 #include <memory>
 #include <string>
 
@@ -39,6 +40,7 @@
     wire::ReplicaLoadReport load = idle();
     bool isSilent = false;
     std::chrono::milliseconds delay{0}; ///< before each answer
+    std::function<void()> onQuestion; ///< before the answer
     int questions = 0;
     int streams = 0;
 
@@ -65,6 +67,9 @@
             if (delay.count() > 0) {
                 co_await sleepFor(delay);
             }
+            if (onQuestion) {
+                onQuestion();
+            }
             if (!isSilent) {
                 load.set_address(mReplica);
                 stream->send(load);
