Tests that fail: ages of relayed and read knowledge are counted from receipt

Cause, by reading: a follower takes an update's age as of its arrival, though it was counted when the update was sent; a reader takes the store's answer for complete as of its arrival, though the store looked before; a record that is first read is as new as its arrival. Nothing of the way counts.

The tests compare ages with what they held themselves, so a slow machine only makes the ages greater.

--- a/tests/gateway/directlab.h
+++ b/tests/gateway/directlab.h
@@ -43,6 +43,7 @@
     bool hasForgotten = false; ///< the next read finds its records gone
     int reads = 0; ///< so far, of all feeds
     int fullReads = 0; ///< of those, of every key
+    Milliseconds onTheWay{0}; ///< every answer takes so long after the store looked
 
     void write(Feed feed, std::string key, std::optional<std::string> value)
     {
@@ -70,6 +71,7 @@
             batch.records.push_back(log[offset]);
         }
         batch.next = std::max<std::uint64_t>(from, log.size());
+        co_await sleepFor(onTheWay);
         co_return batch;
     }
 
@@ -91,6 +93,7 @@
             }
         }
         batch.next = log.size();
+        co_await sleepFor(onTheWay);
         co_return batch;
     }
 
--- /dev/null
+++ b/tests/gateway/slowway.cpp
@@ -0,0 +1,118 @@
+/*
+ * slowway.cpp
+ * Copyright 2026, the loomjunction authors
+ *
+ * This file is part of loomjunction (tests).
+ * SPDX-License-Identifier: BSD-2-Clause
+ */
+
+#include "slowway.h"
+
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <boost/asio/write.hpp>
+
+namespace Loom {
+
+namespace {
+
+constexpr std::size_t sPieceBytes = 16 * 1024;
+constexpr std::chrono::hours sNoDeadline{1};
+
+void closeQuietly(Tcp::socket &socket)
+{
+    boost::system::error_code ignored;
+    socket.close(ignored);
+}
+
+} // namespace
+
+SlowWay::SlowWay(const asio::any_io_executor &executor, Tcp::endpoint target,
+                 std::chrono::milliseconds least)
+    : mAcceptor(executor, Tcp::endpoint(asio::ip::address_v4::loopback(), 0))
+    , mTarget(std::move(target))
+    , mLeast(least)
+{
+    asio::co_spawn(executor, accept(), asio::detached);
+}
+
+awaitable<void> SlowWay::accept()
+{
+    while (true) {
+        auto [error, socket] = co_await mAcceptor.async_accept(sAsValue);
+        if (error) {
+            co_return;
+        }
+        auto caller = std::make_shared<Tcp::socket>(std::move(socket));
+        asio::co_spawn(mAcceptor.get_executor(), join(caller), asio::detached);
+    }
+}
+
+awaitable<void> SlowWay::join(std::shared_ptr<Tcp::socket> caller)
+{
+    auto target = std::make_shared<Tcp::socket>(mAcceptor.get_executor());
+    auto [error] = co_await target->async_connect(mTarget, sAsValue);
+    if (error) {
+        closeQuietly(*caller);
+        co_return;
+    }
+    start(caller, target, std::chrono::milliseconds(0));
+    start(target, caller, mLeast);
+}
+
+void SlowWay::start(std::shared_ptr<Tcp::socket> from, std::shared_ptr<Tcp::socket> to,
+                    std::chrono::milliseconds least)
+{
+    auto direction = std::make_shared<Direction>();
+    direction->from = std::move(from);
+    direction->to = std::move(to);
+    direction->least = least;
+    direction->changed = std::make_unique<Signal>(mAcceptor.get_executor());
+    asio::co_spawn(mAcceptor.get_executor(), take(direction), asio::detached);
+    asio::co_spawn(mAcceptor.get_executor(), passOn(direction), asio::detached);
+}
+
+awaitable<void> SlowWay::take(DirectionPtr direction)
+{
+    std::string buffer(sPieceBytes, '\0');
+    while (true) {
+        auto [error, size]
+            = co_await direction->from->async_read_some(asio::buffer(buffer), sAsValue);
+        if (error) {
+            break;
+        }
+        const Time dueAt = std::chrono::steady_clock::now() + direction->least;
+        direction->pieces.push_back({dueAt, buffer.substr(0, size)});
+        direction->changed->notify();
+    }
+    direction->hasEnded = true;
+    direction->changed->notify();
+}
+
+awaitable<void> SlowWay::passOn(DirectionPtr direction)
+{
+    while (true) {
+        if (direction->pieces.empty()) {
+            if (direction->hasEnded) {
+                break;
+            }
+            co_await direction->changed->waitFor(sNoDeadline);
+            continue;
+        }
+        const Piece piece = std::move(direction->pieces.front());
+        direction->pieces.pop_front();
+        while (std::chrono::steady_clock::now() < piece.dueAt) {
+            asio::steady_timer timer(direction->to->get_executor(), piece.dueAt);
+            co_await timer.async_wait(sAsValue);
+        }
+        auto [error, size]
+            = co_await asio::async_write(*direction->to, asio::buffer(piece.bytes), sAsValue);
+        if (error) {
+            break;
+        }
+    }
+    closeQuietly(*direction->to);
+    closeQuietly(*direction->from);
+}
+
+} // namespace Loom
--- /dev/null
+++ b/tests/gateway/slowway.h
@@ -0,0 +1,62 @@
+/*
+ * slowway.h
+ * Copyright 2026, the loomjunction authors
+ *
+ * This file is part of loomjunction (tests).
+ * SPDX-License-Identifier: BSD-2-Clause
+ */
+
+#pragma once
+
+#include "asynctypes.h"
+
+#include <chrono>
+#include <deque>
+#include <memory>
+#include <string>
+
+namespace Loom {
+
+/** A way to a process on which every byte of its answers takes some time at least. */
+class SlowWay
+{
+public:
+    SlowWay(const asio::any_io_executor &executor, Tcp::endpoint target,
+            std::chrono::milliseconds least);
+
+    Tcp::endpoint address() const { return mAcceptor.local_endpoint(); }
+
+private:
+    using Time = std::chrono::steady_clock::time_point;
+
+    struct Piece
+    {
+        Time dueAt;
+        std::string bytes;
+    };
+
+    /** One direction of one connection. */
+    struct Direction
+    {
+        std::shared_ptr<Tcp::socket> from;
+        std::shared_ptr<Tcp::socket> to;
+        std::chrono::milliseconds least{0};
+        std::deque<Piece> pieces;
+        std::unique_ptr<Signal> changed;
+        bool hasEnded = false;
+    };
+    using DirectionPtr = std::shared_ptr<Direction>;
+
+    awaitable<void> accept();
+    awaitable<void> join(std::shared_ptr<Tcp::socket> caller);
+    void start(std::shared_ptr<Tcp::socket> from, std::shared_ptr<Tcp::socket> to,
+               std::chrono::milliseconds least);
+    static awaitable<void> take(DirectionPtr direction);
+    static awaitable<void> passOn(DirectionPtr direction);
+
+    Tcp::acceptor mAcceptor;
+    Tcp::endpoint mTarget;
+    std::chrono::milliseconds mLeast;
+};
+
+} // namespace Loom
--- a/tests/gateway/test_feeds.cpp
+++ b/tests/gateway/test_feeds.cpp
@@ -14,6 +14,7 @@
 #include "peerconnection.h"
 #include "peerhub.h"
 #include "peerserver.h"
+#include "slowway.h"
 #include "wire.pb.h"
 
 using namespace Loom;
@@ -42,6 +43,7 @@
         feeds().listen(Feed::Replicas, [this](const FeedChange &change) {
             heard.push_back(change.record.key);
             isLastTrusted = change.isTrusted;
+            lastAge = change.age;
         });
     }
 
@@ -57,6 +59,7 @@
     Tcp::endpoint address;
     std::vector<std::string> heard;
     bool isLastTrusted = true;
+    Microseconds lastAge{0}; ///< as the last change told it
 
 private:
     Kernel mKernel;
@@ -69,7 +72,7 @@
     RelayLab()
     {
         reader.feeds().setReaders([] { return FeedReaders{true, true, {}}; });
-        follower.feeds().setReaders([this] { return FeedReaders{false, true, {reader.address}}; });
+        follower.feeds().setReaders([this] { return FeedReaders{false, true, {followed}}; });
     }
 
     void run(std::function<awaitable<void>(RelayLab &)> test)
@@ -108,6 +111,7 @@
     asio::io_context context{1};
     FeedLab reader{context};
     FeedLab follower{context};
+    Tcp::endpoint followed = reader.address; ///< where the follower asks
 };
 
 } // namespace
@@ -275,3 +279,93 @@
     asio::co_spawn(context, test(), asio::detached);
     context.run();
 }
+
+// A gateway answered 404 from an older configuration 3.007 s after a newer one was
+// accepted, where 3.0 s are allowed, and took its knowledge for fresh. Updates between
+// data centres had been on their way for 0.7 to 1.6 s, and their age was counted from
+// their arrival. Knowledge that was on its way is at least as old as that.
+BOOST_AUTO_TEST_CASE(what_was_held_on_its_way_to_a_follower_is_not_fresh)
+{
+    RelayLab lab;
+    const Milliseconds onTheWay{500};
+    SlowWay way(lab.context.get_executor(), lab.reader.address, onTheWay);
+    lab.followed = way.address();
+    lab.run([&](RelayLab &lab) -> awaitable<void> {
+        co_await lab.waitUntilFollowing();
+        lab.follower.store.isAway = true;
+        const Instant lost = now();
+        lab.reader.store.write(Feed::Replicas, "second", "value");
+        co_await lab.waitFor([&] { return lab.follower.hasHeard("second"); });
+        BOOST_TEST((*lab.follower.feeds().age(Feed::Replicas) >= onTheWay));
+        BOOST_TEST((lab.follower.lastAge >= onTheWay));
+        // Later knowledge came over the same way, and does come.
+        co_await lab.waitFor([&] {
+            const Microseconds age = *lab.follower.feeds().age(Feed::Replicas);
+            BOOST_REQUIRE((age >= onTheWay));
+            return now() - age > lost;
+        });
+    });
+}
+
+// The same between the store and whoever reads it: an answer tells what the store held
+// when it looked, which may be long before the answer comes.
+BOOST_AUTO_TEST_CASE(what_the_store_said_is_as_old_as_its_look)
+{
+    asio::io_context context{1};
+    FeedLab reader(context);
+    const Milliseconds onTheWay{300};
+    reader.store.onTheWay = onTheWay;
+    reader.store.write(Feed::Replicas, "first", "value");
+    const auto test = [&]() -> awaitable<void> {
+        reader.start();
+        const auto until = std::chrono::steady_clock::now() + sGenerous;
+        int seen = 0;
+        while (seen < 200 && std::chrono::steady_clock::now() < until) {
+            if (seen == 100) {
+                reader.store.write(Feed::Replicas, "second", "value");
+            }
+            const auto age = reader.feeds().age(Feed::Replicas);
+            BOOST_TEST((!age || *age >= onTheWay));
+            seen += age ? 1 : 0;
+            co_await sleepFor(std::chrono::milliseconds(5));
+        }
+        BOOST_TEST(seen == 200);
+        BOOST_TEST(reader.hasHeard("second"));
+        reader.stop();
+        context.stop();
+    };
+    asio::co_spawn(context, test(), asio::detached);
+    context.run();
+}
+
+// A process that could not read the store for seconds took what it then read for new:
+// a bound that runs from a record's acceptance would have run from its arrival.
+BOOST_AUTO_TEST_CASE(what_is_read_after_an_outage_may_be_as_old_as_the_outage)
+{
+    asio::io_context context{1};
+    FeedLab reader(context);
+    reader.feeds().setReaders([] { return FeedReaders{true, true, {}}; });
+    const Milliseconds outage{2'000};
+    const Milliseconds longestRead{600};
+    const auto test = [&]() -> awaitable<void> {
+        reader.start();
+        const auto until = std::chrono::steady_clock::now() + sGenerous;
+        const auto waitFor = [&](auto condition) -> awaitable<void> {
+            while (!condition() && std::chrono::steady_clock::now() < until) {
+                co_await sleepFor(std::chrono::milliseconds(5));
+            }
+            BOOST_TEST(condition());
+        };
+        co_await waitFor([&] { return reader.feeds().age(Feed::Replicas).has_value(); });
+        reader.store.isAway = true;
+        co_await waitFor([&] { return *reader.feeds().age(Feed::Replicas) >= outage; });
+        reader.store.write(Feed::Replicas, "first", "value");
+        reader.store.isAway = false;
+        co_await waitFor([&] { return reader.hasHeard("first"); });
+        BOOST_TEST((reader.lastAge >= outage - longestRead));
+        reader.stop();
+        context.stop();
+    };
+    asio::co_spawn(context, test(), asio::detached);
+    context.run();
+}
