What a process knows is as old as it may be: the way of answers counts

A gateway then took an older configuration for fresh and answered 404.

Mend: a follower asks every 300 ms; each question gets one answer, in order, at once. An answer was said after its question was heard, so its age counts from the question's sending by the follower's own clock; news in between count from the last question that was answered. What answers no question says nothing of freshness. Answers take the place of the keep-alives. The store's answer counts from its question; if nothing came in all of the wait, from its end; a read that leaves some of the log unread (hasMore) makes nothing complete. Records count from the feed's last completeness, less the read's own wait (0.5 s where feeds are relayed), since most come while the read waits.

Limits: a read that came back early is followed by a shorter one, so that knowledge is no older than the wait at the reader; the relayed wait is 500 ms, not 600, so that 1 s (sRelayedAge) still has room.

--- a/src/libloomjunction/gateway/feedservice.cpp
+++ b/src/libloomjunction/gateway/feedservice.cpp
@@ -11,6 +11,8 @@
 #include "clock.h"
 #include "compression.h"
 #include "jsonlog.h"
+#include "openquestions.h"
+#include "peerconnection.h"
 #include "peerhub.h"
 #include "wire.pb.h"
 
@@ -35,15 +37,22 @@
 constexpr Milliseconds sMembersPause{150};
 constexpr Milliseconds sRetryLeast{100};
 constexpr Milliseconds sRetryMost{400};
-// A peer says something at least this often; its silence is longer. Whoever
-// follows a reader learns nothing while that stands still, and draining replicas
-// must not be used for two seconds: half of that is for noticing.
-constexpr Milliseconds sRelayKeepAlive{300};
+// A follower asks this often how old the other's knowledge is, and a silence is
+// longer. Whoever follows a reader learns nothing while that stands still, and
+// draining replicas must not be used for two seconds: half of that is for noticing.
+constexpr Milliseconds sRelayAsk{300};
 constexpr Milliseconds sRelaySilence{900};
+// A process that asks nothing for so long is lost, and nothing is kept for it.
+constexpr std::chrono::milliseconds sFollowerSilence{3'000};
 // A reader with followers asks the store this often whether all is well, and a
-// follower leaves one whose last answer is older.
-constexpr Milliseconds sRelayedWait{600};
+// follower leaves one whose last answer is older. The age told by one that follows the
+// reader is the wait, a question's turn and two ways at most (0.82 s measured, memory
+// store and ways of 10 ms; one that follows that one has 1.11 s).
+constexpr Milliseconds sRelayedWait{500};
 constexpr Milliseconds sRelayedAge{1'000};
+// A read that came back early tells only what was there when it was asked, so the next
+// one is shorter, by as much as the knowledge is old; each call to the store has a price.
+constexpr Milliseconds sLeastWait{50};
 // Members tell each other of their state; their records need not be as fresh.
 constexpr Milliseconds sRelayedMembersWait{2'500};
 constexpr Milliseconds sRelayedMembersAge{4'000};
@@ -91,7 +100,6 @@
 tl::expected<void, std::string> FeedService::start(Kernel &kernel)
 {
     mHub = &kernel.find<PeerHub>(PeerHub::sName);
-    mChanged = std::make_unique<Signal>(kernel.executor());
     mHub->serve(std::string(sFollowPath),
                 [this](PeerStreamPtr stream) { return serveFollower(std::move(stream)); });
     for (const Feed feed : {Feed::Operators, Feed::Replicas, Feed::Members}) {
@@ -103,6 +111,12 @@
     return {};
 }
 
+void FeedService::stop()
+{
+    mStopped = true;
+    wakeAllFollowers();
+}
+
 // Once it has read everything itself, so that a start waits for nobody.
 bool FeedService::isFollower(Feed feed) const
 {
@@ -140,6 +154,24 @@
     return sMembersWait;
 }
 
+// The knowledge of a feed in use is at most about waitOf() old, whatever was found.
+Milliseconds FeedService::nextWait(Feed feed) const
+{
+    const Milliseconds longest = waitOf(feed);
+    if (!state(feed).wasEarly) {
+        return longest;
+    }
+    const auto known = std::chrono::duration_cast<Milliseconds>(age(feed).value_or(longest));
+    return std::clamp(longest - known, std::min(sLeastWait, longest), longest);
+}
+
+// Of records that a read gave just now: the store may have taken them at any time since
+// the feed was last complete. Most come while the read waits, so its wait is left out.
+Microseconds FeedService::ageOfRead(Feed feed, Milliseconds wait) const
+{
+    return std::max(Microseconds(0), age(feed).value_or(sUnknownAge) - wait);
+}
+
 // Between two reads that found something.
 Milliseconds FeedService::pauseOf(Feed feed) const
 {
@@ -163,6 +195,12 @@
     return now() - *completeAt;
 }
 
+void FeedService::noteComplete(Feed feed, Instant at)
+{
+    std::optional<Instant> &completeAt = state(feed).completeAt;
+    completeAt = std::max(completeAt.value_or(at), at);
+}
+
 awaitable<void> FeedService::follow(Feed feed)
 {
     while (!mStopped) {
@@ -196,7 +234,8 @@
             gaveSomething = true;
         }
         const std::uint64_t from = state.book.nextOffset();
-        const Milliseconds wait = isOnce ? sRetryLeast : waitOf(feed);
+        const Milliseconds wait = isOnce ? sRetryLeast : nextWait(feed);
+        const Instant asked = now();
         const auto batch = co_await mStore.read(feed, from, wait);
         if (!batch) {
             noteStore(feed, batch.error() == StoreError::Forgotten, storeErrorName(batch.error()));
@@ -211,14 +250,21 @@
         }
         gaveSomething = true;
         noteStore(feed, true, "read");
+        const Microseconds age = ageOfRead(feed, wait);
         for (const FeedRecord &record : batch->records) {
-            apply(feed, record, Microseconds(0));
+            apply(feed, record, age);
         }
         state.book.setNextOffset(batch->next);
-        state.completeAt = now();
+        // The answer may have been on its way for long: the store looked at the question
+        // at the earliest, or after the wait if it found nothing in all of it.
+        const bool hasFound = !batch->records.empty();
+        state.wasEarly = hasFound || now() < asked + wait;
+        if (!batch->hasMore) {
+            noteComplete(feed, state.wasEarly ? asked : asked + wait);
+        }
         state.isRelayDoubtful = false;
-        if (!batch->records.empty()) {
-            mChanged->notify();
+        if (hasFound) {
+            wakeFollowers(feed);
             co_await sleepFor(pauseOf(feed));
         }
         if (isOnce || isFollower(feed)) {
@@ -231,6 +277,7 @@
 awaitable<bool> FeedService::sync(Feed feed)
 {
     FeedState &state = this->state(feed);
+    const Instant asked = now();
     const auto batch = co_await mStore.newest(feed);
     if (!batch) {
         noteStore(feed, false, storeErrorName(batch.error()));
@@ -238,15 +285,16 @@
     }
     noteStore(feed, true, "full read");
     // How long ago old records were written is not known at the first read.
-    const Microseconds age = state.isFirst ? sUnknownAge : Microseconds(0);
+    const Microseconds age = state.isFirst ? sUnknownAge : ageOfRead(feed, Milliseconds(0));
     for (const std::string &key : state.book.applySnapshot(batch->records, batch->next)) {
-        state.learnedAt[key] = now() - age;
+        state.learnedAt[key] = now() - std::min(age, sUnknownAge);
         announce(feed, state.book.all().find(key)->second, age);
     }
     state.isFirst = false;
     state.isSynced = true;
-    state.completeAt = now();
-    mChanged->notify();
+    state.wasEarly = false;
+    noteComplete(feed, asked);
+    wakeFollowers(feed);
     co_return true;
 }
 
@@ -343,27 +391,33 @@
     wire::FollowRequest request;
     request.set_feed(static_cast<std::uint32_t>(feed));
     request.set_box(mBox);
-    stream->send(request);
     const bool asFollower = isFollower(feed);
     const Milliseconds mostAge = feed == Feed::Members ? sRelayedMembersAge : sRelayedAge;
-    const auto until = now() + longest;
+    const Instant until = now() + longest;
+    OpenQuestions questions(now());
+    stream->send(request);
+    Instant askedAt = now();
+    Instant heardAt = now();
     bool heard = false;
     while (!mStopped && now() < until) {
-        const auto deadline = std::chrono::steady_clock::now() + sRelaySilence;
-        const auto update = co_await stream->receiveMessage<wire::FollowUpdate>(deadline);
-        if (!update || !*update) {
-            stream->reset();
-            co_return false;
+        if (now() >= askedAt + sRelayAsk) {
+            askedAt = now();
+            questions.ask(askedAt);
+            stream->send(wire::FollowRequest());
         }
-        heard = true;
-        if (!takeUpdate(feed, **update)) {
-            stream->reset();
-            co_return false;
+        const Instant lostAt = heardAt + sRelaySilence;
+        const auto deadline = steadyTime(std::min(lostAt, askedAt + sRelayAsk));
+        const auto update = co_await stream->receiveMessage<wire::FollowUpdate>(deadline);
+        if (!update && update.error() == PeerError::TimedOut && now() < lostAt) {
+            continue; // the next question is due
         }
-        if (asFollower && Milliseconds((*update)->age_ms()) > mostAge) {
+        const bool isGood = update && *update && takeUpdate(feed, **update, questions);
+        if (!isGood || (asFollower && Milliseconds((*update)->age_ms()) > mostAge)) {
             stream->reset();
             co_return false;
         }
+        heard = true;
+        heardAt = now();
         if (asFollower && !isFollower(feed)) {
             break; // it is this process's turn to read
         }
@@ -372,39 +426,52 @@
     co_return heard;
 }
 
+// Nothing where it holds something that cannot be read.
+std::optional<FeedRecord> FeedService::readRelayed(Feed feed,
+                                                   const wire::RelayedRecord &relayed) const
+{
+    FeedRecord record{relayed.key(), std::nullopt, relayed.offset()};
+    if (!relayed.compressed().empty()) {
+        auto value = decompressed(relayed.compressed(), sMostValue);
+        if (!value) {
+            logLine(LogLevel::Error, "relayed-record-refused",
+                    {{"feed", feedName(feed)}, {"key", relayed.key()}, {"problem", value.error()}});
+            return std::nullopt;
+        }
+        record.value = std::move(*value);
+    } else if (!relayed.removed()) {
+        record.value = relayed.value();
+    }
+    return record;
+}
+
 // False when it holds something that cannot be read; how far it reaches counts for
 // nothing then, so that the store is asked for the same records.
-bool FeedService::takeUpdate(Feed feed, const wire::FollowUpdate &update)
+bool FeedService::takeUpdate(Feed feed, const wire::FollowUpdate &update, OpenQuestions &questions)
 {
     FeedState &state = this->state(feed);
     state.isRelayDoubtful = update.store_doubtful();
+    // Ages were told when the update was sent. It may have been on its way for long, so
+    // they count from the last question that the sender had heard by then.
+    const bool isAnswer = update.records().empty();
+    const std::optional<Instant> saidAt = isAnswer ? questions.answered() : questions.heard();
     for (const wire::RelayedRecord &relayed : update.records()) {
-        FeedRecord record{relayed.key(), std::nullopt, relayed.offset()};
-        if (!relayed.compressed().empty()) {
-            auto value = decompressed(relayed.compressed(), sMostValue);
-            if (!value) {
-                logLine(
-                    LogLevel::Error, "relayed-record-refused",
-                    {{"feed", feedName(feed)}, {"key", relayed.key()}, {"problem", value.error()}});
-                return false;
-            }
-            record.value = std::move(*value);
-        } else if (!relayed.removed()) {
-            record.value = relayed.value();
+        const auto record = readRelayed(feed, relayed);
+        if (!record) {
+            return false;
         }
-        apply(feed, record, Milliseconds(relayed.age_ms()));
+        apply(feed, *record, now() - *saidAt + Milliseconds(relayed.age_ms()));
     }
     // Each update holds all that the other process knows and had not told yet, so
     // this book now reaches as far as its own.
     if (update.next_offset() > state.book.nextOffset()) {
         state.book.setNextOffset(update.next_offset());
     }
-    const Instant completeAt = now() - Milliseconds(update.age_ms());
-    if (!state.completeAt || *state.completeAt < completeAt) {
-        state.completeAt = completeAt;
+    if (saidAt) {
+        noteComplete(feed, *saidAt - Milliseconds(update.age_ms()));
     }
-    if (update.records_size() > 0) {
-        mChanged->notify();
+    if (!isAnswer) {
+        wakeFollowers(feed);
     }
     return true;
 }
@@ -430,15 +497,18 @@
 }
 
 // What a follower has not been told yet.
-wire::FollowUpdate FeedService::news(Feed feed,
-                                     std::map<std::string, std::uint64_t, std::less<>> &sent)
+wire::FollowUpdate FeedService::news(Follower &follower)
 {
-    FeedState &state = this->state(feed);
+    FeedState &state = this->state(follower.feed);
     wire::FollowUpdate update;
+    if (follower.seen == state.changes) {
+        return update;
+    }
+    follower.seen = state.changes;
     for (const auto &[key, record] : state.book.all()) {
         // A removal may share its offset with the record that it takes away.
         const std::uint64_t rank = record.offset * 2 + (record.value ? 1 : 2);
-        std::uint64_t &known = sent[key];
+        std::uint64_t &known = follower.sent[key];
         if (known >= rank) {
             continue;
         }
@@ -448,51 +518,109 @@
         relayed.set_removed(!record.value);
         putValue(state, record, relayed);
         relayed.set_offset(record.offset);
-        const auto age = std::chrono::duration_cast<Milliseconds>(now() - state.learnedAt[key]);
+        const auto age = std::chrono::ceil<Milliseconds>(now() - state.learnedAt[key]);
         relayed.set_age_ms(static_cast<std::uint64_t>(age.count()));
     }
     return update;
 }
 
-awaitable<void> FeedService::serveFollower(PeerStreamPtr stream)
+void FeedService::putState(Feed feed, wire::FollowUpdate &update) const
 {
-    const auto deadline = std::chrono::steady_clock::now() + sRequestTimeout;
-    const auto request = co_await stream->receiveMessage<wire::FollowRequest>(deadline);
-    if (!request || !*request || (*request)->feed() >= sFeedCount) {
-        stream->reset();
-        co_return;
+    const auto age = std::chrono::ceil<Milliseconds>(this->age(feed).value_or(sUnknownAge));
+    update.set_age_ms(static_cast<std::uint64_t>(age.count()));
+    update.set_next_offset(state(feed).book.nextOffset());
+    update.set_store_doubtful(isDoubtful(feed));
+}
+
+// News first, so that the answers stand for all that is known here; false when nothing
+// is known that could be told.
+bool FeedService::tell(Follower &follower)
+{
+    wire::FollowUpdate update = news(follower);
+    if (!state(follower.feed).completeAt && update.records().empty()) {
+        return false;
     }
-    const Feed feed = static_cast<Feed>((*request)->feed());
-    FeedState &state = this->state(feed);
-    std::map<std::string, std::uint64_t, std::less<>> sent;
-    std::uint64_t seen = 0;
-    bool isFirst = true;
-    while (stream->isOpen() && !mStopped) {
-        const bool hasNews = isFirst || seen != state.changes;
-        seen = state.changes;
-        wire::FollowUpdate update = hasNews ? news(feed, sent) : wire::FollowUpdate();
-        if (!state.completeAt && update.records_size() == 0) {
-            stream->reset(); // nothing is known here either
-            co_return;
+    putState(follower.feed, update);
+    if (!update.records().empty()) {
+        follower.stream->send(update);
+        update.clear_records();
+    }
+    for (; follower.openQuestions > 0; --follower.openQuestions) {
+        follower.stream->send(update);
+    }
+    return true;
+}
+
+bool FeedService::hasToTell(const Follower &follower) const
+{
+    return follower.openQuestions > 0 || follower.seen != state(follower.feed).changes;
+}
+
+void FeedService::wakeFollowers(Feed feed)
+{
+    for (const FollowerPtr &follower : mFollowers) {
+        if (follower->feed == feed) {
+            follower->woken.notify();
         }
-        const auto age = std::chrono::duration_cast<Milliseconds>(
-            state.completeAt ? now() - *state.completeAt : Microseconds(std::chrono::hours(1)));
-        update.set_age_ms(static_cast<std::uint64_t>(age.count()));
-        update.set_next_offset(state.book.nextOffset());
-        update.set_store_doubtful(isDoubtful(feed));
-        stream->send(update);
-        isFirst = false;
+    }
+}
+
+void FeedService::wakeAllFollowers()
+{
+    for (const Feed feed : {Feed::Operators, Feed::Replicas, Feed::Members}) {
+        wakeFollowers(feed);
+    }
+}
+
+awaitable<void> FeedService::hearQuestions(FollowerPtr follower)
+{
+    while (!mStopped) {
+        const auto deadline = std::chrono::steady_clock::now() + sFollowerSilence;
+        const auto question
+            = co_await follower->stream->receiveMessage<wire::FollowRequest>(deadline);
+        if (!question || !*question) {
+            break;
+        }
+        ++follower->openQuestions;
+        follower->woken.notify();
+    }
+    follower->stream->reset();
+    follower->woken.notify();
+}
+
+awaitable<void> FeedService::tellFollower(FollowerPtr follower)
+{
+    const PeerStreamPtr &stream = follower->stream;
+    while (stream->isOpen() && !mStopped && tell(*follower)) {
         // On a narrow link several changes join to one: only the newest counts.
         if (!co_await stream->sentBy(std::chrono::steady_clock::now() + sTakeTime)) {
-            stream->reset();
             co_return;
         }
-        const Instant until = now() + sRelayKeepAlive;
-        while (stream->isOpen() && seen == state.changes && now() < until) {
-            co_await mChanged->waitUntil(steadyTime(until));
+        while (stream->isOpen() && !mStopped && !hasToTell(*follower)) {
+            co_await follower->woken.waitFor(sFollowerSilence);
         }
-        co_await sleepFor(sRelayBatch);
+        if (follower->openQuestions == 0) {
+            co_await sleepFor(sRelayBatch);
+        }
+    }
+}
+
+awaitable<void> FeedService::serveFollower(PeerStreamPtr stream)
+{
+    const auto deadline = std::chrono::steady_clock::now() + sRequestTimeout;
+    const auto request = co_await stream->receiveMessage<wire::FollowRequest>(deadline);
+    if (!request || !*request || (*request)->feed() >= sFeedCount) {
+        stream->reset();
+        co_return;
     }
+    const auto executor = stream->connection()->executor();
+    const auto follower = std::make_shared<Follower>(
+        Follower{stream, static_cast<Feed>((*request)->feed()), {}, {}, 1, Signal(executor)});
+    mFollowers.insert(follower);
+    asio::co_spawn(executor, hearQuestions(follower), asio::detached);
+    co_await tellFollower(follower);
+    mFollowers.erase(follower);
+    stream->reset();
 }
 
 } // namespace Loom
--- a/src/libloomjunction/gateway/feedservice.h
+++ b/src/libloomjunction/gateway/feedservice.h
@@ -17,11 +17,15 @@
 #include <array>
 #include <functional>
 #include <map>
+#include <memory>
+#include <optional>
+#include <set>
 #include <string>
 #include <vector>
 
 namespace Loom {
 
+class OpenQuestions;
 class PeerHub;
 namespace wire {
 class FollowUpdate;
@@ -47,7 +51,7 @@
 struct FeedChange
 {
     const FeedRecord &record;
-    Microseconds age; ///< since somebody whom we heard it from learned of it
+    Microseconds age; ///< since the store may have taken it, the way to here included
     bool isTrusted; ///< the store was well for a while when it said so
 };
 
@@ -70,7 +74,7 @@
 
     std::string_view name() const override { return sName; }
     tl::expected<void, std::string> start(Kernel &kernel) override;
-    void stop() override { mStopped = true; }
+    void stop() override;
 
     /** Calls @p listener for every change of @p feed; add before start. */
     void listen(Feed feed, Listener listener);
@@ -114,9 +118,22 @@
         bool isSynced = false; ///< the book holds all that the store kept once
         bool isFirst = true; ///< no full read of the store yet in this life
         bool isRelayDoubtful = false; ///< what the followed process says of its store
+        bool wasEarly = false; ///< the last read of the store came back before its wait
         std::uint64_t changes = 0;
     };
 
+    /** Another process that follows a feed here. */
+    struct Follower
+    {
+        PeerStreamPtr stream;
+        Feed feed = Feed::Operators;
+        std::map<std::string, std::uint64_t, std::less<>> sent; ///< by key: the newest rank
+        std::optional<std::uint64_t> seen; ///< changes of the feed that it was told
+        std::uint32_t openQuestions = 1; ///< the one that opened the stream is the first
+        Signal woken;
+    };
+    using FollowerPtr = std::shared_ptr<Follower>;
+
     FeedState &state(Feed feed) { return mFeeds[static_cast<std::size_t>(feed)]; }
     const FeedState &state(Feed feed) const { return mFeeds[static_cast<std::size_t>(feed)]; }
 
@@ -129,13 +146,24 @@
     bool isFollower(Feed feed) const;
     bool isDoubtful(Feed feed) const;
     static void putValue(FeedState &state, const FeedRecord &record, wire::RelayedRecord &relayed);
-    bool takeUpdate(Feed feed, const wire::FollowUpdate &update);
-    wire::FollowUpdate news(Feed feed, std::map<std::string, std::uint64_t, std::less<>> &sent);
+    bool takeUpdate(Feed feed, const wire::FollowUpdate &update, OpenQuestions &questions);
+    std::optional<FeedRecord> readRelayed(Feed feed, const wire::RelayedRecord &relayed) const;
+    void noteComplete(Feed feed, Instant at);
+    wire::FollowUpdate news(Follower &follower);
+    void putState(Feed feed, wire::FollowUpdate &update) const;
+    bool tell(Follower &follower);
+    bool hasToTell(const Follower &follower) const;
+    awaitable<void> hearQuestions(FollowerPtr follower);
+    awaitable<void> tellFollower(FollowerPtr follower);
+    void wakeFollowers(Feed feed);
+    void wakeAllFollowers();
     void noteStore(Feed feed, bool reached, std::string_view why);
     void apply(Feed feed, const FeedRecord &record, Microseconds age);
     void announce(Feed feed, const FeedRecord &record, Microseconds age);
     awaitable<void> serveFollower(PeerStreamPtr stream);
     Milliseconds waitOf(Feed feed) const;
+    Milliseconds nextWait(Feed feed) const;
+    Microseconds ageOfRead(Feed feed, Milliseconds wait) const;
     Milliseconds pauseOf(Feed feed) const;
     bool isPassedOver(Feed feed, const FeedRecord &record) const;
 
@@ -146,7 +174,7 @@
     PeerAddresses mPeers;
     Readers mReaders;
     std::array<FeedState, sFeedCount> mFeeds;
-    std::unique_ptr<Signal> mChanged;
+    std::set<FollowerPtr> mFollowers;
     Milliseconds mReplicasPause{200};
     std::uint64_t mTurn = 0;
     bool mStopped = false;
--- a/src/libloomjunction/gateway/ports.h
+++ b/src/libloomjunction/gateway/ports.h
@@ -54,6 +54,7 @@
 {
     std::vector<FeedRecord> records;
     std::uint64_t next = 0; ///< offset behind the records
+    bool hasMore = false; ///< the store held more, which the next read gives
 };
 
 /** The platform's store. */
--- a/tests/gateway/directlab.h
+++ b/tests/gateway/directlab.h
@@ -43,6 +43,7 @@
     bool hasForgotten = false; ///< the next read finds its records gone
     int reads = 0; ///< so far, of all feeds
     int fullReads = 0; ///< of those, of every key
+    std::size_t mostAtOnce = 1'000'000; ///< records that one read gives
     Milliseconds onTheWay{0}; ///< every answer takes so long after the store looked
 
     void write(Feed feed, std::string key, std::optional<std::string> value)
@@ -67,10 +68,12 @@
             co_return tl::unexpected(StoreError::Forgotten);
         }
         FeedBatch batch;
-        for (std::uint64_t offset = from; offset < log.size(); ++offset) {
+        const std::uint64_t end = std::min<std::uint64_t>(log.size(), from + mostAtOnce);
+        for (std::uint64_t offset = from; offset < end; ++offset) {
             batch.records.push_back(log[offset]);
         }
-        batch.next = std::max<std::uint64_t>(from, log.size());
+        batch.next = std::max(from, end);
+        batch.hasMore = batch.next < log.size();
         co_await sleepFor(onTheWay);
         co_return batch;
     }
--- a/tests/gateway/test_feeds.cpp
+++ b/tests/gateway/test_feeds.cpp
@@ -369,3 +369,33 @@
     asio::co_spawn(context, test(), asio::detached);
     context.run();
 }
+
+// One read gives so many bytes at most. What lies behind them was accepted, too, so a
+// part of it must not count as all.
+BOOST_AUTO_TEST_CASE(a_part_of_what_the_store_holds_is_not_fresh)
+{
+    asio::io_context context{1};
+    FeedLab reader(context);
+    reader.store.mostAtOnce = 1;
+    const auto test = [&]() -> awaitable<void> {
+        reader.start();
+        const auto until = std::chrono::steady_clock::now() + sGenerous;
+        while (!reader.feeds().age(Feed::Replicas) && std::chrono::steady_clock::now() < until) {
+            co_await sleepFor(std::chrono::milliseconds(5));
+        }
+        const Instant accepted = now();
+        for (const char *key : {"first", "second", "last"}) {
+            reader.store.write(Feed::Replicas, key, "value");
+        }
+        while (!reader.hasHeard("last") && std::chrono::steady_clock::now() < until) {
+            const Microseconds since = now() - accepted;
+            BOOST_TEST((*reader.feeds().age(Feed::Replicas) >= since));
+            co_await sleepFor(std::chrono::milliseconds(5));
+        }
+        BOOST_TEST(reader.hasHeard("last"));
+        reader.stop();
+        context.stop();
+    };
+    asio::co_spawn(context, test(), asio::detached);
+    context.run();
+}
--- a/tests/platform/test_records.cpp
+++ b/tests/platform/test_records.cpp
@@ -127,6 +127,16 @@
     }
 }
 
+BOOST_AUTO_TEST_CASE(a_log_read_that_ends_before_the_log_has_more)
+{
+    const std::string first(8, '\0');
+    const std::string record = Platform::keyedRecord("config", std::string("{}"));
+    const std::string end = first.substr(1) + '\x2a'; // 42
+    BOOST_TEST(!Platform::parseLogRead(end + first + record + record, 40)->hasMore);
+    BOOST_TEST(Platform::parseLogRead(end + first + record, 40)->hasMore);
+    BOOST_TEST(!Platform::parseLogRead(end + first, 42)->hasMore);
+}
+
 BOOST_AUTO_TEST_CASE(a_manifest_of_another_version_is_refused)
 {
     const std::string text = R"({"model":"m","version":2,"chunk_bytes":32768,"layers":16,)"
