Tests that fail: knowledge counts as old after 3 s on every deployment

Cause: the time after which a gateway doubts its configuration is a constant of 3 s. Where 2 s are allowed, a gateway that heard nothing for 2.9 s answers 404 or 401 from it.

The field of DirectBounds stands here unread, so that the tests compile. The laboratory's gateway is given a bound of 600 s, so that no other test depends on how fast it runs.

--- a/src/libloomjunction/gateway/directsettings.h
+++ b/src/libloomjunction/gateway/directsettings.h
@@ -50,6 +50,7 @@
     Milliseconds stopTime{8'000}; ///< from SIGTERM to the end of the process
     Milliseconds addressLifetime{5'000}; ///< most that callers keep an address answer
     Milliseconds weightsTime{8'000}; ///< older weights begin no request after it
+    Milliseconds configTime{2'000}; ///< an older configuration refuses nothing after it
     RetryBounds retries;
 };
 
--- a/tests/gateway/directlab.cpp
+++ b/tests/gateway/directlab.cpp
@@ -51,6 +51,8 @@
     settings.store = anyPort;
     // Repeats are allowed from the start, which is not what is tested here.
     settings.bounds.retries = {10.0, 100, Milliseconds(1'000)};
+    // Knowledge grows old only in tests that say so.
+    settings.bounds.configTime = Milliseconds(600'000);
     settings.role = GatewaySettings{anyPort, anyPort, anyPort};
     return settings;
 }
@@ -95,8 +97,8 @@
     }
 }
 
-awaitable<tl::expected<HttpResponse, HttpError>> DirectLab::call(std::string method,
-                                                                 std::string path, std::string id)
+awaitable<tl::expected<HttpResponse, HttpError>>
+DirectLab::call(std::string method, std::string path, std::string id, std::string key)
 {
     HttpCall request;
     request.endpoint = front().localEndpoint();
@@ -105,7 +107,7 @@
     request.headers = {{"Loomjunction-Request-Id", std::move(id)},
                        {"Loomjunction-Deadline-Ms", "6000"},
                        {"Loomjunction-Model", "m"},
-                       {"Authorization", "Token k"}};
+                       {"Authorization", "Token " + key}};
     request.timeout = sGenerous;
     HttpClient fresh(context.get_executor());
     request.headers.push_back({"Host", "h"});
--- a/tests/gateway/directlab.h
+++ b/tests/gateway/directlab.h
@@ -43,6 +43,7 @@
     bool hasForgotten = false; ///< the next read finds its records gone
     int reads = 0; ///< so far, of all feeds
     int fullReads = 0; ///< of those, of every key
+    std::array<std::vector<Milliseconds>, sFeedCount> waits; ///< that reads so far asked for
     std::size_t mostAtOnce = 1'000'000; ///< records that one read gives
     Milliseconds onTheWay{0}; ///< every answer takes so long after the store looked
 
@@ -57,6 +58,7 @@
                                                         Milliseconds wait) override
     {
         ++reads;
+        waits[static_cast<std::size_t>(feed)].push_back(wait);
         const auto &log = mLogs[static_cast<std::size_t>(feed)];
         if (!isAway && log.size() <= from) {
             co_await mChanged.waitFor(wait);
@@ -204,9 +206,9 @@
 
     /** Runs @p test on the loop until it returns, then ends the gateway. */
     void run(std::function<awaitable<void>()> test);
-    /** The answer to one request; empty headers get the usual ones. */
+    /** The answer to one request of the account with @p key. */
     awaitable<tl::expected<HttpResponse, HttpError>> call(std::string method, std::string path,
-                                                          std::string id);
+                                                          std::string id, std::string key = "k");
     /** Waits until @p condition holds; fails the test after a generous time. */
     awaitable<void> waitFor(std::function<bool()> condition);
 
--- a/tests/gateway/test_gateway.cpp
+++ b/tests/gateway/test_gateway.cpp
@@ -294,6 +294,58 @@
     });
 }
 
+// Gateways answered 404 within 6 to 8 ms from a configuration whose successor had been
+// accepted 3.007 s before, where 3.0 s are allowed. They counted knowledge as old after
+// 3 s on every deployment, also where 2 s are allowed. Whoever may not know the newest
+// configuration says that the caller should come back.
+BOOST_AUTO_TEST_CASE(knowledge_older_than_the_deployments_bound_refuses_nothing_for_good)
+{
+    for (const Milliseconds bound : {Milliseconds(1'000), Milliseconds(2'000)}) {
+        DirectLab lab;
+        lab.writeConfig(1);
+        lab.addReplica("i-1", "plain", good);
+        lab.run([&]() -> awaitable<void> {
+            co_await untilReady(lab, 1);
+            lab.store.isAway = true;
+            co_await lab.waitFor([&] { return *lab.feeds().age(Feed::Operators) > bound; });
+            DirectBounds bounds;
+            bounds.configTime = bound;
+            lab.config().setBounds(bounds);
+            auto missing = co_await lab.call("POST", "/nowhere/a", "id1");
+            BOOST_TEST(missing->status == 503);
+            auto unknown = co_await lab.call("POST", "/once/a", "id2", "other");
+            BOOST_TEST(unknown->status == 503);
+            const auto known = co_await lab.call("POST", "/once/a", "id3");
+            BOOST_TEST(known->status == 200);
+            // The same knowledge is fresh enough where much more is allowed.
+            bounds.configTime = Milliseconds(600'000);
+            lab.config().setBounds(bounds);
+            missing = co_await lab.call("POST", "/nowhere/a", "id4");
+            BOOST_TEST(missing->status == 404);
+            unknown = co_await lab.call("POST", "/once/a", "id5", "other");
+            BOOST_TEST(unknown->status == 401);
+        });
+    }
+}
+
+// Where all is well, knowledge must stay younger than the bound, however short that is:
+// a store that nothing is written to answers after the wait that it was asked for.
+BOOST_AUTO_TEST_CASE(a_quiet_store_is_asked_often_enough_for_a_short_bound)
+{
+    const Milliseconds bound{1'200};
+    DirectLab lab;
+    lab.writeConfig(1);
+    lab.run([&]() -> awaitable<void> {
+        DirectBounds bounds;
+        bounds.configTime = bound;
+        lab.config().setBounds(bounds);
+        const auto &waits = lab.store.waits[static_cast<std::size_t>(Feed::Operators)];
+        const std::size_t before = waits.size();
+        co_await lab.waitFor([&] { return waits.size() >= before + 3; });
+        BOOST_TEST((waits.back() <= bound / 2));
+    });
+}
+
 BOOST_AUTO_TEST_CASE(a_request_for_older_weights_is_given_no_more_time_than_they_have)
 {
     constexpr int weightsMs = 6'000; // the caller waits as long
--- a/tests/process/test_deploy.py
+++ b/tests/process/test_deploy.py
@@ -14,7 +14,7 @@
 ROOT = os.path.dirname(os.path.dirname(os.path.dirname(os.path.abspath(__file__))))
 
 BOUNDS = {"drain_ms": 2000, "grace_s": 8, "ttl_max_s": 5, "version_ms": 8000,
-          "retry_window_s": 10, "retry_ratio": 0.2, "retry_extra": 100}
+          "config_apply_ms": 3000, "retry_window_s": 10, "retry_ratio": 0.2, "retry_extra": 100}
 COMMON = {"zone": "dfw-a", "region": "dfw", "internal_ports": [7700, 7715],
           "seeds": ["10.1.0.40:8000", "10.2.0.37:8000"], "bounds": BOUNDS,
           "provider": {"address": "10.200.1.7:8007"}}
@@ -61,7 +61,7 @@
 
 def test_bounds_may_be_fractions():
     bounds = {"drain_ms": 2000.5, "grace_s": 8.5, "ttl_max_s": 0.5, "version_ms": 8000.0,
-              "retry_window_s": 2.5, "retry_ratio": 0.15, "retry_extra": 34.421052631578945}
+              "config_apply_ms": 3000.5, "retry_window_s": 2.5, "retry_ratio": 0.15, "retry_extra": 34.421052631578945}
     for name, fields in (("gateway.json", FRONT), ("stager.json", SIDE)):
         done = check(fill(template(name), dict(fields, bounds=bounds)))
         assert done.returncode == 0, (name, done.stderr)
@@ -74,6 +74,17 @@
             assert re.search(r": \{\{bounds\.\w+\}\},?$", line), (name, line)
 
 
+def test_every_role_is_given_the_time_of_a_configuration():
+    for name, fields in (("gateway.json", FRONT), ("stager.json", SIDE)):
+        settings = json.loads(fill(template(name), fields))
+        assert settings["bounds"]["configMs"] == 3000, name
+        for wrong in (-1, "3 s", 1e9, None):
+            settings["bounds"]["configMs"] = wrong
+            done = check(json.dumps(settings))
+            assert done.returncode == 2 and "bounds.configMs" in done.stderr, (wrong, done)
+            assert "no such field" not in done.stderr, done
+
+
 def test_wrong_settings_name_the_field():
     good = json.loads(fill(template("gateway.json"), FRONT))
     for change, word in (
@@ -104,5 +115,6 @@
     main(test_templates_are_accepted,
          test_bounds_may_be_fractions,
          test_every_bound_comes_from_the_platform,
+         test_every_role_is_given_the_time_of_a_configuration,
          test_wrong_settings_name_the_field,
          test_what_runs_is_what_is_built)
--- a/tests/process/test_reload.py
+++ b/tests/process/test_reload.py
@@ -68,12 +68,13 @@
 
 def test_a_signal_takes_up_every_bound():
     with Gateway() as gateway:
-        gateway.write(changed(drainMs=3500.5, retryExtra=7.25, stopSeconds=2.5))
+        gateway.write(changed(drainMs=3500.5, retryExtra=7.25, stopSeconds=2.5, configMs=3250))
         gateway.hang_up()
         wait_for("the reload", lambda: gateway.events("reloaded"))
         told = gateway.events("reloaded")[-1]
         assert told["drainMs"] in (3500, 3501) and told["stopMs"] == 2500, told
         assert float(told["retryExtra"]) == 7.25, told
+        assert told["configMs"] == 3250, told
 
 
 def test_a_file_that_changes_without_a_signal_is_taken_up():
