Doubt follows the deployment's bound of a configuration

Cause: sStaleAfter was 3 s for every deployment; where 2 s are allowed, a gateway that had heard nothing for 2.9 s answered 404 and 401 from what it knew, and where 3 s are allowed nothing was left over.

Knowledge counts as fresh for three quarters of it. In deployments without relays (fewer than six gateways) a long read of operators' records waits for half of the bound at most, 2 s as before at most; with a bound of 2 s that is a call a second and gateway on that feed in place of one in two seconds. Relayed reads wait 0.5 s as before.

A request's own way needs no margin: it only makes the knowledge older.

--- a/src/libloomjunction/gateway/directconfig.cpp
+++ b/src/libloomjunction/gateway/directconfig.cpp
@@ -17,9 +17,16 @@
 
 namespace {
 
-// Without word from the store or an entry for so long, a newer configuration
-// may be in force elsewhere.
-constexpr Milliseconds sStaleAfter{3'000};
+// The part of a configuration's bound for which knowledge counts as fresh. A request on
+// its way only makes it older; the rest of the bound is for what ages do not show: a store
+// that lags behind its own confirmation, and a process that stands still between its look
+// at the age and its answer. All well, ages reach 1.1 s (three hops, memory store), under
+// the 1.5 s that this leaves of the shortest bound, 2 s.
+constexpr int sFreshParts = 3;
+constexpr int sBoundParts = 4;
+// A quiet store answers a long read after this part of the bound, so that knowledge of a
+// quiet store stays fresh.
+constexpr int sReadsInBound = 2;
 // Nobody knows when a version was named that this process finds at its start:
 // older weights may begin requests for this long after it.
 constexpr Milliseconds sStartGrace{1'500};
@@ -37,6 +44,7 @@
 {
     mFeeds = &kernel.find<FeedService>(FeedService::sName);
     mFeeds->listen(Feed::Operators, [this](const FeedChange &change) { take(change); });
+    setBounds(mBounds);
     return {};
 }
 
@@ -44,12 +52,13 @@
 {
     mBounds = bounds;
     mWeights.setLimit(bounds.weightsTime);
+    mFeeds->setOperatorsWait(bounds.configTime / sReadsInBound);
 }
 
 bool DirectConfig::mayBeStale() const
 {
     const auto age = mFeeds->age(Feed::Operators);
-    return !age || *age > sStaleAfter;
+    return !age || *age > mBounds.configTime * sFreshParts / sBoundParts;
 }
 
 void DirectConfig::take(const FeedChange &change)
--- a/src/libloomjunction/gateway/directsettings.cpp
+++ b/src/libloomjunction/gateway/directsettings.cpp
@@ -46,6 +46,7 @@
     bounds.stopTime = seconds(reader, "stopSeconds", bounds.stopTime);
     bounds.addressLifetime = seconds(reader, "addressLifetimeSeconds", bounds.addressLifetime);
     bounds.weightsTime = milliseconds(reader, "weightsMs", bounds.weightsTime);
+    bounds.configTime = milliseconds(reader, "configMs", bounds.configTime);
     bounds.retries.window = seconds(reader, "retryWindowSeconds", bounds.retries.window);
     bounds.retries.ratio = reader.real("retryRatio", 0, sMostRatio, bounds.retries.ratio);
     bounds.retries.extra = reader.real("retryExtra", 0, sMostExtra, bounds.retries.extra);
--- a/src/libloomjunction/gateway/feedservice.cpp
+++ b/src/libloomjunction/gateway/feedservice.cpp
@@ -29,7 +29,8 @@
 constexpr std::string_view sFollowPath = "/follow";
 // A call to the store has a price, and one that is under way tells of a lost
 // store only when it should have come back: each wait is that trade.
-constexpr Milliseconds sOperatorsWait{2'000};
+constexpr Milliseconds sOperatorsMostWait{2'000};
+constexpr Milliseconds sOperatorsLeastWait{200};
 constexpr Milliseconds sReplicasWait{2'000};
 constexpr Milliseconds sMembersWait{8'000};
 // Records that come close together are read in one call.
@@ -138,14 +139,20 @@
     });
 }
 
+void FeedService::setOperatorsWait(Milliseconds wait)
+{
+    mOperatorsWait = std::clamp(wait, sOperatorsLeastWait, sOperatorsMostWait);
+}
+
 Milliseconds FeedService::waitOf(Feed feed) const
 {
     if (mReaders && mReaders().isRelayed) {
-        return feed == Feed::Members ? sRelayedMembersWait : sRelayedWait;
+        const Milliseconds wait = feed == Feed::Members ? sRelayedMembersWait : sRelayedWait;
+        return feed == Feed::Operators ? std::min(wait, mOperatorsWait) : wait;
     }
     switch (feed) {
     case Feed::Operators:
-        return sOperatorsWait;
+        return mOperatorsWait;
     case Feed::Replicas:
         return sReplicasWait;
     case Feed::Members:
--- a/src/libloomjunction/gateway/feedservice.h
+++ b/src/libloomjunction/gateway/feedservice.h
@@ -83,6 +83,8 @@
     /** Least time between two reads of replicas' records; a draining one gets requests till then.
      */
     void setReplicasPause(Milliseconds pause) { mReplicasPause = pause; }
+    /** Most that the knowledge of operators' records may wait for a quiet store's answer. */
+    void setOperatorsWait(Milliseconds wait);
     /** Entries that may be asked for records. */
     void setPeers(PeerAddresses peers) { mPeers = std::move(peers); }
 
@@ -176,6 +178,7 @@
     std::array<FeedState, sFeedCount> mFeeds;
     std::set<FollowerPtr> mFollowers;
     Milliseconds mReplicasPause{200};
+    Milliseconds mOperatorsWait{2'000};
     std::uint64_t mTurn = 0;
     bool mStopped = false;
 };
--- a/src/loomjunctiond/directdaemon.cpp
+++ b/src/loomjunctiond/directdaemon.cpp
@@ -160,6 +160,7 @@
              {"stopMs", mSettings.bounds.stopTime.count()},
              {"addressLifetimeMs", mSettings.bounds.addressLifetime.count()},
              {"weightsMs", mSettings.bounds.weightsTime.count()},
+             {"configMs", mSettings.bounds.configTime.count()},
              {"retryRatio", mSettings.bounds.retries.ratio},
              {"retryExtra", mSettings.bounds.retries.extra},
              {"seeds", mSettings.seeds.size()}});
