--- a/src/loomjunctiond/directdaemon.cpp
+++ b/src/loomjunctiond/directdaemon.cpp
@@ -161,6 +161,7 @@
              {"stopMs", mSettings.bounds.stopTime.count()},
              {"addressLifetimeMs", mSettings.bounds.addressLifetime.count()},
              {"weightsMs", mSettings.bounds.weightsTime.count()},
+             {"configMs", mSettings.bounds.configTime.count()},
              {"retryRatio", mSettings.bounds.retries.ratio},
              {"retryExtra", mSettings.bounds.retries.extra},
              {"dataCentresLost", mSettings.losses.dataCentres},
--- a/tests/gateway/directlab.h
+++ b/tests/gateway/directlab.h
@@ -44,6 +44,9 @@
     bool hasForgotten = false; ///< the next read finds its records gone
     int reads = 0; ///< so far, of all feeds
     int fullReads = 0; ///< of those, of every key
+    std::array<std::vector<Milliseconds>, sFeedCount> waits; ///< that reads so far asked for
+    std::size_t mostAtOnce = 1'000'000; ///< records that one read gives
+    Milliseconds onTheWay{0}; ///< every answer takes so long after the store looked
 
     void write(Feed feed, std::string key, std::optional<std::string> value)
     {
@@ -56,6 +59,7 @@
                                                         Milliseconds wait) override
     {
         ++reads;
+        waits[static_cast<std::size_t>(feed)].push_back(wait);
         const auto &log = mLogs[static_cast<std::size_t>(feed)];
         if (!isAway && log.size() <= from) {
             co_await mChanged.waitFor(wait);
@@ -67,10 +71,13 @@
             co_return tl::unexpected(StoreError::Forgotten);
         }
         FeedBatch batch;
-        for (std::uint64_t offset = from; offset < log.size(); ++offset) {
+        const std::uint64_t end = std::min<std::uint64_t>(log.size(), from + mostAtOnce);
+        for (std::uint64_t offset = from; offset < end; ++offset) {
             batch.records.push_back(log[offset]);
         }
-        batch.next = std::max<std::uint64_t>(from, log.size());
+        batch.next = std::max(from, end);
+        batch.hasMore = batch.next < log.size();
+        co_await sleepFor(onTheWay);
         co_return batch;
     }
 
@@ -92,6 +99,7 @@
             }
         }
         batch.next = log.size();
+        co_await sleepFor(onTheWay);
         co_return batch;
     }
 
@@ -205,9 +213,9 @@
 
     /** Runs @p test on the loop until it returns, then ends the gateway. */
     void run(std::function<awaitable<void>()> test);
-    /** The answer to one request; empty headers get the usual ones. */
+    /** The answer to one request of the account with @p key. */
     awaitable<tl::expected<HttpResponse, HttpError>> call(std::string method, std::string path,
-                                                          std::string id);
+                                                          std::string id, std::string key = "k");
     /** Waits until @p condition holds; fails the test after a generous time. */
     awaitable<void> waitFor(std::function<bool()> condition);
 
