A relayed value that says what is known keeps its own offset

Cause: changes that come together are relayed as the last of them. A value that came back (a, b, a) reaches a follower as the second a; it was passed over as a heartbeat, and the book kept the offset of the first a. Whoever had heard of b from the store and follows this process was sent the first a or nothing, took b for the newest, and moved its end past the second a, so that no later read told.

Change: what is passed over on the relayed way goes into the book with its own offset; nobody is told of it. What is read from the store one by one is passed over as before: nothing lies between there.

Tests: lines of test_feeds.cpp are broken as check-format wants; nothing else of them changed.

Left: whole books for streams that begin anew.

--- a/src/libloomjunction/gateway/feedservice.cpp
+++ b/src/libloomjunction/gateway/feedservice.cpp
@@ -288,6 +288,18 @@
     announce(feed, record, age);
 }
 
+// Changes that came together are relayed as the last of them. One that says what is
+// known may have had another between: its offset must be kept, or whoever heard of the
+// other would never learn that it holds no more.
+void FeedService::applyRelayed(Feed feed, const FeedRecord &record, Microseconds age)
+{
+    if (isPassedOver(feed, record)) {
+        state(feed).book.apply(record);
+        return;
+    }
+    apply(feed, record, age);
+}
+
 void FeedService::announce(Feed feed, const FeedRecord &record, Microseconds age)
 {
     FeedState &state = this->state(feed);
@@ -392,7 +404,7 @@
         } else if (!relayed.removed()) {
             record.value = relayed.value();
         }
-        apply(feed, record, Milliseconds(relayed.age_ms()));
+        applyRelayed(feed, record, Milliseconds(relayed.age_ms()));
     }
     // Each update holds all that the other process knows and had not told yet, so
     // this book now reaches as far as its own.
--- a/src/libloomjunction/gateway/feedservice.h
+++ b/src/libloomjunction/gateway/feedservice.h
@@ -133,6 +133,7 @@
     wire::FollowUpdate news(Feed feed, std::map<std::string, std::uint64_t, std::less<>> &sent);
     void noteStore(Feed feed, bool reached, std::string_view why);
     void apply(Feed feed, const FeedRecord &record, Microseconds age);
+    void applyRelayed(Feed feed, const FeedRecord &record, Microseconds age);
     void announce(Feed feed, const FeedRecord &record, Microseconds age);
     awaitable<void> serveFollower(PeerStreamPtr stream);
     Milliseconds waitOf(Feed feed) const;
--- a/tests/gateway/test_feeds.cpp
+++ b/tests/gateway/test_feeds.cpp
@@ -80,8 +80,9 @@
     RelayLab()
     {
         reader.feeds().setReaders([] { return FeedReaders{true, true, {}}; });
-        follower.feeds().setReaders(
-            [this] { return FeedReaders{isFollowerItselfReading, true, {reader.address}}; });
+        follower.feeds().setReaders([this] {
+            return FeedReaders{isFollowerItselfReading, true, {reader.address}};
+        });
     }
 
     void run(std::function<awaitable<void>(RelayLab &)> test)
