A follower that comes again is sent only what it lacks

Cause: a stream that began anew was sent the whole book of its feed.

Change: the follower says before which offset its book holds all (0 until it was complete once), the server tells only newer records, and removals that a full read gave the last offset before. An update says whether the server's book is complete, so that a follower of a complete one is complete too.

--- a/src/libloomjunction/gateway/feedservice.cpp
+++ b/src/libloomjunction/gateway/feedservice.cpp
@@ -67,6 +67,20 @@
 // Of records that were there at the first read: long ago, as far as is known.
 constexpr Microseconds sUnknownAge = std::chrono::hours(24);
 
+// Orders the records of one key. A removal may share its offset with the record that it
+// takes away.
+std::uint64_t rankOf(const FeedRecord &record)
+{
+    return record.offset * 2 + (record.value ? 1 : 2);
+}
+
+// Whoever knows all before an offset may miss a removal that a full read gave the
+// offset of the last record before it.
+std::uint64_t lastKnownRank(std::uint64_t knownBefore)
+{
+    return knownBefore == 0 ? 0 : knownBefore * 2 - 1;
+}
+
 Milliseconds jitter(Milliseconds least, Milliseconds most)
 {
     static std::mt19937 random{std::random_device{}()};
@@ -355,6 +369,7 @@
     wire::FollowRequest request;
     request.set_feed(static_cast<std::uint32_t>(feed));
     request.set_box(mBox);
+    request.set_known_before(knownBefore(feed));
     stream->send(request);
     const bool asFollower = isFollower(feed);
     const Milliseconds mostAge = feed == Feed::Members ? sRelayedMembersAge : sRelayedAge;
@@ -411,6 +426,10 @@
     if (update.next_offset() > state.book.nextOffset()) {
         state.book.setNextOffset(update.next_offset());
     }
+    if (update.complete()) {
+        state.isSynced = true;
+        state.isFirst = false;
+    }
     const Instant completeAt = now() - Milliseconds(update.age_ms());
     if (!state.completeAt || *state.completeAt < completeAt) {
         state.completeAt = completeAt;
@@ -441,16 +460,21 @@
     relayed.set_compressed(kept.bytes);
 }
 
+// A book that never was complete has gaps before its end.
+std::uint64_t FeedService::knownBefore(Feed feed) const
+{
+    const FeedState &state = this->state(feed);
+    return state.isSynced ? state.book.nextOffset() : 0;
+}
+
 // What a follower has not been told yet.
-wire::FollowUpdate FeedService::news(Feed feed,
-                                     std::map<std::string, std::uint64_t, std::less<>> &sent)
+wire::FollowUpdate FeedService::news(Feed feed, ToldRanks &told)
 {
     FeedState &state = this->state(feed);
     wire::FollowUpdate update;
     for (const auto &[key, record] : state.book.all()) {
-        // A removal may share its offset with the record that it takes away.
-        const std::uint64_t rank = record.offset * 2 + (record.value ? 1 : 2);
-        std::uint64_t &known = sent[key];
+        const std::uint64_t rank = rankOf(record);
+        std::uint64_t &known = told.byKey.try_emplace(key, told.all).first->second;
         if (known >= rank) {
             continue;
         }
@@ -476,13 +500,14 @@
     }
     const Feed feed = static_cast<Feed>((*request)->feed());
     FeedState &state = this->state(feed);
-    std::map<std::string, std::uint64_t, std::less<>> sent;
+    // A whole book for each stream that begins anew fills the links that callers use.
+    ToldRanks told{lastKnownRank((*request)->known_before()), {}};
     std::uint64_t seen = 0;
     bool isFirst = true;
     while (stream->isOpen() && !mStopped) {
         const bool hasNews = isFirst || seen != state.changes;
         seen = state.changes;
-        wire::FollowUpdate update = hasNews ? news(feed, sent) : wire::FollowUpdate();
+        wire::FollowUpdate update = hasNews ? news(feed, told) : wire::FollowUpdate();
         if (!state.completeAt && update.records_size() == 0) {
             stream->reset(); // nothing is known here either
             co_return;
@@ -491,6 +516,7 @@
             state.completeAt ? now() - *state.completeAt : Microseconds(std::chrono::hours(1)));
         update.set_age_ms(static_cast<std::uint64_t>(age.count()));
         update.set_next_offset(state.book.nextOffset());
+        update.set_complete(state.isSynced);
         update.set_store_doubtful(isDoubtful(feed));
         stream->send(update);
         isFirst = false;
--- a/src/libloomjunction/gateway/feedservice.h
+++ b/src/libloomjunction/gateway/feedservice.h
@@ -99,6 +99,13 @@
         std::string bytes;
     };
 
+    /** What one follower knows: of each key the newest record, by its rank. */
+    struct ToldRanks
+    {
+        std::uint64_t all = 0; ///< every record up to this rank
+        std::map<std::string, std::uint64_t, std::less<>> byKey;
+    };
+
     struct FeedState
     {
         RecordBook book;
@@ -111,8 +118,8 @@
         Instant storeFailedAt;
         bool hasStoreFailed = false;
         bool isStoreReached = false;
-        bool isSynced = false; ///< the book holds all that the store kept once
-        bool isFirst = true; ///< no full read of the store yet in this life
+        bool isSynced = false; ///< the book holds all that the store kept before its end
+        bool isFirst = true; ///< the book was never complete yet in this life
         bool isRelayDoubtful = false; ///< what the followed process says of its store
         std::uint64_t changes = 0;
     };
@@ -130,7 +137,8 @@
     bool isDoubtful(Feed feed) const;
     static void putValue(FeedState &state, const FeedRecord &record, wire::RelayedRecord &relayed);
     bool takeUpdate(Feed feed, const wire::FollowUpdate &update);
-    wire::FollowUpdate news(Feed feed, std::map<std::string, std::uint64_t, std::less<>> &sent);
+    std::uint64_t knownBefore(Feed feed) const;
+    wire::FollowUpdate news(Feed feed, ToldRanks &told);
     void noteStore(Feed feed, bool reached, std::string_view why);
     void apply(Feed feed, const FeedRecord &record, Microseconds age);
     void applyRelayed(Feed feed, const FeedRecord &record, Microseconds age);
--- a/tests/gateway/test_feeds.cpp
+++ b/tests/gateway/test_feeds.cpp
@@ -274,6 +274,21 @@
     });
 }
 
+BOOST_AUTO_TEST_CASE(a_follower_that_comes_again_learns_of_a_removal_that_a_full_read_found)
+{
+    RelayLab().run([](RelayLab &lab) -> awaitable<void> {
+        co_await lab.waitUntilFollowing();
+        const auto book = [&]() -> const RecordBook & {
+            return lab.follower.feeds().book(Feed::Replicas);
+        };
+        co_await lab.leaveAndComeAgain();
+        lab.reader.store.hasForgotten = true; // the removal itself is not read
+        lab.reader.store.write(Feed::Replicas, "first", std::nullopt);
+        co_await lab.waitFor([&] { return book().find("first") == nullptr; });
+        BOOST_TEST(lab.follower.isLastTrusted);
+    });
+}
+
 // Two changes of a record that come together are relayed as one. Where the second said
 // what had been known before the first, it was passed over with the offset of what was
 // known: whoever had heard of the first alone then took the older meaning for the newest.
