Failing tests: two ways in which a follower keeps an older meaning for good

- A relayed value that says what is known (a, b, a) is kept silently with its new offset, while the end of the book moves past it: whoever follows this process and knows b is told that end alone.
- A reader that began after a removal does not know of it.
A follower that holds the record moves its end past the removal and keeps the record.

--- a/tests/gateway/test_feeds.cpp
+++ b/tests/gateway/test_feeds.cpp
@@ -319,6 +319,55 @@
     });
 }
 
+// A relayed change that says what is known was kept silently, while the end of the book
+// moved past it. Whoever followed and knew what came between was told that end alone.
+BOOST_AUTO_TEST_CASE(a_value_that_came_back_is_passed_on_to_whoever_knows_what_came_between)
+{
+    RelayLab lab;
+    const auto isSame = [](const FeedRecord &known, const FeedRecord &next) {
+        return known.value->front() == next.value->front();
+    };
+    FeedLab last(lab.context);
+    for (FeedLab *one : {&lab.reader, &lab.follower, &last}) {
+        one->feeds().passOver(Feed::Replicas, isSame);
+        one->store.write(Feed::Replicas, "r", "a0");
+    }
+    last.feeds().setReaders([&] { return FeedReaders{false, true, {lab.follower.address}}; });
+    lab.run([&](RelayLab &lab) -> awaitable<void> {
+        co_await lab.waitUntilFollowing();
+        last.store.write(Feed::Replicas, "first", "value");
+        last.store.write(Feed::Replicas, "r", "b0");
+        last.start();
+        const auto isB = [&] {
+            const FeedRecord *record = last.feeds().book(Feed::Replicas).find("r");
+            return record != nullptr && record->value->front() == 'b';
+        };
+        co_await lab.waitFor(isB);
+        co_await sleepFor(std::chrono::milliseconds(400)); // its stream has begun
+        lab.reader.store.write(Feed::Replicas, "r", "b0");
+        lab.reader.store.write(Feed::Replicas, "r", "a1");
+        co_await lab.waitFor([&] { return !isB(); });
+        last.stop();
+    });
+}
+
+// A reader that began after a removal does not know of it. Whoever holds the record and
+// followed was told how far the reader's book reaches, and kept the record for good.
+BOOST_AUTO_TEST_CASE(a_follower_learns_of_a_removal_that_its_reader_never_saw)
+{
+    RelayLab lab;
+    lab.reader.store.write(Feed::Replicas, "gone", "value");
+    lab.reader.store.write(Feed::Replicas, "gone", std::nullopt);
+    lab.reader.store.write(Feed::Replicas, "kept", "value");
+    lab.follower.store.write(Feed::Replicas, "gone", "value");
+    lab.run([](RelayLab &lab) -> awaitable<void> {
+        co_await lab.waitFor([&] { return lab.follower.hasHeard("kept"); });
+        co_await lab.waitFor([&] {
+            return lab.follower.feeds().book(Feed::Replicas).find("gone") == nullptr;
+        });
+    });
+}
+
 // What cannot be read may be the only word of a change: it must not count as known.
 BOOST_AUTO_TEST_CASE(a_relayed_record_that_cannot_be_read_is_read_from_the_store)
 {
