A follower learns of removals that its reader never saw, and of values that came back

Cause: (1) a value relayed as a, b, a was kept silently, so followers were told the end of the book without it; (2) a reader knows of no removal before its own full read, yet its followers moved their end past it.

Change: keeping such a record counts as a change. The server keeps from which offset on its book holds every removal; a follower whose book ends before is sent the whole book and takes away what it does not hold (FollowUpdate.whole). This also covers a follower that lost its place in the store's log.

--- a/src/libloomjunction/gateway/feedservice.cpp
+++ b/src/libloomjunction/gateway/feedservice.cpp
@@ -16,6 +16,7 @@
 
 #include <algorithm>
 #include <random>
+#include <set>
 
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
@@ -257,6 +258,7 @@
         state.learnedAt[key] = now() - age;
         announce(feed, state.book.all().find(key)->second, age);
     }
+    state.removalsFrom = batch->next;
     state.isFirst = false;
     state.isSynced = true;
     state.completeAt = now();
@@ -308,7 +310,8 @@
 void FeedService::applyRelayed(Feed feed, const FeedRecord &record, Microseconds age)
 {
     if (isPassedOver(feed, record)) {
-        state(feed).book.apply(record);
+        // Followers of this process may know what came between.
+        state(feed).changes += state(feed).book.apply(record) ? 1 : 0;
         return;
     }
     apply(feed, record, age);
@@ -421,6 +424,9 @@
         }
         applyRelayed(feed, record, Milliseconds(relayed.age_ms()));
     }
+    if (update.whole()) {
+        takeWhole(feed, update);
+    }
     // Each update holds all that the other process knows and had not told yet, so
     // this book now reaches as far as its own.
     if (update.next_offset() > state.book.nextOffset()) {
@@ -440,6 +446,27 @@
     return true;
 }
 
+// Whatever the store held no more when it was read in full is gone, although nobody
+// tells of its removal.
+void FeedService::takeWhole(Feed feed, const wire::FollowUpdate &update)
+{
+    FeedState &state = this->state(feed);
+    std::set<std::string_view> present;
+    for (const wire::RelayedRecord &relayed : update.records()) {
+        present.insert(relayed.key());
+    }
+    std::vector<std::string> gone;
+    for (const auto &[key, record] : state.book.all()) {
+        if (record.value && record.offset < update.next_offset() && !present.contains(key)) {
+            gone.push_back(key);
+        }
+    }
+    for (const std::string &key : gone) {
+        apply(feed, {key, std::nullopt, update.next_offset() - 1}, Microseconds(0));
+    }
+    state.removalsFrom = std::max(state.removalsFrom, update.next_offset());
+}
+
 // A configuration of some thousand routes has some hundred kilobytes (389 for 1,692).
 // Relayed to a dozen followers as it is, it takes the link of its reader for about a
 // second (reckoned, 40 Mbit/s), and callers' requests share that link. Compressed it is
@@ -490,6 +517,21 @@
     return update;
 }
 
+// Of removals before its own full read this process knows nothing: a follower whose
+// book ends before that is told all keys.
+wire::FollowUpdate FeedService::completeNews(Feed feed, ToldRanks &told)
+{
+    const FeedState &state = this->state(feed);
+    const bool isWhole = state.isSynced && told.knownBefore < state.removalsFrom;
+    if (isWhole) {
+        told = {};
+    }
+    wire::FollowUpdate update = news(feed, told);
+    update.set_whole(isWhole);
+    told.knownBefore = state.isSynced ? state.book.nextOffset() : told.knownBefore;
+    return update;
+}
+
 awaitable<void> FeedService::serveFollower(PeerStreamPtr stream)
 {
     const auto deadline = std::chrono::steady_clock::now() + sRequestTimeout;
@@ -501,13 +543,14 @@
     const Feed feed = static_cast<Feed>((*request)->feed());
     FeedState &state = this->state(feed);
     // A whole book for each stream that begins anew fills the links that callers use.
-    ToldRanks told{lastKnownRank((*request)->known_before()), {}};
+    const std::uint64_t knownBefore = (*request)->known_before();
+    ToldRanks told{lastKnownRank(knownBefore), knownBefore, {}};
     std::uint64_t seen = 0;
     bool isFirst = true;
     while (stream->isOpen() && !mStopped) {
         const bool hasNews = isFirst || seen != state.changes;
         seen = state.changes;
-        wire::FollowUpdate update = hasNews ? news(feed, told) : wire::FollowUpdate();
+        wire::FollowUpdate update = hasNews ? completeNews(feed, told) : wire::FollowUpdate();
         if (!state.completeAt && update.records_size() == 0) {
             stream->reset(); // nothing is known here either
             co_return;
--- a/src/libloomjunction/gateway/feedservice.h
+++ b/src/libloomjunction/gateway/feedservice.h
@@ -103,6 +103,7 @@
     struct ToldRanks
     {
         std::uint64_t all = 0; ///< every record up to this rank
+        std::uint64_t knownBefore = 0; ///< all is known before this offset
         std::map<std::string, std::uint64_t, std::less<>> byKey;
     };
 
@@ -119,6 +120,7 @@
         bool hasStoreFailed = false;
         bool isStoreReached = false;
         bool isSynced = false; ///< the book holds all that the store kept before its end
+        std::uint64_t removalsFrom = 0; ///< removals at it or later are in the book
         bool isFirst = true; ///< the book was never complete yet in this life
         bool isRelayDoubtful = false; ///< what the followed process says of its store
         std::uint64_t changes = 0;
@@ -138,7 +140,9 @@
     static void putValue(FeedState &state, const FeedRecord &record, wire::RelayedRecord &relayed);
     bool takeUpdate(Feed feed, const wire::FollowUpdate &update);
     std::uint64_t knownBefore(Feed feed) const;
+    void takeWhole(Feed feed, const wire::FollowUpdate &update);
     wire::FollowUpdate news(Feed feed, ToldRanks &told);
+    wire::FollowUpdate completeNews(Feed feed, ToldRanks &told);
     void noteStore(Feed feed, bool reached, std::string_view why);
     void apply(Feed feed, const FeedRecord &record, Microseconds age);
     void applyRelayed(Feed feed, const FeedRecord &record, Microseconds age);
