--- a/tests/gateway/directlab.h
+++ b/tests/gateway/directlab.h
@@ -9,6 +9,7 @@
 #pragma once
 
 #include "calls.h"
+#include "clock.h"
 #include "directconfig.h"
 #include "feedservice.h"
 #include "gatewayfront.h"
@@ -43,6 +44,8 @@
     bool hasForgotten = false; ///< the next read finds its records gone
     int reads = 0; ///< so far, of all feeds
     int fullReads = 0; ///< of those, of every key
+    std::array<int, sFeedCount> fullReadsOf{}; ///< the same by feed
+    Milliseconds fullReadTime{0}; ///< that each of them takes
 
     void write(Feed feed, std::string key, std::optional<std::string> value)
     {
@@ -79,6 +82,10 @@
             co_return tl::unexpected(StoreError::Refused);
         }
         ++fullReads;
+        ++fullReadsOf[static_cast<std::size_t>(feed)];
+        if (fullReadTime.count() > 0) {
+            co_await sleepFor(fullReadTime);
+        }
         const auto &log = mLogs[static_cast<std::size_t>(feed)];
         RecordBook book;
         for (const FeedRecord &record : log) {
