One process of each data centre reads the large feeds when many begin

Change: the large feeds wait for the members' feed; then a gateway follows those of its data centre that read before it by plan (two at most, a second for each, two in all), a stager one near it. Who has nothing yet and whose store has not failed says that it waits. In that time a gateway counts as reading unless a connection to it failed, it leaves, or its store failed. The plan is worked out when it is asked for. Fewer than six gateways, a first one that is gone or silent, and a store that fails: a full read as before, after the bound at most.

Not changed: after the begin a follower that loses its reader still turns to the store, which is asked from where the book ends; a second silent reader would take as long again as a draining replica may be used.

--- a/src/libloomjunction/gateway/feedservice.cpp
+++ b/src/libloomjunction/gateway/feedservice.cpp
@@ -64,6 +64,11 @@
 constexpr Milliseconds sStoreTrust{3'000};
 // Whose reads failed more lately does not read for others, if anybody else can.
 constexpr Milliseconds sReaderTrust{5'000};
+// A process that begins waits so long for others that read before it, and for each of
+// them. Longer than they need for a full read (0.4 MB, 0.2 s over 27 Mbit/s, reckoned),
+// and so short that a begin without them still ends in good time.
+constexpr Milliseconds sBeginTime{2'000};
+constexpr Milliseconds sBeginTurn{1'000};
 constexpr std::chrono::milliseconds sRequestTimeout{2'000};
 // Of records that were there at the first read: long ago, as far as is known.
 constexpr Microseconds sUnknownAge = std::chrono::hours(24);
@@ -109,6 +114,7 @@
     mChanged = std::make_unique<Signal>(kernel.executor());
     mHub->serve(std::string(sFollowPath),
                 [this](PeerStreamPtr stream) { return serveFollower(std::move(stream)); });
+    mBeginUntil = now() + sBeginTime;
     for (const Feed feed : {Feed::Operators, Feed::Replicas, Feed::Members}) {
         const bool isNeeded = mPreference == FeedPreference::Store || feed != Feed::Replicas;
         if (isNeeded) {
@@ -118,7 +124,7 @@
     return {};
 }
 
-// Once it has read everything itself, so that a start waits for nobody.
+// Once it knows everything: until then a gateway waits for no more than sBeginTime.
 bool FeedService::isFollower(Feed feed) const
 {
     return mReaders && state(feed).isSynced && !mReaders().isReader;
@@ -178,8 +184,69 @@
     return now() - *completeAt;
 }
 
+bool FeedService::isBeginning(Feed feed) const
+{
+    return !mStopped && !state(feed).isSynced && isBeginTime();
+}
+
+// For the store or for another process: neither has failed it yet.
+bool FeedService::isWaiting(Feed feed) const
+{
+    const FeedState &state = this->state(feed);
+    return !state.isSynced && !state.hasStoreFailed;
+}
+
+// Where many begin together, each would ask the store for the large feeds in full, and
+// their answers fill the links that callers use. The members' feed is small and tells
+// who reads first.
+awaitable<void> FeedService::begin(Feed feed)
+{
+    const bool knowsOthers = mReaders || mPeers;
+    if (feed == Feed::Members || !knowsOthers) {
+        co_return;
+    }
+    const FeedState &members = state(Feed::Members);
+    while (isBeginning(feed) && isWaiting(Feed::Members)) {
+        co_await mChanged->waitUntil(steadyTime(mBeginUntil));
+    }
+    while (isBeginning(feed) && members.isSynced) {
+        const bool goesOn = mPreference == FeedPreference::Store ? co_await followEarlier(feed)
+                                                                 : co_await readPeer(feed);
+        const bool hasPeers = mPreference == FeedPreference::Peers && !mPeers().empty();
+        if (!goesOn && !hasPeers) {
+            co_return;
+        }
+        if (isBeginning(feed)) {
+            co_await sleepFor(jitter(sRetryLeast, sRetryMost));
+        }
+    }
+}
+
+// Follows whoever reads before this gateway by plan; false when it is its own turn.
+awaitable<bool> FeedService::followEarlier(Feed feed)
+{
+    if (!mReaders) {
+        co_return false;
+    }
+    const std::vector<Tcp::endpoint> earlier = mReaders().earlier;
+    const auto size = static_cast<std::int64_t>(earlier.size());
+    const Instant beganAt = mBeginUntil - sBeginTime;
+    if (now() >= beganAt + sBeginTurn * size) {
+        co_return false;
+    }
+    for (const Tcp::endpoint &address : earlier) {
+        const auto left = std::chrono::duration_cast<Milliseconds>(mBeginUntil - now());
+        if (!isBeginning(feed) || co_await followPeer(feed, address, left)) {
+            break;
+        }
+    }
+    co_return true;
+}
+
 awaitable<void> FeedService::follow(Feed feed)
 {
+    co_await sleepFor(Milliseconds(0)); // the services that start after this one listen
+    co_await begin(feed);
     while (!mStopped) {
         bool good = false;
         if (isFollower(feed) && co_await followReader(feed)) {
@@ -272,6 +339,7 @@
     if (!reached) {
         state.hasStoreFailed = true;
         state.storeFailedAt = now();
+        mChanged->notify(); // others may wait for what it would have read
     }
     if (state.isStoreReached == reached) {
         return;
@@ -386,7 +454,10 @@
             co_return false;
         }
         heard = true;
-        if (!takeUpdate(feed, **update)) {
+        if ((*update)->waiting() && isBeginning(feed)) {
+            continue;
+        }
+        if ((*update)->waiting() || !takeUpdate(feed, **update)) {
             stream->reset();
             co_return false;
         }
@@ -532,6 +603,18 @@
     return update;
 }
 
+awaitable<bool> FeedService::sayWaiting(PeerStream &stream)
+{
+    wire::FollowUpdate update;
+    update.set_waiting(true);
+    stream.send(update);
+    if (!co_await stream.sentBy(std::chrono::steady_clock::now() + sTakeTime)) {
+        co_return false;
+    }
+    co_await mChanged->waitUntil(steadyTime(now() + sRelayKeepAlive));
+    co_return true;
+}
+
 awaitable<void> FeedService::serveFollower(PeerStreamPtr stream)
 {
     const auto deadline = std::chrono::steady_clock::now() + sRequestTimeout;
@@ -552,7 +635,11 @@
         seen = state.changes;
         wire::FollowUpdate update = hasNews ? completeNews(feed, told) : wire::FollowUpdate();
         if (!state.completeAt && update.records_size() == 0) {
-            stream->reset(); // nothing is known here either
+            // Nothing is known here either; soon it may be.
+            if (isWaiting(feed) && co_await sayWaiting(*stream)) {
+                continue;
+            }
+            stream->reset();
             co_return;
         }
         const auto age = std::chrono::duration_cast<Milliseconds>(
--- a/src/libloomjunction/gateway/feedservice.h
+++ b/src/libloomjunction/gateway/feedservice.h
@@ -8,6 +8,7 @@
 
 #pragma once
 
+#include "clock.h"
 #include "instant.h"
 #include "kernel.h"
 #include "peerstream.h"
@@ -41,6 +42,8 @@
     bool isReader = true; ///< this process does
     bool isRelayed = false; ///< others follow those that do
     std::vector<Tcp::endpoint> others; ///< the processes that read, this one left out
+    /** Near processes that read before this one while it begins, in order. */
+    std::vector<Tcp::endpoint> earlier;
 };
 
 /** A record that changed, as listeners get it. */
@@ -90,6 +93,8 @@
     /** A read of the store failed some seconds ago or less. */
     bool hasStoreFailed() const;
     bool isStoreReached(Feed feed) const { return state(feed).isStoreReached; }
+    /** This process began so lately that it trusts a plan more than what it heard. */
+    bool isBeginTime() const { return now() < mBeginUntil; }
     const RecordBook &book(Feed feed) const { return state(feed).book; }
 
 private:
@@ -130,6 +135,11 @@
     const FeedState &state(Feed feed) const { return mFeeds[static_cast<std::size_t>(feed)]; }
 
     awaitable<void> follow(Feed feed);
+    awaitable<void> begin(Feed feed);
+    awaitable<bool> followEarlier(Feed feed);
+    bool isBeginning(Feed feed) const;
+    bool isWaiting(Feed feed) const;
+    awaitable<bool> sayWaiting(PeerStream &stream);
     awaitable<bool> readStore(Feed feed);
     awaitable<bool> sync(Feed feed);
     awaitable<bool> readPeer(Feed feed);
@@ -162,6 +172,7 @@
     std::unique_ptr<Signal> mChanged;
     Milliseconds mReplicasPause{200};
     std::uint64_t mTurn = 0;
+    Instant mBeginUntil; ///< others are waited for till then
     bool mStopped = false;
 };
 
--- a/src/libloomjunction/gateway/memberservice.cpp
+++ b/src/libloomjunction/gateway/memberservice.cpp
@@ -40,6 +40,8 @@
 constexpr std::chrono::milliseconds sForgetEvery{500};
 // So few gateways read the store for themselves.
 constexpr std::size_t sLeastRelayed = 6;
+// Whom a gateway that begins waits for: the next in turn, if the first is gone.
+constexpr std::size_t sMostEarlier = 2;
 constexpr std::string_view sGatewayRole = "gateway";
 constexpr std::string_view sStagerRole = "stager";
 
@@ -245,16 +247,46 @@
             }
             continue;
         }
-        const auto state = mStates.find(key);
-        const bool lives
-            = state != mStates.end() && isUsable(state->second) && mMembers.contains(key);
-        if (lives && !state->second.hasStoreFailed) {
+        if (mMembers.contains(key) && mayRead(key)) {
             return key;
         }
     }
     return mKey;
 }
 
+// While this gateway begins it has heard of few, and those that begin with it cannot
+// serve callers yet: one counts as living then unless it said or showed otherwise.
+bool MemberService::mayRead(const std::string &key) const
+{
+    const auto found = mStates.find(key);
+    const bool isBeginTime = mFeeds->isBeginTime();
+    if (found == mStates.end()) {
+        return isBeginTime;
+    }
+    const GatewayState &state = found->second;
+    const bool mayLive = isBeginTime && !state.isLost && !state.isLeaving;
+    return (mayLive || isUsable(state)) && !state.hasStoreFailed;
+}
+
+// One that cannot be reached yet may only begin a moment later than this gateway.
+std::vector<Tcp::endpoint> MemberService::earlierReaders() const
+{
+    std::vector<Tcp::endpoint> earlier;
+    for (const std::string &key : mReadersNear) {
+        if (key == mKey || earlier.size() == sMostEarlier) {
+            break;
+        }
+        const auto member = mMembers.find(key);
+        const auto state = mStates.find(key);
+        const bool saidNo
+            = state != mStates.end() && (state->second.isLeaving || state->second.hasStoreFailed);
+        if (member != mMembers.end() && !saidNo) {
+            earlier.push_back(member->second.peers);
+        }
+    }
+    return earlier;
+}
+
 std::optional<Instant> MemberService::lastHeard(const std::string &key, const Member &member) const
 {
     if (!member.isGateway) {
@@ -389,13 +421,15 @@
 // gateway. So one of all reads it, one of each data centre follows that one, since
 // the links between them are narrow, and the others follow the one near them.
 // Whoever hears nothing from there, or only what is old, reads the store itself.
-FeedReaders MemberService::feedReaders() const
+FeedReaders MemberService::feedReaders()
 {
+    plan(); // who begins asks before the next scan
     FeedReaders readers;
     if (mReadersEverywhere.size() < sLeastRelayed) {
         return readers;
     }
     readers.isRelayed = true;
+    readers.earlier = earlierReaders();
     const std::string &reader = firstReader(mReadersEverywhere);
     readers.isReader = reader == mKey;
     if (readers.isReader) {
@@ -472,6 +506,7 @@
             state.configVersion = (*status)->config_version();
             state.hasStoreFailed = (*status)->store_failed();
             state.heardAt = now();
+            state.isLost = false;
             if (wasReady != (state.isReady && !state.isLeaving)) {
                 logLine(LogLevel::Info, "gateway-state",
                         {{"member", key},
@@ -481,6 +516,7 @@
             }
         }
         GatewayState &state = mStates[key];
+        state.isLost = true;
         if (state.isReady) {
             logLine(LogLevel::Warning, "gateway-lost", {{"member", key}});
             state.isReady = false;
--- a/src/libloomjunction/gateway/memberservice.h
+++ b/src/libloomjunction/gateway/memberservice.h
@@ -51,6 +51,7 @@
     std::uint64_t incarnation = 0;
     std::uint64_t configVersion = 0;
     bool hasStoreFailed = false; ///< its reads of the store, of late
+    bool isLost = false; ///< the last connection to it failed
     std::optional<Instant> heardAt;
 };
 
@@ -92,7 +93,7 @@
     /** Gateways that callers may use now, this one not among them. */
     std::vector<Member> usableGateways() const;
     /** Which gateways read the store for all. */
-    FeedReaders feedReaders() const;
+    FeedReaders feedReaders();
     /** Gateways that may be alive, this one among them. */
     std::uint32_t gatewayCount() const;
     std::uint64_t incarnation() const { return mIncarnation; }
@@ -109,6 +110,8 @@
     awaitable<void> forgetSilent();
     bool isOverdue(const std::string &key, const Member &member) const;
     static bool isUsable(const GatewayState &state);
+    bool mayRead(const std::string &key) const;
+    std::vector<Tcp::endpoint> earlierReaders() const;
     void plan();
     const std::string &firstReader(std::span<const std::string> order) const;
     std::vector<Tcp::endpoint> nearFirst(std::span<const Member> members) const;
--- a/tests/gateway/test_begin.cpp
+++ b/tests/gateway/test_begin.cpp
@@ -173,8 +173,7 @@
         return std::ranges::all_of(members, [](const auto &member) {
             return !member->isStarted
                 || (member->knows(Feed::Operators, "config")
-                    && (!member->settings.isGateway()
-                        || member->knows(Feed::Replicas, "replica")));
+                    && (!member->settings.isGateway() || member->knows(Feed::Replicas, "replica")));
         });
     }
 
@@ -205,6 +204,8 @@
 {
     FleetLab lab(8, 6);
     lab.run(&lab.firstReader("z0"));
+    // The next in turn reads for the others.
+    BOOST_TEST(lab.fullReadsOf(Feed::Operators) < static_cast<int>(lab.members.size()) / 2);
 }
 
 BOOST_AUTO_TEST_CASE(a_begin_with_a_first_reader_that_stands_still_ends_well)
