--- a/src/libloomjunction/gateway/memberservice.cpp
+++ b/src/libloomjunction/gateway/memberservice.cpp
@@ -72,6 +72,7 @@
     , mSettings(settings)
     , mKey(endpointText(settings.peers))
     , mIncarnation(incarnation)
+    , mSilence(settings.dataCentre, sStatusSilence)
 {
 }
 
@@ -297,6 +298,19 @@
     return it == mStates.end() ? std::nullopt : it->second.heardAt;
 }
 
+void MemberService::noteHeard(const std::string &key)
+{
+    mHeard[key] = now();
+    noteHeardFrom(key);
+}
+
+void MemberService::noteHeardFrom(const std::string &key)
+{
+    if (const auto member = mMembers.find(key); member != mMembers.end()) {
+        mSilence.noteHeard(member->second.dataCentre, now());
+    }
+}
+
 bool MemberService::isOverdue(const std::string &key, const Member &member) const
 {
     const auto watched = mWatched.find(key);
@@ -312,7 +326,7 @@
     }
     // One watcher after the other, so that mostly one writes.
     const auto turn = static_cast<std::int64_t>(rendezvousWeight(key, mKey) % sForgetTurns);
-    return now() - since > sForgetAfter + sForgetTurn * turn;
+    return mSilence.isOverdue(member.dataCentre, since, now(), sForgetAfter + sForgetTurn * turn);
 }
 
 // A box that is gone for good takes no record away. Members that it stays
@@ -507,6 +521,7 @@
             state.hasStoreFailed = (*status)->store_failed();
             state.heardAt = now();
             state.isLost = false;
+            noteHeardFrom(key);
             if (wasReady != (state.isReady && !state.isLeaving)) {
                 logLine(LogLevel::Info, "gateway-state",
                         {{"member", key},
--- a/src/libloomjunction/gateway/memberservice.h
+++ b/src/libloomjunction/gateway/memberservice.h
@@ -12,6 +12,7 @@
 #include "directsettings.h"
 #include "instant.h"
 #include "kernel.h"
+#include "membersilence.h"
 #include "peerstream.h"
 #include "ports.h"
 
@@ -100,7 +101,7 @@
     /** The key of the own record. */
     const std::string &key() const { return mKey; }
     /** A stager spoke to this gateway. */
-    void noteHeard(const std::string &key) { mHeard[key] = now(); }
+    void noteHeard(const std::string &key);
 
 private:
     awaitable<void> keepRecord();
@@ -108,6 +109,7 @@
     awaitable<void> followGateway(std::string key);
     awaitable<void> serveStatus(PeerStreamPtr stream);
     awaitable<void> forgetSilent();
+    void noteHeardFrom(const std::string &key);
     bool isOverdue(const std::string &key, const Member &member) const;
     static bool isUsable(const GatewayState &state);
     bool mayRead(const std::string &key) const;
@@ -134,6 +136,7 @@
     std::map<std::string, Instant> mCameAt; ///< when a record was first seen
     std::map<std::string, std::string> mAgents; ///< keys of stagers, by their engine's address
     std::map<std::string, Instant> mWatched; ///< whose loss is noticed here, and since when
+    MemberSilence mSilence;
     std::uint64_t mMemberChanges = 0;
     std::uint64_t mPlannedChanges = 0; ///< mMemberChanges when all this was worked out
     std::vector<std::string> mReadersEverywhere; ///< in order
