--- a/src/libloomjunction/gateway/feedservice.cpp
+++ b/src/libloomjunction/gateway/feedservice.cpp
@@ -18,6 +18,7 @@
 
 #include <algorithm>
 #include <random>
+#include <set>
 
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
@@ -73,10 +74,29 @@
 constexpr Milliseconds sStoreTrust{3'000};
 // Whose reads failed more lately does not read for others, if anybody else can.
 constexpr Milliseconds sReaderTrust{5'000};
+// A process that begins waits so long for others that read before it, and for each of
+// them. Longer than they need for a full read (0.4 MB, 0.2 s over 27 Mbit/s, reckoned),
+// and so short that a begin without them still ends in good time.
+constexpr Milliseconds sBeginTime{2'000};
+constexpr Milliseconds sBeginTurn{1'000};
 constexpr std::chrono::milliseconds sRequestTimeout{2'000};
 // Of records that were there at the first read: long ago, as far as is known.
 constexpr Microseconds sUnknownAge = std::chrono::hours(24);
 
+// Orders the records of one key. A removal may share its offset with the record that it
+// takes away.
+std::uint64_t rankOf(const FeedRecord &record)
+{
+    return record.offset * 2 + (record.value ? 1 : 2);
+}
+
+// Whoever knows all before an offset may miss a removal that a full read gave the
+// offset of the last record before it.
+std::uint64_t lastKnownRank(std::uint64_t knownBefore)
+{
+    return knownBefore == 0 ? 0 : knownBefore * 2 - 1;
+}
+
 Milliseconds jitter(Milliseconds least, Milliseconds most)
 {
     static std::mt19937 random{std::random_device{}()};
@@ -101,8 +121,10 @@
 tl::expected<void, std::string> FeedService::start(Kernel &kernel)
 {
     mHub = &kernel.find<PeerHub>(PeerHub::sName);
+    mChanged = std::make_unique<Signal>(kernel.executor());
     mHub->serve(std::string(sFollowPath),
                 [this](PeerStreamPtr stream) { return serveFollower(std::move(stream)); });
+    mBeginUntil = now() + sBeginTime;
     for (const Feed feed : {Feed::Operators, Feed::Replicas, Feed::Members}) {
         const bool isNeeded = mPreference == FeedPreference::Store || feed != Feed::Replicas;
         if (isNeeded) {
@@ -115,10 +137,11 @@
 void FeedService::stop()
 {
     mStopped = true;
+    mChanged->notify();
     wakeAllFollowers();
 }
 
-// Once it has read everything itself, so that a start waits for nobody.
+// Once it knows everything: until then a gateway waits for no more than sBeginTime.
 bool FeedService::isFollower(Feed feed) const
 {
     return mReaders && state(feed).isSynced && !mReaders().isReader;
@@ -208,8 +231,69 @@
     completeAt = std::max(completeAt.value_or(at), at);
 }
 
+bool FeedService::isBeginning(Feed feed) const
+{
+    return !mStopped && !state(feed).isSynced && isBeginTime();
+}
+
+// For the store or for another process: neither has failed it yet.
+bool FeedService::isWaiting(Feed feed) const
+{
+    const FeedState &state = this->state(feed);
+    return !state.isSynced && !state.hasStoreFailed;
+}
+
+// Where many begin together, each would ask the store for the large feeds in full, and
+// their answers fill the links that callers use. The members' feed is small and tells
+// who reads first.
+awaitable<void> FeedService::begin(Feed feed)
+{
+    const bool knowsOthers = mReaders || mPeers;
+    if (feed == Feed::Members || !knowsOthers) {
+        co_return;
+    }
+    const FeedState &members = state(Feed::Members);
+    while (isBeginning(feed) && isWaiting(Feed::Members)) {
+        co_await mChanged->waitUntil(steadyTime(mBeginUntil));
+    }
+    while (isBeginning(feed) && members.isSynced) {
+        const bool goesOn = mPreference == FeedPreference::Store ? co_await followEarlier(feed)
+                                                                 : co_await readPeer(feed);
+        const bool hasPeers = mPreference == FeedPreference::Peers && !mPeers().empty();
+        if (!goesOn && !hasPeers) {
+            co_return;
+        }
+        if (isBeginning(feed)) {
+            co_await sleepFor(jitter(sRetryLeast, sRetryMost));
+        }
+    }
+}
+
+// Follows whoever reads before this gateway by plan; false when it is its own turn.
+awaitable<bool> FeedService::followEarlier(Feed feed)
+{
+    if (!mReaders) {
+        co_return false;
+    }
+    const std::vector<Tcp::endpoint> earlier = mReaders().earlier;
+    const auto size = static_cast<std::int64_t>(earlier.size());
+    const Instant beganAt = mBeginUntil - sBeginTime;
+    if (now() >= beganAt + sBeginTurn * size) {
+        co_return false;
+    }
+    for (const Tcp::endpoint &address : earlier) {
+        const auto left = std::chrono::duration_cast<Milliseconds>(mBeginUntil - now());
+        if (!isBeginning(feed) || co_await followPeer(feed, address, left)) {
+            break;
+        }
+    }
+    co_return true;
+}
+
 awaitable<void> FeedService::follow(Feed feed)
 {
+    co_await sleepFor(Milliseconds(0)); // the services that start after this one listen
+    co_await begin(feed);
     while (!mStopped) {
         bool good = false;
         if (isFollower(feed) && co_await followReader(feed)) {
@@ -297,6 +381,7 @@
         state.learnedAt[key] = now() - std::min(age, sUnknownAge);
         announce(feed, state.book.all().find(key)->second, age);
     }
+    state.removalsFrom = batch->next;
     state.isFirst = false;
     state.isSynced = true;
     state.wasEarly = false;
@@ -311,6 +396,7 @@
     if (!reached) {
         state.hasStoreFailed = true;
         state.storeFailedAt = now();
+        mChanged->notify(); // others may wait for what it would have read
     }
     if (state.isStoreReached == reached) {
         return;
@@ -343,6 +429,19 @@
     announce(feed, record, age);
 }
 
+// Changes that came together are relayed as the last of them. One that says what is
+// known may have had another between: its offset must be kept, or whoever heard of the
+// other would never learn that it holds no more.
+void FeedService::applyRelayed(Feed feed, const FeedRecord &record, Microseconds age)
+{
+    if (isPassedOver(feed, record)) {
+        // Followers of this process may know what came between.
+        state(feed).changes += state(feed).book.apply(record) ? 1 : 0;
+        return;
+    }
+    apply(feed, record, age);
+}
+
 void FeedService::announce(Feed feed, const FeedRecord &record, Microseconds age)
 {
     FeedState &state = this->state(feed);
@@ -398,6 +497,7 @@
     wire::FollowRequest request;
     request.set_feed(static_cast<std::uint32_t>(feed));
     request.set_box(mBox);
+    request.set_known_before(knownBefore(feed));
     const bool asFollower = isFollower(feed);
     const Milliseconds mostAge = feed == Feed::Members ? sRelayedMembersAge : sRelayedAge;
     const Instant until = now() + longest;
@@ -418,7 +518,15 @@
         if (!update && update.error() == PeerError::TimedOut && now() < lostAt) {
             continue; // the next question is due
         }
-        const bool isGood = update && *update && takeUpdate(feed, **update, questions);
+        const bool isWaiting = update && *update && (*update)->waiting();
+        if (isWaiting && isBeginning(feed)) {
+            questions.answered();
+            heardAt = now();
+            heard = true;
+            continue;
+        }
+        const bool isGood
+            = !isWaiting && update && *update && takeUpdate(feed, **update, questions);
         if (!isGood || (asFollower && Milliseconds((*update)->age_ms()) > mostAge)) {
             stream->reset();
             co_return false;
@@ -460,20 +568,27 @@
     state.isRelayDoubtful = update.store_doubtful();
     // Ages were told when the update was sent. It may have been on its way for long, so
     // they count from the last question that the sender had heard by then.
-    const bool isAnswer = update.records().empty();
+    const bool isAnswer = update.records().empty() && !update.whole();
     const std::optional<Instant> saidAt = isAnswer ? questions.answered() : questions.heard();
     for (const wire::RelayedRecord &relayed : update.records()) {
         const auto record = readRelayed(feed, relayed);
         if (!record) {
             return false;
         }
-        apply(feed, *record, now() - *saidAt + Milliseconds(relayed.age_ms()));
+        applyRelayed(feed, *record, now() - *saidAt + Milliseconds(relayed.age_ms()));
+    }
+    if (update.whole()) {
+        takeWhole(feed, update, now() - *saidAt);
     }
     // Each update holds all that the other process knows and had not told yet, so
     // this book now reaches as far as its own.
     if (update.next_offset() > state.book.nextOffset()) {
         state.book.setNextOffset(update.next_offset());
     }
+    if (update.complete()) {
+        state.isSynced = true;
+        state.isFirst = false;
+    }
     if (saidAt) {
         noteComplete(feed, *saidAt - Milliseconds(update.age_ms()));
     }
@@ -483,6 +598,27 @@
     return true;
 }
 
+// Whatever the store held no more when it was read in full is gone, although nobody
+// tells of its removal.
+void FeedService::takeWhole(Feed feed, const wire::FollowUpdate &update, Microseconds age)
+{
+    FeedState &state = this->state(feed);
+    std::set<std::string_view> present;
+    for (const wire::RelayedRecord &relayed : update.records()) {
+        present.insert(relayed.key());
+    }
+    std::vector<std::string> gone;
+    for (const auto &[key, record] : state.book.all()) {
+        if (record.value && record.offset < update.next_offset() && !present.contains(key)) {
+            gone.push_back(key);
+        }
+    }
+    for (const std::string &key : gone) {
+        apply(feed, {key, std::nullopt, update.next_offset() - 1}, age);
+    }
+    state.removalsFrom = std::max(state.removalsFrom, update.next_offset());
+}
+
 // A configuration of some thousand routes has some hundred kilobytes (389 for 1,692).
 // Relayed to a dozen followers as it is, it takes the link of its reader for about a
 // second (reckoned, 40 Mbit/s), and callers' requests share that link. Compressed it is
@@ -503,6 +639,13 @@
     relayed.set_compressed(kept.bytes);
 }
 
+// A book that never was complete has gaps before its end.
+std::uint64_t FeedService::knownBefore(Feed feed) const
+{
+    const FeedState &state = this->state(feed);
+    return state.isSynced ? state.book.nextOffset() : 0;
+}
+
 // What a follower has not been told yet.
 wire::FollowUpdate FeedService::news(Follower &follower)
 {
@@ -513,9 +656,9 @@
     }
     follower.seen = state.changes;
     for (const auto &[key, record] : state.book.all()) {
-        // A removal may share its offset with the record that it takes away.
-        const std::uint64_t rank = record.offset * 2 + (record.value ? 1 : 2);
-        std::uint64_t &known = follower.sent[key];
+        const std::uint64_t rank = rankOf(record);
+        ToldRanks &told = follower.told;
+        std::uint64_t &known = told.byKey.try_emplace(key, told.all).first->second;
         if (known >= rank) {
             continue;
         }
@@ -536,6 +679,7 @@
     const auto age = std::chrono::ceil<Milliseconds>(this->age(feed).value_or(sUnknownAge));
     update.set_age_ms(static_cast<std::uint64_t>(age.count()));
     update.set_next_offset(state(feed).book.nextOffset());
+    update.set_complete(state(feed).isSynced);
     update.set_store_doubtful(isDoubtful(feed));
 }
 
@@ -543,19 +687,53 @@
 // is known that could be told.
 bool FeedService::tell(Follower &follower)
 {
-    wire::FollowUpdate update = news(follower);
+    wire::FollowUpdate update = completeNews(follower);
     if (!state(follower.feed).completeAt && update.records().empty()) {
-        return false;
+        return sayWaiting(follower);
     }
     putState(follower.feed, update);
-    if (!update.records().empty()) {
+    if (!update.records().empty() || update.whole()) {
         follower.stream->send(update);
         update.clear_records();
+        update.set_whole(false);
     }
+    answerQuestions(follower, update);
+    return true;
+}
+
+void FeedService::answerQuestions(Follower &follower, const wire::FollowUpdate &answer)
+{
     for (; follower.openQuestions > 0; --follower.openQuestions) {
-        follower.stream->send(update);
+        follower.stream->send(answer);
     }
-    return true;
+}
+
+// Nothing is known here yet; false when nothing will be soon.
+bool FeedService::sayWaiting(Follower &follower) const
+{
+    wire::FollowUpdate update;
+    update.set_waiting(true);
+    answerQuestions(follower, update);
+    return isWaiting(follower.feed);
+}
+
+// Of removals before its own full read this process knows nothing: a follower whose
+// book ends before that is told all keys.
+wire::FollowUpdate FeedService::completeNews(Follower &follower)
+{
+    const FeedState &state = this->state(follower.feed);
+    if (follower.seen == state.changes) {
+        return {};
+    }
+    ToldRanks &told = follower.told;
+    const bool isWhole = state.isSynced && told.knownBefore < state.removalsFrom;
+    if (isWhole) {
+        told = {};
+    }
+    wire::FollowUpdate update = news(follower);
+    update.set_whole(isWhole);
+    told.knownBefore = state.isSynced ? state.book.nextOffset() : told.knownBefore;
+    return update;
 }
 
 bool FeedService::hasToTell(const Follower &follower) const
@@ -565,6 +743,7 @@
 
 void FeedService::wakeFollowers(Feed feed)
 {
+    mChanged->notify();
     for (const FollowerPtr &follower : mFollowers) {
         if (follower->feed == feed) {
             follower->woken.notify();
@@ -621,8 +800,11 @@
         co_return;
     }
     const auto executor = stream->connection()->executor();
-    const auto follower = std::make_shared<Follower>(
-        Follower{stream, static_cast<Feed>((*request)->feed()), {}, {}, 1, Signal(executor)});
+    // A whole book for each stream that begins anew fills the links that callers use.
+    const std::uint64_t knownBefore = (*request)->known_before();
+    ToldRanks told{lastKnownRank(knownBefore), knownBefore, {}};
+    const auto follower = std::make_shared<Follower>(Follower{
+        stream, static_cast<Feed>((*request)->feed()), std::move(told), {}, 1, Signal(executor)});
     mFollowers.insert(follower);
     asio::co_spawn(executor, hearQuestions(follower), asio::detached);
     co_await tellFollower(follower);
--- a/src/libloomjunction/gateway/feedservice.h
+++ b/src/libloomjunction/gateway/feedservice.h
@@ -8,6 +8,7 @@
 
 #pragma once
 
+#include "clock.h"
 #include "instant.h"
 #include "kernel.h"
 #include "peerstream.h"
@@ -45,6 +46,8 @@
     bool isReader = true; ///< this process does
     bool isRelayed = false; ///< others follow those that do
     std::vector<Tcp::endpoint> others; ///< the processes that read, this one left out
+    /** Near processes that read before this one while it begins, in order. */
+    std::vector<Tcp::endpoint> earlier;
 };
 
 /** A record that changed, as listeners get it. */
@@ -96,6 +99,8 @@
     /** A read of the store failed some seconds ago or less. */
     bool hasStoreFailed() const;
     bool isStoreReached(Feed feed) const { return state(feed).isStoreReached; }
+    /** This process began so lately that it trusts a plan more than what it heard. */
+    bool isBeginTime() const { return now() < mBeginUntil; }
     const RecordBook &book(Feed feed) const { return state(feed).book; }
 
 private:
@@ -105,6 +110,14 @@
         std::string bytes;
     };
 
+    /** What one follower knows: of each key the newest record, by its rank. */
+    struct ToldRanks
+    {
+        std::uint64_t all = 0; ///< every record up to this rank
+        std::uint64_t knownBefore = 0; ///< all is known before this offset
+        std::map<std::string, std::uint64_t, std::less<>> byKey;
+    };
+
     struct FeedState
     {
         RecordBook book;
@@ -117,8 +130,9 @@
         Instant storeFailedAt;
         bool hasStoreFailed = false;
         bool isStoreReached = false;
-        bool isSynced = false; ///< the book holds all that the store kept once
-        bool isFirst = true; ///< no full read of the store yet in this life
+        bool isSynced = false; ///< the book holds all that the store kept before its end
+        std::uint64_t removalsFrom = 0; ///< removals at it or later are in the book
+        bool isFirst = true; ///< the book was never complete yet in this life
         bool isRelayDoubtful = false; ///< what the followed process says of its store
         bool wasEarly = false; ///< the last read of the store came back before its wait
         std::uint64_t changes = 0;
@@ -129,7 +143,7 @@
     {
         PeerStreamPtr stream;
         Feed feed = Feed::Operators;
-        std::map<std::string, std::uint64_t, std::less<>> sent; ///< by key: the newest rank
+        ToldRanks told;
         std::optional<std::uint64_t> seen; ///< changes of the feed that it was told
         std::uint32_t openQuestions = 1; ///< the one that opened the stream is the first
         Signal woken;
@@ -140,6 +154,10 @@
     const FeedState &state(Feed feed) const { return mFeeds[static_cast<std::size_t>(feed)]; }
 
     awaitable<void> follow(Feed feed);
+    awaitable<void> begin(Feed feed);
+    awaitable<bool> followEarlier(Feed feed);
+    bool isBeginning(Feed feed) const;
+    bool isWaiting(Feed feed) const;
     awaitable<bool> readStore(Feed feed);
     awaitable<bool> sync(Feed feed);
     awaitable<bool> readPeer(Feed feed);
@@ -149,11 +167,16 @@
     bool isDoubtful(Feed feed) const;
     static void putValue(FeedState &state, const FeedRecord &record, wire::RelayedRecord &relayed);
     bool takeUpdate(Feed feed, const wire::FollowUpdate &update, OpenQuestions &questions);
+    void takeWhole(Feed feed, const wire::FollowUpdate &update, Microseconds age);
     std::optional<FeedRecord> readRelayed(Feed feed, const wire::RelayedRecord &relayed) const;
+    std::uint64_t knownBefore(Feed feed) const;
     void noteComplete(Feed feed, Instant at);
     wire::FollowUpdate news(Follower &follower);
+    wire::FollowUpdate completeNews(Follower &follower);
     void putState(Feed feed, wire::FollowUpdate &update) const;
     bool tell(Follower &follower);
+    bool sayWaiting(Follower &follower) const;
+    static void answerQuestions(Follower &follower, const wire::FollowUpdate &answer);
     bool hasToTell(const Follower &follower) const;
     awaitable<void> hearQuestions(FollowerPtr follower);
     awaitable<void> tellFollower(FollowerPtr follower);
@@ -161,6 +184,7 @@
     void wakeAllFollowers();
     void noteStore(Feed feed, bool reached, std::string_view why);
     void apply(Feed feed, const FeedRecord &record, Microseconds age);
+    void applyRelayed(Feed feed, const FeedRecord &record, Microseconds age);
     void announce(Feed feed, const FeedRecord &record, Microseconds age);
     awaitable<void> serveFollower(PeerStreamPtr stream);
     Milliseconds waitOf(Feed feed) const;
@@ -176,10 +200,12 @@
     PeerAddresses mPeers;
     Readers mReaders;
     std::array<FeedState, sFeedCount> mFeeds;
+    std::unique_ptr<Signal> mChanged; ///< something was learned, or the store was lost
     std::set<FollowerPtr> mFollowers;
     Milliseconds mReplicasPause{200};
     Milliseconds mOperatorsWait{2'000};
     std::uint64_t mTurn = 0;
+    Instant mBeginUntil; ///< others are waited for till then
     bool mStopped = false;
 };
 
--- a/src/libloomjunction/gateway/memberservice.h
+++ b/src/libloomjunction/gateway/memberservice.h
@@ -13,6 +13,7 @@
 #include "directsettings.h"
 #include "instant.h"
 #include "kernel.h"
+#include "membersilence.h"
 #include "peerstream.h"
 #include "ports.h"
 
@@ -53,6 +54,7 @@
     std::uint64_t incarnation = 0;
     std::uint64_t configVersion = 0;
     bool hasStoreFailed = false; ///< its reads of the store, of late
+    bool isLost = false; ///< the last connection to it failed
     std::optional<Instant> heardAt;
 };
 
@@ -94,14 +96,14 @@
     /** The other gateways, as callers may or may not use them now. */
     std::vector<AddressPlace> addressPlaces() const;
     /** Which gateways read the store for all. */
-    FeedReaders feedReaders() const;
+    FeedReaders feedReaders();
     /** Gateways that may be alive, this one among them. */
     std::uint32_t gatewayCount() const;
     std::uint64_t incarnation() const { return mIncarnation; }
     /** The key of the own record. */
     const std::string &key() const { return mKey; }
     /** A stager spoke to this gateway. */
-    void noteHeard(const std::string &key) { mHeard[key] = now(); }
+    void noteHeard(const std::string &key);
 
 private:
     awaitable<void> keepRecord();
@@ -109,9 +111,12 @@
     awaitable<void> followGateway(std::string key);
     awaitable<void> serveStatus(PeerStreamPtr stream);
     awaitable<void> forgetSilent();
+    void noteHeardFrom(const std::string &key);
     bool isOverdue(const std::string &key, const Member &member) const;
     GatewayStanding standingOf(const std::string &key) const;
     static bool isUsable(const GatewayState &state);
+    bool mayRead(const std::string &key) const;
+    std::vector<Tcp::endpoint> earlierReaders() const;
     void plan();
     const std::string &firstReader(std::span<const std::string> order) const;
     std::vector<Tcp::endpoint> nearFirst(std::span<const Member> members) const;
@@ -134,6 +139,7 @@
     std::map<std::string, Instant> mCameAt; ///< when a record was first seen
     std::map<std::string, std::string> mAgents; ///< keys of stagers, by their engine's address
     std::map<std::string, Instant> mWatched; ///< whose loss is noticed here, and since when
+    MemberSilence mSilence;
     std::uint64_t mMemberChanges = 0;
     std::uint64_t mPlannedChanges = 0; ///< mMemberChanges when all this was worked out
     std::vector<std::string> mReadersEverywhere; ///< in order
--- a/tests/gateway/directlab.h
+++ b/tests/gateway/directlab.h
@@ -10,6 +10,7 @@
 
 #include "addressfront.h"
 #include "calls.h"
+#include "clock.h"
 #include "directconfig.h"
 #include "feedservice.h"
 #include "gatewayfront.h"
@@ -47,6 +48,8 @@
     std::array<std::vector<Milliseconds>, sFeedCount> waits; ///< that reads so far asked for
     std::size_t mostAtOnce = 1'000'000; ///< records that one read gives
     Milliseconds onTheWay{0}; ///< every answer takes so long after the store looked
+    std::array<int, sFeedCount> fullReadsOf{}; ///< the same by feed
+    Milliseconds fullReadTime{0}; ///< that each of them takes
 
     void write(Feed feed, std::string key, std::optional<std::string> value)
     {
@@ -87,6 +90,10 @@
             co_return tl::unexpected(StoreError::Refused);
         }
         ++fullReads;
+        ++fullReadsOf[static_cast<std::size_t>(feed)];
+        if (fullReadTime.count() > 0) {
+            co_await sleepFor(fullReadTime);
+        }
         const auto &log = mLogs[static_cast<std::size_t>(feed)];
         RecordBook book;
         for (const FeedRecord &record : log) {
