Loop watch: a process says when its event loop stood still, for how long and in what

Cause: from the logs nobody could tell a process that stood still from a link that did; both show as silence at the other end.

Every 50 ms a timer looks how much later than due it runs. Each look is an observation of loom_loop_late_ms (quantiles); 100 ms or more are a line loop-stood-still with ms, cpuMs (processor time of the process since the look before: as much as ms is work, far less is a process without processor) and in, and a count of loom_loop_stood_still_total by the step. The long steps of the feeds, the configuration and the store's reads name themselves by a scope guard (LoopStep); time of a step within another counts for the inner one.

What the watch itself costs was not measured.

--- a/src/libloomjunction/gateway/directconfig.cpp
+++ b/src/libloomjunction/gateway/directconfig.cpp
@@ -11,6 +11,7 @@
 #include "clock.h"
 #include "feedservice.h"
 #include "jsonlog.h"
+#include "loopstep.h"
 #include "overload.h"
 
 namespace Loom {
@@ -57,6 +58,7 @@
     if (!change.record.value) {
         return; // what was accepted stays in force
     }
+    const LoopStep step("reading an operators' record");
     auto record = mRecords.operatorRecord(change.record.key, *change.record.value);
     if (!record) {
         logLine(LogLevel::Error, "operator-record-refused",
@@ -75,6 +77,7 @@
 
 void DirectConfig::install(RouteConfig config, const FeedChange &change)
 {
+    const LoopStep step("installing a configuration");
     const std::uint64_t before = mTable ? mTable->version() : 0;
     const bool isNewer = !mTable || config.version > before;
     logLine(LogLevel::Info, isNewer ? "config-in-force" : "config-passed-over",
--- a/src/libloomjunction/gateway/feedservice.cpp
+++ b/src/libloomjunction/gateway/feedservice.cpp
@@ -11,6 +11,7 @@
 #include "clock.h"
 #include "compression.h"
 #include "jsonlog.h"
+#include "loopstep.h"
 #include "peerhub.h"
 #include "wire.pb.h"
 
@@ -238,6 +239,7 @@
     }
     noteStore(feed, true, "full read");
     // How long ago old records were written is not known at the first read.
+    const LoopStep step("taking a full read");
     const Microseconds age = state.isFirst ? sUnknownAge : Microseconds(0);
     for (const std::string &key : state.book.applySnapshot(batch->records, batch->next)) {
         state.learnedAt[key] = now() - age;
@@ -376,6 +378,7 @@
 // nothing then, so that the store is asked for the same records.
 bool FeedService::takeUpdate(Feed feed, const wire::FollowUpdate &update)
 {
+    const LoopStep step("taking an update");
     FeedState &state = this->state(feed);
     state.isRelayDoubtful = update.store_doubtful();
     for (const wire::RelayedRecord &relayed : update.records()) {
@@ -424,6 +427,7 @@
     }
     CompressedValue &kept = state.compressed[record.key];
     if (kept.bytes.empty() || kept.offset != record.offset) {
+        const LoopStep step("compressing a record");
         kept = {record.offset, compressed(*record.value)};
     }
     relayed.set_compressed(kept.bytes);
@@ -433,6 +437,7 @@
 wire::FollowUpdate FeedService::news(Feed feed,
                                      std::map<std::string, std::uint64_t, std::less<>> &sent)
 {
+    const LoopStep step("building an update for a follower");
     FeedState &state = this->state(feed);
     wire::FollowUpdate update;
     for (const auto &[key, record] : state.book.all()) {
--- a/src/loomjunctiond/directdaemon.cpp
+++ b/src/loomjunctiond/directdaemon.cpp
@@ -14,6 +14,7 @@
 #include "gatewayfront.h"
 #include "jsonlog.h"
 #include "loadreporter.h"
+#include "loopwatch.h"
 #include "memberservice.h"
 #include "peerhub.h"
 #include "platform.h"
@@ -71,6 +72,7 @@
 void DirectDaemon::addServices()
 {
     const auto preference = mSettings.isGateway() ? FeedPreference::Store : FeedPreference::Peers;
+    mKernel.add(std::make_unique<LoopWatch>(mMetrics));
     mKernel.add(std::make_unique<PeerHub>(mSettings.peers));
     mKernel.add(std::make_unique<FeedService>(*mPorts.store, mSettings.box, preference));
     mKernel.add(std::make_unique<MemberService>(*mPorts.store, mSettings, mIncarnation));
