Bytes by purpose: what a process sends to others, and what the store answers

Cause: that a link between data centres stood full was seen only by the silence at its end; nothing said which of our own streams had filled it.

peer_bytes counts what streams hand over to their connection, by path and by whether the other end is in the own data centre. Heads and frames of HTTP/2 are not in it, nor what a reset stream still had queued. The counter is looked up once a stream; a hand-over costs one addition. The place is known by the members on the other end's machine, since a connection comes from any port; a machine with members of several data centres, or with none that is known when the stream opens, is unknown.

store_bytes counts the bodies of the store's answers by feed and kind of read (full, onward); answers of reads that failed are not in it.

What counting costs was not measured.

--- a/src/libloomjunction/gateway/feedservice.cpp
+++ b/src/libloomjunction/gateway/feedservice.cpp
@@ -12,6 +12,7 @@
 #include "compression.h"
 #include "jsonlog.h"
 #include "loopstep.h"
+#include "metrics.h"
 #include "peerhub.h"
 #include "wire.pb.h"
 
@@ -212,6 +213,7 @@
         }
         gaveSomething = true;
         noteStore(feed, true, "read");
+        countRead(feed, "onward", batch->bytes);
         for (const FeedRecord &record : batch->records) {
             apply(feed, record, Microseconds(0));
         }
@@ -238,6 +240,7 @@
         co_return false;
     }
     noteStore(feed, true, "full read");
+    countRead(feed, "full", batch->bytes);
     // How long ago old records were written is not known at the first read.
     const LoopStep step("taking a full read");
     const Microseconds age = state.isFirst ? sUnknownAge : Microseconds(0);
@@ -267,6 +270,14 @@
             {{"feed", feedName(feed)}, {"why", why}, {"offset", state.book.nextOffset()}});
 }
 
+void FeedService::countRead(Feed feed, std::string_view kind, std::uint64_t bytes)
+{
+    if (mMetrics != nullptr) {
+        mMetrics->count("store_bytes", std::string(feedName(feed)) + ", " + std::string(kind),
+                        bytes);
+    }
+}
+
 // Replicas write every second or so that they are alive. With hundreds of them,
 // relaying that to every process would take more of a box than all else.
 bool FeedService::isPassedOver(Feed feed, const FeedRecord &record) const
--- a/src/libloomjunction/gateway/feedservice.h
+++ b/src/libloomjunction/gateway/feedservice.h
@@ -22,6 +22,7 @@
 
 namespace Loom {
 
+class Metrics;
 class PeerHub;
 namespace wire {
 class FollowUpdate;
@@ -72,6 +73,8 @@
     tl::expected<void, std::string> start(Kernel &kernel) override;
     void stop() override { mStopped = true; }
 
+    /** Counts what the store's answers hold as `store_bytes`, by feed and kind of read. */
+    void countInto(Metrics &metrics) { mMetrics = &metrics; }
     /** Calls @p listener for every change of @p feed; add before start. */
     void listen(Feed feed, Listener listener);
     /** Records that say the same again are neither told to listeners nor relayed. */
@@ -132,6 +135,7 @@
     bool takeUpdate(Feed feed, const wire::FollowUpdate &update);
     wire::FollowUpdate news(Feed feed, std::map<std::string, std::uint64_t, std::less<>> &sent);
     void noteStore(Feed feed, bool reached, std::string_view why);
+    void countRead(Feed feed, std::string_view kind, std::uint64_t bytes);
     void apply(Feed feed, const FeedRecord &record, Microseconds age);
     void announce(Feed feed, const FeedRecord &record, Microseconds age);
     awaitable<void> serveFollower(PeerStreamPtr stream);
@@ -143,6 +147,7 @@
     std::string mBox;
     FeedPreference mPreference;
     PeerHub *mHub = nullptr;
+    Metrics *mMetrics = nullptr; ///< null: nothing is counted
     PeerAddresses mPeers;
     Readers mReaders;
     std::array<FeedState, sFeedCount> mFeeds;
--- a/src/libloomjunction/gateway/memberservice.cpp
+++ b/src/libloomjunction/gateway/memberservice.cpp
@@ -80,6 +80,7 @@
     mChanged = std::make_unique<Signal>(kernel.executor());
     mFeeds->listen(Feed::Members, [this](const FeedChange &change) { take(change); });
     mFeeds->setPeers([this] { return gatewayAddresses(); });
+    mHub->setPlaces([this](const Tcp::endpoint &remote) { return placeOf(remote); });
     asio::co_spawn(kernel.executor(), keepRecord(), asio::detached);
     if (mSettings.isGateway()) {
         mFeeds->setReaders([this] { return feedReaders(); });
@@ -373,6 +374,23 @@
     return near;
 }
 
+// By the machine alone: whoever connects to this process does so from any port.
+PeerPlace MemberService::placeOf(const Tcp::endpoint &remote) const
+{
+    bool isNear = false;
+    bool isFar = false;
+    for (const auto &[key, member] : mMembers) {
+        if (member.peers.address() == remote.address()) {
+            const bool isOwn = member.dataCentre == mSettings.dataCentre;
+            (isOwn ? isNear : isFar) = true;
+        }
+    }
+    if (isNear == isFar) {
+        return PeerPlace::Unknown; // no member is there, or members of several
+    }
+    return isNear ? PeerPlace::OwnDataCentre : PeerPlace::OtherDataCentre;
+}
+
 std::vector<Member> MemberService::usableGateways() const
 {
     std::vector<Member> usable;
--- a/src/libloomjunction/gateway/memberservice.h
+++ b/src/libloomjunction/gateway/memberservice.h
@@ -28,6 +28,7 @@
 class FeedService;
 struct FeedReaders;
 class PeerHub;
+enum class PeerPlace : std::uint8_t;
 struct FeedChange;
 
 /** One process of the system, as its record in the store tells. */
@@ -93,6 +94,8 @@
     std::vector<Member> usableGateways() const;
     /** Which gateways read the store for all. */
     FeedReaders feedReaders() const;
+    /** Where the process is that a connection from or to @p remote reaches. */
+    PeerPlace placeOf(const Tcp::endpoint &remote) const;
     /** Gateways that may be alive, this one among them. */
     std::uint32_t gatewayCount() const;
     std::uint64_t incarnation() const { return mIncarnation; }
--- a/src/libloomjunction/gateway/peerhub.cpp
+++ b/src/libloomjunction/gateway/peerhub.cpp
@@ -9,6 +9,7 @@
 #include "peerhub.h"
 
 #include "jsonlog.h"
+#include "metrics.h"
 
 namespace Loom {
 
@@ -30,6 +31,19 @@
 
 } // namespace
 
+std::string_view peerPlaceName(PeerPlace place)
+{
+    switch (place) {
+    case PeerPlace::Unknown:
+        return "data centre unknown";
+    case PeerPlace::OwnDataCentre:
+        return "own data centre";
+    case PeerPlace::OtherDataCentre:
+        return "other data centre";
+    }
+    return "";
+}
+
 PeerHub::PeerHub(Tcp::endpoint address)
     : mAddress(std::move(address))
 {
@@ -64,12 +78,30 @@
         stream->reset();
         co_return;
     }
+    countBytes(*stream);
     co_await it->second(std::move(stream));
 }
 
 awaitable<PeerStreamPtr> PeerHub::open(Tcp::endpoint address, std::string path)
 {
-    co_return co_await mLinks->open(std::move(address), std::move(path));
+    PeerStreamPtr stream = co_await mLinks->open(std::move(address), std::move(path));
+    if (stream) {
+        countBytes(*stream);
+    }
+    co_return stream;
+}
+
+// Resolved once a stream: what is sent costs one addition then.
+void PeerHub::countBytes(PeerStream &stream) const
+{
+    if (mMetrics == nullptr) {
+        return;
+    }
+    const Tcp::endpoint &remote = stream.connection()->remote();
+    const PeerPlace place = mPlaceOf ? mPlaceOf(remote) : PeerPlace::Unknown;
+    const std::string purpose = stream.path().substr(1); // paths begin with a slash
+    const std::string label = purpose + ", " + std::string(peerPlaceName(place));
+    stream.countInto(mMetrics->counted("peer_bytes", label));
 }
 
 } // namespace Loom
--- a/src/libloomjunction/gateway/peerhub.h
+++ b/src/libloomjunction/gateway/peerhub.h
@@ -20,18 +20,39 @@
 
 namespace Loom {
 
+class Metrics;
+
+/** Where the process at the other end of a stream is. */
+enum class PeerPlace : std::uint8_t
+{
+    Unknown,
+    OwnDataCentre,
+    OtherDataCentre,
+};
+std::string_view peerPlaceName(PeerPlace place);
+
 /** Connections to and from the other processes of the system; streams by path. */
 class PeerHub final : public Service
 {
 public:
     static constexpr std::string_view sName = "peer-hub";
 
+    using PlaceOf = std::function<PeerPlace(const Tcp::endpoint &remote)>;
+
     explicit PeerHub(Tcp::endpoint address);
 
     std::string_view name() const override { return sName; }
     tl::expected<void, std::string> start(Kernel &kernel) override;
     void stop() override;
 
+    /**
+     * Counts the bytes that streams send as `peer_bytes`, by path and place of the
+     * other end; without heads and frames of HTTP/2.
+     */
+    void countInto(Metrics &metrics) { mMetrics = &metrics; }
+    /** Tells places; asked once a stream, without it all are unknown. */
+    void setPlaces(PlaceOf placeOf) { mPlaceOf = std::move(placeOf); }
+
     /** Runs @p handler for each stream that another process opens with @p path. */
     void serve(std::string path, PeerStreamHandler handler);
 
@@ -40,8 +61,11 @@
 
 private:
     awaitable<void> dispatch(PeerStreamPtr stream);
+    void countBytes(PeerStream &stream) const;
 
     Tcp::endpoint mAddress;
+    Metrics *mMetrics = nullptr; ///< null: nothing is counted
+    PlaceOf mPlaceOf;
     std::unique_ptr<PeerServer> mServer;
     std::map<std::string, PeerStreamHandler, std::less<>> mHandlers;
     std::unique_ptr<PeerLinks> mLinks;
--- a/src/libloomjunction/gateway/ports.h
+++ b/src/libloomjunction/gateway/ports.h
@@ -54,6 +54,7 @@
 {
     std::vector<FeedRecord> records;
     std::uint64_t next = 0; ///< offset behind the records
+    std::uint64_t bytes = 0; ///< of the store's answers
 };
 
 /** The platform's store. */
--- a/src/libloomjunction/kernel/metrics.cpp
+++ b/src/libloomjunction/kernel/metrics.cpp
@@ -104,6 +104,11 @@
     return it == mCounters.end() ? 0 : it->second;
 }
 
+std::uint64_t &Metrics::counted(std::string_view name, std::string_view label)
+{
+    return mCounters[{std::string(name), std::string(label)}];
+}
+
 std::string Metrics::text() const
 {
     std::string out;
--- a/src/libloomjunction/kernel/metrics.h
+++ b/src/libloomjunction/kernel/metrics.h
@@ -55,6 +55,8 @@
     void observe(std::string_view name, std::string_view label, double value);
 
     std::uint64_t counter(std::string_view name, std::string_view label = {}) const;
+    /** The counter itself, for what counts often; it lives as long as this. */
+    std::uint64_t &counted(std::string_view name, std::string_view label = {});
     /** All metrics in the text exposition format. */
     std::string text() const;
 
--- a/src/libloomjunction/net/peerconnection.cpp
+++ b/src/libloomjunction/net/peerconnection.cpp
@@ -123,6 +123,7 @@
 {
     boost::system::error_code ignored;
     mSocket.set_option(Tcp::no_delay(true), ignored);
+    mRemote = mSocket.remote_endpoint(ignored);
 
     nghttp2_session_callbacks *callbacks = nullptr;
     nghttp2_session_callbacks_new(&callbacks);
--- a/src/libloomjunction/net/peerconnection.h
+++ b/src/libloomjunction/net/peerconnection.h
@@ -49,6 +49,8 @@
     /** Tells the other side to open no more streams; those open go on. */
     void goAway();
     void close();
+    /** Of the other side; not set when it was gone already. */
+    const Tcp::endpoint &remote() const { return mRemote; }
     asio::any_io_executor executor() { return mSocket.get_executor(); }
 
     /** Counts over all connections of the process, for metrics and the control bench. */
@@ -73,6 +75,7 @@
     PeerStreamPtr find(std::int32_t id) const;
 
     Tcp::socket mSocket;
+    Tcp::endpoint mRemote;
     bool mIsServer;
     PeerStreamHandler mHandler;
     PeerLimits mLimits;
--- a/src/libloomjunction/net/peerstream.cpp
+++ b/src/libloomjunction/net/peerstream.cpp
@@ -161,6 +161,9 @@
     const std::size_t given = std::min(size, waiting);
     std::memcpy(buffer, mOut.data() + mOutBegin, given);
     mOutBegin += given;
+    if (mSentBytes != nullptr) {
+        *mSentBytes += given;
+    }
     if (mOutBegin == mOut.size()) {
         mOut.clear();
         mOutBegin = 0;
--- a/src/libloomjunction/net/peerstream.h
+++ b/src/libloomjunction/net/peerstream.h
@@ -51,6 +51,9 @@
     const std::shared_ptr<PeerConnection> &connection() const { return mConnection; }
     bool isOpen() const { return !mClosed; }
 
+    /** Adds to @p sentBytes, which must outlive the stream, what leaves from now on. */
+    void countInto(std::uint64_t &sentBytes) { mSentBytes = &sentBytes; }
+
     /** Queues @p message; nothing happens on a closed stream. */
     void send(const google::protobuf::MessageLite &message);
     /** Waits until little is queued; false when the stream closed. */
@@ -99,6 +102,7 @@
 
     std::shared_ptr<PeerConnection> mConnection;
     std::string mPath;
+    std::uint64_t *mSentBytes = nullptr; ///< null: nobody counts
     std::int32_t mId = -1;
     std::string mOut;
     std::size_t mOutBegin = 0;
--- a/src/loomjunctiond/directdaemon.cpp
+++ b/src/loomjunctiond/directdaemon.cpp
@@ -77,6 +77,8 @@
     mKernel.add(std::make_unique<FeedService>(*mPorts.store, mSettings.box, preference));
     mKernel.add(std::make_unique<MemberService>(*mPorts.store, mSettings, mIncarnation));
     mKernel.add(std::make_unique<DirectConfig>(*mPorts.records, mSettings.bounds));
+    mKernel.find<PeerHub>(PeerHub::sName).countInto(mMetrics);
+    mKernel.find<FeedService>(FeedService::sName).countInto(mMetrics);
     if (mSettings.isGateway()) {
         addGateway();
     } else {
--- a/tests/gateway/directlab.cpp
+++ b/tests/gateway/directlab.cpp
@@ -61,6 +61,8 @@
     mKernel.add(std::make_unique<FeedService>(store, mSettings.box, FeedPreference::Store));
     mKernel.add(std::make_unique<MemberService>(store, mSettings, 1));
     mKernel.add(std::make_unique<DirectConfig>(mRecords, mSettings.bounds));
+    mKernel.find<PeerHub>(PeerHub::sName).countInto(mMetrics);
+    feeds().countInto(mMetrics);
     mKernel.add(std::make_unique<ReplicaService>(mRecords, mMetrics, mSettings));
     mKernel.add(std::make_unique<GatewayFront>(mCalls, mMetrics, mSettings));
 }
--- a/tests/gateway/directlab.h
+++ b/tests/gateway/directlab.h
@@ -68,6 +68,7 @@
         FeedBatch batch;
         for (std::uint64_t offset = from; offset < log.size(); ++offset) {
             batch.records.push_back(log[offset]);
+            batch.bytes += bytesOf(log[offset]);
         }
         batch.next = std::max<std::uint64_t>(from, log.size());
         co_return batch;
@@ -88,6 +89,7 @@
         for (const auto &[key, record] : book.all()) {
             if (record.value) {
                 batch.records.push_back(record);
+                batch.bytes += bytesOf(record);
             }
         }
         batch.next = log.size();
@@ -105,6 +107,11 @@
     }
 
 private:
+    static std::uint64_t bytesOf(const FeedRecord &record)
+    {
+        return record.key.size() + (record.value ? record.value->size() : 0);
+    }
+
     std::array<std::vector<FeedRecord>, sFeedCount> mLogs;
     Signal mChanged;
 };
@@ -207,6 +214,8 @@
     GatewayFront &front() { return mKernel.find<GatewayFront>(GatewayFront::sName); }
     DirectConfig &config() { return mKernel.find<DirectConfig>(DirectConfig::sName); }
     FeedService &feeds() { return mKernel.find<FeedService>(FeedService::sName); }
+    MemberService &members() { return mKernel.find<MemberService>(MemberService::sName); }
+    const Metrics &metrics() const { return mMetrics; }
     ReplicaService &replicas() { return mKernel.find<ReplicaService>(ReplicaService::sName); }
 
 private:
--- a/tests/gateway/test_feeds.cpp
+++ b/tests/gateway/test_feeds.cpp
@@ -38,7 +38,9 @@
         , mKernel(context.get_executor())
     {
         mKernel.add(std::make_unique<PeerHub>(address));
+        mKernel.find<PeerHub>(PeerHub::sName).countInto(metrics);
         mKernel.add(std::make_unique<FeedService>(store, "box", FeedPreference::Store));
+        feeds().countInto(metrics);
         feeds().listen(Feed::Replicas, [this](const FeedChange &change) {
             heard.push_back(change.record.key);
             isLastTrusted = change.isTrusted;
@@ -53,6 +55,7 @@
         return std::ranges::find(heard, key) != heard.end();
     }
 
+    Metrics metrics;
     MemoryStore store;
     Tcp::endpoint address;
     std::vector<std::string> heard;
@@ -207,6 +210,26 @@
     });
 }
 
+BOOST_AUTO_TEST_CASE(a_reader_counts_what_it_relays_and_what_it_reads)
+{
+    RelayLab lab;
+    lab.reader.store.write(Feed::Replicas, "old", "12345"); // 8 bytes with its key
+    lab.run([](RelayLab &lab) -> awaitable<void> {
+        co_await lab.waitFor([&] { return lab.reader.hasHeard("old"); });
+        co_await lab.waitUntilFollowing(); // 10 bytes more
+        const Metrics &metrics = lab.reader.metrics;
+        BOOST_TEST(metrics.counter("store_bytes", "replicas, full") == 8U);
+        BOOST_TEST(metrics.counter("store_bytes", "replicas, onward") == 10U);
+        const std::uint64_t before = metrics.counter("peer_bytes", "follow, data centre unknown");
+        const std::string text(1'000, 'x'); // too short to be compressed
+        lab.reader.store.write(Feed::Replicas, "long", text);
+        co_await lab.waitFor([&] { return lab.follower.hasHeard("long"); });
+        const std::uint64_t after = metrics.counter("peer_bytes", "follow, data centre unknown");
+        BOOST_TEST(after - before >= text.size());
+        BOOST_TEST(metrics.counter("store_bytes", "replicas, onward") == 1'014U);
+    });
+}
+
 // With hundreds of gateways, full reads after each failure fill the links to the
 // store, and every further read fails for that.
 BOOST_AUTO_TEST_CASE(after_a_failure_the_store_is_read_from_where_the_book_ends)
--- /dev/null
+++ b/tests/platform/test_store.cpp
@@ -0,0 +1,53 @@
+/*
+ * test_store.cpp
+ * Copyright 2026, the loomjunction authors
+ *
+ * This file is part of loomjunction (tests).
+ * SPDX-License-Identifier: BSD-2-Clause
+ */
+
+#include <boost/test/unit_test.hpp>
+
+#include "http.h"
+#include "store.h"
+
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <boost/asio/io_context.hpp>
+
+using namespace Loom;
+
+// One feed's answers: two pages of a full read, and one read onward.
+BOOST_AUTO_TEST_CASE(a_batch_tells_the_bytes_of_the_answers_that_it_came_in)
+{
+    const std::string firstPage
+        = R"({"end":2,"more":true,"items":[{"tls_key":"a","offset":0,"value":"eA=="}]})";
+    const std::string lastPage
+        = R"({"end":2,"more":false,"items":[{"tls_key":"b","offset":1,"value":"eA=="}]})";
+    const std::string onward = std::string(16, '\0') + Platform::keyedRecord("c", "value");
+
+    asio::io_context context{1};
+    HttpServer server(context.get_executor(), [&](HttpExchange &exchange) -> awaitable<void> {
+        const std::string target = exchange.request().target;
+        const bool isOnward = target.starts_with("/log-read");
+        const bool isFirst = target.find("since_rev") == std::string::npos;
+        HttpResponse response{200, {}, isOnward ? onward : isFirst ? firstPage : lastPage};
+        co_await exchange.respond(std::move(response));
+    });
+    BOOST_REQUIRE(server.listen(Tcp::endpoint(asio::ip::address_v4::loopback(), 0)).has_value());
+    Platform::Store store(context.get_executor(), server.localEndpoint());
+    const auto test = [&]() -> awaitable<void> {
+        const auto all = co_await store.newest(Feed::Operators);
+        BOOST_REQUIRE(all.has_value());
+        BOOST_TEST(all->records.size() == 2U);
+        BOOST_TEST(all->bytes == firstPage.size() + lastPage.size());
+        const auto news = co_await store.read(Feed::Operators, 2, Milliseconds(1'000));
+        BOOST_REQUIRE(news.has_value());
+        BOOST_TEST(news->records.size() == 1U);
+        BOOST_TEST(news->bytes == onward.size());
+        server.stopListening();
+        context.stop();
+    };
+    asio::co_spawn(context, test(), asio::detached);
+    context.run();
+}
