Failing test: a gateway's metrics have prefix and suffix twice

Cause: the gateway's code names counters as loom_..._total and distributions as loom_..., and Metrics::text() adds loom_ and _total to every name.

--- a/tests/gateway/test_gateway.cpp
+++ b/tests/gateway/test_gateway.cpp
@@ -115,6 +115,39 @@
     });
 }
 
+// The gateway gave its metrics names with the prefix and suffix that are added to every
+// name when they are shown. So /metrics showed loom_loom_calls_total_total where the
+// operators' pages name loom_calls_total, and whoever asked for that found nothing.
+BOOST_AUTO_TEST_CASE(metrics_are_shown_under_the_names_of_the_operators_pages)
+{
+    DirectLab lab;
+    lab.writeConfig(1);
+    int sends = 0;
+    const auto firstBreaks
+        = [&](const std::string &head) { return ++sends == 1 ? breaksOff(head) : good(head); };
+    lab.addReplica("i-1", "plain", firstBreaks);
+    lab.addReplica("i-2", "plain", firstBreaks);
+    lab.run([&]() -> awaitable<void> {
+        co_await untilReady(lab, 2);
+        const auto response = co_await lab.call("GET", "/safe/a", "id1");
+        BOOST_TEST(response->status == 200);
+    });
+    const std::string text = "\n" + lab.metrics().text();
+    BOOST_TEST_MESSAGE(text);
+    const std::array shown{
+        "\nloom_calls_total{of=\"answered\"} 1\n",
+        "\nloom_tries_failed_total{of=\"plain\"} 1\n",
+        "\nloom_repeats_total{of=\"plain\"} 1\n",
+        "\nloom_replica_connections_total 2\n",
+        "\nloom_first_answer_ms{of=\"plain\",quantile=\"0.95\"} ",
+    };
+    for (const std::string_view line : shown) {
+        BOOST_TEST((text.find(line) != std::string::npos), line);
+    }
+    BOOST_TEST(text.find("loom_loom_") == std::string::npos);
+    BOOST_TEST(text.find("_total_total") == std::string::npos);
+}
+
 BOOST_AUTO_TEST_CASE(a_refusal_is_passed_on_as_one_with_when_to_come_back)
 {
     DirectLab lab;
