--- a/src/libloomjunction/gateway/gatewaycall.cpp
+++ b/src/libloomjunction/gateway/gatewaycall.cpp
@@ -331,7 +331,7 @@
     mParts.replicas.replicas().ended(chosen.id, outcome, now());
     mParts.replicas.giveBack(chosen.id, std::move(mLink));
     if (!std::holds_alternative<TryDone>(result)) {
-        mParts.metrics.count("loom_tries_failed_total", mServiceName);
+        mParts.metrics.count("tries_failed", mServiceName);
     }
     co_return result;
 }
@@ -418,7 +418,7 @@
         if (id == mCaller.id || id.empty()) {
             break;
         }
-        mParts.metrics.count("loom_foreign_answers_total", mServiceName);
+        mParts.metrics.count("foreign_answers", mServiceName);
         logLine(LogLevel::Warning, "foreign-answer",
                 {{"id", mCaller.id}, {"replica", mTriedReplica}, {"answerTo", id}});
         head = co_await mLink->nextHead(deadline);
@@ -547,7 +547,7 @@
 {
     if (!mFirstAnswer) {
         mFirstAnswer = std::chrono::duration_cast<Milliseconds>(now() - mArrived);
-        mParts.metrics.observe("loom_first_answer_ms", mServiceName,
+        mParts.metrics.observe("first_answer_ms", mServiceName,
                                static_cast<double>(mFirstAnswer->count()));
     }
 }
@@ -608,9 +608,9 @@
 {
     const auto took = std::chrono::duration_cast<Milliseconds>(now() - mArrived);
     const std::string_view late = outcome == "answered" ? latenessCause() : "";
-    mParts.metrics.count("loom_calls_total", outcome);
+    mParts.metrics.count("calls", outcome);
     if (!late.empty()) {
-        mParts.metrics.count("loom_late_total", late);
+        mParts.metrics.count("late", late);
     }
     logLine(LogLevel::Info, "call",
             {{"id", mCaller.id},
--- a/src/libloomjunction/gateway/gatewayfront.cpp
+++ b/src/libloomjunction/gateway/gatewayfront.cpp
@@ -92,7 +92,7 @@
         HttpResponse response = HttpResponse::json(503, R"({"error":"this gateway is leaving"})");
         response.headers.push_back(mCalls.comeBack(sElsewhere));
         co_await exchange.respond(std::move(response));
-        mMetrics.count("loom_calls_total", "refused while leaving");
+        mMetrics.count("calls", "refused while leaving");
         --mInFlight;
         co_return;
     }
--- a/src/libloomjunction/gateway/loadasker.cpp
+++ b/src/libloomjunction/gateway/loadasker.cpp
@@ -104,7 +104,7 @@
     for (const LoadQuestion &question : questions) {
         send(question, began);
     }
-    mMetrics.count("loom_load_questions_total", "asked", questions.size());
+    mMetrics.count("load_questions", "asked", questions.size());
     const auto openQuestions = [&] {
         return std::ranges::count_if(questions, [&](const LoadQuestion &question) {
             return mLinks[question.address].heardAt < began;
@@ -208,7 +208,7 @@
 
 void LoadAsker::noteMissed(const std::string &address, Instant now)
 {
-    mMetrics.count("loom_load_questions_total", "unanswered");
+    mMetrics.count("load_questions", "unanswered");
     logLine(LogLevel::Info, "agent-silent",
             {{"replica", address}, {"missed", mLinks[address].missed}});
     avoid(address, now);
--- a/src/libloomjunction/gateway/replicaservice.cpp
+++ b/src/libloomjunction/gateway/replicaservice.cpp
@@ -247,7 +247,7 @@
 bool ReplicaService::takeRepeat(const std::string &service)
 {
     const bool taken = budget(service).take(mMembers->gatewayCount(), now());
-    mMetrics.count(taken ? "loom_repeats_total" : "loom_repeats_denied_total", service);
+    mMetrics.count(taken ? "repeats" : "repeats_denied", service);
     return taken;
 }
 
@@ -283,7 +283,7 @@
         co_return tl::unexpected(LinkError::NotConnected);
     }
     ++pool.open;
-    mMetrics.count("loom_replica_connections_total");
+    mMetrics.count("replica_connections");
     auto made = co_await HttpLink::connect(*endpoint, sConnectTimeout);
     if (!made) {
         --mPools[id].open;
--- a/src/libloomjunction/gateway/stageservice.cpp
+++ b/src/libloomjunction/gateway/stageservice.cpp
@@ -551,7 +551,7 @@
     if (!data) {
         co_return tl::unexpected(ChunkFailure::Gone);
     }
-    mMetrics.count("loom_origin_bytes_total", model, data->size());
+    mMetrics.count("origin_bytes", model, data->size());
     co_return std::move(*data);
 }
 
