A configuration tells from where and over how many processes it came

Cause: config-in-force told a version's age as this process reckons it, not from whom it was heard; so it could not be told whether the store, a reader or a relay between two data centres was late.

An age does not hold the time that the last update was under way to this process.

--- a/src/libloomjunction/gateway/directconfig.cpp
+++ b/src/libloomjunction/gateway/directconfig.cpp
@@ -12,6 +12,7 @@
 #include "feedservice.h"
 #include "jsonlog.h"
 #include "loopstep.h"
+#include "metrics.h"
 #include "overload.h"
 
 namespace Loom {
@@ -24,6 +25,9 @@
 // Nobody knows when a version was named that this process finds at its start:
 // older weights may begin requests for this long after it.
 constexpr Milliseconds sStartGrace{1'500};
+// Known since some process's start, not since an operator wrote it: such ages, a day,
+// would hide all others.
+constexpr Microseconds sNoAge = std::chrono::hours(12);
 
 } // namespace
 
@@ -85,17 +89,29 @@
              {"before", before},
              {"offset", change.record.offset},
              {"ageMs", std::chrono::duration_cast<Milliseconds>(change.age).count()},
+             {"from", change.way.from},
+             {"hops", change.way.hops},
              {"routes", config.routes.size()},
              {"accounts", config.accounts.size()}});
     if (!isNewer) {
         return;
     }
+    observeAge(change);
     mTable = std::make_shared<const RouteTable>(std::move(config));
     for (const Listener &listener : mListeners) {
         listener();
     }
 }
 
+void DirectConfig::observeAge(const FeedChange &change)
+{
+    if (mMetrics == nullptr || change.age >= sNoAge) {
+        return;
+    }
+    const std::string_view way = change.way.hops == 0 ? "from the store" : "relayed";
+    mMetrics->observe("config_age_ms", way, static_cast<double>(change.age.count()) / 1'000);
+}
+
 void DirectConfig::nameWeights(const NamedWeights &named, const FeedChange &change)
 {
     const Microseconds most = mBounds.weightsTime - sStartGrace;
--- a/src/libloomjunction/gateway/directconfig.h
+++ b/src/libloomjunction/gateway/directconfig.h
@@ -21,6 +21,7 @@
 
 class FeedService;
 struct FeedChange;
+class Metrics;
 
 /** The operators' configuration and named weights, as this process believes them. */
 class DirectConfig final : public Service
@@ -34,6 +35,9 @@
     std::string_view name() const override { return sName; }
     tl::expected<void, std::string> start(Kernel &kernel) override;
 
+    /** Observes each configuration's age when it is installed as `config_age_ms`. */
+    void countInto(Metrics &metrics) { mMetrics = &metrics; }
+
     /** The configuration in force; null before the first is known. */
     const RouteTablePtr &table() const { return mTable; }
     const WeightsGoal &weights() const { return mWeights; }
@@ -47,11 +51,13 @@
 private:
     void take(const FeedChange &change);
     void install(RouteConfig config, const FeedChange &change);
+    void observeAge(const FeedChange &change);
     void nameWeights(const NamedWeights &named, const FeedChange &change);
 
     RecordPort &mRecords;
     DirectBounds mBounds;
     FeedService *mFeeds = nullptr;
+    Metrics *mMetrics = nullptr; ///< null: nothing is observed
     RouteTablePtr mTable;
     WeightsGoal mWeights;
     std::vector<Listener> mListeners;
--- a/src/libloomjunction/gateway/feedservice.cpp
+++ b/src/libloomjunction/gateway/feedservice.cpp
@@ -246,6 +246,7 @@
     const Microseconds age = state.isFirst ? sUnknownAge : Microseconds(0);
     for (const std::string &key : state.book.applySnapshot(batch->records, batch->next)) {
         state.learnedAt[key] = now() - age;
+        state.ways[key] = RecordWay();
         announce(feed, state.book.all().find(key)->second, age);
     }
     state.isFirst = false;
@@ -291,13 +292,14 @@
     return hasValue && known->second.offset < record.offset && state.isSame(known->second, record);
 }
 
-void FeedService::apply(Feed feed, const FeedRecord &record, Microseconds age)
+void FeedService::apply(Feed feed, const FeedRecord &record, Microseconds age, RecordWay way)
 {
     FeedState &state = this->state(feed);
     if (isPassedOver(feed, record) || !state.book.apply(record)) {
         return;
     }
     state.learnedAt[record.key] = now() - std::min(age, sUnknownAge);
+    state.ways[record.key] = std::move(way);
     announce(feed, record, age);
 }
 
@@ -305,7 +307,7 @@
 {
     FeedState &state = this->state(feed);
     ++state.changes;
-    const FeedChange change{record, age, !isDoubtful(feed)};
+    const FeedChange change{record, age, !isDoubtful(feed), state.ways[record.key]};
     for (const Listener &listener : state.listeners) {
         listener(change);
     }
@@ -369,7 +371,7 @@
             co_return false;
         }
         heard = true;
-        if (!takeUpdate(feed, **update)) {
+        if (!takeUpdate(feed, **update, address)) {
             stream->reset();
             co_return false;
         }
@@ -387,7 +389,7 @@
 
 // False when it holds something that cannot be read; how far it reaches counts for
 // nothing then, so that the store is asked for the same records.
-bool FeedService::takeUpdate(Feed feed, const wire::FollowUpdate &update)
+bool FeedService::takeUpdate(Feed feed, const wire::FollowUpdate &update, const Tcp::endpoint &from)
 {
     const LoopStep step("taking an update");
     FeedState &state = this->state(feed);
@@ -406,7 +408,8 @@
         } else if (!relayed.removed()) {
             record.value = relayed.value();
         }
-        apply(feed, record, Milliseconds(relayed.age_ms()));
+        apply(feed, record, Milliseconds(relayed.age_ms()),
+              {endpointText(from), relayed.hops() + 1});
     }
     // Each update holds all that the other process knows and had not told yet, so
     // this book now reaches as far as its own.
@@ -464,6 +467,7 @@
         relayed.set_removed(!record.value);
         putValue(state, record, relayed);
         relayed.set_offset(record.offset);
+        relayed.set_hops(state.ways[key].hops);
         const auto age = std::chrono::duration_cast<Milliseconds>(now() - state.learnedAt[key]);
         relayed.set_age_ms(static_cast<std::uint64_t>(age.count()));
     }
--- a/src/libloomjunction/gateway/feedservice.h
+++ b/src/libloomjunction/gateway/feedservice.h
@@ -44,12 +44,20 @@
     std::vector<Tcp::endpoint> others; ///< the processes that read, this one left out
 };
 
+/** How a record came to this process. */
+struct RecordWay
+{
+    std::string from = "store"; ///< or the address of the process that it was followed from
+    std::uint32_t hops = 0; ///< processes between the store and this one
+};
+
 /** A record that changed, as listeners get it. */
 struct FeedChange
 {
     const FeedRecord &record;
     Microseconds age; ///< since somebody whom we heard it from learned of it
     bool isTrusted; ///< the store was well for a while when it said so
+    const RecordWay &way;
 };
 
 /**
@@ -108,6 +116,7 @@
         std::vector<Listener> listeners;
         SameMeaning isSame;
         std::map<std::string, Instant> learnedAt;
+        std::map<std::string, RecordWay> ways; ///< of the newest record of each key
         /** Long values as they are relayed, by key; made once for all followers. */
         std::map<std::string, CompressedValue> compressed;
         std::optional<Instant> completeAt;
@@ -132,11 +141,11 @@
     bool isFollower(Feed feed) const;
     bool isDoubtful(Feed feed) const;
     static void putValue(FeedState &state, const FeedRecord &record, wire::RelayedRecord &relayed);
-    bool takeUpdate(Feed feed, const wire::FollowUpdate &update);
+    bool takeUpdate(Feed feed, const wire::FollowUpdate &update, const Tcp::endpoint &from);
     wire::FollowUpdate news(Feed feed, std::map<std::string, std::uint64_t, std::less<>> &sent);
     void noteStore(Feed feed, bool reached, std::string_view why);
     void countRead(Feed feed, std::string_view kind, std::uint64_t bytes);
-    void apply(Feed feed, const FeedRecord &record, Microseconds age);
+    void apply(Feed feed, const FeedRecord &record, Microseconds age, RecordWay way = {});
     void announce(Feed feed, const FeedRecord &record, Microseconds age);
     awaitable<void> serveFollower(PeerStreamPtr stream);
     Milliseconds waitOf(Feed feed) const;
--- a/src/loomjunctiond/directdaemon.cpp
+++ b/src/loomjunctiond/directdaemon.cpp
@@ -79,6 +79,7 @@
     mKernel.add(std::make_unique<DirectConfig>(*mPorts.records, mSettings.bounds));
     mKernel.find<PeerHub>(PeerHub::sName).countInto(mMetrics);
     mKernel.find<FeedService>(FeedService::sName).countInto(mMetrics);
+    mKernel.find<DirectConfig>(DirectConfig::sName).countInto(mMetrics);
     if (mSettings.isGateway()) {
         addGateway();
     } else {
--- a/tests/gateway/directlab.cpp
+++ b/tests/gateway/directlab.cpp
@@ -63,6 +63,7 @@
     mKernel.add(std::make_unique<DirectConfig>(mRecords, mSettings.bounds));
     mKernel.find<PeerHub>(PeerHub::sName).countInto(mMetrics);
     feeds().countInto(mMetrics);
+    config().countInto(mMetrics);
     mKernel.add(std::make_unique<ReplicaService>(mRecords, mMetrics, mSettings));
     mKernel.add(std::make_unique<GatewayFront>(mCalls, mMetrics, mSettings));
 }
--- a/tests/gateway/test_feeds.cpp
+++ b/tests/gateway/test_feeds.cpp
@@ -39,8 +39,12 @@
     {
         mKernel.add(std::make_unique<PeerHub>(address));
         mKernel.find<PeerHub>(PeerHub::sName).countInto(metrics);
+        // Before the feeds: the store in memory answers while they start.
+        mKernel.add(std::make_unique<DirectConfig>(mRecords, DirectBounds()));
         mKernel.add(std::make_unique<FeedService>(store, "box", FeedPreference::Store));
         feeds().countInto(metrics);
+        config().countInto(metrics);
+        feeds().listen(Feed::Operators, [this](const FeedChange &change) { way = change.way; });
         feeds().listen(Feed::Replicas, [this](const FeedChange &change) {
             heard.push_back(change.record.key);
             isLastTrusted = change.isTrusted;
@@ -50,6 +54,11 @@
     void start() { BOOST_REQUIRE(mKernel.start().has_value()); }
     void stop() { mKernel.stop(); }
     FeedService &feeds() { return mKernel.find<FeedService>(FeedService::sName); }
+    DirectConfig &config() { return mKernel.find<DirectConfig>(DirectConfig::sName); }
+    bool hasConfig(std::uint64_t version)
+    {
+        return config().table() && config().table()->version() == version;
+    }
     bool hasHeard(std::string_view key) const
     {
         return std::ranges::find(heard, key) != heard.end();
@@ -60,11 +69,25 @@
     Tcp::endpoint address;
     std::vector<std::string> heard;
     bool isLastTrusted = true;
+    RecordWay way; ///< of the last operators' record
 
 private:
+    Platform::Records mRecords;
     Kernel mKernel;
 };
 
+void writeConfig(FeedLab &lab, std::uint64_t version)
+{
+    const std::string value = R"({"version":)" + std::to_string(version)
+        + R"(,"routes":[],"services":[],"tenants":[]})";
+    lab.store.write(Feed::Operators, "config", value);
+}
+
+bool hasMetric(const FeedLab &lab, std::string_view text)
+{
+    return lab.metrics.text().find(text) != std::string::npos;
+}
+
 /** A reader of the store, and a follower of it whose own way to the store is another. */
 class RelayLab
 {
@@ -230,6 +253,45 @@
     });
 }
 
+BOOST_AUTO_TEST_CASE(a_configuration_tells_from_where_and_over_how_many_processes_it_came)
+{
+    RelayLab lab;
+    FeedLab last(lab.context);
+    last.feeds().setReaders([&] { return FeedReaders{false, true, {lab.follower.address}}; });
+    lab.run([&last](RelayLab &lab) -> awaitable<void> {
+        last.start();
+        co_await lab.waitUntilFollowing();
+        co_await lab.waitFor([&] { return last.hasHeard("first"); });
+        writeConfig(lab.reader, 1);
+        co_await lab.waitFor([&] { return last.hasConfig(1); });
+        last.stop();
+    });
+    BOOST_TEST(lab.reader.way.from == "store");
+    BOOST_TEST(lab.reader.way.hops == 0U);
+    BOOST_TEST(lab.follower.way.from == endpointText(lab.reader.address));
+    BOOST_TEST(lab.follower.way.hops == 1U);
+    BOOST_TEST(last.way.from == endpointText(lab.follower.address));
+    BOOST_TEST(last.way.hops == 2U);
+    BOOST_TEST(hasMetric(lab.reader, "loom_config_age_ms_count{of=\"from the store\"} 1\n"));
+    BOOST_TEST(hasMetric(lab.follower, "loom_config_age_ms_count{of=\"relayed\"} 1\n"));
+    BOOST_TEST(hasMetric(last, "loom_config_age_ms_count{of=\"relayed\"} 1\n"));
+}
+
+BOOST_AUTO_TEST_CASE(a_configuration_that_was_there_at_the_start_has_no_age)
+{
+    RelayLab lab;
+    writeConfig(lab.reader, 1);
+    lab.run([](RelayLab &lab) -> awaitable<void> {
+        co_await lab.waitFor([&] { return lab.follower.hasConfig(1); });
+        BOOST_TEST(lab.reader.hasConfig(1));
+        BOOST_TEST(!hasMetric(lab.reader, "config_age_ms"));
+        BOOST_TEST(!hasMetric(lab.follower, "config_age_ms"));
+        writeConfig(lab.reader, 2);
+        co_await lab.waitFor([&] { return lab.follower.hasConfig(2); });
+        BOOST_TEST(hasMetric(lab.follower, "loom_config_age_ms_count{of=\"relayed\"} 1\n"));
+    });
+}
+
 // With hundreds of gateways, full reads after each failure fill the links to the
 // store, and every further read fails for that.
 BOOST_AUTO_TEST_CASE(after_a_failure_the_store_is_read_from_where_the_book_ends)
