--- a/tests/gateway/test_feeds.cpp
+++ b/tests/gateway/test_feeds.cpp
@@ -250,6 +250,7 @@
         const std::uint64_t after = metrics.counter("peer_bytes", "follow, data centre unknown");
         BOOST_TEST(after - before >= text.size());
         BOOST_TEST(metrics.counter("store_bytes", "replicas, onward") == 1'014U);
+        BOOST_TEST_MESSAGE(metrics.text());
     });
 }
 
--- a/tests/gateway/test_peerhub.cpp
+++ b/tests/gateway/test_peerhub.cpp
@@ -111,7 +111,7 @@
     BOOST_TEST(answering.metrics.counter("peer_bytes", "chunk, data centre unknown")
                == 2 * answered);
     BOOST_TEST(answering.metrics.counter("peer_bytes", "have, data centre unknown") == answered);
-    BOOST_TEST_MESSAGE(answering.metrics.text());
+    BOOST_TEST_MESSAGE(asking.metrics.text() + answering.metrics.text());
 }
 
 BOOST_AUTO_TEST_CASE(the_place_of_a_process_is_known_by_the_members_on_its_machine)
