--- a/src/libloomjunction/gateway/directconfig.cpp
+++ b/src/libloomjunction/gateway/directconfig.cpp
@@ -11,6 +11,8 @@
 #include "clock.h"
 #include "feedservice.h"
 #include "jsonlog.h"
+#include "loopstep.h"
+#include "metrics.h"
 #include "overload.h"
 
 namespace Loom {
@@ -30,6 +32,9 @@
 // Nobody knows when a version was named that this process finds at its start:
 // older weights may begin requests for this long after it.
 constexpr Milliseconds sStartGrace{1'500};
+// Known since some process's start, not since an operator wrote it: such ages, a day,
+// would hide all others.
+constexpr Microseconds sNoAge = std::chrono::hours(12);
 
 } // namespace
 
@@ -66,6 +71,7 @@
     if (!change.record.value) {
         return; // what was accepted stays in force
     }
+    const LoopStep step("reading an operators' record");
     auto record = mRecords.operatorRecord(change.record.key, *change.record.value);
     if (!record) {
         logLine(LogLevel::Error, "operator-record-refused",
@@ -84,6 +90,7 @@
 
 void DirectConfig::install(RouteConfig config, const FeedChange &change)
 {
+    const LoopStep step("installing a configuration");
     const std::uint64_t before = mTable ? mTable->version() : 0;
     const bool isNewer = !mTable || config.version > before;
     logLine(LogLevel::Info, isNewer ? "config-in-force" : "config-passed-over",
@@ -91,17 +98,29 @@
              {"before", before},
              {"offset", change.record.offset},
              {"ageMs", std::chrono::duration_cast<Milliseconds>(change.age).count()},
+             {"from", change.way.from},
+             {"hops", change.way.hops},
              {"routes", config.routes.size()},
              {"accounts", config.accounts.size()}});
     if (!isNewer) {
         return;
     }
+    observeAge(change);
     mTable = std::make_shared<const RouteTable>(std::move(config));
     for (const Listener &listener : mListeners) {
         listener();
     }
 }
 
+void DirectConfig::observeAge(const FeedChange &change)
+{
+    if (mMetrics == nullptr || change.age >= sNoAge) {
+        return;
+    }
+    const std::string_view way = change.way.hops == 0 ? "from the store" : "relayed";
+    mMetrics->observe("config_age_ms", way, static_cast<double>(change.age.count()) / 1'000);
+}
+
 void DirectConfig::nameWeights(const NamedWeights &named, const FeedChange &change)
 {
     const Microseconds most = mBounds.weightsTime - sStartGrace;
--- a/src/libloomjunction/gateway/feedservice.cpp
+++ b/src/libloomjunction/gateway/feedservice.cpp
@@ -11,6 +11,8 @@
 #include "clock.h"
 #include "compression.h"
 #include "jsonlog.h"
+#include "loopstep.h"
+#include "metrics.h"
 #include "openquestions.h"
 #include "peerconnection.h"
 #include "peerhub.h"
@@ -342,6 +344,7 @@
         gaveSomething = true;
         noteStore(feed, true, "read");
         const Microseconds age = ageOfRead(feed, wait);
+        countRead(feed, "onward", batch->bytes);
         for (const FeedRecord &record : batch->records) {
             apply(feed, record, age);
         }
@@ -375,10 +378,13 @@
         co_return false;
     }
     noteStore(feed, true, "full read");
+    countRead(feed, "full", batch->bytes);
     // How long ago old records were written is not known at the first read.
+    const LoopStep step("taking a full read");
     const Microseconds age = state.isFirst ? sUnknownAge : ageOfRead(feed, Milliseconds(0));
     for (const std::string &key : state.book.applySnapshot(batch->records, batch->next)) {
         state.learnedAt[key] = now() - std::min(age, sUnknownAge);
+        state.ways[key] = RecordWay();
         announce(feed, state.book.all().find(key)->second, age);
     }
     state.removalsFrom = batch->next;
@@ -406,6 +412,14 @@
             {{"feed", feedName(feed)}, {"why", why}, {"offset", state.book.nextOffset()}});
 }
 
+void FeedService::countRead(Feed feed, std::string_view kind, std::uint64_t bytes)
+{
+    if (mMetrics != nullptr) {
+        mMetrics->count("store_bytes", std::string(feedName(feed)) + ", " + std::string(kind),
+                        bytes);
+    }
+}
+
 // Replicas write every second or so that they are alive. With hundreds of them,
 // relaying that to every process would take more of a box than all else.
 bool FeedService::isPassedOver(Feed feed, const FeedRecord &record) const
@@ -419,34 +433,35 @@
     return hasValue && known->second.offset < record.offset && state.isSame(known->second, record);
 }
 
-void FeedService::apply(Feed feed, const FeedRecord &record, Microseconds age)
+void FeedService::apply(Feed feed, const FeedRecord &record, Microseconds age, RecordWay way)
 {
     FeedState &state = this->state(feed);
     if (isPassedOver(feed, record) || !state.book.apply(record)) {
         return;
     }
     state.learnedAt[record.key] = now() - std::min(age, sUnknownAge);
+    state.ways[record.key] = std::move(way);
     announce(feed, record, age);
 }
 
 // Changes that came together are relayed as the last of them. One that says what is
 // known may have had another between: its offset must be kept, or whoever heard of the
 // other would never learn that it holds no more.
-void FeedService::applyRelayed(Feed feed, const FeedRecord &record, Microseconds age)
+void FeedService::applyRelayed(Feed feed, const FeedRecord &record, Microseconds age, RecordWay way)
 {
     if (isPassedOver(feed, record)) {
         // Followers of this process may know what came between.
         state(feed).changes += state(feed).book.apply(record) ? 1 : 0;
         return;
     }
-    apply(feed, record, age);
+    apply(feed, record, age, std::move(way));
 }
 
 void FeedService::announce(Feed feed, const FeedRecord &record, Microseconds age)
 {
     FeedState &state = this->state(feed);
     ++state.changes;
-    const FeedChange change{record, age, !isDoubtful(feed)};
+    const FeedChange change{record, age, !isDoubtful(feed), state.ways[record.key]};
     for (const Listener &listener : state.listeners) {
         listener(change);
     }
@@ -526,7 +541,7 @@
             continue;
         }
         const bool isGood
-            = !isWaiting && update && *update && takeUpdate(feed, **update, questions);
+            = !isWaiting && update && *update && takeUpdate(feed, **update, questions, address);
         if (!isGood || (asFollower && Milliseconds((*update)->age_ms()) > mostAge)) {
             stream->reset();
             co_return false;
@@ -562,8 +577,10 @@
 
 // False when it holds something that cannot be read; how far it reaches counts for
 // nothing then, so that the store is asked for the same records.
-bool FeedService::takeUpdate(Feed feed, const wire::FollowUpdate &update, OpenQuestions &questions)
+bool FeedService::takeUpdate(Feed feed, const wire::FollowUpdate &update, OpenQuestions &questions,
+                             const Tcp::endpoint &from)
 {
+    const LoopStep step("taking an update");
     FeedState &state = this->state(feed);
     state.isRelayDoubtful = update.store_doubtful();
     // Ages were told when the update was sent. It may have been on its way for long, so
@@ -575,7 +592,8 @@
         if (!record) {
             return false;
         }
-        applyRelayed(feed, *record, now() - *saidAt + Milliseconds(relayed.age_ms()));
+        applyRelayed(feed, *record, now() - *saidAt + Milliseconds(relayed.age_ms()),
+                     {endpointText(from), relayed.hops() + 1});
     }
     if (update.whole()) {
         takeWhole(feed, update, now() - *saidAt);
@@ -634,6 +652,7 @@
     }
     CompressedValue &kept = state.compressed[record.key];
     if (kept.bytes.empty() || kept.offset != record.offset) {
+        const LoopStep step("compressing a record");
         kept = {record.offset, compressed(*record.value)};
     }
     relayed.set_compressed(kept.bytes);
@@ -649,6 +668,7 @@
 // What a follower has not been told yet.
 wire::FollowUpdate FeedService::news(Follower &follower)
 {
+    const LoopStep step("building an update for a follower");
     FeedState &state = this->state(follower.feed);
     wire::FollowUpdate update;
     if (follower.seen == state.changes) {
@@ -668,6 +688,7 @@
         relayed.set_removed(!record.value);
         putValue(state, record, relayed);
         relayed.set_offset(record.offset);
+        relayed.set_hops(state.ways[key].hops);
         const auto age = std::chrono::ceil<Milliseconds>(now() - state.learnedAt[key]);
         relayed.set_age_ms(static_cast<std::uint64_t>(age.count()));
     }
--- a/src/libloomjunction/gateway/feedservice.h
+++ b/src/libloomjunction/gateway/feedservice.h
@@ -26,6 +26,7 @@
 
 namespace Loom {
 
+class Metrics;
 class OpenQuestions;
 class PeerHub;
 namespace wire {
@@ -50,12 +51,20 @@
     std::vector<Tcp::endpoint> earlier;
 };
 
+/** How a record came to this process. */
+struct RecordWay
+{
+    std::string from = "store"; ///< or the address of the process that it was followed from
+    std::uint32_t hops = 0; ///< processes between the store and this one
+};
+
 /** A record that changed, as listeners get it. */
 struct FeedChange
 {
     const FeedRecord &record;
     Microseconds age; ///< since the store may have taken it, the way to here included
     bool isTrusted; ///< the store was well for a while when it said so
+    const RecordWay &way;
 };
 
 /**
@@ -79,6 +88,8 @@
     tl::expected<void, std::string> start(Kernel &kernel) override;
     void stop() override;
 
+    /** Counts what the store's answers hold as `store_bytes`, by feed and kind of read. */
+    void countInto(Metrics &metrics) { mMetrics = &metrics; }
     /** Calls @p listener for every change of @p feed; add before start. */
     void listen(Feed feed, Listener listener);
     /** Records that say the same again are neither told to listeners nor relayed. */
@@ -124,6 +135,7 @@
         std::vector<Listener> listeners;
         SameMeaning isSame;
         std::map<std::string, Instant> learnedAt;
+        std::map<std::string, RecordWay> ways; ///< of the newest record of each key
         /** Long values as they are relayed, by key; made once for all followers. */
         std::map<std::string, CompressedValue> compressed;
         std::optional<Instant> completeAt;
@@ -166,7 +178,8 @@
     bool isFollower(Feed feed) const;
     bool isDoubtful(Feed feed) const;
     static void putValue(FeedState &state, const FeedRecord &record, wire::RelayedRecord &relayed);
-    bool takeUpdate(Feed feed, const wire::FollowUpdate &update, OpenQuestions &questions);
+    bool takeUpdate(Feed feed, const wire::FollowUpdate &update, OpenQuestions &questions,
+                    const Tcp::endpoint &from);
     void takeWhole(Feed feed, const wire::FollowUpdate &update, Microseconds age);
     std::optional<FeedRecord> readRelayed(Feed feed, const wire::RelayedRecord &relayed) const;
     std::uint64_t knownBefore(Feed feed) const;
@@ -183,8 +196,9 @@
     void wakeFollowers(Feed feed);
     void wakeAllFollowers();
     void noteStore(Feed feed, bool reached, std::string_view why);
-    void apply(Feed feed, const FeedRecord &record, Microseconds age);
-    void applyRelayed(Feed feed, const FeedRecord &record, Microseconds age);
+    void countRead(Feed feed, std::string_view kind, std::uint64_t bytes);
+    void apply(Feed feed, const FeedRecord &record, Microseconds age, RecordWay way = {});
+    void applyRelayed(Feed feed, const FeedRecord &record, Microseconds age, RecordWay way);
     void announce(Feed feed, const FeedRecord &record, Microseconds age);
     awaitable<void> serveFollower(PeerStreamPtr stream);
     Milliseconds waitOf(Feed feed) const;
@@ -197,6 +211,7 @@
     std::string mBox;
     FeedPreference mPreference;
     PeerHub *mHub = nullptr;
+    Metrics *mMetrics = nullptr; ///< null: nothing is counted
     PeerAddresses mPeers;
     Readers mReaders;
     std::array<FeedState, sFeedCount> mFeeds;
--- a/src/libloomjunction/gateway/ports.h
+++ b/src/libloomjunction/gateway/ports.h
@@ -55,6 +55,7 @@
     std::vector<FeedRecord> records;
     std::uint64_t next = 0; ///< offset behind the records
     bool hasMore = false; ///< the store held more, which the next read gives
+    std::uint64_t bytes = 0; ///< of the store's answers
 };
 
 /** The platform's store. */
--- a/tests/gateway/directlab.h
+++ b/tests/gateway/directlab.h
@@ -77,6 +77,7 @@
         const std::uint64_t end = std::min<std::uint64_t>(log.size(), from + mostAtOnce);
         for (std::uint64_t offset = from; offset < end; ++offset) {
             batch.records.push_back(log[offset]);
+            batch.bytes += bytesOf(log[offset]);
         }
         batch.next = std::max(from, end);
         batch.hasMore = batch.next < log.size();
@@ -103,6 +104,7 @@
         for (const auto &[key, record] : book.all()) {
             if (record.value) {
                 batch.records.push_back(record);
+                batch.bytes += bytesOf(record);
             }
         }
         batch.next = log.size();
@@ -121,6 +123,11 @@
     }
 
 private:
+    static std::uint64_t bytesOf(const FeedRecord &record)
+    {
+        return record.key.size() + (record.value ? record.value->size() : 0);
+    }
+
     std::array<std::vector<FeedRecord>, sFeedCount> mLogs;
     Signal mChanged;
 };
@@ -230,6 +237,8 @@
     AddressFront &addresses() { return mKernel.find<AddressFront>(AddressFront::sName); }
     DirectConfig &config() { return mKernel.find<DirectConfig>(DirectConfig::sName); }
     FeedService &feeds() { return mKernel.find<FeedService>(FeedService::sName); }
+    MemberService &members() { return mKernel.find<MemberService>(MemberService::sName); }
+    const Metrics &metrics() const { return mMetrics; }
     ReplicaService &replicas() { return mKernel.find<ReplicaService>(ReplicaService::sName); }
 
 private:
