A member behind a link that stands still is not forgotten

Cause: a gateway took members for gone that it could not hear for 5 s and more, also where nothing at all was heard of their data centre.

Change: a member of another data centre is overdue only while others of it are heard, and the time counts from when that began without a gap of 1.3 s. In the own data centre as before. What it costs: the record of a data centre's only watched member stays until that comes again or somebody near it removes it.

--- a/src/libloomjunction/core/membersilence.cpp
+++ b/src/libloomjunction/core/membersilence.cpp
@@ -24,13 +24,25 @@
     if (known == mHearings.end()) {
         known = mHearings.emplace(std::string(dataCentre), Hearing{at, at}).first;
     }
-    known->second.last = at;
+    Hearing &hearing = known->second;
+    if (at - hearing.last > mGap) {
+        hearing.since = at;
+    }
+    hearing.last = at;
 }
 
-bool MemberSilence::isOverdue(std::string_view, Instant since, Instant now,
+// A link between data centres that stands still holds up all members behind it alike.
+bool MemberSilence::isOverdue(std::string_view dataCentre, Instant since, Instant now,
                               Milliseconds bound) const
 {
-    return now - since > bound;
+    if (dataCentre == mOwnDataCentre) {
+        return now - since > bound;
+    }
+    const auto heard = mHearings.find(dataCentre);
+    if (heard == mHearings.end() || now - heard->second.last > mGap) {
+        return false;
+    }
+    return now - std::max(since, heard->second.since) > bound;
 }
 
 } // namespace Loom
