--- a/src/libloomjunction/gateway/feedservice.cpp
+++ b/src/libloomjunction/gateway/feedservice.cpp
@@ -202,23 +202,45 @@
 awaitable<void> FeedService::begin(Feed feed)
 {
     const bool knowsOthers = mReaders || mPeers;
-    if (feed == Feed::Members || !knowsOthers) {
+    if (!knowsOthers) {
         co_return;
     }
-    const FeedState &members = state(Feed::Members);
+    if (mPreference == FeedPreference::Peers) {
+        co_await beginWithPeers(feed);
+        co_return;
+    }
+    if (feed == Feed::Members) {
+        co_return;
+    }
+    co_await waitForMembers(feed);
+    while (isBeginning(feed) && co_await followEarlier(feed)) {
+        co_await pauseBeginning(feed);
+    }
+}
+
+// An agent asks gateways alone; one that does not answer may only begin a moment later.
+awaitable<void> FeedService::beginWithPeers(Feed feed)
+{
+    if (feed != Feed::Members) {
+        co_await waitForMembers(feed); // they tell which gateways are near
+    }
+    while (isBeginning(feed) && !mPeers().empty()) {
+        co_await readPeer(feed);
+        co_await pauseBeginning(feed);
+    }
+}
+
+awaitable<void> FeedService::waitForMembers(Feed feed)
+{
     while (isBeginning(feed) && isWaiting(Feed::Members)) {
         co_await mChanged->waitUntil(steadyTime(mBeginUntil));
     }
-    while (isBeginning(feed) && members.isSynced) {
-        const bool goesOn = mPreference == FeedPreference::Store ? co_await followEarlier(feed)
-                                                                 : co_await readPeer(feed);
-        const bool hasPeers = mPreference == FeedPreference::Peers && !mPeers().empty();
-        if (!goesOn && !hasPeers) {
-            co_return;
-        }
-        if (isBeginning(feed)) {
-            co_await sleepFor(jitter(sRetryLeast, sRetryMost));
-        }
+}
+
+awaitable<void> FeedService::pauseBeginning(Feed feed)
+{
+    if (isBeginning(feed)) {
+        co_await sleepFor(jitter(sRetryLeast, sRetryMost));
     }
 }
 
--- a/src/libloomjunction/gateway/feedservice.h
+++ b/src/libloomjunction/gateway/feedservice.h
@@ -136,6 +136,9 @@
 
     awaitable<void> follow(Feed feed);
     awaitable<void> begin(Feed feed);
+    awaitable<void> beginWithPeers(Feed feed);
+    awaitable<void> waitForMembers(Feed feed);
+    awaitable<void> pauseBeginning(Feed feed);
     awaitable<bool> followEarlier(Feed feed);
     bool isBeginning(Feed feed) const;
     bool isWaiting(Feed feed) const;
