Agents whose seeds are gone still begin with gateways

Cause: the time to begin ended for all feeds at once. An agent none of whose seeds answers reads the members' feed from the store at its end, and read the large feed there as well, in the same millisecond as all others. Now the large feeds wait one turn (1 s) longer than the members', in which the agents follow the gateways that they have learned of.

--- a/src/libloomjunction/gateway/feedservice.cpp
+++ b/src/libloomjunction/gateway/feedservice.cpp
@@ -233,9 +233,17 @@
     completeAt = std::max(completeAt.value_or(at), at);
 }
 
+// An agent none of whose seeds answers learns the members from the store at last, and
+// who is near from them: all agents reading the large feeds then would fill the links.
+Instant FeedService::beginUntil(Feed feed) const
+{
+    const bool needsMembers = mPreference == FeedPreference::Peers && feed != Feed::Members;
+    return needsMembers ? mBeginUntil + sBeginTurn : mBeginUntil;
+}
+
 bool FeedService::isBeginning(Feed feed) const
 {
-    return !mStopped && !state(feed).isSynced && isBeginTime();
+    return !mStopped && !state(feed).isSynced && now() < beginUntil(feed);
 }
 
 // For the store or for another process: neither has failed it yet.
@@ -282,7 +290,7 @@
 awaitable<void> FeedService::waitForMembers(Feed feed)
 {
     while (isBeginning(feed) && isWaiting(Feed::Members)) {
-        co_await mChanged->waitUntil(steadyTime(mBeginUntil));
+        co_await mChanged->waitUntil(steadyTime(beginUntil(feed)));
     }
 }
 
--- a/src/libloomjunction/gateway/feedservice.h
+++ b/src/libloomjunction/gateway/feedservice.h
@@ -171,6 +171,7 @@
     awaitable<void> waitForMembers(Feed feed);
     awaitable<void> pauseBeginning(Feed feed);
     awaitable<bool> followEarlier(Feed feed);
+    Instant beginUntil(Feed feed) const;
     bool isBeginning(Feed feed) const;
     bool isWaiting(Feed feed) const;
     awaitable<bool> readStore(Feed feed);
