--- a/tests/gateway/test_feeds.cpp
+++ b/tests/gateway/test_feeds.cpp
@@ -528,8 +528,56 @@
     });
 }
 
+// A compressed configuration of some 40 KB needs several turns of the stream's window. On
+// a way of 400 ms it took longer than a silence may last, was asked for anew every 1.4 s
+// and never came, while its bytes filled that way (455 KB in 8 s, counted at both ends).
+BOOST_AUTO_TEST_CASE(an_update_that_is_arriving_is_no_silence)
+{
+    RelayLab lab;
+    SlowWay way(lab.context.get_executor(), lab.reader.address, Milliseconds(400));
+    lab.followed = way.address();
+    std::mt19937 random(1);
+    std::string text;
+    for (int byte = 0; byte < 60'000; ++byte) {
+        text += static_cast<char>(random() % 256); // nothing that compresses
+    }
+    lab.run([&](RelayLab &lab) -> awaitable<void> {
+        co_await lab.waitUntilFollowing();
+        lab.follower.store.isAway = true;
+        lab.reader.store.write(Feed::Replicas, "long", text);
+        co_await lab.waitFor([&] { return lab.follower.hasHeard("long"); });
+    });
+}
+
 // The same between the store and whoever reads it: an answer tells what the store held
 // when it looked, which may be long before the answer comes.
+BOOST_AUTO_TEST_CASE(a_record_is_as_old_as_its_way_from_the_store)
+{
+    asio::io_context context{1};
+    FeedLab reader(context);
+    const Milliseconds onTheWay{1'400};
+    // Most of a read's wait may have passed before the record came, but no more is known.
+    const Milliseconds leastAge{900};
+    const auto test = [&]() -> awaitable<void> {
+        reader.start();
+        const auto until = std::chrono::steady_clock::now() + sGenerous;
+        while (!reader.feeds().age(Feed::Replicas) && std::chrono::steady_clock::now() < until) {
+            co_await sleepFor(std::chrono::milliseconds(5));
+        }
+        reader.store.onTheWay = onTheWay;
+        reader.store.write(Feed::Replicas, "late", "value");
+        while (!reader.hasHeard("late") && std::chrono::steady_clock::now() < until) {
+            co_await sleepFor(std::chrono::milliseconds(5));
+        }
+        BOOST_TEST(reader.hasHeard("late"));
+        BOOST_TEST((reader.lastAge >= leastAge));
+        reader.stop();
+        context.stop();
+    };
+    asio::co_spawn(context, test(), asio::detached);
+    context.run();
+}
+
 BOOST_AUTO_TEST_CASE(what_the_store_said_is_as_old_as_its_look)
 {
     asio::io_context context{1};
--- a/tests/transport/test_httpclient.cpp
+++ b/tests/transport/test_httpclient.cpp
@@ -114,3 +114,40 @@
 {
     callTwice(false, 2, 2);
 }
+
+// An answer whose bytes drip in may take longer than its time, but not for ever: whoever
+// waits could learn the same elsewhere.
+BOOST_AUTO_TEST_CASE(an_answer_that_drips_ends_at_last)
+{
+    asio::io_context context;
+    Tcp::acceptor acceptor(context, Tcp::endpoint(asio::ip::address_v4::loopback(), 0));
+    bool isOver = false;
+    const auto drip = [&]() -> awaitable<void> {
+        auto [error, socket] = co_await acceptor.async_accept(sAsValue);
+        const std::string head = "HTTP/1.1 200 OK\r\nContent-Length: 100000\r\n\r\n";
+        co_await asio::async_write(socket, asio::buffer(head), sAsValue);
+        const std::string byte = "x";
+        for (int turn = 0; turn < 1'000 && !isOver; ++turn) {
+            co_await sleepFor(std::chrono::milliseconds(20));
+            co_await asio::async_write(socket, asio::buffer(byte), sAsValue);
+        }
+    };
+    const auto ask = [&]() -> awaitable<void> {
+        HttpClient client(context.get_executor());
+        HttpCall call;
+        call.endpoint = acceptor.local_endpoint();
+        call.method = "GET";
+        call.target = "/";
+        call.timeout = std::chrono::milliseconds(200);
+        call.pieceTimeout = std::chrono::milliseconds(200);
+        const auto answer = co_await client.send(std::move(call));
+        BOOST_TEST(!answer.has_value());
+        BOOST_TEST((!answer && answer.error().failure == HttpFailure::TimedOut));
+        isOver = true;
+        context.stop();
+    };
+    asio::co_spawn(context, drip(), asio::detached);
+    asio::co_spawn(context, ask(), asio::detached);
+    context.run();
+    BOOST_TEST(isOver);
+}
