Arriving updates are no silence; ages from the store; a dripping answer ends

A follower took an update that needed longer than 0.9 s to arrive for a silence and asked for it anew, for ever at 400 ms one way (its trial: 455 KB in 8 s, never heard). A record's age was told less by a read's whole wait (age 0 after 1.4 s on the way). Since answers that arrive are waited for, one that drips had no end. Now bytes that arrive are heard; 0.4 s at most count as quiet wait; an answer has four pieces' time beyond its own.

--- a/src/libloomjunction/gateway/feedservice.cpp
+++ b/src/libloomjunction/gateway/feedservice.cpp
@@ -82,6 +82,10 @@
 constexpr Milliseconds sBeginTime{2'000};
 constexpr Milliseconds sBeginTurn{1'000};
 constexpr std::chrono::milliseconds sRequestTimeout{2'000};
+// A record may have been written at any time since the feed was last known to be
+// complete. So much of that counts as the read's quiet wait; bounds on weights leave room
+// for as much.
+constexpr Milliseconds sUsualHearing{400};
 // Of records that were there at the first read: long ago, as far as is known.
 constexpr Microseconds sUnknownAge = std::chrono::hours(24);
 
@@ -201,7 +205,8 @@
 // the feed was last complete. Most come while the read waits, so its wait is left out.
 Microseconds FeedService::ageOfRead(Feed feed, Milliseconds wait) const
 {
-    return std::max(Microseconds(0), age(feed).value_or(sUnknownAge) - wait);
+    return std::max(Microseconds(0),
+                    age(feed).value_or(sUnknownAge) - std::min(wait, sUsualHearing));
 }
 
 // Between two reads that found something.
@@ -550,8 +555,16 @@
     stream->send(request);
     Instant askedAt = now();
     Instant heardAt = now();
+    std::uint64_t bytes = 0;
     bool heard = false;
     while (!mStopped && now() < until) {
+        // A long update needs several turns of the stream's window. Asked for anew while
+        // it arrives, it would never come and fill the way; its sender ends what takes
+        // too long.
+        if (stream->bytesIn() != bytes) {
+            bytes = stream->bytesIn();
+            heardAt = now();
+        }
         if (now() >= askedAt + sRelayAsk) {
             askedAt = now();
             questions.ask(askedAt);
--- a/src/libloomjunction/net/http.h
+++ b/src/libloomjunction/net/http.h
@@ -134,7 +134,8 @@
     std::vector<HttpHeader> headers;
     std::string body;
     std::chrono::milliseconds timeout{5'000};
-    /** An answer that goes on arriving may take longer: each piece has this time anew. */
+    /** An answer that goes on arriving may take longer: each piece has this time anew, four
+        times at most. */
     std::chrono::milliseconds pieceTimeout{0};
     /** False for servers whose few connections many callers share: it ends with the call. */
     bool keepsConnection = true;
--- a/src/libloomjunction/net/httpclient.cpp
+++ b/src/libloomjunction/net/httpclient.cpp
@@ -26,6 +26,9 @@
 
 constexpr std::size_t sReadPieceBytes = std::size_t{64} * 1024;
 constexpr std::size_t sMostIdlePerServer = 256;
+// An answer that drips ends after so many pieces' time beyond its own: whoever waits
+// could learn the same elsewhere.
+constexpr int sMostPieceTimes = 4;
 
 } // namespace
 
@@ -155,8 +158,10 @@
         response.status = static_cast<int>(parser.get().result_int());
         response.headers = copyHeaders(parser.get());
         std::string piece(sReadPieceBytes, '\0');
+        const auto last = deadline + pieceTimeout * sMostPieceTimes;
         while (!parser.is_done()) {
-            stream.expires_at(std::max(deadline, std::chrono::steady_clock::now() + pieceTimeout));
+            const auto next = std::chrono::steady_clock::now() + pieceTimeout;
+            stream.expires_at(std::clamp(next, deadline, last));
             parser.get().body().data = piece.data();
             parser.get().body().size = piece.size();
             auto [error, size] = co_await http::async_read_some(stream, buffer, parser, sAsValue);
--- a/src/libloomjunction/net/peerstream.cpp
+++ b/src/libloomjunction/net/peerstream.cpp
@@ -131,6 +131,7 @@
 
 bool PeerStream::takeData(std::string_view data)
 {
+    mBytesIn += data.size();
     mPartial += data;
     mUnconsumed += data.size();
     std::size_t at = 0;
--- a/src/libloomjunction/net/peerstream.h
+++ b/src/libloomjunction/net/peerstream.h
@@ -47,6 +47,8 @@
 
     PeerStream(std::shared_ptr<PeerConnection> connection, std::string path);
 
+    /** Bytes of messages that came in so far, of those too that are not whole yet. */
+    std::uint64_t bytesIn() const { return mBytesIn; }
     const std::string &path() const { return mPath; }
     const std::shared_ptr<PeerConnection> &connection() const { return mConnection; }
     bool isOpen() const { return !mClosed; }
@@ -102,6 +104,7 @@
 
     std::shared_ptr<PeerConnection> mConnection;
     std::string mPath;
+    std::uint64_t mBytesIn = 0;
     std::uint64_t *mSentBytes = nullptr; ///< null: nobody counts
     std::int32_t mId = -1;
     std::string mOut;
