Failing tests: replicas that start again under their id; entries of another writer

Seen in the code: draining stays for one id, so that such a replica would never be used again; a state that is not known counts as ready; a negative version becomes the newest of all. The tests need the new field and do not compile without it.

--- a/tests/direct/test_replicaset.cpp
+++ b/tests/direct/test_replicaset.cpp
@@ -96,6 +96,85 @@
     BOOST_TEST(chosen(set, query(), at(2'700)) == "r1");
 }
 
+// A replica drained, ended and started again with the id that it had. It kept the word
+// of its earlier life, that it leaves, and was never used again:
+//   replica-state  replica=r1 draining=true  weights=2
+//   replica-state  replica=r1 draining=false weights=1
+//   call           outcome=refused reason="no replica can take it"
+BOOST_AUTO_TEST_CASE(a_replica_that_starts_again_with_its_id_is_known_anew)
+{
+    ReplicaSet set(sDrainTime);
+    ReplicaRecord first = record("r1", "here", 2);
+    first.born = 1'000;
+    set.put(first, at(0));
+    ReplicaLoad full;
+    full.running = 16;
+    full.waiting = 100;
+    full.weightsVersion = 2;
+    set.report(first.address, full, at(0));
+    set.began("r1", false, at(0));
+    set.ended("r1", ReplicaOutcome::Broken, at(0));
+    first.isDraining = true;
+    set.put(first, at(1));
+    BOOST_TEST(chosen(set, query(), at(1)) == "");
+    ReplicaRecord second = record("r1", "here", 1);
+    second.born = 9'000;
+    set.put(second, at(2));
+    BOOST_TEST(chosen(set, query(), at(2)) == "r1");
+    BOOST_TEST(set.find("r1")->weightsVersion() == 1U);
+    BOOST_TEST(set.find("r1")->inFlight == 0U);
+    BOOST_TEST(!set.find("r1")->load.has_value());
+}
+
+BOOST_AUTO_TEST_CASE(a_replica_that_starts_again_holds_no_weights_of_before)
+{
+    ReplicaSet set(sDrainTime);
+    ReplicaRecord first = record("r1", "here", 3);
+    first.born = 1'000;
+    set.put(first, at(0));
+    ReplicaRecord second = record("r1", "here", 0);
+    second.born = 500; // its clock was set back meanwhile
+    set.put(second, at(2));
+    BOOST_TEST(set.find("r1")->weightsVersion() == 0U);
+    BOOST_TEST(chosen(set, query(), at(2)) == "");
+}
+
+BOOST_AUTO_TEST_CASE(a_start_that_is_told_for_the_first_time_begins_no_new_life)
+{
+    ReplicaSet set(sDrainTime);
+    ReplicaRecord draining = record("r1", "here");
+    draining.isDraining = true;
+    set.put(draining, at(0));
+    ReplicaRecord told = record("r1", "here");
+    told.born = 1'000;
+    set.put(told, at(1));
+    BOOST_TEST(chosen(set, query(), at(1)) == "");
+}
+
+BOOST_AUTO_TEST_CASE(a_record_that_says_another_start_is_news)
+{
+    ReplicaRecord first = record("r1", "here");
+    first.born = 1'000;
+    ReplicaRecord second = first;
+    BOOST_TEST(first.isLike(second));
+    second.born = 2'000;
+    BOOST_TEST(!first.isLike(second));
+}
+
+BOOST_AUTO_TEST_CASE(a_replica_whose_record_cannot_be_read_gets_nothing_until_the_next)
+{
+    ReplicaSet set(sDrainTime);
+    set.put(record("r1", "here"), at(0));
+    set.put(record("r2", "elsewhere"), at(0));
+    set.unreadable("r1", at(1));
+    BOOST_TEST(chosen(set, query(), at(1)) == "r2");
+    BOOST_TEST(set.find("r1") != nullptr);
+    set.unreadable("r3", at(1)); // one that nobody knew
+    BOOST_TEST(set.find("r3") == nullptr);
+    set.put(record("r1", "here"), at(2));
+    BOOST_TEST(chosen(set, query(), at(2)) == "r1");
+}
+
 BOOST_AUTO_TEST_CASE(a_certain_removal_ends_the_time_that_a_doubtful_one_gave)
 {
     ReplicaSet set(sDrainTime);
--- a/tests/platform/test_records.cpp
+++ b/tests/platform/test_records.cpp
@@ -13,6 +13,12 @@
 #include "records.h"
 #include "store.h"
 
+#include "asynctypes.h"
+
+#include <random>
+
+#include <boost/json.hpp>
+
 using namespace Loom;
 
 namespace {
@@ -152,3 +158,163 @@
     BOOST_TEST(!Platform::parseManifest(text, "m", 3).has_value());
     BOOST_TEST(!Platform::parseManifest("{}", "m", 2).has_value());
 }
+
+namespace {
+
+constexpr std::string_view sReplica = R"({"service":"s","address":"1.2.3.4:5","zone":"z",
+ "version":"v1","slots":12,"state":"ready","cold_left_ms":0,"stage":"hybrid",
+ "models":[{"name":"m","version":2,"adapters":[]}],"sequence":4,"born":1700000000123})";
+
+std::string withField(std::string_view name, std::string_view value)
+{
+    boost::json::object object = boost::json::parse(sReplica).as_object();
+    if (value.empty()) {
+        object.erase(name);
+    } else {
+        object[name] = boost::json::parse(value);
+    }
+    return boost::json::serialize(object);
+}
+
+struct BadField
+{
+    std::string_view name;
+    std::string_view value; ///< empty: the field is missing
+};
+
+// Whatever another writer may put in the place of what a replica says.
+constexpr BadField sBadFields[] = {
+    {"service", ""},
+    {"service", "7"},
+    {"service", R"("")"},
+    {"service", "null"},
+    {"address", ""},
+    {"address", "[]"},
+    {"address", R"("nowhere")"},
+    {"address", R"("1.2.3.4")"},
+    {"address", R"("1.2.3.4:99999")"},
+    {"zone", ""},
+    {"zone", "{}"},
+    {"state", ""},
+    {"state", "1"},
+    {"state", R"("lame")"},
+    {"state", R"("")"},
+    {"state", "true"},
+    {"slots", ""},
+    {"slots", R"("12")"},
+    {"slots", "-1"},
+    {"slots", "0"},
+    {"slots", "1.5"},
+    {"slots", "1e300"},
+    {"slots", "18446744073709551615"},
+    {"born", R"("now")"},
+    {"born", "-5"},
+    {"born", "1.25"},
+    {"born", "1e300"},
+    {"born", "18446744073709551615"},
+    {"sequence", R"("4")"},
+    {"sequence", "-4"},
+    {"models", R"("m")"},
+    {"models", "[1]"},
+    {"models", R"([{"name":"m","version":-2}])"},
+    {"models", R"([{"name":"m","version":2.5}])"},
+    {"models", R"([{"name":"m","version":18446744073709551615}])"},
+    {"models", R"([{"name":7,"version":2}])"},
+    {"layers", "3"},
+};
+
+} // namespace
+
+BOOST_AUTO_TEST_CASE(a_replica_tells_when_it_started)
+{
+    const Platform::Records records;
+    const auto record = records.replicaRecord("i-1", sReplica);
+    BOOST_REQUIRE(record.has_value());
+    BOOST_TEST(record->born == 1700000000123U);
+    BOOST_TEST(record->slots == 12U);
+    BOOST_TEST(record->weightsVersion == 2U);
+    const auto untold = records.replicaRecord("i-1", withField("born", ""));
+    BOOST_REQUIRE(untold.has_value());
+    BOOST_TEST(untold->born == 0U);
+    const auto report = Platform::parseReport(R"({"running":1,"born":1700000000123})", 16);
+    BOOST_REQUIRE(report.has_value());
+    BOOST_TEST(report->born == 1700000000123U);
+}
+
+BOOST_AUTO_TEST_CASE(a_replicas_entry_of_another_writer_names_nobody)
+{
+    const Platform::Records records;
+    for (const BadField &bad : sBadFields) {
+        const auto record = records.replicaRecord("i-1", withField(bad.name, bad.value));
+        BOOST_TEST_CONTEXT(bad.name << " is " << bad.value)
+        {
+            BOOST_REQUIRE(!record.has_value());
+            BOOST_TEST(record.error().find(bad.name) != std::string::npos);
+        }
+    }
+    BOOST_TEST(!records.replicaRecord("i-1", "").has_value());
+    BOOST_TEST(!records.replicaRecord("i-1", "[]").has_value());
+    BOOST_TEST(!records.replicaRecord("i-1", "\xff\xfe\x00{").has_value());
+    BOOST_TEST(!records.replicaRecord("i-1", R"({"slots":NaN})").has_value());
+}
+
+BOOST_AUTO_TEST_CASE(numbers_that_are_none_do_no_harm_in_a_report)
+{
+    const auto report = Platform::parseReport(
+        R"({"running":-1,"waiting":1e300,"pace":-3,"kv_used":-7,"kv_total":1.5,"sequence":-2,
+            "born":"x","models":[{"name":"m","version":-1},{"name":4,"version":1}],"busy":"no"})",
+        16);
+    BOOST_REQUIRE(report.has_value());
+    BOOST_TEST(report->running == 0U);
+    BOOST_TEST(report->waiting == 0U);
+    BOOST_TEST(report->pace == 1);
+    BOOST_TEST(report->memoryUsed == 0U);
+    BOOST_TEST(report->ordersTaken == 0U);
+    BOOST_TEST(report->born == 0U);
+    for (const LoadedWeights &loaded : report->loaded) {
+        BOOST_TEST(!(loaded.isWhole && loaded.version > 1));
+    }
+    BOOST_TEST(Platform::parseReport(R"({"running":1,"pace":1e300})", 16)->pace < 1e6);
+}
+
+// Bytes that are changed, left out or doubled at random end no reader, and whatever it
+// still takes has fields within their bounds.
+BOOST_AUTO_TEST_CASE(mutated_entries_are_read_or_refused)
+{
+    constexpr int mutations = 20'000;
+    const Platform::Records records;
+    std::mt19937 random(1);
+    const std::vector<std::string> texts{
+        std::string(sReplica), std::string(sConfig), R"({"model":"m","version":2})",
+        R"({"model":"m","version":2,"chunk_bytes":32768,"layers":16,"digests":["aa","bb"]})"};
+    const auto pick = [&](std::size_t count) { return random() % count; };
+    for (int round = 0; round < mutations; ++round) {
+        std::string text = texts[pick(texts.size())];
+        for (std::size_t change = 1 + pick(4); change > 0 && !text.empty(); --change) {
+            const std::size_t place = pick(text.size());
+            switch (pick(4)) {
+            case 0:
+                text[place] = static_cast<char>(random());
+                break;
+            case 1:
+                text.erase(place, 1 + pick(8));
+                break;
+            case 2:
+                text.insert(place, text.substr(pick(text.size()), pick(24)));
+                break;
+            default:
+                text.insert(place, "9e99");
+            }
+        }
+        const auto replica = records.replicaRecord("i-1", text);
+        if (replica) {
+            BOOST_REQUIRE(!replica->service.empty());
+            BOOST_REQUIRE(replica->slots >= 1 && replica->slots <= 1'000'000);
+            BOOST_REQUIRE(parseEndpoint(replica->address).has_value());
+        }
+        records.operatorRecord("config", text);
+        records.operatorRecord("version/m", text);
+        Platform::parseReport(text, 16);
+        Platform::parseManifest(text, "m", 2);
+    }
+}
