--- a/src/libloomjunction/core/replica.h
+++ b/src/libloomjunction/core/replica.h
@@ -17,10 +17,11 @@
 
 namespace Loom {
 
-/** What a replica says of itself in the store. One life of it has one id. */
+/** What a replica says of itself in the store. */
 struct ReplicaRecord
 {
-    std::string id;
+    std::string id; ///< a later life may have the same
+    std::uint64_t born = 0; ///< when this life started, as it says; zero: untold
     std::string service;
     std::string address; ///< IP:PORT
     std::string dataCentre;
@@ -30,11 +31,17 @@
     /** Version of the weights that are loaded whole; zero: none, or a plain service. */
     std::uint64_t weightsVersion = 0;
 
+    /** A record of another life than @p other. What was told without a start may be of any. */
+    bool isOtherLife(const ReplicaRecord &other) const
+    {
+        return born != 0 && other.born != 0 && born != other.born;
+    }
+
     /** The same but for its place in the store. */
     bool isLike(const ReplicaRecord &other) const
     {
-        return id == other.id && service == other.service && address == other.address
-            && dataCentre == other.dataCentre && slots == other.slots
+        return id == other.id && born == other.born && service == other.service
+            && address == other.address && dataCentre == other.dataCentre && slots == other.slots
             && isDraining == other.isDraining && weightsVersion == other.weightsVersion;
     }
 };
--- a/src/libloomjunction/core/replicaset.cpp
+++ b/src/libloomjunction/core/replicaset.cpp
@@ -79,6 +79,11 @@
 void ReplicaSet::put(const ReplicaRecord &record, Instant now)
 {
     Replica &replica = mReplicas[record.id];
+    // What was known of an earlier life holds no more: its weights, its load, that it
+    // was leaving. Kept, a replica that drained and came back would stand empty for good.
+    if (record.isOtherLife(replica.record)) {
+        replica = Replica();
+    }
     const bool wasDraining = replica.record.isDraining;
     // Within one life versions only rise: one that is new in the record is newer
     // than the agent's last word, too.
@@ -93,6 +98,11 @@
     retireEarlierLives(record, now);
 }
 
+void ReplicaSet::unreadable(std::string_view id, Instant now)
+{
+    replaced(id, now);
+}
+
 void ReplicaSet::remove(std::string_view id, bool trusted, Microseconds age, Instant now)
 {
     const auto it = mReplicas.find(id);
--- a/src/libloomjunction/core/replicaset.h
+++ b/src/libloomjunction/core/replicaset.h
@@ -65,13 +65,15 @@
 
     void setDrainTime(Milliseconds drainTime) { mDrainTime = drainTime; }
 
-    /** A record of the store, new or changed. Draining is final for one id. */
+    /** A record of the store, new or changed. Draining is final for one life. */
     void put(const ReplicaRecord &record, Instant now);
     /**
      * The record was taken away, @p age ago; @p trusted: by a store that was well
      * all the while. Otherwise the replica is used on for some time from then.
      */
     void remove(std::string_view id, bool trusted, Microseconds age, Instant now);
+    /** Its record says nothing that can be read: it gets nothing until the next one. */
+    void unreadable(std::string_view id, Instant now);
     /** Another replica answered at the address of @p id, so its life is over. */
     void replaced(std::string_view id, Instant now);
     /** An agent's report on the replica at @p address. */
--- a/src/libloomjunction/gateway/ports.h
+++ b/src/libloomjunction/gateway/ports.h
@@ -178,8 +178,9 @@
 struct EngineReport
 {
     std::vector<LoadedWeights> loaded;
+    std::uint64_t born = 0; ///< when it started, as it says; zero: untold
     bool isBusy = false; ///< an order is under way
-    std::uint64_t ordersTaken = 0;
+    std::uint64_t ordersTaken = 0; ///< since its start
     std::uint32_t running = 0;
     std::uint32_t waiting = 0;
     std::uint64_t memoryUsed = 0;
--- a/src/libloomjunction/gateway/replicaservice.cpp
+++ b/src/libloomjunction/gateway/replicaservice.cpp
@@ -80,12 +80,19 @@
     }
     auto record = mRecords.replicaRecord(id, *change.record.value);
     if (!record) {
-        logLine(LogLevel::Error, "replica-record-refused",
-                {{"replica", id}, {"problem", record.error()}});
+        logLine(LogLevel::Warning, "replica-record-refused",
+                {{"replica", id}, {"problem", record.error()}, {"offset", change.record.offset}});
+        mMetrics.count("replica_records_refused");
+        mReplicas.unreadable(id, now());
         return;
     }
     const Replica *known = mReplicas.find(id);
-    const bool isNews = known == nullptr || known->record.isDraining != record->isDraining
+    const bool isReborn = known != nullptr && record->isOtherLife(known->record);
+    if (isReborn) {
+        closeIdle(id);
+    }
+    const bool isNews = known == nullptr || isReborn
+        || known->record.isDraining != record->isDraining
         || known->record.weightsVersion != record->weightsVersion;
     if (isNews) {
         logLine(LogLevel::Info, "replica-state",
@@ -94,6 +101,8 @@
                  {"address", record->address},
                  {"draining", record->isDraining},
                  {"weights", record->weightsVersion},
+                 {"born", record->born},
+                 {"reborn", isReborn},
                  {"offset", change.record.offset}});
     }
     record->offset = change.record.offset;
@@ -304,6 +313,18 @@
     --it->second.open;
 }
 
+// Connections that rest lead to the life that ended; one that was lost without a
+// word would take a request that cannot be sent again.
+void ReplicaService::closeIdle(const std::string &id)
+{
+    const auto it = mPools.find(id);
+    if (it == mPools.end()) {
+        return;
+    }
+    it->second.open -= static_cast<std::uint32_t>(it->second.idle.size());
+    it->second.idle.clear();
+}
+
 void ReplicaService::closeExpired(Pool &pool, std::chrono::steady_clock::time_point time)
 {
     pool.open -= static_cast<std::uint32_t>(
--- a/src/libloomjunction/gateway/replicaservice.h
+++ b/src/libloomjunction/gateway/replicaservice.h
@@ -89,6 +89,7 @@
     bool saysTheSame(const FeedRecord &known, const FeedRecord &next) const;
     awaitable<void> sweepLoop();
     std::unique_ptr<HttpLink> takeIdle(Pool &pool);
+    void closeIdle(const std::string &id);
     static void closeExpired(Pool &pool, std::chrono::steady_clock::time_point time);
 
     RecordPort &mRecords;
--- a/src/libloomjunction/gateway/stageservice.cpp
+++ b/src/libloomjunction/gateway/stageservice.cpp
@@ -161,11 +161,27 @@
         logLine(report ? LogLevel::Info : LogLevel::Warning,
                 report ? "engine-regained" : "engine-lost", {});
     }
+    noteEngineLife(report);
     mReport = std::move(report);
     tellLoad();
     co_return mReport.has_value();
 }
 
+// An engine that started again has taken no order of ours and holds no weights.
+// Waiting for the load that its earlier life was ordered would keep it empty.
+void StageService::noteEngineLife(const std::optional<EngineReport> &report)
+{
+    if (!report || report->born == 0 || report->born == mEngineBorn) {
+        return;
+    }
+    if (mEngineBorn != 0) {
+        logLine(LogLevel::Warning, "engine-started-again",
+                {{"born", report->born}, {"wasLoading", mIsLoading}});
+        mIsLoading = false;
+    }
+    mEngineBorn = report->born;
+}
+
 void StageService::tellLoad()
 {
     ReplicaLoad load;
@@ -580,6 +596,8 @@
     if (mReport->isBusy) {
         co_return false; // a load under way still reads the stage
     }
+    // A later life of the engine may have lost the stage that is looked at here.
+    const std::uint64_t life = mEngineBorn;
     if (!co_await isStageRight(model, wanted.digest)) {
         if (!co_await fillStage(model, wanted.digest)
             || !co_await isStageRight(model, wanted.digest)) {
@@ -591,7 +609,7 @@
     mOrdered = wanted.version;
     mOrderedAt = now();
     tellLoad();
-    if (!co_await emptyEngine() || mReport->isBusy) {
+    if (!co_await emptyEngine() || mReport->isBusy || mEngineBorn != life) {
         mIsLoading = false;
         co_return false;
     }
--- a/src/libloomjunction/gateway/stageservice.h
+++ b/src/libloomjunction/gateway/stageservice.h
@@ -76,6 +76,7 @@
     awaitable<void> drive();
     awaitable<void> drivePeers();
     awaitable<bool> lookAtEngine();
+    void noteEngineLife(const std::optional<EngineReport> &report);
     bool isCalm() const;
     awaitable<void> bringWeights();
     awaitable<bool> startFetch(std::string model, std::uint64_t version);
@@ -125,6 +126,7 @@
     std::unique_ptr<Signal> mWake;
 
     std::optional<EngineReport> mReport;
+    std::uint64_t mEngineBorn = 0; ///< the start that the engine told last; zero: none yet
     std::vector<VersionFetch> mFetches; ///< oldest first; the last is the newest named
     VersionInHand mReady; ///< the newest one that is here whole
     Instant mReadyAt; ///< since when
