Later tries of callers are told from first ones that begin with less time

Cause: a gateway took the longest time told on a route less the request's for the time that its caller had waited.

Now each gateway learns what part of the longest time first tries have, less as many of the lowest as may have returned by the share that it refused. Where all begin with the same time it says what the old way said (test).

--- a/src/libloomjunction/gateway/gatewaycall.cpp
+++ b/src/libloomjunction/gateway/gatewaycall.cpp
@@ -670,6 +670,7 @@
     const auto took = std::chrono::duration_cast<Milliseconds>(now() - mArrived);
     const std::string_view late = outcome == "answered" ? latenessCause() : "";
     mParts.metrics.count("calls", outcome);
+    mParts.replicas.noteEnd(status == 503);
     if (!late.empty()) {
         mParts.metrics.count("late", late);
     }
--- a/src/libloomjunction/gateway/replicaservice.cpp
+++ b/src/libloomjunction/gateway/replicaservice.cpp
@@ -243,9 +243,13 @@
 
 Milliseconds ReplicaService::waitedBefore(const std::string &route, Milliseconds timeLeft)
 {
-    Milliseconds &longest = mLongestDeadline[route];
-    longest = std::max(longest, timeLeft);
-    return longest - timeLeft;
+    mPatience.note(route, timeLeft, mRefused.share(now()));
+    return mPatience.waited(route, timeLeft);
+}
+
+void ReplicaService::noteEnd(bool mayReturn)
+{
+    mRefused.note(!mayReturn, now());
 }
 
 SharedRetryBudget &ReplicaService::budget(const std::string &service)
--- a/src/libloomjunction/gateway/replicaservice.h
+++ b/src/libloomjunction/gateway/replicaservice.h
@@ -8,11 +8,13 @@
 
 #pragma once
 
+#include "callerpatience.h"
 #include "directsettings.h"
 #include "httplink.h"
 #include "kernel.h"
 #include "loadasker.h"
 #include "ports.h"
+#include "refusalshare.h"
 #include "replicaset.h"
 #include "sharedretrybudget.h"
 
@@ -59,6 +61,8 @@
     void noteRequest(const std::string &service, Milliseconds goal);
     /** How long ago a caller of @p route with so much time left tried first. */
     Milliseconds waitedBefore(const std::string &route, Milliseconds timeLeft);
+    /** A request has ended; @p mayReturn: its caller was told when to come back. */
+    void noteEnd(bool mayReturn);
 
     void began(const std::string &id, bool isPatient);
     void answerBegan(const std::string &id, bool isPatient, Microseconds took);
@@ -102,7 +106,8 @@
     ReplicaSet mReplicas;
     std::map<std::string, Pool> mPools; ///< by replica id
     std::map<std::string, SharedRetryBudget> mBudgets;
-    std::map<std::string, Milliseconds> mLongestDeadline; ///< by route
+    CallerPatience mPatience;
+    RefusalShare mRefused; ///< of all requests
     std::unique_ptr<LoadAsker> mAsker;
     DirectConfig *mConfig = nullptr;
     bool mStopped = false;
