--- a/src/libloomjunction/core/chunkplan.cpp
+++ b/src/libloomjunction/core/chunkplan.cpp
@@ -12,6 +12,7 @@
 
 #include <algorithm>
 #include <numeric>
+#include <utility>
 
 namespace Loom {
 
@@ -41,6 +42,13 @@
 // puts right, and the most after doubling, for an origin that is dead.
 constexpr Milliseconds sOriginRetry{25};
 constexpr Milliseconds sMostOriginRetry{400};
+// Failures in a row that may be those of one connection; an origin that gives nothing
+// after them is away.
+constexpr std::uint32_t sOriginAway = 2;
+// A round over the chunks that an origin still owes: shorter ones would ask a dead one
+// without end, longer ones would leave its link idle after its return.
+constexpr Microseconds sLeastOriginRound{100'000};
+constexpr Microseconds sMostOriginRound{2'000'000};
 constexpr Milliseconds sBusyPause{20};
 constexpr Milliseconds sMissingPause{200};
 constexpr Milliseconds sGonePause{2'000};
@@ -311,9 +319,55 @@
     return first + mOptions.originSpacing * chunk.place;
 }
 
+Instant ChunkPlan::originRetry(const Chunk &chunk, ChunkFailure why, Instant now) const
+{
+    if (mIsOriginAway && why != ChunkFailure::Corrupt) {
+        return nextOriginRound(chunk, now);
+    }
+    const std::uint32_t doublings = std::min(chunk.originFailures - 1, 10U);
+    return now + std::min<Milliseconds>(sOriginRetry * (1 << doublings), sMostOriginRetry);
+}
+
+// The time in which an origin that was away gives out what it still owes.
+Microseconds ChunkPlan::originRound() const
+{
+    const auto owed = std::ranges::count_if(mChunks, [](const Chunk &chunk) {
+        return chunk.state != State::Have && chunk.holders == 0;
+    });
+    return std::clamp<Microseconds>(mOptions.originSpacing * owed, sLeastOriginRound,
+                                    sMostOriginRound);
+}
+
+// Where all ask an origin that was away again and again, they all find it back at once:
+// its link is shared by all chunks, which come at one late moment, and boxes have nothing
+// to pass on until then. In a round, whatever moment the origin returns at, its chunks
+// leave one after the other from there. Whoever steps in for an owner asks in few rounds.
+Instant ChunkPlan::nextOriginRound(const Chunk &chunk, Instant now) const
+{
+    const auto isBefore = [&](const Chunk &other) {
+        return other.place < chunk.place && other.state != State::Have && other.holders == 0;
+    };
+    const auto before = std::ranges::count_if(mChunks, isBefore);
+    const Microseconds round = originRound();
+    const Instant first = mOptions.originFrom == Instant() ? mBegun : mOptions.originFrom;
+    const Instant own = first + (mOptions.originSpacing * before) % round;
+    const std::int64_t rounds = 1LL << 2 * std::min(chunk.originRank, sMostStepIn);
+    const Instant begin = own + round * (chunk.tieBreak % rounds);
+    const Microseconds past = std::max<Microseconds>(now - begin, Microseconds(0));
+    return begin + round * rounds * (past / (round * rounds) + 1);
+}
+
+// Chunks turn up again, and each owner has had its moment.
+bool ChunkPlan::isOriginBackFor(const Chunk &chunk, Instant now) const
+{
+    return !mIsOriginAway && mRoundOver != Instant()
+        && now >= mRoundOver + sNewsTime * static_cast<int>(chunk.originRank);
+}
+
 bool ChunkPlan::mayPullFromOrigin(const Chunk &chunk, Instant now) const
 {
-    if (chunk.originRetryAt > now || originTurn(chunk) > now) {
+    const bool isPaused = chunk.originRetryAt > now && !isOriginBackFor(chunk, now);
+    if (isPaused || originTurn(chunk) > now) {
         return false;
     }
     switch (mOptions.policy) {
@@ -388,6 +442,9 @@
 void ChunkPlan::noteFound(Chunk &chunk, Instant now)
 {
     mLastFound = now;
+    if (std::exchange(mIsOriginAway, false)) {
+        mRoundOver = now + originRound();
+    }
     if (chunk.wasFound) {
         return;
     }
@@ -435,8 +492,14 @@
     // The rarest first here too: a chunk that a neighbour holds can wait.
     std::vector<std::uint32_t> wanted;
     for (std::uint32_t index = 0; index < mChunks.size(); ++index) {
-        const Chunk &chunk = mChunks[index];
-        const bool isDue = chunk.state == State::Missing && mayPullFromOrigin(chunk, now);
+        Chunk &chunk = mChunks[index];
+        bool isDue = chunk.state == State::Missing && mayPullFromOrigin(chunk, now);
+        // It would step in together with all others of its rank.
+        if (isDue && mIsOriginAway && chunk.originFailures == 0) {
+            chunk.originFailures = sOriginAway;
+            chunk.originRetryAt = nextOriginRound(chunk, now);
+            isDue = false;
+        }
         if (isDue || isStraggler(chunk, now)) {
             wanted.push_back(index);
         }
@@ -575,9 +638,10 @@
     chunk.isAskedOfOrigin = chunk.isAskedOfOrigin && !wasOrigin;
     const auto *fromPeer = std::get_if<FromPeer>(&source);
     if (fromPeer == nullptr) {
-        const auto doubled = sOriginRetry * (1 << std::min(chunk.originFailures, 10U));
-        chunk.originRetryAt = now + std::min<Milliseconds>(doubled, sMostOriginRetry);
         ++chunk.originFailures;
+        const bool isGone = why != ChunkFailure::Corrupt && chunk.originFailures > sOriginAway;
+        mIsOriginAway = mIsOriginAway || (isGone && mOptions.originSpacing.count() > 0);
+        chunk.originRetryAt = originRetry(chunk, why, now);
         return;
     }
     const auto it = mPeers.find(fromPeer->box);
--- a/src/libloomjunction/core/chunkplan.h
+++ b/src/libloomjunction/core/chunkplan.h
@@ -178,6 +178,10 @@
     void planPeers(std::vector<ChunkFetch> &out, Instant now);
     Microseconds takeoverAfter() const;
     Instant originTurn(const Chunk &chunk) const;
+    Instant originRetry(const Chunk &chunk, ChunkFailure why, Instant now) const;
+    Instant nextOriginRound(const Chunk &chunk, Instant now) const;
+    Microseconds originRound() const;
+    bool isOriginBackFor(const Chunk &chunk, Instant now) const;
     void noteFound(Chunk &chunk, Instant now);
     bool isOverdueAtOrigin(const Chunk &chunk, std::uint32_t turn, Instant now) const;
     std::optional<Instant> silentSince(const Chunk &chunk) const;
@@ -203,6 +207,8 @@
     Instant mBegun;
     Instant mLastFound; ///< when one came or was first held by a neighbour
     std::uint32_t mFoundCount = 0; ///< chunks that came, or that a neighbour ever held
+    bool mIsOriginAway = false; ///< as far as our own pulls tell
+    Instant mRoundOver; ///< when all owners have asked an origin that came back
     std::optional<Instant> mOwnShareAt; ///< when all chunks that are ours had come
     std::optional<Instant> mSharesFoundAt; ///< when most of the active owners' chunks had turned up
     std::optional<Instant> mMostFoundAt; ///< when that was most of them
