--- a/tests/direct/test_addresschoice.cpp
+++ b/tests/direct/test_addresschoice.cpp
@@ -120,6 +120,25 @@
     BOOST_TEST(countOf(told, "c") == 14);
 }
 
+// Four, two and three gateways: the callers of the two and the three used all nine, those
+// of the four only these, so that one gateway got 231 calls while others got 79.
+BOOST_AUTO_TEST_CASE(where_a_data_centre_has_too_few_for_good_the_others_share_theirs)
+{
+    std::vector<AddressPlace> places;
+    add(places, "a", "r", 4);
+    add(places, "b", "s", 2);
+    add(places, "c", "t", 3);
+    for (const char *dataCentre : {"a", "b", "c"}) {
+        BOOST_TEST(choose(places, {dataCentre, ""}).size() == 9);
+    }
+    add(places, "b", "s", 2);
+    add(places, "c", "t", 1);
+    BOOST_TEST(choose(places, {"a", "r"}).size() == 4);
+    // One that is away comes back; the callers of the others stay where they are.
+    setStanding(places, "b", 0, 3, GatewayStanding::Out);
+    BOOST_TEST(choose(places, {"a", "r"}).size() == 4);
+}
+
 BOOST_AUTO_TEST_CASE(a_list_outlives_the_loss_of_two_boxes_and_a_restart)
 {
     std::vector<AddressPlace> places;
