Callers without a chance to be in time are told to come back late, and spread

Load: a rush of a second, or a gap of some without usable weights. Callers came back within their goal, or after 0.4 s, into the same rush and were refused for good.

The time to come back is now a class of its own (ComeBack).

--- /dev/null
+++ b/src/libloomjunction/core/comeback.h
@@ -0,0 +1,40 @@
+/*
+ * comeback.h
+ * Copyright 2026, the loomjunction authors
+ *
+ * This file is part of loomjunction (libloomjunction).
+ * SPDX-License-Identifier: BSD-2-Clause
+ */
+
+#pragma once
+
+#include "instant.h"
+#include "replicaoffer.h"
+
+namespace Loom {
+
+/** When a caller that finds no place is told to try again. Lives as long as one choice. */
+class ComeBack
+{
+public:
+    explicit ComeBack(const ReplicaQuery &query)
+        : mQuery(query)
+    {
+    }
+
+    /**
+     * All replicas are busy, the least busy one with @p leastLoad requests a slot.
+     * @p isShort: so are many others, and places will be wanted for a while.
+     */
+    Milliseconds afterBusy(double leastLoad, bool isShort) const;
+    /** No replica can be used at all, as while weights change. */
+    Milliseconds afterNone() const;
+
+private:
+    Milliseconds late() const;
+    double random() const;
+
+    const ReplicaQuery &mQuery;
+};
+
+} // namespace Loom
--- a/src/libloomjunction/core/replicaoffer.h
+++ b/src/libloomjunction/core/replicaoffer.h
@@ -38,6 +38,8 @@
     std::uint32_t entries = 1; ///< that share the replicas
     /** Since the caller first tried, here or elsewhere; the goal counts from then. */
     Milliseconds waited{0};
+    /** Until the caller gives up; zero: unknown. */
+    Milliseconds timeLeft{0};
     /** The caller has the beginning of its answer and waits for the rest. */
     bool isResumed = false;
     std::span<const std::string> excluded; ///< ids
--- a/src/libloomjunction/core/replicaset.cpp
+++ b/src/libloomjunction/core/replicaset.cpp
@@ -8,6 +8,7 @@
 
 #include "replicaset.h"
 
+#include "comeback.h"
 #include "levelling.h"
 
 #include <algorithm>
@@ -26,9 +27,6 @@
 // its use ends.
 constexpr Milliseconds sDrainMargin{500};
 constexpr double sSmoothing = 0.15;
-constexpr Milliseconds sPlainComeBack{100};
-constexpr Milliseconds sLeastComeBack{150};
-constexpr Milliseconds sMostComeBack{1'500};
 // Replicas looked at for one request: enough to level their loads, and so few
 // that a choice costs the same among thousands.
 constexpr std::size_t sSample = 16;
@@ -40,14 +38,11 @@
 // The least that is spread, so that the best replica gets nearly all.
 constexpr double sLeastLevelled = 0.01;
 constexpr double sRandomSteps = 2147483648.0;
+// Of the calls that could be in time, refused of late: more is no bad luck of the few
+// replicas that one call looks at.
+constexpr double sShortShare = 0.05;
 // Parts the draws of the choice from those of the sample; any number does.
 constexpr std::uint64_t sOtherDraws = 0x9e3779b97f4a7c15ULL;
-// A caller's way here and back on a new connection.
-constexpr double sReturnMs = 30;
-// Sooner, a caller that returns would find what it found before.
-constexpr double sLeastReturnMs = 40;
-// A refused request comes back when a few turns are over.
-constexpr double sComeBackFactor = 4;
 
 } // namespace
 
@@ -320,6 +315,30 @@
     return *last;
 }
 
+// Whether so many found no room of late that whoever can still be in time wants each place.
+bool ReplicaSet::isShortOfRoom(std::string_view service, Instant now) const
+{
+    const auto it = mRefusals.find(service);
+    return it != mRefusals.end() && it->second.share(now) > sShortShare;
+}
+
+bool ReplicaSet::canBePrompt(const ReplicaQuery &query)
+{
+    const EngineModel model(*query.engine);
+    const double left = static_cast<double>((query.goal - query.waited).count()) * sGoalUsed;
+    return model.firstEvent({}, query.promptTokens) <= left;
+}
+
+void ReplicaSet::noteChoice(const ReplicaQuery &query, const ReplicaChoice &choice, Instant now)
+{
+    if (query.engine == nullptr || query.isResumed || !canBePrompt(query)) {
+        return;
+    }
+    const auto *chosen = std::get_if<ChosenReplica>(&choice);
+    const bool hasRoom = chosen != nullptr && !chosen->isPatient;
+    mRefusals[std::string(query.service)].note(hasRoom, now);
+}
+
 ReplicaChoice ReplicaSet::choose(const ReplicaQuery &query, Instant now) const
 {
     const auto calls = mCalls.find(query.service);
@@ -329,7 +348,7 @@
     estimator.setFastestAnswer(fastestAnswerMs(estimator));
     std::vector<const Replica *> usable = usableFor(query, estimator);
     if (usable.empty()) {
-        return NoneUsable{countOf(query.service)};
+        return NoneUsable{countOf(query.service), ComeBack(query).afterNone()};
     }
     shuffleFront(usable, usable.size(), query.random);
     const Survey survey = ReplicaSet::survey(usable, query, estimator, now);
@@ -339,10 +358,11 @@
     const double chance = unitRandom(state);
     const bool isShared = query.engine == nullptr || chance * expected < survey.room;
     const bool isPrompt = !survey.prompt.empty() && isShared;
+    const bool isShort = query.engine != nullptr && isShortOfRoom(query.service, now);
     const bool mayBeLate = query.isResumed || survey.freePlaces > expected;
     const bool isPatient = !isPrompt && mayBeLate && !survey.open.empty();
     if (!isPrompt && !isPatient) {
-        return AllBusy{comeBack(query, survey.leastLoad), survey.leastLoad};
+        return AllBusy{ComeBack(query).afterBusy(survey.leastLoad, isShort), survey.leastLoad};
     }
     const std::vector<Candidate> &candidates = isPrompt ? survey.prompt : survey.open;
     const Candidate &chosen = pickLevelled(candidates, expected, unitRandom(state));
@@ -360,28 +380,6 @@
         mReplicas, [&](const auto &item) { return item.second.record.service == service; }));
 }
 
-// Who can still make it is told to come back within the goal, once: places turn
-// up all the time. Others come back when a few turns are over. Those who are
-// refused together should not return together.
-Milliseconds ReplicaSet::comeBack(const ReplicaQuery &query, double leastLoad)
-{
-    if (query.engine == nullptr) {
-        return sPlainComeBack;
-    }
-    const EngineModel model(*query.engine);
-    const double random = static_cast<double>(query.random % 1024) / 1024;
-    const double left = static_cast<double>((query.goal - query.waited).count()) * sGoalUsed
-        - model.firstEvent({}, query.promptTokens) - sReturnMs;
-    if (left >= sLeastReturnMs) {
-        return Milliseconds(
-            static_cast<std::int64_t>(sLeastReturnMs + (left - sLeastReturnMs) * random));
-    }
-    const double over = std::max(0.0, leastLoad - 1) * query.engine->slots;
-    const double wait = (over + 1) * model.turn() * sComeBackFactor;
-    const Milliseconds after(static_cast<std::int64_t>(wait * (0.75 + 0.5 * random)));
-    return std::clamp(after, sLeastComeBack, sMostComeBack);
-}
-
 void ReplicaSet::began(std::string_view id, bool isPatient, Instant now)
 {
     const auto it = mReplicas.find(id);
--- a/src/libloomjunction/core/replicaset.h
+++ b/src/libloomjunction/core/replicaset.h
@@ -11,6 +11,7 @@
 #include "askplan.h"
 #include "callrate.h"
 #include "instant.h"
+#include "refusalshare.h"
 #include "replica.h"
 #include "replicaoffer.h"
 
@@ -29,6 +30,7 @@
 struct NoneUsable
 {
     std::uint32_t known = 0;
+    Milliseconds comeBack{0};
 };
 /** All are too busy to answer within the goal. */
 struct AllBusy
@@ -90,6 +92,8 @@
 
     /** A caller's request for @p service came. */
     void noteCall(std::string_view service, Milliseconds goal, Instant now);
+    /** What choose() said of a caller's request in the end. */
+    void noteChoice(const ReplicaQuery &query, const ReplicaChoice &choice, Instant now);
     void began(std::string_view id, bool isPatient, Instant now);
     /** The answer or its first event came, @p took after the request was sent. */
     void answerBegan(std::string_view id, bool isPatient, Microseconds took);
@@ -137,11 +141,13 @@
                          Instant now) const;
     static const Candidate &pickLevelled(std::span<const Candidate> candidates, double requests,
                                          double random);
-    static Milliseconds comeBack(const ReplicaQuery &query, double leastLoad);
+    static bool canBePrompt(const ReplicaQuery &query);
+    bool isShortOfRoom(std::string_view service, Instant now) const;
 
     Milliseconds mDrainTime;
     std::string mEntry;
     std::map<std::string, CallRate, std::less<>> mCalls; ///< by service
+    std::map<std::string, RefusalShare, std::less<>> mRefusals; ///< by service
     std::map<std::string, Replica, std::less<>> mReplicas;
 };
 
--- a/src/libloomjunction/gateway/gatewaycall.cpp
+++ b/src/libloomjunction/gateway/gatewaycall.cpp
@@ -205,6 +205,7 @@
     query.excluded = mExcluded;
     query.random = mRandom + mSends;
     query.waited = mWaitedBefore + std::chrono::duration_cast<Milliseconds>(now() - mArrived);
+    query.timeLeft = mCaller.deadline ? timeLeft() : Milliseconds(0);
     query.isResumed = mIsHeadSent;
     if (mService != nullptr && mService->engine) {
         query.engine = &*mService->engine;
@@ -232,6 +233,9 @@
             if (const auto *busy = std::get_if<AllBusy>(&choice); busy && mExcluded.empty()) {
                 last = {503, "all replicas are busy", busy->comeBack};
             }
+            if (const auto *none = std::get_if<NoneUsable>(&choice); none && mExcluded.empty()) {
+                last.comeBack = none->comeBack;
+            }
             break;
         }
         const ChosenReplica replica = *chosen;
--- a/src/libloomjunction/gateway/replicaservice.cpp
+++ b/src/libloomjunction/gateway/replicaservice.cpp
@@ -171,6 +171,7 @@
         // Late answers to the questions of an earlier round count, too.
         choice.decide(answeredSince(begun, choice.asked()), now() - begun, now());
     }
+    mReplicas.noteChoice(query, choice.choice(), now());
     co_return choice.choice();
 }
 
--- a/tests/direct/overloadlab.cpp
+++ b/tests/direct/overloadlab.cpp
@@ -128,7 +128,9 @@
     query.leastVersion = 1;
     query.entries = static_cast<std::uint32_t>(mGateways.size());
     query.random = mRandom();
+    query.timeLeft = Milliseconds(sDeadlineMs - (time - request->firstTryAt));
     const ReplicaChoice choice = choose(request->gateway, query, time);
+    gateway.noteChoice(query, choice, at(time));
     if (const auto *chosen = std::get_if<ChosenReplica>(&choice)) {
         request->engine = static_cast<std::size_t>(std::stoul(chosen->id.substr(1)));
         request->isPatient = chosen->isPatient;
