--- /dev/null
+++ b/tests/gateway/stagelab.h
@@ -0,0 +1,147 @@
+/*
+ * stagelab.h
+ * Copyright 2026, the loomjunction authors
+ *
+ * This file is part of loomjunction (tests).
+ * SPDX-License-Identifier: BSD-2-Clause
+ */
+
+#pragma once
+
+#include "directlab.h"
+#include "loadreporter.h"
+#include "manifest.h"
+#include "stageservice.h"
+
+#include <map>
+#include <set>
+
+namespace Loom {
+
+/** An engine and an origin of weights in memory. */
+class FakeEngine final : public EnginePort
+{
+public:
+    static constexpr std::uint32_t sChunks = 12;
+
+    std::uint64_t loaded = 1;
+    std::uint64_t born = 1'000;
+    std::set<std::uint64_t> deadVersions; ///< of which the origin gives no chunk
+    std::set<std::uint64_t> pulled; ///< versions of which a chunk was asked for
+    std::function<void(std::uint32_t index)> onStageGet;
+    int orders = 0;
+    int ordersOnHalfAStage = 0;
+    std::map<std::uint32_t, std::string> stage;
+
+    static Manifest manifestOf(std::uint64_t version)
+    {
+        const std::string bytes = weightsOf(version);
+        return Manifest::ofWeights("m", std::to_string(version), std::as_bytes(std::span(bytes)),
+                                   sChunkBytes);
+    }
+
+    awaitable<std::optional<EngineReport>> report(std::uint32_t) override
+    {
+        EngineReport report;
+        report.loaded.push_back({"m", loaded, true});
+        report.born = born;
+        report.ordersTaken = 0;
+        co_return report;
+    }
+
+    awaitable<OrderAnswer> load(std::string, std::uint64_t version, LoadManner,
+                                std::uint64_t) override
+    {
+        ++orders;
+        ordersOnHalfAStage += stage.size() < sChunks ? 1 : 0;
+        loaded = version;
+        co_return OrderAnswer::Begun;
+    }
+
+    awaitable<bool> stagePut(std::string, std::uint32_t index, std::string data) override
+    {
+        stage[index] = std::move(data);
+        co_return true;
+    }
+
+    awaitable<std::optional<std::string>> stageGet(std::string, std::uint32_t index) override
+    {
+        const auto it = stage.find(index);
+        const auto data = it == stage.end() ? std::nullopt : std::optional(it->second);
+        if (onStageGet) {
+            onStageGet(index);
+        }
+        co_return data;
+    }
+
+    awaitable<tl::expected<Manifest, std::string>> manifest(Tcp::endpoint, std::string,
+                                                            std::uint64_t version) override
+    {
+        co_return manifestOf(version);
+    }
+
+    awaitable<std::optional<std::string>> piece(Tcp::endpoint, std::string, std::uint64_t version,
+                                                std::uint32_t index) override
+    {
+        pulled.insert(version);
+        if (deadVersions.contains(version)) {
+            co_return std::nullopt;
+        }
+        co_return weightsOf(version).substr(std::size_t{index} * sChunkBytes, sChunkBytes);
+    }
+
+private:
+    static constexpr std::uint32_t sChunkBytes = 256;
+
+    static std::string weightsOf(std::uint64_t version)
+    {
+        std::string bytes(std::size_t{sChunks} * sChunkBytes, static_cast<char>('a' + version));
+        for (std::size_t index = 0; index < bytes.size(); ++index) {
+            bytes[index] = static_cast<char>(bytes[index] + index / sChunkBytes);
+        }
+        return bytes;
+    }
+};
+
+/** One agent over a store in memory. */
+class StageLab
+{
+public:
+    StageLab(asio::io_context &context, StorePort &store, std::string box)
+        : mSettings(settings(std::move(box)))
+        , mKernel(context.get_executor())
+    {
+        mKernel.add(std::make_unique<PeerHub>(mSettings.peers));
+        mKernel.add(std::make_unique<FeedService>(store, mSettings.box, FeedPreference::Store));
+        mKernel.add(std::make_unique<MemberService>(store, mSettings, 1));
+        mKernel.add(std::make_unique<DirectConfig>(mRecords, mSettings.bounds));
+        mKernel.add(std::make_unique<LoadReporter>("127.0.0.1:1"));
+        mKernel.add(std::make_unique<StageService>(engine, mMetrics, mSettings));
+    }
+
+    FakeEngine engine;
+
+    void start() { BOOST_REQUIRE(mKernel.start().has_value()); }
+
+private:
+    static DirectSettings settings(std::string box)
+    {
+        const Tcp::endpoint anyPort(asio::ip::address_v4::loopback(), 0);
+        DirectSettings settings;
+        settings.box = std::move(box);
+        settings.dataCentre = "z1";
+        settings.region = "r1";
+        settings.peers = anyPort;
+        settings.store = anyPort;
+        settings.bounds.weightsTime = Milliseconds(600'000);
+        settings.role = StagerSettings{"engine", anyPort, 0};
+        return settings;
+    }
+
+    DirectSettings mSettings;
+    Platform::Records mRecords;
+    Metrics mMetrics;
+    Kernel mKernel;
+};
+
+} // namespace Loom
