Agents that begin join the version that others still fetch

Cause: the store tells the newest version only.

An agent that begins asks some others for the oldest version that they have to do with, and fetches it, too.

--- a/src/libloomjunction/gateway/stageservice.cpp
+++ b/src/libloomjunction/gateway/stageservice.cpp
@@ -19,8 +19,10 @@
 #include "wire.pb.h"
 
 #include <algorithm>
+#include <charconv>
 #include <iterator>
 #include <random>
+#include <utility>
 
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
@@ -74,6 +76,8 @@
 constexpr Milliseconds sTakeover{2'000};
 // Several times what a chunk takes when it shares an idle link with three others.
 constexpr double sSlowChunkSeconds = 0.5;
+// Asks for the manifest of the oldest version that a box still has to do with.
+constexpr std::uint64_t sOldestFetched = 0;
 // Of the version in force, the next, and one after it.
 constexpr std::size_t sMostFetches = 3;
 
@@ -271,6 +275,9 @@
     if (!isBegun && !co_await startFetch(model, newest)) {
         co_await sleepFor(sRetryPause);
     }
+    if (!std::exchange(mHasJoined, true)) {
+        co_await joinOlderFetch(model, newest);
+    }
     if (!mReport) {
         co_return; // an engine starts about as long as half a fetch takes
     }
@@ -341,24 +348,57 @@
                 {{"model", model}, {"version", version}, {"problem", text.error()}});
         co_return false;
     }
-    auto manifest = Manifest::parse(*text);
-    if (!manifest) {
-        logLine(LogLevel::Error, "manifest-unreadable", {{"problem", manifest.error()}});
+    const auto wanted = co_await keepManifest(model, version, std::move(*text));
+    if (!wanted) {
         co_return false;
     }
-    const VersionInHand wanted{version, sha256Hex(*text)};
-    if (mStore->find(wanted.digest) == nullptr) {
-        mStore->open(wanted.digest, std::move(*manifest), *text);
-    }
-    co_await adoptStage(model, wanted);
     while (mFetches.size() >= sMostFetches) {
         mFetches.front().fetch->cancel();
         mFetches.erase(mFetches.begin());
     }
-    mFetches.push_back({wanted, beginFetch(model, wanted)});
+    mFetches.push_back({*wanted, beginFetch(model, *wanted)});
     co_return true;
 }
 
+// Opens the version in the store, with what lies of it in the stage already.
+awaitable<std::optional<StageService::VersionInHand>>
+StageService::keepManifest(std::string model, std::uint64_t version, std::string text)
+{
+    auto manifest = Manifest::parse(text);
+    if (!manifest) {
+        logLine(LogLevel::Error, "manifest-unreadable", {{"problem", manifest.error()}});
+        co_return std::nullopt;
+    }
+    const VersionInHand wanted{version, sha256Hex(text)};
+    if (mStore->find(wanted.digest) == nullptr) {
+        mStore->open(wanted.digest, std::move(*manifest), text);
+    }
+    co_await adoptStage(model, wanted);
+    co_return wanted;
+}
+
+// The store tells the newest version only. Others may still fetch the one before it and
+// wait for the chunks that this box owns; without those, all replicas were without usable
+// weights for 7 s (two versions 2 s apart, 6 of 76 agents killed between them, the origin
+// dead soon after).
+awaitable<void> StageService::joinOlderFetch(std::string model, std::uint64_t newest)
+{
+    std::string text = co_await manifestFromPeers(model, sOldestFetched, someStagers());
+    const auto manifest = Manifest::parse(text);
+    if (!manifest) {
+        co_return; // nobody fetches an older one
+    }
+    std::uint64_t version = 0;
+    const std::string &told = manifest->version;
+    std::from_chars(told.data(), told.data() + told.size(), version);
+    if (version <= loadedVersion(model) || version >= newest) {
+        co_return;
+    }
+    if (const auto wanted = co_await keepManifest(model, version, std::move(text))) {
+        mFetches.insert(mFetches.begin(), {*wanted, beginFetch(model, *wanted)});
+    }
+}
+
 // A few boxes ask the origin, whose connections are few; the others ask those
 // boxes, and the origin only if none has it after a while.
 awaitable<tl::expected<std::string, std::string>> StageService::manifestText(std::string model,
@@ -469,9 +509,11 @@
         co_return;
     }
     wire::ManifestAnswer answer;
+    const std::uint64_t version = (*request)->version();
     for (const VersionFetch &one : mFetches) {
         const StoredVersion *stored = mStore->find(one.wanted.digest);
-        const bool isAsked = stored != nullptr && (*request)->version() == one.wanted.version
+        const bool isOldest = version == sOldestFetched && &one == &mFetches.front();
+        const bool isAsked = stored != nullptr && (isOldest || version == one.wanted.version)
             && stored->manifest.service == (*request)->model();
         if (isAsked) {
             answer.set_found(true);
--- a/src/libloomjunction/gateway/stageservice.h
+++ b/src/libloomjunction/gateway/stageservice.h
@@ -80,6 +80,9 @@
     bool isCalm() const;
     awaitable<void> bringWeights();
     awaitable<bool> startFetch(std::string model, std::uint64_t version);
+    awaitable<std::optional<VersionInHand>> keepManifest(std::string model, std::uint64_t version,
+                                                         std::string text);
+    awaitable<void> joinOlderFetch(std::string model, std::uint64_t newest);
     void noteFetched();
     awaitable<tl::expected<std::string, std::string>> manifestText(std::string model,
                                                                    std::uint64_t version);
@@ -128,6 +131,7 @@
     std::optional<EngineReport> mReport;
     std::uint64_t mEngineBorn = 0; ///< the start that the engine told last; zero: none yet
     std::vector<VersionFetch> mFetches; ///< oldest first; the last is the newest named
+    bool mHasJoined = false; ///< others were asked for a version that they still fetch
     VersionInHand mReady; ///< the newest one that is here whole
     Instant mReadyAt; ///< since when
     std::uint64_t mOrdered = 0; ///< the version of the last order
--- a/tests/gateway/stagelab.h
+++ b/tests/gateway/stagelab.h
@@ -108,7 +108,7 @@
 {
 public:
     StageLab(asio::io_context &context, StorePort &store, std::string box)
-        : mSettings(settings(std::move(box)))
+        : mSettings(settings(context, std::move(box)))
         , mKernel(context.get_executor())
     {
         mKernel.add(std::make_unique<PeerHub>(mSettings.peers));
@@ -124,14 +124,16 @@
     void start() { BOOST_REQUIRE(mKernel.start().has_value()); }
 
 private:
-    static DirectSettings settings(std::string box)
+    static DirectSettings settings(asio::io_context &context, std::string box)
     {
         const Tcp::endpoint anyPort(asio::ip::address_v4::loopback(), 0);
+        // Members are known by the address that they record, so it must be a real one.
+        Tcp::acceptor free(context, anyPort);
         DirectSettings settings;
         settings.box = std::move(box);
         settings.dataCentre = "z1";
         settings.region = "r1";
-        settings.peers = anyPort;
+        settings.peers = free.local_endpoint();
         settings.store = anyPort;
         settings.bounds.weightsTime = Milliseconds(600'000);
         settings.role = StagerSettings{"engine", anyPort, 0};
