--- a/tests/weights/swarmlab.cpp
+++ b/tests/weights/swarmlab.cpp
@@ -35,10 +35,11 @@
 SwarmLab::Result SwarmLab::play(int limitMs)
 {
     for (int time = 0; time <= limitMs && mCounts.lastMs < 0; time += sStepMs) {
+        killDead(time);
         transfer(time);
         tellNews(time);
         for (std::size_t self = 0; self < mPlans.size(); ++self) {
-            if (isDead(self) || time < beginOf(self)) {
+            if ((isDead(self) && mIsDeadGone) || time < beginOf(self)) {
                 continue;
             }
             for (const ChunkFetch &fetch : mPlans[self].next(at(time))) {
@@ -55,6 +56,30 @@
     return mShape.dead.contains(mShape.members[member].box);
 }
 
+// Their connections end: what they sent is lost, and what they held.
+void SwarmLab::killDead(int time)
+{
+    if (mIsDeadGone || time < mShape.deadFromMs) {
+        return;
+    }
+    mIsDeadGone = true;
+    for (const std::string &box : mShape.dead) {
+        for (ChunkPlan &plan : mPlans) {
+            plan.peerGone(box);
+        }
+    }
+    const auto isOfDead
+        = [&](std::size_t member) { return member < mShape.members.size() && isDead(member); };
+    for (const Transfer &one : mOpen) {
+        if (isOfDead(one.from) && !isOfDead(one.to)) {
+            mPlans[one.to].failed(one.fetch.index, one.fetch.source, ChunkFailure::Gone, at(time));
+        }
+    }
+    std::erase_if(mOpen,
+                  [&](const Transfer &one) { return isOfDead(one.from) || isOfDead(one.to); });
+    std::erase_if(mNews, [&](const News &news) { return isOfDead(news.holder); });
+}
+
 int SwarmLab::beginOf(std::size_t member) const
 {
     // Neighbours in the list do not begin together.
@@ -76,6 +101,10 @@
 {
     const std::size_t from = memberOf(fetch.source);
     if (from < mShape.members.size()) {
+        if (isDead(from) && mIsDeadGone) {
+            mPlans[to].failed(fetch.index, fetch.source, ChunkFailure::Gone, at(time));
+            return;
+        }
         const auto uploads = std::ranges::count(mOpen, from, &Transfer::from);
         if (uploads >= static_cast<std::ptrdiff_t>(mShape.mostUploads)) {
             mPlans[to].failed(fetch.index, fetch.source, ChunkFailure::Busy, at(time));
--- a/tests/weights/swarmlab.h
+++ b/tests/weights/swarmlab.h
@@ -34,6 +34,7 @@
         double originRate = 1'875; ///< 15 Mbit/s
         std::uint32_t mostUploads = 3; ///< at one member, before others are told to come back
         std::set<std::string> dead; ///< listed as members, but silent
+        int deadFromMs = 0; ///< and before it as alive as the others
         int originDiesMs = -1; ///< from then on it gives nothing; below zero: never
         int originReturnsMs = -1; ///< and from then on again; below zero: never
         int mostBeginMs = 0; ///< members begin at moments spread evenly up to this one
@@ -70,6 +71,7 @@
     };
 
     bool isDead(std::size_t member) const;
+    void killDead(int time);
     int beginOf(std::size_t member) const;
     std::size_t memberOf(const ChunkSource &source) const;
     void admit(std::size_t to, const ChunkFetch &fetch, int time);
@@ -84,6 +86,7 @@
     std::vector<Transfer> mOpen;
     std::vector<News> mNews;
     Result mCounts;
+    bool mIsDeadGone = false; ///< the dead have died
 };
 
 } // namespace Loom
