--- a/tests/direct/test_replicaset.cpp
+++ b/tests/direct/test_replicaset.cpp
@@ -175,6 +175,32 @@
     BOOST_TEST(chosen(set, query(), at(2)) == "r1");
 }
 
+// A load of new weights cuts the streams that run; each of them counted as a failure, and
+// the replica stood empty for up to 4 s after it had loaded:
+//   call        reason="connection closed" (255 within half a second of loads)
+//   load-ended  version=2 tookMs=352
+BOOST_AUTO_TEST_CASE(a_replica_with_new_weights_is_not_avoided_for_what_their_load_cut)
+{
+    ReplicaSet set(sDrainTime);
+    const ReplicaRecord replica = record("r1", "here", 1);
+    set.put(replica, at(0));
+    ReplicaLoad load;
+    load.weightsVersion = 1;
+    set.report(replica.address, load, at(0));
+    for (int stream = 0; stream < 4; ++stream) {
+        set.began("r1", false, at(0));
+    }
+    for (int stream = 0; stream < 4; ++stream) {
+        set.ended("r1", ReplicaOutcome::Broken, at(100));
+    }
+    set.report(replica.address, load, at(400));
+    BOOST_TEST(chosen(set, query(), at(400)) == "");
+    load.weightsVersion = 2;
+    set.report(replica.address, load, at(450));
+    BOOST_TEST(chosen(set, query(), at(450)) == "r1");
+    BOOST_TEST(set.find("r1")->failures == 0U);
+}
+
 BOOST_AUTO_TEST_CASE(a_certain_removal_ends_the_time_that_a_doubtful_one_gave)
 {
     ReplicaSet set(sDrainTime);
