--- a/src/libloomjunction/core/replicaset.cpp
+++ b/src/libloomjunction/core/replicaset.cpp
@@ -116,6 +116,9 @@
 {
     for (auto &[id, replica] : mReplicas) {
         if (replica.record.address == address) {
+            if (replica.load && load.weightsVersion > replica.load->weightsVersion) {
+                forgiveLoad(replica, now);
+            }
             if (replica.load) {
                 const double gap
                     = std::chrono::duration<double, std::milli>(now - replica.loadAt).count();
@@ -133,6 +136,15 @@
     }
 }
 
+// Streams that a load of weights cut say nothing of the replica, and there are as many as
+// it has slots: it would stand empty for up to 4 s when it is ready again, in the seconds
+// in which others are away.
+void ReplicaSet::forgiveLoad(Replica &replica, Instant now)
+{
+    replica.failures = 0;
+    replica.avoidedUntil = std::min(replica.avoidedUntil, now);
+}
+
 void ReplicaSet::reportLost(std::string_view address)
 {
     for (auto &[id, replica] : mReplicas) {
--- a/src/libloomjunction/core/replicaset.h
+++ b/src/libloomjunction/core/replicaset.h
@@ -129,6 +129,7 @@
     static bool mayBeUsed(const Replica &replica, const ReplicaQuery &query, Instant now);
     std::vector<const Replica *> leftFor(const ReplicaQuery &query, Instant now) const;
     void retireEarlierLives(const ReplicaRecord &record, Instant now);
+    static void forgiveLoad(Replica &replica, Instant now);
     static void stopAwaiting(Replica &replica, bool isPatient);
     std::uint32_t countOf(std::string_view service) const;
     double fastestAnswerMs(const OfferEstimator &estimator) const;
