--- a/src/libloomjunction/core/chunkplan.cpp
+++ b/src/libloomjunction/core/chunkplan.cpp
@@ -309,14 +309,18 @@
     return std::clamp<Microseconds>(stalled, sLeastTakeover, mOptions.takeover);
 }
 
+// Members hear of a version some tenths of a second after each other, and the last in
+// turn must not wait for that on top.
+Instant ChunkPlan::firstTurn() const
+{
+    return mOptions.originFrom == Instant() ? mBegun : mOptions.originFrom;
+}
+
 // If all owners began at once, the origin's link would bring all chunks at the
 // same late moment, and until then boxes would have nothing to pass on.
 Instant ChunkPlan::originTurn(const Chunk &chunk) const
 {
-    // Members hear of a version some tenths of a second after each other, and the
-    // last in turn must not wait for that on top.
-    const Instant first = mOptions.originFrom == Instant() ? mBegun : mOptions.originFrom;
-    return first + mOptions.originSpacing * chunk.place;
+    return firstTurn() + mOptions.originSpacing * chunk.place;
 }
 
 Instant ChunkPlan::originRetry(const Chunk &chunk, ChunkFailure why, Instant now) const
@@ -349,8 +353,7 @@
     };
     const auto before = std::ranges::count_if(mChunks, isBefore);
     const Microseconds round = originRound();
-    const Instant first = mOptions.originFrom == Instant() ? mBegun : mOptions.originFrom;
-    const Instant own = first + (mOptions.originSpacing * before) % round;
+    const Instant own = firstTurn() + (mOptions.originSpacing * before) % round;
     const std::int64_t rounds = 1LL << 2 * std::min(chunk.originRank, sMostStepIn);
     const Instant begin = own + round * (chunk.tieBreak % rounds);
     const Microseconds past = std::max<Microseconds>(now - begin, Microseconds(0));
--- a/src/libloomjunction/core/chunkplan.h
+++ b/src/libloomjunction/core/chunkplan.h
@@ -177,6 +177,7 @@
     void planOrigin(std::vector<ChunkFetch> &out, Instant now);
     void planPeers(std::vector<ChunkFetch> &out, Instant now);
     Microseconds takeoverAfter() const;
+    Instant firstTurn() const;
     Instant originTurn(const Chunk &chunk) const;
     Instant originRetry(const Chunk &chunk, ChunkFailure why, Instant now) const;
     Instant nextOriginRound(const Chunk &chunk, Instant now) const;
