--- a/tests/weights/test_chunkplan.cpp
+++ b/tests/weights/test_chunkplan.cpp
@@ -356,3 +356,23 @@
     BOOST_TEST(tries >= 10);
     BOOST_TEST(tries <= 16);
 }
+
+// Two versions are named while the store is away. All agents hear of the second one
+// together, 6 s late, when every turn had passed: all pulled at once, and had nothing to
+// pass on until the origin had sent nearly everything:
+//   weights-named   version=3 (all boxes, 26.0 to 26.5 s; named at 20.0 s)
+//   weights-fetched version=3 (first at 31.0 s; a copy takes 2.1 s out of the origin)
+BOOST_AUTO_TEST_CASE(a_version_that_is_heard_of_late_is_pulled_in_turns_from_then)
+{
+    constexpr std::uint32_t chunks = 48;
+    ChunkPlan::Options options;
+    options.originParallel = chunks;
+    options.originSpacing = Milliseconds(37);
+    options.originFrom = at(1'000);
+    ChunkPlan late("digest", chunks, {"box", "dc"}, options, at(10'000));
+    BOOST_TEST(late.next(at(10'000)).size() == 1U);
+    BOOST_TEST(late.next(at(10'000 + 37 * 10)).size() == 10U);
+    // Not all turns had passed: those that had are made up for.
+    ChunkPlan sooner("digest", chunks, {"box", "dc"}, options, at(1'370));
+    BOOST_TEST(sooner.next(at(1'370)).size() == 11U);
+}
