Late versions are pulled in turns; boxes that come up are reached without waiting

Further connections are now tried every 150 ms beside the first; the system would send the packet again after a second only.

Shorter time-outs were ruled out: on links that stand full for 0.7 to 1.6 s they would never connect.

--- a/src/libloomjunction/core/chunkplan.cpp
+++ b/src/libloomjunction/core/chunkplan.cpp
@@ -311,9 +311,13 @@
 
 // Members hear of a version some tenths of a second after each other, and the last in
 // turn must not wait for that on top.
+// When all hear of a version so late that every turn has passed, as after an outage of
+// the store, turns begin then: all at once, they would be whole 1.5 s later.
 Instant ChunkPlan::firstTurn() const
 {
-    return mOptions.originFrom == Instant() ? mBegun : mOptions.originFrom;
+    const Microseconds all = mOptions.originSpacing * static_cast<int>(mChunks.size());
+    const bool hasPassed = mOptions.originFrom + all <= mBegun;
+    return hasPassed ? mBegun : mOptions.originFrom;
 }
 
 // If all owners began at once, the origin's link would bring all chunks at the
--- a/src/libloomjunction/net/asynctypes.cpp
+++ b/src/libloomjunction/net/asynctypes.cpp
@@ -8,8 +8,14 @@
 
 #include "asynctypes.h"
 
+#include <algorithm>
 #include <charconv>
 #include <memory>
+#include <optional>
+#include <utility>
+
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
 
 namespace Loom {
 
@@ -66,6 +72,67 @@
     co_return std::move(*socket);
 }
 
+namespace {
+
+// Some dozens of times the way between the farthest data centres. All boxes begin within
+// 0.3 s of each other after a loss of power, so two further tries find any of them.
+constexpr std::chrono::milliseconds sFurtherTry{150};
+
+struct ConnectRace
+{
+    explicit ConnectRace(const asio::any_io_executor &executor)
+        : changed(executor)
+    {
+    }
+
+    bool isOver() const { return made.has_value() || isRefused; }
+
+    Signal changed;
+    std::optional<Tcp::socket> made; ///< the first
+    boost::system::error_code error = asio::error::timed_out;
+    bool isRefused = false; ///< there is somebody, who does not want it
+};
+
+awaitable<void> tryConnect(std::shared_ptr<ConnectRace> race, Tcp::endpoint endpoint,
+                           std::chrono::milliseconds timeout)
+{
+    auto made = co_await connectWithin(endpoint, timeout);
+    if (race->isOver()) {
+        co_return;
+    }
+    if (made) {
+        race->made = std::move(*made);
+    } else {
+        race->error = made.error();
+        race->isRefused = race->error == asio::error::connection_refused;
+    }
+    race->changed.notify();
+}
+
+} // namespace
+
+awaitable<tl::expected<Tcp::socket, boost::system::error_code>>
+connectPersistently(Tcp::endpoint endpoint, std::chrono::milliseconds timeout)
+{
+    const auto executor = co_await asio::this_coro::executor;
+    const auto race = std::make_shared<ConnectRace>(executor);
+    const auto deadline = std::chrono::steady_clock::now() + timeout;
+    auto time = std::chrono::steady_clock::now();
+    while (!race->isOver() && time < deadline) {
+        const auto left = std::chrono::ceil<std::chrono::milliseconds>(deadline - time);
+        asio::co_spawn(executor, tryConnect(race, endpoint, left), asio::detached);
+        const auto next = std::min(deadline, time + sFurtherTry);
+        while (!race->isOver() && time < next) {
+            co_await race->changed.waitUntil(next);
+            time = std::chrono::steady_clock::now();
+        }
+    }
+    if (!race->made) {
+        co_return tl::unexpected(race->error);
+    }
+    co_return std::move(*race->made);
+}
+
 awaitable<bool> Signal::waitUntil(std::chrono::steady_clock::time_point until)
 {
     asio::steady_timer timer(mExecutor, until);
--- a/src/libloomjunction/net/asynctypes.h
+++ b/src/libloomjunction/net/asynctypes.h
@@ -40,6 +40,14 @@
 awaitable<tl::expected<Tcp::socket, boost::system::error_code>>
 connectWithin(Tcp::endpoint endpoint, std::chrono::milliseconds timeout);
 
+/**
+ * The same to a box that may be coming up: its system drops opening packets until then,
+ * and they would be sent again after a second only. So further connections are tried
+ * beside the first, and the one that is made first is kept.
+ */
+awaitable<tl::expected<Tcp::socket, boost::system::error_code>>
+connectPersistently(Tcp::endpoint endpoint, std::chrono::milliseconds timeout);
+
 /**
  * Wakes coroutines that wait for something to change. A wake-up while nobody
  * waits is not kept: waiters check their condition first. One thread only.
--- a/src/libloomjunction/net/peerconnection.cpp
+++ b/src/libloomjunction/net/peerconnection.cpp
@@ -160,7 +160,7 @@
 PeerConnection::connect(Tcp::endpoint endpoint, std::chrono::milliseconds timeout,
                         PeerLimits limits)
 {
-    auto socket = co_await connectWithin(endpoint, timeout);
+    auto socket = co_await connectPersistently(endpoint, timeout);
     if (!socket) {
         const bool late = socket.error() == asio::error::operation_aborted
             || socket.error() == asio::error::timed_out;
