--- a/src/libloomjunction/core/callrate.cpp
+++ b/src/libloomjunction/core/callrate.cpp
@@ -8,7 +8,8 @@
 
 #include "callrate.h"
 
-#include <cmath>
+#include "decay.h"
+
 #include <numbers>
 
 namespace Loom {
@@ -20,16 +21,11 @@
 // A goal that fewer calls have does not bound the others.
 constexpr double sFairPart = 0.05;
 
-double keptAfter(Microseconds time)
-{
-    return std::exp2(-std::chrono::duration<double, std::milli>(time).count() / sCallsHalfMs);
-}
-
 } // namespace
 
 void CallRate::note(Milliseconds goal, Instant now)
 {
-    const double kept = keptAfter(now - mAt);
+    const double kept = keptAfter(now - mAt, sCallsHalfMs);
     mCount = mCount * kept + 1;
     for (auto &[other, count] : mByGoal) {
         count *= kept;
@@ -41,7 +37,7 @@
 double CallRate::perMs(Instant now) const
 {
     // A steady rate r adds up to r x half-life / ln 2.
-    return mCount * keptAfter(now - mAt) * std::numbers::ln2 / sCallsHalfMs;
+    return mCount * keptAfter(now - mAt, sCallsHalfMs) * std::numbers::ln2 / sCallsHalfMs;
 }
 
 Milliseconds CallRate::shortestGoal() const
--- a/src/libloomjunction/core/refusalshare.cpp
+++ b/src/libloomjunction/core/refusalshare.cpp
@@ -8,7 +8,7 @@
 
 #include "refusalshare.h"
 
-#include <cmath>
+#include "decay.h"
 
 namespace Loom {
 
@@ -20,16 +20,11 @@
 // Stands for calls before the first one, so that a single refusal says little.
 constexpr double sUsualCalls = 4;
 
-double keptAfter(Microseconds time)
-{
-    return std::exp2(-std::chrono::duration<double, std::milli>(time).count() / sHalfMs);
-}
-
 } // namespace
 
 void RefusalShare::note(bool hasRoom, Instant now)
 {
-    const double kept = keptAfter(now - mAt);
+    const double kept = keptAfter(now - mAt, sHalfMs);
     mCalls = mCalls * kept + 1;
     mRefused = mRefused * kept + (hasRoom ? 0 : 1);
     mAt = now;
@@ -37,7 +32,7 @@
 
 double RefusalShare::share(Instant now) const
 {
-    const double kept = keptAfter(now - mAt);
+    const double kept = keptAfter(now - mAt, sHalfMs);
     return mRefused * kept / (mCalls * kept + sUsualCalls);
 }
 
--- a/src/libloomjunction/gateway/stageservice.cpp
+++ b/src/libloomjunction/gateway/stageservice.cpp
@@ -15,12 +15,9 @@
 #include "loadreporter.h"
 #include "metrics.h"
 #include "peerhub.h"
-#include "rendezvous.h"
-#include "wire.pb.h"
 
 #include <algorithm>
 #include <charconv>
-#include <iterator>
 #include <random>
 #include <utility>
 
@@ -31,7 +28,6 @@
 
 namespace {
 
-constexpr std::string_view sManifestPath = "/manifest";
 // The engine is on this box; asking it costs a fraction of a millisecond.
 constexpr Milliseconds sLookEvery{50};
 // With nothing to load; gateways that ask have it looked at as they come.
@@ -46,14 +42,6 @@
 // An engine loses its time while it runs empty, and other engines theirs while
 // they read again what was cut: at two thirds of a second both together are least.
 constexpr Milliseconds sEmptyFor{700};
-constexpr std::chrono::milliseconds sPeerTime{500};
-// Boxes that ask the origin for a manifest at once, so that one may be dead.
-constexpr std::size_t sManifestAskers = 3;
-// Boxes asked at once by one that found neither those nor the origin.
-constexpr std::ptrdiff_t sManifestSample = 8;
-// Others ask it themselves after this time; asking takes some milliseconds.
-constexpr Milliseconds sManifestPatience{600};
-constexpr Milliseconds sManifestPause{40};
 // An order that got no answer and shows no effect for so long was not taken.
 constexpr Milliseconds sOrderLost{1'500};
 constexpr std::uint64_t sStoreBytes = std::uint64_t{48} * 1024 * 1024;
@@ -76,8 +64,6 @@
 constexpr Milliseconds sTakeover{2'000};
 // Several times what a chunk takes when it shares an idle link with three others.
 constexpr double sSlowChunkSeconds = 0.5;
-// Asks for the manifest of the oldest version that a box still has to do with.
-constexpr std::uint64_t sOldestFetched = 0;
 // Of the version in force, the next, and one after it.
 constexpr std::size_t sMostFetches = 3;
 
@@ -118,8 +104,12 @@
                 [this](PeerStreamPtr stream) { return mServer->serveHave(std::move(stream)); });
     mHub->serve(std::string(sChunkPath),
                 [this](PeerStreamPtr stream) { return mServer->serveChunk(std::move(stream)); });
-    mHub->serve(std::string(sManifestPath),
-                [this](PeerStreamPtr stream) { return serveManifest(std::move(stream)); });
+    mManifests = std::make_unique<ManifestExchange>(
+        ManifestExchange::Parts{kernel.executor(), mEngine, *mMembers, *mHub, mSettings,
+                                mStager.service, [this] { return origin(); },
+                                [this](std::string_view model, std::uint64_t version) {
+                                    return heldManifest(model, version);
+                                }});
     mConfig->addListener([this] { mWake->notify(); });
     asio::co_spawn(kernel.executor(), drive(), asio::detached);
     asio::co_spawn(kernel.executor(), drivePeers(), asio::detached);
@@ -130,6 +120,7 @@
 {
     mStopped = true;
     mServer->stop();
+    mManifests->stop();
     for (const VersionFetch &one : mFetches) {
         one.fetch->cancel();
     }
@@ -342,7 +333,7 @@
 // Gets the manifest of a version and begins to fetch its chunks.
 awaitable<bool> StageService::startFetch(std::string model, std::uint64_t version)
 {
-    auto text = co_await manifestText(model, version);
+    auto text = co_await mManifests->text(model, version);
     if (!text) {
         logLine(LogLevel::Warning, "manifest-missing",
                 {{"model", model}, {"version", version}, {"problem", text.error()}});
@@ -383,7 +374,7 @@
 // dead soon after).
 awaitable<void> StageService::joinOlderFetch(std::string model, std::uint64_t newest)
 {
-    std::string text = co_await manifestFromPeers(model, sOldestFetched, someStagers());
+    std::string text = co_await mManifests->oldestFetched(model);
     const auto manifest = Manifest::parse(text);
     if (!manifest) {
         co_return; // nobody fetches an older one
@@ -399,129 +390,19 @@
     }
 }
 
-// A few boxes ask the origin, whose connections are few; the others ask those
-// boxes, and the origin only if none has it after a while.
-awaitable<tl::expected<std::string, std::string>> StageService::manifestText(std::string model,
-                                                                             std::uint64_t version)
+// What other agents may ask for: the manifests of versions that are fetched here.
+const std::string *StageService::heldManifest(std::string_view model, std::uint64_t version) const
 {
-    const std::vector<Member> askers = manifestAskers(model, version);
-    const bool isAsker = std::ranges::any_of(
-        askers, [&](const Member &member) { return member.box == mSettings.box; });
-    const Instant until = now() + (isAsker ? Milliseconds(0) : sManifestPatience);
-    while (now() < until && !mStopped) {
-        std::string text = co_await manifestFromPeers(model, version, askers);
-        if (!text.empty()) {
-            co_return std::move(text);
-        }
-        co_await sleepFor(sManifestPause);
-    }
-    std::string problem = "no origin is configured";
-    if (const auto address = origin()) {
-        const auto manifest = co_await mEngine.manifest(*address, model, version);
-        if (manifest) {
-            co_return manifest->text();
-        }
-        problem = manifest.error();
-    }
-    std::string text = co_await manifestFromPeers(model, version, someStagers());
-    if (!text.empty()) {
-        co_return std::move(text);
-    }
-    co_return tl::unexpected(std::move(problem));
-}
-
-// A few at random: with hundreds, asking all would cost more than it finds.
-std::vector<Member> StageService::someStagers() const
-{
-    const std::vector<Member> all = mMembers->stagersOf(mStager.service);
-    std::vector<Member> some;
-    static std::mt19937_64 random{randomSeed()};
-    std::ranges::sample(all, std::back_inserter(some), sManifestSample, random);
-    return some;
-}
-
-std::vector<Member> StageService::manifestAskers(const std::string &model,
-                                                 std::uint64_t version) const
-{
-    std::vector<Member> all = mMembers->stagersOf(mStager.service);
-    Member self;
-    self.box = mSettings.box;
-    self.dataCentre = mSettings.dataCentre;
-    all.push_back(std::move(self));
-    std::vector<std::string> boxes;
-    boxes.reserve(all.size());
-    for (const Member &member : all) {
-        boxes.push_back(member.box);
-    }
-    std::vector<Member> askers;
-    for (const std::size_t index :
-         rendezvousOrder(versionKey(model, version), boxes, sManifestAskers)) {
-        askers.push_back(all[index]);
-    }
-    return askers;
-}
-
-// Asks all @p peers at once: one that is dead or behind a slow link would hold the
-// fetch up for longer than the origin needs for a third of the chunks.
-awaitable<std::string> StageService::manifestFromPeers(std::string model, std::uint64_t version,
-                                                       std::vector<Member> peers)
-{
-    auto race = std::make_shared<ManifestRace>(mWake->executor());
-    for (const Member &member : peers) {
-        if (member.box != mSettings.box) {
-            ++race->open;
-            asio::co_spawn(mWake->executor(), manifestFrom(race, member.peers, model, version),
-                           asio::detached);
-        }
-    }
-    while (race->open > 0 && race->text.empty()) {
-        co_await race->changed.waitFor(sPeerTime);
-    }
-    co_return race->text;
-}
-
-awaitable<void> StageService::manifestFrom(std::shared_ptr<ManifestRace> race, Tcp::endpoint peer,
-                                           std::string model, std::uint64_t version)
-{
-    const PeerStreamPtr stream = co_await mHub->open(peer, std::string(sManifestPath));
-    if (stream) {
-        wire::ManifestRequest request;
-        request.set_model(model);
-        request.set_version(version);
-        stream->send(request);
-        const auto deadline = std::chrono::steady_clock::now() + sPeerTime;
-        const auto answer = co_await stream->receiveMessage<wire::ManifestAnswer>(deadline);
-        stream->reset();
-        if (answer && *answer && (*answer)->found()) {
-            race->text = (*answer)->text();
-        }
-    }
-    --race->open;
-    race->changed.notify();
-}
-
-awaitable<void> StageService::serveManifest(PeerStreamPtr stream)
-{
-    const auto deadline = std::chrono::steady_clock::now() + sPeerTime;
-    const auto request = co_await stream->receiveMessage<wire::ManifestRequest>(deadline);
-    if (!request || !*request) {
-        stream->reset();
-        co_return;
-    }
-    wire::ManifestAnswer answer;
-    const std::uint64_t version = (*request)->version();
+    const bool isAnyAsked = version == ManifestExchange::sOldestFetched;
     for (const VersionFetch &one : mFetches) {
         const StoredVersion *stored = mStore->find(one.wanted.digest);
-        const bool isOldest = version == sOldestFetched && &one == &mFetches.front();
-        const bool isAsked = stored != nullptr && (isOldest || version == one.wanted.version)
-            && stored->manifest.service == (*request)->model();
+        const bool isAsked = stored != nullptr && (isAnyAsked || version == one.wanted.version)
+            && stored->manifest.service == model;
         if (isAsked) {
-            answer.set_found(true);
-            answer.set_text(stored->manifestText);
+            return &stored->manifestText;
         }
     }
-    stream->send(answer);
-    stream->finish();
+    return nullptr;
 }
 
 // What lies in the stage since an earlier life need not come over the network.
--- a/src/libloomjunction/gateway/stageservice.h
+++ b/src/libloomjunction/gateway/stageservice.h
@@ -12,6 +12,7 @@
 #include "chunkstore.h"
 #include "directsettings.h"
 #include "kernel.h"
+#include "manifestexchange.h"
 #include "memberservice.h"
 #include "ports.h"
 #include "reloadturn.h"
@@ -54,19 +55,6 @@
         std::string digest;
     };
 
-    /** One manifest that several boxes are asked for at once. */
-    struct ManifestRace
-    {
-        explicit ManifestRace(const asio::any_io_executor &executor)
-            : changed(executor)
-        {
-        }
-
-        Signal changed;
-        std::string text; ///< of the first that has it
-        std::size_t open = 0; ///< boxes that have not answered
-    };
-
     struct VersionFetch
     {
         VersionInHand wanted;
@@ -84,14 +72,7 @@
                                                          std::string text);
     awaitable<void> joinOlderFetch(std::string model, std::uint64_t newest);
     void noteFetched();
-    awaitable<tl::expected<std::string, std::string>> manifestText(std::string model,
-                                                                   std::uint64_t version);
-    std::vector<Member> manifestAskers(const std::string &model, std::uint64_t version) const;
-    awaitable<std::string> manifestFromPeers(std::string model, std::uint64_t version,
-                                             std::vector<Member> peers);
-    awaitable<void> manifestFrom(std::shared_ptr<ManifestRace> race, Tcp::endpoint peer,
-                                 std::string model, std::uint64_t version);
-    std::vector<Member> someStagers() const;
+    const std::string *heldManifest(std::string_view model, std::uint64_t version) const;
     awaitable<void> adoptStage(std::string model, VersionInHand wanted);
     awaitable<tl::expected<std::string, ChunkFailure>>
     originChunk(std::string model, std::uint64_t version, std::uint32_t index);
@@ -104,7 +85,6 @@
     awaitable<bool> fillStage(std::string model, std::string digest);
     awaitable<bool> isStageRight(std::string model, std::string digest);
     bool isMyTurn(const std::string &model, std::uint64_t version) const;
-    awaitable<void> serveManifest(PeerStreamPtr stream);
     std::vector<SwarmMember> members() const;
     awaitable<PeerStreamPtr> openBox(std::string box, std::string path);
     std::optional<Tcp::endpoint> origin() const;
@@ -125,6 +105,7 @@
     TokenBucket mIngress;
     TokenBucket mEgress;
     std::unique_ptr<ChunkServer> mServer;
+    std::unique_ptr<ManifestExchange> mManifests;
     FetchCounts mCounts;
     std::unique_ptr<Signal> mWake;
 
