Agents that begin are offered the oldest version that is newer than what runs, at once

Cause of the finding that an agent did not fetch the older version though it asked: the others' oldest fetch was the version that everybody ran. Offered is now the oldest that is newer than what runs at the box that is asked.

--- a/src/libloomjunction/gateway/stageservice.cpp
+++ b/src/libloomjunction/gateway/stageservice.cpp
@@ -263,12 +263,14 @@
     noteFetched();
     const bool isBegun = !mFetches.empty() && mFetches.back().wanted.version >= newest
         && mStore->find(mFetches.back().wanted.digest) != nullptr;
+    // Beside the newest, whose manifest may take long to come: an origin that dies soon
+    // still gives this box's share of the older one.
+    if (!std::exchange(mHasJoined, true)) {
+        asio::co_spawn(mWake->executor(), joinOlderFetch(model, newest), asio::detached);
+    }
     if (!isBegun && !co_await startFetch(model, newest)) {
         co_await sleepFor(sRetryPause);
     }
-    if (!std::exchange(mHasJoined, true)) {
-        co_await joinOlderFetch(model, newest);
-    }
     if (!mReport) {
         co_return; // an engine starts about as long as half a fetch takes
     }
@@ -390,15 +392,17 @@
     }
 }
 
-// What other agents may ask for: the manifests of versions that are fetched here.
+// What other agents may ask for: the manifests of versions that are fetched here. The
+// oldest one that counts is newer than what runs already.
 const std::string *StageService::heldManifest(std::string_view model, std::uint64_t version) const
 {
-    const bool isAnyAsked = version == ManifestExchange::sOldestFetched;
+    const bool isOldestAsked = version == ManifestExchange::sOldestFetched;
+    const std::uint64_t loaded = loadedVersion(model);
     for (const VersionFetch &one : mFetches) {
         const StoredVersion *stored = mStore->find(one.wanted.digest);
-        const bool isAsked = stored != nullptr && (isAnyAsked || version == one.wanted.version)
-            && stored->manifest.service == model;
-        if (isAsked) {
+        const bool isAsked
+            = isOldestAsked ? one.wanted.version > loaded : one.wanted.version == version;
+        if (isAsked && stored != nullptr && stored->manifest.service == model) {
             return &stored->manifestText;
         }
     }
