--- a/tests/direct/test_overload.cpp
+++ b/tests/direct/test_overload.cpp
@@ -144,24 +144,37 @@
     BOOST_TEST(with < without * 0.7);
 }
 
+namespace {
+
+/** Dozens of gateways before engines that read prompts slowly. */
+OverloadLab::Shape dozensOfGateways(std::uint64_t seed)
+{
+    OverloadLab::Shape asking;
+    asking.seed = seed;
+    asking.gateways = 41;
+    asking.engines = 45;
+    asking.dataCentres = 3;
+    asking.isAsked = true;
+    asking.figures = {.slots = 12,
+                      .stepMs = 9.27,
+                      .perSequenceMs = 0.03,
+                      .contextMsPerK = 0.01,
+                      .readTokensPerMs = 20.7,
+                      .stepsPerPass = 5,
+                      .usualPrompt = 960,
+                      .usualAnswer = 97};
+    return asking;
+}
+
+} // namespace
+
 // Replays a second of 1.8 times what the engines finish, with room before and after it.
 // Callers that were told to come back within their goal found the rush still there, and
 // 5 to 8 in 100 of the seven seconds' calls were refused for good.
 BOOST_AUTO_TEST_CASE(whoever_is_refused_in_a_short_rush_is_served_after_it)
 {
     for (const std::uint64_t seed : {1U, 2U, 3U}) {
-        OverloadLab::Shape asking = shape(seed);
-        asking.gateways = 41;
-        asking.engines = 45;
-        asking.dataCentres = 3;
-        asking.isAsked = true;
-        asking.figures.slots = 12;
-        asking.figures.stepMs = 9.27;
-        asking.figures.readTokensPerMs = 20.7;
-        asking.figures.stepsPerPass = 5;
-        asking.figures.usualPrompt = 960;
-        asking.figures.usualAnswer = 97;
-        OverloadLab lab(asking);
+        OverloadLab lab(dozensOfGateways(seed));
         const double full = lab.capacity();
         const auto seconds = lab.play({{6, 0.8 * full}, {1, 1.8 * full}, {6, 0.8 * full}});
         double asked = 0;
