Sight: what a replica's answers say of its rate is read, logged and counted

An answer may name the requests a second that its replica takes from all gateways together. Nothing showed it: neither a line nor a metric. It is read now (bad ones refused, counted), kept with the replica, and logged when it begins, changes and ends. An answer to a request from before the naming ends nothing, since it may have been begun before. The choice of a replica is as it was.

--- a/src/libloomjunction/core/replica.h
+++ b/src/libloomjunction/core/replica.h
@@ -9,6 +9,7 @@
 #pragma once
 
 #include "instant.h"
+#include "namedlimit.h"
 
 #include <cstdint>
 #include <optional>
@@ -92,6 +93,7 @@
     std::uint32_t failures = 0; ///< in a row
     double failureRate = 0; ///< smoothed share of requests that failed
     double answerMs = 0; ///< smoothed time to an answer or a first event
+    NamedLimit limit;
     Instant goneAt; ///< the store took its record away; zero: it did not
 
     /** Of the weights loaded now: the agent knows sooner than the store. */
--- a/src/libloomjunction/core/replicaset.cpp
+++ b/src/libloomjunction/core/replicaset.cpp
@@ -472,6 +472,18 @@
         = std::max(replica.avoidedUntil, now + std::min<Milliseconds>(doubled, sMostPause));
 }
 
+LimitChange ReplicaSet::nameLimit(std::string_view id, double perSecond, Instant now)
+{
+    const auto it = mReplicas.find(id);
+    return it == mReplicas.end() ? LimitChange::Nothing : it->second.limit.hear(perSecond, now);
+}
+
+LimitChange ReplicaSet::nameNoLimit(std::string_view id, Instant sentAt, Instant now)
+{
+    const auto it = mReplicas.find(id);
+    return it == mReplicas.end() ? LimitChange::Nothing : it->second.limit.hearNone(sentAt, now);
+}
+
 const Replica *ReplicaSet::find(std::string_view id) const
 {
     const auto it = mReplicas.find(id);
--- a/src/libloomjunction/core/replicaset.h
+++ b/src/libloomjunction/core/replicaset.h
@@ -101,6 +101,11 @@
     /** The request ends without an answer; ended() follows. */
     void answerMissed(std::string_view id, bool isPatient);
 
+    /** An answer of the replica, which came at @p now, named @p perSecond. */
+    LimitChange nameLimit(std::string_view id, double perSecond, Instant now);
+    /** An answer to a request that was sent at @p sentAt named no limit. */
+    LimitChange nameNoLimit(std::string_view id, Instant sentAt, Instant now);
+
     const Replica *find(std::string_view id) const;
     const std::map<std::string, Replica, std::less<>> &all() const { return mReplicas; }
 
--- a/src/libloomjunction/gateway/gatewaycall.cpp
+++ b/src/libloomjunction/gateway/gatewaycall.cpp
@@ -561,6 +561,8 @@
     if (fields.isNotRun) {
         if (!fields.replicaId.empty() && fields.replicaId != mTriedReplica) {
             mParts.replicas.replicas().replaced(mTriedReplica, now());
+        } else {
+            mParts.replicas.noteRate(mTriedReplica, fields.rate, mSentAt);
         }
         const auto deadline = steadyTime(mDeadline);
         co_await mLink->readWhole(sMostWholeAnswer, deadline);
@@ -570,6 +572,7 @@
         mLink->cancel();
         co_return TryUnknown{"answer to another request", std::nullopt};
     }
+    mParts.replicas.noteRate(mTriedReplica, fields.rate, mSentAt);
     const bool isSuccess = head.status / 100 == 2;
     if (!isSuccess || !fields.isStream) {
         stopWatchingWeights();
--- a/src/libloomjunction/gateway/ports.h
+++ b/src/libloomjunction/gateway/ports.h
@@ -131,6 +131,25 @@
     std::optional<Urgency> urgency; ///< order in the replica's queue; nothing: it has none
 };
 
+/** The answer names no limit. */
+struct NoRate
+{
+    bool operator==(const NoRate &) const = default;
+};
+/** The answer names a limit that cannot be read. */
+struct UnreadableRate
+{
+    bool operator==(const UnreadableRate &) const = default;
+};
+/** Requests a second that the replica takes from all gateways together. */
+struct RatePerSecond
+{
+    double value = 0;
+    bool operator==(const RatePerSecond &) const = default;
+};
+/** What an answer says of the rate at which its replica takes requests. */
+using NamedRate = std::variant<NoRate, UnreadableRate, RatePerSecond>;
+
 /** What a replica's answer says of itself. */
 struct AnswerFields
 {
@@ -139,6 +158,7 @@
     bool isSigned = false;
     bool isNotRun = false; ///< the replica says that it did not run the request
     bool isStream = false;
+    NamedRate rate;
 };
 
 /** A caller's question where to connect. */
--- a/src/libloomjunction/gateway/replicaservice.cpp
+++ b/src/libloomjunction/gateway/replicaservice.cpp
@@ -15,6 +15,7 @@
 #include "jsonlog.h"
 #include "memberservice.h"
 #include "metrics.h"
+#include "overload.h"
 
 #include <algorithm>
 
@@ -236,6 +237,41 @@
     mReplicas.answerMissed(id, isPatient);
 }
 
+void ReplicaService::noteRate(const std::string &id, const NamedRate &rate, Instant sentAt)
+{
+    const LimitChange change = std::visit(
+        Overload{
+            [&](const NoRate &) { return mReplicas.nameNoLimit(id, sentAt, now()); },
+            [&](const RatePerSecond &named) { return mReplicas.nameLimit(id, named.value, now()); },
+            [&](const UnreadableRate &) {
+                mMetrics.count("replica_limits", "unreadable");
+                logLine(LogLevel::Warning, "replica-limit-refused", {{"replica", id}});
+                return LimitChange::Nothing;
+            },
+        },
+        rate);
+    logLimit(id, change);
+}
+
+void ReplicaService::logLimit(const std::string &id, LimitChange change) const
+{
+    if (change == LimitChange::Nothing) {
+        return;
+    }
+    const std::string_view what = change == LimitChange::Begun ? "begun"
+        : change == LimitChange::Changed                       ? "changed"
+                                                               : "ended";
+    const Replica *replica = mReplicas.find(id);
+    mMetrics.count("replica_limits", what);
+    // A replica may name another one with each answer.
+    const LogLevel level = change == LimitChange::Changed ? LogLevel::Debug : LogLevel::Info;
+    logLine(level, "replica-limit",
+            {{"replica", id},
+             {"service", replica->record.service},
+             {"change", what},
+             {"perSecond", replica->limit.perSecond().value_or(-1)}});
+}
+
 void ReplicaService::noteRequest(const std::string &service, Milliseconds goal)
 {
     budget(service).noteRequest(now());
--- a/src/libloomjunction/gateway/replicaservice.h
+++ b/src/libloomjunction/gateway/replicaservice.h
@@ -67,6 +67,8 @@
     void began(const std::string &id, bool isPatient);
     void answerBegan(const std::string &id, bool isPatient, Microseconds took);
     void answerMissed(const std::string &id, bool isPatient);
+    /** What an answer of the replica to a request that was sent at @p sentAt says of its rate. */
+    void noteRate(const std::string &id, const NamedRate &rate, Instant sentAt);
     /** Takes one repeat of a request at @p service. */
     bool takeRepeat(const std::string &service);
 
@@ -83,6 +85,7 @@
         std::uint32_t open = 0; ///< idle and in use
     };
 
+    void logLimit(const std::string &id, LimitChange change) const;
     SharedRetryBudget &budget(const std::string &service);
     void take(const FeedChange &change);
     awaitable<void> askAgents(std::vector<const Replica *> replicas);
--- a/tests/platform/test_calls.cpp
+++ b/tests/platform/test_calls.cpp
@@ -98,6 +98,32 @@
     BOOST_TEST(!doubled.deadline.has_value());
 }
 
+BOOST_AUTO_TEST_CASE(answers_name_the_rate_at_which_their_replica_takes_requests)
+{
+    const Platform::Calls calls;
+    const auto rateOf = [&](std::vector<HttpHeader> headers) {
+        LinkHead head;
+        head.status = 200;
+        head.headers = std::move(headers);
+        return calls.answerFields(head).rate;
+    };
+    const auto isRate = [&](std::string_view text, double rate) {
+        return rateOf({{"server-limit", std::string(text)}}) == NamedRate(RatePerSecond{rate});
+    };
+    BOOST_TEST(isRate("2.3", 2.3));
+    BOOST_TEST(isRate("50", 50));
+    BOOST_TEST(isRate("0", 0));
+    BOOST_TEST((rateOf({{"X-Other", "2.3"}}) == NamedRate(NoRate{})));
+    for (const auto *text : {"", "-1", "nan", "inf", "1e3", "2,3", "2.3/s", "99999999999", "0x2",
+                             "99999999999999999999999999999999999999999999999999999999999"}) {
+        BOOST_TEST((rateOf({{"Server-Limit", text}}) == NamedRate(UnreadableRate{})), text);
+    }
+    BOOST_TEST(
+        (rateOf({{"Server-Limit", "2"}, {"Server-Limit", "2"}}) == NamedRate(RatePerSecond{2})));
+    BOOST_TEST(
+        (rateOf({{"Server-Limit", "2"}, {"Server-Limit", "3"}}) == NamedRate(UnreadableRate{})));
+}
+
 BOOST_AUTO_TEST_CASE(answers_say_whether_the_request_ran)
 {
     const Platform::Calls calls;
