--- a/tests/crashes/crashfleet.cpp
+++ b/tests/crashes/crashfleet.cpp
@@ -10,8 +10,6 @@
 
 #include <algorithm>
 
-#include <algorithm>
-
 #include <boost/asio/read.hpp>
 #include <boost/test/unit_test.hpp>
 
@@ -28,12 +26,6 @@
     "services":[{"name":"plain","max_conns":100}],
     "tenants":[{"name":"t1","api_keys":["k"]}]})";
 
-Tcp::endpoint freeEndpoint(asio::io_context &context)
-{
-    Tcp::acceptor acceptor(context, Tcp::endpoint(asio::ip::address_v4::loopback(), 0));
-    return acceptor.local_endpoint();
-}
-
 std::string answerTo(const std::string &head)
 {
     return "HTTP/1.1 200 X\r\nLoomjunction-Request-Id: " + requestIdOf(head)
@@ -47,21 +39,6 @@
     return at == std::string::npos ? 0 : std::stoul(head.substr(at + name.size()));
 }
 
-DirectSettings settingsOf(asio::io_context &context, std::string box)
-{
-    const Tcp::endpoint anyPort(asio::ip::address_v4::loopback(), 0);
-    DirectSettings settings;
-    settings.box = std::move(box);
-    settings.dataCentre = "z1";
-    settings.region = "r1";
-    settings.peers = freeEndpoint(context);
-    settings.store = anyPort;
-    settings.bounds.retries = {10.0, 100, Milliseconds(1'000)};
-    settings.bounds.configTime = Milliseconds(600'000);
-    settings.role = GatewaySettings{anyPort, anyPort, anyPort};
-    return settings;
-}
-
 } // namespace
 
 CrashingReplica::CrashingReplica(asio::io_context &context)
@@ -140,35 +117,6 @@
     mSockets.clear();
 }
 
-FleetGateway::FleetGateway(asio::io_context &context, MemoryStore &store, std::string box)
-    : mSettings(settingsOf(context, std::move(box)))
-    , mKernel(context.get_executor())
-{
-    mKernel.add(std::make_unique<PeerHub>(mSettings.peers));
-    mKernel.add(std::make_unique<FeedService>(store, mSettings.box, FeedPreference::Store));
-    mKernel.add(std::make_unique<MemberService>(store, mSettings, 1));
-    mKernel.add(std::make_unique<DirectConfig>(mRecords, mSettings.bounds));
-    mKernel.add(std::make_unique<ReplicaService>(mRecords, mMetrics, mSettings));
-    mKernel.add(std::make_unique<QuarantineService>(store, mMetrics));
-    mKernel.add(std::make_unique<GatewayFront>(mCalls, mMetrics, mSettings));
-}
-
-void FleetGateway::start()
-{
-    BOOST_REQUIRE(mKernel.start().has_value());
-}
-
-bool FleetGateway::isReady(std::size_t replicas, std::size_t others)
-{
-    const auto &members = mKernel.find<MemberService>(MemberService::sName);
-    const auto places = members.addressPlaces();
-    const auto heard = std::ranges::count_if(
-        places, [](const AddressPlace &place) { return place.standing == GatewayStanding::Heard; });
-    return mKernel.find<GatewayFront>(GatewayFront::sName).isReady()
-        && static_cast<std::size_t>(heard) >= others
-        && mKernel.find<ReplicaService>(ReplicaService::sName).replicas().all().size() >= replicas;
-}
-
 CrashFleet::CrashFleet(std::size_t gateways, std::size_t replicas)
 {
     store.write(Feed::Operators, "config", std::string(sConfig));
--- a/tests/crashes/crashfleet.h
+++ b/tests/crashes/crashfleet.h
@@ -8,7 +8,7 @@
 
 #pragma once
 
-#include "directlab.h"
+#include "fleetgateway.h"
 
 #include <memory>
 #include <set>
@@ -53,30 +53,6 @@
     bool mHolds = true;
 };
 
-/** One gateway process of a CrashFleet. */
-class FleetGateway
-{
-public:
-    FleetGateway(asio::io_context &context, MemoryStore &store, std::string box);
-
-    void start();
-    /** Ends it as a kill does: it says nothing any more. */
-    void kill() { mKernel.stop(); }
-    bool isReady(std::size_t replicas, std::size_t others);
-    Tcp::endpoint callers()
-    {
-        return mKernel.find<GatewayFront>(GatewayFront::sName).localEndpoint();
-    }
-    const Metrics &metrics() const { return mMetrics; }
-
-private:
-    DirectSettings mSettings;
-    Platform::Records mRecords;
-    Platform::Calls mCalls;
-    Metrics mMetrics;
-    Kernel mKernel;
-};
-
 /** Gateways and replicas around one store in memory. */
 class CrashFleet
 {
--- /dev/null
+++ b/tests/gateway/fleetgateway.cpp
@@ -0,0 +1,71 @@
+/*
+ * fleetgateway.cpp
+ * Copyright 2026, the loomjunction authors
+ *
+ * This file is part of loomjunction (tests).
+ * SPDX-License-Identifier: BSD-2-Clause
+ */
+
+#include "fleetgateway.h"
+
+#include <algorithm>
+
+#include <boost/test/unit_test.hpp>
+
+namespace Loom {
+
+namespace {
+
+DirectSettings settingsOf(asio::io_context &context, std::string box)
+{
+    const Tcp::endpoint anyPort(asio::ip::address_v4::loopback(), 0);
+    DirectSettings settings;
+    settings.box = std::move(box);
+    settings.dataCentre = "z1";
+    settings.region = "r1";
+    settings.peers = freeEndpoint(context);
+    settings.store = anyPort;
+    settings.bounds.retries = {10.0, 100, Milliseconds(1'000)};
+    settings.bounds.configTime = Milliseconds(600'000);
+    settings.role = GatewaySettings{anyPort, anyPort, anyPort};
+    return settings;
+}
+
+} // namespace
+
+Tcp::endpoint freeEndpoint(asio::io_context &context)
+{
+    Tcp::acceptor acceptor(context, Tcp::endpoint(asio::ip::address_v4::loopback(), 0));
+    return acceptor.local_endpoint();
+}
+
+FleetGateway::FleetGateway(asio::io_context &context, MemoryStore &store, std::string box)
+    : mSettings(settingsOf(context, std::move(box)))
+    , mKernel(context.get_executor())
+{
+    mKernel.add(std::make_unique<PeerHub>(mSettings.peers));
+    mKernel.add(std::make_unique<FeedService>(store, mSettings.box, FeedPreference::Store));
+    mKernel.add(std::make_unique<MemberService>(store, mSettings, 1));
+    mKernel.add(std::make_unique<DirectConfig>(mRecords, mSettings.bounds));
+    mKernel.add(std::make_unique<ReplicaService>(mRecords, mMetrics, mSettings));
+    mKernel.add(std::make_unique<QuarantineService>(store, mMetrics));
+    mKernel.add(std::make_unique<GatewayFront>(mCalls, mMetrics, mSettings));
+}
+
+void FleetGateway::start()
+{
+    BOOST_REQUIRE(mKernel.start().has_value());
+}
+
+bool FleetGateway::isReady(std::size_t replicas, std::size_t others)
+{
+    const auto &members = mKernel.find<MemberService>(MemberService::sName);
+    const auto places = members.addressPlaces();
+    const auto heard = std::ranges::count_if(
+        places, [](const AddressPlace &place) { return place.standing == GatewayStanding::Heard; });
+    return mKernel.find<GatewayFront>(GatewayFront::sName).isReady()
+        && static_cast<std::size_t>(heard) >= others
+        && mKernel.find<ReplicaService>(ReplicaService::sName).replicas().all().size() >= replicas;
+}
+
+} // namespace Loom
