--- a/tests/gateway/fleetgateway.h
+++ b/tests/gateway/fleetgateway.h
@@ -31,6 +31,8 @@
     {
         return mKernel.find<GatewayFront>(GatewayFront::sName).localEndpoint();
     }
+    ReplicaService &replicas() { return mKernel.find<ReplicaService>(ReplicaService::sName); }
+    PermitService &permits() { return mKernel.find<PermitService>(PermitService::sName); }
     const Metrics &metrics() const { return mMetrics; }
 
 private:
--- a/tests/limits/limitfleet.h
+++ b/tests/limits/limitfleet.h
@@ -81,6 +81,8 @@
     LimitedReplica &replica(std::size_t index) { return *mReplicas[index]; }
     awaitable<void> untilReady();
     awaitable<void> waitFor(std::function<bool()> condition);
+    /** One call, to its end. */
+    awaitable<void> call(std::size_t gateway);
     /** Lets callers send each gateway @p perSecond requests, until stopCallers(). */
     void startCallers(double perSecond);
     awaitable<void> stopCallers();
@@ -96,7 +98,6 @@
 
 private:
     awaitable<void> keepCalling(std::size_t gateway, double perSecond);
-    awaitable<void> call(std::size_t gateway);
 
     Kind mKind;
     std::vector<std::unique_ptr<FleetGateway>> mGateways;
--- a/tests/limits/test_limits.cpp
+++ b/tests/limits/test_limits.cpp
@@ -23,6 +23,7 @@
 #include <boost/test/unit_test.hpp>
 
 #include "limitfleet.h"
+#include "wire.pb.h"
 
 using namespace Loom;
 
@@ -174,3 +175,46 @@
         BOOST_TEST(fleet.served() == fleet.calls());
     });
 }
+
+// Whatever its callers do, a gateway asks agents now and then.
+BOOST_AUTO_TEST_CASE(a_gateway_that_sent_nothing_learns_a_limit_and_its_end_from_the_agent)
+{
+    LimitFleet fleet(LimitFleet::Kind::Engines, 2, 1);
+    fleet.run([&]() -> awaitable<void> {
+        co_await fleet.untilReady();
+        const auto limitAt = [&](std::size_t gateway) {
+            return fleet.gateway(gateway).replicas().replicas().find("i-0")->limit.perSecond();
+        };
+        constexpr double rate = 20;
+        fleet.replica(0).name(rate);
+        co_await fleet.call(0);
+        co_await fleet.waitFor([&] { return limitAt(1) == std::optional<double>(rate); });
+        fleet.replica(0).name(std::nullopt);
+        while (limitAt(0)) {
+            co_await fleet.call(0);
+        }
+        co_await fleet.waitFor([&] { return !limitAt(1); });
+        BOOST_TEST(fleet.gateway(1).metrics().counter("send_permits", "granted") == 0U);
+    });
+}
+
+// Two that both thought so would hand out twice the limit.
+BOOST_AUTO_TEST_CASE(one_gateway_alone_hands_out_the_sends_to_a_replica_without_an_agent)
+{
+    LimitFleet fleet(LimitFleet::Kind::Plain, 3, 1);
+    fleet.run([&]() -> awaitable<void> {
+        co_await fleet.untilReady();
+        int homes = 0;
+        for (std::size_t index = 0; index < 3; ++index) {
+            wire::PermitQuery query;
+            query.mutable_limit()->set_replica("i-0@0");
+            query.mutable_limit()->set_per_second(sNamed);
+            query.set_address(fleet.replica(0).address());
+            query.set_asks(true);
+            const wire::PermitAnswer answer = fleet.gateway(index).permits().answer(query);
+            homes += answer.has_limit() ? 1 : 0;
+            BOOST_TEST(!answer.granted());
+        }
+        BOOST_TEST(homes == 1);
+    });
+}
