Limits: one that rose lets requests through at once

A gateway that was told a wait under an old limit kept it, up to five seconds, although the agent's next report said that a send is there. Now the newest report counts. (Found on reading; the test fails without the change: a replica told 0.3 a second and then 50 stayed held up.)

--- a/src/libloomjunction/core/replicaset.cpp
+++ b/src/libloomjunction/core/replicaset.cpp
@@ -495,7 +495,8 @@
         return LimitChange::Nothing;
     }
     const LimitChange change = it->second.limit.hear(told.perSecond, told.heardAt);
-    if (told.perSecond && told.wait > Microseconds(0)) {
+    // Also where the wait is over sooner, as when the limit rose.
+    if (told.perSecond) {
         it->second.noPermitUntil = now + told.wait;
     }
     return change;
--- a/src/libloomjunction/gateway/permitservice.cpp
+++ b/src/libloomjunction/gateway/permitservice.cpp
@@ -19,8 +19,9 @@
 
 namespace {
 
-// Gateways that wanted something within it had asked again.
+// Gateways end a stream sooner that they do not use.
 constexpr std::chrono::seconds sGatewaySilence{30};
+// Nobody asked for a replica's permits that long: its life or its need is over.
 constexpr Milliseconds sKept{60'000};
 // Of a gateway's own sends before it asked; more say no more.
 constexpr int sMostSentBefore = 256;
@@ -87,7 +88,7 @@
     return entry;
 }
 
-void PermitService::take(Entry &entry, const wire::PermitQuery &query, Instant now)
+void PermitService::learn(Entry &entry, const wire::PermitQuery &query, Instant now)
 {
     const ToldLimit told = limitTold(query.limit(), now);
     const LimitChange change = entry.limit.hear(told.perSecond, told.heardAt);
@@ -115,7 +116,7 @@
     }
     mNewest = query.limit().replica();
     Entry &entry = entryOf(mNewest);
-    take(entry, query, time);
+    learn(entry, query, time);
     *answer.mutable_limit()
         = limitToTell({mNewest, entry.limit.perSecond(), entry.limit.heardAt(), {}}, time);
     if (query.asks()) {
--- a/src/libloomjunction/gateway/permitservice.h
+++ b/src/libloomjunction/gateway/permitservice.h
@@ -74,7 +74,7 @@
     awaitable<void> serve(PeerStreamPtr stream);
     bool handsOutFor(const wire::PermitQuery &query) const;
     Entry &entryOf(const std::string &life);
-    static void take(Entry &entry, const wire::PermitQuery &query, Instant now);
+    static void learn(Entry &entry, const wire::PermitQuery &query, Instant now);
 
     std::string mReplica;
     MemberService *mMembers = nullptr;
--- /dev/null
+++ b/tests/direct/test_heldup.cpp
@@ -0,0 +1,74 @@
+/*
+ * test_heldup.cpp
+ * Copyright 2026, the loomjunction authors
+ *
+ * This file is part of loomjunction (tests).
+ * SPDX-License-Identifier: BSD-2-Clause
+ */
+
+#include <boost/test/unit_test.hpp>
+
+#include "replicaset.h"
+
+using namespace Loom;
+
+namespace {
+
+Instant at(int ms)
+{
+    return Instant(Milliseconds(10'000 + ms));
+}
+
+/** One replica of a plain service. */
+struct HeldUpLab
+{
+    HeldUpLab()
+    {
+        ReplicaRecord record;
+        record.id = "r1";
+        record.service = "plain";
+        record.address = "10.0.0.1:1";
+        record.slots = 4;
+        set.put(record, at(0));
+        query.service = "plain";
+        query.goal = Milliseconds(400);
+        life = record.life();
+    }
+
+    bool isHeldUp(int ms) const { return set.find("r1")->isHeldUp(at(ms)); }
+
+    ReplicaSet set{Milliseconds(2'000)};
+    ReplicaQuery query;
+    std::string life;
+};
+
+} // namespace
+
+BOOST_AUTO_TEST_CASE(a_limit_that_rose_lets_requests_through_at_once)
+{
+    HeldUpLab lab;
+    lab.set.hearLimit({lab.life, 0.3, at(1), Milliseconds(3'000)}, at(1));
+    BOOST_TEST(lab.isHeldUp(100));
+    lab.set.hearLimit({lab.life, 50.0, at(100), Microseconds(0)}, at(100));
+    BOOST_TEST(!lab.isHeldUp(100));
+}
+
+BOOST_AUTO_TEST_CASE(what_is_told_of_another_life_says_nothing_of_this_one)
+{
+    HeldUpLab lab;
+    lab.set.hearLimit({"r1@7", 0.3, at(1), Milliseconds(3'000)}, at(1));
+    BOOST_TEST(!lab.isHeldUp(100));
+    BOOST_TEST(!lab.set.find("r1")->limit.perSecond().has_value());
+}
+
+BOOST_AUTO_TEST_CASE(where_all_are_held_up_callers_are_told_when_the_next_send_is_there)
+{
+    HeldUpLab lab;
+    lab.set.nameLimit("r1", 1.0, at(0));
+    lab.set.denyUntil("r1", at(600));
+    const ReplicaChoice choice = lab.set.choose(lab.query, at(0));
+    const auto *busy = std::get_if<AllBusy>(&choice);
+    BOOST_REQUIRE(busy != nullptr);
+    BOOST_TEST(busy->comeBack.count() >= 600);
+    BOOST_TEST(std::holds_alternative<ChosenReplica>(lab.set.choose(lab.query, at(600))));
+}
