Soak: replicas of real processes name limits, change and end them

One replica of each service at a time, zero among the rates, beside the other faults; thirteen seconds without faults end each seed. The stand-ins count arrivals of all gateways and judge as the users' rule does.

--- a/tests/soak/replicas.py
+++ b/tests/soak/replicas.py
@@ -67,6 +67,9 @@
         self.fails = 0.0  # share of requests that get a failure of its own
         self.breaks = 0.0  # share of answers that are cut
         self.loses = 0.0  # share of answers that run and are never given
+        self.limit = None  # requests a second that its answers name
+        self.named = []  # (time, limit), in order
+        self.arrivals = []  # times
         self.broken_promises = []
         self.on_crashing = None  # ends this replica; set by the world
 
@@ -97,6 +100,7 @@
     def restart(self):
         self.remove_record()
         self.life += 1
+        self.name_limit(None)
         self.is_up = True
         self.draining_since = None
         self.is_busy = False
@@ -104,6 +108,11 @@
         self.weights = 0
         self.record()
 
+    def name_limit(self, limit):
+        if limit != self.limit:
+            self.limit = limit
+            self.named.append((time.monotonic(), limit))
+
     def drain(self):
         self.draining_since = time.monotonic()
         self.record()
@@ -176,7 +185,10 @@
         if not self.is_up:
             request.transport.abort()
             return web.Response(status=500)
+        self.arrivals.append(time.monotonic())
         common = {"Loomjunction-Request-Id": name, "Loomjunction-Instance-Id": self.id}
+        if self.limit is not None:
+            common["Server-Limit"] = str(self.limit)
         status = self._refusal(request)
         if status:
             return web.Response(status=status, headers={**common, "Loomjunction-Not-Executed": "1"})
--- a/tests/soak/soak.py
+++ b/tests/soak/soak.py
@@ -18,6 +18,7 @@
 
 from callers import PROMISES_NOT_RUN, Caller, CrashingCaller
 from faults import Faults
+from limits import Limits, over_limits
 from world import BOUNDS, World
 
 # Promises with a time hold where nothing was wrong for so long before.
@@ -26,6 +27,7 @@
 SLACK = 1.0
 CONFIG_APPLY = 2.0
 RECOVERY = 15.0
+LIMITS_ALONE = 13.0  # longer than until a limit is judged, and its span
 CRASHES_ALLOWED = 3
 RETRIES_ALLOWED = 3
 
@@ -94,6 +96,8 @@
         self.broken = []
         self.begun = time.monotonic()
         self.faults = Faults(self.world, random.Random(seed + 2), self.say)
+        self.limits = Limits(self.world, random.Random(seed + 3), self.say)
+        self.limits_judged = 0
         self.calm_spans = []
 
     def say(self, text):
@@ -169,13 +173,16 @@
             self.broken.append("RECOVER: nothing is served after the start")
         self.say("served; faults begin")
         faulting = asyncio.ensure_future(self.faults.run())
+        limiting = asyncio.ensure_future(self.limits.run())
         await asyncio.sleep(self.options.seconds)
         self.faults.is_stopped = True
-        await faulting
+        self.limits.is_stopped = True
+        await asyncio.gather(faulting, limiting)
         self.say("faults are over")
         if not await self.wait_served(RECOVERY + BOUNDS["stopSeconds"], 0.9):
             self.broken.append("RECOVER: too little is served after the faults")
         await self.check_config()
+        await self.limits.play_calm(LIMITS_ALONE)
         for caller in callers:
             caller.is_stopped = True
         await asyncio.gather(*calling)
@@ -189,6 +196,8 @@
         self.broken += unasked_runs(self.asked, runs)
         self.broken += late_weights(self.world, runs, self.was_calm)
         self.broken += late_crashes(runs, self.was_calm)
+        over, self.limits_judged = over_limits(self.world.replicas, self.was_calm)
+        self.broken += over
         for one in [*self.world.processes, *self.world.replicas]:
             self.broken += one.broken_promises
 
@@ -205,7 +214,7 @@
     verdict = "held" if not soak.broken else ", ".join(f"{w} {n}" for w, n in words.items())
     print(f"seed {seed}: {verdict}; {count} asked, {good} served, {len(soak.world.runs)} runs, "
           f"{sum(run.request.startswith(CrashingCaller.NAMES) for run in soak.world.runs)} of them "
-          f"ended what ran them; "
+          f"ended what ran them; {soak.limits_judged} judged by limits; "
           f"logs in {soak.folder}", flush=True)
     for text in soak.broken[:options.show]:
         print("    " + text, flush=True)
