Limits: a gateway that is told of one by an agent tells its own sends at once

A replica that named 2.3 a second got 19 requests in 4 s, 18.8 allowed, in one run of the test with engines. A gateway that learned the limit from the agent's report was told a wait with it, asked for no permit until then, and so its sends of the last seconds, two thirds of all, were not counted. Now it tells them when it learns of the limit, as one that heard it itself does.

The test's check that a limited replica is not left alone is back for engines; the mend had narrowed it to where nobody else has room. For plain services it was wrong: there the replica that seems quickest gets all while it has room, limit or not.

--- a/src/libloomjunction/gateway/replicaservice.cpp
+++ b/src/libloomjunction/gateway/replicaservice.cpp
@@ -275,6 +275,10 @@
     if (change != LimitChange::Nothing) {
         noteLimit(std::string(told.replica()), change);
     }
+    if (change == LimitChange::Begun) {
+        // Told that it must wait, it asks for no permit yet, and its sends would not count.
+        mPermits->tell(*mReplicas.find(told.replica()));
+    }
 }
 
 void ReplicaService::noteLimit(const std::string &id, LimitChange change)
--- a/tests/limits/test_limits.cpp
+++ b/tests/limits/test_limits.cpp
@@ -64,8 +64,9 @@
         co_await fleet.stopCallers();
         for (std::size_t index = 0; index < limited; ++index) {
             BOOST_TEST(fleet.replica(index).mostIn(sSpan, named + sKnown) <= allowed(sNamed));
-            // Where nobody else has room, it gets what it takes.
-            const bool isWanted = limited == sReplicas;
+            // It is not left alone, or nobody would learn when its need is over. Of a plain
+            // service that has room the replica that seems quickest gets all, limit or not.
+            const bool isWanted = kind == LimitFleet::Kind::Engines || limited == sReplicas;
             BOOST_TEST((!isWanted || fleet.replica(index).arrivedIn(named + sKnown, now()) > 0));
         }
         // Where others have room, they serve all.
