Sight: why a cut answer found no further replica, how much of it was out, requests lost unread

A line of a cut call said what ended its last try, not why no other followed, nor whether the caller had events. Fields noMore and events, metric loom_cut_answers_total by reason; a request whose bytes ended before it was whole had no line at all: request-lost, loom_lost_requests_total. No change of logic.

--- a/src/libloomjunction/gateway/gatewaycall.cpp
+++ b/src/libloomjunction/gateway/gatewaycall.cpp
@@ -239,6 +239,7 @@
         }
         const auto *chosen = std::get_if<ChosenReplica>(&choice);
         if (chosen == nullptr) {
+            mNoMore = std::holds_alternative<AllBusy>(choice) ? "all busy" : "no replica";
             if (const auto *busy = std::get_if<AllBusy>(&choice); busy && mExcluded.empty()) {
                 last = {503, "all replicas are busy", busy->comeBack};
             }
@@ -250,6 +251,7 @@
         // Others may have told of it since it came, or since the last try.
         if (const auto left = quarantinedFor()) {
             last = {503, std::string(sQuarantined), left};
+            mNoMore = "held back";
             break;
         }
         const ChosenReplica replica = *chosen;
@@ -257,6 +259,7 @@
         // replica named holds for all gateways together, which no gateway can count alone.
         if (!co_await mParts.replicas.takePermit(replica.id)) {
             if (++mDenied == sMostDenied) {
+                mNoMore = "no permit";
                 break;
             }
             continue;
@@ -281,6 +284,7 @@
             const bool again = mayRepeat();
             unknown = std::move(*failed);
             if (!again) {
+                mNoMore = "may not be repeated";
                 break;
             }
         }
@@ -288,9 +292,11 @@
             last = {503, notRun->reason, sRefusedComeBack};
         }
         const bool wasSent = mSends > 0;
-        const bool mayGoOn = mSends < std::max<std::uint32_t>(mRoute->attempts, 1)
-            && mFailedConnects < sMostFailedConnects && timeLeft() > sLeastTime;
-        if (!mayGoOn || (wasSent && !mParts.replicas.takeRepeat(mServiceName))) {
+        mNoMore = noFurtherTry();
+        if (mNoMore.empty() && wasSent && !mParts.replicas.takeRepeat(mServiceName)) {
+            mNoMore = "no repeat left";
+        }
+        if (!mNoMore.empty()) {
             break;
         }
     }
@@ -307,6 +313,17 @@
     co_await giveUp(502, unknown->reason);
 }
 
+std::string_view GatewayCall::noFurtherTry() const
+{
+    if (mSends >= std::max<std::uint32_t>(mRoute->attempts, 1)) {
+        return "no attempt left";
+    }
+    if (mFailedConnects >= sMostFailedConnects) {
+        return "no replica was reached";
+    }
+    return timeLeft() > sLeastTime ? "" : "no time left";
+}
+
 const RequestDigest &GatewayCall::digest()
 {
     if (mDigest.isEmpty()) {
@@ -649,6 +666,7 @@
                 continue;
             }
             passed += event.text;
+            ++mEvents;
             if (event.id) {
                 mLastEvent = event.id;
             }
@@ -711,6 +729,9 @@
 {
     if (mIsHeadSent || mIsCallerGone) {
         mExchange.abort(); // a cut answer must not look whole
+        if (!mIsCallerGone) {
+            mParts.metrics.count("cut_answers", reason);
+        }
         logEnd(0, mIsCallerGone ? "caller left" : "cut", reason);
         co_return;
     }
@@ -740,6 +761,8 @@
              {"reason", reason},
              {"sends", mSends},
              {"denied", mDenied},
+             {"noMore", mNoMore},
+             {"events", mEvents},
              {"replica", mTriedReplica},
              {"request", mDigest.text()},
              {"load", mTriedLoad},
--- a/src/libloomjunction/gateway/gatewaycall.h
+++ b/src/libloomjunction/gateway/gatewaycall.h
@@ -110,6 +110,8 @@
     Milliseconds timeOfWeights(std::uint64_t version) const;
     bool mayRepeat() const;
     Milliseconds timeLeft() const;
+    /** Why no further try may follow; empty: one may. */
+    std::string_view noFurtherTry() const;
 
     awaitable<void> refuse(Refusal refusal);
     awaitable<void> giveUp(int status, std::string reason);
@@ -152,6 +154,8 @@
     Instant mSentAt;
     bool mIsTimeOver = false;
     std::optional<std::uint64_t> mLastEvent; ///< the last one that the caller got
+    std::uint32_t mEvents = 0; ///< that the caller got
+    std::string_view mNoMore; ///< why no further try followed the last one
     std::string mTriedReplica;
     ReplicaLife mTriedLife; ///< of that replica, when it was chosen
     RequestDigest mDigest; ///< made only where it is asked for
--- a/src/libloomjunction/gateway/gatewayfront.cpp
+++ b/src/libloomjunction/gateway/gatewayfront.cpp
@@ -63,6 +63,8 @@
     mConfig->addListener([this] { takeLimits(); });
     mServer = std::make_unique<HttpServer>(
         kernel.executor(), [this](HttpExchange &exchange) { return handle(exchange); });
+    mServer->setLossHandler(
+        [this](HttpLoss loss, std::string_view problem) { noteLoss(loss, problem); });
     return mServer->listen(std::get<GatewaySettings>(mSettings.role).callers);
 }
 
@@ -81,6 +83,14 @@
     mMembers->noteChange();
 }
 
+// No call began, or none ended, so no other line tells of the request.
+void GatewayFront::noteLoss(HttpLoss loss, std::string_view problem)
+{
+    const std::string_view how = loss == HttpLoss::NotRead ? "not read whole" : "not answered";
+    mMetrics.count("lost_requests", how);
+    logLine(LogLevel::Warning, "request-lost", {{"how", how}, {"problem", problem}});
+}
+
 bool GatewayFront::isReady() const
 {
     return !mIsLeaving && mConfig->table() && mFeeds->age(Feed::Replicas);
--- a/src/libloomjunction/gateway/gatewayfront.h
+++ b/src/libloomjunction/gateway/gatewayfront.h
@@ -48,6 +48,7 @@
 
 private:
     awaitable<void> handle(HttpExchange &exchange);
+    void noteLoss(HttpLoss loss, std::string_view problem);
     void takeLimits();
 
     CallPort &mCalls;
--- a/src/libloomjunction/net/http.h
+++ b/src/libloomjunction/net/http.h
@@ -86,6 +86,14 @@
 
 using HttpHandler = std::function<awaitable<void>(HttpExchange &)>;
 
+/** Why a connection ended although a request had begun to arrive or was not answered. */
+enum class HttpLoss : std::uint8_t
+{
+    NotRead, ///< its bytes ended, or stopped, before it was whole
+    Thrown, ///< its handler ended by an exception
+};
+using HttpLossHandler = std::function<void(HttpLoss loss, std::string_view problem)>;
+
 /** Serves HTTP/1.1 on one address. Bad input is answered by itself, as 4xx. */
 class HttpServer
 {
@@ -99,6 +107,8 @@
     Tcp::endpoint localEndpoint() const;
     /** Holds for connections that are open, too. */
     void setLimits(HttpLimits limits);
+    /** Tells of requests that no handler answered. */
+    void setLossHandler(HttpLossHandler onLoss);
     /** From now on every answer closes its connection; new ones are still taken. */
     void beginDrain();
     /** Takes no new connections and closes open ones after their answer. */
--- a/src/libloomjunction/net/httpserver.cpp
+++ b/src/libloomjunction/net/httpserver.cpp
@@ -269,6 +269,7 @@
 
     Tcp::endpoint localEndpoint() const { return mListener->localEndpoint(); }
     void setLimits(HttpLimits limits) { mState.limits = limits; }
+    void setLossHandler(HttpLossHandler onLoss) { mOnLoss = std::move(onLoss); }
     void beginDrain() { mState.isDraining = true; }
 
     void stop()
@@ -328,6 +329,7 @@
         auto [headError, headSize]
             = co_await http::async_read_header(stream, buffer, parser, sAsValue);
         if (headError) {
+            self.noteLoss(HttpLoss::NotRead, headError.message());
             co_await refuse(stream, headError, self.mState);
             co_return false;
         }
@@ -339,6 +341,7 @@
         auto [error, size] = co_await http::async_read(stream, buffer, parser, sAsValue);
         stream.expires_never();
         if (error) {
+            self.noteLoss(HttpLoss::NotRead, error.message());
             co_await refuse(stream, error, self.mState);
             co_return false;
         }
@@ -348,6 +351,13 @@
         co_return exchange.mayContinue();
     }
 
+    void noteLoss(HttpLoss loss, std::string_view problem) const
+    {
+        if (mOnLoss) {
+            mOnLoss(loss, problem);
+        }
+    }
+
     static awaitable<void> refuse(beast::tcp_stream &stream, beast::error_code error,
                                   const ServerState &state)
     {
@@ -360,6 +370,7 @@
 
     asio::any_io_executor mExecutor;
     HttpHandler mHandler;
+    HttpLossHandler mOnLoss;
     ServerState mState;
     std::shared_ptr<Listener> mListener;
 };
@@ -390,6 +401,11 @@
     mImpl->setLimits(limits);
 }
 
+void HttpServer::setLossHandler(HttpLossHandler onLoss)
+{
+    mImpl->setLossHandler(std::move(onLoss));
+}
+
 void HttpServer::beginDrain()
 {
     mImpl->beginDrain();
