Failing test: streams are cut for the silence of a replica that goes on

Over whole gateways and scripted replicas. A handler that throws closes its caller's connection. Guards that pass: configurations in series end no stream; a caller that leaves ends all tries. The text of scripted streams moved to a header.

--- a/tests/gateway/test_gateway.cpp
+++ b/tests/gateway/test_gateway.cpp
@@ -10,6 +10,7 @@
 #include <boost/test/unit_test.hpp>
 
 #include "directlab.h"
+#include "streamtext.h"
 
 using namespace Loom;
 
@@ -37,25 +38,6 @@
     return {answer(requestIdOf(head), 503, "", "Loomjunction-Not-Executed: 1\r\n"), false};
 }
 
-std::string event(int id)
-{
-    return "id: " + std::to_string(id) + "\ndata: e" + std::to_string(id) + "\n\n";
-}
-
-std::string streamHead(const std::string &id)
-{
-    return "HTTP/1.1 200 OK\r\nLoomjunction-Request-Id: " + id
-        + "\r\nLoomjunction-Response-Signature: s\r\nContent-Type: text/event-stream\r\n"
-          "Transfer-Encoding: chunked\r\n\r\n";
-}
-
-std::string chunk(const std::string &data)
-{
-    std::array<char, 16> size{};
-    std::snprintf(size.data(), size.size(), "%zx\r\n", data.size());
-    return size.data() + data + "\r\n";
-}
-
 ScriptedReplica::Answer staysSilent(const std::string &)
 {
     return {"", false};
--- /dev/null
+++ b/tests/wholeanswers/test_wholeanswers.cpp
@@ -0,0 +1,401 @@
+/*
+ * test_wholeanswers.cpp
+ * Copyright 2026, the loomjunction authors
+ *
+ * This file is part of loomjunction (tests).
+ * SPDX-License-Identifier: BSD-2-Clause
+ */
+
+#define BOOST_TEST_MODULE wholeanswers
+#include <boost/test/unit_test.hpp>
+
+#include "directlab.h"
+#include "streamtext.h"
+
+#include <thread>
+
+using namespace Loom;
+
+// A caller's stream ended without its end, and its replica had not broken it off: it had
+// said nothing for 1.2 s, and its connection was closed here before anybody knew whether
+// another replica could go on. The second send was used, or was refused, or the repeats
+// of the window were spent.
+
+namespace {
+
+// Longer than after which a replica counts as silent on the routes used here.
+constexpr Milliseconds sPause{1'500};
+const std::string sPath = "/quick/a";
+
+using Script = ScriptedReplica::Script;
+using Answer = ScriptedReplica::Answer;
+
+std::function<bool()> forAWhile()
+{
+    const Instant until = now() + sPause;
+    return [until] { return now() < until; };
+}
+
+/** Begins with the event @p from, is silent for a while, and ends with the next one. */
+Answer pauses(const std::string &head, int from = 1)
+{
+    return {streamHead(requestIdOf(head)) + chunk(event(from)), false, forAWhile(),
+            chunk(event(from + 1)) + sLastChunk};
+}
+
+Answer pausesFirst(const std::string &head)
+{
+    return {"", false, forAWhile(),
+            streamHead(requestIdOf(head)) + chunk(event(1)) + chunk(event(2)) + sLastChunk};
+}
+
+Answer fallsSilent(const std::string &head)
+{
+    return {streamHead(requestIdOf(head)) + chunk(event(1)), false};
+}
+
+Answer staysSilent(const std::string &)
+{
+    return {"", false};
+}
+
+Answer breaksOff(const std::string &head)
+{
+    return {streamHead(requestIdOf(head)) + chunk(event(1)), true};
+}
+
+Answer refuses(const std::string &head)
+{
+    return {"HTTP/1.1 503 X\r\nLoomjunction-Request-Id: " + requestIdOf(head)
+                + "\r\nLoomjunction-Not-Executed: 1\r\nContent-Length: 0\r\n\r\n",
+            false};
+}
+
+/** Goes on behind the first event. */
+Answer resumes(const std::string &head)
+{
+    BOOST_TEST(head.find("Last-Event-Id: 1") != std::string::npos);
+    return {streamHead(requestIdOf(head)) + chunk(event(2)) + sLastChunk, false};
+}
+
+/** Two replicas; the first and the second request that come to either get these answers. */
+class TwoReplicas : public DirectLab
+{
+public:
+    TwoReplicas(Script onFirst, Script onSecond)
+    {
+        writeConfig(1);
+        const Script script = [this, onFirst, onSecond](const std::string &head) {
+            return ++sends == 1 ? onFirst(head) : onSecond(head);
+        };
+        for (const char *id : {"i-1", "i-2"}) {
+            replicas.push_back(&addReplica(id, "plain", script));
+        }
+    }
+
+    awaitable<void> untilReady()
+    {
+        co_await waitFor([this] {
+            return front().isReady() && DirectLab::replicas().replicas().all().size() == 2;
+        });
+    }
+
+    int closed() const { return replicas[0]->closed() + replicas[1]->closed(); }
+
+    int sends = 0;
+    std::vector<ScriptedReplica *> replicas;
+};
+
+void expectWhole(const tl::expected<HttpResponse, HttpError> &response, const std::string &body)
+{
+    BOOST_REQUIRE(response.has_value());
+    BOOST_TEST(response->status == 200);
+    BOOST_TEST(response->body == body);
+}
+
+void callOn(TwoReplicas &lab, const std::string &path, const std::string &body)
+{
+    lab.run([&]() -> awaitable<void> {
+        co_await lab.untilReady();
+        const auto response = co_await lab.call("POST", path, "id1");
+        expectWhole(response, body);
+    });
+}
+
+const std::string sTwoEvents = event(1) + event(2);
+
+} // namespace
+
+BOOST_AUTO_TEST_CASE(a_stream_that_pauses_is_whole_where_no_other_replica_is)
+{
+    DirectLab lab;
+    lab.writeConfig(1);
+    lab.addReplica("i-1", "plain", [](const std::string &head) { return pauses(head); });
+    lab.run([&]() -> awaitable<void> {
+        co_await lab.waitFor([&] {
+            return lab.front().isReady() && lab.replicas().replicas().all().size() == 1;
+        });
+        const auto response = co_await lab.call("POST", sPath, "id1");
+        expectWhole(response, sTwoEvents);
+    });
+}
+
+BOOST_AUTO_TEST_CASE(a_stream_that_pauses_is_whole_where_the_other_replica_refuses_it)
+{
+    TwoReplicas lab([](const std::string &head) { return pauses(head); }, refuses);
+    callOn(lab, sPath, sTwoEvents);
+    BOOST_TEST(lab.sends == 2);
+}
+
+BOOST_AUTO_TEST_CASE(a_stream_that_pauses_is_whole_where_no_repeat_is_left)
+{
+    TwoReplicas lab([](const std::string &head) { return pauses(head); }, resumes);
+    lab.run([&]() -> awaitable<void> {
+        co_await lab.untilReady();
+        DirectBounds bounds;
+        bounds.retries = {0, 0, Milliseconds(10'000)};
+        lab.DirectLab::replicas().setBounds(bounds);
+        const auto response = co_await lab.call("POST", sPath, "id1");
+        expectWhole(response, sTwoEvents);
+        BOOST_TEST(lab.sends == 1);
+    });
+}
+
+BOOST_AUTO_TEST_CASE(a_resumed_stream_that_pauses_is_whole)
+{
+    TwoReplicas lab(breaksOff, [](const std::string &head) { return pauses(head, 2); });
+    callOn(lab, sPath, event(1) + event(2) + event(3));
+    BOOST_TEST(lab.sends == 2);
+}
+
+BOOST_AUTO_TEST_CASE(a_stream_that_begins_late_is_whole_where_the_other_replica_refuses_it)
+{
+    TwoReplicas lab(pausesFirst, refuses);
+    callOn(lab, sPath, sTwoEvents);
+}
+
+BOOST_AUTO_TEST_CASE(a_stream_that_may_not_be_resumed_is_whole_after_a_pause)
+{
+    TwoReplicas lab([](const std::string &head) { return pauses(head); }, resumes);
+    callOn(lab, "/quickonce/a", sTwoEvents);
+    BOOST_TEST(lab.sends == 1);
+}
+
+BOOST_AUTO_TEST_CASE(a_stream_goes_on_at_another_replica_before_the_silent_one_is_given_up)
+{
+    int closedBefore = -1;
+    TwoReplicas *self = nullptr;
+    TwoReplicas lab(fallsSilent, [&](const std::string &head) {
+        closedBefore = self->closed();
+        return resumes(head);
+    });
+    self = &lab;
+    lab.run([&]() -> awaitable<void> {
+        co_await lab.untilReady();
+        const auto response = co_await lab.call("POST", sPath, "id1");
+        expectWhole(response, sTwoEvents);
+        BOOST_TEST(closedBefore == 0);
+        co_await lab.waitFor([&] { return lab.closed() == 1; });
+    });
+}
+
+BOOST_AUTO_TEST_CASE(of_two_replicas_the_one_that_speaks_first_gives_the_answer)
+{
+    TwoReplicas lab([](const std::string &head) { return pauses(head); }, staysSilent);
+    lab.run([&]() -> awaitable<void> {
+        co_await lab.untilReady();
+        const auto response = co_await lab.call("POST", sPath, "id1");
+        expectWhole(response, sTwoEvents);
+        BOOST_TEST(lab.sends == 2);
+        // The other one hears that it works for nobody.
+        co_await lab.waitFor([&] { return lab.closed() == 1; });
+        co_await lab.waitFor([&] { return lab.front().inFlight() == 0; });
+    });
+}
+
+BOOST_AUTO_TEST_CASE(a_stream_goes_on_where_the_silent_replica_breaks_off_at_last)
+{
+    TwoReplicas lab(
+        [](const std::string &head) -> Answer {
+            return {streamHead(requestIdOf(head)) + chunk(event(1)), true, forAWhile()};
+        },
+        [](const std::string &head) -> Answer {
+            const Instant until = now() + 2 * sPause;
+            return {"", false, [until] { return now() < until; }, resumes(head).bytes};
+        });
+    callOn(lab, sPath, sTwoEvents);
+    BOOST_TEST(lab.sends == 2);
+}
+
+BOOST_AUTO_TEST_CASE(a_caller_that_leaves_ends_both_tries)
+{
+    TwoReplicas lab(fallsSilent, staysSilent);
+    lab.run([&]() -> awaitable<void> {
+        co_await lab.untilReady();
+        auto caller = co_await connectWithin(lab.front().localEndpoint(), std::chrono::seconds(5));
+        const std::string request = "POST " + sPath
+            + " HTTP/1.1\r\nHost: h\r\nLoomjunction-Request-Id: id1\r\n"
+              "Authorization: Token k\r\nContent-Length: 0\r\n\r\n";
+        co_await asio::async_write(*caller, asio::buffer(request), sAsValue);
+        co_await lab.waitFor([&] { return lab.sends == 2; });
+        caller->close();
+        co_await lab.waitFor([&] { return lab.closed() == 2; });
+        co_await lab.waitFor([&] { return lab.front().inFlight() == 0; });
+    });
+}
+
+BOOST_AUTO_TEST_CASE(the_end_of_its_time_ends_both_tries)
+{
+    TwoReplicas lab(fallsSilent, staysSilent);
+    lab.run([&]() -> awaitable<void> {
+        co_await lab.untilReady();
+        const auto response = co_await lab.call("POST", sPath, "id1", "k", "2500");
+        BOOST_TEST(!response.has_value());
+        BOOST_TEST(lab.sends == 2);
+        co_await lab.waitFor([&] { return lab.closed() == 2; });
+    });
+}
+
+namespace {
+
+/** A replica on a loop of its own, which goes on while the gateway stands still. */
+class OwnLoopReplica
+{
+public:
+    explicit OwnLoopReplica(Script script)
+        : mReplica(mContext, std::move(script))
+        , mThread([this] { mContext.run(); })
+    {
+    }
+
+    ~OwnLoopReplica()
+    {
+        mContext.stop();
+        mThread.join();
+    }
+
+    std::string record() const
+    {
+        return R"({"service":"plain","address":")" + mReplica.address()
+            + R"(","zone":"z1","slots":100,"state":"ready","models":[]})";
+    }
+
+private:
+    asio::io_context mContext{1};
+    ScriptedReplica mReplica;
+    std::thread mThread;
+};
+
+} // namespace
+
+// Many streams at once, since the loop hears of some of its sockets only after its timers.
+BOOST_AUTO_TEST_CASE(time_for_which_the_gateway_stood_still_is_no_silence_of_a_replica)
+{
+    constexpr int streams = 150;
+    DirectLab lab;
+    lab.writeConfig(1);
+    std::atomic<int> begun{0};
+    const Script script = [&](const std::string &head) {
+        ++begun;
+        const Instant until = now() + Milliseconds(600);
+        return Answer{streamHead(requestIdOf(head)) + chunk(event(1)), false,
+                      [until] { return now() < until; }, chunk(event(2)) + sLastChunk};
+    };
+    OwnLoopReplica first(script);
+    OwnLoopReplica second(script);
+    lab.store.write(Feed::Replicas, "i-1", first.record());
+    lab.store.write(Feed::Replicas, "i-2", second.record());
+    int whole = 0;
+    int ended = 0;
+    lab.run([&]() -> awaitable<void> {
+        co_await lab.waitFor([&] {
+            return lab.front().isReady() && lab.replicas().replicas().all().size() == 2;
+        });
+        for (int index = 0; index < streams; ++index) {
+            asio::co_spawn(
+                lab.context,
+                [&lab, &whole, &ended, index]() -> awaitable<void> {
+                    const std::string id = "id" + std::to_string(index);
+                    const auto response = co_await lab.call("POST", sPath, id);
+                    whole += response && response->status == 200 && response->body == sTwoEvents;
+                    ++ended;
+                },
+                asio::detached);
+        }
+        co_await lab.waitFor([&] { return begun == streams; });
+        std::this_thread::sleep_for(std::chrono::milliseconds(2'500));
+        co_await lab.waitFor([&] { return ended == streams; });
+        BOOST_TEST(whole == streams);
+        BOOST_TEST(begun == streams); // none was sent again
+    });
+}
+
+BOOST_AUTO_TEST_CASE(configurations_in_series_end_no_stream_under_way)
+{
+    DirectLab lab;
+    lab.writeConfig(1);
+    bool isDone = false;
+    lab.addReplica("i-1", "plain", [&](const std::string &head) {
+        return Answer{streamHead(requestIdOf(head)) + chunk(event(1)), false,
+                      [&] { return !isDone; }, chunk(event(2)) + sLastChunk};
+    });
+    lab.run([&]() -> awaitable<void> {
+        co_await lab.waitFor([&] {
+            return lab.front().isReady() && lab.replicas().replicas().all().size() == 1;
+        });
+        asio::co_spawn(
+            lab.context,
+            [&]() -> awaitable<void> {
+                co_await lab.waitFor([&] { return lab.front().inFlight() == 1; });
+                constexpr std::uint64_t last = 60;
+                for (std::uint64_t version = 2; version <= last; ++version) {
+                    // Every other one has no routes, services or accounts at all.
+                    if (version % 2 == 0) {
+                        lab.writeConfig(version);
+                    } else {
+                        lab.store.write(Feed::Operators, "config",
+                                        R"({"version":)" + std::to_string(version)
+                                            + R"(,"routes":[],"services":[]})");
+                    }
+                    co_await lab.waitFor(
+                        [&] { return lab.config().table()->version() == version; });
+                }
+                isDone = true;
+            },
+            asio::detached);
+        const auto response = co_await lab.call("POST", "/stream/a", "id1");
+        expectWhole(response, sTwoEvents);
+    });
+}
+
+// Nobody was told of a handler that ended by an exception: its caller's connection was
+// closed without an answer, and no line was logged.
+BOOST_AUTO_TEST_CASE(a_request_whose_handler_throws_is_answered_and_told_of)
+{
+    asio::io_context context{1};
+    HttpServer server(context.get_executor(), [](HttpExchange &) -> awaitable<void> {
+        throw std::runtime_error("broken");
+        co_return;
+    });
+    std::vector<std::string> lost;
+    server.setLossHandler([&](HttpLoss loss, std::string_view problem) {
+        BOOST_TEST((loss == HttpLoss::Thrown));
+        lost.emplace_back(problem);
+    });
+    BOOST_REQUIRE(server.listen({asio::ip::address_v4::loopback(), 0}).has_value());
+    HttpClient client(context.get_executor());
+    asio::co_spawn(
+        context,
+        [&]() -> awaitable<void> {
+            HttpCall call;
+            call.endpoint = server.localEndpoint();
+            call.method = "GET";
+            call.target = "/";
+            const auto response = co_await client.send(std::move(call));
+            BOOST_TEST((response && response->status == 500));
+            BOOST_TEST((lost == std::vector<std::string>{"broken"}));
+            context.stop();
+        },
+        asio::detached);
+    context.run();
+}
