--- a/src/libloomjunction/net/httpserver.cpp
+++ b/src/libloomjunction/net/httpserver.cpp
@@ -150,6 +150,7 @@
 
     awaitable<bool> respond(HttpResponse response) override
     {
+        mHasBegun = true;
         decideKeepAlive();
         http::response<http::string_body> message(static_cast<http::status>(response.status), 11);
         fillHeaders(message, response.headers);
@@ -164,6 +165,7 @@
 
     awaitable<bool> beginStream(HttpResponse head) override
     {
+        mHasBegun = true;
         decideKeepAlive();
         http::response<http::empty_body> message(static_cast<http::status>(head.status), 11);
         fillHeaders(message, head.headers);
@@ -190,6 +192,18 @@
         co_return noteSent(!error, true);
     }
 
+    /** Says that the request has an unknown end, or cuts an answer that has begun. */
+    awaitable<void> fail()
+    {
+        if (mHasBegun) {
+            abort();
+            co_return;
+        }
+        mKeepAlive = false;
+        HttpResponse response = HttpResponse::json(500, R"({"error":"internal"})");
+        co_await respond(std::move(response));
+    }
+
     void abort() override
     {
         mAlive = false;
@@ -223,6 +237,7 @@
     const ServerState &mState;
     std::shared_ptr<GoneWatch> mWatch;
     bool mAlive = true;
+    bool mHasBegun = false; ///< something of an answer was sent
     bool mComplete = false;
 };
 
@@ -347,10 +362,25 @@
         }
         const bool keepAlive = parser.get().keep_alive();
         ServerExchange exchange(stream, toRequest(parser.release()), keepAlive, self.mState);
-        co_await self.mHandler(exchange);
+        const std::optional<std::string> thrown = co_await handle(self, exchange);
+        if (thrown) {
+            self.noteLoss(HttpLoss::Thrown, *thrown);
+            co_await exchange.fail();
+        }
         co_return exchange.mayContinue();
     }
 
+    // What the handler threw, if it did. Its caller would see no more than a close.
+    static awaitable<std::optional<std::string>> handle(Impl &self, ServerExchange &exchange)
+    {
+        try {
+            co_await self.mHandler(exchange);
+        } catch (const std::exception &error) {
+            co_return std::string(error.what());
+        }
+        co_return std::nullopt;
+    }
+
     void noteLoss(HttpLoss loss, std::string_view problem) const
     {
         if (mOnLoss) {
