--- a/tests/soak/callers.py
+++ b/tests/soak/callers.py
@@ -59,8 +59,11 @@
 class Caller:
     """Sends requests one after the other, over connections that it keeps."""
 
-    def __init__(self, world, rng: random.Random, asked, broken_promises):
+    TIME = 6.0  # seconds that a stream has, by its route
+
+    def __init__(self, world, rng: random.Random, asked, broken_promises, longest_gap=20):
         self.world = world
+        self.longest_gap = longest_gap  # milliseconds between the events of a stream
         self.rng = rng
         self.asked = asked
         self.broken = broken_promises
@@ -105,15 +108,16 @@
         one.gateway = self.rng.choice(self.addresses)
         self.asked.append(one)
         total = self.rng.randint(2, 10)
+        gap = self.rng.randint(20, self.longest_gap)
         body = self.rng.randbytes(200)
         headers = {"Host": "soak.example", "Loomjunction-Request-Id": name,
                    "Authorization": f"Token {self.world.accounts[account]}",
-                   "Loomjunction-Deadline-Ms": "5000", "Loomjunction-Tenant": "forged",
+                   "Loomjunction-Deadline-Ms": "6000", "Loomjunction-Tenant": "forged",
                    "Loomjunction-Target-Instance": "forged"}
         if kind == "stream":
             headers.update({"Loomjunction-Model": "soak-model",
                             "Loomjunction-Token-Usage": "100,30"})
-        url = f"http://{one.gateway}/{kind}/x?events={total}"
+        url = f"http://{one.gateway}/{kind}/x?events={total}&gap={gap}"
         try:
             async with self.session.post(url, data=body, headers=headers) as answer:
                 text = await answer.read()
--- a/tests/soak/faults.py
+++ b/tests/soak/faults.py
@@ -28,6 +28,11 @@
     def calm_since(self):
         return time.monotonic() if self.open else self.last_ended
 
+    def plan_only(self):
+        """Nothing goes wrong; engines say nothing for a while now and then, and go on."""
+        self.planned += [self.configure, self.name_weights, self.pause_engine, self.pause_engine]
+        self.unplanned = self.planned
+
     async def run(self):
         tasks = []
         while not self.is_stopped:
@@ -84,6 +89,12 @@
             process.terminate()
             await asyncio.sleep(4.5)
 
+    async def pause_engine(self, _):
+        engines = [one for one in self.world.replicas if one.is_engine]
+        for replica in self._some(engines):
+            replica.paused_until = time.monotonic() + self.rng.uniform(1.2, 1.9)
+        await asyncio.sleep(1.9)
+
     # ---- what goes wrong
 
     async def kill(self, _):
--- a/tests/soak/replicas.py
+++ b/tests/soak/replicas.py
@@ -44,9 +44,10 @@
 
 
 class Replica:
-    """One replica, over all its lives; `runs` is shared by all of a soak."""
+    """One replica, over all its lives; `runs` and `broke_off`, the requests whose answers
+    replicas cut for reasons of their own, are shared by all of a soak."""
 
-    def __init__(self, store, runs, rng, service, zone, address, is_engine):
+    def __init__(self, store, runs, broke_off, rng, service, zone, address, is_engine):
         self.store = store
         self.runs = runs
         self.rng = rng
@@ -70,6 +71,9 @@
         self.limit = None  # requests a second that its answers name
         self.named = []  # (time, limit), in order
         self.arrivals = []  # times
+        self.paused_until = 0.0  # its streams say nothing until then, and go on
+        self.streams = {}  # connections of the streams that run, by request
+        self.broke_off = broke_off
         self.broken_promises = []
         self.on_crashing = None  # ends this replica; set by the world
 
@@ -160,10 +164,15 @@
                                         f"not version {order['version']}")
         self.orders += 1
         self.is_busy = True
-        asyncio.ensure_future(self._load(order["version"], self.life))
+        asyncio.ensure_future(self._load(order["version"], order.get("how"), self.life))
         return web.Response(status=202)
 
-    async def _load(self, version, life):
+    async def _load(self, version, how, life):
+        # Broken off as ordered: whoever gave the order answers for these streams.
+        for transport in list(self.streams.values()) if how == "cut" else []:
+            transport.abort()
+        while self.running and life == self.life and how != "cut":
+            await asyncio.sleep(0.01)
         await asyncio.sleep(0.1)
         if life == self.life:
             self.weights = version
@@ -209,7 +218,7 @@
             asyncio.ensure_future(self.on_crashing(self))
             return web.Response(status=500)
         if life != self.life or not self.is_up or self.rng.random() < self.loses:
-            request.transport.abort()
+            self._break_off(request, name)
             return web.Response(status=500)
         if self.rng.random() < self.fails:
             return web.Response(status=500, headers=common, text="failed")
@@ -219,24 +228,38 @@
                 response = web.StreamResponse(headers={**common, "Content-Length": str(len(text))})
                 await response.prepare(request)
                 await response.write(text[:5].encode())
-                request.transport.abort()
+                self._break_off(request, name)
                 return response
             return web.Response(text=text, headers=common)
         return await self._stream(request, name, common, life)
 
+    def _break_off(self, request, name):
+        self.broke_off.add(name)
+        if request.transport is not None:
+            request.transport.abort()
+
     async def _stream(self, request, name, common, life):
+        self.streams[name] = request.transport
+        try:
+            return await self._events(request, name, common, life)
+        finally:
+            self.streams.pop(name, None)
+
+    async def _events(self, request, name, common, life):
         total = int(request.query.get("events", 6))
+        gap = int(request.query.get("gap", 20)) / 1000
         first = int(request.headers.get("Last-Event-Id", 0)) + 1
         breaks_at = self.rng.randint(1, total) if self.rng.random() < self.breaks else 0
         headers = {**common, "Content-Type": "text/event-stream"}
         response = web.StreamResponse(headers=headers)
         await response.prepare(request)
         for event in range(first, total + 1):
-            await asyncio.sleep(0.02)
+            await asyncio.sleep(gap)
+            await asyncio.sleep(max(0.0, self.paused_until - time.monotonic()))
             text = f"id: {event}\ndata: {name}/{event}/{total}\n\n".encode()
             if event == breaks_at or life != self.life or not self.is_up:
                 await response.write(text[:7])  # within an event
-                request.transport.abort()
+                self._break_off(request, name)
                 return response
             await response.write(text)
         await response.write_eof()
--- a/tests/soak/soak.py
+++ b/tests/soak/soak.py
@@ -30,6 +30,8 @@
 LIMITS_ALONE = 13.0  # longer than until a limit is judged, and its span
 CRASHES_ALLOWED = 3
 RETRIES_ALLOWED = 3
+LONG_GAP = 300  # milliseconds between events, where planned work alone is played
+USED = 0.7  # of its time; a request that ends after it is not lost
 
 
 def once_runs(asked, runs):
@@ -82,6 +84,15 @@
             f"{len(crashing)} times in all"]
 
 
+def lost_streams(asked, runs, broke_off):
+    """Streams that a replica worked on, and that ended early though it did not break them off."""
+    ran = {run.request for run in runs}
+    return [f"LOST: {one.name} ended {one.ended_at - one.at:.2f} s after it was sent to {one.gateway}"
+            for one in asked if one.kind == "stream" and one.status == 0 and one.ended_at
+            and one.ended_at - one.at < USED * Caller.TIME and one.name in ran
+            and one.name not in broke_off]
+
+
 class Soak:
     """One seed, from the start of all processes to the verdict."""
 
@@ -98,6 +109,8 @@
         self.faults = Faults(self.world, random.Random(seed + 2), self.say)
         self.limits = Limits(self.world, random.Random(seed + 3), self.say)
         self.limits_judged = 0
+        if options.planned:
+            self.faults.plan_only()
         self.calm_spans = []
 
     def say(self, text):
@@ -165,14 +178,18 @@
     async def play(self):
         await self.world.start()
         keeper = asyncio.ensure_future(self.keep_processes())
+        gap = [LONG_GAP] if self.options.planned else []
         callers = [Caller(self.world, random.Random(self.rng.getrandbits(32)), self.asked,
-                          self.broken) for _ in range(self.options.callers)]
-        callers.append(CrashingCaller(self.world, random.Random(self.rng.getrandbits(32))))
+                          self.broken, *gap) for _ in range(self.options.callers)]
+        if not self.options.planned:
+            callers.append(CrashingCaller(self.world, random.Random(self.rng.getrandbits(32))))
         calling = [asyncio.ensure_future(caller.run()) for caller in callers]
         if not await self.wait_served(RECOVERY, 0.9):
             self.broken.append("RECOVER: nothing is served after the start")
         self.say("served; faults begin")
         faulting = asyncio.ensure_future(self.faults.run())
+        if self.options.planned:
+            self.limits.is_stopped = True
         limiting = asyncio.ensure_future(self.limits.run())
         await asyncio.sleep(self.options.seconds)
         self.faults.is_stopped = True
@@ -182,7 +199,8 @@
         if not await self.wait_served(RECOVERY + BOUNDS["stopSeconds"], 0.9):
             self.broken.append("RECOVER: too little is served after the faults")
         await self.check_config()
-        await self.limits.play_calm(LIMITS_ALONE)
+        if not self.options.planned:
+            await self.limits.play_calm(LIMITS_ALONE)
         for caller in callers:
             caller.is_stopped = True
         await asyncio.gather(*calling)
@@ -196,6 +214,8 @@
         self.broken += unasked_runs(self.asked, runs)
         self.broken += late_weights(self.world, runs, self.was_calm)
         self.broken += late_crashes(runs, self.was_calm)
+        if self.options.planned:
+            self.broken += lost_streams(self.asked, runs, self.world.broke_off)
         over, self.limits_judged = over_limits(self.world.replicas, self.was_calm)
         self.broken += over
         for one in [*self.world.processes, *self.world.replicas]:
@@ -230,6 +250,8 @@
     parser.add_argument("--gateways", type=int, default=4)
     parser.add_argument("--engines", type=int, default=4)
     parser.add_argument("--callers", type=int, default=12)
+    parser.add_argument("--planned", action="store_true",
+                        help="planned work alone, and streams of up to 3 s that may pause")
     parser.add_argument("--show", type=int, default=8, help="broken promises to print")
     parser.add_argument("--verbose", action="store_true", help="print each fault")
     options = parser.parse_args()
--- a/tests/soak/world.py
+++ b/tests/soak/world.py
@@ -93,6 +93,7 @@
         self.rng = rng
         self.base = base
         self.runs = []
+        self.broke_off = set()  # requests whose answers replicas cut on their own
         self.store = Store(rng)
         self.origin = Origin(rng)
         self.replicas = []
@@ -131,7 +132,8 @@
 
     async def add_replica(self, service, zone, is_engine):
         inner, outer = self.port(), self.port()
-        replica = Replica(self.store, self.runs, self.rng, service, zone, (HOST, outer), is_engine)
+        replica = Replica(self.store, self.runs, self.broke_off, self.rng, service, zone,
+                          (HOST, outer), is_engine)
         proxy = Proxy((HOST, inner), spares_local=True)
         await proxy.start(HOST, outer)
         self.runners.append(await replica.serve(HOST, inner))
