An exchange of weights waits for the streams that run, it breaks none off

Callers saw: streams cut in the millisecond in which an agent ordered its engine to load newer weights. Agents had the engine break off what ran 0.7 s after its turn came, trusting that every stream goes on elsewhere; one that had used its second send, or was granted no repeat, or found no replica, ended before its caller.

--- a/src/libloomjunction/gateway/ports.h
+++ b/src/libloomjunction/gateway/ports.h
@@ -210,13 +210,6 @@
     double pace = 1;
 };
 
-/** What happens to the requests that run when weights change. */
-enum class LoadManner : std::uint8_t
-{
-    AfterRunning, ///< they end first
-    CutRunning, ///< they are broken off
-};
-
 enum class OrderAnswer : std::uint8_t
 {
     Begun,
@@ -231,8 +224,11 @@
 public:
     virtual ~EnginePort() = default;
     virtual awaitable<std::optional<EngineReport>> report(std::uint32_t layers) = 0;
-    /** Orders the engine to load what is staged. @p ordersTaken: of the last report. */
-    virtual awaitable<OrderAnswer> load(std::string model, std::uint64_t version, LoadManner manner,
+    /**
+     * Orders the engine to load what is staged, once all that runs has ended; it takes nothing
+     * new until then. @p ordersTaken: of the last report.
+     */
+    virtual awaitable<OrderAnswer> load(std::string model, std::uint64_t version,
                                         std::uint64_t ordersTaken)
         = 0;
     virtual awaitable<bool> stagePut(std::string model, std::uint32_t index, std::string data) = 0;
--- a/src/libloomjunction/gateway/stageservice.cpp
+++ b/src/libloomjunction/gateway/stageservice.cpp
@@ -39,9 +39,8 @@
 constexpr Milliseconds sMembersStep{50};
 // Gateways must have heard that the replica takes nothing before it is ordered to load.
 constexpr Milliseconds sTellFirst{30};
-// An engine loses its time while it runs empty, and other engines theirs while
-// they read again what was cut: at two thirds of a second both together are least.
-constexpr Milliseconds sEmptyFor{700};
+// For what waits at the engine when its turn comes; what still waits then goes elsewhere.
+constexpr Milliseconds sQueueTime{700};
 // An order that got no answer and shows no effect for so long was not taken.
 constexpr Milliseconds sOrderLost{1'500};
 constexpr std::uint64_t sStoreBytes = std::uint64_t{48} * 1024 * 1024;
@@ -536,14 +535,13 @@
     mOrdered = wanted.version;
     mOrderedAt = now();
     tellLoad();
-    if (!co_await emptyEngine() || mReport->isBusy || mEngineBorn != life) {
+    if (!co_await emptyQueue() || mReport->isBusy || mEngineBorn != life) {
         mIsLoading = false;
         co_return false;
     }
     const std::uint64_t ordersTaken = mReport->ordersTaken;
-    const LoadManner manner = mayCut() ? LoadManner::CutRunning : LoadManner::AfterRunning;
     mOrderedAt = now();
-    const OrderAnswer answer = co_await mEngine.load(model, wanted.version, manner, ordersTaken);
+    const OrderAnswer answer = co_await mEngine.load(model, wanted.version, ordersTaken);
     logLine(LogLevel::Info, "load-ordered",
             {{"model", model},
              {"version", wanted.version},
@@ -557,35 +555,21 @@
     co_return answer != OrderAnswer::Refused;
 }
 
-// Gateways send nothing more; what runs is given time to end. Most requests are
-// short, so a few long ones would keep the whole engine idle for the rest.
-awaitable<bool> StageService::emptyEngine()
+// Gateways send nothing more, and what waits at the engine gets its place. What runs ends
+// in its own time: the order waits for it. Broken off, a stream would end before its caller
+// wherever no other replica can take it.
+awaitable<bool> StageService::emptyQueue()
 {
-    const Instant until = now() + (mayCut() ? sEmptyFor : sTellFirst);
+    const Instant until = now() + sQueueTime;
     do {
         co_await sleepFor(sTellFirst);
         if (!co_await lookAtEngine()) {
             co_return false;
         }
-    } while (now() < until && mReport->running + mReport->waiting > 0 && !mStopped);
+    } while (now() < until && mReport->waiting > 0 && !mStopped);
     co_return true;
 }
 
-// What is broken off goes on at another replica, where every route allows that.
-bool StageService::mayCut() const
-{
-    const RouteTablePtr &table = mConfig->table();
-    if (!table) {
-        return false;
-    }
-    return std::ranges::all_of(table->config().routes, [&](const Route &route) {
-        const bool isOurs = std::ranges::any_of(route.targets, [&](const RouteTarget &target) {
-            return target.service == mStager.service;
-        });
-        return !isOurs || (route.isStream && route.isResumable);
-    });
-}
-
 awaitable<bool> StageService::fillStage(std::string model, std::string digest)
 {
     const std::uint32_t count = mStore->find(digest)->manifest.chunkCount();
--- a/src/libloomjunction/gateway/stageservice.h
+++ b/src/libloomjunction/gateway/stageservice.h
@@ -80,8 +80,7 @@
     std::shared_ptr<WeightFetch> beginFetch(const std::string &model, const VersionInHand &wanted);
     void noteLoaded(std::string_view model, std::uint64_t loaded);
     awaitable<bool> loadStaged(std::string model, VersionInHand wanted);
-    awaitable<bool> emptyEngine();
-    bool mayCut() const;
+    awaitable<bool> emptyQueue();
     awaitable<bool> fillStage(std::string model, std::string digest);
     awaitable<bool> isStageRight(std::string model, std::string digest);
     bool isMyTurn(const std::string &model, std::uint64_t version) const;
--- a/tests/gateway/stagelab.h
+++ b/tests/gateway/stagelab.h
@@ -50,8 +50,7 @@
         co_return report;
     }
 
-    awaitable<OrderAnswer> load(std::string, std::uint64_t version, LoadManner,
-                                std::uint64_t) override
+    awaitable<OrderAnswer> load(std::string, std::uint64_t version, std::uint64_t) override
     {
         ++orders;
         ordersOnHalfAStage += stage.size() < sChunks ? 1 : 0;
