--- a/tests/wholeanswers/test_wholeanswers.cpp
+++ b/tests/wholeanswers/test_wholeanswers.cpp
@@ -135,9 +135,8 @@
     lab.writeConfig(1);
     lab.addReplica("i-1", "plain", [](const std::string &head) { return pauses(head); });
     lab.run([&]() -> awaitable<void> {
-        co_await lab.waitFor([&] {
-            return lab.front().isReady() && lab.replicas().replicas().all().size() == 1;
-        });
+        co_await lab.waitFor(
+            [&] { return lab.front().isReady() && lab.replicas().replicas().all().size() == 1; });
         const auto response = co_await lab.call("POST", sPath, "id1");
         expectWhole(response, sTwoEvents);
     });
@@ -311,9 +310,8 @@
     int whole = 0;
     int ended = 0;
     lab.run([&]() -> awaitable<void> {
-        co_await lab.waitFor([&] {
-            return lab.front().isReady() && lab.replicas().replicas().all().size() == 2;
-        });
+        co_await lab.waitFor(
+            [&] { return lab.front().isReady() && lab.replicas().replicas().all().size() == 2; });
         for (int index = 0; index < streams; ++index) {
             asio::co_spawn(
                 lab.context,
@@ -343,9 +341,8 @@
                       [&] { return !isDone; }, chunk(event(2)) + sLastChunk};
     });
     lab.run([&]() -> awaitable<void> {
-        co_await lab.waitFor([&] {
-            return lab.front().isReady() && lab.replicas().replicas().all().size() == 1;
-        });
+        co_await lab.waitFor(
+            [&] { return lab.front().isReady() && lab.replicas().replicas().all().size() == 1; });
         asio::co_spawn(
             lab.context,
             [&]() -> awaitable<void> {
