A request that has not begun is given up shortly before its caller would leave

Callers saw: nothing for 2.4 s, where they were answered 502 after 1.6 s before silent tries were kept open. At replicas that stand still nobody hears that such a caller left, and they worked on for nobody. A caller that is answered may try again.

--- a/src/libloomjunction/gateway/gatewaycall.cpp
+++ b/src/libloomjunction/gateway/gatewaycall.cpp
@@ -42,6 +42,9 @@
 // Before its first event a stream may wait in the replica's queue.
 constexpr int sSilentGoals = 4;
 constexpr Milliseconds sLeastFirstSilence{1'200};
+// Callers leave a stream that has not begun after two seconds at the earliest. One that
+// is answered before may try again; of one that left, a replica may not hear.
+constexpr Milliseconds sLeastOverdue{1'850};
 // A timer that is later than this shows that the loop stood still: what came
 // meanwhile has not been read yet.
 constexpr Milliseconds sLoopStall{50};
@@ -401,7 +404,9 @@
     }
     noteSent();
     if (mCall.route->isStream) {
-        awaitSilence(std::max(sLeastFirstSilence, mCall.route->goal * sSilentGoals));
+        const auto first = std::max(sLeastFirstSilence, mCall.route->goal * sSilentGoals);
+        mOverdueAt = now() + std::max(first, sLeastOverdue);
+        awaitSilence(first);
     }
     auto head = co_await mTry->begin();
     if (!head) {
@@ -513,7 +518,12 @@
         return;
     }
     mIsAwaitingSilence = false;
+    if (isOverdue()) {
+        mTry->replace();
+        return;
+    }
     if (mIsStandbyRunning || !mayRepeat() || !noFurtherTry().empty()) {
+        awaitMore();
         return;
     }
     mIsStandbyRunning = true;
@@ -525,6 +535,18 @@
     });
 }
 
+bool GatewayCall::isOverdue() const
+{
+    return !mCall.isHeadSent && now() >= mOverdueAt;
+}
+
+// The try goes on without a standby.
+void GatewayCall::awaitMore()
+{
+    const auto left = std::chrono::duration_cast<Milliseconds>(mOverdueAt - now());
+    awaitSilence(mCall.isHeadSent ? mSilence : std::max(left, Milliseconds(1)));
+}
+
 bool GatewayCall::isStandbyWanted() const
 {
     return !mIsStandbyDropped && !mCall.isCallerGone && !mCall.isTimeOver;
@@ -542,7 +564,7 @@
     mCall.parts.metrics.count("standby_tries", how);
     const bool isTryUnderWay = !mTry->hasEnded() && !mHasStandbyBegun && isStandbyWanted();
     if (isTryUnderWay) {
-        awaitSilence(mSilence);
+        awaitMore();
     }
 }
 
--- a/src/libloomjunction/gateway/gatewaycall.h
+++ b/src/libloomjunction/gateway/gatewaycall.h
@@ -71,6 +71,8 @@
     void adopt(std::unique_ptr<ReplicaTry> attempt);
 
     void awaitSilence(Milliseconds silence);
+    void awaitMore();
+    bool isOverdue() const;
     void onSilence();
     void stopAwaitingSilence();
     awaitable<void> findStandby();
@@ -103,6 +105,7 @@
 
     BootTimer mSilenceTimer;
     Milliseconds mSilence{0}; ///< that the timer waits for
+    Instant mOverdueAt; ///< the try under way is given up then unless it has begun
     bool mIsAwaitingSilence = false;
     std::unique_ptr<ReplicaTry> mStandby;
     LinkHead mStandbyHead;
