--- a/tests/wholeanswers/test_wholeanswers.cpp
+++ b/tests/wholeanswers/test_wholeanswers.cpp
@@ -349,6 +349,50 @@
     });
 }
 
+// A caller got its first event twice, from each of two replicas that began at the same time: the
+// standby's events came while the head of the first one's answer was on its way to the caller.
+BOOST_AUTO_TEST_CASE(of_two_replicas_that_begin_at_once_only_one_gives_the_answer)
+{
+    constexpr int streams = 6; // that two replicas of four slots take twice
+    DirectLab lab;
+    lab.writeConfig(1);
+    std::atomic<bool> isReleased{false};
+    std::atomic<int> sends{0};
+    const Script script = [&](const std::string &head) {
+        ++sends;
+        return Answer{"", false, [&] { return !isReleased; },
+                      streamHead(requestIdOf(head)) + chunk(event(1)) + chunk(event(2))
+                          + sLastChunk};
+    };
+    OwnLoopReplica first(script);
+    OwnLoopReplica second(script);
+    lab.store.write(Feed::Replicas, "i-1", first.record());
+    lab.store.write(Feed::Replicas, "i-2", second.record());
+    int whole = 0;
+    int ended = 0;
+    lab.run([&]() -> awaitable<void> {
+        co_await lab.waitFor(
+            [&] { return lab.front().isReady() && lab.replicas().replicas().all().size() == 2; });
+        for (int index = 0; index < streams; ++index) {
+            asio::co_spawn(
+                lab.context,
+                [&lab, &whole, &ended, index]() -> awaitable<void> {
+                    const std::string id = "id" + std::to_string(index);
+                    const auto response = co_await lab.call("POST", sPath, id);
+                    whole += response && response->status == 200 && response->body == sTwoEvents;
+                    ++ended;
+                },
+                asio::detached);
+        }
+        co_await lab.waitFor([&] { return sends == 2 * streams; });
+        isReleased = true;
+        // Both answers of each lie there when the gateway's loop looks again.
+        std::this_thread::sleep_for(std::chrono::milliseconds(100));
+        co_await lab.waitFor([&] { return ended == streams; });
+        BOOST_TEST(whole == streams);
+    });
+}
+
 BOOST_AUTO_TEST_CASE(configurations_in_series_end_no_stream_under_way)
 {
     DirectLab lab;
