The standby is dropped before anything of the first replica's answer is sent

A caller got its first event from each of two replicas: both began in the same turn of the loop, and the standby took over while the head of the first one's answer was on its way. It is dropped now before that send, in the same step that accepts the events.

--- a/src/libloomjunction/gateway/gatewaycall.cpp
+++ b/src/libloomjunction/gateway/gatewaycall.cpp
@@ -450,6 +450,9 @@
         if (mHasStandbyBegun) {
             co_return TryUnknown{"silent", std::nullopt};
         }
+        // At once: the standby could begin while this part of the answer is on its way.
+        stopAwaitingSilence();
+        dropStandby();
         if (!mCall.isHeadSent) {
             co_await beginStream(head);
         }
@@ -478,8 +481,6 @@
 // False: the caller left.
 awaitable<bool> GatewayCall::passEvents(const EventBatch &events)
 {
-    stopAwaitingSilence();
-    dropStandby();
     mTimes.noteEvents(now());
     mCall.lastEvent = events.last;
     mEvents += events.count;
