Sight: answers by which replicas say that they leave or want rest

Both are read now, from every head that comes on a connection, surplus answers included, and logged and counted (replica_notices). Nothing is decided by them yet.

--- a/src/libloomjunction/core/replica.h
+++ b/src/libloomjunction/core/replica.h
@@ -9,6 +9,7 @@
 #pragma once
 
 #include "instant.h"
+#include "lifenotices.h"
 #include "namedlimit.h"
 
 #include <cstdint>
@@ -117,6 +118,7 @@
     std::uint32_t failures = 0; ///< in a row
     double failureRate = 0; ///< smoothed share of requests that failed
     double answerMs = 0; ///< smoothed time to an answer or a first event
+    LifeNotices notices;
     NamedLimit limit;
     Instant noPermitUntil; ///< under that limit
     std::deque<Instant> sentLately; ///< by this entry, within the span that permits count
--- a/src/libloomjunction/core/replicaset.cpp
+++ b/src/libloomjunction/core/replicaset.cpp
@@ -529,6 +529,18 @@
     return it == mReplicas.end() ? LimitChange::Nothing : it->second.limit.nameNone(sentAt, now);
 }
 
+NoticeChange ReplicaSet::hearNotice(std::string_view id, std::uint64_t born,
+                                    const ReplicaNotice &notice, Instant now)
+{
+    const auto it = mReplicas.find(id);
+    if (it == mReplicas.end()) {
+        return {};
+    }
+    const ReplicaRecord &record = it->second.record;
+    const bool isEarlierLife = born != 0 && record.born != 0 && born != record.born;
+    return isEarlierLife ? NoticeChange{} : it->second.notices.hear(notice, now);
+}
+
 const Replica *ReplicaSet::find(std::string_view id) const
 {
     const auto it = mReplicas.find(id);
--- a/src/libloomjunction/core/replicaset.h
+++ b/src/libloomjunction/core/replicaset.h
@@ -110,6 +110,13 @@
     /** An answer to a request that was sent at @p sentAt named no limit. */
     LimitChange nameNoLimit(std::string_view id, Instant sentAt, Instant now);
 
+    /**
+     * An answer of the life of the replica @p id that began at @p born (zero: the one
+     * that is known) came @p now.
+     */
+    NoticeChange hearNotice(std::string_view id, std::uint64_t born, const ReplicaNotice &notice,
+                            Instant now);
+
     const Replica *find(std::string_view id) const;
     const std::map<std::string, Replica, std::less<>> &all() const { return mReplicas; }
 
--- a/src/libloomjunction/gateway/ports.h
+++ b/src/libloomjunction/gateway/ports.h
@@ -10,6 +10,7 @@
 
 #include "http.h"
 #include "httplink.h"
+#include "lifenotices.h"
 #include "manifest.h"
 #include "recordbook.h"
 #include "replicaset.h"
@@ -159,6 +160,7 @@
     bool isNotRun = false; ///< the replica says that it did not run the request
     bool isStream = false;
     NamedRate rate;
+    ReplicaNotice notice;
 };
 
 /** A caller's question where to connect. */
--- a/src/libloomjunction/gateway/replicaservice.cpp
+++ b/src/libloomjunction/gateway/replicaservice.cpp
@@ -17,6 +17,7 @@
 #include "metrics.h"
 #include "overload.h"
 #include "permitservice.h"
+#include "quarantineservice.h"
 
 #include <algorithm>
 
@@ -261,6 +262,49 @@
     mPermits->tell(*mReplicas.find(id));
 }
 
+void ReplicaService::noteNotice(const ReplicaLife &life, const ReplicaNotice &notice)
+{
+    for (const std::string &header : notice.unreadable) {
+        mMetrics.count("replica_notices", "unreadable");
+        logLine(LogLevel::Warning, "replica-notice-refused",
+                {{"replica", life.id}, {"header", header}});
+    }
+    const NoticeChange change = mReplicas.hearNotice(life.id, life.born, notice, now());
+    const Replica *replica = mReplicas.find(life.id);
+    if (change.hasBegunToLeave) {
+        mMetrics.count("replica_notices", "leaving");
+        logLeaving(life, replica);
+    }
+    if (change.isRestLonger) {
+        mMetrics.count("replica_notices", "rest");
+        logRest(life, replica, *notice.rest);
+    }
+}
+
+void ReplicaService::logLeaving(const ReplicaLife &life, const Replica *replica)
+{
+    const bool isKnown = replica != nullptr && replica->goneAt == Instant();
+    const std::string_view record = !isKnown ? "gone"
+        : replica->record.isDraining         ? "draining"
+                                             : "ready";
+    logLine(LogLevel::Info, "replica-leaving",
+            {{"replica", life.id},
+             {"born", life.born},
+             {"record", record},
+             {"inFlight", replica == nullptr ? 0 : replica->inFlight}});
+}
+
+void ReplicaService::logRest(const ReplicaLife &life, const Replica *replica, Microseconds asked)
+{
+    const auto askedMs = std::chrono::duration_cast<Milliseconds>(asked);
+    logLine(LogLevel::Info, "replica-rest",
+            {{"replica", life.id},
+             {"born", life.born},
+             {"askedMs", askedMs.count()},
+             {"inFlight", replica == nullptr ? 0 : replica->inFlight},
+             {"sentLately", replica == nullptr ? 0 : replica->sentLately.size()}});
+}
+
 void ReplicaService::takeReport(const std::string &address, const ReplicaLoad &load)
 {
     mReplicas.report(address, load, now());
--- a/src/libloomjunction/gateway/replicaservice.h
+++ b/src/libloomjunction/gateway/replicaservice.h
@@ -33,6 +33,7 @@
 class MemberService;
 class Metrics;
 struct FeedChange;
+struct ReplicaLife;
 
 /**
  * The replicas that a gateway sends requests to: what is known of each, the
@@ -72,6 +73,8 @@
     awaitable<bool> takePermit(std::string id);
     /** What an answer of the replica to a request that was sent at @p sentAt says of its rate. */
     void noteRate(const std::string &id, const NamedRate &rate, Instant sentAt);
+    /** What an answer of @p life says of further requests. */
+    void noteNotice(const ReplicaLife &life, const ReplicaNotice &notice);
     /** Takes one repeat of a request at @p service. */
     bool takeRepeat(const std::string &service);
 
@@ -91,6 +94,8 @@
     void takeReport(const std::string &address, const ReplicaLoad &load);
     void hearLimit(const ToldLimit &told);
     void noteLimit(const std::string &id, LimitChange change);
+    static void logLeaving(const ReplicaLife &life, const Replica *replica);
+    static void logRest(const ReplicaLife &life, const Replica *replica, Microseconds asked);
     SharedRetryBudget &budget(const std::string &service);
     void take(const FeedChange &change);
     awaitable<void> askAgents(std::vector<const Replica *> replicas);
--- a/src/libloomjunction/gateway/replicatry.cpp
+++ b/src/libloomjunction/gateway/replicatry.cpp
@@ -153,9 +153,12 @@
     const LinkRequest outgoing{request.method, request.target, headers, request.body};
     const auto deadline = steadyTime(mCall.deadline + sLeastTime);
     auto head = co_await mLink->exchange(outgoing, deadline);
-    for (int foreign = 0; head && foreign < sMostForeignAnswers; ++foreign) {
-        const std::string id = mCall.parts.calls.answerFields(*head).requestId;
-        if (id == mCall.caller.id || id.empty()) {
+    for (int foreign = 0; head; ++foreign) {
+        const AnswerFields told = mCall.parts.calls.answerFields(*head);
+        noteNotice(told);
+        const std::string &id = told.requestId;
+        const bool isOwn = id == mCall.caller.id || id.empty();
+        if (isOwn || foreign == sMostForeignAnswers) {
             break;
         }
         mCall.parts.metrics.count("foreign_answers", mCall.serviceName);
@@ -330,6 +333,17 @@
     }
 }
 
+// An answer to another request says as much of the replica as one to this request. Which
+// replica answered, the answer knows best: addresses are given away.
+void ReplicaTry::noteNotice(const AnswerFields &fields)
+{
+    const bool isOther = !fields.replicaId.empty() && fields.replicaId != mChosen.id;
+    ReplicaLife life = mLife;
+    life.id = isOther ? fields.replicaId : mChosen.id;
+    life.born = isOther ? 0 : mLife.born;
+    mCall.parts.replicas.noteNotice(life, fields.notice);
+}
+
 OutgoingFields ReplicaTry::outgoingFields() const
 {
     OutgoingFields fields;
--- a/src/libloomjunction/gateway/replicatry.h
+++ b/src/libloomjunction/gateway/replicatry.h
@@ -114,6 +114,7 @@
     TryResult afterLinkError(LinkError error) const;
     void noteAnswer(bool hasBegun);
     void noteRate(const NamedRate &rate, bool isGood);
+    void noteNotice(const AnswerFields &fields);
     /** Gives the try up when its weights are over and it has not begun. */
     void watchWeights();
     void stopWatchingWeights();
