A replica that said it leaves gets nothing more, whatever the store says

The choice knew of a leaving by the replica's record alone.

One word (Replica::heldBack) answers whether a request may be sent; the choice, the neighbours and the look right before the send ask it, and that look sees a removal, too. Connections that rest are closed.

--- a/src/libloomjunction/core/replica.h
+++ b/src/libloomjunction/core/replica.h
@@ -41,11 +41,9 @@
     /** Tells this life from others in what processes tell each other. */
     std::string life() const { return id + sLifeMark + std::to_string(born); }
 
-    /** A record of another life than @p other. What was told without a start may be of any. */
-    bool isOtherLife(const ReplicaRecord &other) const
-    {
-        return born != 0 && other.born != 0 && born != other.born;
-    }
+    /** Tells of the life that began at @p start. What was told without a start may be of any. */
+    bool isOfLife(std::uint64_t start) const { return born == 0 || start == 0 || born == start; }
+    bool isOtherLife(const ReplicaRecord &other) const { return !isOfLife(other.born); }
 
     /** The same but for its place in the store. */
     bool isLike(const ReplicaRecord &other) const
@@ -101,6 +99,16 @@
     Abandoned, ///< the caller left, or its time was over
 };
 
+/** Why nothing may be sent to a replica, whatever its load and weights are. */
+enum class HeldBack : std::uint8_t
+{
+    Nothing, ///< it may be sent to
+    Gone, ///< the store took its record away, or another life has its address
+    Draining, ///< by its record
+    Leaving, ///< by its own answers
+};
+std::string_view heldBackName(HeldBack held);
+
 /** One replica as this entry sees it. */
 struct Replica
 {
@@ -124,6 +132,9 @@
     std::deque<Instant> sentLately; ///< by this entry, within the span that permits count
     Instant goneAt; ///< the store took its record away; zero: it did not
 
+    /** The one word on whether a request may be sent to it at @p now. */
+    HeldBack heldBack(Instant now) const;
+
     /** It named a limit, and no send to it is left at @p now. */
     bool isHeldUp(Instant now) const { return limit.perSecond() && noPermitUntil > now; }
 
--- a/src/libloomjunction/core/replicaoffer.cpp
+++ b/src/libloomjunction/core/replicaoffer.cpp
@@ -54,10 +54,8 @@
 
 bool OfferEstimator::isUsable(const Replica &replica) const
 {
-    if (replica.record.service != mQuery.service || replica.record.isDraining) {
-        return false;
-    }
-    if (replica.goneAt != Instant() && replica.goneAt <= mNow) {
+    const bool isHeldBack = replica.heldBack(mNow) != HeldBack::Nothing;
+    if (replica.record.service != mQuery.service || isHeldBack) {
         return false;
     }
     if (replica.avoidedUntil > mNow || replica.isHeldUp(mNow)) {
--- a/src/libloomjunction/core/replicaset.cpp
+++ b/src/libloomjunction/core/replicaset.cpp
@@ -74,12 +74,18 @@
 
 void ReplicaSet::put(const ReplicaRecord &record, Instant now)
 {
-    Replica &replica = mReplicas[record.id];
+    const auto [it, isNew] = mReplicas.try_emplace(record.id);
+    Replica &replica = it->second;
     // What was known of an earlier life holds no more: its weights, its load, that it
     // was leaving. Kept, a replica that drained and came back would stand empty for good.
-    if (record.isOtherLife(replica.record)) {
+    const bool isOther = record.isOtherLife(replica.record);
+    if (isOther) {
+        keepNotices(replica, now);
         replica = Replica();
     }
+    if (isNew || isOther) {
+        replica.notices = mKept.take(record.id, record.born);
+    }
     const bool wasDraining = replica.record.isDraining;
     // Within one life versions only rise: one that is new in the record is newer
     // than the agent's last word, too.
@@ -201,8 +207,7 @@
 // Whether it belongs to the service and lives, whatever its load and weights are.
 bool ReplicaSet::mayBeUsed(const Replica &replica, const ReplicaQuery &query, Instant now)
 {
-    const bool isGone = replica.goneAt != Instant() && replica.goneAt <= now;
-    return replica.record.service == query.service && !replica.record.isDraining && !isGone;
+    return replica.record.service == query.service && replica.heldBack(now) == HeldBack::Nothing;
 }
 
 std::vector<const Replica *> ReplicaSet::leftFor(const ReplicaQuery &query, Instant now) const
@@ -533,12 +538,18 @@
                                     const ReplicaNotice &notice, Instant now)
 {
     const auto it = mReplicas.find(id);
-    if (it == mReplicas.end()) {
-        return {};
+    if (it != mReplicas.end() && it->second.record.isOfLife(born)) {
+        return it->second.notices.hear(notice, now);
     }
-    const ReplicaRecord &record = it->second.record;
-    const bool isEarlierLife = born != 0 && record.born != 0 && born != record.born;
-    return isEarlierLife ? NoticeChange{} : it->second.notices.hear(notice, now);
+    LifeNotices kept = mKept.take(id, born);
+    const NoticeChange change = kept.hear(notice, now);
+    mKept.keep(id, born, kept, now);
+    return change;
+}
+
+void ReplicaSet::keepNotices(const Replica &replica, Instant now)
+{
+    mKept.keep(replica.record.id, replica.record.born, replica.notices, now);
 }
 
 const Replica *ReplicaSet::find(std::string_view id) const
@@ -551,8 +562,14 @@
 {
     std::erase_if(mReplicas, [&](const auto &item) {
         const Replica &replica = item.second;
-        return replica.goneAt != Instant() && replica.goneAt <= now && replica.inFlight == 0;
+        const bool isOver
+            = replica.goneAt != Instant() && replica.goneAt <= now && replica.inFlight == 0;
+        if (isOver) {
+            keepNotices(replica, now);
+        }
+        return isOver;
     });
+    mKept.sweep(now);
 }
 
 } // namespace Loom
--- a/src/libloomjunction/core/replicaset.h
+++ b/src/libloomjunction/core/replicaset.h
@@ -11,6 +11,7 @@
 #include "askplan.h"
 #include "callrate.h"
 #include "instant.h"
+#include "keptnotices.h"
 #include "refusalshare.h"
 #include "replica.h"
 #include "replicaoffer.h"
@@ -112,7 +113,7 @@
 
     /**
      * An answer of the life of the replica @p id that began at @p born (zero: the one
-     * that is known) came @p now.
+     * that is known) came @p now. The life need not be in the set.
      */
     NoticeChange hearNotice(std::string_view id, std::uint64_t born, const ReplicaNotice &notice,
                             Instant now);
@@ -144,6 +145,7 @@
 
     static bool mayBeUsed(const Replica &replica, const ReplicaQuery &query, Instant now);
     std::vector<const Replica *> leftFor(const ReplicaQuery &query, Instant now) const;
+    void keepNotices(const Replica &replica, Instant now);
     void retireEarlierLives(const ReplicaRecord &record, Instant now);
     static void forgiveLoad(Replica &replica, Instant now);
     static void stopAwaiting(Replica &replica, bool isPatient);
@@ -167,6 +169,7 @@
     std::map<std::string, CallRate, std::less<>> mCalls; ///< by service
     std::map<std::string, RefusalShare, std::less<>> mRefusals; ///< by service
     std::map<std::string, Replica, std::less<>> mReplicas;
+    KeptNotices mKept;
 };
 
 } // namespace Loom
--- a/src/libloomjunction/gateway/replicaservice.cpp
+++ b/src/libloomjunction/gateway/replicaservice.cpp
@@ -274,6 +274,7 @@
     if (change.hasBegunToLeave) {
         mMetrics.count("replica_notices", "leaving");
         logLeaving(life, replica);
+        closeIdle(life.id);
     }
     if (change.isRestLonger) {
         mMetrics.count("replica_notices", "rest");
@@ -281,6 +282,16 @@
     }
 }
 
+HeldBack ReplicaService::heldBack(const std::string &id)
+{
+    const Replica *replica = mReplicas.find(id);
+    const HeldBack held = replica == nullptr ? HeldBack::Gone : replica->heldBack(now());
+    if (held != HeldBack::Nothing) {
+        mMetrics.count("sends_held_back", heldBackName(held));
+    }
+    return held;
+}
+
 void ReplicaService::logLeaving(const ReplicaLife &life, const Replica *replica)
 {
     const bool isKnown = replica != nullptr && replica->goneAt == Instant();
@@ -439,7 +450,9 @@
     if (it == mPools.end()) {
         return;
     }
-    if (link->isReusable() && mReplicas.find(id) != nullptr) {
+    const Replica *replica = mReplicas.find(id);
+    const bool isWanted = replica != nullptr && !replica->notices.isLeaving();
+    if (link->isReusable() && isWanted) {
         it->second.idle.push_back(std::move(link));
         return;
     }
--- a/src/libloomjunction/gateway/replicaservice.h
+++ b/src/libloomjunction/gateway/replicaservice.h
@@ -73,6 +73,8 @@
     awaitable<bool> takePermit(std::string id);
     /** What an answer of the replica to a request that was sent at @p sentAt says of its rate. */
     void noteRate(const std::string &id, const NamedRate &rate, Instant sentAt);
+    /** Asked right before a request is sent to the replica; counts those held back. */
+    HeldBack heldBack(const std::string &id);
     /** What an answer of @p life says of further requests. */
     void noteNotice(const ReplicaLife &life, const ReplicaNotice &notice);
     /** Takes one repeat of a request at @p service. */
--- a/src/libloomjunction/gateway/replicatry.cpp
+++ b/src/libloomjunction/gateway/replicatry.cpp
@@ -87,9 +87,10 @@
     if (link) {
         mLink = std::move(*link);
     }
+    // What was chosen has waited since, for a permit or a connection.
+    const HeldBack held = mCall.parts.replicas.heldBack(mChosen.id);
     const Replica *still = mCall.parts.replicas.replicas().find(mChosen.id);
-    const bool isUnfit
-        = still == nullptr || still->record.isDraining || areWeightsOver(still->weightsVersion());
+    const bool isUnfit = held != HeldBack::Nothing || areWeightsOver(still->weightsVersion());
     // The close may wait in the loop behind this, when the process stood still.
     mCall.isCallerGone = mCall.isCallerGone || mCall.exchange.hasCallerLeft();
     if (mCall.isCallerGone || mCall.isTimeOver) {
@@ -98,9 +99,12 @@
     if (mEnding != Ending::None) {
         co_return TryUnknown{"another was first", std::nullopt, true};
     }
-    if (!mWasReached || isUnfit) {
+    if (!mWasReached) {
         co_return TryNotRun{"the replica could not be reached"};
     }
+    if (isUnfit) {
+        co_return TryNotRun{"the replica takes nothing more"};
+    }
     co_return std::nullopt;
 }
 
