A replica that asked for rest gets nothing until its time is over

A replica that turned requests away and asked for 3 s got 14 in one second of one gateway, all in vain: after a refusal it was avoided for 100 ms, and since it ran nothing it looked idle, so that it drew more requests than before (11 to 19 a second each, 5 to 10 before). Callers paid: 85 of 130 refusals came since such replicas had used up the repeats.

Agents of replicas that rest are not asked. Where all rest, callers are told when the first one is over, as with named limits. A rest is bounded by the life alone: it is the replica's own word, and others take the requests.

--- a/src/libloomjunction/core/comeback.cpp
+++ b/src/libloomjunction/core/comeback.cpp
@@ -54,8 +54,8 @@
     return late();
 }
 
-// Many wait for the same few sends; they are spread behind the first one.
-Milliseconds ComeBack::afterLimit(Microseconds wait) const
+// Many wait for the first that takes requests again; they are spread behind it.
+Milliseconds ComeBack::afterHold(Microseconds wait) const
 {
     const auto first = std::chrono::ceil<Milliseconds>(wait);
     const auto spread = static_cast<std::int64_t>(static_cast<double>(first.count()) * random());
--- a/src/libloomjunction/core/comeback.h
+++ b/src/libloomjunction/core/comeback.h
@@ -27,8 +27,8 @@
      * @p isShort: so are many others, and places will be wanted for a while.
      */
     Milliseconds afterBusy(double leastLoad, bool isShort) const;
-    /** All are held up by the limits that they named; the first one for @p wait. */
-    Milliseconds afterLimit(Microseconds wait) const;
+    /** All rest or are held up by the limits that they named; the first one for @p wait. */
+    Milliseconds afterHold(Microseconds wait) const;
     /** No replica can be used at all, as while weights change. */
     Milliseconds afterNone() const;
 
--- a/src/libloomjunction/core/replica.cpp
+++ b/src/libloomjunction/core/replica.cpp
@@ -8,6 +8,8 @@
 
 #include "replica.h"
 
+#include <algorithm>
+
 namespace Loom {
 
 std::string_view heldBackName(HeldBack held)
@@ -21,6 +23,8 @@
         return "draining";
     case HeldBack::Leaving:
         return "leaving";
+    case HeldBack::Resting:
+        return "resting";
     }
     return "";
 }
@@ -33,7 +37,16 @@
     if (goneAt != Instant() && goneAt <= now) {
         return HeldBack::Gone;
     }
-    return notices.isLeaving() ? HeldBack::Leaving : HeldBack::Nothing;
+    if (notices.isLeaving()) {
+        return HeldBack::Leaving;
+    }
+    return notices.isResting(now) ? HeldBack::Resting : HeldBack::Nothing;
+}
+
+Instant Replica::opensAt(Instant now) const
+{
+    const Instant rested = notices.isResting(now) ? notices.restsUntil() : Instant();
+    return std::max(rested, isHeldUp(now) ? noPermitUntil : Instant());
 }
 
 } // namespace Loom
--- a/src/libloomjunction/core/replica.h
+++ b/src/libloomjunction/core/replica.h
@@ -106,6 +106,7 @@
     Gone, ///< the store took its record away, or another life has its address
     Draining, ///< by its record
     Leaving, ///< by its own answers
+    Resting, ///< it asked for it, and takes requests again later
 };
 std::string_view heldBackName(HeldBack held);
 
@@ -137,6 +138,8 @@
 
     /** It named a limit, and no send to it is left at @p now. */
     bool isHeldUp(Instant now) const { return limit.perSecond() && noPermitUntil > now; }
+    /** When a replica that rests or is held up by its limit may be sent to; zero: now. */
+    Instant opensAt(Instant now) const;
 
     /** Of the weights loaded now: the agent knows sooner than the store. */
     std::uint64_t weightsVersion() const
--- a/src/libloomjunction/core/replicaset.cpp
+++ b/src/libloomjunction/core/replicaset.cpp
@@ -204,10 +204,12 @@
     return fastest;
 }
 
-// Whether it belongs to the service and lives, whatever its load and weights are.
+// Whether it belongs to the service and takes requests, now or after a rest.
 bool ReplicaSet::mayBeUsed(const Replica &replica, const ReplicaQuery &query, Instant now)
 {
-    return replica.record.service == query.service && replica.heldBack(now) == HeldBack::Nothing;
+    const HeldBack held = replica.heldBack(now);
+    const bool isOpen = held == HeldBack::Nothing || held == HeldBack::Resting;
+    return replica.record.service == query.service && isOpen;
 }
 
 std::vector<const Replica *> ReplicaSet::leftFor(const ReplicaQuery &query, Instant now) const
@@ -231,7 +233,7 @@
                                                Instant now) const
 {
     std::vector<const Replica *> left = leftFor(query, now);
-    std::erase_if(left, [&](const Replica *replica) { return replica->isHeldUp(now); });
+    std::erase_if(left, [&](const Replica *replica) { return replica->opensAt(now) > now; });
     return AskPlan(mEntry, query, now).choose(round, left, asked);
 }
 
@@ -366,9 +368,9 @@
     OfferEstimator estimator(query, shortest, now);
     estimator.setFastestAnswer(fastestAnswerMs(estimator));
     std::vector<const Replica *> usable = usableFor(query, estimator);
-    const auto permit = usable.empty() ? nextPermit(query, now) : std::nullopt;
-    if (permit) {
-        return AllBusy{ComeBack(query).afterLimit(*permit - now), 1};
+    const auto opening = usable.empty() ? nextOpening(query, now) : std::nullopt;
+    if (opening) {
+        return AllBusy{ComeBack(query).afterHold(*opening - now), 1};
     }
     if (usable.empty()) {
         return NoneUsable{countOf(query.service), ComeBack(query).afterNone()};
@@ -515,14 +517,15 @@
     }
 }
 
-// The first of those that are only held up by what they named.
-std::optional<Instant> ReplicaSet::nextPermit(const ReplicaQuery &query, Instant now) const
+// The first of those that are only held up by what they said themselves.
+std::optional<Instant> ReplicaSet::nextOpening(const ReplicaQuery &query, Instant now) const
 {
     std::optional<Instant> next;
     for (const Replica *replica : leftFor(query, now)) {
-        const bool isHeldUp = replica->isHeldUp(now) && replica->avoidedUntil <= now;
-        if (isHeldUp && (!next || replica->noPermitUntil < *next)) {
-            next = replica->noPermitUntil;
+        const Instant opens = replica->opensAt(now);
+        const bool isHeldUp = opens > now && replica->avoidedUntil <= opens;
+        if (isHeldUp && (!next || opens < *next)) {
+            next = opens;
         }
     }
     return next;
--- a/src/libloomjunction/core/replicaset.h
+++ b/src/libloomjunction/core/replicaset.h
@@ -149,7 +149,7 @@
     void retireEarlierLives(const ReplicaRecord &record, Instant now);
     static void forgiveLoad(Replica &replica, Instant now);
     static void stopAwaiting(Replica &replica, bool isPatient);
-    std::optional<Instant> nextPermit(const ReplicaQuery &query, Instant now) const;
+    std::optional<Instant> nextOpening(const ReplicaQuery &query, Instant now) const;
     std::uint32_t countOf(std::string_view service) const;
     double fastestAnswerMs(const OfferEstimator &estimator) const;
     std::vector<const Replica *> usableFor(const ReplicaQuery &query,
