Callers whom all replicas turned away come back when one takes requests again

A caller whose attempts were used up at replicas that rest was told 200 ms, and one that found the others resting 400 ms: it came back into the rest and was refused once more.

The time is now the end of the first rest (or limit), and up to as much again, so that not all come at once; with one open replica left it stays 200 ms. The line of a refused call names the replicas that told this gateway to send nothing, and a gauge counts them.

--- a/src/libloomjunction/core/replicaset.cpp
+++ b/src/libloomjunction/core/replicaset.cpp
@@ -370,7 +370,7 @@
     std::vector<const Replica *> usable = usableFor(query, estimator);
     const auto opening = usable.empty() ? nextOpening(query, now) : std::nullopt;
     if (opening) {
-        return AllBusy{ComeBack(query).afterHold(*opening - now), 1};
+        return AllBusy{ComeBack(query).afterHold(*opening - now), 1, true};
     }
     if (usable.empty()) {
         return NoneUsable{countOf(query.service), ComeBack(query).afterNone()};
@@ -531,6 +531,31 @@
     return next;
 }
 
+std::optional<Milliseconds> ReplicaSet::heldFor(const ReplicaQuery &query, Instant now) const
+{
+    const std::vector<const Replica *> left = leftFor(query, now);
+    const bool isOneOpen = std::ranges::any_of(
+        left, [&](const Replica *replica) { return replica->opensAt(now) <= now; });
+    const auto opening = isOneOpen ? std::nullopt : nextOpening(query, now);
+    if (!opening) {
+        return std::nullopt;
+    }
+    return ComeBack(query).afterHold(*opening - now);
+}
+
+std::string ReplicaSet::heldByNotices(std::string_view service, Instant now) const
+{
+    std::string all;
+    for (const auto &[id, replica] : mReplicas) {
+        const HeldBack held = replica.heldBack(now);
+        const bool isByNotice = held == HeldBack::Leaving || held == HeldBack::Resting;
+        if (replica.record.service == service && isByNotice) {
+            all += (all.empty() ? "" : ", ") + id + " " + std::string(heldBackName(held));
+        }
+    }
+    return all;
+}
+
 LimitChange ReplicaSet::nameNoLimit(std::string_view id, Instant sentAt, Instant now)
 {
     const auto it = mReplicas.find(id);
--- a/src/libloomjunction/core/replicaset.h
+++ b/src/libloomjunction/core/replicaset.h
@@ -38,6 +38,7 @@
 {
     Milliseconds comeBack{0};
     double leastLoad = 0; ///< requests for each slot at the least busy one
+    bool isHeld = false; ///< all wait for the end of a rest or for their limits
 };
 struct ChosenReplica
 {
@@ -85,6 +86,10 @@
     void reportLost(std::string_view address);
 
     ReplicaChoice choose(const ReplicaQuery &query, Instant now) const;
+    /** When to come back while all rest or are held up by limits; nothing: one is open. */
+    std::optional<Milliseconds> heldFor(const ReplicaQuery &query, Instant now) const;
+    /** Replicas of @p service that told this gateway to send nothing, and how. */
+    std::string heldByNotices(std::string_view service, Instant now) const;
     /** Replicas whose agents should be asked before a choice; @p asked: they were. */
     std::vector<const Replica *> toAsk(const ReplicaQuery &query, AskRound round,
                                        std::span<const std::string> asked, Instant now) const;
--- a/src/libloomjunction/gateway/gatewaycall.cpp
+++ b/src/libloomjunction/gateway/gatewaycall.cpp
@@ -195,7 +195,7 @@
     }
 }
 
-awaitable<ReplicaChoice> GatewayCall::choose() const
+ReplicaQuery GatewayCall::query() const
 {
     ReplicaQuery query;
     query.service = mCall.serviceName;
@@ -216,7 +216,19 @@
         query.weights = &weights;
         query.model = mCall.caller.model;
     }
-    co_return co_await mCall.parts.replicas.choose(query);
+    return query;
+}
+
+awaitable<ReplicaChoice> GatewayCall::choose() const
+{
+    const ReplicaQuery asked = query();
+    co_return co_await mCall.parts.replicas.choose(asked);
+}
+
+// A caller that came back before a replica takes requests again would be refused again.
+Milliseconds GatewayCall::comeBackAfterRefusal() const
+{
+    return mCall.parts.replicas.replicas().heldFor(query(), now()).value_or(sRefusedComeBack);
 }
 
 awaitable<void> GatewayCall::tryReplicas()
@@ -233,7 +245,8 @@
         const auto *chosen = std::get_if<ChosenReplica>(&choice);
         if (chosen == nullptr) {
             mNoMore = std::holds_alternative<AllBusy>(choice) ? "all busy" : "no replica";
-            if (const auto *busy = std::get_if<AllBusy>(&choice); busy && mExcluded.empty()) {
+            const auto *busy = std::get_if<AllBusy>(&choice);
+            if (busy != nullptr && (mExcluded.empty() || busy->isHeld)) {
                 last = {503, "all replicas are busy", busy->comeBack};
             }
             if (const auto *none = std::get_if<NoneUsable>(&choice); none && mExcluded.empty()) {
@@ -275,7 +288,7 @@
             }
         }
         if (auto *notRun = std::get_if<TryNotRun>(&result)) {
-            last = {503, notRun->reason, sRefusedComeBack};
+            last = {503, notRun->reason, comeBackAfterRefusal()};
         }
         const bool wasSent = mSends > 0;
         mNoMore = noFurtherTry();
@@ -685,6 +698,11 @@
     logEnd(status, "unknown", reason);
 }
 
+std::string GatewayCall::heldByNotices() const
+{
+    return mCall.parts.replicas.replicas().heldByNotices(mCall.serviceName, now());
+}
+
 void GatewayCall::logEnd(int status, std::string_view outcome, std::string_view reason)
 {
     const auto took = std::chrono::duration_cast<Milliseconds>(now() - mArrived);
@@ -708,6 +726,7 @@
              {"sends", mSends},
              {"denied", mDenied},
              {"noMore", mNoMore},
+             {"held", outcome == "refused" ? heldByNotices() : std::string()},
              {"events", mEvents},
              {"replica", mTried.id},
              {"request", mDigest.text()},
--- a/src/libloomjunction/gateway/gatewaycall.h
+++ b/src/libloomjunction/gateway/gatewaycall.h
@@ -59,7 +59,9 @@
     awaitable<void> noteFailed(const ReplicaTry &attempt, const TryResult &result);
     void noteGoodEnd();
     void noteSent();
+    ReplicaQuery query() const;
     awaitable<ReplicaChoice> choose() const;
+    Milliseconds comeBackAfterRefusal() const;
     bool mayRepeat() const;
 
     awaitable<TryResult> tryOnce(ChosenReplica chosen);
@@ -89,6 +91,7 @@
     void startWatching();
     void cancelTries();
     void noteAnswerBegun();
+    std::string heldByNotices() const;
     void logEnd(int status, std::string_view outcome, std::string_view reason);
 
     CallState mCall;
--- a/src/libloomjunction/gateway/replicaservice.cpp
+++ b/src/libloomjunction/gateway/replicaservice.cpp
@@ -479,11 +479,23 @@
         }));
 }
 
+void ReplicaService::countHeld()
+{
+    std::map<HeldBack, std::int64_t> held;
+    for (const auto &[id, replica] : mReplicas.all()) {
+        ++held[replica.heldBack(now())];
+    }
+    for (const HeldBack one : {HeldBack::Leaving, HeldBack::Resting}) {
+        mMetrics.set("replicas_held_back", heldBackName(one), held[one]);
+    }
+}
+
 awaitable<void> ReplicaService::sweepLoop()
 {
     while (!mStopped) {
         co_await sleepFor(sSweepEvery);
         mReplicas.sweep(now());
+        countHeld();
         mAsker->closeUnused();
         mPermits->closeUnused();
         keepNeighboursWarm();
--- a/src/libloomjunction/gateway/replicaservice.h
+++ b/src/libloomjunction/gateway/replicaservice.h
@@ -106,6 +106,7 @@
     void keepNeighboursWarm();
     void keepWarm(const LoadQuestion &question);
     bool saysTheSame(const FeedRecord &known, const FeedRecord &next) const;
+    void countHeld();
     awaitable<void> sweepLoop();
     std::unique_ptr<HttpLink> takeIdle(Pool &pool);
     void closeIdle(const std::string &id);
