What a replica says to its gateway is not passed on to callers

A caller that was told Server-Leaving by a gateway may leave the gateway, one that was told a replica's Retry-After rests although eleven other replicas take requests. Both headers and Server-Limit are dropped now; a replica's 503 that is passed on carries the gateway's own time. Retry-After of other statuses speaks of the request and goes on.

Failing before, passing now: callers_are_told_what_a_replica_says_to_its_gateway.

--- a/src/libloomjunction/gateway/gatewaycall.cpp
+++ b/src/libloomjunction/gateway/gatewaycall.cpp
@@ -52,6 +52,7 @@
 // Permits of replicas that named a limit; each one denied costs a way there and back.
 constexpr std::uint32_t sMostDenied = 6;
 constexpr int sBadRequest = 400;
+constexpr int sUnavailable = 503;
 constexpr std::string_view sQuarantined = "replicas ended under this request";
 
 std::uint64_t randomNumber()
@@ -443,6 +444,9 @@
                              std::nullopt};
     }
     HttpResponse response{head.status, mCall.parts.calls.answerHeaders(head), std::move(*body)};
+    if (head.status == sUnavailable) {
+        response.headers.push_back(mCall.parts.calls.comeBack(comeBackAfterRefusal()));
+    }
     if (head.status >= 500) {
         co_return TryUnknown{"failure of the replica's own", std::move(response)};
     }
--- a/src/libloomjunction/gateway/ports.h
+++ b/src/libloomjunction/gateway/ports.h
@@ -179,7 +179,7 @@
     virtual std::vector<HttpHeader> outgoing(const HttpRequest &request,
                                              const OutgoingFields &fields) const = 0;
     virtual AnswerFields answerFields(const LinkHead &head) const = 0;
-    /** The headers of a replica's answer that a caller gets. */
+    /** The headers of a replica's answer that a caller gets: none that speak to the gateway. */
     virtual std::vector<HttpHeader> answerHeaders(const LinkHead &head) const = 0;
     /** Says when to come back. */
     virtual HttpHeader comeBack(Milliseconds after) const = 0;
