The end of a replica that said it leaves is no crash of what it ran

A replica that leaves by its answers alone, and cuts a stream as it ends, counted against the request that it cut; three such ends would have refused the request at every gateway. Its record would have excused it, its own word does now.

Test: the_end_of_a_replica_that_said_it_leaves_counts_as_a_crash; and one for the last look before the send, a_request_that_was_chosen_before_reaches_a_replica_that_leaves_or_rests.

--- a/src/libloomjunction/gateway/quarantineservice.cpp
+++ b/src/libloomjunction/gateway/quarantineservice.cpp
@@ -129,7 +129,7 @@
 awaitable<void> QuarantineService::noteCut(RequestDigest digest, std::string account,
                                            ReplicaLife life)
 {
-    if (life.isDraining) {
+    if (life.isLeaving) {
         co_return;
     }
     const LookPtr look = lookAt(life);
--- a/src/libloomjunction/gateway/quarantineservice.h
+++ b/src/libloomjunction/gateway/quarantineservice.h
@@ -37,7 +37,7 @@
     std::string id;
     std::uint64_t born = 0;
     std::string address; ///< IP:PORT
-    bool isDraining = false; ///< its end is planned
+    bool isLeaving = false; ///< its end is planned, by its record or its answers
 
     /** The same at every gateway. */
     std::string text() const { return id + sLifeMark + std::to_string(born); }
--- a/src/libloomjunction/gateway/replicatry.cpp
+++ b/src/libloomjunction/gateway/replicatry.cpp
@@ -72,7 +72,7 @@
 {
     if (const Replica *replica = call.parts.replicas.replicas().find(mChosen.id)) {
         mLife = {mChosen.id, replica->record.born, replica->record.address,
-                 replica->record.isDraining};
+                 replica->record.isDraining || replica->notices.isLeaving()};
     }
     call.parts.replicas.began(mChosen.id, mChosen.isPatient);
 }
@@ -342,6 +342,7 @@
 void ReplicaTry::noteNotice(const AnswerFields &fields)
 {
     const bool isOther = !fields.replicaId.empty() && fields.replicaId != mChosen.id;
+    mLife.isLeaving = mLife.isLeaving || (!isOther && fields.notice.isLeaving);
     ReplicaLife life = mLife;
     life.id = isOther ? fields.replicaId : mChosen.id;
     life.born = isOther ? 0 : mLife.born;
--- a/tests/gateway/directlab.h
+++ b/tests/gateway/directlab.h
@@ -163,6 +163,8 @@
     }
 
     std::string address() const { return endpointText(mAcceptor.local_endpoint()); }
+    /** Takes no further connection, as a process that has ended. */
+    void end() { mAcceptor.close(); }
     int requests() const { return static_cast<int>(mHeads.size()); }
     const std::vector<std::string> &heads() const { return mHeads; }
     /** Connections that were made so far. */
--- a/tests/notices/test_notices.cpp
+++ b/tests/notices/test_notices.cpp
@@ -180,6 +180,38 @@
     });
 }
 
+// The notice comes between the choice and the connection that the request waits for.
+BOOST_AUTO_TEST_CASE(a_request_that_was_chosen_before_reaches_a_replica_that_leaves_or_rests)
+{
+    const ReplicaNotice leaves{true, std::nullopt, {}};
+    const ReplicaNotice rests{false, Microseconds(sRest), {}};
+    for (const ReplicaNotice &notice : {leaves, rests}) {
+        DirectLab lab;
+        lab.writeConfig(1);
+        ScriptedReplica &replica = lab.addReplica("i-1", "plain", good);
+        lab.run([&]() -> awaitable<void> {
+            co_await lab.waitFor([&] {
+                return lab.front().isReady() && lab.replicas().replicas().all().size() == 1;
+            });
+            bool isOver = false;
+            asio::co_spawn(
+                lab.context,
+                [&]() -> awaitable<void> {
+                    const auto response = co_await lab.call("POST", "/safe/a", "id1");
+                    BOOST_TEST((response.has_value() && response->status == 503));
+                    isOver = true;
+                },
+                asio::detached);
+            while (lab.replicas().replicas().find("i-1")->inFlight == 0) {
+                co_await asio::post(lab.context, asio::use_awaitable);
+            }
+            lab.replicas().noteNotice({"i-1"}, notice);
+            co_await lab.waitFor([&] { return isOver; });
+            BOOST_TEST(replica.requests() == 0);
+        });
+    }
+}
+
 BOOST_AUTO_TEST_CASE(a_replica_that_asked_for_rest_gets_requests_in_that_time)
 {
     for (const std::string &fields : {sNotExecuted + sAsksForRest, sAsksForRest}) {
@@ -245,3 +277,23 @@
         });
     }
 }
+
+BOOST_AUTO_TEST_CASE(the_end_of_a_replica_that_said_it_leaves_counts_as_a_crash)
+{
+    DirectLab lab;
+    lab.writeConfig(1);
+    ScriptedReplica *replica = nullptr;
+    replica = &lab.addReplica("i-1", "plain", [&](const std::string &head) {
+        replica->end();
+        Answer answer = streamAnswer("", sLeaves).answer(head);
+        answer.bytes.resize(answer.bytes.size() - sLastChunk.size());
+        answer.closes = true;
+        return answer;
+    });
+    lab.run([&]() -> awaitable<void> {
+        co_await lab.waitFor(
+            [&] { return lab.front().isReady() && lab.replicas().replicas().all().size() == 1; });
+        co_await lab.call("POST", "/stream/a", "id1");
+        BOOST_TEST(lab.metrics().counter("replica_crashes") == 0U);
+    });
+}
