--- a/tests/direct/overloadlab.cpp
+++ b/tests/direct/overloadlab.cpp
@@ -20,6 +20,11 @@
 constexpr int sReportMs = 50;
 constexpr int sDeadlineMs = 6'000;
 constexpr int sSilenceMs = 2'400; // callers leave when no event comes for so long
+// Of the users' rules: what is judged of a rest, and of a leaving.
+constexpr int sNotJudgedMs = 500;
+constexpr int sDrainMs = 2'000;
+constexpr std::size_t sMostTries = 2;
+constexpr Milliseconds sRefusedComeBack{200};
 const std::string sService = "scorer";
 
 } // namespace
@@ -98,7 +103,12 @@
         while (!mOnTheWay.empty() && mOnTheWay.begin()->first <= time) {
             const RequestPtr request = mOnTheWay.begin()->second;
             mOnTheWay.erase(mOnTheWay.begin());
-            mEngines[request->engine].waiting.push_back(request);
+            arrive(request, time);
+        }
+        while (!mRefusals.empty() && mRefusals.begin()->first <= time) {
+            const RequestPtr request = mRefusals.begin()->second;
+            mRefusals.erase(mRefusals.begin());
+            takeRefusal(request, time);
         }
         giveUp(time);
         for (std::size_t engine = 0; engine < mEngines.size(); ++engine) {
@@ -128,6 +138,7 @@
     query.leastVersion = 1;
     query.entries = static_cast<std::uint32_t>(mGateways.size());
     query.random = mRandom();
+    query.excluded = request->refusedBy;
     query.timeLeft = Milliseconds(sDeadlineMs - (time - request->firstTryAt));
     const ReplicaChoice choice = choose(request->gateway, query, time);
     gateway.noteChoice(query, choice, at(time));
@@ -140,17 +151,96 @@
         mOnTheWay.emplace(time + mShape.wayMs, std::move(request));
         return;
     }
+    const auto *busy = std::get_if<AllBusy>(&choice);
+    comeBack(std::move(request), busy ? static_cast<int>(busy->comeBack.count()) : sDeadlineMs,
+             time);
+}
+
+void OverloadLab::comeBack(RequestPtr request, int wait, int time)
+{
     if (request->isReturn) {
         ++secondOf(*request).refused;
         return;
     }
     request->isReturn = true;
-    const auto *busy = std::get_if<AllBusy>(&choice);
+    request->refusedBy.clear();
+    if (mShape.restMs > 0) {
+        request->gateway = mRandom() % mGateways.size(); // a rest is of one gateway
+    }
     const int third = (sDeadlineMs - (time - request->firstTryAt)) / 3;
-    const int wait = busy ? static_cast<int>(busy->comeBack.count()) : third;
     mReturning.emplace(time + mShape.wayMs + std::min(wait, third), std::move(request));
 }
 
+bool OverloadLab::isLeaving(std::size_t engine, int time) const
+{
+    return engine < mShape.leaving && time >= mShape.leaveAtMs;
+}
+
+void OverloadLab::arrive(const RequestPtr &request, int time)
+{
+    judge(*request, time);
+    Engine &engine = mEngines[request->engine];
+    if (mShape.mostWaiting == 0 || engine.waiting.size() < mShape.mostWaiting) {
+        engine.waiting.push_back(request);
+        return;
+    }
+    ++mNotices.turnedAway;
+    if (mShape.restMs > 0) {
+        engine.rests[request->gateway].push_back({time + sNotJudgedMs, time + mShape.restMs, 0});
+        ++mNotices.rests;
+    }
+    mRefusals.emplace(time + mShape.wayMs, request);
+}
+
+void OverloadLab::judge(const Request &request, int time)
+{
+    Engine &engine = mEngines[request.engine];
+    for (Rest &rest : engine.rests[request.gateway]) {
+        if (rest.from <= time && time < rest.until) {
+            mNotices.mostInRest = std::max(mNotices.mostInRest, ++rest.requests);
+        }
+    }
+    const auto told = engine.toldLeavingAt.find(request.gateway);
+    const bool isTold = told != engine.toldLeavingAt.end();
+    mNotices.afterLeaving += isTold && time > told->second + sDrainMs ? 1 : 0;
+}
+
+void OverloadLab::tellLeaving(const Request &request, int time)
+{
+    if (!isLeaving(request.engine, time)) {
+        return;
+    }
+    const bool isFirst
+        = mEngines[request.engine].toldLeavingAt.try_emplace(request.gateway, time).second;
+    mNotices.toldLeaving += isFirst ? 1 : 0;
+    if (mShape.hearsNotices) {
+        mGateways[request.gateway].hearNotice(idOf(request.engine), 0, {true, std::nullopt, {}},
+                                              at(time));
+    }
+}
+
+void OverloadLab::takeRefusal(const RequestPtr &request, int time)
+{
+    ReplicaSet &gateway = mGateways[request->gateway];
+    const std::string id = idOf(request->engine);
+    gateway.answerMissed(id, request->isPatient);
+    gateway.ended(id, ReplicaOutcome::Refused, at(time));
+    tellLeaving(*request, time);
+    if (mShape.hearsNotices && mShape.restMs > 0) {
+        gateway.hearNotice(id, 0, {false, Milliseconds(mShape.restMs), {}}, at(time));
+    }
+    request->refusedBy.push_back(id);
+    if (request->refusedBy.size() < sMostTries) {
+        call(request, time);
+        return;
+    }
+    ReplicaQuery query;
+    query.service = sService;
+    query.random = mRandom();
+    const auto held = gateway.heldFor(query, at(time)).value_or(sRefusedComeBack);
+    comeBack(request, static_cast<int>(held.count()), time);
+}
+
 // Answers of agents come back within the millisecond, and cover what has reached
 // the engine by then.
 ReplicaChoice OverloadLab::choose(std::size_t gateway, const ReplicaQuery &query, int time)
@@ -206,6 +296,7 @@
             const int took = time + mShape.wayMs - request->firstTryAt;
             const bool isInTime = took <= mShape.goal.count();
             ++(isInTime ? secondOf(*request).inTime : secondOf(*request).late);
+            tellLeaving(*request, time);
             mGateways[request->gateway].answerBegan(idOf(request->engine), request->isPatient,
                                                     Milliseconds(time - request->sentAt));
         }
--- a/tests/direct/overloadlab.h
+++ b/tests/direct/overloadlab.h
@@ -44,6 +44,22 @@
         bool isAsked = false;
         bool hasClaims = true; ///< and tell them at once what they send
         int wayMs = 4; ///< from a choice until the request is at the engine
+        /** An engine with so many requests waiting turns further ones away; zero: none does. */
+        std::size_t mostWaiting = 0;
+        int restMs = 0; ///< that it asks for with each such refusal
+        bool hearsNotices = true; ///< gateways read what engines say of themselves
+        std::size_t leaving = 0; ///< engines that say from leaveAtMs on that they leave
+        int leaveAtMs = 0;
+    };
+
+    /** What engines that said something of themselves got afterwards, by gateway. */
+    struct Notices
+    {
+        int rests = 0; ///< that were asked for
+        int mostInRest = 0; ///< requests from one gateway, half a second after it was asked
+        int turnedAway = 0;
+        int afterLeaving = 0; ///< requests, once the drain time was over
+        int toldLeaving = 0; ///< gateways that an engine told so, for each engine
     };
 
     /** Calls a second for some seconds. */
@@ -66,6 +82,7 @@
 
     /** Questions that agents were asked. */
     std::uint64_t questions() const { return mQuestions; }
+    const Notices &notices() const { return mNotices; }
     /** One entry a second. */
     std::vector<Second> play(const std::vector<Phase> &phases);
     /** Requests a second that the engines finish when all their slots are full. */
@@ -83,19 +100,34 @@
         bool isPatient = false;
         bool isReturn = false;
         bool hasBegun = false;
+        std::vector<std::string> refusedBy;
     };
     using RequestPtr = std::shared_ptr<Request>;
 
+    struct Rest
+    {
+        int from = 0;
+        int until = 0;
+        int requests = 0;
+    };
+
     struct Engine
     {
         std::deque<RequestPtr> waiting;
         std::vector<RequestPtr> inPass; ///< hold a slot, the first event to come or come already
         int passEndsAt = 0;
         ClaimCount claims;
+        std::map<std::size_t, std::vector<Rest>> rests; ///< by gateway
+        std::map<std::size_t, int> toldLeavingAt; ///< by gateway
     };
 
     void call(RequestPtr request, int time);
-    void give(const RequestPtr &request, int time);
+    void arrive(const RequestPtr &request, int time);
+    void takeRefusal(const RequestPtr &request, int time);
+    void judge(const Request &request, int time);
+    void tellLeaving(const Request &request, int time);
+    bool isLeaving(std::size_t engine, int time) const;
+    void comeBack(RequestPtr request, int wait, int time);
     void giveUp(int time);
     void runEngine(Engine &engine, int time);
     void endPass(Engine &engine, int time);
@@ -112,10 +144,12 @@
     std::vector<Engine> mEngines;
     std::vector<ReplicaSet> mGateways;
     std::multimap<int, RequestPtr> mOnTheWay; ///< to an engine, by arrival
+    std::multimap<int, RequestPtr> mRefusals; ///< of engines, by arrival at the gateway
     std::multimap<int, RequestPtr> mReturning; ///< by when the caller comes back
     std::vector<Second> mSeconds;
     std::mt19937_64 mRandom;
     std::uint64_t mQuestions = 0;
+    Notices mNotices;
 };
 
 } // namespace Loom
--- a/tests/platform/test_calls.cpp
+++ b/tests/platform/test_calls.cpp
@@ -124,6 +124,60 @@
         (rateOf({{"Server-Limit", "2"}, {"Server-Limit", "3"}}) == NamedRate(UnreadableRate{})));
 }
 
+namespace {
+
+ReplicaNotice noticeOf(int status, std::vector<HttpHeader> headers)
+{
+    LinkHead head;
+    head.status = status;
+    head.headers = std::move(headers);
+    return Platform::Calls().answerFields(head).notice;
+}
+
+} // namespace
+
+BOOST_AUTO_TEST_CASE(unreadable_words_of_leaving_are_believed)
+{
+    BOOST_TEST(noticeOf(200, {{"server-leaving", "1"}}).isLeaving);
+    BOOST_TEST(noticeOf(503, {{"Server-Leaving", "1"}, {"Server-Leaving", "1"}}).isLeaving);
+    const ReplicaNotice stays = noticeOf(200, {{"Server-Leaving", "0"}});
+    BOOST_TEST(!stays.isLeaving);
+    BOOST_TEST(stays.unreadable.empty());
+    for (const std::string text : {"", "yes", "true", "2", "1 ", "01", "-1", "1,1"}) {
+        const ReplicaNotice notice = noticeOf(200, {{"Server-Leaving", text}});
+        BOOST_TEST(!notice.isLeaving, text);
+        BOOST_TEST((notice.unreadable == std::vector<std::string>{"Server-Leaving: " + text}),
+                   text);
+    }
+    const ReplicaNotice both = noticeOf(200, {{"Server-Leaving", "1"}, {"Server-Leaving", "0"}});
+    BOOST_TEST(!both.isLeaving);
+    BOOST_TEST(both.unreadable.size() == 1U);
+}
+
+BOOST_AUTO_TEST_CASE(unreadable_times_of_rest_are_believed)
+{
+    const auto rest = [](std::string text) { return noticeOf(503, {{"retry-after", text}}).rest; };
+    BOOST_TEST((rest("3") == Microseconds(3'000'000)));
+    BOOST_TEST((rest("0.25") == Microseconds(250'000)));
+    BOOST_TEST((rest("0") == Microseconds(0)));
+    BOOST_TEST((rest("31536000") == Microseconds(std::chrono::hours(365 * 24))));
+    for (const std::string text : {"", "-1", "1e9", "nan", "inf", "3 s", "99999999999", "0x2",
+                                   "Thu, 03 Dec 2026 10:00:00 GMT"}) {
+        const ReplicaNotice notice = noticeOf(503, {{"Retry-After", text}});
+        BOOST_TEST(!notice.rest.has_value(), text);
+        BOOST_TEST((notice.unreadable == std::vector<std::string>{"Retry-After: " + text}), text);
+    }
+    const ReplicaNotice twice = noticeOf(503, {{"Retry-After", "1"}, {"Retry-After", "2"}});
+    BOOST_TEST((twice.rest == Microseconds(2'000'000)));
+    const ReplicaNotice one = noticeOf(503, {{"Retry-After", "soon"}, {"Retry-After", "2"}});
+    BOOST_TEST((one.rest == Microseconds(2'000'000)));
+    BOOST_TEST(one.unreadable.size() == 1U);
+    // With another status it speaks of the request.
+    for (const int status : {200, 421, 429, 500}) {
+        BOOST_TEST(!noticeOf(status, {{"Retry-After", "3"}}).rest.has_value());
+    }
+}
+
 BOOST_AUTO_TEST_CASE(answers_say_whether_the_request_ran)
 {
     const Platform::Calls calls;
