A replica that asked for rest is filled only as far as it took before

A gateway now keeps what a replica held as it asked for rest and fills it no further for 10 s. One that held few then gets one request, and twice as many after each good answer.

--- a/src/libloomjunction/core/replica.cpp
+++ b/src/libloomjunction/core/replica.cpp
@@ -43,6 +43,14 @@
     return notices.isResting(now) ? HeldBack::Resting : HeldBack::Nothing;
 }
 
+double Replica::held() const
+{
+    if (!load) {
+        return inFlight;
+    }
+    return static_cast<double>(load->running) + load->waiting + startedSince;
+}
+
 Instant Replica::opensAt(Instant now) const
 {
     const Instant rested = notices.isResting(now) ? notices.restsUntil() : Instant();
--- a/src/libloomjunction/core/replica.h
+++ b/src/libloomjunction/core/replica.h
@@ -8,6 +8,7 @@
 
 #pragma once
 
+#include "filllevel.h"
 #include "instant.h"
 #include "lifenotices.h"
 #include "namedlimit.h"
@@ -128,6 +129,7 @@
     double failureRate = 0; ///< smoothed share of requests that failed
     double answerMs = 0; ///< smoothed time to an answer or a first event
     LifeNotices notices;
+    FillLevel fillLevel;
     NamedLimit limit;
     Instant noPermitUntil; ///< under that limit
     std::deque<Instant> sentLately; ///< by this entry, within the span that permits count
@@ -141,6 +143,9 @@
     /** When a replica that rests or is held up by its limit may be sent to; zero: now. */
     Instant opensAt(Instant now) const;
 
+    /** Requests of all gateways that it holds, as far as its agent told; else of this one. */
+    double held() const;
+
     /** Of the weights loaded now: the agent knows sooner than the store. */
     std::uint64_t weightsVersion() const
     {
--- a/src/libloomjunction/core/replicaoffer.cpp
+++ b/src/libloomjunction/core/replicaoffer.cpp
@@ -160,6 +160,14 @@
     offer.freePlaces = std::min(offer.freePlaces, 1.0);
 }
 
+// It would ask for rest again. The rest of a stream is tried all the same: its caller has no
+// other way to it.
+bool OfferEstimator::isFilled(const Replica &replica) const
+{
+    const auto most = replica.fillLevel.most(mNow);
+    return most && !mQuery.isResumed && replica.held() + 1 > *most;
+}
+
 ReplicaOffer OfferEstimator::offer(const Replica &replica) const
 {
     ReplicaOffer offer = mQuery.engine == nullptr ? plainOffer(replica) : engineOffer(replica);
@@ -169,6 +177,12 @@
     if (replica.limit.perSecond()) {
         limitOffer(offer);
     }
+    if (isFilled(replica)) {
+        offer.isPrompt = false;
+        offer.isOpen = false;
+        offer.room = 0;
+        offer.freePlaces = 0;
+    }
     if (isSlow(replica)) {
         offer.cost += replica.answerMs;
     }
--- a/src/libloomjunction/core/replicaoffer.h
+++ b/src/libloomjunction/core/replicaoffer.h
@@ -90,6 +90,7 @@
 private:
     static void limitOffer(ReplicaOffer &offer);
     bool isSlow(const Replica &replica) const;
+    bool isFilled(const Replica &replica) const;
     bool hasJustAnswered(const Replica &replica) const;
     std::uint32_t patientRequests(const Replica &replica) const;
     EngineWork workOf(const Replica &replica) const;
--- a/src/libloomjunction/core/replicaset.cpp
+++ b/src/libloomjunction/core/replicaset.cpp
@@ -474,6 +474,7 @@
     replica.failureRate += sSmoothing * ((failed ? 1.0 : 0.0) - replica.failureRate);
     if (outcome == ReplicaOutcome::Answered) {
         replica.failures = 0;
+        replica.fillLevel.noteAnswer();
         return;
     }
     if (outcome == ReplicaOutcome::Refused) {
@@ -567,7 +568,11 @@
 {
     const auto it = mReplicas.find(id);
     if (it != mReplicas.end() && it->second.record.isOfLife(born)) {
-        return it->second.notices.hear(notice, now);
+        Replica &replica = it->second;
+        if (notice.rest) {
+            replica.fillLevel.lower(replica.held() - 1, replica.record.slots, now);
+        }
+        return replica.notices.hear(notice, now);
     }
     LifeNotices kept = mKept.take(id, born);
     const NoticeChange change = kept.hear(notice, now);
--- a/tests/direct/overloadlab.cpp
+++ b/tests/direct/overloadlab.cpp
@@ -180,7 +180,8 @@
 {
     judge(*request, time);
     Engine &engine = mEngines[request->engine];
-    if (mShape.mostWaiting == 0 || engine.waiting.size() < mShape.mostWaiting) {
+    const std::size_t held = engine.waiting.size() + engine.inPass.size();
+    if (mShape.mostHeld == 0 || held < mShape.mostHeld) {
         engine.waiting.push_back(request);
         return;
     }
--- a/tests/direct/overloadlab.h
+++ b/tests/direct/overloadlab.h
@@ -44,8 +44,8 @@
         bool isAsked = false;
         bool hasClaims = true; ///< and tell them at once what they send
         int wayMs = 4; ///< from a choice until the request is at the engine
-        /** An engine with so many requests waiting turns further ones away; zero: none does. */
-        std::size_t mostWaiting = 0;
+        /** An engine with so many requests turns further ones away; zero: none does. */
+        std::size_t mostHeld = 0;
         int restMs = 0; ///< that it asks for with each such refusal
         bool hearsNotices = true; ///< gateways read what engines say of themselves
         std::size_t leaving = 0; ///< engines that say from leaveAtMs on that they leave
--- a/tests/direct/test_notices.cpp
+++ b/tests/direct/test_notices.cpp
@@ -137,6 +137,44 @@
     BOOST_TEST(set.heldByNotices("plain", at(1)) == "r1 resting, r2 resting");
 }
 
+BOOST_AUTO_TEST_CASE(a_replica_is_filled_again_to_where_it_asked_for_rest)
+{
+    FillLevel level;
+    BOOST_TEST(!level.most(at(0)).has_value());
+    level.noteAnswer();
+    BOOST_TEST(!level.most(at(0)).has_value());
+    // Full: good answers change nothing, time does.
+    level.lower(15, 16, at(0));
+    level.noteAnswer();
+    BOOST_TEST((level.most(at(9'999)) == std::optional<double>(15)));
+    BOOST_TEST(!level.most(at(10'000)).has_value());
+    // In need though it held nothing: one, then double with each good answer.
+    level.lower(0, 16, at(20'000));
+    BOOST_TEST((level.most(at(90'000)) == std::optional<double>(1)));
+    level.noteAnswer();
+    BOOST_TEST((level.most(at(90'000)) == std::optional<double>(2)));
+    level.noteAnswer();
+    level.noteAnswer();
+    BOOST_TEST(!level.most(at(90'000)).has_value());
+    level.lower(40, 16, at(100'000));
+    BOOST_TEST((level.most(at(100'000)) == std::optional<double>(16)));
+}
+
+BOOST_AUTO_TEST_CASE(a_replica_that_refused_all_is_sent_many_at_once_after_its_rest)
+{
+    ReplicaSet set(sDrainTime);
+    set.put(record("r1"), at(0));
+    set.began("r1", false, at(0));
+    set.hearNotice("r1", 0, restsFor(Milliseconds(100)), at(1));
+    set.ended("r1", ReplicaOutcome::Refused, at(1));
+    BOOST_TEST(isOpen(set, 101));
+    set.began("r1", false, at(101));
+    BOOST_TEST(!isOpen(set, 102));
+    set.ended("r1", ReplicaOutcome::Answered, at(103));
+    set.began("r1", false, at(103));
+    BOOST_TEST(isOpen(set, 103));
+}
+
 namespace {
 
 OverloadLab::Shape shape(std::uint64_t seed, std::size_t gateways, std::size_t engines)
@@ -155,14 +193,11 @@
     shape.figures.stepsPerPass = 6;
     shape.figures.usualPrompt = 900;
     shape.figures.usualAnswer = 120;
-    shape.mostWaiting = 2;
-    shape.restMs = 3'000;
-    shape.leaving = engines / 8;
-    shape.leaveAtMs = 6'000;
     return shape;
 }
 
 constexpr int sAllowedInRest = 2;
+constexpr int sSeconds = 16;
 constexpr double sLoads[] = {0.6, 1.0, 1.3};
 
 struct Size
@@ -170,45 +205,64 @@
     std::size_t gateways = 0;
     std::size_t engines = 0;
 };
+constexpr Size sSizes[] = {{9, 12}, {41, 45}};
+
+OverloadLab::Notices play(const OverloadLab::Shape &shape, double load, std::string_view way)
+{
+    OverloadLab lab(shape);
+    const auto seconds = lab.play({{sSeconds, load * lab.capacity()}});
+    int inTime = 0;
+    int late = 0;
+    int asked = 0;
+    for (const OverloadLab::Second &second : seconds) {
+        inTime += second.inTime;
+        late += second.late;
+        asked += second.asked;
+    }
+    const OverloadLab::Notices &notices = lab.notices();
+    BOOST_TEST_MESSAGE(shape.gateways
+                       << " gateways, " << shape.engines << " engines, load " << load << ", " << way
+                       << ": in time " << inTime << ", late " << late << " of " << asked
+                       << "; turned away " << notices.turnedAway << ", rests " << notices.rests
+                       << ", most in one " << notices.mostInRest << "; told of a leaving "
+                       << notices.toldLeaving << ", requests after it " << notices.afterLeaving);
+    return notices;
+}
 
 } // namespace
 
-// The store says nothing all the while: only the engines' answers tell of either.
-BOOST_AUTO_TEST_CASE(engines_that_rest_or_leave_get_requests_of_gateways_that_they_told)
+// Engines that hold as many requests as they have slots turn others away.
+BOOST_AUTO_TEST_CASE(engines_that_rest_get_requests_of_gateways_that_they_told)
+{
+    for (const Size size : sSizes) {
+        for (const double load : sLoads) {
+            OverloadLab::Shape lab = shape(1, size.gateways, size.engines);
+            lab.mostHeld = lab.figures.slots;
+            play(lab, load, "nobody asks for rest");
+            lab.restMs = 3'000;
+            const auto heeded = play(lab, load, "rests heeded");
+            BOOST_TEST(heeded.mostInRest <= sAllowedInRest);
+            BOOST_TEST((load < 1 || heeded.rests > 0));
+            lab.hearsNotices = false;
+            const auto unread = play(lab, load, "rests not read");
+            BOOST_TEST((load < 1 || unread.mostInRest > sAllowedInRest));
+        }
+    }
+}
+
+// The store says nothing all the while: only the engines' answers tell.
+BOOST_AUTO_TEST_CASE(engines_that_leave_get_requests_of_gateways_that_they_told)
 {
-    for (const Size size : {Size{9, 12}, Size{41, 45}}) {
+    for (const Size size : sSizes) {
         for (const double load : sLoads) {
-            for (const bool hears : {true, false}) {
-                OverloadLab::Shape lab = shape(1, size.gateways, size.engines);
-                lab.hearsNotices = hears;
-                OverloadLab played(lab);
-                const auto seconds = played.play({{16, load * played.capacity()}});
-                int inTime = 0;
-                int late = 0;
-                int asked = 0;
-                for (const OverloadLab::Second &second : seconds) {
-                    inTime += second.inTime;
-                    late += second.late;
-                    asked += second.asked;
-                }
-                const OverloadLab::Notices &notices = played.notices();
-                BOOST_TEST_MESSAGE(size.gateways
-                                   << " gateways, " << size.engines << " engines, load " << load
-                                   << (hears ? "" : ", notices not read") << ": in time " << inTime
-                                   << ", late " << late << " of " << asked << "; rests "
-                                   << notices.rests << ", turned away " << notices.turnedAway
-                                   << ", most in a rest " << notices.mostInRest
-                                   << ", after a leaving " << notices.afterLeaving
-                                   << ", told of a leaving " << notices.toldLeaving);
-                BOOST_TEST(notices.toldLeaving > 0);
-                BOOST_TEST((load < 1 || notices.rests > 0));
-                if (hears) {
-                    BOOST_TEST(notices.mostInRest <= sAllowedInRest);
-                    BOOST_TEST(notices.afterLeaving == 0);
-                } else {
-                    BOOST_TEST(notices.mostInRest + notices.afterLeaving > sAllowedInRest);
-                }
-            }
+            OverloadLab::Shape lab = shape(1, size.gateways, size.engines);
+            lab.leaving = size.engines / 8;
+            lab.leaveAtMs = 6'000;
+            const auto heeded = play(lab, load, "leavings heeded");
+            BOOST_TEST(heeded.afterLeaving == 0);
+            BOOST_TEST(heeded.toldLeaving > 0);
+            lab.hearsNotices = false;
+            BOOST_TEST(play(lab, load, "leavings not read").afterLeaving > 0);
         }
     }
 }
