--- a/src/libloomjunction/core/askplan.cpp
+++ b/src/libloomjunction/core/askplan.cpp
@@ -8,6 +8,7 @@
 
 #include "askplan.h"
 
+#include "choicerandom.h"
 #include "rendezvous.h"
 #include "weightsgoal.h"
 
@@ -42,18 +43,12 @@
     return round == AskRound::Near ? sAskedNear : sAskedMore;
 }
 
-std::uint64_t nextRandom(std::uint64_t &state)
-{
-    state = state * 6364136223846793005ULL + 1442695040888963407ULL;
-    return state >> 33;
-}
-
 // Moves up to @p most random ones of @p from to the end of @p to.
-void moveRandom(std::vector<const Replica *> &from, std::size_t most, std::uint64_t &state,
+void moveRandom(std::vector<const Replica *> &from, std::size_t most, ChoiceRandom &draws,
                 std::vector<const Replica *> &to)
 {
     for (std::size_t count = 0; count < most && !from.empty(); ++count) {
-        const std::size_t index = nextRandom(state) % from.size();
+        const std::size_t index = draws.next() % from.size();
         to.push_back(from[index]);
         from[index] = from.back();
         from.pop_back();
@@ -127,12 +122,12 @@
             (isPromising(*replica) ? promising : doubtful).push_back(replica);
         }
     }
-    std::uint64_t state = mQuery.random + static_cast<std::uint64_t>(round);
+    ChoiceRandom draws(mQuery.random + static_cast<std::uint64_t>(round));
     std::vector<const Replica *> chosen;
     const std::size_t most = countOf(round);
     const std::size_t doubts = std::min(sAskedDoubtful, doubtful.size());
-    moveRandom(promising, most - doubts, state, chosen);
-    moveRandom(doubtful, most - chosen.size(), state, chosen);
+    moveRandom(promising, most - doubts, draws, chosen);
+    moveRandom(doubtful, most - chosen.size(), draws, chosen);
     return chosen;
 }
 
--- a/src/libloomjunction/core/replicaset.cpp
+++ b/src/libloomjunction/core/replicaset.cpp
@@ -8,6 +8,7 @@
 
 #include "replicaset.h"
 
+#include "choicerandom.h"
 #include "comeback.h"
 #include "levelling.h"
 #include "sendpermits.h"
@@ -38,7 +39,6 @@
 constexpr double sUsualGapMs = 100;
 // The least that is spread, so that the best replica gets nearly all.
 constexpr double sLeastLevelled = 0.01;
-constexpr double sRandomSteps = 2147483648.0;
 // Of the calls that could be in time, refused of late: more is no bad luck of the few
 // replicas that one call looks at.
 constexpr double sShortShare = 0.05;
@@ -160,33 +160,6 @@
     }
 }
 
-namespace {
-
-// A generator of choices; its quality does not matter.
-std::uint64_t nextRandom(std::uint64_t &state)
-{
-    state = state * 6364136223846793005ULL + 1442695040888963407ULL;
-    return state >> 33;
-}
-
-// From 0 up to 1.
-double unitRandom(std::uint64_t &state)
-{
-    return static_cast<double>(nextRandom(state)) / sRandomSteps;
-}
-
-// Moves @p count random ones to the front.
-void shuffleFront(std::vector<const Replica *> &replicas, std::size_t count, std::uint64_t random)
-{
-    std::uint64_t state = random;
-    for (std::size_t i = 0; i < count && i + 1 < replicas.size(); ++i) {
-        const std::size_t other = i + nextRandom(state) % (replicas.size() - i);
-        std::swap(replicas[i], replicas[other]);
-    }
-}
-
-} // namespace
-
 void ReplicaSet::noteCall(std::string_view service, Milliseconds goal, Instant now)
 {
     mCalls.try_emplace(std::string(service)).first->second.note(goal, now);
@@ -375,12 +348,12 @@
     if (usable.empty()) {
         return NoneUsable{countOf(query.service), ComeBack(query).afterNone()};
     }
-    shuffleFront(usable, usable.size(), query.random);
+    ChoiceRandom(query.random).shuffle(usable);
     const Survey survey = ReplicaSet::survey(usable, query, estimator, now);
     const std::size_t sharing = query.answered.empty() ? usable.size() : leftFor(query, now).size();
     const double expected = expectedCalls(query, survey, sharing, now);
-    std::uint64_t state = query.random ^ sOtherDraws;
-    const double chance = unitRandom(state);
+    ChoiceRandom draws(query.random ^ sOtherDraws);
+    const double chance = draws.unit();
     const bool isShared = query.engine == nullptr || chance * expected < survey.room;
     const bool isPrompt = !survey.prompt.empty() && isShared;
     const bool isShort = query.engine != nullptr && isShortOfRoom(query.service, now);
@@ -390,7 +363,7 @@
         return AllBusy{ComeBack(query).afterBusy(survey.leastLoad, isShort), survey.leastLoad};
     }
     const std::vector<Candidate> &candidates = isPrompt ? survey.prompt : survey.open;
-    const Candidate &chosen = pickLevelled(candidates, expected, unitRandom(state));
+    const Candidate &chosen = pickLevelled(candidates, expected, draws.unit());
     const auto age = chosen.replica->load
         ? std::chrono::duration_cast<Milliseconds>(now - chosen.replica->loadAt)
         : Milliseconds(-1);
