Soak: replicas of real processes leave and ask for rest by their answers

Judged: which gateway passed a request on is known from its caller, whose answer's signature tells that the word was passed on. Excused: a signal or a restart of the gateway, a fault on the link of the replica, a standstill of the soak itself.

--- a/tests/soak/callers.py
+++ b/tests/soak/callers.py
@@ -26,6 +26,7 @@
     status: int = 0  # 0: no answer
     ended_at: float = 0.0
     gateway: str = ""
+    signature: str = ""  # of the answer; empty: none
 
 
 class CrashingCaller:
@@ -129,6 +130,7 @@
 
     def _check(self, one, answer, text, total, body):
         signature = answer.headers.get("Loomjunction-Response-Signature", "")
+        one.signature = signature
         if one.status == 200:
             if not signature.endswith("/" + one.name):
                 self.broken.append(f"MIXED: {one.name} got a success signed '{signature}'")
--- a/tests/soak/faults.py
+++ b/tests/soak/faults.py
@@ -77,7 +77,7 @@
 
     async def drain_replica(self, lasts):
         replica = self.rng.choice(self.world.replicas)
-        if not replica.is_up or replica.draining_since:
+        if not replica.is_up or replica.is_leaving():
             return
         replica.drain()
         await asyncio.sleep(3.0 + lasts)
@@ -121,6 +121,7 @@
     async def _cut(self, proxies, lasts):
         ways = self.rng.choice((("drops_up",), ("drops_down",), ("drops_up", "drops_down")))
         for proxy in proxies:
+            proxy.note_disturbance(lasts)
             for way in ways:
                 setattr(proxy.state, way, True)
         await asyncio.sleep(lasts)
@@ -143,6 +144,7 @@
         proxies = self._some([*self.world.replica_proxies.values(),
                               *self.world.store_proxies.values()], 0.3)
         for proxy in proxies:
+            proxy.note_disturbance(lasts)
             proxy.state.delay = self.rng.uniform(0.005, 0.15)
         await asyncio.sleep(lasts)
         for proxy in proxies:
--- a/tests/soak/proxy.py
+++ b/tests/soak/proxy.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import dataclasses
+import time
 
 PIECE = 16 * 1024
 # Calls that a stager makes to the engine on its own box cross no network.
@@ -31,6 +32,7 @@
         self.state = LinkState()
         self.accepts = True
         self.writers = set()
+        self.disturbances = []  # (begin, end)
         self.address = None
         self.server = None
 
@@ -46,7 +48,12 @@
         self.server.close()
         self.reset_all()
 
+    def note_disturbance(self, lasts):
+        """From now on, for so many seconds."""
+        self.disturbances.append((time.monotonic(), time.monotonic() + lasts))
+
     def reset_all(self):
+        self.note_disturbance(0)
         for writer in list(self.writers):
             writer.transport.abort()
 
--- a/tests/soak/replicas.py
+++ b/tests/soak/replicas.py
@@ -11,6 +11,8 @@
 
 from aiohttp import web
 
+from notices import TURNED_AWAY
+
 CHUNKS = 6
 CHUNK_BYTES = 4096
 MODEL = "soak-model"
@@ -71,6 +73,11 @@
         self.limit = None  # requests a second that its answers name
         self.named = []  # (time, limit), in order
         self.arrivals = []  # times
+        self.says_leaving = False  # in its answers, whatever its record says
+        self.rest = None  # seconds that it asks for when it turns a request away
+        self.came = []  # (time, request, life)
+        self.said_leaving = []  # (request, life)
+        self.rests = []  # (time, request, life, seconds)
         self.paused_until = 0.0  # its streams say nothing until then, and go on
         self.streams = {}  # connections of the streams that run, by request
         self.broke_off = broke_off
@@ -105,6 +112,8 @@
         self.remove_record()
         self.life += 1
         self.name_limit(None)
+        self.says_leaving = False
+        self.rest = None
         self.is_up = True
         self.draining_since = None
         self.is_busy = False
@@ -117,6 +126,9 @@
             self.limit = limit
             self.named.append((time.monotonic(), limit))
 
+    def is_leaving(self):
+        return self.says_leaving or self.draining_since is not None
+
     def drain(self):
         self.draining_since = time.monotonic()
         self.record()
@@ -179,10 +191,12 @@
             self.is_busy = False
             self.record()
 
+    def _is_for_other(self, request):
+        return request.headers.get("Loomjunction-Target-Instance", self.id) != self.id
+
     def _refusal(self, request):
         expected = request.headers.get("Expect-Version")
-        wrong = request.headers.get("Loomjunction-Target-Instance", self.id) != self.id
-        if wrong or (self.is_engine and (self.weights == 0 or self.is_busy)):
+        if self._is_for_other(request) or (self.is_engine and (self.weights == 0 or self.is_busy)):
             return 421
         if self.is_engine and expected and int(expected) != self.weights:
             return 421
@@ -198,7 +212,14 @@
         common = {"Loomjunction-Request-Id": name, "Loomjunction-Instance-Id": self.id}
         if self.limit is not None:
             common["Server-Limit"] = str(self.limit)
+        if self.is_leaving():
+            common["Server-Leaving"] = "1"
+            self.said_leaving.append((name, self.id))
         status = self._refusal(request)
+        if not self._is_for_other(request):
+            self.came.append((time.monotonic(), name, self.id))
+            if self.rest is not None and self.rng.random() < TURNED_AWAY:
+                return self._turn_away(name, common)
         if status:
             return web.Response(status=status, headers={**common, "Loomjunction-Not-Executed": "1"})
         self.runs.append(Run(name, self.id, self.service,
@@ -210,6 +231,11 @@
         finally:
             self.running -= 1
 
+    def _turn_away(self, name, common):
+        self.rests.append((time.monotonic(), name, self.id, self.rest))
+        return web.Response(status=503, headers={**common, "Loomjunction-Not-Executed": "1",
+                                                 "Retry-After": f"{self.rest:.3f}"})
+
     async def _work(self, request, name, body, common):
         life = self.life
         common["Loomjunction-Response-Signature"] = f"{self.id}/{name}"
--- a/tests/soak/soak.py
+++ b/tests/soak/soak.py
@@ -19,6 +19,7 @@
 from callers import PROMISES_NOT_RUN, Caller, CrashingCaller
 from faults import Faults
 from limits import Limits, over_limits
+from notices import Notices, unheeded
 from world import BOUNDS, World
 
 # Promises with a time hold where nothing was wrong for so long before.
@@ -30,6 +31,7 @@
 LIMITS_ALONE = 13.0  # longer than until a limit is judged, and its span
 CRASHES_ALLOWED = 3
 RETRIES_ALLOWED = 3
+STALL = 0.25  # seconds; what replicas got meanwhile seems to come later
 LONG_GAP = 300  # milliseconds between events, where planned work alone is played
 USED = 0.7  # of its time; a request that ends after it is not lost
 
@@ -109,6 +111,9 @@
         self.faults = Faults(self.world, random.Random(seed + 2), self.say)
         self.limits = Limits(self.world, random.Random(seed + 3), self.say)
         self.limits_judged = 0
+        self.notices = Notices(self.world, random.Random(seed + 4), self.say)
+        self.notices_judged = 0
+        self.stalls = []  # when this process stood still
         if options.planned:
             self.faults.plan_only()
         self.calm_spans = []
@@ -140,6 +145,13 @@
                 calm_from = None
             await asyncio.sleep(0.05)
 
+    async def watch_stalls(self):
+        while True:
+            before = time.monotonic()
+            await asyncio.sleep(STALL / 5)
+            if time.monotonic() - before > STALL:
+                self.stalls.append(time.monotonic())
+
     def served(self, since):
         recent = [one for one in self.asked if one.at >= since and one.ended_at]
         return len(recent), sum(1 for one in recent if one.status == 200)
@@ -178,6 +190,7 @@
     async def play(self):
         await self.world.start()
         keeper = asyncio.ensure_future(self.keep_processes())
+        watch = asyncio.ensure_future(self.watch_stalls())
         gap = [LONG_GAP] if self.options.planned else []
         callers = [Caller(self.world, random.Random(self.rng.getrandbits(32)), self.asked,
                           self.broken, *gap) for _ in range(self.options.callers)]
@@ -191,10 +204,12 @@
         if self.options.planned:
             self.limits.is_stopped = True
         limiting = asyncio.ensure_future(self.limits.run())
+        noticing = asyncio.ensure_future(self.notices.run())
         await asyncio.sleep(self.options.seconds)
         self.faults.is_stopped = True
         self.limits.is_stopped = True
-        await asyncio.gather(faulting, limiting)
+        self.notices.is_stopped = True
+        await asyncio.gather(faulting, limiting, noticing)
         self.say("faults are over")
         if not await self.wait_served(RECOVERY + BOUNDS["stopSeconds"], 0.9):
             self.broken.append("RECOVER: too little is served after the faults")
@@ -205,6 +220,7 @@
             caller.is_stopped = True
         await asyncio.gather(*calling)
         keeper.cancel()
+        watch.cancel()
         await self.world.stop()
         self.judge()
 
@@ -218,6 +234,8 @@
             self.broken += lost_streams(self.asked, runs, self.world.broke_off)
         over, self.limits_judged = over_limits(self.world.replicas, self.was_calm)
         self.broken += over
+        unheeded_notices, self.notices_judged = unheeded(self.world, self.asked, self.stalls)
+        self.broken += unheeded_notices
         for one in [*self.world.processes, *self.world.replicas]:
             self.broken += one.broken_promises
 
@@ -234,7 +252,8 @@
     verdict = "held" if not soak.broken else ", ".join(f"{w} {n}" for w, n in words.items())
     print(f"seed {seed}: {verdict}; {count} asked, {good} served, {len(soak.world.runs)} runs, "
           f"{sum(run.request.startswith(CrashingCaller.NAMES) for run in soak.world.runs)} of them "
-          f"ended what ran them; {soak.limits_judged} judged by limits; "
+          f"ended what ran them; {soak.limits_judged} judged by limits, "
+          f"{soak.notices_judged} by notices; "
           f"logs in {soak.folder}", flush=True)
     for text in soak.broken[:options.show]:
         print("    " + text, flush=True)
--- a/tests/soak/world.py
+++ b/tests/soak/world.py
@@ -36,6 +36,7 @@
         self.child = None
         self.is_frozen = False
         self.disturbed_at = 0.0  # last time that a fault was on it
+        self.disturbances = []  # all such times
         self.stopping_since = None
         self.broken_promises = []
 
@@ -47,7 +48,11 @@
         self.child = subprocess.Popen([self.program, "--config", self.path], stdout=self.log,
                                       stderr=self.log, stdin=subprocess.DEVNULL)
         self.stopping_since = None
+        self._note_disturbance()
+
+    def _note_disturbance(self):
         self.disturbed_at = time.monotonic()
+        self.disturbances.append(self.disturbed_at)
 
     def is_running(self):
         return self.child is not None and self.child.poll() is None
@@ -55,7 +60,7 @@
     def signal(self, number):
         if self.is_running():
             self.child.send_signal(number)
-            self.disturbed_at = time.monotonic()
+            self._note_disturbance()
 
     def terminate(self):
         if self.is_running() and self.stopping_since is None:
