Soak: streams of a replica that ends after it said so were broken off by it

The stand-in's handler was cancelled by the closed connection before it could note that it broke the stream off; the replica notes it now before it ends. Nothing else that ends a stream is excused by it.

--- a/tests/soak/notices.py
+++ b/tests/soak/notices.py
@@ -41,6 +41,7 @@
         replica.says_leaving = True
         await asyncio.sleep(DRAIN + DRAINED)
         if replica.life == life and replica.is_up:
+            replica.break_off_all()
             await self.world.end_replica(replica)
 
 
--- a/tests/soak/replicas.py
+++ b/tests/soak/replicas.py
@@ -264,6 +264,12 @@
         if request.transport is not None:
             request.transport.abort()
 
+    def break_off_all(self):
+        """It ends, and what it streams with it."""
+        for name, transport in self.streams.items():
+            self.broke_off.add(name)
+            transport.abort()
+
     async def _stream(self, request, name, common, life):
         self.streams[name] = request.transport
         try:
