--- a/tests/soak/notices.py
+++ b/tests/soak/notices.py
@@ -13,7 +13,7 @@
 
 
 class Notices:
-    """Lets one replica at a time ask for rest, or leave without its record saying so."""
+    """Lets one replica at a time ask for rest, and another leave without its record saying so."""
 
     def __init__(self, world, rng, say):
         self.world = world
@@ -22,10 +22,13 @@
         self.is_stopped = False
 
     async def run(self):
+        await asyncio.gather(self._keep_playing(self._rest), self._keep_playing(self._leave))
+
+    async def _keep_playing(self, play):
         while not self.is_stopped:
-            able = [one for one in self.world.replicas if one.is_up and not one.is_leaving()]
+            able = [one for one in self.world.replicas
+                    if one.is_up and not one.is_leaving() and one.rest is None]
             if able:
-                play = self.rng.choice((self._rest, self._rest, self._leave))
                 await play(self.rng.choice(able))
             await asyncio.sleep(self.rng.uniform(0.1, 0.5))
 
