Gateway: refused calls and a metric name replicas at their learned limit

"held" in the line of a refused call now also names the learned limit, the requests of all gateways there and those of this one; loom_replicas_held_back{limited} counts such replicas. The check moves from the estimator into Replica, so that both ask the same question.

Test: replica_at_its_concurrency_limit_is_named_with_the_counts.

--- a/src/libloomjunction/core/replica.cpp
+++ b/src/libloomjunction/core/replica.cpp
@@ -51,6 +51,12 @@
     return static_cast<double>(load->running) + load->waiting + startedSinceReport;
 }
 
+bool Replica::isAtConcurrencyLimit(Instant now) const
+{
+    const auto limit = concurrencyLimit.limit(now);
+    return limit && heldRequests() + 1 > *limit;
+}
+
 Instant Replica::availableAt(Instant now) const
 {
     const Instant restEnd = notices.isResting(now) ? notices.restingUntil() : Instant();
--- a/src/libloomjunction/core/replica.h
+++ b/src/libloomjunction/core/replica.h
@@ -154,6 +154,8 @@
 
     /** Requests of all gateways at the replica; without a report, those of this gateway. */
     double heldRequests() const;
+    /** Whether the learned limit excludes a further request, which would lead to a rest. */
+    bool isAtConcurrencyLimit(Instant now) const;
 
     /** Version of the loaded weights. The agent's report is newer than the store's record. */
     std::uint64_t weightsVersion() const
--- a/src/libloomjunction/core/replicaestimate.cpp
+++ b/src/libloomjunction/core/replicaestimate.cpp
@@ -164,14 +164,6 @@
     estimate.freeSlots = std::min(estimate.freeSlots, 1.0);
 }
 
-// A further request would make the replica ask for another rest. Resumed streams are exempt,
-// because their callers cannot get the remaining events otherwise.
-bool ReplicaEstimator::isAtConcurrencyLimit(const Replica &replica) const
-{
-    const auto most = replica.concurrencyLimit.limit(mNow);
-    return most && !mQuery.isResumed && replica.heldRequests() + 1 > *most;
-}
-
 ReplicaEstimate ReplicaEstimator::estimate(const Replica &replica) const
 {
     ReplicaEstimate offer
@@ -182,7 +174,8 @@
     if (replica.limit.perSecond()) {
         applyRateLimit(offer);
     }
-    if (isAtConcurrencyLimit(replica)) {
+    // Resumed streams are exempt, because their callers cannot get the remaining events otherwise.
+    if (!mQuery.isResumed && replica.isAtConcurrencyLimit(mNow)) {
         offer.meetsGoal = false;
         offer.acceptsLate = false;
         offer.room = 0;
--- a/src/libloomjunction/core/replicaestimate.h
+++ b/src/libloomjunction/core/replicaestimate.h
@@ -91,7 +91,6 @@
 private:
     static void applyRateLimit(ReplicaEstimate &estimate);
     bool isSlow(const Replica &replica) const;
-    bool isAtConcurrencyLimit(const Replica &replica) const;
     bool hasJustBeenProbed(const Replica &replica) const;
     std::uint32_t waitingPatientRequests(const Replica &replica) const;
     EngineLoad engineLoad(const Replica &replica) const;
--- a/src/libloomjunction/core/replicaset.cpp
+++ b/src/libloomjunction/core/replicaset.cpp
@@ -14,6 +14,7 @@
 #include "waterfill.h"
 
 #include <algorithm>
+#include <sstream>
 
 namespace Loom {
 
@@ -534,17 +535,29 @@
 {
     std::string text;
     for (const auto &[id, replica] : mReplicas) {
-        const UnavailableReason reason = replica.unavailableReason(now);
-        const bool isFromNotice
-            = reason == UnavailableReason::Leaving || reason == UnavailableReason::Resting;
-        if (replica.record.service == service && isFromNotice) {
-            text += (text.empty() ? "" : ", ") + id + " "
-                + std::string(unavailableReasonName(reason));
+        const std::string reason = pauseReason(replica, now);
+        if (replica.record.service == service && !reason.empty()) {
+            text += (text.empty() ? "" : ", ") + id + " " + reason;
         }
     }
     return text;
 }
 
+std::string ReplicaSet::pauseReason(const Replica &replica, Instant now)
+{
+    const UnavailableReason reason = replica.unavailableReason(now);
+    if (reason == UnavailableReason::Leaving || reason == UnavailableReason::Resting) {
+        return std::string(unavailableReasonName(reason));
+    }
+    if (reason != UnavailableReason::Nothing || !replica.isAtConcurrencyLimit(now)) {
+        return {};
+    }
+    std::ostringstream text;
+    text << "limited to " << *replica.concurrencyLimit.limit(now) << " of "
+         << replica.heldRequests() << " held, own " << replica.inFlight;
+    return text.str();
+}
+
 LimitChange ReplicaSet::noteNoLimit(std::string_view id, Instant sentAt, Instant now)
 {
     const auto it = mReplicas.find(id);
--- a/src/libloomjunction/core/replicaset.h
+++ b/src/libloomjunction/core/replicaset.h
@@ -93,7 +93,10 @@
      * one of them is not.
      */
     std::optional<Milliseconds> retryDelayIfPaused(const ReplicaQuery &query, Instant now) const;
-    /** Replicas of @p service that are leaving or resting, with the reason, as log text. */
+    /**
+     * Replicas of @p service that are leaving, resting or at their concurrency limit, with
+     * the reason, as log text.
+     */
     std::string pausedByNotices(std::string_view service, Instant now) const;
     /** Replicas whose agents should be probed before a choice, without those in @p probed. */
     std::vector<const Replica *> replicasToProbe(const ReplicaQuery &query, ProbeRound round,
@@ -163,6 +166,7 @@
     void retireEarlierIncarnations(const ReplicaRecord &record, Instant now);
     static void forgiveReloadFailures(Replica &replica, Instant now);
     static void stopAwaitingFirstByte(Replica &replica, bool isPatient);
+    static std::string pauseReason(const Replica &replica, Instant now);
     std::optional<Instant> nextAvailability(const ReplicaQuery &query, Instant now) const;
     std::uint32_t serviceReplicaCount(std::string_view service) const;
     double minAnswerMs(const ReplicaEstimator &estimator) const;
--- a/src/libloomjunction/gateway/replicaservice.cpp
+++ b/src/libloomjunction/gateway/replicaservice.cpp
@@ -493,13 +493,18 @@
 void ReplicaService::updateUnavailableMetrics()
 {
     std::map<UnavailableReason, std::int64_t> counts;
+    std::int64_t limitedCount = 0;
     for (const auto &[id, replica] : mReplicas.all()) {
-        ++counts[replica.unavailableReason(now())];
+        const UnavailableReason reason = replica.unavailableReason(now());
+        ++counts[reason];
+        const bool isAvailable = reason == UnavailableReason::Nothing;
+        limitedCount += isAvailable && replica.isAtConcurrencyLimit(now()) ? 1 : 0;
     }
     for (const UnavailableReason reason :
          {UnavailableReason::Leaving, UnavailableReason::Resting}) {
         mMetrics.set("replicas_held_back", unavailableReasonName(reason), counts[reason]);
     }
+    mMetrics.set("replicas_held_back", "limited", limitedCount);
 }
 
 awaitable<void> ReplicaService::sweepLoop()
--- a/tests/direct/test_notices.cpp
+++ b/tests/direct/test_notices.cpp
@@ -175,6 +175,20 @@
     BOOST_TEST(isChosen(set, 103));
 }
 
+BOOST_AUTO_TEST_CASE(replica_at_its_concurrency_limit_is_named_with_the_counts)
+{
+    ReplicaSet set(sDrainTime);
+    set.put(record("r1"), at(0));
+    set.began("r1", false, at(0));
+    set.began("r1", false, at(0));
+    set.applyNotice("r1", 0, restNotice(Milliseconds(100)), at(1));
+    set.ended("r1", ReplicaOutcome::Refused, at(1));
+    BOOST_TEST(set.pausedByNotices("plain", at(1)) == "r1 resting");
+    BOOST_TEST(set.pausedByNotices("plain", at(101)) == "r1 limited to 1 of 1 held, own 1");
+    set.ended("r1", ReplicaOutcome::Answered, at(102));
+    BOOST_TEST(set.pausedByNotices("plain", at(102)) == "");
+}
+
 namespace {
 
 OverloadLab::Shape shape(std::uint64_t seed, std::size_t gateways, std::size_t engines)
