Replica set: a limit learned from few requests counts this gateway's alone

Callers saw: a gateway that a replica had refused while the replica held few requests sent it nothing more, for as long as other gateways kept at least one request there; its callers had one replica less, all others' more load.

Cause: the limit learned from a rest (all gateways' requests, less one) was compared with all gateways' requests. Below half the slots only an answer to this gateway lifts it, and the limit itself kept it from sending any.

Evidence: tests/lockedout names "limited to 1 of 4 held, own 0" throughout.

Change: a limit below half the slots is set from and compared with this gateway's own requests. They all end, so there is always a way out; other gateways do not enter into it.

The lab applies a notice before the end of its request, as the gateway does.

--- a/src/libloomjunction/core/concurrencylimit.cpp
+++ b/src/libloomjunction/core/concurrencylimit.cpp
@@ -18,27 +18,29 @@
 
 } // namespace
 
-void ConcurrencyLimit::lower(double heldRequests, std::uint32_t slots, Instant now)
+void ConcurrencyLimit::lower(double requests, std::uint32_t slots, Instant now)
 {
     mSlots = std::max<std::uint32_t>(slots, 1);
-    mLimit = std::clamp(heldRequests, 1.0, mSlots);
+    mLimit = std::clamp(requests, 1.0, mSlots);
     mLoweredAt = now;
 }
 
 // A replica that refused requests although it had few gets one request at first, and each
-// successful answer doubles the limit. The limit of a replica that was at least half full
-// stays until sLimitLifetime is over.
+// successful answer doubles the limit. This gateway's answers are the only way out of it, so
+// it must not count the requests of other gateways, which would keep it from sending any. The
+// limit of a replica that was at least half full stays until sLimitLifetime is over.
 void ConcurrencyLimit::noteAnswer()
 {
-    if (mLimit > 0 && !isHalfFull()) {
+    if (mLimit > 0 && !appliesToAllGateways()) {
         mLimit *= 2;
-        mLimit = isHalfFull() ? 0 : mLimit;
+        mLimit = appliesToAllGateways() ? 0 : mLimit;
     }
 }
 
 std::optional<double> ConcurrencyLimit::limit(Instant now) const
 {
-    const bool isExpired = mLimit == 0 || (isHalfFull() && mLoweredAt + sLimitLifetime <= now);
+    const bool isExpired
+        = mLimit == 0 || (appliesToAllGateways() && mLoweredAt + sLimitLifetime <= now);
     return isExpired ? std::nullopt : std::optional<double>(mLimit);
 }
 
--- a/src/libloomjunction/core/replica.cpp
+++ b/src/libloomjunction/core/replica.cpp
@@ -51,10 +51,18 @@
     return static_cast<double>(load->running) + load->waiting + startedSinceReport;
 }
 
+void Replica::lowerConcurrencyLimit(Instant now)
+{
+    const double held = heldRequests() - 1;
+    const bool wasHalfFull = 2 * held >= record.slots;
+    concurrencyLimit.lower(wasHalfFull ? held : inFlight - 1.0, record.slots, now);
+}
+
 bool Replica::isAtConcurrencyLimit(Instant now) const
 {
     const auto limit = concurrencyLimit.limit(now);
-    return limit && heldRequests() + 1 > *limit;
+    const double counted = concurrencyLimit.appliesToAllGateways() ? heldRequests() : inFlight;
+    return limit && counted + 1 > *limit;
 }
 
 Instant Replica::availableAt(Instant now) const
--- a/src/libloomjunction/core/replica.h
+++ b/src/libloomjunction/core/replica.h
@@ -154,6 +154,8 @@
 
     /** Requests of all gateways at the replica; without a report, those of this gateway. */
     double heldRequests() const;
+    /** The replica asked for a rest when it refused a request of this gateway. */
+    void lowerConcurrencyLimit(Instant now);
     /** Whether the learned limit excludes a further request, which would lead to a rest. */
     bool isAtConcurrencyLimit(Instant now) const;
 
--- a/src/libloomjunction/core/replicaset.cpp
+++ b/src/libloomjunction/core/replicaset.cpp
@@ -571,7 +571,7 @@
     if (it != mReplicas.end() && it->second.record.isSameIncarnation(born)) {
         Replica &replica = it->second;
         if (notice.rest) {
-            replica.concurrencyLimit.lower(replica.heldRequests() - 1, replica.record.slots, now);
+            replica.lowerConcurrencyLimit(now);
         }
         return replica.notices.apply(notice, now);
     }
--- a/tests/direct/overloadlab.cpp
+++ b/tests/direct/overloadlab.cpp
@@ -24,6 +24,7 @@
 // engine after this drain time.
 constexpr int sRestGraceMs = 500;
 constexpr int sDrainMs = 2'000;
+constexpr int sRecoveredMs = 4'000; // the last part of a run, in which recovery() compares engines
 constexpr std::size_t sMaxAttempts = 2;
 constexpr Milliseconds sRefusedRetryDelay{200};
 const std::string sService = "scorer";
@@ -180,12 +181,53 @@
     return engine < mShape.leaving && time >= mShape.leaveAtMs;
 }
 
+bool OverloadLab::isRefusing(std::size_t engine, int time) const
+{
+    return engine < mShape.refusing && time >= mShape.refusingFromMs
+        && time < mShape.refusingUntilMs;
+}
+
+void OverloadLab::noteRecovery(const Request &request, int time)
+{
+    Engine &engine = mEngines[request.engine];
+    if (isRefusing(request.engine, time)) {
+        engine.returnedAt[request.gateway] = -1;
+        return;
+    }
+    const auto refused = engine.returnedAt.find(request.gateway);
+    if (refused != engine.returnedAt.end() && refused->second < 0) {
+        refused->second = time;
+    }
+    const int end = static_cast<int>(mSeconds.size()) * 1'000;
+    engine.lateRequests += time >= end - sRecoveredMs ? 1 : 0;
+}
+
+OverloadLab::Recovery OverloadLab::recovery() const
+{
+    Recovery recovery;
+    double there = 0;
+    double elsewhere = 0;
+    for (std::size_t engine = 0; engine < mEngines.size(); ++engine) {
+        (engine < mShape.refusing ? there : elsewhere) += mEngines[engine].lateRequests;
+        for (const auto &[gateway, at] : mEngines[engine].returnedAt) {
+            ++recovery.refusedPairs;
+            recovery.returnedPairs += at >= 0 ? 1 : 0;
+        }
+    }
+    const auto refusing = static_cast<double>(mShape.refusing);
+    const auto others = static_cast<double>(mEngines.size() - mShape.refusing);
+    recovery.usedRatio = there / refusing / (elsewhere / others);
+    return recovery;
+}
+
 void OverloadLab::arrive(const RequestPtr &request, int time)
 {
     checkNotices(*request, time);
+    noteRecovery(*request, time);
     Engine &engine = mEngines[request->engine];
     const std::size_t requests = engine.waiting.size() + engine.active.size();
-    if (mShape.maxHeld == 0 || requests < mShape.maxHeld) {
+    const bool isFull = mShape.maxHeld > 0 && requests >= mShape.maxHeld;
+    if (!isFull && !isRefusing(request->engine, time)) {
         engine.waiting.push_back(request);
         return;
     }
@@ -229,11 +271,11 @@
     ReplicaSet &gateway = mGateways[request->gateway];
     const std::string id = replicaId(request->engine);
     gateway.answerMissed(id, request->isPatient);
-    gateway.ended(id, ReplicaOutcome::Refused, at(time));
     announceLeaving(*request, time);
     if (mShape.readsNotices && mShape.restMs > 0) {
         gateway.applyNotice(id, 0, {false, Milliseconds(mShape.restMs), {}}, at(time));
     }
+    gateway.ended(id, ReplicaOutcome::Refused, at(time));
     request->refusedBy.push_back(id);
     if (request->refusedBy.size() < sMaxAttempts) {
         sendOrRefuse(request, time);
--- a/tests/direct/overloadlab.h
+++ b/tests/direct/overloadlab.h
@@ -49,6 +49,17 @@
         bool readsNotices = true; ///< gateways apply the notices in answers
         std::size_t leaving = 0; ///< engines that announce from leaveAtMs on that they leave
         int leaveAtMs = 0;
+        std::size_t refusing = 0; ///< engines that refuse all requests for some time
+        int refusingFromMs = 0;
+        int refusingUntilMs = 0;
+    };
+
+    /** Use of the engines that refused all requests for some time, after that time. */
+    struct Recovery
+    {
+        std::size_t refusedPairs = 0; ///< pairs of such an engine and a gateway it refused
+        std::size_t returnedPairs = 0; ///< those whose gateway sent a request there again
+        double usedRatio = 0; ///< requests in the last seconds, against those at other engines
     };
 
     /** Counts of notices, and of requests that ignored them. */
@@ -83,6 +94,8 @@
     /** Number of probes that gateways sent to agents. */
     std::uint64_t probes() const { return mProbes; }
     const Notices &notices() const { return mNotices; }
+    /** Valid after a run with refusing engines. */
+    Recovery recovery() const;
     /** Runs the phases and returns one entry per second. */
     std::vector<Second> run(const std::vector<Phase> &phases);
     /** Requests per second that the engines complete when all slots are in use. */
@@ -119,6 +132,8 @@
         InTransitCount inTransit; ///< requests that gateways announced
         std::map<std::size_t, std::vector<Rest>> rests; ///< by gateway
         std::map<std::size_t, int> announcedLeavingAt; ///< by gateway
+        std::map<std::size_t, int> returnedAt; ///< by gateway that was refused; negative: never
+        int lateRequests = 0; ///< requests in the last seconds of the run
     };
 
     void sendOrRefuse(RequestPtr request, int time);
@@ -127,6 +142,8 @@
     void checkNotices(const Request &request, int time);
     void announceLeaving(const Request &request, int time);
     bool isLeaving(std::size_t engine, int time) const;
+    bool isRefusing(std::size_t engine, int time) const;
+    void noteRecovery(const Request &request, int time);
     void scheduleRetry(RequestPtr request, int wait, int time);
     void abandonWaiting(int time);
     void runEngine(Engine &engine, int time);
--- a/tests/direct/test_notices.cpp
+++ b/tests/direct/test_notices.cpp
@@ -281,3 +281,34 @@
         }
     }
 }
+
+// Guards against gateways that never return to an engine that refused all their requests for
+// some time, because others keep it busy.
+BOOST_AUTO_TEST_CASE(gateways_return_to_engines_that_refused_all_for_some_time)
+{
+    constexpr double sFullUse = 0.9; // of the requests that other engines get
+    for (const Size size : sSizes) {
+        double usedRatios = 0;
+        int runs = 0;
+        for (const double load : {0.3, 0.6, 1.0}) {
+            for (const std::uint64_t seed : {1U, 2U, 3U}) {
+                OverloadLab::Shape refusing = shape(seed, size.gateways, size.engines);
+                refusing.restMs = 3'000;
+                refusing.refusing = size.engines / 4;
+                refusing.refusingFromMs = 2'000;
+                refusing.refusingUntilMs = 8'000;
+                OverloadLab lab(refusing);
+                lab.run({{30, load * lab.capacity()}});
+                const OverloadLab::Recovery recovery = lab.recovery();
+                BOOST_TEST_MESSAGE(size.gateways << " gateways, load " << load << ": refused pairs "
+                                                 << recovery.refusedPairs << ", returned "
+                                                 << recovery.returnedPairs << ", used "
+                                                 << recovery.usedRatio);
+                BOOST_TEST(lab.notices().maxDuringRest <= sMaxDuringRest);
+                usedRatios += recovery.usedRatio;
+                ++runs;
+            }
+        }
+        BOOST_TEST(usedRatios / runs >= sFullUse);
+    }
+}
