Chunk plan: standbys learn which chunks their owners are pulling

Cause, first of two: "no chunk of this owner is held by my neighbours" was taken for "this owner delivers nothing". Members of rank 1 pulled ten of 48 chunks a second time while their owners were pulling them, and 14 to 16 pulls shared the origin's link when it failed.

Change: members announce the start of a pull along with the chunks they hold. The next two members in the order of a chunk follow its owner and each other (within the same number of neighbours) and take over if the owner announces no pull in time, or if its pull does not end although a later one has. Owners that have announced nothing at all, and times after an outage of the origin, are judged as before. origin-pull-taken-over logs each takeover.

New test, failed before: chunks_that_owners_are_pulling_are_not_taken_over.

--- a/src/libloomjunction/core/chunkplan.cpp
+++ b/src/libloomjunction/core/chunkplan.cpp
@@ -38,6 +38,12 @@
 constexpr Microseconds sMinSilence{150'000};
 // Fraction of the chunks that must be stored before the rest count as stragglers.
 constexpr double sTailFraction = 0.85;
+// Members that follow the owner of a chunk and take over its pull, one after the other.
+constexpr std::uint32_t sStandbyCount = 2;
+// Fraction of the neighbours that may be selected as a standby, divided by one.
+constexpr std::uint32_t sStandbyNeighbourDivisor = 3;
+// A pull is overdue after the longest observed time multiplied by this.
+constexpr int sPullSlackFactor = 2;
 // Number of members that request a straggler from the origin, one after the other.
 constexpr std::uint32_t sMaxTakeoverMembers = 3;
 // Upper bound of the time until other members know of a chunk that a member received.
@@ -173,11 +179,29 @@
         Chunk &chunk = mChunks[index];
         chunk.ownerIndex = static_cast<std::uint32_t>(owners[index]);
         chunk.originRank = rankOf(keys[index], boxes, owners[index], mSelf.box);
+        chunk.precedingBoxes = precedingBoxes(keys[index], chunk.originRank, boxes, owners[index]);
         chunk.importRank = rankOf(keys[index], localBoxes, importers[index], mSelf.box);
         mAvailableByOwner[chunk.ownerIndex] += chunk.wasAvailable ? 1 : 0;
     }
 }
 
+std::vector<std::string> ChunkPlan::precedingBoxes(std::string_view key, std::uint32_t rank,
+                                                   std::span<const std::string> boxes,
+                                                   std::size_t ownerIndex) const
+{
+    std::vector<std::string> preceding;
+    if (mOptions.policy != FetchPolicy::Swarm || rank == 0 || rank > sStandbyCount) {
+        return preceding;
+    }
+    preceding.push_back(boxes[ownerIndex]);
+    for (const std::size_t index : rendezvousOrder(key, boxes, rank + 1)) {
+        if (index != ownerIndex && preceding.size() < rank) {
+            preceding.push_back(boxes[index]);
+        }
+    }
+    return preceding;
+}
+
 std::vector<std::string> ChunkPlan::swarmNeighbours() const
 {
     std::vector<std::string> localBoxes;
@@ -200,9 +224,21 @@
             selected.push_back(box);
         }
     };
-    for (const std::size_t index :
-         rendezvousOrder(key, localBoxes, mOptions.neighbourCount - anyDataCentreCount)) {
-        select(localBoxes[index]);
+    // A standby must learn at once what the members before it do. The announcements of others
+    // reach it only after the chunk itself was copied to one of its neighbours.
+    const std::size_t maxPreceding = mOptions.neighbourCount / sStandbyNeighbourDivisor;
+    for (const Chunk &chunk : mChunks) {
+        for (const std::string &box : chunk.precedingBoxes) {
+            if (selected.size() < maxPreceding) {
+                select(box);
+            }
+        }
+    }
+    const std::size_t localCount = mOptions.neighbourCount - anyDataCentreCount;
+    for (const std::size_t index : rendezvousOrder(key, localBoxes, localCount)) {
+        if (selected.size() < localCount) {
+            select(localBoxes[index]);
+        }
     }
     for (const std::size_t index : rendezvousOrder(key, all, all.size())) {
         if (selected.size() >= mOptions.neighbourCount) {
@@ -281,6 +317,12 @@
         return;
     }
     it->second.has[index] = true;
+    it->second.hasBegun = true;
+    const auto pull = it->second.openPulls.find(index);
+    if (pull != it->second.openPulls.end()) {
+        notePullDone(pull->second, now);
+        it->second.openPulls.erase(pull);
+    }
     Chunk &chunk = mChunks[index];
     if (chunk.holderCount == 0 && chunk.state != State::Have) {
         chunk.availableSince = now;
@@ -289,12 +331,29 @@
     ++chunk.holderCount;
 }
 
+// Only the first announcement of a pull counts, so that a neighbour that retries forever is not
+// waited for forever.
+void ChunkPlan::addPeerPull(std::string_view box, std::uint32_t index, Instant now)
+{
+    const auto it = mPeers.find(box);
+    if (it == mPeers.end() || index >= mChunks.size() || it->second.has[index]) {
+        return;
+    }
+    it->second.hasBegun = true;
+    const bool isFirst = it->second.openPulls.try_emplace(index, now).second;
+    const Chunk &chunk = mChunks[index];
+    if (isFirst && mMembers[chunk.ownerIndex].box == box) {
+        mMaxPullDelay = std::max<Microseconds>(mMaxPullDelay, now - originPullAt(chunk));
+    }
+}
+
 void ChunkPlan::clearPeerChunks(std::string_view box)
 {
     const auto it = mPeers.find(box);
     if (it == mPeers.end()) {
         return;
     }
+    it->second.openPulls.clear();
     for (std::uint32_t index = 0; index < mChunks.size(); ++index) {
         if (it->second.has[index]) {
             it->second.has[index] = false;
@@ -434,6 +493,78 @@
     return active >= least && mAvailableCount >= sMostAvailableFraction * active;
 }
 
+void ChunkPlan::notePullDone(Instant startedAt, Instant now)
+{
+    mMaxPullDuration = std::max<Microseconds>(mMaxPullDuration, now - startedAt);
+    mNewestDonePullStart = std::max(mNewestDonePullStart, startedAt);
+}
+
+bool ChunkPlan::hasOtherOpenPulls() const
+{
+    std::size_t count = mOpenOriginRequests;
+    for (const auto &[box, peer] : mPeers) {
+        count += peer.openPulls.size();
+    }
+    return count > 1;
+}
+
+// When an open pull counts as failed. Concurrent pulls share the origin's link and end in the
+// order of their starts, so as long as no later one has ended, the origin is merely slow.
+Instant ChunkPlan::pullDeadline(Instant startedAt) const
+{
+    const bool isOriginSlow = startedAt >= mNewestDonePullStart && hasOtherOpenPulls();
+    if (isOriginSlow || mMaxPullDuration.count() == 0) {
+        return startedAt + mOptions.maxTakeoverDelay;
+    }
+    return startedAt
+        + std::min<Microseconds>(mMaxPullDuration * sPullSlackFactor + sMaxAnnounceDelay,
+                                 mOptions.maxTakeoverDelay);
+}
+
+// Upper bound of the time from a chunk's turn until its owner announces the pull. Members
+// learn of a version at different times, so their schedules differ.
+Microseconds ChunkPlan::pullStartTimeout() const
+{
+    return std::min<Microseconds>(mMaxPullDelay * sPullSlackFactor + sMaxAnnounceDelay,
+                                  mOptions.maxTakeoverDelay);
+}
+
+// When @p peer, whose turn to pull the chunk is at @p dueAt, should have it or a later member
+// takes over. A peer that pulls another chunk will pull this one afterwards.
+Instant ChunkPlan::expectedPullEnd(const Peer &peer, const Chunk &chunk, Instant dueAt) const
+{
+    const auto pull = peer.openPulls.find(chunk.index);
+    if (pull != peer.openPulls.end()) {
+        return std::max(dueAt, pullDeadline(pull->second));
+    }
+    Instant expected = dueAt + pullStartTimeout();
+    for (const auto &[index, startedAt] : peer.openPulls) {
+        expected = std::max(expected, pullDeadline(startedAt));
+    }
+    return expected;
+}
+
+// When this member takes over the chunk as a standby; nothing if it is none or cannot judge
+// the members before it. One that has announced nothing may not know the version yet, and
+// after an outage of the origin the announced pulls are outdated.
+std::optional<Instant> ChunkPlan::standbyPullAt(const Chunk &chunk) const
+{
+    const bool hadOutage = mIsOriginUnavailable || mReturnRoundEndsAt != Instant();
+    const bool isScheduled = mOptions.originPullInterval.count() > 0;
+    if (chunk.precedingBoxes.empty() || hadOutage || !isScheduled) {
+        return std::nullopt;
+    }
+    Instant pullAt = originPullAt(chunk);
+    for (const std::string &box : chunk.precedingBoxes) {
+        const auto peer = mPeers.find(box);
+        if (peer == mPeers.end() || !peer->second.hasBegun) {
+            return std::nullopt;
+        }
+        pullAt = expectedPullEnd(peer->second, chunk, pullAt);
+    }
+    return pullAt;
+}
+
 void ChunkPlan::updateOwnShare(Instant now)
 {
     const auto isOwn = [](const Chunk &chunk) { return chunk.originRank == 0; };
@@ -446,11 +577,15 @@
 }
 
 // If the owners of a chunk are down or stalled, the next members in order take over one
-// after the other. Until most chunks are available, each new one postpones the takeover
-// of all others, so that nothing is requested twice from an origin that is merely slow.
-// After that, each chunk has its own deadline, based on the time that most chunks took.
+// after the other. Standbys know what the members before them do. For the others, until most chunks
+// are available, each new one postpones the takeover of all others, so that nothing is requested
+// twice from an origin that is merely slow. After that, each chunk has its own deadline, based on
+// the time that most chunks took.
 bool ChunkPlan::isOverdueAtOrigin(const Chunk &chunk, std::uint32_t turn, Instant now) const
 {
+    if (const auto pullAt = standbyPullAt(chunk)) {
+        return now >= *pullAt;
+    }
     if (const auto silent = ownerSilentSince(chunk)) {
         return now - *silent >= sMaxAnnounceDelay * static_cast<int>(turn);
     }
@@ -544,8 +679,9 @@
         }
         mChunks[index].state = State::Requested;
         mChunks[index].isRequestedFromOrigin = true;
+        mChunks[index].pullStartedAt = now;
         ++mOpenOriginRequests;
-        requests.push_back({index, FromOrigin{}});
+        requests.push_back({index, FromOrigin{}, mChunks[index].originRank});
     }
 }
 
@@ -654,6 +790,7 @@
     mLastReceivedAt = now;
     updateOwnShare(now);
     if (std::holds_alternative<FromOrigin>(source)) {
+        notePullDone(mChunks[index].pullStartedAt, now);
         noteAvailable(mChunks[index], now);
     }
 }
--- a/src/libloomjunction/core/chunkplan.h
+++ b/src/libloomjunction/core/chunkplan.h
@@ -36,6 +36,7 @@
 {
     std::uint32_t index = 0;
     ChunkSource source;
+    std::uint32_t originRank = 0; ///< position in the takeover order; zero for the chunk's owner
 };
 
 /** Why a chunk request failed. */
@@ -118,6 +119,8 @@
 
     /** Neighbour @p box has announced chunk @p index. */
     void addPeerChunk(std::string_view box, std::uint32_t index, Instant now);
+    /** Neighbour @p box has announced that it began to pull chunk @p index from the origin. */
+    void addPeerPull(std::string_view box, std::uint32_t index, Instant now);
     /** Neighbour @p box is unreachable; its chunks no longer count as available. */
     void clearPeerChunks(std::string_view box);
 
@@ -155,10 +158,13 @@
         std::uint32_t index = 0;
         std::uint32_t ownerIndex = 0; ///< index of the owner in mMembers
         std::uint32_t originRank = 0; ///< own position in the takeover order; the owner has 0
+        /** Members with better origin ranks, the owner first; empty unless a standby. */
+        std::vector<std::string> precedingBoxes;
         std::uint32_t importRank = 0; ///< own position in the import order of the own data centre
         std::uint32_t holderCount = 0; ///< number of neighbours known to have the chunk
         std::uint32_t tieBreak = 0;
         Instant originRetryAt;
+        Instant pullStartedAt; ///< start of the latest own pull from the origin
         std::uint32_t consecutiveOriginFailures = 0;
         bool isRequestedFromOrigin = false;
         bool wasAvailable = false; ///< received from the origin, or announced by a neighbour
@@ -171,10 +177,15 @@
         std::vector<bool> has;
         std::uint32_t open = 0;
         Instant avoidedUntil;
+        bool hasBegun = false; ///< it announced a chunk or a pull
+        std::map<std::uint32_t, Instant> openPulls; ///< announced pulls, by chunk index
     };
 
     void rankChunks();
     void chooseNeighbours();
+    std::vector<std::string> precedingBoxes(std::string_view key, std::uint32_t rank,
+                                            std::span<const std::string> boxes,
+                                            std::size_t ownerIndex) const;
     std::vector<std::string> swarmNeighbours() const;
     std::vector<std::string> chainNeighbours() const;
     bool isInOwnDataCentre(std::string_view box) const;
@@ -188,6 +199,12 @@
     Microseconds originRoundDuration() const;
     bool mayRetryReturnedOrigin(const Chunk &chunk, Instant now) const;
     void noteAvailable(Chunk &chunk, Instant now);
+    std::optional<Instant> standbyPullAt(const Chunk &chunk) const;
+    Instant expectedPullEnd(const Peer &peer, const Chunk &chunk, Instant dueAt) const;
+    Instant pullDeadline(Instant startedAt) const;
+    bool hasOtherOpenPulls() const;
+    void notePullDone(Instant startedAt, Instant now);
+    Microseconds pullStartTimeout() const;
     bool isOverdueAtOrigin(const Chunk &chunk, std::uint32_t turn, Instant now) const;
     std::optional<Instant> ownerSilentSince(const Chunk &chunk) const;
     bool areActiveSharesAvailable() const;
@@ -219,6 +236,9 @@
     std::optional<Instant> mActiveSharesAvailableAt;
     std::optional<Instant> mMostAvailableAt; ///< when most of all chunks were available
     double mMeanIntervalMicroseconds = 0; ///< smoothed interval between received chunks
+    Microseconds mMaxPullDuration{0}; ///< longest observed pull of this member or a neighbour
+    Instant mNewestDonePullStart; ///< start of the latest started pull that was observed to end
+    Microseconds mMaxPullDelay{0}; ///< longest observed time from a pull's turn to its announcement
     std::mt19937_64 mRandom;
 };
 
--- a/src/libloomjunction/weights/chunkserver.cpp
+++ b/src/libloomjunction/weights/chunkserver.cpp
@@ -42,20 +42,25 @@
     }
     const std::string digest = (*request)->manifest_digest();
     std::size_t sent = 0;
+    std::size_t sentPulls = 0;
     Instant lastSent;
     while (stream->isOpen() && !mStopped) {
         const StoredVersion *stored = mStore.find(digest);
         const std::size_t count = stored == nullptr ? 0 : stored->order.size();
+        const std::size_t pullCount = stored == nullptr ? 0 : stored->pulls.size();
         const bool isKeepAliveDue = now() - lastSent >= sHaveKeepAliveInterval;
-        if (count < sent) {
+        if (count < sent || pullCount < sentPulls) {
             stream->reset(); // the version was dropped and opened again; the peer must start over
             co_return;
         }
-        if (count > sent || isKeepAliveDue) {
+        if (count > sent || pullCount > sentPulls || isKeepAliveDue) {
             wire::HaveUpdate update;
             for (; sent < count; ++sent) {
                 update.add_added(stored->order[sent]);
             }
+            for (; sentPulls < pullCount; ++sentPulls) {
+                update.add_pulling(stored->pulls[sentPulls]);
+            }
             stream->send(update);
             lastSent = now();
             // Chunks stored in quick succession are announced in one update.
--- a/src/libloomjunction/weights/chunkserver.h
+++ b/src/libloomjunction/weights/chunkserver.h
@@ -28,7 +28,7 @@
     /** Requests beyond @p maxUploads concurrent uploads are answered with "busy". */
     ChunkServer(ChunkStore &store, TokenBucket &egress, std::uint32_t maxUploads);
 
-    /** Announces the stored chunks of a version, and each new one as it is stored. */
+    /** Announces stored chunks and begun pulls of a version, and each new one at once. */
     awaitable<void> serveHave(PeerStreamPtr stream);
     /** Answers one request for a chunk or a manifest. */
     awaitable<void> serveChunk(PeerStreamPtr stream);
--- a/src/libloomjunction/weights/chunkstore.cpp
+++ b/src/libloomjunction/weights/chunkstore.cpp
@@ -56,6 +56,16 @@
     mAdded.notify();
 }
 
+void ChunkStore::notePull(const std::string &digest, std::uint32_t index)
+{
+    StoredVersion *stored = find(digest);
+    if (stored == nullptr || std::ranges::find(stored->pulls, index) != stored->pulls.end()) {
+        return;
+    }
+    stored->pulls.push_back(index);
+    mAdded.notify();
+}
+
 void ChunkStore::drop(std::string_view digest)
 {
     const auto it = mVersions.find(digest);
--- a/src/libloomjunction/weights/chunkstore.h
+++ b/src/libloomjunction/weights/chunkstore.h
@@ -28,6 +28,7 @@
     std::vector<std::string> chunks; ///< an empty string if the chunk is missing
     std::vector<bool> has;
     std::vector<std::uint32_t> order; ///< chunk indexes in the order of storing
+    std::vector<std::uint32_t> pulls; ///< indexes of chunks whose pull from the origin has begun
     std::uint64_t lastUsed = 0; ///< value of the store's use counter at the last access
 };
 
@@ -45,9 +46,11 @@
     StoredVersion *find(std::string_view digest);
     /** Stores a chunk that the caller has verified. */
     void put(const std::string &digest, std::uint32_t index, std::string data);
+    /** Notes that this agent began to pull a chunk from the origin, for announcements. */
+    void notePull(const std::string &digest, std::uint32_t index);
     void drop(std::string_view digest);
     std::uint64_t bytes() const { return mBytes; }
-    /** Signalled when a chunk is stored or a version is dropped. */
+    /** Signalled when a chunk is stored, a pull begins or a version is dropped. */
     Signal &added() { return mAdded; }
 
 private:
--- a/src/libloomjunction/weights/weightfetch.cpp
+++ b/src/libloomjunction/weights/weightfetch.cpp
@@ -185,6 +185,7 @@
         }
         mPlan->setMaxPeerRequests(maxPeerRequests());
         for (ChunkFetch &fetch : mPlan->next(now())) {
+            notePull(fetch);
             asio::co_spawn(executor, fetchChunk(shared_from_this(), std::move(fetch)),
                            asio::detached);
         }
@@ -193,6 +194,18 @@
     }
 }
 
+void WeightFetch::notePull(const ChunkFetch &fetch)
+{
+    if (!std::holds_alternative<FromOrigin>(fetch.source)) {
+        return;
+    }
+    mParts.store.notePull(mTarget.manifestDigest, fetch.index);
+    if (fetch.originRank > 0) {
+        logLine(LogLevel::Info, "origin-pull-taken-over",
+                {{"version", mTarget.version}, {"index", fetch.index}, {"rank", fetch.originRank}});
+    }
+}
+
 void WeightFetch::logStall()
 {
     const ChunkProgress progress = mPlan->progress(now());
@@ -245,6 +258,9 @@
                 for (const std::uint32_t index : (*update)->added()) {
                     self->mPlan->addPeerChunk(box, index, now());
                 }
+                for (const std::uint32_t index : (*update)->pulling()) {
+                    self->mPlan->addPeerPull(box, index, now());
+                }
                 self->mProgressSignal.notify();
             }
             stream->reset();
--- a/src/libloomjunction/weights/weightfetch.h
+++ b/src/libloomjunction/weights/weightfetch.h
@@ -76,6 +76,7 @@
     bool acceptManifest(const std::string &text);
     void createPlan(StoredVersion &stored);
     awaitable<void> fetchChunks();
+    void notePull(const ChunkFetch &fetch);
     void logStall();
     void logFailure(const ChunkFetch &fetch, ChunkFailure why) const;
     void followNeighbours();
--- a/tests/weights/swarmsimulator.cpp
+++ b/tests/weights/swarmsimulator.cpp
@@ -116,6 +116,9 @@
             return;
         }
     }
+    if (from == mScenario.members.size()) {
+        mAnnouncements.push_back({to, fetch.index, time + mScenario.announceDelayMs, true});
+    }
     mTransfers.push_back({to, fetch, from, mScenario.chunkBytes});
 }
 
@@ -179,7 +182,11 @@
         }
         const std::string &holder = mScenario.members[announcement.holder].box;
         for (ChunkPlan &plan : mPlans) {
-            plan.addPeerChunk(holder, announcement.index, at(time));
+            if (announcement.isPull) {
+                plan.addPeerPull(holder, announcement.index, at(time));
+            } else {
+                plan.addPeerChunk(holder, announcement.index, at(time));
+            }
         }
     }
     std::erase_if(mAnnouncements,
--- a/tests/weights/swarmsimulator.h
+++ b/tests/weights/swarmsimulator.h
@@ -68,6 +68,7 @@
         std::size_t holder = 0;
         std::uint32_t index = 0;
         int dueMs = 0;
+        bool isPull = false; ///< the holder begins to pull the chunk from the origin
     };
 
     bool isKilled(std::size_t member) const;
--- a/tests/weights/test_swarm.cpp
+++ b/tests/weights/test_swarm.cpp
@@ -145,3 +145,25 @@
     BOOST_TEST(result.allCompleteMs - scenario.originReturnsMs <= 4'000);
     BOOST_TEST(result.originChunks <= scenario.chunkCount * 5 / 4);
 }
+
+// Guards against takeovers of chunks whose owners are at work. Ten of 48 chunks were pulled a
+// second time while their owners still pulled them, the pulls shared the origin's link, and
+// two chunks were incomplete when the origin failed 0.25 s after it could have sent all.
+BOOST_AUTO_TEST_CASE(chunks_that_owners_are_pulling_are_not_taken_over)
+{
+    for (const int maxStartDelayMs : {0, 100, 300}) {
+        SwarmSimulator::Scenario scenario = deployment(76, 3);
+        scenario.originRate = 1'125; // 9 Mbit/s
+        scenario.originFailsMs = 2'500;
+        scenario.maxStartDelayMs = maxStartDelayMs;
+        ChunkPlan::Options options = singleImportOptions();
+        options.maxOriginRequests = 1;
+        options.maxPeerRequests = 3;
+        options.originPullInterval = Microseconds(37'000);
+        options.originPullStart = at(150);
+        const SwarmSimulator::Result result = SwarmSimulator(scenario, options).run(20'000);
+        report(result);
+        BOOST_TEST(result.allCompleteMs > 0);
+        BOOST_TEST(result.allCompleteMs < 5'000);
+    }
+}
