Chunk plan: the pulls of an owner that is gone are taken over at their turn

Cause, second of two: nobody who could have known that an owner was gone used that knowledge.

Evidence (simulator, tests/lostowners): chunk 42, whose turn is at 1,704 ms and whose owner is killed at 1,450, 1,600 or 1,700 ms, is first pulled at 2,200 ms, beside ten other pulls, and lacks 7,669 to 16,274 bytes when the origin fails.

Change: the end of a connection to a followed member counts. A standby takes over at the chunk's turn, or 0.1 s after the connection ended, whichever is later. A broken connection is tried again after 20 ms instead of 500 ms, so that members that still run are back by then.

New tests: pulls_of_a_lost_owner_are_taken_over_at_their_turn, chunks_of_a_reconnected_owner_are_not_taken_over.

--- a/src/libloomjunction/core/chunkplan.cpp
+++ b/src/libloomjunction/core/chunkplan.cpp
@@ -42,6 +42,8 @@
 constexpr std::uint32_t sStandbyCount = 2;
 // Fraction of the neighbours that may be selected as a standby, divided by one.
 constexpr std::uint32_t sStandbyNeighbourDivisor = 3;
+// Within this time a member restores a broken connection to one that still runs.
+constexpr Microseconds sReconnectTime{100'000};
 // A pull is overdue after the longest observed time multiplied by this.
 constexpr int sPullSlackFactor = 2;
 // Number of members that request a straggler from the origin, one after the other.
@@ -289,10 +291,8 @@
             ++it;
             continue;
         }
-        const std::string box = it->first;
-        ++it;
-        clearPeerChunks(box);
-        mPeers.erase(box);
+        clearPeerChunks(it->second);
+        it = mPeers.erase(it);
     }
     for (const std::string &box : selected) {
         Peer &peer = mPeers[box];
@@ -347,16 +347,32 @@
     }
 }
 
-void ChunkPlan::clearPeerChunks(std::string_view box)
+void ChunkPlan::setPeerConnected(std::string_view box)
+{
+    const auto it = mPeers.find(box);
+    if (it != mPeers.end()) {
+        it->second.lostAt.reset();
+    }
+}
+
+void ChunkPlan::setPeerLost(std::string_view box, Instant now)
 {
     const auto it = mPeers.find(box);
     if (it == mPeers.end()) {
         return;
     }
-    it->second.openPulls.clear();
+    clearPeerChunks(it->second);
+    if (!it->second.lostAt) {
+        it->second.lostAt = now;
+    }
+}
+
+void ChunkPlan::clearPeerChunks(Peer &peer)
+{
+    peer.openPulls.clear();
     for (std::uint32_t index = 0; index < mChunks.size(); ++index) {
-        if (it->second.has[index]) {
-            it->second.has[index] = false;
+        if (peer.has[index]) {
+            peer.has[index] = false;
             --mChunks[index].holderCount;
         }
     }
@@ -533,6 +549,9 @@
 // takes over. A peer that pulls another chunk will pull this one afterwards.
 Instant ChunkPlan::expectedPullEnd(const Peer &peer, const Chunk &chunk, Instant dueAt) const
 {
+    if (peer.lostAt) {
+        return std::max(dueAt, *peer.lostAt + sReconnectTime);
+    }
     const auto pull = peer.openPulls.find(chunk.index);
     if (pull != peer.openPulls.end()) {
         return std::max(dueAt, pullDeadline(pull->second));
@@ -557,7 +576,9 @@
     Instant pullAt = originPullAt(chunk);
     for (const std::string &box : chunk.precedingBoxes) {
         const auto peer = mPeers.find(box);
-        if (peer == mPeers.end() || !peer->second.hasBegun) {
+        const bool isJudgeable
+            = peer != mPeers.end() && (peer->second.lostAt || peer->second.hasBegun);
+        if (!isJudgeable) {
             return std::nullopt;
         }
         pullAt = expectedPullEnd(peer->second, chunk, pullAt);
--- a/src/libloomjunction/core/chunkplan.h
+++ b/src/libloomjunction/core/chunkplan.h
@@ -121,8 +121,13 @@
     void addPeerChunk(std::string_view box, std::uint32_t index, Instant now);
     /** Neighbour @p box has announced that it began to pull chunk @p index from the origin. */
     void addPeerPull(std::string_view box, std::uint32_t index, Instant now);
-    /** Neighbour @p box is unreachable; its chunks no longer count as available. */
-    void clearPeerChunks(std::string_view box);
+    /** Neighbour @p box is connected, and will announce its chunks. */
+    void setPeerConnected(std::string_view box);
+    /**
+     * The connection to neighbour @p box ended or cannot be made; its chunks no longer count
+     * as available.
+     */
+    void setPeerLost(std::string_view box, Instant now);
 
     /** Changes the limit of concurrent requests to neighbours, e.g. lowers it on a slow link. */
     void setMaxPeerRequests(std::uint32_t count) { mOptions.maxPeerRequests = count; }
@@ -177,12 +182,14 @@
         std::vector<bool> has;
         std::uint32_t open = 0;
         Instant avoidedUntil;
+        std::optional<Instant> lostAt; ///< when its connection ended; empty: it did not
         bool hasBegun = false; ///< it announced a chunk or a pull
         std::map<std::uint32_t, Instant> openPulls; ///< announced pulls, by chunk index
     };
 
     void rankChunks();
     void chooseNeighbours();
+    void clearPeerChunks(Peer &peer);
     std::vector<std::string> precedingBoxes(std::string_view key, std::uint32_t rank,
                                             std::span<const std::string> boxes,
                                             std::size_t ownerIndex) const;
--- a/src/libloomjunction/weights/weightfetch.cpp
+++ b/src/libloomjunction/weights/weightfetch.cpp
@@ -38,6 +38,9 @@
 constexpr std::chrono::milliseconds sPlanInterval{100};
 constexpr Milliseconds sStallTimeout{1'500};
 constexpr std::chrono::milliseconds sFollowRetryDelay{500};
+// A broken connection to a peer that still runs must be restored before the plan takes the
+// peer for dead.
+constexpr std::chrono::milliseconds sReconnectDelay{20};
 // Limit on waiting for an update. Peers send updates more often than this, empty ones if
 // they have stored no new chunk.
 constexpr std::chrono::milliseconds sFollowTimeout{5'000};
@@ -239,38 +242,51 @@
 
 awaitable<void> WeightFetch::followPeer(std::shared_ptr<WeightFetch> self, std::string box)
 {
-    const auto isWanted = [&] {
-        return !self->mCancelled && !self->mPlan->isComplete() && self->mPlan->isNeighbour(box);
-    };
-    while (isWanted()) {
+    while (self->isFollowing(box)) {
         const PeerStreamPtr stream = co_await self->openPeer(box, sHavePath);
-        if (stream) {
-            wire::HaveRequest request;
-            request.set_manifest_digest(self->mTarget.manifestDigest);
-            request.set_box(self->mParts.self.box);
-            stream->send(request);
-            while (isWanted()) {
-                const auto deadline = std::chrono::steady_clock::now() + sFollowTimeout;
-                const auto update = co_await stream->receiveMessage<wire::HaveUpdate>(deadline);
-                if (!update || !*update) {
-                    break;
-                }
-                for (const std::uint32_t index : (*update)->added()) {
-                    self->mPlan->addPeerChunk(box, index, now());
-                }
-                for (const std::uint32_t index : (*update)->pulling()) {
-                    self->mPlan->addPeerPull(box, index, now());
-                }
-                self->mProgressSignal.notify();
-            }
+        const bool wasConnected = stream != nullptr && co_await self->readUpdates(*stream, box);
+        if (stream != nullptr) {
             stream->reset();
-            self->mPlan->clearPeerChunks(box);
         }
-        co_await sleepFor(sFollowRetryDelay);
+        self->mPlan->setPeerLost(box, now());
+        self->mProgressSignal.notify();
+        co_await sleepFor(wasConnected ? sReconnectDelay : sFollowRetryDelay);
     }
     self->mFollowedPeers.erase(box);
 }
 
+bool WeightFetch::isFollowing(std::string_view box) const
+{
+    return !mCancelled && !mPlan->isComplete() && mPlan->isNeighbour(box);
+}
+
+// Applies the updates of a neighbour until its connection ends. Returns whether any came.
+awaitable<bool> WeightFetch::readUpdates(PeerStream &stream, const std::string &box)
+{
+    wire::HaveRequest request;
+    request.set_manifest_digest(mTarget.manifestDigest);
+    request.set_box(mParts.self.box);
+    stream.send(request);
+    bool wasConnected = false;
+    while (isFollowing(box)) {
+        const auto deadline = std::chrono::steady_clock::now() + sFollowTimeout;
+        const auto update = co_await stream.receiveMessage<wire::HaveUpdate>(deadline);
+        if (!update || !*update) {
+            break;
+        }
+        wasConnected = true;
+        mPlan->setPeerConnected(box);
+        for (const std::uint32_t index : (*update)->added()) {
+            mPlan->addPeerChunk(box, index, now());
+        }
+        for (const std::uint32_t index : (*update)->pulling()) {
+            mPlan->addPeerPull(box, index, now());
+        }
+        mProgressSignal.notify();
+    }
+    co_return wasConnected;
+}
+
 awaitable<void> WeightFetch::fetchChunk(std::shared_ptr<WeightFetch> self, ChunkFetch fetch)
 {
     const auto *peer = std::get_if<FromPeer>(&fetch.source);
--- a/src/libloomjunction/weights/weightfetch.h
+++ b/src/libloomjunction/weights/weightfetch.h
@@ -81,6 +81,8 @@
     void logFailure(const ChunkFetch &fetch, ChunkFailure why) const;
     void followNeighbours();
     static awaitable<void> followPeer(std::shared_ptr<WeightFetch> self, std::string box);
+    bool isFollowing(std::string_view box) const;
+    awaitable<bool> readUpdates(PeerStream &stream, const std::string &box);
     static awaitable<void> fetchChunk(std::shared_ptr<WeightFetch> self, ChunkFetch fetch);
     awaitable<tl::expected<std::string, ChunkFailure>> fetchFromOrigin(std::uint32_t index);
     awaitable<tl::expected<std::string, ChunkFailure>> fetchFromPeer(std::uint32_t index,
--- a/tests/weights/swarmsimulator.cpp
+++ b/tests/weights/swarmsimulator.cpp
@@ -65,7 +65,7 @@
     mIsKillDone = true;
     for (const std::string &box : mScenario.killed) {
         for (ChunkPlan &plan : mPlans) {
-            plan.clearPeerChunks(box);
+            plan.setPeerLost(box, at(time));
         }
     }
     const auto isOfKilled
--- a/tests/weights/test_chunkplan.cpp
+++ b/tests/weights/test_chunkplan.cpp
@@ -379,3 +379,57 @@
     ChunkPlan sooner("digest", chunks, {"box", "dc"}, options, at(1'370));
     BOOST_TEST(sooner.next(at(1'370)).size() == 11U);
 }
+
+// Guards against a stall after owners are killed shortly before the origin fails: the next
+// member in order waited half a second after the chunk's turn although it could have known.
+BOOST_AUTO_TEST_CASE(pulls_of_a_lost_owner_are_taken_over_at_their_turn)
+{
+    const auto members = swarm(8);
+    constexpr int intervalMs = 37;
+    ChunkPlan::Options options;
+    options.maxOriginRequests = sChunks;
+    options.originPullInterval = Milliseconds(intervalMs);
+    std::set<std::uint32_t> lost;
+    std::set<std::uint32_t> takenOver;
+    for (const bool isLost : {false, true}) {
+        for (const SwarmMember &member : members) {
+            ChunkPlan plan("digest", sChunks, member, options, at(0));
+            plan.setMembers(members);
+            const bool isVictim = member.box == members[0].box;
+            if (isLost && !isVictim) {
+                plan.setPeerLost(members[0].box, at(10));
+            }
+            for (const ChunkFetch &fetch : plan.next(at(sChunks * intervalMs))) {
+                const bool isOwner = fetch.originRank == 0;
+                if (isOwner && isVictim) {
+                    lost.insert(fetch.index);
+                }
+                if (!isOwner) {
+                    BOOST_TEST(isLost);
+                    BOOST_TEST(takenOver.insert(fetch.index).second); // by one member only
+                }
+            }
+        }
+    }
+    BOOST_TEST(!lost.empty());
+    BOOST_TEST((takenOver == lost));
+}
+
+BOOST_AUTO_TEST_CASE(chunks_of_a_reconnected_owner_are_not_taken_over)
+{
+    const auto members = swarm(8);
+    ChunkPlan::Options options;
+    options.maxOriginRequests = sChunks;
+    options.originPullInterval = Milliseconds(37);
+    for (const SwarmMember &member : members) {
+        ChunkPlan plan("digest", sChunks, member, options, at(0));
+        plan.setMembers(members);
+        for (const SwarmMember &other : members) {
+            plan.setPeerLost(other.box, at(1'000));
+            plan.setPeerConnected(other.box);
+        }
+        for (const ChunkFetch &fetch : plan.next(at(1'490))) {
+            BOOST_TEST(fetch.originRank == 0U);
+        }
+    }
+}
