Chunk exchange: members of an earlier version are judged by the longer delay

A box of an earlier version announces no pulls. Followed by a newer standby, a living owner would look as if it had not begun, and while boxes are replaced one by one its chunks would be pulled twice. Updates now say that their sender announces pulls; without that the delays of before apply.

Test: owners_that_do_not_announce_pulls_get_the_longer_delay.

--- a/src/libloomjunction/core/chunkplan.cpp
+++ b/src/libloomjunction/core/chunkplan.cpp
@@ -347,11 +347,12 @@
     }
 }
 
-void ChunkPlan::setPeerConnected(std::string_view box)
+void ChunkPlan::setPeerConnected(std::string_view box, bool announcesPulls)
 {
     const auto it = mPeers.find(box);
     if (it != mPeers.end()) {
         it->second.lostAt.reset();
+        it->second.announcesPulls = announcesPulls;
     }
 }
 
@@ -576,9 +577,11 @@
     Instant pullAt = originPullAt(chunk);
     for (const std::string &box : chunk.precedingBoxes) {
         const auto peer = mPeers.find(box);
-        const bool isJudgeable
-            = peer != mPeers.end() && (peer->second.lostAt || peer->second.hasBegun);
-        if (!isJudgeable) {
+        if (peer == mPeers.end()) {
+            return std::nullopt;
+        }
+        const bool isKnownAtWork = peer->second.hasBegun && peer->second.announcesPulls;
+        if (!peer->second.lostAt && !isKnownAtWork) {
             return std::nullopt;
         }
         pullAt = expectedPullEnd(peer->second, chunk, pullAt);
--- a/src/libloomjunction/core/chunkplan.h
+++ b/src/libloomjunction/core/chunkplan.h
@@ -121,8 +121,8 @@
     void addPeerChunk(std::string_view box, std::uint32_t index, Instant now);
     /** Neighbour @p box has announced that it began to pull chunk @p index from the origin. */
     void addPeerPull(std::string_view box, std::uint32_t index, Instant now);
-    /** Neighbour @p box is connected, and will announce its chunks. */
-    void setPeerConnected(std::string_view box);
+    /** Neighbour @p box is connected, and will announce its chunks, and its pulls or not. */
+    void setPeerConnected(std::string_view box, bool announcesPulls);
     /**
      * The connection to neighbour @p box ended or cannot be made; its chunks no longer count
      * as available.
@@ -183,6 +183,7 @@
         std::uint32_t open = 0;
         Instant avoidedUntil;
         std::optional<Instant> lostAt; ///< when its connection ended; empty: it did not
+        bool announcesPulls = true;
         bool hasBegun = false; ///< it announced a chunk or a pull
         std::map<std::uint32_t, Instant> openPulls; ///< announced pulls, by chunk index
     };
--- a/src/libloomjunction/weights/chunkserver.cpp
+++ b/src/libloomjunction/weights/chunkserver.cpp
@@ -55,6 +55,7 @@
         }
         if (count > sent || pullCount > sentPulls || isKeepAliveDue) {
             wire::HaveUpdate update;
+            update.set_announces_pulls(true);
             for (; sent < count; ++sent) {
                 update.add_added(stored->order[sent]);
             }
--- a/src/libloomjunction/weights/weightfetch.cpp
+++ b/src/libloomjunction/weights/weightfetch.cpp
@@ -275,7 +275,7 @@
             break;
         }
         wasConnected = true;
-        mPlan->setPeerConnected(box);
+        mPlan->setPeerConnected(box, (*update)->announces_pulls());
         for (const std::uint32_t index : (*update)->added()) {
             mPlan->addPeerChunk(box, index, now());
         }
--- a/tests/weights/test_chunkplan.cpp
+++ b/tests/weights/test_chunkplan.cpp
@@ -426,10 +426,33 @@
         plan.setMembers(members);
         for (const SwarmMember &other : members) {
             plan.setPeerLost(other.box, at(1'000));
-            plan.setPeerConnected(other.box);
+            plan.setPeerConnected(other.box, true);
         }
         for (const ChunkFetch &fetch : plan.next(at(1'490))) {
             BOOST_TEST(fetch.originRank == 0U);
         }
     }
 }
+
+// Guards against double pulls while boxes of an earlier version are replaced one by one.
+BOOST_AUTO_TEST_CASE(owners_that_do_not_announce_pulls_get_the_longer_delay)
+{
+    const auto members = swarm(8);
+    constexpr int intervalMs = 37;
+    for (const bool announcesPulls : {false, true}) {
+        std::size_t takenOver = 0;
+        for (const SwarmMember &member : members) {
+            ChunkPlan::Options options;
+            options.maxOriginRequests = sChunks;
+            options.originPullInterval = Milliseconds(intervalMs);
+            ChunkPlan plan("digest", sChunks, member, options, at(0));
+            plan.setMembers(members);
+            plan.setPeerConnected(members[0].box, announcesPulls);
+            plan.addPeerChunk(members[0].box, 0, at(100));
+            for (const ChunkFetch &fetch : plan.next(at(sChunks * intervalMs))) {
+                takenOver += fetch.originRank > 0 ? 1 : 0;
+            }
+        }
+        BOOST_TEST((takenOver > 0) == announcesPulls);
+    }
+}
