--- a/src/libloomjunction/core/chunkplan.cpp
+++ b/src/libloomjunction/core/chunkplan.cpp
@@ -40,12 +40,10 @@
 constexpr double sTailFraction = 0.85;
 // Members that follow the owner of a chunk and take over its pull, one after the other.
 constexpr std::uint32_t sStandbyCount = 2;
-// Fraction of the neighbours that may be selected as a standby, divided by one.
+// One in this many neighbours may be chosen because this member is a standby for its chunks.
 constexpr std::uint32_t sStandbyNeighbourDivisor = 3;
 // Within this time a member restores a broken connection to one that still runs.
 constexpr Microseconds sReconnectTime{100'000};
-// A pull is overdue after the longest observed time multiplied by this.
-constexpr int sPullSlackFactor = 2;
 // Number of members that request a straggler from the origin, one after the other.
 constexpr std::uint32_t sMaxTakeoverMembers = 3;
 // Upper bound of the time until other members know of a chunk that a member received.
@@ -132,6 +130,7 @@
     , mLastReceivedAt(now)
     , mStartedAt(now)
     , mLastAvailableAt(now)
+    , mPullTimes(options.maxTakeoverDelay)
     , mRandom(options.seed)
 {
     for (Chunk &chunk : mChunks) {
@@ -320,7 +319,7 @@
     it->second.hasBegun = true;
     const auto pull = it->second.openPulls.find(index);
     if (pull != it->second.openPulls.end()) {
-        notePullDone(pull->second, now);
+        mPullTimes.noteDone(pull->second, now);
         it->second.openPulls.erase(pull);
     }
     Chunk &chunk = mChunks[index];
@@ -343,7 +342,7 @@
     const bool isFirst = it->second.openPulls.try_emplace(index, now).second;
     const Chunk &chunk = mChunks[index];
     if (isFirst && mMembers[chunk.ownerIndex].box == box) {
-        mMaxPullDelay = std::max<Microseconds>(mMaxPullDelay, now - originPullAt(chunk));
+        mPullTimes.noteStart(now - originPullAt(chunk));
     }
 }
 
@@ -510,12 +509,6 @@
     return active >= least && mAvailableCount >= sMostAvailableFraction * active;
 }
 
-void ChunkPlan::notePullDone(Instant startedAt, Instant now)
-{
-    mMaxPullDuration = std::max<Microseconds>(mMaxPullDuration, now - startedAt);
-    mNewestDonePullStart = std::max(mNewestDonePullStart, startedAt);
-}
-
 bool ChunkPlan::hasOtherOpenPulls() const
 {
     std::size_t count = mOpenOriginRequests;
@@ -525,25 +518,9 @@
     return count > 1;
 }
 
-// When an open pull counts as failed. Concurrent pulls share the origin's link and end in the
-// order of their starts, so as long as no later one has ended, the origin is merely slow.
 Instant ChunkPlan::pullDeadline(Instant startedAt) const
 {
-    const bool isOriginSlow = startedAt >= mNewestDonePullStart && hasOtherOpenPulls();
-    if (isOriginSlow || mMaxPullDuration.count() == 0) {
-        return startedAt + mOptions.maxTakeoverDelay;
-    }
-    return startedAt
-        + std::min<Microseconds>(mMaxPullDuration * sPullSlackFactor + sMaxAnnounceDelay,
-                                 mOptions.maxTakeoverDelay);
-}
-
-// Upper bound of the time from a chunk's turn until its owner announces the pull. Members
-// learn of a version at different times, so their schedules differ.
-Microseconds ChunkPlan::pullStartTimeout() const
-{
-    return std::min<Microseconds>(mMaxPullDelay * sPullSlackFactor + sMaxAnnounceDelay,
-                                  mOptions.maxTakeoverDelay);
+    return mPullTimes.deadline(startedAt, !hasOtherOpenPulls());
 }
 
 // When @p peer, whose turn to pull the chunk is at @p dueAt, should have it or a later member
@@ -557,7 +534,7 @@
     if (pull != peer.openPulls.end()) {
         return std::max(dueAt, pullDeadline(pull->second));
     }
-    Instant expected = dueAt + pullStartTimeout();
+    Instant expected = dueAt + mPullTimes.startTimeout();
     for (const auto &[index, startedAt] : peer.openPulls) {
         expected = std::max(expected, pullDeadline(startedAt));
     }
@@ -814,7 +791,7 @@
     mLastReceivedAt = now;
     updateOwnShare(now);
     if (std::holds_alternative<FromOrigin>(source)) {
-        notePullDone(mChunks[index].pullStartedAt, now);
+        mPullTimes.noteDone(mChunks[index].pullStartedAt, now);
         noteAvailable(mChunks[index], now);
     }
 }
--- a/src/libloomjunction/core/chunkplan.h
+++ b/src/libloomjunction/core/chunkplan.h
@@ -9,6 +9,7 @@
 #pragma once
 
 #include "instant.h"
+#include "pulltimes.h"
 
 #include <cstdint>
 #include <map>
@@ -211,8 +212,6 @@
     Instant expectedPullEnd(const Peer &peer, const Chunk &chunk, Instant dueAt) const;
     Instant pullDeadline(Instant startedAt) const;
     bool hasOtherOpenPulls() const;
-    void notePullDone(Instant startedAt, Instant now);
-    Microseconds pullStartTimeout() const;
     bool isOverdueAtOrigin(const Chunk &chunk, std::uint32_t turn, Instant now) const;
     std::optional<Instant> ownerSilentSince(const Chunk &chunk) const;
     bool areActiveSharesAvailable() const;
@@ -244,9 +243,7 @@
     std::optional<Instant> mActiveSharesAvailableAt;
     std::optional<Instant> mMostAvailableAt; ///< when most of all chunks were available
     double mMeanIntervalMicroseconds = 0; ///< smoothed interval between received chunks
-    Microseconds mMaxPullDuration{0}; ///< longest observed pull of this member or a neighbour
-    Instant mNewestDonePullStart; ///< start of the latest started pull that was observed to end
-    Microseconds mMaxPullDelay{0}; ///< longest observed time from a pull's turn to its announcement
+    PullTimes mPullTimes;
     std::mt19937_64 mRandom;
 };
 
