--- a/tests/weights/test_swarm.cpp
+++ b/tests/weights/test_swarm.cpp
@@ -165,5 +165,6 @@
         report(result);
         BOOST_TEST(result.allCompleteMs > 0);
         BOOST_TEST(result.allCompleteMs < 5'000);
+        BOOST_TEST(result.originChunks == scenario.chunkCount);
     }
 }
