--- a/src/libloomjunction/core/replicaset.cpp
+++ b/src/libloomjunction/core/replicaset.cpp
@@ -537,7 +537,10 @@
     for (const auto &[id, replica] : mReplicas) {
         const std::string reason = pauseReason(replica, now);
         if (replica.record.service == service && !reason.empty()) {
-            text += (text.empty() ? "" : ", ") + id + " " + reason;
+            text += text.empty() ? "" : ", ";
+            text += id;
+            text += ' ';
+            text += reason;
         }
     }
     return text;
