Feeds, store client: logs and metrics of a store whose log goes back

- `store-log-shortened`: a full read found the end before the known offset
- `record-passed-over`: a read record stands before the known one of its key
- `store_reads_refused`: reads that got 410, by feed

--- a/src/libloomjunction/gateway/feedservice.cpp
+++ b/src/libloomjunction/gateway/feedservice.cpp
@@ -385,6 +385,7 @@
             // failure would transfer everything again, for every gateway at once, just when
             // the connection to the store is at its worst.
             if (batch.error() == StoreError::Forgotten) {
+                countRefusedRead(feed);
                 state.isSynced = false;
                 continue;
             }
@@ -395,7 +396,7 @@
         const Microseconds age = ageOfRead(feed, wait);
         countRead(feed, "onward", batch->bytes);
         for (const FeedRecord &record : batch->records) {
-            apply(feed, record, age);
+            applyRead(feed, record, age);
         }
         state.table.setNextOffset(batch->next);
         // The response may have been in transit for long. It shows the store as of the time of
@@ -428,6 +429,7 @@
     }
     updateStoreState(feed, true, "full read");
     countRead(feed, "full", batch->bytes);
+    noteLogEnd(feed, batch->next);
     // At the first read, it is unknown when the records were written.
     const LoopStep step("taking a full read");
     const Microseconds age = state.isFirstSync ? sUnknownAge : ageOfRead(feed, Milliseconds(0));
@@ -462,6 +464,25 @@
             {{"feed", feedName(feed)}, {"why", reason}, {"offset", state.table.nextOffset()}});
 }
 
+void FeedService::noteLogEnd(Feed feed, std::uint64_t end)
+{
+    FeedState &state = this->state(feed);
+    const std::uint64_t expected = state.table.nextOffset();
+    const bool isShortened = end < expected;
+    if (isShortened && !state.isLogShortened) {
+        logLine(LogLevel::Warning, "store-log-shortened",
+                {{"feed", feedName(feed)}, {"end", end}, {"expected", expected}});
+    }
+    state.isLogShortened = isShortened;
+}
+
+void FeedService::countRefusedRead(Feed feed)
+{
+    if (mMetrics != nullptr) {
+        mMetrics->count("store_reads_refused", std::string(feedName(feed)));
+    }
+}
+
 void FeedService::countRead(Feed feed, std::string_view kind, std::uint64_t bytes)
 {
     if (mMetrics != nullptr) {
@@ -484,6 +505,22 @@
         && state.isEquivalent(known->second, record);
 }
 
+// Applies a record from the store's log. A log grows at its end, so a record of an earlier
+// offset than the known one shows that the log is not the one read before.
+void FeedService::applyRead(Feed feed, const FeedRecord &record, Microseconds age)
+{
+    const auto &records = state(feed).table.all();
+    const auto known = records.find(record.key);
+    if (known != records.end() && known->second.offset > record.offset) {
+        logLine(LogLevel::Warning, "record-passed-over",
+                {{"feed", feedName(feed)},
+                 {"key", record.key},
+                 {"offset", record.offset},
+                 {"known", known->second.offset}});
+    }
+    apply(feed, record, age);
+}
+
 void FeedService::apply(Feed feed, const FeedRecord &record, Microseconds age, RecordOrigin origin)
 {
     FeedState &state = this->state(feed);
--- a/src/libloomjunction/gateway/feedservice.h
+++ b/src/libloomjunction/gateway/feedservice.h
@@ -89,7 +89,10 @@
     tl::expected<void, std::string> start(Kernel &kernel) override;
     void stop() override;
 
-    /** Counts the bytes of store responses as `store_bytes`, by feed and kind of read. */
+    /**
+     * Counts the bytes of store responses as `store_bytes`, by feed and kind of read, and reads
+     * at offsets that the store does not hold as `store_reads_refused`, by feed.
+     */
     void countInto(Metrics &metrics) { mMetrics = &metrics; }
     /** Calls @p listener for every change of @p feed; must be called before start(). */
     void listen(Feed feed, Listener listener);
@@ -155,6 +158,7 @@
         std::uint64_t removalsKnownFrom = 0; ///< removals at or after this offset are in the table
         bool isFirstSync = true; ///< the table has not been complete since this process started
         bool isRelayDoubtful = false; ///< the followed process reports a recent store failure
+        bool isLogShortened = false; ///< at the last full read, the log ended before the table
         bool hasReturnedEarly = false; ///< the last store read ended before its timeout
         std::uint64_t changeCount = 0;
     };
@@ -211,7 +215,10 @@
     void wakeFollowers(Feed feed);
     void wakeAllFollowers();
     void updateStoreState(Feed feed, bool isReached, std::string_view reason);
+    void noteLogEnd(Feed feed, std::uint64_t end);
     void countRead(Feed feed, std::string_view kind, std::uint64_t bytes);
+    void countRefusedRead(Feed feed);
+    void applyRead(Feed feed, const FeedRecord &record, Microseconds age);
     void apply(Feed feed, const FeedRecord &record, Microseconds age, RecordOrigin origin = {});
     void applyRelayed(Feed feed, const FeedRecord &record, Microseconds age, RecordOrigin origin);
     void notifyListeners(Feed feed, const FeedRecord &record, Microseconds age);
