Tests: a store that returns from a copy (they fail)

MemoryStore copies its logs and returns to the copy. On this code seven of the eight cases fail, each by waiting 20 s in vain: configurations written after the return, also in a log that has grown again; a replica that leaves; records at followers; own membership records. restored_log_is_read_in_full_once counts 51,706 full reads in half a second (in-memory store). The test of a configuration that must not go back holds, and guards the mend.

FeedProcess and RelayFixture move out of test_feeds.cpp unchanged.

--- a/tests/gateway/gatewayfixture.h
+++ b/tests/gateway/gatewayfixture.h
@@ -22,6 +22,7 @@
 #include "recorddecoder.h"
 #include "replicaservice.h"
 
+#include <algorithm>
 #include <array>
 #include <functional>
 #include <memory>
@@ -34,7 +35,7 @@
 
 namespace Loom {
 
-/** An in-memory store that can become unreachable or lose its history. */
+/** An in-memory store that can become unreachable, lose its history or return from a copy. */
 class MemoryStore final : public StorePort
 {
 public:
@@ -61,19 +62,37 @@
         mChanged.notify();
     }
 
+    /** Keeps a copy of all logs for restore(). */
+    void copy() { mCopy = mLogs; }
+    /** Returns to the last copy; what was written since is lost, and its offsets are free. */
+    void restore()
+    {
+        mLogs = mCopy;
+        ++mEra;
+        mChanged.notify();
+    }
+    /** Returns the newest value of @p key; nothing if there is none. */
+    std::optional<std::string> value(Feed feed, std::string_view key) const
+    {
+        const auto &log = mLogs[static_cast<std::size_t>(feed)];
+        const auto it = std::find_if(log.rbegin(), log.rend(),
+                                     [&](const FeedRecord &record) { return record.key == key; });
+        return it == log.rend() ? std::nullopt : it->value;
+    }
+
     awaitable<tl::expected<FeedBatch, StoreError>> read(Feed feed, std::uint64_t from,
                                                         Milliseconds wait) override
     {
         ++readCount;
         requestedWaits[static_cast<std::size_t>(feed)].push_back(wait);
         const auto &log = mLogs[static_cast<std::size_t>(feed)];
-        if (!isUnreachable && log.size() <= from) {
+        if (!isUnreachable && log.size() <= from && !isBeyondEnd(log, from)) {
             co_await mChanged.waitFor(wait);
         }
         if (isUnreachable) {
             co_return tl::unexpected(StoreError::Unreachable);
         }
-        if (std::exchange(hasLostHistory, false)) {
+        if (std::exchange(hasLostHistory, false) || isBeyondEnd(log, from)) {
             co_return tl::unexpected(StoreError::Forgotten);
         }
         FeedBatch batch;
@@ -126,12 +145,22 @@
     }
 
 private:
+    using Log = std::vector<FeedRecord>;
+
+    // Processes of some tests share no store; only a restored one is asked for lost offsets.
+    bool isBeyondEnd(const Log &log, std::uint64_t from) const
+    {
+        return mEra > 1 && from > log.size();
+    }
+
     static std::uint64_t bytesOf(const FeedRecord &record)
     {
         return record.key.size() + (record.value ? record.value->size() : 0);
     }
 
-    std::array<std::vector<FeedRecord>, sFeedCount> mLogs;
+    std::array<Log, sFeedCount> mLogs;
+    std::array<Log, sFeedCount> mCopy;
+    std::uint64_t mEra = 1;
     Signal mChanged;
 };
 
--- a/tests/gateway/test_feeds.cpp
+++ b/tests/gateway/test_feeds.cpp
@@ -10,8 +10,7 @@
 
 #include "clock.h"
 #include "delayingproxy.h"
-#include "feedservice.h"
-#include "gatewayfixture.h"
+#include "feedprocess.h"
 #include "peerconnection.h"
 #include "peerhub.h"
 #include "peerserver.h"
@@ -25,12 +24,6 @@
 
 constexpr std::chrono::seconds sTestTimeout{20};
 
-Tcp::endpoint freeEndpoint(asio::io_context &context)
-{
-    Tcp::acceptor acceptor(context, Tcp::endpoint(asio::ip::address_v4::loopback(), 0));
-    return acceptor.local_endpoint();
-}
-
 /** Random text that compression does not shorten. */
 std::string incompressible(std::size_t size)
 {
@@ -40,133 +33,11 @@
     return text;
 }
 
-/** The feeds of one process, with its own copy of the store. */
-class FeedProcess
-{
-public:
-    explicit FeedProcess(asio::io_context &context)
-        : store(context.get_executor())
-        , address(freeEndpoint(context))
-        , mKernel(context.get_executor())
-    {
-        mKernel.add(std::make_unique<PeerHub>(address));
-        mKernel.find<PeerHub>(PeerHub::sName).countInto(metrics);
-        // Added before the feeds, because the in-memory store responds while they start.
-        mKernel.add(std::make_unique<OperatorConfigService>(mRecords, MemberBounds()));
-        mKernel.add(std::make_unique<FeedService>(store, "box", FeedPreference::Store));
-        feeds().countInto(metrics);
-        config().countInto(metrics);
-        feeds().listen(Feed::Operators,
-                       [this](const FeedChange &change) { origin = change.origin; });
-        feeds().listen(Feed::Replicas, [this](const FeedChange &change) {
-            changedKeys.push_back(change.record.key);
-            isLastTrusted = change.isTrusted;
-            lastAge = change.age;
-        });
-    }
-
-    void start() { BOOST_REQUIRE(mKernel.start().has_value()); }
-    void stop() { mKernel.stop(); }
-    FeedService &feeds() { return mKernel.find<FeedService>(FeedService::sName); }
-    OperatorConfigService &config()
-    {
-        return mKernel.find<OperatorConfigService>(OperatorConfigService::sName);
-    }
-    bool hasConfig(std::uint64_t version)
-    {
-        return config().table() && config().table()->version() == version;
-    }
-    bool hasReceived(std::string_view key) const
-    {
-        return std::ranges::find(changedKeys, key) != changedKeys.end();
-    }
-
-    Metrics metrics;
-    MemoryStore store;
-    Tcp::endpoint address;
-    std::vector<std::string> changedKeys;
-    bool isLastTrusted = true;
-    Microseconds lastAge{0}; ///< of the last announced change
-    RecordOrigin origin; ///< of the last record of operators
-
-private:
-    Platform::RecordDecoder mRecords;
-    Kernel mKernel;
-};
-
-void writeConfig(FeedProcess &fixture, std::uint64_t version)
-{
-    const std::string value = R"({"version":)" + std::to_string(version)
-        + R"(,"routes":[],"services":[],"tenants":[]})";
-    fixture.store.write(Feed::Operators, "config", value);
-}
-
 bool hasMetric(const FeedProcess &fixture, std::string_view text)
 {
     return fixture.metrics.text().find(text) != std::string::npos;
 }
 
-/** A reader of the store and a process that follows it; each has its own store. */
-class RelayFixture
-{
-public:
-    RelayFixture()
-    {
-        reader.feeds().setReaders([] { return FeedReaders{true, true, {}}; });
-        follower.feeds().setReaders([this] {
-            return FeedReaders{isFollowerReadingStore, true, {followed}};
-        });
-    }
-
-    void run(std::function<awaitable<void>(RelayFixture &)> test)
-    {
-        bool ended = false;
-        const auto whole = [&]() -> awaitable<void> {
-            reader.start();
-            follower.start();
-            co_await test(*this);
-            ended = true;
-            reader.stop();
-            follower.stop();
-            context.stop();
-        };
-        asio::co_spawn(context, whole(), asio::detached);
-        context.run();
-        BOOST_TEST(ended);
-    }
-
-    awaitable<void> waitFor(std::function<bool()> condition)
-    {
-        const auto until = std::chrono::steady_clock::now() + sTestTimeout;
-        while (!condition() && std::chrono::steady_clock::now() < until) {
-            co_await sleepFor(std::chrono::milliseconds(5));
-        }
-        BOOST_TEST(condition());
-    }
-
-    /** Waits until the follower receives a record that only the reader's store holds. */
-    awaitable<void> waitUntilFollowing()
-    {
-        reader.store.write(Feed::Replicas, "first", "value");
-        co_await waitFor([this] { return follower.hasReceived("first"); });
-    }
-
-    /** Makes the follower end its streams, read its own store for a while and follow again. */
-    awaitable<void> reconnectFollower()
-    {
-        const int before = follower.store.readCount;
-        isFollowerReadingStore = true;
-        co_await waitFor([&] { return follower.store.readCount >= before + 3; });
-        isFollowerReadingStore = false;
-    }
-
-    asio::io_context context{1};
-    FeedProcess reader{context};
-    FeedProcess follower{context};
-    Tcp::endpoint followed = reader.address; ///< address that the follower connects to
-    bool isFollowerReadingStore = false;
-};
-
 } // namespace
 
 BOOST_AUTO_TEST_CASE(follower_receives_records_from_a_reader_without_reading_the_store)
--- /dev/null
+++ b/tests/restoredstore/test_restoredstore.cpp
@@ -0,0 +1,209 @@
+/*
+ * test_restoredstore.cpp
+ * Copyright 2026, the loomjunction authors
+ *
+ * This file is part of loomjunction (tests).
+ * SPDX-License-Identifier: BSD-2-Clause
+ */
+
+#define BOOST_TEST_MODULE restoredstore
+#include <boost/test/unit_test.hpp>
+
+#include "feedprocess.h"
+#include "gatewayfixture.h"
+
+using namespace Loom;
+
+namespace {
+
+std::string replicaRecord(std::string_view address, std::string_view state)
+{
+    return R"({"service":"plain","address":")" + std::string(address)
+        + R"(","zone":"z1","slots":4,"state":")" + std::string(state) + "\"}";
+}
+
+ScriptedReplica::Answer answerTo(const std::string &head)
+{
+    return {"HTTP/1.1 200 X\r\nLoomjunction-Request-Id: " + requestIdOf(head)
+            + "\r\nLoomjunction-Response-Signature: s\r\nContent-Length: 5\r\n\r\nwhole"};
+}
+
+/** Writes versions 2 and 3 after the copy, so that the restored log is shorter. */
+awaitable<void> loseTwoConfigurations(RelayFixture &fixture)
+{
+    writeConfig(fixture.reader, 1);
+    co_await fixture.waitFor([&] { return fixture.follower.hasConfig(1); });
+    fixture.reader.store.copy();
+    writeConfig(fixture.reader, 2);
+    writeConfig(fixture.reader, 3);
+    co_await fixture.waitFor([&] { return fixture.follower.hasConfig(3); });
+}
+
+bool hasValue(FeedProcess &process, std::string_view key, std::string_view value)
+{
+    const FeedRecord *record = process.feeds().table(Feed::Replicas).find(key);
+    return record != nullptr && record->value == value;
+}
+
+bool isUsable(GatewayFixture &fixture, std::string_view id)
+{
+    const Replica *replica = fixture.replicas().replicas().find(id);
+    return replica != nullptr && replica->unavailableReason(now()) == UnavailableReason::Nothing;
+}
+
+} // namespace
+
+// Guards against comparing offsets of a restored log with those of the lost one: configurations
+// were ignored until the log was as long as before.
+BOOST_AUTO_TEST_CASE(configuration_written_after_a_restore_is_in_force)
+{
+    RelayFixture().run([](RelayFixture &fixture) -> awaitable<void> {
+        co_await loseTwoConfigurations(fixture);
+        fixture.reader.store.restore();
+        writeConfig(fixture.reader, 4);
+        co_await fixture.waitFor([&] { return fixture.reader.hasConfig(4); });
+        co_await fixture.waitFor([&] { return fixture.follower.hasConfig(4); });
+    });
+}
+
+// A log that has grown past the known end again refuses no read.
+BOOST_AUTO_TEST_CASE(configuration_in_a_log_that_has_grown_again_is_in_force)
+{
+    RelayFixture().run([](RelayFixture &fixture) -> awaitable<void> {
+        co_await loseTwoConfigurations(fixture);
+        MemoryStore &store = fixture.reader.store;
+        store.isUnreachable = true;
+        store.write(Feed::Operators, "wakes the read", "{}");
+        co_await fixture.waitFor(
+            [&] { return !fixture.reader.feeds().isStoreReached(Feed::Operators); });
+        store.restore();
+        writeConfig(fixture.reader, 4);
+        for (int i = 0; i < 5; ++i) {
+            store.write(Feed::Operators, "other-" + std::to_string(i), "{}");
+        }
+        store.isUnreachable = false;
+        co_await fixture.waitFor([&] { return fixture.reader.hasConfig(4); });
+        co_await fixture.waitFor([&] { return fixture.follower.hasConfig(4); });
+    });
+}
+
+// Guards against a cursor that stays beyond the end of the log: each read was refused and
+// followed by a full read, without a pause.
+BOOST_AUTO_TEST_CASE(restored_log_is_read_in_full_once)
+{
+    RelayFixture().run([](RelayFixture &fixture) -> awaitable<void> {
+        co_await loseTwoConfigurations(fixture);
+        MemoryStore &store = fixture.reader.store;
+        const int before = store.fullReadCountByFeed[0];
+        store.restore();
+        co_await fixture.waitFor([&] { return store.fullReadCountByFeed[0] > before; });
+        const int reads = store.readCount;
+        co_await sleepFor(std::chrono::milliseconds(500));
+        BOOST_TEST(store.fullReadCountByFeed[0] == before + 1);
+        BOOST_TEST(store.readCount < reads + 20);
+    });
+}
+
+// Guards against ignoring that a replica leaves: requests reached it for seconds.
+BOOST_AUTO_TEST_CASE(replica_that_leaves_after_a_restore_gets_no_requests)
+{
+    GatewayFixture fixture;
+    fixture.writeConfig(1);
+    ScriptedReplica &leaving = fixture.addReplica("leaving", "plain", answerTo);
+    fixture.addReplica("other", "plain", answerTo);
+    fixture.store.copy();
+    fixture.run([&]() -> awaitable<void> {
+        co_await fixture.waitFor([&] { return isUsable(fixture, "leaving"); });
+        fixture.store.write(Feed::Replicas, "leaving", replicaRecord(leaving.address(), "ready"));
+        fixture.store.write(Feed::Replicas, "short-lived", replicaRecord("127.0.0.1:1", "ready"));
+        co_await fixture.waitFor([&] { return isUsable(fixture, "short-lived"); });
+        fixture.store.restore();
+        fixture.store.write(Feed::Replicas, "leaving",
+                            replicaRecord(leaving.address(), "draining"));
+        co_await fixture.waitFor([&] { return !isUsable(fixture, "leaving"); });
+        BOOST_TEST(isUsable(fixture, "other"));
+    });
+}
+
+// Guards against followers that compare the positions of a restored log with those that they
+// know: a follower received nothing more.
+BOOST_AUTO_TEST_CASE(follower_receives_a_record_at_a_lower_offset_after_a_restore)
+{
+    RelayFixture().run([](RelayFixture &fixture) -> awaitable<void> {
+        co_await fixture.waitUntilFollowing();
+        MemoryStore &store = fixture.reader.store;
+        store.copy();
+        store.write(Feed::Replicas, "r", "lost");
+        store.write(Feed::Replicas, "r", "lost too");
+        co_await fixture.waitFor([&] { return hasValue(fixture.follower, "r", "lost too"); });
+        store.restore();
+        store.write(Feed::Replicas, "r", "new");
+        co_await fixture.waitFor([&] { return hasValue(fixture.reader, "r", "new"); });
+        co_await fixture.waitFor([&] { return hasValue(fixture.follower, "r", "new"); });
+    });
+}
+
+// Guards against a configuration that goes back: the copy holds an older one until the
+// operators have written the newest again.
+BOOST_AUTO_TEST_CASE(configuration_of_the_copy_does_not_reach_a_process_that_starts)
+{
+    RelayFixture fixture;
+    FeedProcess last(fixture.context);
+    last.feeds().setReaders([&] { return FeedReaders{false, true, {fixture.reader.address}}; });
+    fixture.run([&](RelayFixture &fixture) -> awaitable<void> {
+        co_await loseTwoConfigurations(fixture);
+        const int before = fixture.reader.store.fullReadCountByFeed[0];
+        fixture.reader.store.restore();
+        co_await fixture.waitFor(
+            [&] { return fixture.reader.store.fullReadCountByFeed[0] > before; });
+        last.start();
+        co_await fixture.waitFor([&] { return last.hasConfig(3); });
+        BOOST_TEST(fixture.reader.hasConfig(3));
+        BOOST_TEST(fixture.follower.hasConfig(3));
+        last.stop();
+    });
+}
+
+// Guards against records of the system's own that a copy lacks and nobody writes again.
+BOOST_AUTO_TEST_CASE(lost_membership_record_is_written_again)
+{
+    GatewayFixture fixture;
+    fixture.writeConfig(1);
+    fixture.store.copy();
+    fixture.run([&]() -> awaitable<void> {
+        const std::string &key = fixture.members().key();
+        const auto isRecorded = [&] { return fixture.store.value(Feed::Members, key).has_value(); };
+        co_await fixture.waitFor(isRecorded);
+        co_await fixture.waitFor(
+            [&] { return fixture.feeds().table(Feed::Members).nextOffset() > 0; });
+        fixture.store.restore();
+        BOOST_TEST(!isRecorded());
+        co_await fixture.waitFor(isRecorded);
+        // Once more, before and after it was read back.
+        fixture.store.restore();
+        co_await fixture.waitFor(isRecorded);
+        fixture.store.restore();
+        co_await fixture.waitFor(isRecorded);
+    });
+}
+
+// Guards against taking a replica that started after the restore for the earlier one at its
+// address, whose record had the higher offset.
+BOOST_AUTO_TEST_CASE(replica_that_started_after_a_restore_replaces_the_one_before_it)
+{
+    GatewayFixture fixture;
+    fixture.writeConfig(1);
+    ScriptedReplica &replica = fixture.addReplica("padding", "plain", answerTo);
+    fixture.store.copy();
+    fixture.run([&]() -> awaitable<void> {
+        for (const char *id : {"p1", "p2", "p3"}) {
+            fixture.store.write(Feed::Replicas, id, replicaRecord("127.0.0.1:1", "ready"));
+        }
+        fixture.store.write(Feed::Replicas, "earlier", replicaRecord(replica.address(), "ready"));
+        co_await fixture.waitFor([&] { return isUsable(fixture, "earlier"); });
+        fixture.store.restore();
+        fixture.store.write(Feed::Replicas, "later", replicaRecord(replica.address(), "ready"));
+        co_await fixture.waitFor([&] { return isUsable(fixture, "later"); });
+        BOOST_TEST(!isUsable(fixture, "earlier"));
+    });
+}
