Feeds: positions in the store's logs carry the store's era

Callers got 404 on routes that had been acknowledged over two seconds before, and requests reached replicas over two seconds after they had said that they leave.

Cause: when the store returns from a copy, its offsets go back and are given out again. FeedTable kept the record with the higher offset and the cursor never fell, so new records were ignored until the log had grown past its former end; until then each read got 410 and was followed by a full read without a pause. Followers compared the same offsets.

Change: a position is (era, offset), from the header Store-Era; FollowUpdate and RelayedRecord carry the era, zero if a sender states none. Within an era the offset decides which record is newer. Between eras the later one does, except for what never goes back: versions of configurations and weights, and an incarnation of a replica that leaves or has newer weights. A table of an earlier era is read in full anew, by the planned readers first, as at a start. Followers are sent the keys alone of what they hold. Removals that the copy causes are not trusted; a replica that it revives is paused for as long as the platform lists silent ones.

--- a/src/libloomjunction/core/replica.h
+++ b/src/libloomjunction/core/replica.h
@@ -10,6 +10,7 @@
 
 #include "concurrencylimit.h"
 #include "instant.h"
+#include "logposition.h"
 #include "noticestate.h"
 #include "replicaratelimit.h"
 
@@ -34,7 +35,7 @@
     std::string address; ///< IP:PORT
     std::string dataCentre;
     std::uint32_t slots = 1;
-    std::uint64_t offset = 0; ///< position in the store; higher for later incarnations
+    LogPosition position; ///< in the store
     bool isDraining = false;
     /** Version of the completely loaded weights; zero: none are, or the service has none. */
     std::uint64_t weightsVersion = 0;
@@ -55,6 +56,18 @@
         return !isSameIncarnation(other.born);
     }
 
+    /**
+     * Whether this record is newer by its content than @p other of the same id: an incarnation
+     * starts later, or it begins to leave, or it has newer weights, and never goes back.
+     */
+    bool isNewerThan(const ReplicaRecord &other) const
+    {
+        if (isOtherIncarnation(other)) {
+            return born > other.born;
+        }
+        return (isDraining && !other.isDraining) || weightsVersion > other.weightsVersion;
+    }
+
     /** Whether all fields but the position in the store are equal. */
     bool hasSameContent(const ReplicaRecord &other) const
     {
--- a/src/libloomjunction/core/replicaset.cpp
+++ b/src/libloomjunction/core/replicaset.cpp
@@ -28,6 +28,9 @@
 // of the store's return. But a replica that leaves for good must get no requests after its
 // drain time, even if the store failed before. So its use ends this much earlier.
 constexpr Milliseconds sDrainMargin{500};
+// The platform removes the record of a replica that has missed three check-ins, each of which
+// is due after some 1.2 s.
+constexpr Milliseconds sConfirmationTime{4'000};
 constexpr double sSmoothingWeight = 0.15;
 // Replicas examined for one request: enough to balance their loads, and few enough that a
 // choice among thousands costs the same.
@@ -47,6 +50,15 @@
 
 } // namespace
 
+// Whether @p record describes an earlier incarnation than @p other at the same address. Positions
+// of different eras don't show it, because the later era begins with records of a copy.
+bool ReplicaSet::isEarlier(const ReplicaRecord &record, const ReplicaRecord &other)
+{
+    const bool isOrderedByStart
+        = record.position.era != other.position.era && record.born != 0 && other.born != 0;
+    return isOrderedByStart ? record.born < other.born : record.position < other.position;
+}
+
 // A restarted replica keeps its address and has a new id. The record of the earlier
 // incarnation stays in the store until it expires.
 void ReplicaSet::retireEarlierIncarnations(const ReplicaRecord &record, Instant now)
@@ -56,7 +68,7 @@
         if (!isSameAddress) {
             continue;
         }
-        if (other.record.offset < record.offset) {
+        if (isEarlier(other.record, record)) {
             replaced(id, now);
         } else if (other.removedAt == Instant()) {
             replaced(record.id, now);
@@ -101,6 +113,15 @@
     retireEarlierIncarnations(record, now);
 }
 
+void ReplicaSet::awaitConfirmation(std::string_view id, Instant now)
+{
+    const auto it = mReplicas.find(id);
+    if (it != mReplicas.end()) {
+        Instant &until = it->second.avoidedUntil;
+        until = std::max(until, now + sConfirmationTime);
+    }
+}
+
 void ReplicaSet::unreadable(std::string_view id, Instant now)
 {
     replaced(id, now);
--- a/src/libloomjunction/core/replicaset.h
+++ b/src/libloomjunction/core/replicaset.h
@@ -78,6 +78,12 @@
      * from the removal.
      */
     void remove(std::string_view id, bool trusted, Microseconds age, Instant now);
+    /**
+     * Pauses the replica @p id, whose removal was known before the store returned from a copy
+     * that holds its record. A replica that is gone has lost its record again by the end of the
+     * pause.
+     */
+    void awaitConfirmation(std::string_view id, Instant now);
     /** Disables the replica until its next record, because the current one is unreadable. */
     void unreadable(std::string_view id, Instant now);
     /** Disables the replica @p id, because another replica answered at its address. */
@@ -163,6 +169,7 @@
     static bool isCandidate(const Replica &replica, const ReplicaQuery &query, Instant now);
     std::vector<const Replica *> candidatesFor(const ReplicaQuery &query, Instant now) const;
     void keepNotices(const Replica &replica, Instant now);
+    static bool isEarlier(const ReplicaRecord &record, const ReplicaRecord &other);
     void retireEarlierIncarnations(const ReplicaRecord &record, Instant now);
     static void forgiveReloadFailures(Replica &replica, Instant now);
     static void stopAwaitingFirstByte(Replica &replica, bool isPatient);
--- a/src/libloomjunction/gateway/feedservice.cpp
+++ b/src/libloomjunction/gateway/feedservice.cpp
@@ -84,6 +84,10 @@
 // short enough for a timely startup without them.
 constexpr Milliseconds sStartupTimeout{2'000};
 constexpr Milliseconds sStartupReaderTimeout{1'000};
+// The same after the store's return from a copy. Configurations and leaving replicas must be
+// known two seconds after the store accepted them, also if the first planned reader is lost.
+constexpr Milliseconds sRestoreTimeout{1'000};
+constexpr Milliseconds sRestoreReaderTimeout{500};
 constexpr std::chrono::milliseconds sRequestTimeout{2'000};
 // A record may have been written at any time since the feed was last known to be complete.
 // Up to this much of that time is attributed to the wait of the poll and left out of the
@@ -93,20 +97,6 @@
 // assumed.
 constexpr Microseconds sUnknownAge = std::chrono::hours(24);
 
-// Orders the records of one key. A removal may have the same offset as the record that it
-// removes.
-std::uint64_t recordRank(const FeedRecord &record)
-{
-    return record.offset * 2 + (record.value ? 1 : 2);
-}
-
-// A process that knows all records before an offset may still miss a removal to which a full
-// read gave the offset of the last record before it.
-std::uint64_t lastKnownRank(std::uint64_t knownBefore)
-{
-    return knownBefore == 0 ? 0 : knownBefore * 2 - 1;
-}
-
 Milliseconds jitter(Milliseconds minDelay, Milliseconds maxDelay)
 {
     static std::mt19937 random{std::random_device{}()};
@@ -136,6 +126,7 @@
                 [this](PeerStreamPtr stream) { return serveFollower(std::move(stream)); });
     mStartupDeadline = now() + sStartupTimeout;
     for (const Feed feed : {Feed::Operators, Feed::Replicas, Feed::Members}) {
+        state(feed).readingOrder = {now(), sStartupReaderTimeout, sStartupTimeout};
         const bool isNeeded = mPreference == FeedPreference::Store || feed != Feed::Replicas;
         if (isNeeded) {
             asio::co_spawn(kernel.executor(), follow(feed), asio::detached);
@@ -164,7 +155,21 @@
     const FeedState &state = this->state(feed);
     const bool hasFailed
         = state.hasStoreFailed && now() - state.storeFailedAt <= sStoreFailureWindow;
-    return hasFailed || state.isRelayDoubtful;
+    const bool isRestored = state.restoredAt && now() - *state.restoredAt <= sStoreFailureWindow;
+    return hasFailed || isRestored || state.isRelayDoubtful;
+}
+
+bool FeedService::isRestoring() const
+{
+    return std::ranges::any_of(
+        mFeeds, [](const FeedState &state) { return !state.isSynced && state.restoredAt; });
+}
+
+// Whether the table was read before the store's last return from a copy.
+bool FeedService::isOutdated(Feed feed) const
+{
+    const FeedState &state = this->state(feed);
+    return !state.isFirstSync && state.table.next().era < mStore.era();
 }
 
 bool FeedService::hasStoreFailed() const
@@ -249,15 +254,16 @@
 // An agent that reaches none of its seeds eventually reads the members from the store, which
 // tell it the nearby gateways. The later deadline gives it time to follow one of them: if all
 // agents read the large feeds from the store at that point, they would saturate the links.
-Instant FeedService::startupDeadline(Feed feed) const
+Instant FeedService::readingDeadline(Feed feed) const
 {
+    const ReadingOrder &order = state(feed).readingOrder;
     const bool needsMembers = mPreference == FeedPreference::Peers && feed != Feed::Members;
-    return needsMembers ? mStartupDeadline + sStartupReaderTimeout : mStartupDeadline;
+    return order.begunAt + order.timeout + (needsMembers ? order.readerTimeout : Milliseconds(0));
 }
 
 bool FeedService::isStartingUp(Feed feed) const
 {
-    return !mStopped && !state(feed).isSynced && now() < startupDeadline(feed);
+    return !mStopped && !state(feed).isSynced && now() < readingDeadline(feed);
 }
 
 // Whether the first data, from the store or a peer, can still be expected: no store read has
@@ -268,9 +274,9 @@
     return !state.isSynced && !state.hasStoreFailed;
 }
 
-// When many processes start together, each would read the large feeds in full from the store,
-// and the responses would saturate the links that callers use. The members' feed is small, is
-// read at once, and determines who reads first.
+// When many processes start together, or the store returns from a copy, each would read the large
+// feeds in full from the store, and the responses would saturate the links that callers use. The
+// members' feed is small, is read at once, and determines who reads first.
 awaitable<void> FeedService::startUp(Feed feed)
 {
     const bool knowsOthers = mReaders || mPeers;
@@ -281,7 +287,7 @@
         co_await startUpFromPeers(feed);
         co_return;
     }
-    if (feed == Feed::Members) {
+    if (feed == Feed::Members && state(feed).isFirstSync) {
         co_return;
     }
     co_await waitForMembers(feed);
@@ -305,8 +311,8 @@
 
 awaitable<void> FeedService::waitForMembers(Feed feed)
 {
-    while (isStartingUp(feed) && isAwaitingData(Feed::Members)) {
-        co_await mChanged->waitUntil(steadyTime(startupDeadline(feed)));
+    while (feed != Feed::Members && isStartingUp(feed) && isAwaitingData(Feed::Members)) {
+        co_await mChanged->waitUntil(steadyTime(readingDeadline(feed)));
     }
 }
 
@@ -326,12 +332,12 @@
     }
     const std::vector<Tcp::endpoint> earlier = mReaders().earlier;
     const auto size = static_cast<std::int64_t>(earlier.size());
-    const Instant startedAt = mStartupDeadline - sStartupTimeout;
-    if (now() >= startedAt + sStartupReaderTimeout * size) {
+    const ReadingOrder &order = state(feed).readingOrder;
+    if (now() >= order.begunAt + order.readerTimeout * size) {
         co_return false;
     }
     for (const Tcp::endpoint &address : earlier) {
-        const auto left = std::chrono::duration_cast<Milliseconds>(mStartupDeadline - now());
+        const auto left = std::chrono::duration_cast<Milliseconds>(readingDeadline(feed) - now());
         if (!isStartingUp(feed) || co_await followPeer(feed, address, left)) {
             break;
         }
@@ -345,6 +351,10 @@
     co_await startUp(feed);
     while (!mStopped) {
         bool hasSucceeded = false;
+        if (isOutdated(feed) && state(feed).isSynced) {
+            beginRestore(feed);
+            co_await startUp(feed);
+        }
         if (isFollower(feed) && co_await followReader(feed)) {
             continue;
         }
@@ -359,11 +369,11 @@
     }
 }
 
-// Reads until the store fails, or once where that is enough; returns false if no read
-// succeeded.
+// Reads until the store fails or has returned from a copy, or once where that is enough;
+// returns false if no read succeeded.
 awaitable<bool> FeedService::readStore(Feed feed)
 {
-    FeedState &state = this->state(feed);
+    const FeedState &state = this->state(feed);
     bool hasRead = false;
     // A process that prefers its peers tries them again after each read of the store.
     const bool isSingleRead = mPreference == FeedPreference::Peers;
@@ -374,50 +384,81 @@
             }
             hasRead = true;
         }
-        const std::uint64_t from = state.table.nextOffset();
-        const Milliseconds wait = isSingleRead ? sMinRetryDelay : nextPollTimeout(feed);
-        const Instant asked = now();
-        const auto batch = co_await mStore.read(feed, from, wait);
-        if (!batch) {
-            updateStoreState(feed, batch.error() == StoreError::Forgotten,
-                             storeErrorName(batch.error()));
-            // Missed records are read from the end of the table. A full read after each
-            // failure would transfer everything again, for every gateway at once, just when
-            // the connection to the store is at its worst.
-            if (batch.error() == StoreError::Forgotten) {
-                countRefusedRead(feed);
-                state.isSynced = false;
-                continue;
-            }
+        if (!co_await readOnward(feed, isSingleRead ? sMinRetryDelay : nextPollTimeout(feed))) {
             co_return hasRead;
         }
         hasRead = true;
-        updateStoreState(feed, true, "read");
-        const Microseconds age = ageOfRead(feed, wait);
-        countRead(feed, "onward", batch->bytes);
-        for (const FeedRecord &record : batch->records) {
-            applyRead(feed, record, age);
-        }
-        state.table.setNextOffset(batch->next);
-        // The response may have been in transit for long. It shows the store as of the time of
-        // the request, or as of the end of the wait if nothing was found during all of it.
-        const bool hasFound = !batch->records.empty();
-        state.hasReturnedEarly = hasFound || now() < asked + wait;
-        if (!batch->hasMore) {
-            updateCompleteAt(feed, state.hasReturnedEarly ? asked : asked + wait);
-        }
-        state.isRelayDoubtful = false;
-        if (hasFound) {
-            wakeFollowers(feed);
-            co_await sleepFor(readDelay(feed));
-        }
-        if (isSingleRead || isFollower(feed)) {
+        if (isSingleRead || isOutdated(feed) || isFollower(feed)) {
             co_return true;
         }
     }
     co_return hasRead;
 }
 
+// Reads what follows the table; returns false if the store failed. Records of a later era than
+// the table's are not applied, since the table may lack others before them.
+awaitable<bool> FeedService::readOnward(Feed feed, Milliseconds wait)
+{
+    FeedState &state = this->state(feed);
+    const LogPosition from = state.table.next();
+    const Instant asked = now();
+    const auto batch = co_await mStore.read(feed, from.offset, wait);
+    if (!batch) {
+        co_await handleFailedRead(feed, batch.error());
+        co_return batch.error() == StoreError::Forgotten;
+    }
+    updateStoreState(feed, true, "read");
+    state.isRefused = false;
+    countRead(feed, "onward", batch->bytes);
+    if (batch->era != from.era) {
+        co_return true;
+    }
+    applyBatch(feed, *batch, asked, wait);
+    if (!batch->records.empty()) {
+        wakeFollowers(feed);
+        co_await sleepFor(readDelay(feed));
+    }
+    co_return true;
+}
+
+// Missed records are read from the end of the table. A full read after each failure would
+// transfer everything again, for every gateway at once, just when the connection to the store
+// is at its worst. It follows only if the store doesn't hold the end of the table.
+awaitable<void> FeedService::handleFailedRead(Feed feed, StoreError error)
+{
+    FeedState &state = this->state(feed);
+    const bool isRefused = error == StoreError::Forgotten;
+    updateStoreState(feed, isRefused, storeErrorName(error));
+    if (!isRefused) {
+        co_return;
+    }
+    countRefusedRead(feed);
+    if (isOutdated(feed)) {
+        co_return; // the planned readers read first
+    }
+    state.isSynced = false;
+    if (std::exchange(state.isRefused, true)) {
+        co_await sleepFor(jitter(sMinRetryDelay, sMaxRetryDelay));
+    }
+}
+
+void FeedService::applyBatch(Feed feed, const FeedBatch &batch, Instant asked, Milliseconds wait)
+{
+    FeedState &state = this->state(feed);
+    const Microseconds age = ageOfRead(feed, wait);
+    for (const FeedRecord &record : batch.records) {
+        applyRead(feed, record, age);
+    }
+    state.table.setNext({batch.era, batch.next});
+    // The response may have been in transit for long. It shows the store as of the time of the
+    // request, or as of the end of the wait if nothing was found during all of it.
+    state.hasReturnedEarly = !batch.records.empty() || now() < asked + wait;
+    if (!batch.hasMore) {
+        updateCompleteAt(feed, state.hasReturnedEarly ? asked : asked + wait);
+    }
+    state.isRelayDoubtful = false;
+}
+
 awaitable<bool> FeedService::sync(Feed feed)
 {
     FeedState &state = this->state(feed);
@@ -430,23 +471,88 @@
     updateStoreState(feed, true, "full read");
     countRead(feed, "full", batch->bytes);
     noteLogEnd(feed, batch->next);
-    // At the first read, it is unknown when the records were written.
-    const LoopStep step("taking a full read");
-    const Microseconds age = state.isFirstSync ? sUnknownAge : ageOfRead(feed, Milliseconds(0));
-    for (const std::string &key : state.table.applySnapshot(batch->records, batch->next)) {
-        state.learnedAt[key] = now() - std::min(age, sUnknownAge);
-        state.origins[key] = RecordOrigin();
-        notifyListeners(feed, state.table.all().find(key)->second, age);
+    const bool isRestored = !state.isFirstSync && batch->era > state.table.next().era;
+    if (isRestored) {
+        state.restoredAt = now();
     }
-    state.removalsKnownFrom = batch->next;
+    applyFullRead(feed, *batch);
     state.isFirstSync = false;
     state.isSynced = true;
     state.hasReturnedEarly = false;
     updateCompleteAt(feed, asked);
+    if (isRestored) {
+        finishRestore(feed);
+    }
     wakeFollowers(feed);
     co_return true;
 }
 
+void FeedService::applyFullRead(Feed feed, const FeedBatch &batch)
+{
+    const LoopStep step("taking a full read");
+    FeedState &state = this->state(feed);
+    // At the first read, it is unknown when the records were written.
+    const Microseconds age = state.isFirstSync ? sUnknownAge : ageOfRead(feed, Milliseconds(0));
+    const LogPosition end{batch.era, batch.next};
+    std::set<std::string_view> present;
+    for (const FeedRecord &record : batch.records) {
+        present.insert(record.key);
+        const bool isRevived = state.table.isRevival(record);
+        if (state.table.apply(record)) {
+            state.learnedAt[record.key] = now() - std::min(age, sUnknownAge);
+            state.origins[record.key] = RecordOrigin();
+            notifyListeners(feed, record, age, isRevived);
+        }
+    }
+    announceRemovals(feed, present, end, age);
+    state.table.setNext(end);
+    state.removalsKnownFrom = std::max(state.removalsKnownFrom, end);
+}
+
+// Announces the removal of the keys that a read of all keys did not return. A replica whose
+// record the store has lost may write it again, so its removal counts from now.
+void FeedService::announceRemovals(Feed feed, const std::set<std::string_view> &present,
+                                   LogPosition end, Microseconds age)
+{
+    FeedState &state = this->state(feed);
+    for (const RemovedKey &removed : state.table.removeAbsent(present, end)) {
+        const Microseconds removedAgo = removed.isLost ? Microseconds(0) : age;
+        state.learnedAt[removed.key] = now() - std::min(removedAgo, sUnknownAge);
+        state.origins[removed.key] = RecordOrigin();
+        notifyListeners(feed, state.table.all().find(removed.key)->second, removedAgo);
+    }
+}
+
+// The store has returned from a copy: offsets were given out again, and records written after
+// the copy are lost.
+void FeedService::beginRestore(Feed feed)
+{
+    FeedState &state = this->state(feed);
+    state.isSynced = false;
+    state.isRefused = false;
+    state.restoredAt = now();
+    state.readingOrder = {now(), sRestoreReaderTimeout, sRestoreTimeout};
+    logLine(LogLevel::Warning, "feed-outdated",
+            {{"feed", feedName(feed)},
+             {"era", state.table.next().era},
+             {"offset", state.table.nextOffset()},
+             {"storeEra", mStore.era()}});
+}
+
+void FeedService::finishRestore(Feed feed)
+{
+    FeedState &state = this->state(feed);
+    ++state.changeCount; // followers need the new positions, also if no value has changed
+    logLine(LogLevel::Warning, "feed-restored",
+            {{"feed", feedName(feed)},
+             {"era", state.table.next().era},
+             {"offset", state.table.nextOffset()},
+             {"missing", state.table.missing().size()}});
+    for (const RestoreListener &listener : state.restoreListeners) {
+        listener(state.table.missing());
+    }
+}
+
 void FeedService::updateStoreState(Feed feed, bool isReached, std::string_view reason)
 {
     FeedState &state = this->state(feed);
@@ -468,7 +574,7 @@
 {
     FeedState &state = this->state(feed);
     const std::uint64_t expected = state.table.nextOffset();
-    const bool isShortened = end < expected;
+    const bool isShortened = !isOutdated(feed) && end < expected;
     if (isShortened && !state.isLogShortened) {
         logLine(LogLevel::Warning, "store-log-shortened",
                 {{"feed", feedName(feed)}, {"end", end}, {"expected", expected}});
@@ -501,17 +607,18 @@
     }
     const auto known = state.table.all().find(record.key);
     const bool hasValue = known != state.table.all().end() && known->second.value;
-    return hasValue && known->second.offset < record.offset
+    return hasValue && known->second.era == record.era && known->second.offset < record.offset
         && state.isEquivalent(known->second, record);
 }
 
 // Applies a record from the store's log. A log grows at its end, so a record of an earlier
-// offset than the known one shows that the log is not the one read before.
+// offset than the known one shows that the store returned from a copy without a new era.
 void FeedService::applyRead(Feed feed, const FeedRecord &record, Microseconds age)
 {
     const auto &records = state(feed).table.all();
     const auto known = records.find(record.key);
-    if (known != records.end() && known->second.offset > record.offset) {
+    const bool isComparable = known != records.end() && known->second.era == record.era;
+    if (isComparable && known->second.offset > record.offset) {
         logLine(LogLevel::Warning, "record-passed-over",
                 {{"feed", feedName(feed)},
                  {"key", record.key},
@@ -521,7 +628,8 @@
     apply(feed, record, age);
 }
 
-void FeedService::apply(Feed feed, const FeedRecord &record, Microseconds age, RecordOrigin origin)
+void FeedService::apply(Feed feed, const FeedRecord &record, Microseconds age, RecordOrigin origin,
+                        bool isRevived)
 {
     FeedState &state = this->state(feed);
     if (isUnchanged(feed, record) || !state.table.apply(record)) {
@@ -529,28 +637,32 @@
     }
     state.learnedAt[record.key] = now() - std::min(age, sUnknownAge);
     state.origins[record.key] = std::move(origin);
-    notifyListeners(feed, record, age);
+    notifyListeners(feed, record, age, isRevived);
 }
 
 // Changes of a record in quick succession are relayed as the last one only. A record that is
 // equivalent to the known one may thus have replaced a different value: its offset must be
 // stored, or a process that knows the other value would never learn that it is outdated.
 void FeedService::applyRelayed(Feed feed, const FeedRecord &record, Microseconds age,
-                               RecordOrigin origin)
+                               RecordOrigin origin, bool isCopy)
 {
+    FeedState &state = this->state(feed);
+    const bool isRevived = isCopy && state.table.isRevival(record);
     if (isUnchanged(feed, record)) {
         // Followers of this process may know the intermediate value.
-        state(feed).changeCount += state(feed).table.apply(record) ? 1 : 0;
+        state.changeCount += state.table.apply(record) ? 1 : 0;
         return;
     }
-    apply(feed, record, age, std::move(origin));
+    apply(feed, record, age, std::move(origin), isRevived);
 }
 
-void FeedService::notifyListeners(Feed feed, const FeedRecord &record, Microseconds age)
+void FeedService::notifyListeners(Feed feed, const FeedRecord &record, Microseconds age,
+                                  bool isRevived)
 {
     FeedState &state = this->state(feed);
     ++state.changeCount;
-    const FeedChange change{record, age, !isStoreDoubtful(feed), state.origins[record.key]};
+    const FeedChange change{record, age, !isStoreDoubtful(feed), state.origins[record.key],
+                            isRevived};
     for (const Listener &listener : state.listeners) {
         listener(change);
     }
@@ -603,7 +715,9 @@
     wire::FollowRequest request;
     request.set_feed(static_cast<std::uint32_t>(feed));
     request.set_box(mBox);
-    request.set_known_before(knownBefore(feed));
+    request.set_known_before(knownBefore(feed).offset);
+    request.set_known_era(knownBefore(feed).era);
+    request.set_accepts_unchanged(true);
     const bool asFollower = isFollower(feed);
     const Milliseconds maxAge = feed == Feed::Members ? sMaxRelayedMembersAge : sMaxRelayedAge;
     const Instant until = now() + maxDuration;
@@ -632,7 +746,8 @@
         if (!update && update.error() == PeerError::TimedOut && now() < timeoutAt) {
             continue; // the next query is due
         }
-        const bool isAwaitingData = update && *update && (*update)->waiting();
+        const bool isAwaitingData
+            = update && *update && ((*update)->waiting() || isOfEarlierEra(feed, **update));
         if (isAwaitingData && isStartingUp(feed)) {
             queries.answered();
             lastReceivedAt = now();
@@ -659,7 +774,7 @@
 std::optional<FeedRecord> FeedService::readRelayed(Feed feed,
                                                    const wire::RelayedRecord &relayed) const
 {
-    FeedRecord record{relayed.key(), std::nullopt, relayed.offset()};
+    FeedRecord record{relayed.key(), std::nullopt, relayed.offset(), relayed.era()};
     if (!relayed.compressed().empty()) {
         auto value = decompressed(relayed.compressed(), sMaxValueSize);
         if (!value) {
@@ -674,8 +789,17 @@
     return record;
 }
 
-// Returns false if the update holds an unreadable record. The end offset of the update is then
-// ignored, so that the same records are read from the store.
+// Whether the update shows the store before its last return from a copy. Records of such an
+// update may be lost, and its age says nothing about the present store.
+bool FeedService::isOfEarlierEra(Feed feed, const wire::FollowUpdate &update) const
+{
+    const std::uint64_t known = state(feed).table.next().era;
+    const std::uint64_t needed = isStartingUp(feed) ? std::max(known, mStore.era()) : known;
+    return update.next_era() < needed;
+}
+
+// Returns false if the update holds an unreadable record. The end of the update is then ignored,
+// so that the same records are read from the store.
 bool FeedService::applyUpdate(Feed feed, const wire::FollowUpdate &update, PendingQueries &queries,
                               const Tcp::endpoint &from)
 {
@@ -686,22 +810,19 @@
     // they are counted from the last query that the sender had received by then.
     const bool isAnswer = update.records().empty() && !update.whole();
     const std::optional<Instant> knownAsOf = isAnswer ? queries.answered() : queries.heard();
-    for (const wire::RelayedRecord &relayed : update.records()) {
-        const auto record = readRelayed(feed, relayed);
-        if (!record) {
-            return false;
-        }
-        applyRelayed(feed, *record, now() - *knownAsOf + Milliseconds(relayed.age_ms()),
-                     {endpointText(from), relayed.hops() + 1});
+    const bool isRestored = !state.isFirstSync && update.next_era() > state.table.next().era;
+    if (isRestored && !update.whole()) {
+        return false;
     }
-    if (update.whole()) {
-        applyFullUpdate(feed, update, now() - *knownAsOf);
+    if (isRestored) {
+        state.restoredAt = now();
+    }
+    if (!isAnswer && !applyRecords(feed, update, now() - *knownAsOf, from)) {
+        return false;
     }
     // Each update holds everything that the peer knows and had not sent yet, so this table now
     // reaches as far as the peer's.
-    if (update.next_offset() > state.table.nextOffset()) {
-        state.table.setNextOffset(update.next_offset());
-    }
+    state.table.setNext({update.next_era(), update.next_offset()});
     if (update.complete()) {
         state.isSynced = true;
         state.isFirstSync = false;
@@ -709,31 +830,58 @@
     if (knownAsOf) {
         updateCompleteAt(feed, *knownAsOf - Milliseconds(update.age_ms()));
     }
+    if (isRestored) {
+        finishRestore(feed);
+    }
     if (!isAnswer) {
         wakeFollowers(feed);
     }
     return true;
 }
 
+// Applies the records of an update that was sent @p elapsed ago.
+bool FeedService::applyRecords(Feed feed, const wire::FollowUpdate &update, Microseconds elapsed,
+                               const Tcp::endpoint &from)
+{
+    FeedState &state = this->state(feed);
+    const bool isCopy = update.whole() && update.next_era() > state.table.next().era;
+    for (const wire::RelayedRecord &relayed : update.records()) {
+        if (relayed.unchanged()) {
+            if (!state.table.move(relayed.key(), {relayed.era(), relayed.offset()})) {
+                return false;
+            }
+            continue;
+        }
+        const auto record = readRelayed(feed, relayed);
+        if (!record) {
+            return false;
+        }
+        applyRelayed(feed, *record, elapsed + Milliseconds(relayed.age_ms()),
+                     {endpointText(from), relayed.hops() + 1}, isCopy);
+    }
+    if (update.whole()) {
+        applyFullUpdate(feed, update, elapsed);
+    }
+    return true;
+}
+
 // Removes the keys that are missing from a full update. The store no longer held them at a
 // full read, so no update reports their removal.
 void FeedService::applyFullUpdate(Feed feed, const wire::FollowUpdate &update, Microseconds age)
 {
     FeedState &state = this->state(feed);
+    const LogPosition end{update.next_era(), update.next_offset()};
     std::set<std::string_view> present;
     for (const wire::RelayedRecord &relayed : update.records()) {
         present.insert(relayed.key());
     }
-    std::vector<std::string> removedKeys;
-    for (const auto &[key, record] : state.table.all()) {
-        if (record.value && record.offset < update.next_offset() && !present.contains(key)) {
-            removedKeys.push_back(key);
+    announceRemovals(feed, present, end, age);
+    for (const wire::RelayedRecord &relayed : update.records()) {
+        if (relayed.missing()) {
+            state.table.noteMissing(relayed.key());
         }
     }
-    for (const std::string &key : removedKeys) {
-        apply(feed, {key, std::nullopt, update.next_offset() - 1}, age);
-    }
-    state.removalsKnownFrom = std::max(state.removalsKnownFrom, update.next_offset());
+    state.removalsKnownFrom = std::max(state.removalsKnownFrom, end);
 }
 
 // A configuration of some thousand routes has some hundred kilobytes. Relaying it uncompressed
@@ -758,35 +906,36 @@
 }
 
 // A table that has never been complete may lack records before its end.
-std::uint64_t FeedService::knownBefore(Feed feed) const
+LogPosition FeedService::knownBefore(Feed feed) const
 {
     const FeedState &state = this->state(feed);
-    return state.isSynced ? state.table.nextOffset() : 0;
+    return state.isFirstSync ? LogPosition() : state.table.next();
 }
 
-// Collects the records that have not been sent to the follower yet.
-wire::FollowUpdate FeedService::newRecords(Follower &follower)
+// Collects the records that have not been sent to the follower yet. A full update also names the
+// other keys, since the follower removes those that it doesn't name.
+wire::FollowUpdate FeedService::newRecords(Follower &follower, bool isFullUpdate)
 {
     const LoopStep step("building an update for a follower");
     FeedState &state = this->state(follower.feed);
     wire::FollowUpdate update;
-    if (follower.sentChangeCount == state.changeCount) {
-        return update;
-    }
-    follower.sentChangeCount = state.changeCount;
     for (const auto &[key, record] : state.table.all()) {
-        const std::uint64_t rank = recordRank(record);
-        SentRanks &sent = follower.sent;
-        std::uint64_t &known = sent.byKey.try_emplace(key, sent.all).first->second;
-        if (known >= rank) {
+        const bool isHeld = follower.sent.holds(record, state.table.movedFrom(key));
+        follower.sent.noteSent(record);
+        if (isHeld && !(isFullUpdate && record.value)) {
             continue;
         }
-        known = rank;
         wire::RelayedRecord &relayed = *update.add_records();
         relayed.set_key(key);
+        relayed.set_offset(record.offset);
+        relayed.set_era(record.era);
+        relayed.set_missing(state.table.missing().contains(key));
+        if (isHeld) {
+            relayed.set_unchanged(true);
+            continue;
+        }
         relayed.set_removed(!record.value);
         setRelayedValue(state, record, relayed);
-        relayed.set_offset(record.offset);
         relayed.set_hops(state.origins[key].hops);
         const auto age = std::chrono::ceil<Milliseconds>(now() - state.learnedAt[key]);
         relayed.set_age_ms(static_cast<std::uint64_t>(age.count()));
@@ -799,6 +948,7 @@
     const auto age = std::chrono::ceil<Milliseconds>(this->age(feed).value_or(sUnknownAge));
     update.set_age_ms(static_cast<std::uint64_t>(age.count()));
     update.set_next_offset(state(feed).table.nextOffset());
+    update.set_next_era(state(feed).table.next().era);
     update.set_complete(state(feed).isSynced);
     update.set_store_doubtful(isStoreDoubtful(feed));
 }
@@ -838,21 +988,28 @@
 }
 
 // This process does not know of removals before its own full read. A follower whose table ends
-// before that read is therefore sent all keys.
+// before that read is therefore sent all keys. A follower that knows a later era than this
+// process has no use for its records.
 wire::FollowUpdate FeedService::buildUpdate(Follower &follower)
 {
     const FeedState &state = this->state(follower.feed);
+    SentRecords &sent = follower.sent;
     if (follower.sentChangeCount == state.changeCount) {
         return {};
     }
-    SentRanks &sent = follower.sent;
-    const bool isFullUpdate = state.isSynced && sent.knownBefore < state.removalsKnownFrom;
-    if (isFullUpdate) {
-        sent = {};
+    follower.sentChangeCount = state.changeCount;
+    if (sent.knownBefore().era > state.table.next().era) {
+        return {};
+    }
+    const bool isFullUpdate = state.isSynced && sent.knownBefore() < state.removalsKnownFrom;
+    if (isFullUpdate && !follower.acceptsUnchanged) {
+        sent.clear();
     }
-    wire::FollowUpdate update = newRecords(follower);
+    wire::FollowUpdate update = newRecords(follower, isFullUpdate);
     update.set_whole(isFullUpdate);
-    sent.knownBefore = state.isSynced ? state.table.nextOffset() : sent.knownBefore;
+    if (state.isSynced) {
+        sent.setKnownBefore(state.table.next());
+    }
     return update;
 }
 
@@ -921,10 +1078,14 @@
     }
     const auto executor = stream->connection()->executor();
     // Sending the whole table on each new stream would saturate the links that callers use.
-    const std::uint64_t knownBefore = (*request)->known_before();
-    SentRanks sent{lastKnownRank(knownBefore), knownBefore, {}};
-    const auto follower = std::make_shared<Follower>(Follower{
-        stream, static_cast<Feed>((*request)->feed()), std::move(sent), {}, 1, Signal(executor)});
+    const LogPosition knownBefore{(*request)->known_era(), (*request)->known_before()};
+    const auto follower = std::make_shared<Follower>(Follower{stream,
+                                                              static_cast<Feed>((*request)->feed()),
+                                                              SentRecords(knownBefore),
+                                                              (*request)->accepts_unchanged(),
+                                                              {},
+                                                              1,
+                                                              Signal(executor)});
     mFollowers.insert(follower);
     asio::co_spawn(executor, receiveQueries(follower), asio::detached);
     co_await sendUpdates(follower);
--- a/src/libloomjunction/gateway/feedservice.h
+++ b/src/libloomjunction/gateway/feedservice.h
@@ -14,6 +14,7 @@
 #include "kernel.h"
 #include "peerstream.h"
 #include "ports.h"
+#include "sentrecords.h"
 
 #include <array>
 #include <functional>
@@ -65,6 +66,8 @@
     Microseconds age; ///< estimated time since the store accepted it, transit included
     bool isTrusted; ///< the store had no recent failure when the change was read
     const RecordOrigin &origin;
+    /** The store's copy holds a record whose removal was known, and which may thus be outdated. */
+    bool isRevived = false;
 };
 
 /**
@@ -77,6 +80,8 @@
 public:
     static constexpr std::string_view sName = "feeds";
     using Listener = std::function<void(const FeedChange &change)>;
+    /** @p missing: keys that the store has lost, and that stay valid. */
+    using RestoreListener = std::function<void(const FeedTable::Keys &missing)>;
     using PeerAddresses = std::function<std::vector<Tcp::endpoint>()>;
     using Readers = std::function<FeedReaders()>;
     /** Whether a new value of a record means the same as the known one. */
@@ -96,6 +101,13 @@
     void countInto(Metrics &metrics) { mMetrics = &metrics; }
     /** Calls @p listener for every change of @p feed; must be called before start(). */
     void listen(Feed feed, Listener listener);
+    /** Calls @p listener when @p feed was read for the first time after the store's return. */
+    void listenRestored(Feed feed, RestoreListener listener)
+    {
+        state(feed).restoreListeners.push_back(std::move(listener));
+    }
+    /** Sets which records of @p feed stay valid when the store returns from a copy. */
+    void setEraRules(Feed feed, EraRules rules) { state(feed).table.setEraRules(std::move(rules)); }
     /** Neither announces nor relays records of @p feed that are equivalent to the known one. */
     void skipUnchanged(Feed feed, EquivalencePredicate isEquivalent)
     {
@@ -124,6 +136,8 @@
      * member states received so far.
      */
     bool isInStartup() const { return now() < mStartupDeadline; }
+    /** Whether a feed has yet to be read after the store's return from a copy. */
+    bool isRestoring() const;
     const FeedTable &table(Feed feed) const { return state(feed).table; }
 
 private:
@@ -133,18 +147,19 @@
         std::string bytes;
     };
 
-    /** Ranks of the newest records that a follower knows, see recordRank(). */
-    struct SentRanks
+    /** Period in which a feed that is not synced is read by the planned readers first. */
+    struct ReadingOrder
     {
-        std::uint64_t all = 0; ///< the follower knows every record up to this rank
-        std::uint64_t knownBefore = 0; ///< the follower knows all changes before this offset
-        std::map<std::string, std::uint64_t, std::less<>> byKey;
+        Instant begunAt;
+        Milliseconds readerTimeout{0}; ///< time that each preceding reader is given
+        Milliseconds timeout{0};
     };
 
     struct FeedState
     {
         FeedTable table;
         std::vector<Listener> listeners;
+        std::vector<RestoreListener> restoreListeners;
         EquivalencePredicate isEquivalent;
         std::map<std::string, Instant> learnedAt;
         std::map<std::string, RecordOrigin> origins; ///< of the newest record, by key
@@ -155,7 +170,10 @@
         bool hasStoreFailed = false;
         bool isStoreReached = false;
         bool isSynced = false; ///< the table holds all records before its next offset
-        std::uint64_t removalsKnownFrom = 0; ///< removals at or after this offset are in the table
+        LogPosition removalsKnownFrom; ///< removals at or after this position are in the table
+        ReadingOrder readingOrder;
+        std::optional<Instant> restoredAt; ///< when the store's last return was noticed
+        bool isRefused = false; ///< the last read was refused; nothing was read since
         bool isFirstSync = true; ///< the table has not been complete since this process started
         bool isRelayDoubtful = false; ///< the followed process reports a recent store failure
         bool isLogShortened = false; ///< at the last full read, the log ended before the table
@@ -168,7 +186,8 @@
     {
         PeerStreamPtr stream;
         Feed feed = Feed::Operators;
-        SentRanks sent;
+        SentRecords sent{LogPosition()};
+        bool acceptsUnchanged = false; ///< see wire::FollowRequest::accepts_unchanged
         std::optional<std::uint64_t>
             sentChangeCount; ///< change count of the feed when it was last sent
         std::uint32_t pendingQueryCount = 1; ///< includes the request that opened the stream
@@ -185,11 +204,20 @@
     awaitable<void> waitForMembers(Feed feed);
     awaitable<void> delayStartup(Feed feed);
     awaitable<bool> followEarlierReaders(Feed feed);
-    Instant startupDeadline(Feed feed) const;
+    Instant readingDeadline(Feed feed) const;
     bool isStartingUp(Feed feed) const;
     bool isAwaitingData(Feed feed) const;
     awaitable<bool> readStore(Feed feed);
+    awaitable<bool> readOnward(Feed feed, Milliseconds wait);
+    awaitable<void> handleFailedRead(Feed feed, StoreError error);
+    void applyBatch(Feed feed, const FeedBatch &batch, Instant asked, Milliseconds wait);
     awaitable<bool> sync(Feed feed);
+    void applyFullRead(Feed feed, const FeedBatch &batch);
+    bool isOutdated(Feed feed) const;
+    void beginRestore(Feed feed);
+    void finishRestore(Feed feed);
+    void announceRemovals(Feed feed, const std::set<std::string_view> &present, LogPosition end,
+                          Microseconds age);
     awaitable<bool> readPeer(Feed feed);
     awaitable<bool> followPeer(Feed feed, Tcp::endpoint address, Milliseconds maxDuration);
     awaitable<bool> followReader(Feed feed);
@@ -197,13 +225,16 @@
     bool isStoreDoubtful(Feed feed) const;
     static void setRelayedValue(FeedState &state, const FeedRecord &record,
                                 wire::RelayedRecord &relayed);
+    bool isOfEarlierEra(Feed feed, const wire::FollowUpdate &update) const;
     bool applyUpdate(Feed feed, const wire::FollowUpdate &update, PendingQueries &queries,
                      const Tcp::endpoint &from);
+    bool applyRecords(Feed feed, const wire::FollowUpdate &update, Microseconds elapsed,
+                      const Tcp::endpoint &from);
     void applyFullUpdate(Feed feed, const wire::FollowUpdate &update, Microseconds age);
     std::optional<FeedRecord> readRelayed(Feed feed, const wire::RelayedRecord &relayed) const;
-    std::uint64_t knownBefore(Feed feed) const;
+    LogPosition knownBefore(Feed feed) const;
     void updateCompleteAt(Feed feed, Instant at);
-    wire::FollowUpdate newRecords(Follower &follower);
+    wire::FollowUpdate newRecords(Follower &follower, bool isFullUpdate);
     wire::FollowUpdate buildUpdate(Follower &follower);
     void setUpdateState(Feed feed, wire::FollowUpdate &update) const;
     bool sendUpdate(Follower &follower);
@@ -219,9 +250,12 @@
     void countRead(Feed feed, std::string_view kind, std::uint64_t bytes);
     void countRefusedRead(Feed feed);
     void applyRead(Feed feed, const FeedRecord &record, Microseconds age);
-    void apply(Feed feed, const FeedRecord &record, Microseconds age, RecordOrigin origin = {});
-    void applyRelayed(Feed feed, const FeedRecord &record, Microseconds age, RecordOrigin origin);
-    void notifyListeners(Feed feed, const FeedRecord &record, Microseconds age);
+    void apply(Feed feed, const FeedRecord &record, Microseconds age, RecordOrigin origin = {},
+               bool isRevived = false);
+    void applyRelayed(Feed feed, const FeedRecord &record, Microseconds age, RecordOrigin origin,
+                      bool isCopy);
+    void notifyListeners(Feed feed, const FeedRecord &record, Microseconds age,
+                         bool isRevived = false);
     awaitable<void> serveFollower(PeerStreamPtr stream);
     Milliseconds pollTimeout(Feed feed) const;
     Milliseconds nextPollTimeout(Feed feed) const;
--- a/src/libloomjunction/gateway/operatorconfigservice.cpp
+++ b/src/libloomjunction/gateway/operatorconfigservice.cpp
@@ -50,6 +50,11 @@
 {
     mFeeds = &kernel.find<FeedService>(FeedService::sName);
     mFeeds->listen(Feed::Operators, [this](const FeedChange &change) { applyRecord(change); });
+    mFeeds->setEraRules(Feed::Operators,
+                        {[this](const FeedRecord &earlier, const FeedRecord &later) {
+                             return isNewerVersion(earlier, later);
+                         },
+                         true});
     setBounds(mBounds);
     return {};
 }
@@ -61,6 +66,32 @@
     mFeeds->setOperatorsPollTimeout(bounds.maxConfigAge / sReadsPerMaxAge);
 }
 
+// Versions of configurations and weights only rise, and operators write again what the store has
+// lost. Until then, the version known stays in force.
+bool OperatorConfigService::isNewerVersion(const FeedRecord &earlier, const FeedRecord &later) const
+{
+    const auto earlierVersion = versionOf(earlier);
+    const auto laterVersion = versionOf(later);
+    return earlierVersion && (!laterVersion || *earlierVersion > *laterVersion);
+}
+
+std::optional<std::uint64_t> OperatorConfigService::versionOf(const FeedRecord &record) const
+{
+    if (!record.value) {
+        return std::nullopt;
+    }
+    const auto parsed = mRecords.operatorRecord(record.key, *record.value);
+    if (!parsed) {
+        return std::nullopt;
+    }
+    return std::visit(Overload{
+                          [](const RouteConfig &config) { return std::optional(config.version); },
+                          [](const NamedWeights &named) { return std::optional(named.version); },
+                          [](const UnrelatedRecord &) { return std::optional<std::uint64_t>(); },
+                      },
+                      *parsed);
+}
+
 bool OperatorConfigService::mayBeStale() const
 {
     const auto age = mFeeds->age(Feed::Operators);
--- a/src/libloomjunction/gateway/operatorconfigservice.h
+++ b/src/libloomjunction/gateway/operatorconfigservice.h
@@ -21,6 +21,7 @@
 
 class FeedService;
 struct FeedChange;
+struct FeedRecord;
 class Metrics;
 
 /** Holds the operators' configuration and selected weight versions known to this process. */
@@ -49,6 +50,8 @@
     void setBounds(const MemberBounds &bounds);
 
 private:
+    bool isNewerVersion(const FeedRecord &earlier, const FeedRecord &later) const;
+    std::optional<std::uint64_t> versionOf(const FeedRecord &record) const;
     void applyRecord(const FeedChange &change);
     void install(RouteConfig config, const FeedChange &change);
     void observeAge(const FeedChange &change);
--- a/src/libloomjunction/gateway/ports.cpp
+++ b/src/libloomjunction/gateway/ports.cpp
@@ -32,6 +32,8 @@
         return "refused";
     case StoreError::Forgotten:
         return "forgotten";
+    case StoreError::Restored:
+        return "restored";
     case StoreError::Malformed:
         return "malformed";
     }
--- a/src/libloomjunction/gateway/ports.h
+++ b/src/libloomjunction/gateway/ports.h
@@ -50,6 +50,7 @@
     Refused, ///< rejected without effect; a retry may succeed
     Forgotten, ///< the store no longer retains the requested records
     Malformed, ///< the response cannot be parsed
+    Restored, ///< the store returned from a copy between the pages of a full read
 };
 std::string_view storeErrorName(StoreError error);
 
@@ -57,6 +58,7 @@
 {
     std::vector<FeedRecord> records;
     std::uint64_t next = 0; ///< offset after the last record
+    std::uint64_t era = 0; ///< of the store, see LogPosition; of all records, too
     bool hasMore = false; ///< the store holds more records, which the next read returns
     std::uint64_t bytes = 0; ///< size of the store's responses
 };
@@ -66,7 +68,11 @@
 {
 public:
     virtual ~StorePort() = default;
-    /** Reads records from offset @p from on; waits up to @p wait for the first one. */
+    /**
+     * Reads records from offset @p from on; waits up to @p wait for the first one. If the batch
+     * has another era than @p from, its records are of no use, because offsets of different eras
+     * can't be compared.
+     */
     virtual awaitable<tl::expected<FeedBatch, StoreError>> read(Feed feed, std::uint64_t from,
                                                                 Milliseconds wait)
         = 0;
@@ -79,6 +85,8 @@
     virtual awaitable<tl::expected<void, StoreError>> put(std::string key,
                                                           std::optional<std::string> value)
         = 0;
+    /** Highest era in a response so far, of any feed and also of failed calls; zero: none. */
+    virtual std::uint64_t era() const = 0;
 };
 
 /** Version of the weights that operators chose for a model. */
--- a/src/libloomjunction/gateway/replicaservice.cpp
+++ b/src/libloomjunction/gateway/replicaservice.cpp
@@ -66,6 +66,10 @@
     mFeeds->skipUnchanged(Feed::Replicas, [this](const FeedRecord &known, const FeedRecord &next) {
         return hasSameContent(known, next);
     });
+    mFeeds->setEraRules(Feed::Replicas,
+                        {[this](const FeedRecord &earlier, const FeedRecord &later) {
+                            return hasOutlasted(earlier, later);
+                        }});
     setBounds(mSettings.bounds);
     mConfig = &kernel.find<OperatorConfigService>(OperatorConfigService::sName);
     mLoadProber = std::make_unique<LoadProber>(
@@ -113,8 +117,21 @@
                  {"reborn", hasRestarted},
                  {"offset", change.record.offset}});
     }
-    record->offset = change.record.offset;
+    record->position = change.record.position();
     mReplicas.put(*record, now());
+    if (change.isRevived) {
+        mReplicas.awaitConfirmation(id, now());
+    }
+}
+
+bool ReplicaService::hasOutlasted(const FeedRecord &earlier, const FeedRecord &later) const
+{
+    if (!earlier.value || !later.value) {
+        return false;
+    }
+    const auto earlierRecord = mRecords.replicaRecord(earlier.key, *earlier.value);
+    const auto laterRecord = mRecords.replicaRecord(later.key, *later.value);
+    return earlierRecord && laterRecord && earlierRecord->isNewerThan(*laterRecord);
 }
 
 void ReplicaService::setBounds(const MemberBounds &bounds)
--- a/src/libloomjunction/gateway/replicaservice.h
+++ b/src/libloomjunction/gateway/replicaservice.h
@@ -116,6 +116,7 @@
     void probeIdleAgents();
     void probeIfStale(const LoadProbe &probe);
     bool hasSameContent(const FeedRecord &known, const FeedRecord &next) const;
+    bool hasOutlasted(const FeedRecord &earlier, const FeedRecord &later) const;
     void updateUnavailableMetrics();
     awaitable<void> sweepLoop();
     std::unique_ptr<HttpLink> takeIdleLink(Pool &pool);
--- a/tests/direct/test_feedtable.cpp
+++ b/tests/direct/test_feedtable.cpp
@@ -37,9 +37,11 @@
     table.apply(record("kept", "a", 1));
     table.apply(record("gone", "b", 2));
     table.apply(record("later", "c", 9));
-    const std::vector<FeedRecord> page{record("kept", "a", 1)};
-    const auto changed = table.applySnapshot(page, 5);
-    BOOST_TEST(changed.size() == 1U);
+    BOOST_TEST(!table.apply(record("kept", "a", 1)));
+    const auto removed = table.removeAbsent({"kept"}, {0, 5});
+    table.setNext({0, 5});
+    BOOST_TEST(removed.size() == 1U);
+    BOOST_TEST(!removed.at(0).isLost);
     BOOST_TEST(table.find("kept") != nullptr);
     BOOST_TEST(table.find("gone") == nullptr);
     // This record was written after the end of the read, which cannot contain it.
--- a/tests/direct/test_replicaset.cpp
+++ b/tests/direct/test_replicaset.cpp
@@ -605,9 +605,9 @@
 BOOST_AUTO_TEST_CASE(new_replica_at_an_address_replaces_the_earlier_one)
 {
     ReplicaRecord earlier = record("r1", "here");
-    earlier.offset = 5;
+    earlier.position.offset = 5;
     ReplicaRecord later = record("r2", "here");
-    later.offset = 9;
+    later.position.offset = 9;
     later.address = earlier.address;
     for (const bool isLaterFirst : {false, true}) {
         ReplicaSet set(sDrainTime);
--- a/tests/gateway/gatewayfixture.h
+++ b/tests/gateway/gatewayfixture.h
@@ -92,13 +92,17 @@
         if (isUnreachable) {
             co_return tl::unexpected(StoreError::Unreachable);
         }
+        mAnsweredEra = mEra;
         if (std::exchange(hasLostHistory, false) || isBeyondEnd(log, from)) {
             co_return tl::unexpected(StoreError::Forgotten);
         }
         FeedBatch batch;
+        mAnsweredEra = mEra;
+        batch.era = mEra;
         const std::uint64_t end = std::min<std::uint64_t>(log.size(), from + maxRecordsPerRead);
         for (std::uint64_t offset = from; offset < end; ++offset) {
             batch.records.push_back(log[offset]);
+            batch.records.back().era = mEra;
             batch.bytes += bytesOf(log[offset]);
         }
         batch.next = std::max(from, end);
@@ -118,17 +122,20 @@
             co_await sleepFor(fullReadDuration);
         }
         const auto &log = mLogs[static_cast<std::size_t>(feed)];
-        FeedTable book;
+        std::map<std::string, FeedRecord> newest;
         for (const FeedRecord &record : log) {
-            book.apply(record);
+            newest.insert_or_assign(record.key, record);
         }
         FeedBatch batch;
-        for (const auto &[key, record] : book.all()) {
+        for (const auto &[key, record] : newest) {
             if (record.value) {
                 batch.records.push_back(record);
+                batch.records.back().era = mEra;
                 batch.bytes += bytesOf(record);
             }
         }
+        mAnsweredEra = mEra;
+        batch.era = mEra;
         batch.next = log.size();
         co_await sleepFor(responseDelay);
         co_return batch;
@@ -140,9 +147,11 @@
         if (isUnreachable) {
             co_return tl::unexpected(StoreError::Unreachable);
         }
+        mAnsweredEra = mEra;
         write(Feed::Members, std::move(key), std::move(value));
         co_return tl::expected<void, StoreError>();
     }
+    std::uint64_t era() const override { return mAnsweredEra; }
 
 private:
     using Log = std::vector<FeedRecord>;
@@ -161,6 +170,7 @@
     std::array<Log, sFeedCount> mLogs;
     std::array<Log, sFeedCount> mCopy;
     std::uint64_t mEra = 1;
+    std::uint64_t mAnsweredEra = 0; ///< era of the last response
     Signal mChanged;
 };
 
