Members: a record that the store has lost is written again

A membership record was written once. If the store returned from a copy that was older, the process stayed unknown to those that start later, unless a full read happened to show the removal. Each process now looks for its record after the first read of a new era and writes it again, spread over a second. Members that the copy lacks stay known. The order of planned readers holds although all of them have failed to reach the store shortly before.

--- a/src/libloomjunction/gateway/memberservice.cpp
+++ b/src/libloomjunction/gateway/memberservice.cpp
@@ -17,6 +17,8 @@
 #include "rendezvous.h"
 #include "wire.pb.h"
 
+#include <random>
+
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
 
@@ -30,6 +32,9 @@
 constexpr Milliseconds sStatusTimeout{1'300};
 constexpr std::chrono::milliseconds sReconnectDelay{300};
 constexpr std::chrono::milliseconds sRecordRetryDelay{400};
+// Hundreds of processes write their records again when the store has lost them, and the store
+// limits the rate of writes. All are listed again two seconds after its return.
+constexpr std::chrono::milliseconds sRepublishSpread{1'000};
 constexpr std::chrono::milliseconds sFollowCheckInterval{200};
 // A gateway that was silent for longer than the retry window has used none of that window's
 // retry budget.
@@ -85,6 +90,8 @@
     mHub = &kernel.find<PeerHub>(PeerHub::sName);
     mStatusChanged = std::make_unique<Signal>(kernel.executor());
     mFeeds->listen(Feed::Members, [this](const FeedChange &change) { applyRecord(change); });
+    mFeeds->setEraRules(Feed::Members, {nullptr, true});
+    mFeeds->listenRestored(Feed::Members, [this](const FeedTable::Keys &) { restoreRecord(); });
     mFeeds->setPeers([this] { return gatewayPeerAddresses(); });
     mHub->setPeerLocator([this](const Tcp::endpoint &remote) { return locationOf(remote); });
     asio::co_spawn(kernel.executor(), publishRecord(), asio::detached);
@@ -138,6 +145,29 @@
     }
 }
 
+// Writes the own record again, or removes it again, if the store has lost that. The records of
+// others are theirs to write; until then they stay valid here.
+void MemberService::restoreRecord()
+{
+    const FeedTable &table = mFeeds->table(Feed::Members);
+    const bool isInStore = table.find(mKey) != nullptr && !table.missing().contains(mKey);
+    if (mIsLeaving && isInStore) {
+        asio::co_spawn(mStatusChanged->executor(), leave(), asio::detached);
+    }
+    if (!mIsLeaving && !isInStore && mIsRecorded) {
+        mIsRecorded = false;
+        asio::co_spawn(mStatusChanged->executor(), publishAgain(), asio::detached);
+    }
+}
+
+awaitable<void> MemberService::publishAgain()
+{
+    static std::mt19937 random{std::random_device{}()};
+    std::uniform_int_distribution<std::int64_t> spread(0, sRepublishSpread.count());
+    co_await sleepFor(std::chrono::milliseconds(spread(random)));
+    co_await publishRecord();
+}
+
 awaitable<void> MemberService::leave()
 {
     mIsLeaving = true;
@@ -282,7 +312,7 @@
 }
 
 // Includes gateways that can't be reached yet, since they may start a moment later than this
-// one.
+// one. When the store returns from a copy, it has failed at all of them shortly before.
 std::vector<Tcp::endpoint> MemberService::earlierReaders() const
 {
     std::vector<Tcp::endpoint> earlier;
@@ -293,7 +323,8 @@
         const auto member = mMembers.find(key);
         const auto state = mGatewayStates.find(key);
         const bool hasDeclined = state != mGatewayStates.end()
-            && (state->second.isLeaving || state->second.hasStoreFailed);
+            && (state->second.isLeaving
+                || (state->second.hasStoreFailed && !mFeeds->isRestoring()));
         if (member != mMembers.end() && !hasDeclined) {
             earlier.push_back(member->second.peers);
         }
--- a/src/libloomjunction/gateway/memberservice.h
+++ b/src/libloomjunction/gateway/memberservice.h
@@ -135,6 +135,8 @@
 
 private:
     awaitable<void> publishRecord();
+    awaitable<void> publishAgain();
+    void restoreRecord();
     awaitable<void> followGateways();
     awaitable<void> followGateway(std::string key);
     awaitable<void> serveStatus(PeerStreamPtr stream);
