Quarantine: records that the store has lost are written again

A gateway took a quarantined request for recorded as long as it ran, so that a record lost with the store's return from a copy was missing for gateways that start later. The home gateway of a request now writes its record again, the others if it doesn't.

--- a/src/libloomjunction/gateway/quarantineservice.cpp
+++ b/src/libloomjunction/gateway/quarantineservice.cpp
@@ -62,6 +62,8 @@
     mFeeds = &kernel.find<FeedService>(FeedService::sName);
     mMembers = &kernel.find<MemberService>(MemberService::sName);
     mFeeds->listen(Feed::Members, [this](const FeedChange &change) { applyFeedChange(change); });
+    mFeeds->listenRestored(Feed::Members,
+                           [this](const FeedTable::Keys &missing) { restoreRecords(missing); });
     mMembers->setStatusExtension(
         {[this](std::uint64_t since, wire::MemberStatus &status) {
              return writeMemberNews(since, status);
@@ -202,13 +204,17 @@
              {"replicas", lives},
              {"from", source},
              {"forMs", refusedFor(digest).value_or(Milliseconds(0)).count()}});
-    const auto stagger = Milliseconds(
-        static_cast<std::int64_t>(rendezvousWeight(digest.text(), mMembers->key())
-                                  % static_cast<std::uint64_t>(sRemoteWriteDelay.count())));
-    const Milliseconds delay = source == "own" ? Milliseconds(0) : sRemoteWriteDelay + stagger;
+    const Milliseconds delay = source == "own" ? Milliseconds(0) : remoteWriteDelay(digest);
     asio::co_spawn(mExecutor, writeRecord(digest, delay), asio::detached);
 }
 
+Milliseconds QuarantineService::remoteWriteDelay(const RequestDigest &digest) const
+{
+    const std::uint64_t weight = rendezvousWeight(digest.text(), mMembers->key());
+    const auto range = static_cast<std::uint64_t>(sRemoteWriteDelay.count());
+    return sRemoteWriteDelay + Milliseconds(static_cast<std::int64_t>(weight % range));
+}
+
 bool QuarantineService::isRecorded(const QuarantineEntry &entry) const
 {
     const auto recorded = mRecordedCrashCounts.find(entry.digest);
@@ -246,6 +252,24 @@
     }
 }
 
+// Writes the records again that the store has lost, the home gateway first.
+void QuarantineService::restoreRecords(const FeedTable::Keys &missing)
+{
+    for (const std::string &key : missing) {
+        if (!key.starts_with(sQuarantineKeys)) {
+            continue;
+        }
+        const auto digest
+            = RequestDigest::parse(std::string_view(key).substr(sQuarantineKeys.size()));
+        if (!digest || mRecordedCrashCounts.erase(*digest) == 0) {
+            continue;
+        }
+        const Milliseconds delay
+            = isHomeGateway(*digest) ? Milliseconds(0) : remoteWriteDelay(*digest);
+        asio::co_spawn(mExecutor, writeRecord(*digest, delay), asio::detached);
+    }
+}
+
 void QuarantineService::applyFeedChange(const FeedChange &change)
 {
     const std::string &key = change.record.key;
--- a/src/libloomjunction/gateway/quarantineservice.h
+++ b/src/libloomjunction/gateway/quarantineservice.h
@@ -10,6 +10,7 @@
 
 #include "asynctypes.h"
 #include "clock.h"
+#include "feedtable.h"
 #include "kernel.h"
 #include "ports.h"
 #include "quarantine.h"
@@ -100,6 +101,8 @@
     void noteProbeResult(const Probe &probe, const RequestDigest &digest,
                          const std::string &account, const ReplicaIncarnation &incarnation);
     void applyFeedChange(const FeedChange &change);
+    void restoreRecords(const FeedTable::Keys &missing);
+    Milliseconds remoteWriteDelay(const RequestDigest &digest) const;
     void readMemberNews(const wire::MemberStatus &status);
     std::uint64_t writeMemberNews(std::uint64_t since, wire::MemberStatus &status) const;
     void handleNews(QuarantineNews news, const RequestDigest &digest, std::string_view source);
