Tests: what each kind of record does when the store returns from a copy

Positions and rules of FeedTable, what a follower is sent, leaving and revived replicas, replicas that the copy lacks, quarantined requests, and full reads by eight gateways after an outage of 1.5 s (two of each feed at most).

--- a/tests/crashes/test_crashes.cpp
+++ b/tests/crashes/test_crashes.cpp
@@ -78,6 +78,34 @@
     });
 }
 
+// Guards against a quarantine that ends with the gateways that know it, after the store has lost
+// its record.
+BOOST_AUTO_TEST_CASE(a_quarantined_request_is_recorded_again_after_a_restore)
+{
+    CrashFleet fleet(2, 24);
+    fleet.run([&]() -> awaitable<void> {
+        co_await fleet.untilReady();
+        const auto isRecorded
+            = [&] { return fleet.store.hasKeyWithPrefix(Feed::Members, sQuarantineKeys); };
+        fleet.store.copy();
+        for (int i = 0; i < sReturns; ++i) {
+            co_await fleet.call(static_cast<std::size_t>(i % 2), std::string(sCrashing));
+        }
+        co_await fleet.waitFor(isRecorded);
+        co_await sleepFor(std::chrono::milliseconds(500)); // until the gateways have read it
+        fleet.store.restore();
+        BOOST_TEST(!isRecorded());
+        co_await fleet.waitFor(isRecorded);
+        const int before = fleet.reached(sCrashing);
+        fleet.gateway(0).kill();
+        fleet.gateway(1).kill();
+        fleet.addGateway();
+        co_await fleet.waitFor([&] { return fleet.gateway(2).isReady(24, 0); });
+        co_await fleet.call(2, std::string(sCrashing));
+        BOOST_TEST(fleet.reached(sCrashing) == before);
+    });
+}
+
 // Each is another request. One whose two attempts both met a replica that ended has had all
 // that its route allows; every other one is served.
 BOOST_AUTO_TEST_CASE(callers_that_lost_their_run_beside_it_are_served)
--- a/tests/direct/test_feedtable.cpp
+++ b/tests/direct/test_feedtable.cpp
@@ -59,3 +59,99 @@
     BOOST_TEST(table.apply(record("r1", "back", 5)));
     BOOST_TEST(table.find("r1") != nullptr);
 }
+
+namespace {
+
+FeedRecord recordOf(std::uint64_t era, std::uint64_t offset, std::string value)
+{
+    return {"k", std::move(value), offset, era};
+}
+
+/** Values of one character; a higher one is newer. */
+EraRules risingValues(bool keepsMissing)
+{
+    return {[](const FeedRecord &earlier, const FeedRecord &later) {
+                return earlier.value && (!later.value || *earlier.value > *later.value);
+            },
+            keepsMissing};
+}
+
+} // namespace
+
+// Guards against comparing offsets of different eras of the store.
+BOOST_AUTO_TEST_CASE(record_of_a_later_era_replaces_one_at_a_higher_offset)
+{
+    FeedTable table;
+    table.apply(recordOf(1, 9, "old"));
+    table.setNext({1, 10});
+    BOOST_TEST(table.apply(recordOf(2, 3, "new")));
+    BOOST_TEST(!table.apply(recordOf(1, 12, "late")));
+    BOOST_TEST(*table.find("k")->value == "new");
+    table.setNext({2, 4});
+    BOOST_TEST((table.next() == LogPosition{2, 4}));
+    table.setNext({1, 20});
+    BOOST_TEST((table.next() == LogPosition{2, 4}));
+}
+
+BOOST_AUTO_TEST_CASE(record_that_outlasts_the_copy_stays_until_it_is_written_again)
+{
+    FeedTable table;
+    table.setEraRules(risingValues(true));
+    table.apply(recordOf(1, 9, "c"));
+    BOOST_TEST(!table.apply(recordOf(2, 3, "b")));
+    BOOST_TEST(*table.find("k")->value == "c");
+    // The same value is no change, but takes the new position.
+    BOOST_TEST(!table.apply(recordOf(2, 4, "c")));
+    BOOST_TEST((table.find("k")->position() == LogPosition{2, 4}));
+    BOOST_TEST((table.movedFrom("k") == LogPosition{1, 9}));
+    BOOST_TEST(table.apply(recordOf(2, 5, "d")));
+    BOOST_TEST(!table.movedFrom("k").has_value());
+}
+
+// A process that starts after the return may read the copy first and receive the outlasting
+// record from another process later.
+BOOST_AUTO_TEST_CASE(outlasting_record_replaces_the_older_one_of_the_copy)
+{
+    FeedTable table;
+    table.setEraRules(risingValues(true));
+    table.apply(recordOf(2, 3, "b"));
+    BOOST_TEST(table.apply(recordOf(1, 9, "c")));
+    BOOST_TEST(!table.apply(recordOf(1, 8, "a")));
+    BOOST_TEST(*table.find("k")->value == "c");
+}
+
+BOOST_AUTO_TEST_CASE(record_that_the_copy_lacks_is_kept_or_removed_by_the_rules)
+{
+    FeedTable kept;
+    kept.setEraRules(risingValues(true));
+    kept.apply(recordOf(1, 9, "c"));
+    BOOST_TEST(kept.removeAbsent({}, {2, 5}).empty());
+    kept.setNext({2, 5});
+    BOOST_TEST(kept.missing().contains("k"));
+    kept.apply(recordOf(2, 5, "c"));
+    BOOST_TEST(!kept.missing().contains("k"));
+    // Within an era, a missing record has been removed.
+    BOOST_TEST(kept.removeAbsent({}, {2, 8}).size() == 1U);
+    BOOST_TEST(kept.find("k") == nullptr);
+
+    FeedTable removed;
+    removed.apply(recordOf(1, 9, "lost"));
+    const auto lost = removed.removeAbsent({}, {2, 5});
+    BOOST_TEST(lost.size() == 1U);
+    BOOST_TEST(lost.at(0).isLost);
+    removed.apply(recordOf(2, 6, "again"));
+    BOOST_TEST(removed.find("k") != nullptr);
+    // A record before the end of the copy has been removed, not lost.
+    BOOST_TEST(!removed.removeAbsent({}, {3, 20}).at(0).isLost);
+}
+
+BOOST_AUTO_TEST_CASE(first_record_of_an_empty_log_replaces_a_removal_found_there)
+{
+    FeedTable table;
+    table.apply(recordOf(1, 9, "c"));
+    BOOST_TEST(table.removeAbsent({}, {2, 0}).size() == 1U);
+    const FeedRecord first = recordOf(2, 0, "d");
+    BOOST_TEST(table.isRevival(first));
+    BOOST_TEST(table.apply(first));
+    BOOST_TEST(*table.find("k")->value == "d");
+}
--- a/tests/direct/test_replicaset.cpp
+++ b/tests/direct/test_replicaset.cpp
@@ -618,3 +618,61 @@
         BOOST_TEST(chosen(set, query(), at(4)) == "");
     }
 }
+
+// Guards against ordering incarnations by offsets of different eras of the store.
+BOOST_AUTO_TEST_CASE(replica_that_started_after_a_restore_replaces_the_one_at_a_higher_offset)
+{
+    ReplicaRecord earlier = record("r1", "here");
+    earlier.position = {1, 9};
+    ReplicaRecord later = record("r2", "here");
+    later.position = {2, 5};
+    later.address = earlier.address;
+    ReplicaSet set(sDrainTime);
+    set.put(earlier, at(0));
+    set.put(later, at(1));
+    BOOST_TEST(chosen(set, query(), at(2)) == "r2");
+}
+
+// Guards against taking a record of the copy for a newer incarnation than one that it lacks.
+BOOST_AUTO_TEST_CASE(record_of_the_copy_does_not_replace_a_replica_that_started_later)
+{
+    ReplicaRecord running = record("r2", "here");
+    running.position = {1, 9};
+    running.born = 200;
+    ReplicaRecord copied = record("r1", "here");
+    copied.position = {2, 5};
+    copied.born = 100;
+    copied.address = running.address;
+    ReplicaSet set(sDrainTime);
+    set.put(running, at(0));
+    set.put(copied, at(1));
+    BOOST_TEST(chosen(set, query(), at(2)) == "r2");
+}
+
+BOOST_AUTO_TEST_CASE(revived_replica_is_used_only_once_it_is_confirmed)
+{
+    ReplicaSet set(sDrainTime);
+    set.put(record("r1", "here"), at(0));
+    set.awaitConfirmation("r1", at(10));
+    BOOST_TEST(chosen(set, query(), at(3'000)) == "");
+    BOOST_TEST(chosen(set, query(), at(4'100)) == "r1");
+}
+
+BOOST_AUTO_TEST_CASE(newer_record_of_a_replica_is_told_by_its_content)
+{
+    ReplicaRecord known = record("r1", "here");
+    known.born = 100;
+    ReplicaRecord draining = known;
+    draining.isDraining = true;
+    ReplicaRecord loaded = known;
+    loaded.weightsVersion = known.weightsVersion + 1;
+    ReplicaRecord restarted = known;
+    restarted.born = 200;
+    for (const ReplicaRecord &newer : {draining, loaded, restarted}) {
+        BOOST_TEST(newer.isNewerThan(known));
+        BOOST_TEST(!known.isNewerThan(newer));
+    }
+    BOOST_TEST(!known.isNewerThan(known));
+    // An earlier incarnation that drained is older all the same.
+    BOOST_TEST(restarted.isNewerThan(draining));
+}
--- a/tests/gateway/gatewayfixture.h
+++ b/tests/gateway/gatewayfixture.h
@@ -80,6 +80,13 @@
         return it == log.rend() ? std::nullopt : it->value;
     }
 
+    bool hasKeyWithPrefix(Feed feed, std::string_view prefix) const
+    {
+        return std::ranges::any_of(mLogs[static_cast<std::size_t>(feed)], [&](const auto &record) {
+            return record.key.starts_with(prefix) && value(feed, record.key);
+        });
+    }
+
     awaitable<tl::expected<FeedBatch, StoreError>> read(Feed feed, std::uint64_t from,
                                                         Milliseconds wait) override
     {
--- a/tests/restoredstore/test_restoredstore.cpp
+++ b/tests/restoredstore/test_restoredstore.cpp
@@ -10,7 +10,9 @@
 #include <boost/test/unit_test.hpp>
 
 #include "feedprocess.h"
+#include "fleetgateway.h"
 #include "gatewayfixture.h"
+#include "peerconnection.h"
 
 using namespace Loom;
 
@@ -207,3 +209,150 @@
         BOOST_TEST(!isUsable(fixture, "earlier"));
     });
 }
+
+// Guards against requests to a replica that left and that the copy lists as ready.
+BOOST_AUTO_TEST_CASE(copy_does_not_make_a_leaving_replica_usable)
+{
+    GatewayFixture fixture;
+    fixture.writeConfig(1);
+    ScriptedReplica &leaving = fixture.addReplica("leaving", "plain", answerTo);
+    ScriptedReplica &gone = fixture.addReplica("gone", "plain", answerTo);
+    fixture.addReplica("other", "plain", answerTo);
+    fixture.store.copy();
+    fixture.run([&]() -> awaitable<void> {
+        co_await fixture.waitFor([&] { return isUsable(fixture, "gone"); });
+        fixture.store.write(Feed::Replicas, "leaving",
+                            replicaRecord(leaving.address(), "draining"));
+        fixture.store.write(Feed::Replicas, "gone", std::nullopt);
+        co_await fixture.waitFor([&] { return !isUsable(fixture, "leaving"); });
+        co_await fixture.waitFor([&] { return !isUsable(fixture, "gone"); });
+        const int before = fixture.store.fullReadCount;
+        fixture.store.restore();
+        co_await fixture.waitFor([&] { return fixture.store.fullReadCount >= before + 3; });
+        co_await sleepFor(std::chrono::milliseconds(100));
+        BOOST_TEST(!isUsable(fixture, "leaving"));
+        for (int i = 0; i < 10; ++i) {
+            const auto response
+                = co_await fixture.call("POST", "/safe/x", "id" + std::to_string(i));
+            BOOST_TEST((response && response->status == 200));
+        }
+        BOOST_TEST(leaving.requests() == 0);
+        BOOST_TEST(gone.requests() == 0);
+    });
+}
+
+// Guards against dropping replicas at once that started after the copy and will write again.
+BOOST_AUTO_TEST_CASE(replica_that_the_copy_lacks_is_used_until_it_had_time_to_write_again)
+{
+    GatewayFixture fixture;
+    fixture.writeConfig(1);
+    fixture.store.copy();
+    ScriptedReplica &back = fixture.addReplica("back", "plain", answerTo);
+    fixture.addReplica("lost", "plain", answerTo);
+    fixture.run([&]() -> awaitable<void> {
+        co_await fixture.waitFor([&] { return isUsable(fixture, "lost"); });
+        const int before = fixture.store.fullReadCountByFeed[1];
+        fixture.store.restore();
+        co_await fixture.waitFor([&] { return fixture.store.fullReadCountByFeed[1] > before; });
+        BOOST_TEST(isUsable(fixture, "lost"));
+        fixture.store.write(Feed::Replicas, "back", replicaRecord(back.address(), "ready"));
+        co_await fixture.waitFor([&] { return !isUsable(fixture, "lost"); });
+        BOOST_TEST(isUsable(fixture, "back"));
+    });
+}
+
+// Guards against positions of the new era that are relayed only with the next change: followers
+// refused all that their reader sent.
+BOOST_AUTO_TEST_CASE(follower_keeps_following_after_a_restore_that_changed_nothing)
+{
+    RelayFixture().run([](RelayFixture &fixture) -> awaitable<void> {
+        co_await fixture.waitUntilFollowing();
+        fixture.reader.store.copy();
+        const int reads = fixture.follower.store.readCount;
+        fixture.reader.store.restore();
+        co_await fixture.waitFor([&] {
+            return fixture.follower.feeds().table(Feed::Replicas).next() == LogPosition{2, 1};
+        });
+        fixture.reader.store.write(Feed::Replicas, "second", "value");
+        co_await fixture.waitFor([&] { return fixture.follower.hasReceived("second"); });
+        BOOST_TEST(fixture.follower.store.readCount == reads);
+        BOOST_TEST(std::ranges::count(fixture.follower.changedKeys, "first") == 1);
+    });
+}
+
+// Guards against sending every follower all values again, over the links that callers use.
+BOOST_AUTO_TEST_CASE(follower_is_sent_only_changed_values_after_a_restore)
+{
+    RelayFixture().run([](RelayFixture &fixture) -> awaitable<void> {
+        co_await fixture.waitUntilFollowing();
+        // Shorter than what is compressed.
+        const std::string value(4'000, 'x');
+        for (int i = 0; i < 100; ++i) {
+            fixture.reader.store.write(Feed::Replicas, "r" + std::to_string(i), value);
+        }
+        co_await fixture.waitFor([&] { return fixture.follower.hasReceived("r99"); });
+        fixture.reader.store.copy();
+        const std::uint64_t before = PeerConnection::totalBytes();
+        fixture.reader.store.restore();
+        fixture.reader.store.write(Feed::Replicas, "last", "value");
+        co_await fixture.waitFor([&] { return fixture.follower.hasReceived("last"); });
+        // The bytes are counted at both ends.
+        BOOST_TEST(PeerConnection::totalBytes() - before < 100 * value.size() / 4);
+    });
+}
+
+// Guards against full reads by every gateway at once, which saturate the links to the store.
+BOOST_AUTO_TEST_CASE(planned_readers_read_a_restored_log_for_the_others)
+{
+    constexpr std::size_t gatewayCount = 8;
+    asio::io_context context{1};
+    MemoryStore store(context.get_executor());
+    store.write(Feed::Replicas, "first", replicaRecord("127.0.0.1:1", "ready"));
+    std::vector<std::unique_ptr<FleetGateway>> gateways;
+    for (std::size_t i = 0; i < gatewayCount; ++i) {
+        gateways.push_back(std::make_unique<FleetGateway>(context, store, "g" + std::to_string(i)));
+    }
+    const auto test = [&]() -> awaitable<void> {
+        const auto until = std::chrono::steady_clock::now() + std::chrono::seconds(20);
+        const auto allKnow = [&](std::string_view id) {
+            return std::ranges::all_of(gateways, [&](const auto &gateway) {
+                return gateway->replicas().replicas().find(id) != nullptr;
+            });
+        };
+        const auto waitUntilAllKnow = [&](std::string_view id) -> awaitable<void> {
+            while (!allKnow(id) && std::chrono::steady_clock::now() < until) {
+                co_await sleepFor(std::chrono::milliseconds(10));
+            }
+            BOOST_TEST(allKnow(id));
+        };
+        for (const auto &gateway : gateways) {
+            gateway->start();
+        }
+        co_await waitUntilAllKnow("first");
+        co_await sleepFor(std::chrono::seconds(1)); // until the followers have found their reader
+        store.copy();
+        store.write(Feed::Replicas, "lost", replicaRecord("127.0.0.1:2", "ready"));
+        co_await waitUntilAllKnow("lost");
+        store.isUnreachable = true;
+        store.write(Feed::Replicas, "wakes the reads", std::nullopt);
+        co_await sleepFor(std::chrono::milliseconds(1'500)); // until all read for themselves
+        const auto before = store.fullReadCountByFeed;
+        store.restore();
+        store.isUnreachable = false;
+        store.write(Feed::Replicas, "second", replicaRecord("127.0.0.1:3", "ready"));
+        co_await waitUntilAllKnow("second");
+        co_await sleepFor(std::chrono::seconds(1));
+        for (std::size_t feed = 0; feed < sFeedCount; ++feed) {
+            BOOST_TEST_CONTEXT("feed " << feed)
+            {
+                BOOST_TEST(store.fullReadCountByFeed[feed] - before[feed] <= 2);
+            }
+        }
+        for (const auto &gateway : gateways) {
+            gateway->kill();
+        }
+        context.stop();
+    };
+    asio::co_spawn(context, test(), asio::detached);
+    context.run();
+}
