Store client, feeds: the first answer of a new era ends reads of the era before

Each feed noticed the store's return with its own next answer. A read that waits at an offset which is lost may be answered only at its timeout, 2 s for replicas and operators where each gateway reads for itself, as long as the bounds for leavings and configurations. An answer to any call now ends such reads (HttpClient::cancel), and they don't count as failures of the store.

--- a/src/libloomjunction/gateway/feedservice.cpp
+++ b/src/libloomjunction/gateway/feedservice.cpp
@@ -124,6 +124,7 @@
     mChanged = std::make_unique<Signal>(kernel.executor());
     mHub->serve(std::string(sFollowPath),
                 [this](PeerStreamPtr stream) { return serveFollower(std::move(stream)); });
+    mStore.setEraListener([this] { cancelOutdatedReads(); });
     mStartupDeadline = now() + sStartupTimeout;
     for (const Feed feed : {Feed::Operators, Feed::Replicas, Feed::Members}) {
         state(feed).readingOrder = {now(), sStartupReaderTimeout, sStartupTimeout};
@@ -402,7 +403,12 @@
     FeedState &state = this->state(feed);
     const LogPosition from = state.table.next();
     const Instant asked = now();
+    state.isPolling = true;
     const auto batch = co_await mStore.read(feed, from.offset, wait);
+    state.isPolling = false;
+    if (!batch && isOutdated(feed)) {
+        co_return true; // cancelled, or refused for an offset that is lost
+    }
     if (!batch) {
         co_await handleFailedRead(feed, batch.error());
         co_return batch.error() == StoreError::Forgotten;
@@ -433,9 +439,6 @@
         co_return;
     }
     countRefusedRead(feed);
-    if (isOutdated(feed)) {
-        co_return; // the planned readers read first
-    }
     state.isSynced = false;
     if (std::exchange(state.isRefused, true)) {
         co_await sleepFor(jitter(sMinRetryDelay, sMaxRetryDelay));
@@ -523,6 +526,17 @@
     }
 }
 
+// A read may wait at an offset of an earlier era for its whole timeout. The first answer of the
+// new era, to whichever call, ends it.
+void FeedService::cancelOutdatedReads()
+{
+    for (const Feed feed : {Feed::Operators, Feed::Replicas, Feed::Members}) {
+        if (state(feed).isPolling && isOutdated(feed)) {
+            mStore.cancelRead(feed);
+        }
+    }
+}
+
 // The store has returned from a copy: offsets were given out again, and records written after
 // the copy are lost.
 void FeedService::beginRestore(Feed feed)
--- a/src/libloomjunction/gateway/feedservice.h
+++ b/src/libloomjunction/gateway/feedservice.h
@@ -173,6 +173,7 @@
         LogPosition removalsKnownFrom; ///< removals at or after this position are in the table
         ReadingOrder readingOrder;
         std::optional<Instant> restoredAt; ///< when the store's last return was noticed
+        bool isPolling = false; ///< a read of the store's log is under way
         bool isRefused = false; ///< the last read was refused; nothing was read since
         bool isFirstSync = true; ///< the table has not been complete since this process started
         bool isRelayDoubtful = false; ///< the followed process reports a recent store failure
@@ -214,6 +215,7 @@
     awaitable<bool> sync(Feed feed);
     void applyFullRead(Feed feed, const FeedBatch &batch);
     bool isOutdated(Feed feed) const;
+    void cancelOutdatedReads();
     void beginRestore(Feed feed);
     void finishRestore(Feed feed);
     void announceRemovals(Feed feed, const std::set<std::string_view> &present, LogPosition end,
--- a/src/libloomjunction/gateway/ports.h
+++ b/src/libloomjunction/gateway/ports.h
@@ -17,6 +17,7 @@
 #include "routetable.h"
 
 #include <cstdint>
+#include <functional>
 #include <memory>
 #include <optional>
 #include <span>
@@ -87,6 +88,10 @@
         = 0;
     /** Highest era in a response so far, of any feed and also of failed calls; zero: none. */
     virtual std::uint64_t era() const = 0;
+    /** Calls @p listener whenever era() has risen. */
+    virtual void setEraListener(std::function<void()> listener) = 0;
+    /** Lets a read() of @p feed that is under way fail. */
+    virtual void cancelRead(Feed feed) = 0;
 };
 
 /** Version of the weights that operators chose for a model. */
--- a/src/libloomjunction/net/http.h
+++ b/src/libloomjunction/net/http.h
@@ -165,6 +165,8 @@
     awaitable<tl::expected<HttpResponse, HttpError>> send(HttpCall call);
     /** As send(), but the body goes to @p onData and not into the response. */
     awaitable<tl::expected<HttpResponse, HttpError>> stream(HttpCall call, HttpDataHandler onData);
+    /** Cuts the connections of all calls under way, which then fail. */
+    void cancel();
 
 private:
     class Impl;
--- a/src/libloomjunction/net/httpclient.cpp
+++ b/src/libloomjunction/net/httpclient.cpp
@@ -13,6 +13,7 @@
 #include <algorithm>
 #include <deque>
 #include <map>
+#include <set>
 
 #include <boost/beast/core.hpp>
 #include <boost/beast/http.hpp>
@@ -51,7 +52,9 @@
             co_return tl::unexpected(connected.error());
         }
         Stream stream = std::move(*connected);
+        self->mUsed.insert(stream.get());
         auto result = co_await exchange(*stream, call, onData, deadline);
+        self->mUsed.erase(stream.get());
         if (result && result->second && call.keepsConnection) {
             self->keep(call.endpoint, std::move(stream));
         }
@@ -61,6 +64,13 @@
         co_return std::move(result->first);
     }
 
+    void cancel()
+    {
+        for (beast::tcp_stream *stream : mUsed) {
+            stream->close();
+        }
+    }
+
 private:
     using Exchanged = std::pair<HttpResponse, bool>; // the answer; may the connection be kept?
 
@@ -182,6 +192,7 @@
 
     asio::any_io_executor mExecutor;
     std::map<Tcp::endpoint, std::deque<Stream>> mIdle;
+    std::set<beast::tcp_stream *> mUsed; ///< connections with a call under way
 };
 
 HttpClient::HttpClient(const asio::any_io_executor &executor)
@@ -191,6 +202,11 @@
 
 HttpClient::~HttpClient() = default;
 
+void HttpClient::cancel()
+{
+    mImpl->cancel();
+}
+
 awaitable<tl::expected<HttpResponse, HttpError>> HttpClient::send(HttpCall call)
 {
     return Impl::run(mImpl, std::move(call), {});
--- a/tests/gateway/gatewayfixture.h
+++ b/tests/gateway/gatewayfixture.h
@@ -25,7 +25,9 @@
 #include <algorithm>
 #include <array>
 #include <functional>
+#include <map>
 #include <memory>
+#include <set>
 
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
@@ -53,6 +55,7 @@
     std::size_t maxRecordsPerRead = 1'000'000; ///< limit on the records that one read returns
     Milliseconds responseDelay{0}; ///< delay between reading the log and returning the result
     std::array<int, sFeedCount> fullReadCountByFeed{}; ///< fullReadCount by feed
+    std::set<Feed> leavesReadsPending; ///< feeds whose reads are not answered after restore()
     Milliseconds fullReadDuration{0}; ///< extra time that each full read takes
 
     void write(Feed feed, std::string key, std::optional<std::string> value)
@@ -93,18 +96,26 @@
         ++readCount;
         requestedWaits[static_cast<std::size_t>(feed)].push_back(wait);
         const auto &log = mLogs[static_cast<std::size_t>(feed)];
+        const std::uint64_t askedIn = mEra;
         if (!isUnreachable && log.size() <= from && !isBeyondEnd(log, from)) {
             co_await mChanged.waitFor(wait);
         }
+        bool &isCancelled = mIsCancelled[static_cast<std::size_t>(feed)];
+        while (askedIn != mEra && leavesReadsPending.contains(feed) && !isCancelled) {
+            co_await mChanged.waitFor(wait);
+        }
+        if (std::exchange(isCancelled, false)) {
+            co_return tl::unexpected(StoreError::Unreachable);
+        }
         if (isUnreachable) {
             co_return tl::unexpected(StoreError::Unreachable);
         }
-        mAnsweredEra = mEra;
+        noteAnswer();
         if (std::exchange(hasLostHistory, false) || isBeyondEnd(log, from)) {
             co_return tl::unexpected(StoreError::Forgotten);
         }
         FeedBatch batch;
-        mAnsweredEra = mEra;
+        noteAnswer();
         batch.era = mEra;
         const std::uint64_t end = std::min<std::uint64_t>(log.size(), from + maxRecordsPerRead);
         for (std::uint64_t offset = from; offset < end; ++offset) {
@@ -141,7 +152,7 @@
                 batch.bytes += bytesOf(record);
             }
         }
-        mAnsweredEra = mEra;
+        noteAnswer();
         batch.era = mEra;
         batch.next = log.size();
         co_await sleepFor(responseDelay);
@@ -154,15 +165,34 @@
         if (isUnreachable) {
             co_return tl::unexpected(StoreError::Unreachable);
         }
-        mAnsweredEra = mEra;
+        noteAnswer();
         write(Feed::Members, std::move(key), std::move(value));
         co_return tl::expected<void, StoreError>();
     }
     std::uint64_t era() const override { return mAnsweredEra; }
+    void setEraListener(std::function<void()> listener) override
+    {
+        mEraListeners.push_back(std::move(listener));
+    }
+    void cancelRead(Feed feed) override
+    {
+        mIsCancelled[static_cast<std::size_t>(feed)] = leavesReadsPending.contains(feed);
+        mChanged.notify();
+    }
 
 private:
     using Log = std::vector<FeedRecord>;
 
+    void noteAnswer()
+    {
+        if (std::exchange(mAnsweredEra, mEra) == mEra) {
+            return;
+        }
+        for (const auto &listener : mEraListeners) {
+            listener();
+        }
+    }
+
     // Processes of some tests share no store; only a restored one is asked for lost offsets.
     bool isBeyondEnd(const Log &log, std::uint64_t from) const
     {
@@ -178,6 +208,8 @@
     std::array<Log, sFeedCount> mCopy;
     std::uint64_t mEra = 1;
     std::uint64_t mAnsweredEra = 0; ///< era of the last response
+    std::vector<std::function<void()>> mEraListeners; ///< of all processes that share the store
+    std::array<bool, sFeedCount> mIsCancelled{};
     Signal mChanged;
 };
 
--- a/tests/restoredstore/test_restoredstore.cpp
+++ b/tests/restoredstore/test_restoredstore.cpp
@@ -356,3 +356,22 @@
     asio::co_spawn(context, test(), asio::detached);
     context.run();
 }
+
+// Guards against reads that wait at a lost offset until their timeout, although another answer
+// has shown the store's return.
+BOOST_AUTO_TEST_CASE(first_answer_of_a_new_era_ends_the_reads_of_the_era_before)
+{
+    GatewayFixture fixture;
+    fixture.writeConfig(1);
+    fixture.addReplica("first", "plain", answerTo);
+    fixture.store.copy();
+    fixture.run([&]() -> awaitable<void> {
+        co_await fixture.waitFor([&] { return isUsable(fixture, "first"); });
+        co_await fixture.waitFor([&] { return fixture.config().table() != nullptr; });
+        co_await sleepFor(std::chrono::milliseconds(500)); // until all feeds wait for records
+        fixture.store.leavesReadsPending = {Feed::Operators, Feed::Members};
+        fixture.store.restore();
+        fixture.writeConfig(2);
+        co_await fixture.waitFor([&] { return fixture.config().table()->version() == 2; });
+    });
+}
--- a/tests/soak/faults.py
+++ b/tests/soak/faults.py
@@ -33,6 +33,11 @@
         self.planned += [self.configure, self.name_weights, self.pause_engine, self.pause_engine]
         self.unplanned = self.planned
 
+    def plan_beside_returns(self):
+        """What operators and the platform do, while the store returns from copies."""
+        self.planned += [self.configure, self.name_weights, self.drain_replica]
+        self.unplanned = self.planned
+
     async def run(self):
         tasks = []
         while not self.is_stopped:
--- a/tests/soak/replicas.py
+++ b/tests/soak/replicas.py
@@ -60,6 +60,7 @@
         self.life = 0
         self.is_up = True
         self.draining_since = None
+        self.drained = []  # (time, id)
         self.weights = 1 if is_engine else 0
         self.rotted_at = 0.0  # last time that its stage went bad
         self.stage = {index: chunk(1, index) for index in range(CHUNKS)}
@@ -131,6 +132,7 @@
 
     def drain(self):
         self.draining_since = time.monotonic()
+        self.drained.append((self.draining_since, self.id))
         self.record()
 
     async def serve(self, host, port):
--- a/tests/soak/soak.py
+++ b/tests/soak/soak.py
@@ -20,6 +20,7 @@
 from faults import Faults
 from limits import Limits, over_limits
 from notices import Notices, unheeded
+from returns import ConfigProbe, Returns, late_drains, too_many_calls
 from world import BOUNDS, World
 
 # Promises with a time hold where nothing was wrong for so long before.
@@ -32,6 +33,9 @@
 CRASHES_ALLOWED = 3
 RETRIES_ALLOWED = 3
 STALL = 0.25  # seconds; what replicas got meanwhile seems to come later
+# Mean seconds between series of returns of the store from copies.
+RETURNS_AMONG_FAULTS = 15.0
+RETURNS_ALONE = 6.0
 LONG_GAP = 300  # milliseconds between events, where planned work alone is played
 USED = 0.7  # of its time; a request that ends after it is not lost
 
@@ -114,8 +118,15 @@
         self.notices = Notices(self.world, random.Random(seed + 4), self.say)
         self.notices_judged = 0
         self.stalls = []  # when this process stood still
+        pause = RETURNS_AMONG_FAULTS
         if options.planned:
             self.faults.plan_only()
+            pause = 0.0
+        if options.returns:
+            self.faults.plan_beside_returns()
+            pause = RETURNS_ALONE
+        self.returns = Returns(self.world, self.faults, random.Random(seed + 5), self.say, pause)
+        self.probe = ConfigProbe(self.world, random.Random(seed + 6))
         self.calm_spans = []
 
     def say(self, text):
@@ -205,20 +216,23 @@
             self.limits.is_stopped = True
         limiting = asyncio.ensure_future(self.limits.run())
         noticing = asyncio.ensure_future(self.notices.run())
+        returning = asyncio.ensure_future(self.returns.run())
+        probing = asyncio.ensure_future(self.probe.run())
         await asyncio.sleep(self.options.seconds)
         self.faults.is_stopped = True
+        self.returns.is_stopped = True
         self.limits.is_stopped = True
         self.notices.is_stopped = True
-        await asyncio.gather(faulting, limiting, noticing)
+        await asyncio.gather(faulting, limiting, noticing, returning)
         self.say("faults are over")
         if not await self.wait_served(RECOVERY + BOUNDS["stopSeconds"], 0.9):
             self.broken.append("RECOVER: too little is served after the faults")
         await self.check_config()
         if not self.options.planned:
             await self.limits.play_calm(LIMITS_ALONE)
-        for caller in callers:
+        for caller in [*callers, self.probe]:
             caller.is_stopped = True
-        await asyncio.gather(*calling)
+        await asyncio.gather(*calling, probing)
         keeper.cancel()
         watch.cancel()
         await self.world.stop()
@@ -232,6 +246,10 @@
         self.broken += late_crashes(runs, self.was_calm)
         if self.options.planned:
             self.broken += lost_streams(self.asked, runs, self.world.broke_off)
+        was_stable = self.returns.was_stable if self.options.returns else self.was_calm
+        self.broken += late_drains(self.world.replicas, runs, SLACK, was_stable)
+        self.broken += self.probe.broken(CONFIG_APPLY + SLACK, was_stable)
+        self.broken += too_many_calls(self.world.store.calls, len(self.world.processes))
         over, self.limits_judged = over_limits(self.world.replicas, self.was_calm)
         self.broken += over
         unheeded_notices, self.notices_judged = unheeded(self.world, self.asked, self.stalls)
@@ -271,6 +289,8 @@
     parser.add_argument("--callers", type=int, default=12)
     parser.add_argument("--planned", action="store_true",
                         help="planned work alone, and streams of up to 3 s that may pause")
+    parser.add_argument("--returns", action="store_true",
+                        help="planned work, and a store that returns from copies")
     parser.add_argument("--show", type=int, default=8, help="broken promises to print")
     parser.add_argument("--verbose", action="store_true", help="print each fault")
     options = parser.parse_args()
