Members, quarantine: what was acknowledged in an era that is over is written again

A write that the store acknowledged just before its return, and that no process had read back, was lost for good. A membership record counts as recorded only if the era is still the one it was written in. After a return, every quarantined request whose record the store lacks, or holds with fewer crashes, is recorded again. A full read across a return doesn't count as a failure of the store, and an answer of an earlier era is followed by a pause.

test_restoredstore, test_crashes and test_gateway hold.

--- a/src/libloomjunction/gateway/feedservice.cpp
+++ b/src/libloomjunction/gateway/feedservice.cpp
@@ -416,6 +416,9 @@
     updateStoreState(feed, true, "read");
     state.isRefused = false;
     countRead(feed, "onward", batch->bytes);
+    if (batch->era < from.era) {
+        co_await sleepFor(sMinRetryDelay); // the answer was on its way when the store returned
+    }
     if (batch->era != from.era) {
         co_return true;
     }
@@ -467,6 +470,9 @@
     FeedState &state = this->state(feed);
     const Instant asked = now();
     const auto batch = co_await mStore.newest(feed);
+    if (!batch && batch.error() == StoreError::Restored) {
+        co_return false;
+    }
     if (!batch) {
         updateStoreState(feed, false, storeErrorName(batch.error()));
         co_return false;
--- a/src/libloomjunction/gateway/memberservice.cpp
+++ b/src/libloomjunction/gateway/memberservice.cpp
@@ -134,8 +134,10 @@
 {
     while (!mStopped && !mIsLeaving && !mIsRecorded) {
         const std::string value = ownRecordValue();
+        const std::uint64_t era = mStore.era();
         const auto result = co_await mStore.put(mKey, value);
-        mIsRecorded = result.has_value();
+        // A record of the era before may be lost.
+        mIsRecorded = result && (era == 0 || era == mStore.era());
         if (mIsRecorded) {
             logLine(LogLevel::Info, "member-recorded",
                     {{"key", mKey}, {"incarnation", mIncarnation}});
--- a/src/libloomjunction/gateway/quarantineservice.cpp
+++ b/src/libloomjunction/gateway/quarantineservice.cpp
@@ -37,6 +37,8 @@
 constexpr std::chrono::seconds sSweepInterval{5};
 // Maximum number of entries in one status message of a gateway; each takes some 100 bytes.
 constexpr std::size_t sMaxNewsCount = 64;
+// Maximum number of records that a gateway writes again after the store's return from a copy.
+constexpr std::size_t sMaxRestoreCount = 1'024;
 // A gateway that refuses a request because of news from other processes writes the record
 // only if no other gateway has written it after this delay.
 constexpr Milliseconds sRemoteWriteDelay{1'000};
@@ -252,21 +254,25 @@
     }
 }
 
-// Writes the records again that the store has lost, the home gateway first.
+// Writes the records again that the store has lost or of which it holds an earlier state, the
+// home gateway first.
 void QuarantineService::restoreRecords(const FeedTable::Keys &missing)
 {
     for (const std::string &key : missing) {
-        if (!key.starts_with(sQuarantineKeys)) {
-            continue;
+        if (key.starts_with(sQuarantineKeys)) {
+            const auto digest
+                = RequestDigest::parse(std::string_view(key).substr(sQuarantineKeys.size()));
+            mRecordedCrashCounts.erase(digest.value_or(RequestDigest()));
         }
-        const auto digest
-            = RequestDigest::parse(std::string_view(key).substr(sQuarantineKeys.size()));
-        if (!digest || mRecordedCrashCounts.erase(*digest) == 0) {
+    }
+    std::uint64_t sinceStart = 0;
+    for (const QuarantineEntry &entry : mQuarantine.changedSince(sinceStart, sMaxRestoreCount)) {
+        if (!refusedFor(entry.digest) || isRecorded(entry)) {
             continue;
         }
-        const Milliseconds delay
-            = isHomeGateway(*digest) ? Milliseconds(0) : remoteWriteDelay(*digest);
-        asio::co_spawn(mExecutor, writeRecord(*digest, delay), asio::detached);
+        const bool isHome = isHomeGateway(entry.digest);
+        const Milliseconds delay = isHome ? Milliseconds(0) : remoteWriteDelay(entry.digest);
+        asio::co_spawn(mExecutor, writeRecord(entry.digest, delay), asio::detached);
     }
 }
 
