--- a/spec/restoredlog.pml
+++ b/spec/restoredlog.pml
@@ -26,7 +26,6 @@
 
 byte log[LENGTH];
 byte end = 0;
-byte copied = 0;       /* length of the copy, which is a prefix of the log */
 byte era = 1;
 byte acked = 0;        /* newest value that the store acknowledged */
 bool isRewritten = true;
@@ -147,9 +146,14 @@
     :: atomic { !isFinished && isRewritten && acked < VERSIONS && end < LENGTH ->
         acked++; append(acked) }
     :: atomic { !isFinished && end < LENGTH -> append(OTHER) }
-    :: atomic { copied = end }
-    :: atomic { !isFinished && era <= RESTORES && copied < end ->
-        end = copied; era++;
+    :: atomic { !isFinished && era <= RESTORES && end > 0 ->
+        /* every copy is a prefix of the log */
+        end--;
+        do
+        :: end > 0 -> end--
+        :: break
+        od;
+        era++;
         /* lost unless the copy holds it */
         isRewritten = (acked == 0);
         i = 0;
