Soak: a refusal for load says nothing about the configuration in force

Its log has 46 in force once, 0.7 s after the 404, and never an older one: the probe before had got a 503 ("a configuration that may be old", or a rest), which counted as known. Only an answer by a replica does now.

--- a/tests/soak/returns.py
+++ b/tests/soak/returns.py
@@ -102,9 +102,12 @@
                    "Loomjunction-Deadline-Ms": "1500"}
         try:
             async with session.post(url, headers=headers) as answer:
-                is_known = answer.status not in (401, 403, 404)
+                status = answer.status
         except (aiohttp.ClientError, asyncio.TimeoutError):
             return
+        is_known, is_unknown = status == 200, status in (401, 403, 404)
+        if not is_known and not is_unknown:
+            return  # a refusal for load, a rest or age says nothing about the route
         self.samples.append((sent_at, gateway.box, life, version, accepted_at, is_known))
 
     def broken(self, config_apply, was_calm):
