Configuration: right after the store's return, an unknown route is not refused for good

A configuration that operators had written just before the store's return may be missing in the copy until they write it again. A gateway that had not read it answered 404 or 401, although it could have known that records may be missing. It answers 503 with a time to return for 2 s after the first read of the new era.

--- a/src/libloomjunction/gateway/feedservice.cpp
+++ b/src/libloomjunction/gateway/feedservice.cpp
@@ -88,6 +88,8 @@
 // known two seconds after the store accepted them, also if the first planned reader is lost.
 constexpr Milliseconds sRestoreTimeout{1'000};
 constexpr Milliseconds sRestoreReaderTimeout{500};
+// Operators and replicas write again what the store has lost within about this time.
+constexpr Milliseconds sRewriteTime{2'000};
 constexpr std::chrono::milliseconds sRequestTimeout{2'000};
 // A record may have been written at any time since the feed was last known to be complete.
 // Up to this much of that time is attributed to the wait of the poll and left out of the
@@ -160,6 +162,12 @@
     return hasFailed || isRestored || state.isRelayDoubtful;
 }
 
+bool FeedService::mayLackRecords(Feed feed) const
+{
+    const auto &restoredAt = state(feed).restoredAt;
+    return restoredAt && now() - *restoredAt <= sRewriteTime;
+}
+
 bool FeedService::isRestoring() const
 {
     return std::ranges::any_of(
--- a/src/libloomjunction/gateway/feedservice.h
+++ b/src/libloomjunction/gateway/feedservice.h
@@ -130,6 +130,11 @@
     std::optional<Microseconds> age(Feed feed) const;
     /** Whether a read of the store failed within the last seconds. */
     bool hasStoreFailed() const;
+    /**
+     * Whether the store returned from a copy so recently that records which were written before
+     * may not have been written again.
+     */
+    bool mayLackRecords(Feed feed) const;
     bool isStoreReached(Feed feed) const { return state(feed).isStoreReached; }
     /**
      * Whether this process started so recently that the planned readers count more than the
--- a/src/libloomjunction/gateway/operatorconfigservice.cpp
+++ b/src/libloomjunction/gateway/operatorconfigservice.cpp
@@ -95,7 +95,8 @@
 bool OperatorConfigService::mayBeStale() const
 {
     const auto age = mFeeds->age(Feed::Operators);
-    return !age || *age > mBounds.maxConfigAge * sFreshnessNumerator / sFreshnessDenominator;
+    return mFeeds->mayLackRecords(Feed::Operators) || !age
+        || *age > mBounds.maxConfigAge * sFreshnessNumerator / sFreshnessDenominator;
 }
 
 void OperatorConfigService::applyRecord(const FeedChange &change)
--- a/tests/restoredstore/test_restoredstore.cpp
+++ b/tests/restoredstore/test_restoredstore.cpp
@@ -375,3 +375,30 @@
         co_await fixture.waitFor([&] { return fixture.config().table()->version() == 2; });
     });
 }
+
+// Guards against refusing for good what a configuration allows that the copy lacks and that
+// operators are about to write again.
+BOOST_AUTO_TEST_CASE(unknown_route_is_refused_for_good_only_after_the_time_to_write_again)
+{
+    GatewayFixture fixture;
+    fixture.writeConfig(1);
+    fixture.addReplica("first", "plain", answerTo);
+    fixture.store.copy();
+    fixture.run([&]() -> awaitable<void> {
+        co_await fixture.waitFor([&] { return isUsable(fixture, "first"); });
+        co_await fixture.waitFor([&] { return fixture.config().table() != nullptr; });
+        auto response = co_await fixture.call("GET", "/unknown/x", "id0");
+        BOOST_TEST((response && response->status == 404));
+        const int before = fixture.store.fullReadCountByFeed[0];
+        fixture.store.restore();
+        co_await fixture.waitFor([&] { return fixture.store.fullReadCountByFeed[0] > before; });
+        co_await sleepFor(std::chrono::milliseconds(50)); // until the full read was applied
+        response = co_await fixture.call("GET", "/unknown/x", "id1");
+        BOOST_TEST((response && response->status == 503));
+        for (int i = 2; response && response->status == 503 && i < 500; ++i) {
+            co_await sleepFor(std::chrono::milliseconds(20));
+            response = co_await fixture.call("GET", "/unknown/x", "id" + std::to_string(i));
+        }
+        BOOST_TEST((response && response->status == 404));
+    });
+}
