Gateway: a broken stream waits for a usable replica instead of being cut

Cause: a replica breaks off its streams when it loads newer weights. If a whole fleet loads at once, nobody can continue them for some tenths of a second, and the gateway cut them at the first look.

Change: such a stream waits until its caller would give it up. Field queuedMs, metric loom_resume_waits_total.

--- a/src/libloomjunction/gateway/gatewaycall.cpp
+++ b/src/libloomjunction/gateway/gatewaycall.cpp
@@ -231,6 +231,36 @@
     co_return co_await mCall.parts.replicas.choose(asked);
 }
 
+// A stream whose beginning the caller has is lost if it is not continued. Replicas that load newer
+// weights break off all their streams within some tenths of a second, when few others can take
+// them yet.
+awaitable<bool> GatewayCall::waitForReplica(const ReplicaChoice &choice)
+{
+    const auto *none = std::get_if<NoneUsable>(&choice);
+    const bool isHopeless = none != nullptr && none->known <= mExcludedReplicas.size();
+    if (!mCall.isHeadSent || isHopeless) {
+        co_return false;
+    }
+    if (mQueuedAt == Instant()) {
+        mQueuedAt = now();
+    }
+    const Instant until
+        = std::min(resumeDeadline(*mCall.route, mLastForwardedAt), mCall.deadline - sMinTimeLeft);
+    co_return co_await mCall.parts.replicas.capacityQueue(mCall.serviceName)
+        .waitForTurn(mQueuePlace, until, [this] { return mCall.isCallerGone || mCall.isTimedOut; });
+}
+
+void GatewayCall::leaveCapacityQueue(bool hasFound)
+{
+    if (mQueuedAt == Instant()) {
+        return;
+    }
+    mQueuePlace.leave();
+    mQueuedFor += std::chrono::duration_cast<Milliseconds>(now() - mQueuedAt);
+    mQueuedAt = Instant();
+    mCall.parts.metrics.count("resume_waits", hasFound ? "found" : "none found");
+}
+
 // A caller that retries before any replica accepts requests again would only be refused again.
 Milliseconds GatewayCall::retryDelayAfterRefusal() const
 {
@@ -252,6 +282,14 @@
             co_return;
         }
         const auto *chosen = std::get_if<ChosenReplica>(&choice);
+        if (chosen == nullptr && co_await waitForReplica(choice)) {
+            continue;
+        }
+        leaveCapacityQueue(chosen != nullptr);
+        if (mCall.isCallerGone || mCall.isTimedOut) {
+            co_await failCall(504, "time was over before a replica was chosen");
+            co_return;
+        }
         if (chosen == nullptr) {
             mStopReason = std::holds_alternative<AllBusy>(choice) ? "all busy" : "no replica";
             const auto *busy = std::get_if<AllBusy>(&choice);
@@ -514,6 +552,7 @@
     mTimes.noteEvents(now());
     mCall.lastEvent = events.last;
     mForwardedEventCount += events.count;
+    mLastForwardedAt = now();
     const bool sent = co_await mCall.exchange.write(events.text);
     startSilenceTimer(std::max(sMinStreamSilence, mCall.route->pauseGoal * sStreamSilencePauses));
     co_return sent;
@@ -745,6 +784,7 @@
              {"noMore", mStopReason},
              {"held", outcome == "refused" ? pausedByNotices() : std::string()},
              {"events", mForwardedEventCount},
+             {"queuedMs", mQueuedFor.count()},
              {"replica", mLastChosen.id},
              {"request", mDigest.text()},
              {"load", mLastChosen.load},
--- a/src/libloomjunction/gateway/gatewaycall.h
+++ b/src/libloomjunction/gateway/gatewaycall.h
@@ -12,6 +12,7 @@
 #include "asynctypes.h"
 #include "bootclock.h"
 #include "callstate.h"
+#include "capacityqueue.h"
 #include "instant.h"
 #include "replicaattempt.h"
 #include "requestdigest.h"
@@ -64,6 +65,9 @@
     void noteSent();
     ReplicaQuery query() const;
     awaitable<ReplicaChoice> choose() const;
+    /** Waits until a call that found no replica may look again; false: it may not. */
+    awaitable<bool> waitForReplica(const ReplicaChoice &choice);
+    void leaveCapacityQueue(bool hasFound);
     Milliseconds retryDelayAfterRefusal() const;
     /** Whether the request may be sent again after an attempt with an unknown outcome. */
     bool mayRepeat() const;
@@ -126,6 +130,10 @@
     bool mIsHedgeCancelled = false; ///< it is no longer needed
 
     std::uint32_t mForwardedEventCount = 0; ///< events that were sent to the caller
+    Instant mLastForwardedAt; ///< when the last of them was sent
+    CapacityQueue::Place mQueuePlace;
+    Instant mQueuedAt; ///< when the call began to wait for a replica; zero: it does not wait
+    Milliseconds mQueuedFor{0}; ///< time for which the call waited for replicas
     std::string_view mStopReason; ///< why no further attempt followed the last one
     AnswerTiming mTimes;
     ChosenReplica mLastChosen; ///< the replica of the last attempt
--- a/src/libloomjunction/gateway/replicaservice.cpp
+++ b/src/libloomjunction/gateway/replicaservice.cpp
@@ -60,6 +60,7 @@
 
 tl::expected<void, std::string> ReplicaService::start(Kernel &kernel)
 {
+    mExecutor = kernel.executor();
     mMembers = &kernel.find<MemberService>(MemberService::sName);
     mFeeds = &kernel.find<FeedService>(FeedService::sName);
     mFeeds->listen(Feed::Replicas, [this](const FeedChange &change) { applyChange(change); });
@@ -431,6 +432,11 @@
     return isGranted;
 }
 
+CapacityQueue &ReplicaService::capacityQueue(const std::string &service)
+{
+    return mCapacityQueues.try_emplace(service, mExecutor).first->second;
+}
+
 std::unique_ptr<HttpLink> ReplicaService::takeIdleLink(Pool &pool)
 {
     while (!pool.idle.empty()) {
--- a/src/libloomjunction/gateway/replicaservice.h
+++ b/src/libloomjunction/gateway/replicaservice.h
@@ -9,6 +9,7 @@
 #pragma once
 
 #include "callerwaitestimator.h"
+#include "capacityqueue.h"
 #include "httplink.h"
 #include "kernel.h"
 #include "loadprober.h"
@@ -88,6 +89,8 @@
     void noteNotice(const ReplicaIncarnation &incarnation, const ReplicaNotice &notice);
     /** Takes one retry from the budget of @p service; false: the budget is exhausted. */
     bool takeRetry(const std::string &service);
+    /** The calls of @p service that wait for a replica. */
+    CapacityQueue &capacityQueue(const std::string &service);
 
     /** Returns a connection to the replica @p id at @p address, from the pool or new. */
     awaitable<tl::expected<std::unique_ptr<HttpLink>, LinkError>>
@@ -133,11 +136,13 @@
     ReplicaSet mReplicas;
     std::map<std::string, Pool> mPools; ///< by replica id
     std::map<std::string, SharedRetryBudget> mBudgets;
+    std::map<std::string, CapacityQueue> mCapacityQueues; ///< by service
     CallerWaitEstimator mCallerWaits;
     RefusalRatio mRefusalRatio; ///< of the requests on all routes
     std::unique_ptr<LoadProber> mLoadProber;
     std::unique_ptr<PermitClient> mPermits;
     OperatorConfigService *mConfig = nullptr;
+    asio::any_io_executor mExecutor;
     bool mStopped = false;
 };
 
--- a/tests/gateway/test_gateway.cpp
+++ b/tests/gateway/test_gateway.cpp
@@ -244,6 +244,62 @@
     });
 }
 
+// When a whole fleet loads newer weights, its replicas break off their streams while the others
+// accept nothing yet. Such streams were cut, though a replica was usable some tenths of a second
+// later.
+BOOST_AUTO_TEST_CASE(a_stream_broken_off_in_a_reload_waits_for_the_next_usable_replica)
+{
+    GatewayFixture fixture;
+    fixture.writeConfig(1);
+    const auto breaksOff = [](const std::string &head) {
+        return ScriptedReplica::Answer{streamHead(requestIdOf(head)) + chunk(event(1)), true};
+    };
+    const auto resumes = [](const std::string &head) {
+        BOOST_TEST(head.find("Last-Event-Id: 1") != std::string::npos);
+        return ScriptedReplica::Answer{
+            streamHead(requestIdOf(head)) + chunk(event(2)) + "0\r\n\r\n", false};
+    };
+    fixture.addReplica("i-1", "engine", breaksOff);
+    ScriptedReplica &loading = fixture.addReplica("i-2", "engine", resumes, 0);
+    fixture.run([&]() -> awaitable<void> {
+        co_await waitUntilReady(fixture, 2);
+        asio::co_spawn(
+            fixture.context,
+            [&]() -> awaitable<void> {
+                co_await fixture.waitFor(
+                    [&] { return fixture.replicas().replicas().find("i-1")->failures > 0; });
+                co_await sleepFor(std::chrono::milliseconds(300));
+                fixture.store.write(Feed::Replicas, "i-2",
+                                    R"({"service":"engine","address":")" + loading.address()
+                                        + R"(","zone":"z1","slots":4,"state":"ready",)"
+                                        + R"("models":[{"name":"m","version":1}]})");
+            },
+            asio::detached);
+        const auto response = co_await fixture.call("POST", "/model/a", "id1");
+        BOOST_REQUIRE(response.has_value());
+        BOOST_TEST(response->body == event(1) + event(2));
+        BOOST_TEST(loading.requests() == 1);
+    });
+}
+
+// A stream that waits for a replica must not outlive its caller's patience.
+BOOST_AUTO_TEST_CASE(a_broken_stream_is_cut_off_if_no_replica_becomes_usable)
+{
+    GatewayFixture fixture;
+    fixture.writeConfig(1);
+    fixture.addReplica("i-1", "engine", [](const std::string &head) {
+        return ScriptedReplica::Answer{streamHead(requestIdOf(head)) + chunk(event(1)), true};
+    });
+    ScriptedReplica &loading = fixture.addReplica("i-2", "engine", neverAnswers, 0);
+    fixture.run([&]() -> awaitable<void> {
+        co_await waitUntilReady(fixture, 2);
+        const auto response = co_await fixture.call("POST", "/model/a", "id1");
+        BOOST_TEST(!response.has_value());
+        BOOST_TEST((response.error().failure == HttpFailure::Cut));
+        BOOST_TEST(loading.requests() == 0);
+    });
+}
+
 BOOST_AUTO_TEST_CASE(a_silent_replica_is_abandoned_at_the_route_timeout)
 {
     GatewayFixture fixture;
