Feeds: followers learn that a lost record was written again

A record that the store's copy lacked and that was written again with the same value took its new position at the reader only: it is announced to no listener and was not relayed, so that followers kept the key as missing. A record that is dropped when it stays missing, such as an evacuation, would end there although it is in force.

The new position is relayed, without the value. A key counts as present again once its record moved, or a later copy holds it. Ruled out: announcing the record as new, since a configuration of some hundred kilobytes would be sent again to every follower.

--- a/src/libloomjunction/core/feedtable.cpp
+++ b/src/libloomjunction/core/feedtable.cpp
@@ -45,7 +45,7 @@
 
 bool FeedTable::apply(const FeedRecord &record)
 {
-    if (record.era == mNext.era) {
+    if (record.era >= mNext.era) {
         mMissing.erase(record.key);
     }
     const auto it = mRecords.find(record.key);
@@ -104,6 +104,7 @@
     }
     FeedRecord &record = it->second;
     if (position > record.position()) {
+        mMissing.erase(record.key); // written again, so that the store holds it
         mMovedFrom.insert_or_assign(record.key, record.position());
         record.era = position.era;
         record.offset = position.offset;
--- a/src/libloomjunction/gateway/feedservice.cpp
+++ b/src/libloomjunction/gateway/feedservice.cpp
@@ -515,7 +515,7 @@
     for (const FeedRecord &record : batch.records) {
         present.insert(record.key);
         const bool isRevived = state.table.isRevival(record);
-        if (state.table.apply(record)) {
+        if (applyToTable(state, record)) {
             state.learnedAt[record.key] = now() - std::min(age, sUnknownAge);
             state.origins[record.key] = RecordOrigin();
             notifyListeners(feed, record, age, isRevived);
@@ -639,6 +639,17 @@
         && state.isEquivalent(known->second, record);
 }
 
+// Returns whether the record is new. A record that was written again after the store had lost it is
+// not, but followers consider it missing until they learn of its new position.
+bool FeedService::applyToTable(FeedState &state, const FeedRecord &record)
+{
+    const bool wasMissing = state.table.missing().contains(record.key);
+    const bool isNew = state.table.apply(record);
+    const bool isWrittenAgain = wasMissing && !state.table.missing().contains(record.key);
+    state.changeCount += isWrittenAgain && !isNew ? 1 : 0;
+    return isNew;
+}
+
 // Applies a record from the store's log. A log grows at its end, so a record of an earlier
 // offset than the known one shows that the store returned from a copy without a new era.
 void FeedService::applyRead(Feed feed, const FeedRecord &record, Microseconds age)
@@ -660,7 +671,7 @@
                         bool isRevived)
 {
     FeedState &state = this->state(feed);
-    if (isUnchanged(feed, record) || !state.table.apply(record)) {
+    if (isUnchanged(feed, record) || !applyToTable(state, record)) {
         return;
     }
     state.learnedAt[record.key] = now() - std::min(age, sUnknownAge);
@@ -878,6 +889,7 @@
             if (!state.table.move(relayed.key(), {relayed.era(), relayed.offset()})) {
                 return false;
             }
+            ++state.changeCount; // followers need the new position
             continue;
         }
         const auto record = readRelayed(feed, relayed);
@@ -949,8 +961,10 @@
     wire::FollowUpdate update;
     for (const auto &[key, record] : state.table.all()) {
         const bool isHeld = follower.sent.holds(record, state.table.movedFrom(key));
+        const bool isMoved
+            = isHeld && follower.acceptsUnchanged && !follower.sent.holds(record, std::nullopt);
         follower.sent.noteSent(record);
-        if (isHeld && !(isFullUpdate && record.value)) {
+        if (isHeld && !isMoved && !(isFullUpdate && record.value)) {
             continue;
         }
         wire::RelayedRecord &relayed = *update.add_records();
--- a/src/libloomjunction/gateway/feedservice.h
+++ b/src/libloomjunction/gateway/feedservice.h
@@ -256,6 +256,7 @@
     void noteLogEnd(Feed feed, std::uint64_t end);
     void countRead(Feed feed, std::string_view kind, std::uint64_t bytes);
     void countRefusedRead(Feed feed);
+    static bool applyToTable(FeedState &state, const FeedRecord &record);
     void applyRead(Feed feed, const FeedRecord &record, Microseconds age);
     void apply(Feed feed, const FeedRecord &record, Microseconds age, RecordOrigin origin = {},
                bool isRevived = false);
--- a/tests/direct/test_feedtable.cpp
+++ b/tests/direct/test_feedtable.cpp
@@ -145,6 +145,30 @@
     BOOST_TEST(!removed.removeAbsent({}, {3, 20}).at(0).isLost);
 }
 
+// Guards against a record that counts as lost for good, although the store holds it again: an
+// evacuation ended after five seconds at followers of the gateway that read it.
+BOOST_AUTO_TEST_CASE(missing_record_counts_as_present_once_it_moved_or_a_later_copy_holds_it)
+{
+    FeedTable relayed;
+    relayed.setEraRules(risingValues(true));
+    relayed.apply(recordOf(1, 9, "c"));
+    relayed.removeAbsent({}, {2, 5});
+    relayed.setNext({2, 5});
+    BOOST_TEST(relayed.missing().contains("k"));
+    BOOST_TEST(relayed.move("k", {1, 9}));
+    BOOST_TEST(relayed.missing().contains("k"));
+    BOOST_TEST(relayed.move("k", {2, 6}));
+    BOOST_TEST(!relayed.missing().contains("k"));
+
+    FeedTable reader;
+    reader.setEraRules(risingValues(true));
+    reader.apply(recordOf(1, 9, "c"));
+    reader.removeAbsent({}, {2, 5});
+    reader.setNext({2, 5});
+    reader.apply(recordOf(3, 5, "c"));
+    BOOST_TEST(!reader.missing().contains("k"));
+}
+
 BOOST_AUTO_TEST_CASE(first_record_of_an_empty_log_replaces_a_removal_found_there)
 {
     FeedTable table;
--- a/tests/restoredstore/test_restoredstore.cpp
+++ b/tests/restoredstore/test_restoredstore.cpp
@@ -301,6 +301,34 @@
     });
 }
 
+// Guards against a follower that considers a record lost although its reader has read it again with
+// the same value: an evacuation ended there after five seconds.
+BOOST_AUTO_TEST_CASE(follower_learns_that_a_lost_record_was_written_again)
+{
+    RelayFixture().run([](RelayFixture &fixture) -> awaitable<void> {
+        writeConfig(fixture.reader, 1);
+        co_await fixture.waitFor([&] { return fixture.follower.hasConfig(1); });
+        MemoryStore &store = fixture.reader.store;
+        store.copy();
+        store.write(Feed::Operators, "evacuate/z2", "{}");
+        const auto isMissing = [](FeedProcess &process) {
+            return process.feeds().table(Feed::Operators).missing().contains("evacuate/z2");
+        };
+        const auto isKnown = [](FeedProcess &process) {
+            return process.feeds().table(Feed::Operators).find("evacuate/z2") != nullptr;
+        };
+        co_await fixture.waitFor([&] { return isKnown(fixture.follower); });
+        store.restore();
+        co_await fixture.waitFor([&] { return isMissing(fixture.follower); });
+        BOOST_TEST(isMissing(fixture.reader));
+        store.write(Feed::Operators, "evacuate/z2", "{}");
+        co_await fixture.waitFor([&] { return !isMissing(fixture.reader); });
+        co_await fixture.waitFor([&] { return !isMissing(fixture.follower); });
+        store.write(Feed::Operators, "evacuate/z2", std::nullopt);
+        co_await fixture.waitFor([&] { return !isKnown(fixture.follower); });
+    });
+}
+
 // Guards against full reads by every gateway at once, which saturate the links to the store.
 BOOST_AUTO_TEST_CASE(planned_readers_read_a_restored_log_for_the_others)
 {
