Regions of requests, and evacuation of data centres

Each gateway decides at each choice and again right before a send. ReplicaSet keeps the region and the evacuation with each replica, so that choice, probes, standing connections and retry delays agree. The lists are those of the configuration in force at the choice, not at the request's arrival. Expected calls are divided among all usable replicas as before, but not among evacuated ones. A refusal for regions does not count as overload. Address answers for hosts with lists name gateways of the allowed regions and of the caller's own.

--- a/src/libloomjunction/core/addressselector.cpp
+++ b/src/libloomjunction/core/addressselector.cpp
@@ -208,4 +208,24 @@
     }
 }
 
+std::vector<std::string> chooseInRegions(std::string_view gatewayKey,
+                                         std::span<const GatewayAddress> gateways,
+                                         FailureTolerance tolerance, const CallerLocation &caller,
+                                         std::span<const std::string> regions)
+{
+    std::vector<GatewayAddress> allowed;
+    for (const GatewayAddress &gateway : gateways) {
+        const bool isNear = gateway.region == caller.region;
+        const bool isListed = std::ranges::find(regions, gateway.region) != regions.end();
+        if (!gateway.region.empty() && (isNear || isListed)) {
+            allowed.push_back(gateway);
+        }
+    }
+    auto addresses = AddressSelector(gatewayKey, allowed, tolerance).choose(caller);
+    if (addresses.empty()) {
+        addresses = AddressSelector(gatewayKey, gateways, tolerance).choose(caller);
+    }
+    return addresses;
+}
+
 } // namespace Loom
--- a/src/libloomjunction/core/addressselector.h
+++ b/src/libloomjunction/core/addressselector.h
@@ -86,4 +86,13 @@
     FailureTolerance mTolerance;
 };
 
+/**
+ * Selects the addresses for a caller of routes that only @p regions may serve: gateways of these
+ * regions and of the caller's own one. If none of them can be named, selects as without regions.
+ */
+std::vector<std::string> chooseInRegions(std::string_view gatewayKey,
+                                         std::span<const GatewayAddress> gateways,
+                                         FailureTolerance tolerance, const CallerLocation &caller,
+                                         std::span<const std::string> regions);
+
 } // namespace Loom
--- a/src/libloomjunction/core/replica.cpp
+++ b/src/libloomjunction/core/replica.cpp
@@ -25,6 +25,8 @@
         return "leaving";
     case UnavailableReason::Resting:
         return "resting";
+    case UnavailableReason::Evacuated:
+        return "evacuated";
     }
     return "";
 }
@@ -40,6 +42,10 @@
     if (notices.isLeaving()) {
         return UnavailableReason::Leaving;
     }
+    // An evacuation outlasts a rest, after which the replica would count as usable again.
+    if (isEvacuated) {
+        return UnavailableReason::Evacuated;
+    }
     return notices.isResting(now) ? UnavailableReason::Resting : UnavailableReason::Nothing;
 }
 
--- a/src/libloomjunction/core/replica.h
+++ b/src/libloomjunction/core/replica.h
@@ -130,6 +130,7 @@
     Draining, ///< its record says that it drains
     Leaving, ///< its answers say that it shuts down
     Resting, ///< its answers asked for a pause that has not ended
+    Evacuated, ///< operators have evacuated its data centre
 };
 std::string_view unavailableReasonName(UnavailableReason reason);
 
@@ -156,6 +157,8 @@
     Instant rateLimitedUntil; ///< when the limit permits the next request
     std::deque<Instant> recentSends; ///< send times of this gateway within sSendWindow
     Instant removedAt; ///< when the replica counts as removed; zero: it does not
+    std::string region; ///< of its data centre; empty: unknown
+    bool isEvacuated = false; ///< its data centre is evacuated
 
     /** Decides alone whether requests may be sent to the replica at @p now. */
     UnavailableReason unavailableReason(Instant now) const;
--- a/src/libloomjunction/core/replicaestimate.cpp
+++ b/src/libloomjunction/core/replicaestimate.cpp
@@ -56,7 +56,8 @@
 bool ReplicaEstimator::isUsable(const Replica &replica) const
 {
     const bool isUnavailable = replica.unavailableReason(mNow) != UnavailableReason::Nothing;
-    if (replica.record.service != mQuery.service || isUnavailable) {
+    if (replica.record.service != mQuery.service || isUnavailable
+        || !mQuery.regions.allows(replica.region)) {
         return false;
     }
     if (replica.avoidedUntil > mNow || replica.isRateLimited(mNow)) {
--- a/src/libloomjunction/core/replicaestimate.h
+++ b/src/libloomjunction/core/replicaestimate.h
@@ -9,6 +9,7 @@
 #pragma once
 
 #include "enginemodel.h"
+#include "placement.h"
 #include "replica.h"
 
 #include <cstdint>
@@ -42,6 +43,7 @@
     Milliseconds timeLeft{0};
     /** The caller has received the start of a stream that has to be continued. */
     bool isResumed = false;
+    AllowedRegions regions; ///< of the replicas that may be chosen
     std::span<const std::string> excluded; ///< ids of replicas that must not be chosen
     /** Ids of replicas whose agents just answered a probe; the choice is limited to them.
         Empty: it is not. */
--- a/src/libloomjunction/core/replicaset.cpp
+++ b/src/libloomjunction/core/replicaset.cpp
@@ -50,6 +50,35 @@
 
 } // namespace
 
+void ReplicaSet::setRegions(DataCentreRegions regions)
+{
+    mPlacement.setRegions(std::move(regions));
+    for (auto &[id, replica] : mReplicas) {
+        place(replica);
+    }
+}
+
+void ReplicaSet::setEvacuated(std::string_view dataCentre, bool isEvacuated)
+{
+    mPlacement.setEvacuated(dataCentre, isEvacuated);
+    for (auto &[id, replica] : mReplicas) {
+        place(replica);
+    }
+}
+
+// Kept with each replica, since every choice asks for it at every replica.
+void ReplicaSet::place(Replica &replica) const
+{
+    replica.region = mPlacement.regionOf(replica.record.dataCentre);
+    replica.isEvacuated = mPlacement.isEvacuated(replica.record.dataCentre);
+}
+
+std::size_t ReplicaSet::replicaCountIn(std::string_view dataCentre) const
+{
+    return static_cast<std::size_t>(std::ranges::count_if(
+        mReplicas, [&](const auto &item) { return item.second.record.dataCentre == dataCentre; }));
+}
+
 // Whether @p record describes an earlier incarnation than @p other at the same address. Positions
 // of different eras don't show it, because the later era begins with records of a copy.
 bool ReplicaSet::isEarlier(const ReplicaRecord &record, const ReplicaRecord &other)
@@ -110,6 +139,7 @@
     replica.record = record;
     replica.record.isDraining = record.isDraining || wasDraining;
     replica.removedAt = Instant();
+    place(replica);
     retireEarlierIncarnations(record, now);
 }
 
@@ -205,7 +235,8 @@
     const UnavailableReason reason = replica.unavailableReason(now);
     const bool acceptsRequests
         = reason == UnavailableReason::Nothing || reason == UnavailableReason::Resting;
-    return replica.record.service == query.service && acceptsRequests;
+    return replica.record.service == query.service && acceptsRequests
+        && query.regions.allows(replica.region);
 }
 
 std::vector<const Replica *> ReplicaSet::candidatesFor(const ReplicaQuery &query, Instant now) const
@@ -296,6 +327,24 @@
     return survey;
 }
 
+// Number of replicas that all calls of the service share. The regions of one request don't narrow
+// it, since its service's other calls are spread over all regions.
+std::size_t ReplicaSet::sharingCount(const ReplicaQuery &query, std::size_t usableCount,
+                                     Milliseconds shortestGoal, Instant now) const
+{
+    ReplicaQuery unrestricted = query;
+    unrestricted.regions = {};
+    if (!query.answered.empty()) {
+        return candidatesFor(unrestricted, now).size();
+    }
+    if (!query.regions.isRestricted()) {
+        return usableCount;
+    }
+    ReplicaEstimator estimator(unrestricted, shortestGoal, now);
+    estimator.setMinAnswerMs(minAnswerMs(estimator));
+    return usableFor(unrestricted, estimator).size();
+}
+
 // Expected calls at all gateways until the next reports, scaled to the examined replicas.
 double ReplicaSet::expectedCalls(const ReplicaQuery &query, const Survey &survey,
                                  std::size_t usableCount, Instant now) const
@@ -358,6 +407,10 @@
     if (query.engine == nullptr || query.isResumed || !canMeetGoal(query)) {
         return;
     }
+    const auto *none = std::get_if<NoneUsable>(&choice);
+    if (none != nullptr && none->isRegionBound) {
+        return; // says nothing about the load of the service
+    }
     const auto *chosen = std::get_if<ChosenReplica>(&choice);
     const bool hasRoom = chosen != nullptr && !chosen->isPatient;
     mRefusals[std::string(query.service)].note(hasRoom, now);
@@ -376,13 +429,15 @@
         return AllBusy{RetryAdvice(query).afterPause(*opening - now), 1, true};
     }
     if (usable.empty()) {
-        return NoneUsable{serviceReplicaCount(query.service), RetryAdvice(query).whenNoneUsable()};
+        const bool isRegionBound = query.regions.isRestricted()
+            && (query.excluded.empty() || candidatesFor(query, now).empty());
+        return NoneUsable{serviceReplicaCount(query.service), RetryAdvice(query).whenNoneUsable(),
+                          isRegionBound};
     }
     ChoiceRandom(query.random).shuffle(usable);
     const Survey survey = ReplicaSet::survey(usable, query, estimator, now);
-    const std::size_t sharingCount
-        = query.answered.empty() ? usable.size() : candidatesFor(query, now).size();
-    const double expected = expectedCalls(query, survey, sharingCount, now);
+    const std::size_t sharing = sharingCount(query, usable.size(), shortestGoal, now);
+    const double expected = expectedCalls(query, survey, sharing, now);
     ChoiceRandom draws(query.random ^ sSelectionSeedMask);
     const double chance = draws.nextFraction();
     const bool isShared = query.engine == nullptr || chance * expected < survey.room;
--- a/src/libloomjunction/core/replicaset.h
+++ b/src/libloomjunction/core/replicaset.h
@@ -10,6 +10,7 @@
 
 #include "callrate.h"
 #include "instant.h"
+#include "placement.h"
 #include "probeplan.h"
 #include "refusalratio.h"
 #include "replica.h"
@@ -32,6 +33,7 @@
 {
     std::uint32_t known = 0; ///< replicas of the service in the set
     Milliseconds retryAfter{0}; ///< retry delay for the caller
+    bool isRegionBound = false; ///< the request may be served in some regions only
 };
 /** All usable replicas are too busy to answer within the goal, or all are paused. */
 struct AllBusy
@@ -70,6 +72,14 @@
 
     void setDrainTime(Milliseconds drainTime) { mDrainTime = drainTime; }
 
+    /** Sets the regions of the data centres that are known. */
+    void setRegions(DataCentreRegions regions);
+    /** Starts or ends the evacuation of @p dataCentre; its replicas get no requests meanwhile. */
+    void setEvacuated(std::string_view dataCentre, bool isEvacuated);
+    const Placement &placement() const { return mPlacement; }
+    /** Number of known replicas in @p dataCentre. */
+    std::size_t replicaCountIn(std::string_view dataCentre) const;
+
     /** Adds or updates a replica from its record. Draining is final for an incarnation. */
     void put(const ReplicaRecord &record, Instant now);
     /**
@@ -175,6 +185,9 @@
     static void stopAwaitingFirstByte(Replica &replica, bool isPatient);
     static std::string pauseReason(const Replica &replica, Instant now);
     std::optional<Instant> nextAvailability(const ReplicaQuery &query, Instant now) const;
+    void place(Replica &replica) const;
+    std::size_t sharingCount(const ReplicaQuery &query, std::size_t usableCount,
+                             Milliseconds shortestGoal, Instant now) const;
     std::uint32_t serviceReplicaCount(std::string_view service) const;
     double minAnswerMs(const ReplicaEstimator &estimator) const;
     std::vector<const Replica *> usableFor(const ReplicaQuery &query,
@@ -195,6 +208,7 @@
     std::map<std::string, RefusalRatio, std::less<>> mRefusals; ///< by service
     std::map<std::string, Replica, std::less<>> mReplicas;
     RetainedNotices mRetained;
+    Placement mPlacement;
 };
 
 } // namespace Loom
--- a/src/libloomjunction/core/routetable.cpp
+++ b/src/libloomjunction/core/routetable.cpp
@@ -8,6 +8,8 @@
 
 #include "routetable.h"
 
+#include <algorithm>
+
 namespace Loom {
 
 namespace {
@@ -30,17 +32,39 @@
 {
     for (const Route &route : mConfig.routes) {
         mRoutes.emplace(routeKey(route.host, route.pathPrefix), &route);
+        addRegions(route);
     }
     for (const ClientAccount &account : mConfig.accounts) {
         for (const std::string &key : account.keys) {
             mKeys.emplace(key, &account);
         }
+        mHasAllowedRegions = mHasAllowedRegions || !account.allowedRegions.empty();
     }
     for (const ServiceConfig &service : mConfig.services) {
         mServices.emplace(service.name, &service);
     }
 }
 
+void RouteTable::addRegions(const Route &route)
+{
+    if (route.allowedRegions.empty()) {
+        return;
+    }
+    mHasAllowedRegions = true;
+    const auto [it, isFirst] = mRegionsByHost.try_emplace(route.host, route.allowedRegions);
+    if (!isFirst) {
+        std::erase_if(it->second, [&](const std::string &region) {
+            return std::ranges::find(route.allowedRegions, region) == route.allowedRegions.end();
+        });
+    }
+}
+
+const std::vector<std::string> *RouteTable::regionsForHost(std::string_view host) const
+{
+    const auto it = mRegionsByHost.find(std::string(host));
+    return it == mRegionsByHost.end() ? nullptr : &it->second;
+}
+
 const Route *RouteTable::match(std::string_view host, std::string_view path) const
 {
     // Prefixes end with a slash, so a prefix can only end at a slash of the path.
--- a/src/libloomjunction/core/routetable.h
+++ b/src/libloomjunction/core/routetable.h
@@ -50,6 +50,7 @@
     Milliseconds pauseGoal{0}; ///< longest pause between events that counts as good
     std::uint32_t attempts = 1; ///< maximum number of replicas that a request is sent to
     std::uint32_t priority = 5; ///< zero is the most urgent
+    std::vector<std::string> allowedRegions; ///< that may serve requests; empty: all
 
     bool mayRepeat() const { return repeat == RepeatPolicy::Repeatable || isResumable; }
 };
@@ -100,6 +101,7 @@
     std::string name;
     std::vector<std::string> keys;
     std::uint32_t priority = 5;
+    std::vector<std::string> allowedRegions; ///< that may serve requests; empty: all
 };
 
 /** A complete configuration that was accepted. */
@@ -125,15 +127,26 @@
     const ServiceConfig *service(std::string_view name) const;
     /** Returns the weight origin of the first service that has one, or null. */
     const OriginConfig *origin() const;
+    /** Whether a route or an account may be served in some regions only. */
+    bool hasAllowedRegions() const { return mHasAllowedRegions; }
+    /**
+     * Returns the regions that all routes of @p host which have a list of regions allow; null if
+     * no route of the host has one.
+     */
+    const std::vector<std::string> *regionsForHost(std::string_view host) const;
 
     const RouteConfig &config() const { return mConfig; }
     std::uint64_t version() const { return mConfig.version; }
 
 private:
+    void addRegions(const Route &route);
+
     RouteConfig mConfig;
     std::unordered_map<std::string, const Route *> mRoutes; ///< by routeKey() of host and prefix
     std::unordered_map<std::string, const ClientAccount *> mKeys;
     std::unordered_map<std::string, const ServiceConfig *> mServices;
+    std::unordered_map<std::string, std::vector<std::string>> mRegionsByHost;
+    bool mHasAllowedRegions = false;
 };
 
 using RouteTablePtr = std::shared_ptr<const RouteTable>;
--- a/src/libloomjunction/gateway/addressserver.cpp
+++ b/src/libloomjunction/gateway/addressserver.cpp
@@ -11,6 +11,7 @@
 #include "gatewayserver.h"
 #include "jsonhttp.h"
 #include "memberservice.h"
+#include "operatorconfigservice.h"
 
 #include <algorithm>
 
@@ -33,6 +34,7 @@
 {
     mGateway = &kernel.find<GatewayServer>(GatewayServer::sName);
     mMembers = &kernel.find<MemberService>(MemberService::sName);
+    mConfig = &kernel.find<OperatorConfigService>(OperatorConfigService::sName);
     const auto handler = [this](HttpExchange &exchange) { return handle(exchange); };
     mAddressServer = std::make_unique<HttpServer>(kernel.executor(), handler);
     mReadinessServer = std::make_unique<HttpServer>(kernel.executor(), handler);
@@ -75,9 +77,13 @@
 {
     std::vector<GatewayAddress> places = mMembers->otherGateways();
     places.push_back(ownAddress());
-    const AddressSelector choice(mMembers->key(), places, mSettings.failureTolerance);
-    const std::vector<std::string> addresses
-        = choice.choose({question.dataCentre, question.region});
+    const RouteTablePtr &table = mConfig->table();
+    const auto *regions = table ? table->regionsForHost(question.host) : nullptr;
+    const CallerLocation caller{question.dataCentre, question.region};
+    const FailureTolerance tolerance = mSettings.failureTolerance;
+    const std::vector<std::string> addresses = regions == nullptr
+        ? AddressSelector(mMembers->key(), places, tolerance).choose(caller)
+        : chooseInRegions(mMembers->key(), places, tolerance, caller, *regions);
     if (addresses.empty()) {
         return errorResponse(503, "no gateway is ready");
     }
--- a/src/libloomjunction/gateway/addressserver.h
+++ b/src/libloomjunction/gateway/addressserver.h
@@ -19,6 +19,7 @@
 
 class GatewayServer;
 class MemberService;
+class OperatorConfigService;
 
 /** Serves gateway addresses to callers and a readiness check to the platform. */
 class AddressServer final : public Service
@@ -44,6 +45,7 @@
     const MemberSettings &mSettings;
     GatewayServer *mGateway = nullptr;
     MemberService *mMembers = nullptr;
+    OperatorConfigService *mConfig = nullptr;
     std::unique_ptr<HttpServer> mAddressServer;
     std::unique_ptr<HttpServer> mReadinessServer;
 };
--- a/src/libloomjunction/gateway/callstate.h
+++ b/src/libloomjunction/gateway/callstate.h
@@ -62,6 +62,25 @@
     {
         return std::chrono::duration_cast<Milliseconds>(deadline - now());
     }
+    /**
+     * The regions that may serve the request by @p current, the configuration in force, which the
+     * result views.
+     */
+    AllowedRegions allowedRegions(const RouteTable &current) const
+    {
+        if (!current.hasAllowedRegions() && !table->hasAllowedRegions()) {
+            return {};
+        }
+        AllowedRegions regions;
+        const Route *currentRoute = current.match(caller.host, exchange.request().path());
+        regions.route = (currentRoute == nullptr ? *route : *currentRoute).allowedRegions;
+        if (!account.empty()) {
+            const ClientAccount *holder = current.accountForKey(caller.key);
+            holder = holder == nullptr ? table->accountForKey(caller.key) : holder;
+            regions.account = holder->allowedRegions;
+        }
+        return regions;
+    }
     bool isForEngine() const { return service != nullptr && service->engine; }
 };
 
--- a/src/libloomjunction/gateway/gatewaycall.cpp
+++ b/src/libloomjunction/gateway/gatewaycall.cpp
@@ -201,9 +201,10 @@
     }
 }
 
-ReplicaQuery GatewayCall::query() const
+ReplicaQuery GatewayCall::query(const AllowedRegions &regions) const
 {
     ReplicaQuery query;
+    query.regions = regions;
     query.service = mCall.serviceName;
     query.dataCentre = mCall.parts.settings.dataCentre;
     query.goal = mCall.route->goal;
@@ -227,18 +228,32 @@
 
 awaitable<ReplicaChoice> GatewayCall::choose() const
 {
-    const ReplicaQuery asked = query();
+    // Keeps the lists of regions while agents are probed.
+    const RouteTablePtr current = mCall.parts.config.table();
+    const ReplicaQuery asked = query(mCall.allowedRegions(*current));
     co_return co_await mCall.parts.replicas.choose(asked);
 }
 
 // A caller that retries before any replica accepts requests again would only be refused again.
 Milliseconds GatewayCall::retryDelayAfterRefusal() const
 {
+    const RouteTablePtr current = mCall.parts.config.table();
     return mCall.parts.replicas.replicas()
-        .retryDelayIfPaused(query(), now())
+        .retryDelayIfPaused(query(mCall.allowedRegions(*current)), now())
         .value_or(sRefusedRetryDelay);
 }
 
+GatewayCall::Refusal GatewayCall::refusalWithoutRegion(const NoneUsable &none) const
+{
+    const RouteTablePtr current = mCall.parts.config.table();
+    const bool isContradictory = mCall.allowedRegions(*current).isContradictory();
+    mCall.parts.metrics.count("region_refusals", mCall.serviceName);
+    return {sUnavailable,
+            isContradictory ? "no region may serve the request"
+                            : "no replica in an allowed region can take it",
+            none.retryAfter};
+}
+
 awaitable<void> GatewayCall::sendToReplicas()
 {
     mCall.parts.replicas.noteRequest(mCall.serviceName, mCall.route->goal);
@@ -262,6 +277,10 @@
                 none && mExcludedReplicas.empty()) {
                 last.retryAfter = none->retryAfter;
             }
+            if (const auto *none = std::get_if<NoneUsable>(&choice); none && none->isRegionBound) {
+                mStopReason = "no region";
+                last = refusalWithoutRegion(*none);
+            }
             break;
         }
         // Other gateways may have reported the request since it arrived or since the last attempt.
--- a/src/libloomjunction/gateway/gatewaycall.h
+++ b/src/libloomjunction/gateway/gatewaycall.h
@@ -62,9 +62,11 @@
     awaitable<void> noteFailedAttempt(const ReplicaAttempt &attempt, const AttemptOutcome &result);
     void noteSuccess();
     void noteSent();
-    ReplicaQuery query() const;
+    /** @p regions views a configuration that outlives the query. */
+    ReplicaQuery query(const AllowedRegions &regions) const;
     awaitable<ReplicaChoice> choose() const;
     Milliseconds retryDelayAfterRefusal() const;
+    Refusal refusalWithoutRegion(const NoneUsable &none) const;
     /** Whether the request may be sent again after an attempt with an unknown outcome. */
     bool mayRepeat() const;
 
--- a/src/libloomjunction/gateway/membersettings.cpp
+++ b/src/libloomjunction/gateway/membersettings.cpp
@@ -115,6 +115,7 @@
     }
     const std::string role = reader.oneOf("role", {sGateway, sStager});
     if (role == sGateway) {
+        settings.regions = reader.texts("regions");
         settings.role = readGateway(reader.child(sGateway));
     } else if (role == sStager) {
         settings.role = readStager(reader.child(sStager));
--- a/src/libloomjunction/gateway/membersettings.h
+++ b/src/libloomjunction/gateway/membersettings.h
@@ -12,6 +12,7 @@
 #include "asynctypes.h"
 #include "instant.h"
 #include "jsonlog.h"
+#include "placement.h"
 #include "sharedretrybudget.h"
 
 #include <cstdint>
@@ -61,6 +62,7 @@
     std::string box;
     std::string dataCentre;
     std::string region;
+    DataCentreRegions regions; ///< of other data centres; only a gateway needs them
     Tcp::endpoint peers; ///< listening address for other processes of the system
     std::vector<Tcp::endpoint> seeds; ///< peer addresses of gateways; may be outdated
     Tcp::endpoint store;
--- a/src/libloomjunction/gateway/operatorconfigservice.cpp
+++ b/src/libloomjunction/gateway/operatorconfigservice.cpp
@@ -15,6 +15,9 @@
 #include "metrics.h"
 #include "overload.h"
 
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+
 namespace Loom {
 
 namespace {
@@ -36,6 +39,9 @@
 // A process that reads a record at startup doesn't know when an operator wrote it and assumes an
 // age of one day. Such ages would hide all others in the metric.
 constexpr Microseconds sMaxObservedAge = std::chrono::hours(12);
+// Interval of the checks for evacuations whose records the store has lost; far shorter than the
+// time for which these stay in force.
+constexpr std::chrono::milliseconds sLostRecordCheckInterval{100};
 
 } // namespace
 
@@ -56,6 +62,7 @@
                          },
                          true});
     setBounds(mBounds);
+    asio::co_spawn(kernel.executor(), watchLostEvacuations(), asio::detached);
     return {};
 }
 
@@ -87,6 +94,7 @@
     return std::visit(Overload{
                           [](const RouteConfig &config) { return std::optional(config.version); },
                           [](const NamedWeights &named) { return std::optional(named.version); },
+                          [](const Evacuation &) { return std::optional<std::uint64_t>(); },
                           [](const UnrelatedRecord &) { return std::optional<std::uint64_t>(); },
                       },
                       *parsed);
@@ -102,7 +110,11 @@
 void OperatorConfigService::applyRecord(const FeedChange &change)
 {
     if (!change.record.value) {
-        return; // an accepted configuration stays active after its record is removed
+        // An accepted configuration stays active after its record is removed.
+        if (const auto ended = mEvacuations.remove(change.record.key, now())) {
+            announce(*ended);
+        }
+        return;
     }
     const LoopStep step("reading an operators' record");
     auto record = mRecords.operatorRecord(change.record.key, *change.record.value);
@@ -116,6 +128,7 @@
     std::visit(Overload{
                    [&](RouteConfig &config) { install(std::move(config), change); },
                    [&](const NamedWeights &named) { applyNamedWeights(named, change); },
+                   [&](const Evacuation &evacuation) { applyEvacuation(evacuation, change); },
                    [](const UnrelatedRecord &) {},
                },
                *record);
@@ -154,6 +167,37 @@
     mMetrics->observe("config_age_ms", source, static_cast<double>(change.age.count()) / 1'000);
 }
 
+void OperatorConfigService::applyEvacuation(const Evacuation &evacuation, const FeedChange &change)
+{
+    const auto begun
+        = mEvacuations.put(change.record.key, evacuation.dataCentre, change.age, now());
+    if (begun) {
+        announce(*begun);
+    }
+}
+
+void OperatorConfigService::announce(const EvacuationChange &change) const
+{
+    for (const EvacuationListener &listener : mEvacuationListeners) {
+        listener(change);
+    }
+}
+
+// The feed's table is checked regularly rather than when a restore ends: a process that starts
+// may receive a lost record from another one, and a rewritten record of the same value is not
+// announced to listeners.
+awaitable<void> OperatorConfigService::watchLostEvacuations()
+{
+    while (!mStopped) {
+        co_await sleepFor(sLostRecordCheckInterval);
+        const FeedTable::Keys &missing = mFeeds->table(Feed::Operators).missing();
+        const auto isLost = [&](const std::string &key) { return missing.contains(key); };
+        for (const EvacuationChange &change : mEvacuations.update(isLost, now())) {
+            announce(change);
+        }
+    }
+}
+
 void OperatorConfigService::applyNamedWeights(const NamedWeights &named, const FeedChange &change)
 {
     const Microseconds maxAge = mBounds.weightsGracePeriod - sInitialWeightsGracePeriod;
--- a/src/libloomjunction/gateway/operatorconfigservice.h
+++ b/src/libloomjunction/gateway/operatorconfigservice.h
@@ -8,6 +8,7 @@
 
 #pragma once
 
+#include "evacuationtable.h"
 #include "kernel.h"
 #include "membersettings.h"
 #include "ports.h"
@@ -30,11 +31,13 @@
 public:
     static constexpr std::string_view sName = "direct-config";
     using Listener = std::function<void()>;
+    using EvacuationListener = std::function<void(const EvacuationChange &change)>;
 
     OperatorConfigService(RecordPort &records, const MemberBounds &bounds);
 
     std::string_view name() const override { return sName; }
     tl::expected<void, std::string> start(Kernel &kernel) override;
+    void stop() override { mStopped = true; }
 
     /** Records the age of each configuration on installation in the metric `config_age_ms`. */
     void countInto(Metrics &metrics) { mMetrics = &metrics; }
@@ -47,6 +50,11 @@
 
     /** Calls @p listener after each change of the configuration or the weight versions. */
     void addListener(Listener listener) { mListeners.push_back(std::move(listener)); }
+    /** Calls @p listener when the evacuation of a data centre begins or ends. */
+    void addEvacuationListener(EvacuationListener listener)
+    {
+        mEvacuationListeners.push_back(std::move(listener));
+    }
     void setBounds(const MemberBounds &bounds);
 
 private:
@@ -56,6 +64,9 @@
     void install(RouteConfig config, const FeedChange &change);
     void observeAge(const FeedChange &change);
     void applyNamedWeights(const NamedWeights &named, const FeedChange &change);
+    void applyEvacuation(const Evacuation &evacuation, const FeedChange &change);
+    void announce(const EvacuationChange &change) const;
+    awaitable<void> watchLostEvacuations();
 
     RecordPort &mRecords;
     MemberBounds mBounds;
@@ -63,7 +74,10 @@
     Metrics *mMetrics = nullptr; ///< null if ages are not recorded
     RouteTablePtr mTable;
     WeightVersionTracker mWeights;
+    EvacuationTable mEvacuations;
     std::vector<Listener> mListeners;
+    std::vector<EvacuationListener> mEvacuationListeners;
+    bool mStopped = false;
 };
 
 } // namespace Loom
--- a/src/libloomjunction/gateway/ports.h
+++ b/src/libloomjunction/gateway/ports.h
@@ -100,10 +100,15 @@
     std::string model;
     std::uint64_t version = 0;
 };
+/** Operators want no requests to be sent to replicas in a data centre. */
+struct Evacuation
+{
+    std::string dataCentre;
+};
 struct UnrelatedRecord
 {
 };
-using OperatorRecord = std::variant<RouteConfig, NamedWeights, UnrelatedRecord>;
+using OperatorRecord = std::variant<RouteConfig, NamedWeights, Evacuation, UnrelatedRecord>;
 
 /** Parses the platform's records. Error messages name the field. */
 class RecordPort
@@ -184,6 +189,7 @@
 {
     std::string dataCentre;
     std::string region;
+    std::string host; ///< of the requests that the caller wants to send; empty: unknown
 };
 
 /** Maps HTTP headers of callers and replicas to fields. */
--- a/src/libloomjunction/gateway/replicaattempt.cpp
+++ b/src/libloomjunction/gateway/replicaattempt.cpp
@@ -94,8 +94,8 @@
     // state of the replica may have changed.
     const UnavailableReason held = mCall.parts.replicas.unavailableReason(mChosen.id);
     const Replica *still = mCall.parts.replicas.replicas().find(mChosen.id);
-    const bool cannotServe
-        = held != UnavailableReason::Nothing || areWeightsExpired(still->weightsVersion());
+    const bool cannotServe = held != UnavailableReason::Nothing
+        || areWeightsExpired(still->weightsVersion()) || !isInAllowedRegion(*still);
     // After a stall of the process, the event of a caller disconnect may still be queued in the
     // event loop.
     mCall.isCallerGone = mCall.isCallerGone || mCall.exchange.hasCallerLeft();
@@ -114,6 +114,17 @@
     co_return std::nullopt;
 }
 
+// The configuration may have changed as well since the replica was chosen.
+bool ReplicaAttempt::isInAllowedRegion(const Replica &replica) const
+{
+    const RouteTablePtr current = mCall.parts.config.table();
+    const bool isAllowed = mCall.allowedRegions(*current).allows(replica.region);
+    if (!isAllowed) {
+        mCall.parts.metrics.count("sends_held_back", "region");
+    }
+    return isAllowed;
+}
+
 void ReplicaAttempt::end(const AttemptOutcome &result)
 {
     if (mIsFinished) {
--- a/src/libloomjunction/gateway/replicaattempt.h
+++ b/src/libloomjunction/gateway/replicaattempt.h
@@ -128,6 +128,7 @@
     void watchWeightsExpiry();
     void stopWatchingWeightsExpiry();
     bool areWeightsExpired(std::uint64_t version) const;
+    bool isInAllowedRegion(const Replica &replica) const;
 
     CallState &mCall;
     const ChosenReplica mChosen;
--- a/src/libloomjunction/gateway/replicaservice.cpp
+++ b/src/libloomjunction/gateway/replicaservice.cpp
@@ -71,7 +71,11 @@
                             return hasOutlasted(earlier, later);
                         }});
     setBounds(mSettings.bounds);
+    updateRegions();
     mConfig = &kernel.find<OperatorConfigService>(OperatorConfigService::sName);
+    mConfig->addEvacuationListener(
+        [this](const EvacuationChange &change) { applyEvacuation(change); });
+    mMetrics.set("evacuated_data_centres", "", 0);
     mLoadProber = std::make_unique<LoadProber>(
         kernel, mMetrics, [this](const std::string &address, const ReplicaLoad &load) {
             applyReport(address, load);
@@ -145,6 +149,58 @@
         std::clamp(bounds.drainTimeout / sReadsPerDrainTime, sMinReadInterval, sMaxReadInterval));
 }
 
+void ReplicaService::updateRegions()
+{
+    DataCentreRegions regions = mSettings.regions;
+    regions[mSettings.dataCentre] = mSettings.region;
+    mReplicas.setRegions(std::move(regions));
+}
+
+void ReplicaService::applyEvacuation(const EvacuationChange &change)
+{
+    mReplicas.setEvacuated(change.dataCentre, change.isInForce);
+    mMetrics.set("evacuated_data_centres", "",
+                 static_cast<std::int64_t>(mReplicas.placement().evacuatedCount()));
+    logLine(LogLevel::Info, change.isInForce ? "data-centre-evacuated" : "data-centre-restored",
+            {{"dataCentre", change.dataCentre},
+             {"ageMs", std::chrono::duration_cast<Milliseconds>(change.age).count()},
+             {"replicas", mReplicas.replicaCountIn(change.dataCentre)},
+             {"lost", change.isLost}});
+    if (change.isInForce) {
+        mUncheckedEvacuations.insert(change.dataCentre);
+    } else {
+        mUncheckedEvacuations.erase(change.dataCentre);
+    }
+}
+
+// An evacuation may be read before the replicas are known.
+void ReplicaService::warnOfEmptyEvacuations()
+{
+    if (!mFeeds->age(Feed::Replicas)) {
+        return;
+    }
+    for (const std::string &dataCentre : mUncheckedEvacuations) {
+        if (mReplicas.replicaCountIn(dataCentre) == 0) {
+            logLine(LogLevel::Warning, "evacuation-without-replicas", {{"dataCentre", dataCentre}});
+        }
+    }
+    mUncheckedEvacuations.clear();
+}
+
+void ReplicaService::warnOfUnknownRegions()
+{
+    const RouteTablePtr &table = mConfig->table();
+    if (!table || !table->hasAllowedRegions()) {
+        return;
+    }
+    for (const auto &[id, replica] : mReplicas.all()) {
+        const std::string &dataCentre = replica.record.dataCentre;
+        if (replica.region.empty() && mUnknownRegions.insert(dataCentre).second) {
+            logLine(LogLevel::Warning, "region-unknown", {{"dataCentre", dataCentre}});
+        }
+    }
+}
+
 bool ReplicaService::hasSameContent(const FeedRecord &known, const FeedRecord &next) const
 {
     const auto knownRecord = mRecords.replicaRecord(known.key, *known.value);
@@ -530,6 +586,8 @@
         co_await sleepFor(sSweepInterval);
         mReplicas.sweep(now());
         updateUnavailableMetrics();
+        warnOfUnknownRegions();
+        warnOfEmptyEvacuations();
         mLoadProber->closeUnused();
         mPermits->closeUnused();
         probeIdleAgents();
--- a/src/libloomjunction/gateway/replicaservice.h
+++ b/src/libloomjunction/gateway/replicaservice.h
@@ -22,12 +22,14 @@
 #include <deque>
 #include <map>
 #include <memory>
+#include <set>
 #include <span>
 #include <string>
 #include <vector>
 
 namespace Loom {
 
+struct EvacuationChange;
 class OperatorConfigService;
 class FeedService;
 class MemberService;
@@ -52,6 +54,8 @@
 
     /** Applies bounds that were changed at run time. */
     void setBounds(const MemberBounds &bounds);
+    /** Applies the regions of data centres in the settings, which may have changed. */
+    void updateRegions();
 
     ReplicaSet &replicas() { return mReplicas; }
     /**
@@ -117,6 +121,9 @@
     void probeIfStale(const LoadProbe &probe);
     bool hasSameContent(const FeedRecord &known, const FeedRecord &next) const;
     bool hasOutlasted(const FeedRecord &earlier, const FeedRecord &later) const;
+    void applyEvacuation(const EvacuationChange &change);
+    void warnOfUnknownRegions();
+    void warnOfEmptyEvacuations();
     void updateUnavailableMetrics();
     awaitable<void> sweepLoop();
     std::unique_ptr<HttpLink> takeIdleLink(Pool &pool);
@@ -138,6 +145,8 @@
     std::unique_ptr<LoadProber> mLoadProber;
     std::unique_ptr<PermitClient> mPermits;
     OperatorConfigService *mConfig = nullptr;
+    std::set<std::string, std::less<>> mUnknownRegions; ///< data centres that were logged
+    std::set<std::string> mUncheckedEvacuations; ///< may be of data centres without replicas
     bool mStopped = false;
 };
 
--- a/src/libloomjunction/kernel/settingsfile.cpp
+++ b/src/libloomjunction/kernel/settingsfile.cpp
@@ -168,6 +168,20 @@
     return all;
 }
 
+std::map<std::string, std::string, std::less<>> SettingsReader::texts(std::string_view field)
+{
+    std::map<std::string, std::string, std::less<>> found;
+    if (!has(field)) {
+        mKnown.insert(std::string(field));
+        return found;
+    }
+    SettingsReader object = child(field);
+    for (const auto &pair : *object.mObject) {
+        found.emplace(pair.key(), object.text(pair.key()));
+    }
+    return found;
+}
+
 std::string SettingsReader::oneOf(std::string_view field,
                                   std::initializer_list<std::string_view> choices)
 {
--- a/src/libloomjunction/kernel/settingsfile.h
+++ b/src/libloomjunction/kernel/settingsfile.h
@@ -11,6 +11,7 @@
 #include "asynctypes.h"
 
 #include <cstdint>
+#include <map>
 #include <set>
 #include <span>
 #include <string>
@@ -46,6 +47,8 @@
     Tcp::endpoint endpoint(std::string_view field);
     /** A list of IP:PORT; empty where the field is absent. */
     std::vector<Tcp::endpoint> endpoints(std::string_view field);
+    /** The texts in an object by field; none if the object is absent. */
+    std::map<std::string, std::string, std::less<>> texts(std::string_view field);
     std::string oneOf(std::string_view field, std::initializer_list<std::string_view> choices);
 
     /** A nested object; an empty one where it is absent or wrong. */
--- a/src/loomjunctiond/directdaemon.cpp
+++ b/src/loomjunctiond/directdaemon.cpp
@@ -162,11 +162,14 @@
     mSettings.failureTolerance = settings->failureTolerance;
     mSettings.logLevel = settings->logLevel;
     mSettings.seeds = settings->seeds;
+    mSettings.regions = settings->regions;
     setLogLevel(mSettings.logLevel);
     mKernel.find<MemberService>(MemberService::sName).setSeeds(mSettings.seeds);
     mKernel.find<OperatorConfigService>(OperatorConfigService::sName).setBounds(mSettings.bounds);
     if (mSettings.isGateway()) {
-        mKernel.find<ReplicaService>(ReplicaService::sName).setBounds(mSettings.bounds);
+        auto &replicas = mKernel.find<ReplicaService>(ReplicaService::sName);
+        replicas.setBounds(mSettings.bounds);
+        replicas.updateRegions();
     }
     logLine(LogLevel::Info, "reloaded",
             {{"cause", cause},
@@ -179,6 +182,7 @@
              {"retryExtra", mSettings.bounds.retries.extra},
              {"dataCentresLost", mSettings.failureTolerance.dataCentres},
              {"regionsLost", mSettings.failureTolerance.regions},
+             {"regions", mSettings.regions.size()},
              {"seeds", mSettings.seeds.size()}});
     for (const std::string &field : later) {
         logLine(LogLevel::Warning, "reload-needs-restart", {{"field", field}});
--- a/tests/direct/test_addressselector.cpp
+++ b/tests/direct/test_addressselector.cpp
@@ -255,3 +255,39 @@
     }
     BOOST_TEST(remote.size() >= 6);
 }
+
+// Guards against requests that leave their regions already on the way to a gateway.
+BOOST_AUTO_TEST_CASE(host_with_regions_gets_gateways_of_these_and_of_the_callers_region)
+{
+    std::vector<GatewayAddress> gateways;
+    add(gateways, "a", "r", 6);
+    add(gateways, "b", "s", 6);
+    add(gateways, "c", "t", 6);
+    const std::vector<std::string> regions{"s"};
+    for (const std::uint32_t lost : {0U, 1U, 2U}) {
+        const FailureTolerance tolerance{lost, lost};
+        for (const CallerLocation &caller :
+             {CallerLocation{"a", "r"}, CallerLocation{"b", "s"}, CallerLocation{"", "r"},
+              CallerLocation{"elsewhere", "u"}, CallerLocation{"", ""}}) {
+            const Addresses found = chooseInRegions("asked", gateways, tolerance, caller, regions);
+            BOOST_TEST(!found.empty());
+            BOOST_TEST(countOf(found, "c") == 0U);
+            if (caller.region != "r") {
+                BOOST_TEST(countOf(found, "a") == 0U);
+            }
+        }
+    }
+}
+
+// A caller without any gateway would get no answer at all.
+BOOST_AUTO_TEST_CASE(host_with_regions_without_a_gateway_gets_the_others)
+{
+    std::vector<GatewayAddress> gateways;
+    add(gateways, "a", "r", 6);
+    add(gateways, "b", "s", 6, GatewayAvailability::Unavailable);
+    const std::vector<std::string> regions{"s"};
+    const CallerLocation caller{"b", "s"};
+    const Addresses found = chooseInRegions("asked", gateways, sNoTolerance, caller, regions);
+    BOOST_TEST(countOf(found, "a") == 6U);
+    BOOST_TEST(chooseInRegions("asked", gateways, sNoTolerance, caller, {}).size() == 6U);
+}
--- a/tests/direct/test_routetable.cpp
+++ b/tests/direct/test_routetable.cpp
@@ -68,3 +68,28 @@
     split.targets.clear();
     BOOST_TEST(pickTarget(split, 5) == nullptr);
 }
+
+BOOST_AUTO_TEST_CASE(regions_of_a_host_are_those_that_all_its_restricted_routes_allow)
+{
+    RouteConfig config;
+    config.routes.resize(4);
+    for (Route &route : config.routes) {
+        route.host = "h";
+    }
+    config.routes[0].pathPrefix = "/a/";
+    config.routes[0].allowedRegions = {"west", "east"};
+    config.routes[1].pathPrefix = "/b/";
+    config.routes[2].pathPrefix = "/c/";
+    config.routes[2].allowedRegions = {"east", "north"};
+    config.routes[3].host = "free";
+    const RouteTable table(config);
+    BOOST_TEST(table.hasAllowedRegions());
+    BOOST_REQUIRE(table.regionsForHost("h") != nullptr);
+    BOOST_TEST(*table.regionsForHost("h") == std::vector<std::string>{"east"});
+    BOOST_TEST(table.regionsForHost("free") == nullptr);
+    BOOST_TEST(table.regionsForHost("unknown") == nullptr);
+    RouteConfig accountOnly;
+    BOOST_TEST(!RouteTable(accountOnly).hasAllowedRegions());
+    accountOnly.accounts.push_back({"t", {"k"}, 5, {"east"}});
+    BOOST_TEST(RouteTable(accountOnly).hasAllowedRegions());
+}
--- a/tests/gateway/gatewayfixture.cpp
+++ b/tests/gateway/gatewayfixture.cpp
@@ -57,6 +57,7 @@
     settings.box = "gateway-1";
     settings.dataCentre = "z1";
     settings.region = "r1";
+    settings.regions = {{"z2", "r2"}};
     settings.peers = anyPort;
     settings.store = anyPort;
     // The retry budget is full from the start; tests of the budget set their own.
--- a/tests/gateway/test_addresses.cpp
+++ b/tests/gateway/test_addresses.cpp
@@ -36,10 +36,12 @@
 class PeerGateway
 {
 public:
-    PeerGateway(GatewayFixture &fixture, std::string dataCentre, std::string callers)
+    PeerGateway(GatewayFixture &fixture, std::string dataCentre, std::string callers,
+                std::string region = "r1")
         : mSettings(settings(fixture, std::move(dataCentre), callers))
         , mKernel(fixture.context.get_executor())
     {
+        mSettings.region = std::move(region);
         mKernel.add(std::make_unique<PeerHub>(mSettings.peers));
         mKernel.add(
             std::make_unique<FeedService>(fixture.store, mSettings.box, FeedPreference::Store));
@@ -101,12 +103,12 @@
         }
     }
 
-    awaitable<std::vector<std::string>> addressesFor(std::string dataCentre)
+    awaitable<std::vector<std::string>> addressesFor(std::string dataCentre, std::string host = "h")
     {
         HttpCall question;
         question.endpoint = addresses().localEndpoint();
         question.method = "GET";
-        question.target = "/resolve?name=h&region=r1&zone=" + dataCentre;
+        question.target = "/resolve?name=" + host + "&region=r1&zone=" + dataCentre;
         HttpClient client(context.get_executor());
         const auto response = co_await client.send(std::move(question));
         std::vector<std::string> found;
@@ -183,3 +185,32 @@
         BOOST_TEST(countOf(stay, "10.0.1.0:1") == 0);
     });
 }
+
+// Guards against callers that are sent to gateways outside the regions of their requests, also as
+// fallbacks for the loss of local gateways.
+BOOST_AUTO_TEST_CASE(callers_of_a_host_with_regions_get_gateways_of_these_and_of_their_own)
+{
+    AddressFixture fixture;
+    fixture.others.push_back(std::make_unique<PeerGateway>(fixture, "z3", "10.0.3.0:1", "r3"));
+    fixture.others.push_back(std::make_unique<PeerGateway>(fixture, "z4", "10.0.4.0:1", "r4"));
+    fixture.store.write(Feed::Operators, "config", R"({"version":2,"routes":[
+        {"name":"a","host":"bound","path_prefix":"/a/","allowed_regions":["r4","r5"]},
+        {"name":"b","host":"bound","path_prefix":"/b/","allowed_regions":["r4"]},
+        {"name":"c","host":"bound","path_prefix":"/c/"},
+        {"name":"d","host":"h","path_prefix":"/d/"}]})");
+    fixture.run([&]() -> awaitable<void> {
+        for (const auto &other : fixture.others) {
+            other->start();
+        }
+        const std::size_t all = 2 * sGatewaysPerDataCentre + 2;
+        co_await fixture.waitForAddresses("", all);
+        BOOST_TEST((co_await fixture.addressesFor("")).size() == all);
+        for (const char *host : {"bound", "bound:8005"}) {
+            const auto found = co_await fixture.addressesFor("", host);
+            BOOST_TEST(found.size() == all - 1);
+            BOOST_TEST(countOf(found, "10.0.3.") == 0U);
+            BOOST_TEST(countOf(found, "10.0.4.") == 1U);
+        }
+        BOOST_TEST((co_await fixture.addressesFor("", "unknown")).size() == all);
+    });
+}
--- a/tests/platform/test_records.cpp
+++ b/tests/platform/test_records.cpp
@@ -318,3 +318,53 @@
         Platform::parseManifest(text, "m", 2);
     }
 }
+
+BOOST_AUTO_TEST_CASE(regions_of_routes_and_accounts_are_decoded)
+{
+    const RouteConfig config = readConfig(R"({"version":7,"routes":[
+        {"name":"r-1","allowed_regions":["west","east"]},{"name":"r-2","allowed_regions":[]},
+        {"name":"r-3"}],"tenants":[{"name":"t1","allowed_regions":["east"]},{"name":"t2"}]})");
+    BOOST_TEST(config.routes[0].allowedRegions == (std::vector<std::string>{"west", "east"}));
+    BOOST_TEST(config.routes[1].allowedRegions.empty());
+    BOOST_TEST(config.routes[2].allowedRegions.empty());
+    BOOST_TEST(config.accounts[0].allowedRegions == std::vector<std::string>{"east"});
+    BOOST_TEST(config.accounts[1].allowedRegions.empty());
+}
+
+// Guards against a list of regions that is read in part, or not at all, and allows all regions.
+BOOST_AUTO_TEST_CASE(configuration_with_an_unreadable_list_of_regions_is_rejected)
+{
+    const Platform::RecordDecoder records;
+    for (const std::string list : {R"("west")", R"(null)", R"({"west":1})", R"(["west",3])",
+                                   R"([["west"]])", R"([null])", R"(true)", R"(1)"}) {
+        const auto route = records.operatorRecord(
+            "config",
+            R"({"version":7,"routes":[{"name":"r-0"},{"name":"r-1","allowed_regions":)" + list
+                + "}]}");
+        BOOST_REQUIRE(!route.has_value());
+        BOOST_TEST(route.error().starts_with("routes[r-1].allowed_regions: "));
+        const auto account = records.operatorRecord(
+            "config", R"({"version":7,"tenants":[{"name":"t1","allowed_regions":)" + list + "}]}");
+        BOOST_REQUIRE(!account.has_value());
+        BOOST_TEST(account.error().starts_with("tenants[t1].allowed_regions: "));
+    }
+}
+
+BOOST_AUTO_TEST_CASE(evacuations_are_decoded_or_refused_with_the_field)
+{
+    const Platform::RecordDecoder records;
+    for (const char *value : {"{}", R"({"by":"me","since":[1]})"}) {
+        const auto record = records.operatorRecord("evacuate/dfw-a", value);
+        BOOST_REQUIRE(record.has_value());
+        BOOST_REQUIRE(std::holds_alternative<Evacuation>(*record));
+        BOOST_TEST(std::get<Evacuation>(*record).dataCentre == "dfw-a");
+    }
+    for (const char *value : {"", "[]", "true", "null", "\"{}\"", "{", "{}{}"}) {
+        const auto record = records.operatorRecord("evacuate/dfw-a", value);
+        BOOST_REQUIRE(!record.has_value());
+        BOOST_TEST(record.error().starts_with("value: "));
+    }
+    const auto unnamed = records.operatorRecord("evacuate/", "{}");
+    BOOST_REQUIRE(!unnamed.has_value());
+    BOOST_TEST(unnamed.error().starts_with("key: "));
+}
--- a/tests/process/test_deploy.py
+++ b/tests/process/test_deploy.py
@@ -20,6 +20,7 @@
           "fault_tolerance": {"machines": 2, "zones": 1, "regions": 0},
           "provider": {"address": "10.200.1.7:8007"}}
 FRONT = dict(COMMON, node="front-dfw-a-1", ip="10.1.0.40",
+             zones={"dfw-a": "dfw", "iad-a": "iad"},
              listen={"front": "10.1.0.40:8005", "ready": "10.1.0.40:8002",
                      "control": "10.1.0.40:8000", "directory": "10.1.0.40:8009"},
              limits={"link_mbps": 1000.0})
@@ -98,6 +99,10 @@
             (lambda s: s["losses"].update(dataCentres=-1), "losses.dataCentres"),
             (lambda s: s["losses"].update(regions="some"), "losses.regions"),
             (lambda s: s["gateway"].pop("callers"), "gateway.callers"),
+            (lambda s: s.update(regions=["dfw"]), "'regions'"),
+            (lambda s: s.update(regions=None), "'regions'"),
+            (lambda s: s["regions"].update({"iad-a": 3}), "regions.iad-a"),
+            (lambda s: s["regions"].update({"iad-a": ""}), "regions.iad-a"),
             (lambda s: s.update(surprise=1), "surprise")):
         settings = json.loads(json.dumps(good))
         change(settings)
--- a/tests/process/test_reload.py
+++ b/tests/process/test_reload.py
@@ -105,6 +105,18 @@
         assert fields == {"store", "dataCentre"}, fields
 
 
+def test_regions_of_data_centres_need_no_restart():
+    with Gateway() as gateway:
+        gateway.write(dict(BASE, regions={"z2": "r2", "z3": "r2"}))
+        gateway.hang_up()
+        wait_for("the reload", lambda: any(line["regions"] == 2 for line in gateway.events("reloaded")))
+        assert not gateway.events("reload-needs-restart")
+        gateway.write(dict(BASE, regions={"z2": ["r2"]}))
+        gateway.hang_up()
+        wait_for("the refusal", lambda: gateway.events("reload-refused"))
+        assert "regions.z2" in gateway.events("reload-refused")[-1]["problem"]
+
+
 def test_signals_in_series_and_during_a_planned_stop():
     with Gateway() as gateway:
         for drain in range(2000, 2020):
@@ -122,4 +134,5 @@
          test_a_file_that_changes_without_a_signal_is_taken_up,
          test_wrong_settings_change_nothing_and_name_the_field,
          test_what_needs_a_restart_is_named,
+         test_regions_of_data_centres_need_no_restart,
          test_signals_in_series_and_during_a_planned_stop)
