Replica choice: the rates of calls of other gateways, and remote probes under local excess

Cause: with half of a data centre's callers moved to another, the gateways there refused calls while replicas elsewhere, 1 ms away, had free slots. Two terms are wrong: the expected calls (own rate times the number of gateways), and the order of the probing rounds, whose second round probes two remote replicas on average after four local ones were full.

Change: DemandEstimate takes the mean over all gateways from reported rates, by data centre. It replaces the own rate if the difference exceeds random variation. If the own data centre has the excess, the second round probes remote replicas first, and the subset has four more of them. Without reports, or at even demand, nothing changes.

--- a/src/libloomjunction/core/callrate.cpp
+++ b/src/libloomjunction/core/callrate.cpp
@@ -10,14 +10,10 @@
 
 #include "decay.h"
 
-#include <numbers>
-
 namespace Loom {
 
 namespace {
 
-// Half-life of a call's weight in the rate.
-constexpr double sHalfLifeMs = 1'000;
 // A goal of a smaller fraction of the calls is ignored, so that rare calls with short
 // goals do not bound the capacity for all others.
 constexpr double sMinGoalFraction = 0.05;
@@ -38,7 +34,7 @@
 double CallRate::perMs(Instant now) const
 {
     // The decayed count of a steady rate r converges to r x half-life / ln 2.
-    return mCount * decayFactor(now - mAt, sHalfLifeMs) * std::numbers::ln2 / sHalfLifeMs;
+    return mCount * decayFactor(now - mAt, sHalfLifeMs) / meanAgeMs();
 }
 
 Milliseconds CallRate::shortestGoal() const
--- a/src/libloomjunction/core/callrate.h
+++ b/src/libloomjunction/core/callrate.h
@@ -11,6 +11,7 @@
 #include "instant.h"
 
 #include <map>
+#include <numbers>
 
 namespace Loom {
 
@@ -18,6 +19,9 @@
 class CallRate
 {
 public:
+    /** Mean age of the calls that a steady rate is computed from. */
+    static constexpr double meanAgeMs() { return sHalfLifeMs / std::numbers::ln2; }
+
     /** Counts a call with @p goal. */
     void note(Milliseconds goal, Instant now);
     /** Calls per millisecond. */
@@ -26,6 +30,9 @@
     Milliseconds shortestGoal() const;
 
 private:
+    // Half-life of a call's weight in the rate.
+    static constexpr double sHalfLifeMs = 1'000;
+
     double mCount = 0;
     std::map<Milliseconds, double> mCountByGoal;
     Instant mAt; ///< time of the last call
--- a/src/libloomjunction/core/probeplan.cpp
+++ b/src/libloomjunction/core/probeplan.cpp
@@ -26,6 +26,9 @@
 // Members of the subset in the gateway's own data centre, if it has as many. The remote ones
 // take the excess when a data centre gets more requests than its engines can handle.
 constexpr std::size_t sMaxLocalSubset = 12;
+// Further remote members while the gateway's data centre gets more calls than others. With four
+// remote members, replicas elsewhere stayed idle that the excess could have used.
+constexpr std::size_t sExcessSubset = 4;
 // With fresh loads, the best of four random replicas is nearly as good as the best of all.
 // Each further probe costs two messages per request.
 constexpr std::size_t sLocalProbeCount = 4;
@@ -79,26 +82,30 @@
     std::vector<const Replica *> local;
     std::vector<const Replica *> remote;
     for (const Replica *replica : usable) {
-        const bool isLocal = replica->record.dataCentre == mQuery.dataCentre;
-        (isLocal ? local : remote).push_back(replica);
+        (isRemote(*replica) ? remote : local).push_back(replica);
     }
     std::vector<const Replica *> chosen;
     const std::size_t maxLocal = remote.size() < sMaxSubset - sMaxLocalSubset
         ? sMaxSubset - remote.size()
         : sMaxLocalSubset;
     appendHighestWeights(std::move(local), maxLocal, chosen);
-    appendHighestWeights(std::move(remote), sMaxSubset - chosen.size(), chosen);
+    const std::size_t maxSubset = mHasLocalExcess ? sMaxSubset + sExcessSubset : sMaxSubset;
+    appendHighestWeights(std::move(remote), maxSubset - chosen.size(), chosen);
     return chosen;
 }
 
+bool ProbePlan::isRemote(const Replica &replica) const
+{
+    return replica.record.dataCentre != mQuery.dataCentre;
+}
+
 // Whether the replica is expected to be usable from here, by its last known weights and
 // state: it is not loading, and its weights are neither outdated nor, if remote, about to expire.
 bool ProbePlan::isPromising(const Replica &replica) const
 {
-    const bool isRemote = replica.record.dataCentre != mQuery.dataCentre;
     const bool isCutoffNear = mQuery.weights != nullptr
         && mQuery.weights->isCutoffNear(mQuery.model, replica.weightsVersion(), mNow);
-    if (isRemote && isCutoffNear) {
+    if (isRemote(replica) && isCutoffNear) {
         return false;
     }
     const bool isLoading = replica.load && !replica.load->isAccepting
@@ -119,8 +126,7 @@
     std::vector<const Replica *> doubtful;
     for (const Replica *replica : pool) {
         const bool isProbed = std::ranges::find(probed, replica->record.id) != probed.end();
-        const bool isOutOfScope
-            = round == ProbeRound::Local && replica->record.dataCentre != mQuery.dataCentre;
+        const bool isOutOfScope = round == ProbeRound::Local && isRemote(*replica);
         if (!isProbed && !isOutOfScope) {
             (isPromising(*replica) ? promising : doubtful).push_back(replica);
         }
@@ -129,7 +135,16 @@
     std::vector<const Replica *> chosen;
     const std::size_t maxCount = probeCount(round);
     const std::size_t doubtfulCount = std::min(sDoubtfulProbeCount, doubtful.size());
-    moveRandom(promising, maxCount - doubtfulCount, draws, chosen);
+    if (mHasLocalExcess && round == ProbeRound::Subset) {
+        // The local replicas have more calls than the others, so the remaining ones of them are
+        // most likely as full as those that were probed.
+        std::vector<const Replica *> remote;
+        std::ranges::copy_if(promising, std::back_inserter(remote),
+                             [&](const Replica *replica) { return isRemote(*replica); });
+        std::erase_if(promising, [&](const Replica *replica) { return isRemote(*replica); });
+        moveRandom(remote, maxCount - doubtfulCount, draws, chosen);
+    }
+    moveRandom(promising, maxCount - doubtfulCount - chosen.size(), draws, chosen);
     moveRandom(doubtful, maxCount - chosen.size(), draws, chosen);
     return chosen;
 }
--- a/src/libloomjunction/core/probeplan.h
+++ b/src/libloomjunction/core/probeplan.h
@@ -36,11 +36,16 @@
 class ProbePlan
 {
 public:
-    /** @p gatewayKey: identifies the gateway, so that gateways use different subsets. */
-    ProbePlan(std::string_view gatewayKey, const ReplicaQuery &query, Instant now)
+    /**
+     * @p gatewayKey: identifies the gateway, so that gateways use different subsets.
+     * @p hasLocalExcess: its data centre gets more calls than others, see MeanDemand.
+     */
+    ProbePlan(std::string_view gatewayKey, const ReplicaQuery &query, Instant now,
+              bool hasLocalExcess = false)
         : mGatewayKey(gatewayKey)
         , mQuery(query)
         , mNow(now)
+        , mHasLocalExcess(hasLocalExcess)
     {
     }
 
@@ -54,10 +59,12 @@
     void appendHighestWeights(std::vector<const Replica *> pool, std::size_t most,
                               std::vector<const Replica *> &chosen) const;
     bool isPromising(const Replica &replica) const;
+    bool isRemote(const Replica &replica) const;
 
     std::string_view mGatewayKey;
     const ReplicaQuery &mQuery;
     Instant mNow;
+    bool mHasLocalExcess;
 };
 
 } // namespace Loom
--- a/src/libloomjunction/core/replicaset.cpp
+++ b/src/libloomjunction/core/replicaset.cpp
@@ -187,6 +187,18 @@
     mCalls.try_emplace(std::string(service)).first->second.note(goal, now);
 }
 
+double ReplicaSet::ownCallsPerMs(std::string_view service, Instant now) const
+{
+    const auto calls = mCalls.find(service);
+    return calls == mCalls.end() ? 0 : calls->second.perMs(now);
+}
+
+MeanDemand ReplicaSet::meanDemand(std::string_view service, std::string_view dataCentre,
+                                  Instant now) const
+{
+    return mDemand.mean(service, {dataCentre, ownCallsPerMs(service, now)}, now);
+}
+
 double ReplicaSet::minAnswerMs(const ReplicaEstimator &estimator) const
 {
     double fastest = 0;
@@ -219,9 +231,15 @@
     return candidates;
 }
 
+ProbePlan ReplicaSet::probePlan(const ReplicaQuery &query, Instant now) const
+{
+    const MeanDemand demand = meanDemand(query.service, query.dataCentre, now);
+    return {mGatewayKey, query, now, demand.hasLocalExcess};
+}
+
 std::vector<const Replica *> ReplicaSet::subset(const ReplicaQuery &query, Instant now) const
 {
-    return ProbePlan(mGatewayKey, query, now).subset(candidatesFor(query, now));
+    return probePlan(query, now).subset(candidatesFor(query, now));
 }
 
 std::vector<const Replica *> ReplicaSet::replicasToProbe(const ReplicaQuery &query,
@@ -232,7 +250,7 @@
     std::vector<const Replica *> candidates = candidatesFor(query, now);
     std::erase_if(candidates,
                   [&](const Replica *replica) { return replica->availableAt(now) > now; });
-    return ProbePlan(mGatewayKey, query, now).choose(round, candidates, probed);
+    return probePlan(query, now).choose(round, candidates, probed);
 }
 
 std::vector<const Replica *> ReplicaSet::usableFor(const ReplicaQuery &query,
@@ -304,7 +322,8 @@
     if (query.engine == nullptr || calls == mCalls.end() || usableCount == 0) {
         return sMinExpectedCalls;
     }
-    const double perMs = calls->second.perMs(now) * std::max(query.gatewayCount, 1U);
+    const double perMs
+        = meanDemand(query.service, query.dataCentre, now).perMs * std::max(query.gatewayCount, 1U);
     return std::max(sMinExpectedCalls, perMs * survey.horizonMs / static_cast<double>(usableCount));
 }
 
--- a/src/libloomjunction/core/replicaset.h
+++ b/src/libloomjunction/core/replicaset.h
@@ -9,6 +9,7 @@
 #pragma once
 
 #include "callrate.h"
+#include "demandestimate.h"
 #include "instant.h"
 #include "probeplan.h"
 #include "refusalratio.h"
@@ -113,6 +114,12 @@
 
     /** Counts a caller's request for @p service. */
     void noteCall(std::string_view service, Milliseconds goal, Instant now);
+    /** Calls per millisecond for @p service at this gateway. */
+    double ownCallsPerMs(std::string_view service, Instant now) const;
+    /** Mean rate of calls for @p service over all gateways. */
+    MeanDemand meanDemand(std::string_view service, std::string_view dataCentre, Instant now) const;
+    /** The rates of calls that other gateways report. */
+    DemandEstimate &demand() { return mDemand; }
     /** Counts the final result of choose() for a caller's request. */
     void noteChoice(const ReplicaQuery &query, const ReplicaChoice &choice, Instant now);
     /** A request was sent to the replica. */
@@ -168,6 +175,7 @@
 
     static bool isCandidate(const Replica &replica, const ReplicaQuery &query, Instant now);
     std::vector<const Replica *> candidatesFor(const ReplicaQuery &query, Instant now) const;
+    ProbePlan probePlan(const ReplicaQuery &query, Instant now) const;
     void keepNotices(const Replica &replica, Instant now);
     static bool isEarlier(const ReplicaRecord &record, const ReplicaRecord &other);
     void retireEarlierIncarnations(const ReplicaRecord &record, Instant now);
@@ -192,6 +200,7 @@
     Milliseconds mDrainTime;
     std::string mGatewayKey;
     std::map<std::string, CallRate, std::less<>> mCalls; ///< by service
+    DemandEstimate mDemand;
     std::map<std::string, RefusalRatio, std::less<>> mRefusals; ///< by service
     std::map<std::string, Replica, std::less<>> mReplicas;
     RetainedNotices mRetained;
--- a/tests/direct/overloadlab.cpp
+++ b/tests/direct/overloadlab.cpp
@@ -9,8 +9,10 @@
 #include "overloadlab.h"
 
 #include "fakelog.h"
+#include "memberplan.h"
 
 #include <algorithm>
+#include <utility>
 #include <variant>
 
 namespace Loom {
@@ -19,6 +21,9 @@
 
 constexpr int sReportIntervalMs = 50;
 constexpr int sDeadlineMs = 6'000;
+// Largest request in mean sizes, as an operator's limit on the body would set it.
+constexpr double sMaxSizeFactor = 12;
+constexpr int sStatusIntervalMs = 400; // of the messages in which gateways report their rates
 constexpr int sFirstEventTimeoutMs = 2'400; // callers disconnect without an event for this long
 // Required by the users: no requests in a rest after this grace period, and none to a leaving
 // engine after this drain time.
@@ -69,18 +74,46 @@
     return 1'000.0 / model.completionIntervalMs() * static_cast<double>(mEngines.size());
 }
 
-OverloadLab::Second &OverloadLab::secondOf(const Request &request)
+void OverloadLab::countOutcome(const Request &request, int Second::*outcome)
 {
-    return mSeconds[static_cast<std::size_t>(request.firstAttemptAt / 1'000)];
+    const auto second = static_cast<std::size_t>(request.firstAttemptAt / 1'000);
+    ++(mSeconds[second].*outcome);
+    ++(mSecondsByDataCentre[request.dataCentre][second].*outcome);
+}
+
+// A log-normal factor with a mean of one before the limit.
+double OverloadLab::drawSizeFactor()
+{
+    std::lognormal_distribution<double> factor(-mShape.sizeSigma * mShape.sizeSigma / 2,
+                                               mShape.sizeSigma);
+    return std::min(sMaxSizeFactor, factor(mRandom));
+}
+
+// Draws the data centre by its share of the calls, and one of its gateways.
+std::size_t OverloadLab::drawGateway(const std::vector<double> &shares)
+{
+    if (shares.empty()) {
+        return mRandom() % mGateways.size();
+    }
+    std::discrete_distribution<std::size_t> dataCentres(shares.begin(), shares.end());
+    const std::size_t dataCentre = dataCentres(mRandom);
+    const std::size_t last = mGateways.size() - 1;
+    const std::size_t count = (last - dataCentre) / mShape.dataCentres + 1;
+    return dataCentre + mRandom() % count * mShape.dataCentres;
 }
 
 std::vector<OverloadLab::Second> OverloadLab::run(const std::vector<Phase> &phases)
 {
     std::vector<double> rates;
+    std::vector<const Phase *> phaseOfSecond;
     for (const Phase &phase : phases) {
-        rates.insert(rates.end(), static_cast<std::size_t>(phase.seconds), phase.callsPerSecond);
+        const auto seconds = static_cast<std::size_t>(phase.seconds);
+        rates.insert(rates.end(), seconds, phase.callsPerSecond);
+        phaseOfSecond.insert(phaseOfSecond.end(), seconds, &phase);
     }
     mSeconds.assign(rates.size(), Second());
+    mSecondsByDataCentre.assign(mShape.dataCentres, mSeconds);
+    mRemoteSends.assign(mShape.dataCentres, std::vector<int>(rates.size() + sDeadlineMs / 1'000));
     std::exponential_distribution<double> sizeFactor(1);
     double expected = 0;
     const int end = static_cast<int>(rates.size()) * 1'000;
@@ -89,14 +122,19 @@
         std::poisson_distribution<int> arrivals(std::exchange(expected, 0));
         for (int count = time < end ? arrivals(mRandom) : 0; count > 0; --count) {
             auto request = std::make_shared<Request>();
-            request->gateway = mRandom() % mGateways.size();
+            request->gateway
+                = drawGateway(phaseOfSecond[static_cast<std::size_t>(time / 1'000)]->shares);
+            request->dataCentre = request->gateway % mShape.dataCentres;
             request->firstAttemptAt = time;
-            request->prompt
-                = mShape.figures.meanPromptTokens * std::min(3.0, 0.3 + 0.7 * sizeFactor(mRandom));
+            const double prompt = mShape.sizeSigma > 0
+                ? drawSizeFactor()
+                : std::min(3.0, 0.3 + 0.7 * sizeFactor(mRandom));
+            request->prompt = mShape.figures.meanPromptTokens * prompt;
             const double events = mShape.figures.meanAnswerTokens / mShape.figures.stepsPerPass;
-            request->eventsLeft
-                = 1 + static_cast<int>((events - 1) * std::min(3.0, sizeFactor(mRandom)));
-            ++secondOf(*request).calls;
+            const double answer
+                = mShape.sizeSigma > 0 ? drawSizeFactor() : std::min(3.0, sizeFactor(mRandom));
+            request->eventsLeft = 1 + static_cast<int>((events - 1) * answer);
+            countOutcome(*request, &Second::calls);
             sendOrRefuse(std::move(request), time);
         }
         while (!mRetries.empty() && mRetries.begin()->first <= time) {
@@ -115,6 +153,7 @@
             handleRefusal(request, time);
         }
         abandonWaiting(time);
+        exchangeDemand(time);
         for (std::size_t engine = 0; engine < mEngines.size(); ++engine) {
             runEngine(mEngines[engine], time);
             // Agents sample their engines at different times.
@@ -128,6 +167,47 @@
     return mSeconds;
 }
 
+// Gateways receive the rates of those whose status they follow, which send them at different
+// times.
+void OverloadLab::exchangeDemand(int time)
+{
+    if (!mShape.sharesDemand) {
+        return;
+    }
+    if (mFollowed.empty()) {
+        followGateways();
+    }
+    for (std::size_t gateway = 0; gateway < mGateways.size(); ++gateway) {
+        for (const std::size_t sender : mFollowed[gateway]) {
+            if (time % sStatusIntervalMs == static_cast<int>(sender * 37 % sStatusIntervalMs)) {
+                const double perMs = mGateways[sender].ownCallsPerMs(sService, at(time));
+                mGateways[gateway].demand().report(
+                    std::to_string(sender), {dataCentreOf(sender), {{sService, perMs}}}, at(time));
+            }
+        }
+    }
+}
+
+void OverloadLab::followGateways()
+{
+    std::map<std::string, std::uint32_t, std::less<>> counts;
+    std::vector<MemberLocation> members;
+    for (std::size_t gateway = 0; gateway < mGateways.size(); ++gateway) {
+        members.push_back({std::to_string(gateway), dataCentreOf(gateway), true});
+        ++counts[dataCentreOf(gateway)];
+    }
+    for (std::size_t gateway = 0; gateway < mGateways.size(); ++gateway) {
+        std::vector<MemberLocation> others = members;
+        others.erase(others.begin() + static_cast<std::ptrdiff_t>(gateway));
+        std::vector<std::size_t> followed;
+        for (const std::string &key : MemberPlan(members[gateway], others).gatewaysToFollow()) {
+            followed.push_back(std::stoul(key));
+        }
+        mFollowed.push_back(std::move(followed));
+        mGateways[gateway].demand().setGateways(counts);
+    }
+}
+
 void OverloadLab::sendOrRefuse(RequestPtr request, int time)
 {
     ReplicaSet &gateway = mGateways[request->gateway];
@@ -152,10 +232,17 @@
         request->isPatient = chosen->isPatient;
         request->sentAt = time;
         gateway.began(chosen->id, chosen->isPatient, at(time));
+        if (dataCentreOf(request->engine) != dataCentre) {
+            ++mRemoteSends[request->gateway % mShape.dataCentres]
+                          [static_cast<std::size_t>(time / 1'000)];
+        }
         mEngines[request->engine].inTransit.note(at(time));
         mInTransit.emplace(time + mShape.transitMs, std::move(request));
         return;
     }
+    if (!request->isRetry) {
+        countOutcome(*request, &Second::refusedAtFirst);
+    }
     const auto *busy = std::get_if<AllBusy>(&choice);
     scheduleRetry(std::move(request),
                   busy ? static_cast<int>(busy->retryAfter.count()) : sDeadlineMs, time);
@@ -164,7 +251,7 @@
 void OverloadLab::scheduleRetry(RequestPtr request, int wait, int time)
 {
     if (request->isRetry) {
-        ++secondOf(*request).refused;
+        countOutcome(*request, &Second::refused);
         return;
     }
     request->isRetry = true;
@@ -320,7 +407,7 @@
             ReplicaSet &gateway = mGateways[request->gateway];
             gateway.answerMissed(replicaId(request->engine), request->isPatient);
             gateway.ended(replicaId(request->engine), ReplicaOutcome::Abandoned, at(time));
-            ++secondOf(*request).refused;
+            countOutcome(*request, &Second::refused);
             return true;
         });
     }
@@ -342,7 +429,7 @@
             request->hasStarted = true;
             const int took = time + mShape.transitMs - request->firstAttemptAt;
             const bool isInTime = took <= mShape.goal.count();
-            ++(isInTime ? secondOf(*request).inTime : secondOf(*request).late);
+            countOutcome(*request, isInTime ? &Second::inTime : &Second::late);
             announceLeaving(*request, time);
             mGateways[request->gateway].answerStarted(replicaId(request->engine),
                                                       request->isPatient,
--- a/tests/direct/overloadlab.h
+++ b/tests/direct/overloadlab.h
@@ -52,6 +52,9 @@
         std::size_t refusing = 0; ///< engines that refuse all requests for some time
         int refusingFromMs = 0;
         int refusingUntilMs = 0;
+        /** Spread of log-normal prompt and answer sizes; zero: exponential, up to 3 means. */
+        double sizeSigma = 0;
+        bool sharesDemand = false; ///< gateways exchange their call rates
     };
 
     /** Use of the engines that refused all requests for some time, after that time. */
@@ -78,6 +81,8 @@
     {
         int seconds = 0;
         double callsPerSecond = 0;
+        /** Share of the calls by data centre, in any unit; empty: gateways get equal shares. */
+        std::vector<double> shares;
     };
 
     /** Outcomes of the calls whose first attempt was in one second. */
@@ -87,6 +92,7 @@
         int inTime = 0;
         int late = 0;
         int refused = 0; ///< after all attempts
+        int refusedAtFirst = 0; ///< calls whose first attempt a gateway refused
     };
 
     explicit OverloadLab(Shape shape);
@@ -94,6 +100,13 @@
     /** Number of probes that gateways sent to agents. */
     std::uint64_t probes() const { return mProbes; }
     const Notices &notices() const { return mNotices; }
+    /** Outcomes by data centre of the gateway called first, one entry per second each. */
+    const std::vector<std::vector<Second>> &secondsByDataCentre() const
+    {
+        return mSecondsByDataCentre;
+    }
+    /** Requests that reached engines in another data centre than their gateway's, per second. */
+    const std::vector<std::vector<int>> &remoteSends() const { return mRemoteSends; }
     /** Valid after a run with refusing engines. */
     Recovery recovery() const;
     /** Runs the phases and returns one entry per second. */
@@ -105,6 +118,7 @@
     struct Request
     {
         std::size_t gateway = 0;
+        std::size_t dataCentre = 0; ///< of the gateway called first
         std::size_t engine = 0;
         int firstAttemptAt = 0;
         int sentAt = 0;
@@ -154,7 +168,11 @@
     ReplicaLoad probeAnswer(std::size_t engine, int time);
     void report(std::size_t engine, int time);
     std::string dataCentreOf(std::size_t index) const;
-    Second &secondOf(const Request &request);
+    double drawSizeFactor();
+    std::size_t drawGateway(const std::vector<double> &shares);
+    void exchangeDemand(int time);
+    void followGateways();
+    void countOutcome(const Request &request, int Second::*outcome);
     std::string replicaId(std::size_t engine) const;
 
     Shape mShape;
@@ -164,6 +182,9 @@
     std::multimap<int, RequestPtr> mRefusals; ///< refused requests, by arrival at the gateway
     std::multimap<int, RequestPtr> mRetries; ///< requests of waiting callers, by retry time
     std::vector<Second> mSeconds;
+    std::vector<std::vector<Second>> mSecondsByDataCentre;
+    std::vector<std::vector<int>> mRemoteSends; ///< by data centre and second
+    std::vector<std::vector<std::size_t>> mFollowed; ///< gateways whose status each one receives
     std::mt19937_64 mRandom;
     std::uint64_t mProbes = 0;
     Notices mNotices;
--- a/tests/direct/test_overload.cpp
+++ b/tests/direct/test_overload.cpp
@@ -10,6 +10,9 @@
 
 #include "overloadlab.h"
 
+#include <algorithm>
+#include <utility>
+
 using namespace Loom;
 
 namespace {
@@ -195,3 +198,99 @@
         BOOST_TEST(inTime > 0.88 * calls);
     }
 }
+
+namespace {
+
+/** Callers of three data centres, with engines in all of them 1 ms away. */
+OverloadLab::Shape shapeWithDataCentres(std::uint64_t seed)
+{
+    OverloadLab::Shape probing = shapeWithManyGateways(seed);
+    probing.gateways = 16;
+    probing.engines = 34;
+    probing.transitMs = 1;
+    probing.figures.meanAnswerTokens = 45;
+    return probing;
+}
+
+/** Results of a run, from the time at which half of one data centre's callers have moved. */
+struct MovedCallers
+{
+    double refusedAtFirst = 0; ///< fraction, in the data centre that they moved to
+    double inTime = 0; ///< fraction, in all data centres
+    double worstInTime = 1; ///< fraction, in the worst data centre
+};
+
+// The drawn sizes are 5% below the configured means, so that this is 0.9 of the true capacity.
+constexpr double sMovedLoad = 0.95;
+constexpr std::size_t sReceiving = 1; // data centre that the callers move to
+
+MovedCallers runMovedCallers(OverloadLab::Shape shape, bool sharesDemand)
+{
+    shape.sharesDemand = sharesDemand;
+    OverloadLab lab(shape);
+    const double calls = sMovedLoad * lab.capacity();
+    constexpr std::size_t sMovedAt = 6;
+    lab.run({{6, calls, {143, 131, 164}}, {14, calls, {143 - 71.5, 131 + 71.5, 164}}});
+    MovedCallers result;
+    OverloadLab::Second all;
+    for (std::size_t dataCentre = 0; dataCentre < shape.dataCentres; ++dataCentre) {
+        const auto &seconds = lab.secondsByDataCentre()[dataCentre];
+        OverloadLab::Second sum;
+        for (std::size_t second = sMovedAt; second < seconds.size(); ++second) {
+            sum.calls += seconds[second].calls;
+            sum.inTime += seconds[second].inTime;
+            sum.refusedAtFirst += seconds[second].refusedAtFirst;
+        }
+        all.calls += sum.calls;
+        all.inTime += sum.inTime;
+        result.worstInTime
+            = std::min(result.worstInTime, static_cast<double>(sum.inTime) / sum.calls);
+        if (dataCentre == sReceiving) {
+            result.refusedAtFirst = static_cast<double>(sum.refusedAtFirst) / sum.calls;
+        }
+    }
+    result.inTime = static_cast<double>(all.inTime) / all.calls;
+    BOOST_TEST_MESSAGE((sharesDemand ? "with" : "without")
+                       << " reported rates: in time " << result.inTime << ", worst data centre "
+                       << result.worstInTime << ", refused at first where callers moved to "
+                       << result.refusedAtFirst);
+    return result;
+}
+
+} // namespace
+
+// The gateways that got more callers expected too many calls, and probed mostly replicas of
+// their own data centre after those were full. They refused calls while replicas in other data
+// centres had free slots.
+BOOST_AUTO_TEST_CASE(data_centre_that_callers_move_to_serves_them_like_others)
+{
+    for (const std::uint64_t seed : {1U, 2U, 3U}) {
+        const MovedCallers without = runMovedCallers(shapeWithDataCentres(seed), false);
+        const MovedCallers with = runMovedCallers(shapeWithDataCentres(seed), true);
+        BOOST_TEST(without.refusedAtFirst > 0.03);
+        BOOST_TEST(with.refusedAtFirst < 0.3 * without.refusedAtFirst);
+        BOOST_TEST(with.inTime > without.inTime + 0.01);
+        BOOST_TEST(with.worstInTime > with.inTime - 0.03);
+    }
+}
+
+// Rates that differ by chance must not change decisions where all gateways get equal shares.
+// The few exceptions must cost nothing.
+BOOST_AUTO_TEST_CASE(reported_rates_change_nothing_at_even_demand)
+{
+    for (const std::uint64_t seed : {1U, 2U, 3U}) {
+        const auto run = [&](bool sharesDemand) {
+            OverloadLab::Shape even = shapeWithDataCentres(seed);
+            even.sharesDemand = sharesDemand;
+            OverloadLab lab(even);
+            const auto seconds = lab.run({{10, sMovedLoad * lab.capacity()}});
+            return std::pair(goodput(seconds, 0, 10), lab.probes());
+        };
+        const auto [without, probesWithout] = run(false);
+        const auto [with, probesWith] = run(true);
+        BOOST_TEST_MESSAGE("goodput without " << without << ", with " << with << ", probes "
+                                              << probesWithout << ", " << probesWith);
+        BOOST_TEST(with == without, boost::test_tools::tolerance(0.005));
+        BOOST_TEST(static_cast<double>(probesWith) < 1.01 * static_cast<double>(probesWithout));
+    }
+}
--- a/tests/direct/test_probeplan.cpp
+++ b/tests/direct/test_probeplan.cpp
@@ -180,3 +180,41 @@
     BOOST_TEST(countLoading(at(1'010)) == 1);
     BOOST_TEST(countLoading(at(1'300)) >= 1);
 }
+
+// Without local excess, the second round probes mostly the local replicas that remain, and the
+// subset has four remote members. In a data centre with more calls than others, the local ones
+// were full while replicas elsewhere had free slots.
+BOOST_AUTO_TEST_CASE(local_excess_probes_remote_replicas_in_the_second_round)
+{
+    const Fleet fleet(45, 3);
+    const auto isRemote = [](const Replica *replica) { return replica->record.dataCentre != "z0"; };
+    for (std::uint64_t random = 0; random < 50; ++random) {
+        const ReplicaQuery request = query(random * 1'000'003);
+        const ProbePlan plan("g1", request, at(0), true);
+        const auto subset = plan.subset(fleet.usable);
+        BOOST_TEST(subset.size() == 20U);
+        BOOST_TEST(std::ranges::count_if(subset, isRemote) == 8);
+        std::vector<std::string> ids;
+        for (const Replica *replica : plan.choose(ProbeRound::Local, fleet.usable, ids)) {
+            BOOST_TEST(!isRemote(replica));
+            ids.push_back(replica->record.id);
+        }
+        BOOST_TEST(ids.size() == 4U);
+        const auto more = plan.choose(ProbeRound::Subset, fleet.usable, ids);
+        BOOST_TEST(more.size() == 6U);
+        BOOST_TEST(std::ranges::count_if(more, isRemote) == 6);
+    }
+}
+
+// The remote members of the usual subset stay in the wider one, so that a change of the demand
+// closes no connection.
+BOOST_AUTO_TEST_CASE(local_excess_only_adds_members_to_the_subset)
+{
+    const Fleet fleet(45, 3);
+    const ReplicaQuery request = query();
+    const auto usual = ProbePlan("g1", request, at(0)).subset(fleet.usable);
+    const auto wider = ProbePlan("g1", request, at(0), true).subset(fleet.usable);
+    for (const Replica *replica : usual) {
+        BOOST_TEST((std::ranges::find(wider, replica) != wider.end()));
+    }
+}
