--- a/src/libloomjunction/gateway/replicaservice.cpp
+++ b/src/libloomjunction/gateway/replicaservice.cpp
@@ -82,6 +82,8 @@
             applyReport(address, load);
         });
     mPermits = std::make_unique<PermitClient>(kernel);
+    mDemandExchange = std::make_unique<DemandExchange>(mReplicas, *mMembers, *mConfig, mMetrics,
+                                                       mSettings.dataCentre);
     asio::co_spawn(kernel.executor(), sweepLoop(), asio::detached);
     return {};
 }
@@ -594,6 +596,7 @@
         updateUnavailableMetrics();
         warnOfUnknownRegions();
         warnOfEmptyEvacuations();
+        mDemandExchange->update();
         mLoadProber->closeUnused();
         mPermits->closeUnused();
         probeIdleAgents();
--- a/src/libloomjunction/gateway/replicaservice.h
+++ b/src/libloomjunction/gateway/replicaservice.h
@@ -10,6 +10,7 @@
 
 #include "callerwaitestimator.h"
 #include "capacityqueue.h"
+#include "demandexchange.h"
 #include "httplink.h"
 #include "kernel.h"
 #include "loadprober.h"
@@ -148,6 +149,7 @@
     RefusalRatio mRefusalRatio; ///< of the requests on all routes
     std::unique_ptr<LoadProber> mLoadProber;
     std::unique_ptr<PermitClient> mPermits;
+    std::unique_ptr<DemandExchange> mDemandExchange;
     OperatorConfigService *mConfig = nullptr;
     asio::any_io_executor mExecutor;
     std::set<std::string, std::less<>> mUnknownRegions; ///< data centres that were logged
