--- a/src/libloomjunction/core/replica.h
+++ b/src/libloomjunction/core/replica.h
@@ -12,6 +12,7 @@
 #include "instant.h"
 #include "logposition.h"
 #include "noticestate.h"
+#include "replicapermits.h"
 #include "replicaratelimit.h"
 
 #include <cstdint>
@@ -39,6 +40,7 @@
     bool isDraining = false;
     /** Version of the completely loaded weights; zero: none are, or the service has none. */
     std::uint64_t weightsVersion = 0;
+    Milliseconds coldLeft{0}; ///< how much longer it is cold, from the arrival of the record on
 
     /** Name of this incarnation in messages between processes: its id and its start time. */
     std::string incarnation() const { return id + sIncarnationSeparator + std::to_string(born); }
@@ -68,12 +70,16 @@
         return (isDraining && !other.isDraining) || weightsVersion > other.weightsVersion;
     }
 
-    /** Whether all fields but the position in the store are equal. */
+    /**
+     * Whether all fields but the position in the store are equal. Of the cold time, which changes
+     * with every heartbeat, only whether there is any.
+     */
     bool hasSameContent(const ReplicaRecord &other) const
     {
         return id == other.id && born == other.born && service == other.service
             && address == other.address && dataCentre == other.dataCentre && slots == other.slots
-            && isDraining == other.isDraining && weightsVersion == other.weightsVersion;
+            && isDraining == other.isDraining && weightsVersion == other.weightsVersion
+            && (coldLeft.count() > 0) == (other.coldLeft.count() > 0);
     }
 };
 
@@ -153,15 +159,25 @@
     NoticeState notices;
     ConcurrencyLimit concurrencyLimit;
     ReplicaRateLimit limit;
-    Instant rateLimitedUntil; ///< when the limit permits the next request
+    ColdTime cold;
+    Instant rateLimitedUntil; ///< when the limit or the cold rate permits the next request
     std::deque<Instant> recentSends; ///< send times of this gateway within sSendWindow
     Instant removedAt; ///< when the replica counts as removed; zero: it does not
 
     /** Decides alone whether requests may be sent to the replica at @p now. */
     UnavailableReason unavailableReason(Instant now) const;
 
+    bool isCold(Instant now) const { return !cold.isOver(now); }
+    /** Requests per second that all gateways together may send at @p now; empty: no limit. */
+    std::optional<double> ratePerSecond(Instant now) const
+    {
+        return effectiveRate(limit.perSecond(), cold, now);
+    }
     /** Whether the replica has a rate limit that permits no request at @p now. */
-    bool isRateLimited(Instant now) const { return limit.perSecond() && rateLimitedUntil > now; }
+    bool isRateLimited(Instant now) const
+    {
+        return rateLimitedUntil > now && ratePerSecond(now).has_value();
+    }
     /** When the replica's rest and its rate limit permit the next request; zero: now. */
     Instant availableAt(Instant now) const;
 
--- a/src/libloomjunction/core/replicaestimate.cpp
+++ b/src/libloomjunction/core/replicaestimate.cpp
@@ -24,6 +24,9 @@
 constexpr double sDegradedFailureRate = 0.25;
 // Round trip to another data centre, and the price of its traffic, in milliseconds.
 constexpr double sRemotePenaltyMs = 45;
+// More than the penalty of another data centre, so that a warm replica there goes before a cold
+// one here, and less than any goal.
+constexpr double sColdPenaltyMs = 60;
 // Queueing of requests and events on a congested link, in milliseconds.
 constexpr double sSlowLinkPenaltyMs = 200;
 // A failed request has to be sent again or is lost. Milliseconds at a failure rate of one.
@@ -156,12 +159,18 @@
     return offer;
 }
 
-// A rate limited replica looks idle because it gets few requests. It is offered one request
-// at a time, since further ones have to wait for the limit.
-void ReplicaEstimator::applyRateLimit(ReplicaEstimate &estimate)
+// A rate limited replica looks idle because it gets few requests. One that named its limit is in
+// need and is offered one request at a time, since further ones have to wait for the limit. A cold
+// one takes what its rate permits within the goal.
+void ReplicaEstimator::applyRateLimit(ReplicaEstimate &estimate, const Replica &replica) const
 {
-    estimate.room = std::min(estimate.room, 1.0);
-    estimate.freeSlots = std::min(estimate.freeSlots, 1.0);
+    double requests = 1;
+    if (!replica.limit.perSecond()) {
+        const double goalSeconds = std::chrono::duration<double>(mQuery.goal).count();
+        requests = std::max(1.0, replica.cold.perSecond * goalSeconds);
+    }
+    estimate.room = std::min(estimate.room, requests);
+    estimate.freeSlots = std::min(estimate.freeSlots, requests);
 }
 
 ReplicaEstimate ReplicaEstimator::estimate(const Replica &replica) const
@@ -171,8 +180,11 @@
     if (replica.record.dataCentre != mQuery.dataCentre) {
         offer.cost += sRemotePenaltyMs;
     }
-    if (replica.limit.perSecond()) {
-        applyRateLimit(offer);
+    if (replica.ratePerSecond(mNow)) {
+        applyRateLimit(offer, replica);
+    }
+    if (replica.isCold(mNow)) {
+        offer.cost += sColdPenaltyMs;
     }
     // Resumed streams are exempt, because their callers cannot get the remaining events otherwise.
     if (!mQuery.isResumed && replica.isAtConcurrencyLimit(mNow)) {
--- a/src/libloomjunction/core/replicaestimate.h
+++ b/src/libloomjunction/core/replicaestimate.h
@@ -89,7 +89,7 @@
     ReplicaEstimate estimate(const Replica &replica) const;
 
 private:
-    static void applyRateLimit(ReplicaEstimate &estimate);
+    void applyRateLimit(ReplicaEstimate &estimate, const Replica &replica) const;
     bool isSlow(const Replica &replica) const;
     bool hasJustBeenProbed(const Replica &replica) const;
     std::uint32_t waitingPatientRequests(const Replica &replica) const;
--- a/src/libloomjunction/core/replicaset.cpp
+++ b/src/libloomjunction/core/replicaset.cpp
@@ -110,9 +110,38 @@
     replica.record = record;
     replica.record.isDraining = record.isDraining || wasDraining;
     replica.removedAt = Instant();
+    replica.cold.perSecond = coldRate(record.service);
+    if (record.coldLeft.count() > 0) {
+        replica.cold.until = std::max(replica.cold.until, now + record.coldLeft);
+    }
     retireEarlierIncarnations(record, now);
 }
 
+double ReplicaSet::coldRate(std::string_view service) const
+{
+    const auto it = mColdRates.find(service);
+    return it == mColdRates.end() ? 0 : it->second;
+}
+
+void ReplicaSet::setColdRates(std::map<std::string, double, std::less<>> perSecond)
+{
+    mColdRates = std::move(perSecond);
+    for (auto &[id, replica] : mReplicas) {
+        replica.cold.perSecond = coldRate(replica.record.service);
+    }
+}
+
+// The cold time only ever gets longer: a record may be older than an answer or come from a copy of
+// the store, and a replica that counts as warm too early receives more than it can take.
+void ReplicaSet::noteCold(std::string_view id, std::uint64_t born, Milliseconds left, Instant now)
+{
+    const auto it = mReplicas.find(id);
+    if (it != mReplicas.end() && it->second.record.isSameIncarnation(born)) {
+        Instant &until = it->second.cold.until;
+        until = std::max(until, now + left);
+    }
+}
+
 void ReplicaSet::awaitConfirmation(std::string_view id, Instant now)
 {
     const auto it = mReplicas.find(id);
@@ -511,7 +540,7 @@
     }
     const LimitChange change = it->second.limit.hear(told.perSecond, told.heardAt);
     // A shorter wait replaces a longer one too, as after the limit was raised.
-    if (told.perSecond) {
+    if (told.perSecond || it->second.isCold(now)) {
         it->second.rateLimitedUntil = now + told.wait;
     }
     return change;
--- a/src/libloomjunction/core/replicaset.h
+++ b/src/libloomjunction/core/replicaset.h
@@ -88,6 +88,13 @@
     void unreadable(std::string_view id, Instant now);
     /** Disables the replica @p id, because another replica answered at its address. */
     void replaced(std::string_view id, Instant now);
+    /** Sets the rates for cold replicas by service; a service without one has no such limit. */
+    void setColdRates(std::map<std::string, double, std::less<>> perSecond);
+    /**
+     * An answer of the incarnation of replica @p id that started at @p born (zero: the known one)
+     * stated at @p now that it is cold for @p left.
+     */
+    void noteCold(std::string_view id, std::uint64_t born, Milliseconds left, Instant now);
     /** Stores an agent's report on the replica at @p address. */
     void report(std::string_view address, const ReplicaLoad &load, Instant now);
     /** Discards the load of the replica at @p address, because its agent is unreachable. */
@@ -169,6 +176,7 @@
     static bool isCandidate(const Replica &replica, const ReplicaQuery &query, Instant now);
     std::vector<const Replica *> candidatesFor(const ReplicaQuery &query, Instant now) const;
     void keepNotices(const Replica &replica, Instant now);
+    double coldRate(std::string_view service) const;
     static bool isEarlier(const ReplicaRecord &record, const ReplicaRecord &other);
     void retireEarlierIncarnations(const ReplicaRecord &record, Instant now);
     static void forgiveReloadFailures(Replica &replica, Instant now);
@@ -191,6 +199,7 @@
 
     Milliseconds mDrainTime;
     std::string mGatewayKey;
+    std::map<std::string, double, std::less<>> mColdRates; ///< by service
     std::map<std::string, CallRate, std::less<>> mCalls; ///< by service
     std::map<std::string, RefusalRatio, std::less<>> mRefusals; ///< by service
     std::map<std::string, Replica, std::less<>> mReplicas;
--- a/src/libloomjunction/core/routetable.h
+++ b/src/libloomjunction/core/routetable.h
@@ -84,6 +84,9 @@
     std::uint32_t maxConnections = 0; ///< of one replica, from all boxes; zero if unknown
     std::optional<EngineProfile> engine;
     std::optional<OriginConfig> origin;
+    /** Requests a second that a cold replica takes from all gateways together; zero: no limit. */
+    double coldPerSecond = 0;
+    std::vector<std::string> invalidColdFields; ///< names of fields that were ignored
 };
 
 /** Limits on the requests of callers. */
--- a/src/libloomjunction/core/sendpermits.cpp
+++ b/src/libloomjunction/core/sendpermits.cpp
@@ -17,8 +17,6 @@
 // Minimum rate of a replica that accepts nothing. Without any sends nobody would learn when
 // it accepts requests again.
 constexpr double sMinRate = 0.2;
-// Unused permits accumulate for this long, because requests arrive in bursts.
-constexpr double sBurstSeconds = 0.5;
 // Maximum rate over a whole window, relative to the limit. Sends before the limit was set
 // count too, so that an overloaded replica rests until its load is close to the limit.
 constexpr double sWindowRateFactor = 1.25;
@@ -37,7 +35,7 @@
 
 double SendPermits::burstSize() const
 {
-    return 1 + mRate * sBurstSeconds;
+    return 1 + mRate * std::chrono::duration<double>(mBurst).count();
 }
 
 double SendPermits::tokensAt(Instant now) const
@@ -60,11 +58,13 @@
 
 // The first rate starts with an empty bucket, so that a process that takes over from another
 // one does not grant the accumulated permits a second time.
-void SendPermits::setRate(double perSecond, Instant now)
+void SendPermits::setRate(double perSecond, Instant now, Milliseconds burst)
 {
     mTokens = mRate > 0 ? tokensAt(now) : 0;
     mRefilledAt = now;
     mRate = std::max(perSecond, sMinRate);
+    mBurst = burst;
+    mTokens = std::min(mTokens, burstSize());
 }
 
 void SendPermits::noteSend(Instant at)
--- a/src/libloomjunction/gateway/memberservice.cpp
+++ b/src/libloomjunction/gateway/memberservice.cpp
@@ -574,6 +574,34 @@
     return owner;
 }
 
+std::optional<Tcp::endpoint> MemberService::recordedOwnerOf(std::string_view key) const
+{
+    std::uint64_t highestWeight = mIsLeaving ? 0 : rendezvousWeight(key, mKey);
+    std::optional<Tcp::endpoint> owner;
+    for (const auto &[member, candidate] : mMembers) {
+        const std::uint64_t weight = candidate.isGateway ? rendezvousWeight(key, member) : 0;
+        if (weight > highestWeight) {
+            highestWeight = weight;
+            owner = candidate.peers;
+        }
+    }
+    return owner;
+}
+
+bool MemberService::isMajorityHeard() const
+{
+    std::size_t heard = 1;
+    std::size_t silent = 0;
+    for (const auto &[key, member] : mMembers) {
+        if (member.isGateway) {
+            const GatewayAvailability availability = availabilityOf(key);
+            heard += availability == GatewayAvailability::Healthy ? 1 : 0;
+            silent += availability == GatewayAvailability::Unavailable ? 1 : 0;
+        }
+    }
+    return heard > silent;
+}
+
 void MemberService::noteChange()
 {
     ++mStatusChangeCount;
--- a/src/libloomjunction/gateway/memberservice.h
+++ b/src/libloomjunction/gateway/memberservice.h
@@ -127,6 +127,16 @@
      * owns it. Gateways that know the same members in the same states agree on the owner.
      */
     std::optional<Tcp::endpoint> ownerOf(std::string_view key) const;
+    /**
+     * The same among all gateways with a membership record, whether they are heard or not, so that
+     * gateways that are cut off from each other agree on the owner.
+     */
+    std::optional<Tcp::endpoint> recordedOwnerOf(std::string_view key) const;
+    /**
+     * Whether more than half of the gateways that this one follows, itself included, are heard. A
+     * gateway that is cut off with a minority of them does not hear the majority.
+     */
+    bool isMajorityHeard() const;
     std::uint64_t incarnation() const { return mIncarnation; }
     /** Key of this process's membership record. */
     const std::string &key() const { return mKey; }
--- a/src/libloomjunction/gateway/permitclient.cpp
+++ b/src/libloomjunction/gateway/permitclient.cpp
@@ -47,8 +47,12 @@
 // is the home gateway.
 std::optional<Tcp::endpoint> PermitClient::permitOwnerOf(const Replica &replica) const
 {
-    const auto agent = mMembers.agentFor(replica.record.address);
-    return agent ? agent : mMembers.ownerOf(replica.record.incarnation());
+    if (auto agent = mMembers.agentFor(replica.record.address)) {
+        return agent;
+    }
+    const std::string incarnation = replica.record.incarnation();
+    return replica.isCold(now()) ? mMembers.recordedOwnerOf(incarnation)
+                                 : mMembers.ownerOf(incarnation);
 }
 
 // A process that takes over a replica does not know the earlier sends, so the first query to
@@ -61,6 +65,10 @@
     *query.mutable_limit()
         = toWireLimit({incarnation, replica.limit.perSecond(), replica.limit.heardAt(), {}}, time);
     query.set_address(replica.record.address);
+    if (replica.isCold(time)) {
+        query.set_cold_per_second(replica.cold.perSecond);
+        query.set_cold_left_us(static_cast<std::uint64_t>((replica.cold.until - time).count()));
+    }
     if (mSendsReportedTo[incarnation] == owner) {
         return query;
     }
--- a/src/libloomjunction/gateway/permitclient.h
+++ b/src/libloomjunction/gateway/permitclient.h
@@ -28,10 +28,10 @@
 class PermitService;
 
 /**
- * Requests a permit before each send to a replica that states a rate limit, from the process
- * that grants the permits of that replica (the permit owner), and reports to it the limits
+ * Requests a permit before each send to a replica that states a rate limit or is cold, from the
+ * process that grants the permits of that replica (the permit owner), and reports to it the limits
  * stated in the replica's answers. Keeps one stream to each owner while it is in use; sends
- * nothing while no replica states a limit. Owned by the replica service.
+ * nothing while no replica states a limit or is cold. Owned by the replica service.
  */
 class PermitClient
 {
--- a/src/libloomjunction/gateway/permitservice.cpp
+++ b/src/libloomjunction/gateway/permitservice.cpp
@@ -14,6 +14,8 @@
 #include "wire.pb.h"
 
 #include <algorithm>
+#include <cmath>
+#include <vector>
 
 namespace Loom {
 
@@ -29,6 +31,12 @@
 // A gateway that queries a process that is not the permit owner receives the current list of
 // members within about this time.
 constexpr Milliseconds sWrongOwnerRetryDelay{200};
+// A longer cold time in a query is implausible.
+constexpr std::uint64_t sMaxColdUs = std::uint64_t{24} * 60 * 60 * 1'000'000;
+// A gateway that has just started becomes the home of replicas that another one has granted permits
+// for. It grants none to cold replicas until its membership record has reached that one, which
+// takes less than two seconds.
+constexpr Milliseconds sNewHomeDelay{3'000};
 
 Instant timeBefore(Instant now, std::uint64_t microseconds)
 {
@@ -37,6 +45,15 @@
     return now - Microseconds(static_cast<std::int64_t>(std::min(microseconds, maxAge)));
 }
 
+ColdTime coldTimeOf(const wire::PermitQuery &query, Instant now)
+{
+    if (!(query.cold_per_second() > 0) || !std::isfinite(query.cold_per_second())) {
+        return {};
+    }
+    const std::uint64_t leftUs = std::min(query.cold_left_us(), sMaxColdUs);
+    return {query.cold_per_second(), now + Microseconds(static_cast<std::int64_t>(leftUs))};
+}
+
 } // namespace
 
 wire::ReplicaLimit toWireLimit(const ReportedLimit &limit, Instant now)
@@ -64,6 +81,7 @@
 
 tl::expected<void, std::string> PermitService::start(Kernel &kernel)
 {
+    mStartedAt = now();
     mMembers = &kernel.find<MemberService>(MemberService::sName);
     kernel.find<PeerHub>(PeerHub::sName)
         .serve(std::string(sPermitPath),
@@ -76,9 +94,20 @@
     if (!mReplicaAddress.empty()) {
         return query.address() == mReplicaAddress;
     }
+    if (query.cold_per_second() > 0) {
+        return isColdPermitOwnerOf(query);
+    }
     return !mMembers->agentFor(query.address()) && !mMembers->ownerOf(query.limit().replica());
 }
 
+// Gateways that are cut off from each other must not both grant the whole rate.
+bool PermitService::isColdPermitOwnerOf(const wire::PermitQuery &query) const
+{
+    return !mMembers->agentFor(query.address())
+        && !mMembers->recordedOwnerOf(query.limit().replica()) && mMembers->isMajorityHeard()
+        && now() - mStartedAt >= sNewHomeDelay;
+}
+
 PermitService::Entry &PermitService::entryOf(const std::string &incarnation)
 {
     const Instant time = now();
@@ -95,18 +124,13 @@
 void PermitService::applyQuery(Entry &entry, const wire::PermitQuery &query, Instant now)
 {
     const ReportedLimit reported = fromWireLimit(query.limit(), now);
-    const LimitChange change = entry.limit.hear(reported.perSecond, reported.heardAt);
-    if (change == LimitChange::Started) {
-        entry.permits = SendPermits();
-    }
-    const int sent = std::min(query.sent_age_us_size(), sMaxReportedSends);
-    for (int index = 0; index < sent; ++index) {
-        entry.permits.noteSend(timeBefore(now, query.sent_age_us(index)));
-    }
-    const bool hasNewRate = change == LimitChange::Started || change == LimitChange::Changed;
-    if (hasNewRate) {
-        entry.permits.setRate(*entry.limit.perSecond(), now);
+    const int sentCount = std::min(query.sent_age_us_size(), sMaxReportedSends);
+    std::vector<Instant> sends;
+    sends.reserve(static_cast<std::size_t>(sentCount));
+    for (int index = 0; index < sentCount; ++index) {
+        sends.push_back(timeBefore(now, query.sent_age_us(index)));
     }
+    entry.permits.apply(reported.perSecond, reported.heardAt, coldTimeOf(query, now), sends, now);
 }
 
 wire::PermitAnswer PermitService::answer(const wire::PermitQuery &query)
@@ -121,14 +145,13 @@
     mLatestIncarnation = query.limit().replica();
     Entry &entry = entryOf(mLatestIncarnation);
     applyQuery(entry, query, time);
-    *answer.mutable_limit() = toWireLimit(
-        {mLatestIncarnation, entry.limit.perSecond(), entry.limit.heardAt(), {}}, time);
+    const ReplicaRateLimit &limit = entry.permits.limit();
+    *answer.mutable_limit()
+        = toWireLimit({mLatestIncarnation, limit.perSecond(), limit.heardAt(), {}}, time);
     if (query.asks()) {
-        answer.set_granted(!entry.limit.perSecond() || entry.permits.take(time));
-    }
-    if (entry.limit.perSecond()) {
-        answer.set_wait_us(static_cast<std::uint64_t>(entry.permits.wait(time).count()));
+        answer.set_granted(entry.permits.take(time));
     }
+    answer.set_wait_us(static_cast<std::uint64_t>(entry.permits.wait(time).count()));
     return answer;
 }
 
@@ -139,8 +162,9 @@
         return std::nullopt;
     }
     const Entry &entry = it->second;
-    const Microseconds wait = entry.limit.perSecond() ? entry.permits.wait(now()) : Microseconds(0);
-    return ReportedLimit{mLatestIncarnation, entry.limit.perSecond(), entry.limit.heardAt(), wait};
+    const ReplicaRateLimit &limit = entry.permits.limit();
+    return ReportedLimit{mLatestIncarnation, limit.perSecond(), limit.heardAt(),
+                         entry.permits.wait(now())};
 }
 
 awaitable<void> PermitService::serve(PeerStreamPtr stream)
--- a/src/libloomjunction/gateway/permitservice.h
+++ b/src/libloomjunction/gateway/permitservice.h
@@ -11,8 +11,7 @@
 #include "kernel.h"
 #include "peerstream.h"
 #include "replica.h"
-#include "replicaratelimit.h"
-#include "sendpermits.h"
+#include "replicapermits.h"
 
 #include <map>
 #include <optional>
@@ -37,11 +36,12 @@
 ReportedLimit fromWireLimit(const wire::ReplicaLimit &limit, Instant now);
 
 /**
- * Grants permits for sending to replicas that state a rate limit, so that all gateways
- * together keep the limit. Each replica has one permit owner: its agent, or its home gateway
- * if it has no agent. A gateway grants permits only if it regards itself as the home gateway,
- * like the gateway that sent the query; so differing views of the members rarely lead to two
- * owners.
+ * Grants permits for sending to replicas that state a rate limit or are cold, so that all
+ * gateways together keep the limit. Each replica has one permit owner: its agent, or its home
+ * gateway if it has no agent. A gateway grants permits only if it regards itself as the home
+ * gateway, like the gateway that sent the query; so differing views of the members rarely lead to
+ * two owners. Of a cold replica, which crashes under more than its rate, the home gateway does not
+ * depend on which gateways are heard, and grants only while it hears most of them.
  */
 class PermitService final : public Service
 {
@@ -67,18 +67,19 @@
     /** Limit and permits of one incarnation of a replica. */
     struct Entry
     {
-        ReplicaRateLimit limit;
-        SendPermits permits;
+        ReplicaPermits permits;
         Instant lastUsedAt;
     };
 
     awaitable<void> serve(PeerStreamPtr stream);
     bool isPermitOwnerOf(const wire::PermitQuery &query) const;
+    bool isColdPermitOwnerOf(const wire::PermitQuery &query) const;
     Entry &entryOf(const std::string &incarnation);
     static void applyQuery(Entry &entry, const wire::PermitQuery &query, Instant now);
 
     std::string mReplicaAddress;
     MemberService *mMembers = nullptr;
+    Instant mStartedAt;
     std::map<std::string, Entry> mEntries; ///< by the replica's incarnation
     std::string mLatestIncarnation; ///< from the latest query
     bool mStopped = false;
--- a/src/libloomjunction/gateway/ports.h
+++ b/src/libloomjunction/gateway/ports.h
@@ -176,6 +176,7 @@
     bool isNotRun = false; ///< the replica states that it did not run the request
     bool isStream = false;
     AdvertisedRate rate;
+    std::optional<Milliseconds> coldLeft; ///< how much longer the replica is cold
     ReplicaNotice notice;
 };
 
--- a/src/libloomjunction/gateway/replicaattempt.cpp
+++ b/src/libloomjunction/gateway/replicaattempt.cpp
@@ -358,6 +358,9 @@
     life.id = isOther ? fields.replicaId : mChosen.id;
     life.born = isOther ? 0 : mIncarnation.born;
     mCall.parts.replicas.noteNotice(life, fields.notice);
+    if (fields.coldLeft) {
+        mCall.parts.replicas.noteCold(life, *fields.coldLeft);
+    }
 }
 
 OutgoingFields ReplicaAttempt::outgoingFields() const
--- a/src/libloomjunction/gateway/replicaservice.cpp
+++ b/src/libloomjunction/gateway/replicaservice.cpp
@@ -72,6 +72,8 @@
                         }});
     setBounds(mSettings.bounds);
     mConfig = &kernel.find<OperatorConfigService>(OperatorConfigService::sName);
+    mConfig->addListener([this] { applyColdRates(); });
+    applyColdRates();
     mLoadProber = std::make_unique<LoadProber>(
         kernel, mMetrics, [this](const std::string &address, const ReplicaLoad &load) {
             applyReport(address, load);
@@ -118,7 +120,10 @@
                  {"offset", change.record.offset}});
     }
     record->position = change.record.position();
+    const bool wasLimited
+        = known != nullptr && !hasRestarted && known->ratePerSecond(now()).has_value();
     mReplicas.put(*record, now());
+    reportIfColder(id, wasLimited);
     if (change.isRevived) {
         mReplicas.awaitConfirmation(id, now());
     }
@@ -149,7 +154,10 @@
 {
     const auto knownRecord = mRecords.replicaRecord(known.key, *known.value);
     const auto nextRecord = mRecords.replicaRecord(next.key, *next.value);
-    return knownRecord && nextRecord && knownRecord->hasSameContent(*nextRecord);
+    const Replica *replica = mReplicas.find(next.key);
+    const bool isColdLonger = replica != nullptr && nextRecord && nextRecord->coldLeft.count() > 0
+        && now() + nextRecord->coldLeft > replica->cold.until;
+    return knownRecord && nextRecord && knownRecord->hasSameContent(*nextRecord) && !isColdLonger;
 }
 
 void ReplicaService::stop()
@@ -368,7 +376,8 @@
         : change == LimitChange::Changed                               ? "changed"
                                                                        : "ended";
     const Replica *replica = mReplicas.find(id);
-    if (change != LimitChange::Changed) {
+    // The permit owner of a cold replica has counted the sends, whether it names a limit or not.
+    if (change != LimitChange::Changed && !replica->isCold(now())) {
         mPermits->resetReportedSends(replica->record.incarnation());
     }
     mMetrics.count("replica_limits", changeName);
@@ -384,7 +393,7 @@
 awaitable<bool> ReplicaService::takePermit(std::string id)
 {
     const Replica *replica = mReplicas.find(id);
-    if (replica == nullptr || !replica->limit.perSecond()) {
+    if (replica == nullptr || !replica->ratePerSecond(now())) {
         co_return true;
     }
     const auto answer = co_await mPermits->ask(*replica);
@@ -524,12 +533,92 @@
     mMetrics.set("replicas_held_back", "limited", limitedCount);
 }
 
+void ReplicaService::applyColdRates()
+{
+    const RouteTablePtr &table = mConfig->table();
+    if (!table || table == mColdRatesTable) {
+        return;
+    }
+    mColdRatesTable = table;
+    std::map<std::string, double, std::less<>> rates;
+    for (const ServiceConfig &service : table->config().services) {
+        for (const std::string &field : service.invalidColdFields) {
+            mMetrics.count("cold_rates_refused");
+            logLine(LogLevel::Warning, "cold-rate-refused",
+                    {{"service", service.name}, {"field", field}});
+        }
+        if (service.coldPerSecond > 0) {
+            rates[service.name] = service.coldPerSecond;
+        }
+    }
+    mReplicas.setColdRates(std::move(rates));
+    updateColdReplicas();
+}
+
+void ReplicaService::noteCold(const ReplicaIncarnation &incarnation, Milliseconds left)
+{
+    const Replica *replica = mReplicas.find(incarnation.id);
+    const bool wasLimited = replica != nullptr && replica->ratePerSecond(now()).has_value();
+    mReplicas.noteCold(incarnation.id, incarnation.born, left, now());
+    reportIfColder(incarnation.id, wasLimited);
+}
+
+// The sends to a replica that turned cold are reported at once, even if this gateway sends it
+// nothing more: its permit owner must count them.
+void ReplicaService::reportIfColder(const std::string &id, bool wasLimited)
+{
+    const Replica *replica = mReplicas.find(id);
+    if (replica != nullptr && replica->isCold(now()) && !mColdReplicas.contains(id)) {
+        updateColdReplicas();
+    }
+    if (wasLimited || replica == nullptr || !replica->isCold(now())) {
+        return;
+    }
+    mPermits->resetReportedSends(replica->record.incarnation());
+    const bool hasSentRecently = std::ranges::any_of(
+        replica->recentSends, [](Instant sent) { return now() - sent < sSendWindow; });
+    if (hasSentRecently) {
+        mPermits->reportLimit(*replica);
+    }
+}
+
+void ReplicaService::updateColdReplicas()
+{
+    const Instant time = now();
+    std::set<std::string> cold;
+    for (const auto &[id, replica] : mReplicas.all()) {
+        if (!replica.isCold(time) || replica.unavailableReason(time) == UnavailableReason::Gone) {
+            continue;
+        }
+        cold.insert(id);
+        if (!mColdReplicas.contains(id)) {
+            const auto left = std::chrono::duration_cast<Milliseconds>(replica.cold.until - time);
+            logLine(LogLevel::Info, "replica-cold",
+                    {{"replica", id},
+                     {"service", replica.record.service},
+                     {"perSecond", replica.cold.perSecond},
+                     {"leftMs", left.count()}});
+        }
+    }
+    for (const std::string &id : mColdReplicas) {
+        if (!cold.contains(id)) {
+            const Replica *replica = mReplicas.find(id);
+            const bool isGone
+                = replica == nullptr || replica->unavailableReason(time) == UnavailableReason::Gone;
+            logLine(LogLevel::Info, "replica-warm", {{"replica", id}, {"gone", isGone}});
+        }
+    }
+    mColdReplicas = std::move(cold);
+    mMetrics.set("cold_replicas", "", static_cast<std::int64_t>(mColdReplicas.size()));
+}
+
 awaitable<void> ReplicaService::sweepLoop()
 {
     while (!mStopped) {
         co_await sleepFor(sSweepInterval);
         mReplicas.sweep(now());
         updateUnavailableMetrics();
+        updateColdReplicas();
         mLoadProber->closeUnused();
         mPermits->closeUnused();
         probeIdleAgents();
--- a/src/libloomjunction/gateway/replicaservice.h
+++ b/src/libloomjunction/gateway/replicaservice.h
@@ -22,6 +22,7 @@
 #include <deque>
 #include <map>
 #include <memory>
+#include <set>
 #include <span>
 #include <string>
 #include <vector>
@@ -86,6 +87,8 @@
     UnavailableReason unavailableReason(const std::string &id);
     /** Applies the notice in an answer of @p incarnation about further requests. */
     void noteNotice(const ReplicaIncarnation &incarnation, const ReplicaNotice &notice);
+    /** An answer of @p incarnation stated that it is cold for @p left. */
+    void noteCold(const ReplicaIncarnation &incarnation, Milliseconds left);
     /** Takes one retry from the budget of @p service; false: the budget is exhausted. */
     bool takeRetry(const std::string &service);
 
@@ -117,6 +120,9 @@
     void probeIfStale(const LoadProbe &probe);
     bool hasSameContent(const FeedRecord &known, const FeedRecord &next) const;
     bool hasOutlasted(const FeedRecord &earlier, const FeedRecord &later) const;
+    void applyColdRates();
+    void updateColdReplicas();
+    void reportIfColder(const std::string &id, bool wasLimited);
     void updateUnavailableMetrics();
     awaitable<void> sweepLoop();
     std::unique_ptr<HttpLink> takeIdleLink(Pool &pool);
@@ -131,6 +137,8 @@
     Instant mStartedAt;
     MemberService *mMembers = nullptr;
     ReplicaSet mReplicas;
+    std::set<std::string> mColdReplicas; ///< ids of the replicas that were cold at the last update
+    RouteTablePtr mColdRatesTable; ///< the configuration that the cold rates come from
     std::map<std::string, Pool> mPools; ///< by replica id
     std::map<std::string, SharedRetryBudget> mBudgets;
     CallerWaitEstimator mCallerWaits;
--- a/tests/limits/limitfleet.cpp
+++ b/tests/limits/limitfleet.cpp
@@ -21,7 +21,7 @@
 constexpr std::string_view sService = "served";
 
 // Goals are long, so that a slow machine refuses nobody for being late.
-std::string configText(LimitFleet::Kind kind)
+std::string configText(LimitFleet::Kind kind, double coldPerSecond)
 {
     const bool hasEngines = kind == LimitFleet::Kind::Engines;
     const std::string engine
@@ -32,6 +32,7 @@
         + R"(","timeout_ms":8000,"goal_ms":4000,"gap_aim_ms":4000,"service":"served",)"
           R"("max_attempts":2,"resumable":true}],"services":[{"name":"served","max_conns":1000)"
         + (hasEngines ? engine : std::string())
+        + (coldPerSecond > 0 ? R"(,"cold_per_s":)" + std::to_string(coldPerSecond) : "")
         + R"(}],"tenants":[{"name":"t1","api_keys":["k"]}]})";
 }
 
@@ -66,6 +67,9 @@
     if (mNamed) {
         text += "Server-Limit: " + std::to_string(*mNamed) + "\r\n";
     }
+    if (mColdLeft) {
+        text += "Loomjunction-Cold-Ms: " + std::to_string(mColdLeft->count()) + "\r\n";
+    }
     // Long beside what the loop takes, so that no replica seems slow by chance.
     const auto holds = [until = now() + sWork] { return now() < until; };
     if (!mAnswersEvents) {
@@ -118,18 +122,15 @@
     BOOST_REQUIRE(mKernel.start().has_value());
 }
 
-LimitFleet::LimitFleet(Kind kind, std::size_t gateways, std::size_t replicas)
+LimitFleet::LimitFleet(Kind kind, std::size_t gateways, std::size_t replicas, ColdFields cold)
     : mKind(kind)
     , mIsKilled(gateways, false)
 {
-    store.write(Feed::Operators, "config", configText(kind));
+    store.write(Feed::Operators, "config", configText(kind, cold.perSecond));
     for (std::size_t index = 0; index < replicas; ++index) {
         mReplicas.push_back(std::make_unique<LimitedReplica>(context, kind == Kind::Engines));
         const std::string number = std::to_string(index);
-        store.write(Feed::Replicas, "i-" + number,
-                    R"({"service":"served","address":")" + mReplicas.back()->address()
-                        + R"(","zone":"z1","slots":64,"state":"ready",)"
-                          R"("models":[{"name":"m","version":1}]})");
+        writeRecord(index, cold.left);
         if (kind == Kind::Engines) {
             mAgents.push_back(
                 std::make_unique<FleetAgent>(context, store, "side-" + number, *mReplicas.back()));
@@ -141,6 +142,29 @@
     }
 }
 
+void LimitFleet::writeRecord(std::size_t index, Milliseconds coldLeft)
+{
+    const std::string left = coldLeft.count() > 0
+        ? R"("cold_left_ms":)" + std::to_string(coldLeft.count()) + ","
+        : std::string();
+    store.write(Feed::Replicas, "i-" + std::to_string(index),
+                R"({"service":"served","address":")" + mReplicas[index]->address()
+                    + R"(","zone":"z1","slots":64,"state":"ready",)" + left
+                    + R"("models":[{"name":"m","version":1}]})");
+}
+
+void LimitFleet::addGateway()
+{
+    const std::size_t index = mGateways.size();
+    mGateways.push_back(
+        std::make_unique<FleetGateway>(context, store, "gateway-" + std::to_string(index)));
+    mIsKilled.push_back(false);
+    mGateways.back()->start();
+    if (mIsCalling) {
+        asio::co_spawn(context, keepCalling(index, mCallsPerSecond), asio::detached);
+    }
+}
+
 void LimitFleet::run(std::function<awaitable<void>()> test)
 {
     for (const auto &agent : mAgents) {
@@ -181,6 +205,7 @@
 void LimitFleet::startCallers(double perSecond)
 {
     mIsCalling = true;
+    mCallsPerSecond = perSecond;
     for (std::size_t index = 0; index < mGateways.size(); ++index) {
         asio::co_spawn(context, keepCalling(index, perSecond), asio::detached);
     }
--- a/tests/limits/limitfleet.h
+++ b/tests/limits/limitfleet.h
@@ -29,6 +29,8 @@
     std::string address() const { return mReplica.address(); }
     /** Answers from now on name @p perSecond; nothing: none. */
     void name(std::optional<double> perSecond) { mNamed = perSecond; }
+    /** Answers from now on state that it is cold for @p left; nothing: they don't. */
+    void stateCold(std::optional<Milliseconds> left) { mColdLeft = left; }
     /** When requests came, oldest first. */
     const std::deque<Instant> &arrivals() const { return mArrivals; }
     /** Requests that came in [@p from, @p to). */
@@ -41,6 +43,7 @@
 
     bool mAnswersEvents;
     std::optional<double> mNamed;
+    std::optional<Milliseconds> mColdLeft;
     std::deque<Instant> mArrivals;
     ScriptedReplica mReplica;
 };
@@ -61,6 +64,13 @@
     Kernel mKernel;
 };
 
+/** What the service and the first records of a fleet's replicas state about cold replicas. */
+struct ColdFields
+{
+    double perSecond = 0; ///< zero: the service has no rate
+    Milliseconds left{0};
+};
+
 /** Gateways before replicas that may name limits, and callers at each gateway. */
 class LimitFleet
 {
@@ -71,7 +81,7 @@
         Engines, ///< with an agent beside each replica
     };
 
-    LimitFleet(Kind kind, std::size_t gateways, std::size_t replicas);
+    LimitFleet(Kind kind, std::size_t gateways, std::size_t replicas, ColdFields cold = {});
 
     asio::io_context context{1};
     MemoryStore store{context.get_executor()};
@@ -80,6 +90,10 @@
     FleetGateway &gateway(std::size_t index) { return *mGateways[index]; }
     LimitedReplica &replica(std::size_t index) { return *mReplicas[index]; }
     awaitable<void> untilReady();
+    /** Writes the record of a replica, which is cold for @p coldLeft. */
+    void writeRecord(std::size_t index, Milliseconds coldLeft);
+    /** Starts one more gateway, with callers if the others have them. */
+    void addGateway();
     awaitable<void> waitFor(std::function<bool()> condition);
     /** One call, to its end. */
     awaitable<void> call(std::size_t gateway);
@@ -100,6 +114,7 @@
     awaitable<void> keepCalling(std::size_t gateway, double perSecond);
 
     Kind mKind;
+    double mCallsPerSecond = 0;
     std::vector<std::unique_ptr<FleetGateway>> mGateways;
     std::vector<std::unique_ptr<LimitedReplica>> mReplicas;
     std::vector<std::unique_ptr<FleetAgent>> mAgents;
--- a/tests/limits/limitlab.cpp
+++ b/tests/limits/limitlab.cpp
@@ -11,6 +11,7 @@
 #include "rendezvous.h"
 
 #include <algorithm>
+#include <iterator>
 #include <numeric>
 
 namespace Loom {
@@ -29,16 +30,30 @@
 // Until a gateway that was killed is missed, and the next one is home.
 constexpr int sMissedMs = 1'300;
 constexpr Milliseconds sKeeperPause{200};
+// The bound of a cold replica: half as much again as its rate, and five, in any second.
+constexpr double sColdFactor = 1.5;
+constexpr double sColdBeyond = 5;
+constexpr int sJoinMs = 1'000; ///< in which all joining gateways start
+constexpr int sRecordMs = 600; ///< longest time for a membership record to arrive
+constexpr int sNewHomeMs = 3'000; ///< a new home grants nothing so long
+constexpr int sStallIntervalMs = 2 * sSecond;
+constexpr int sMaxDenied = 6; ///< permits that are denied to a request
 
 } // namespace
 
 LimitLab::LimitLab(Shape shape)
     : mShape(shape)
-    , mGateways(shape.gateways)
+    , mGateways(shape.gateways + shape.joining)
     , mReplicas(shape.replicas)
     , mRandom(shape.seed)
 {
-    for (Gateway &gateway : mGateways) {
+    const int middle = mShape.seconds * sSecond / 2;
+    for (std::size_t number = 0; number < mGateways.size(); ++number) {
+        Gateway &gateway = mGateways[number];
+        const bool isJoining = number >= shape.gateways;
+        gateway.isAlive = !isJoining;
+        gateway.startsAt = isJoining ? middle + static_cast<int>(chance() * sJoinMs) : 0;
+        gateway.knowsAt.resize(mGateways.size());
         gateway.limits.resize(shape.replicas);
         gateway.isTold.resize(shape.replicas);
         gateway.deniedUntil.resize(shape.replicas);
@@ -80,6 +95,8 @@
     const double full = free * sPlaces * perPlace + limited * mShape.rate;
     double due = 0;
     for (mNow = 0; mNow < mShape.seconds * sSecond; ++mNow) {
+        joinAndCut();
+        noteColdTime();
         const bool isChange
             = mShape.changesEveryMs > 0 && mNow > sWarmUpMs && mNow % mShape.changesEveryMs == 0;
         if (mNow == sWarmUpMs || isChange) {
@@ -91,7 +108,8 @@
         for (std::size_t index = 0; index < mReplicas.size(); ++index) {
             answer(index);
         }
-        for (due += mShape.load * full / sSecond; due >= 1; due -= 1) {
+        const double rush = mNow < mShape.seconds * sSecond / 2 ? 1 : mShape.rush;
+        for (due += rush * mShape.load * full / sSecond; due >= 1; due -= 1) {
             arrive();
         }
     }
@@ -102,6 +120,13 @@
         could += replica.could;
     }
     mResult.limitUsed = could > 0 ? taken / could : 0;
+    double coldCould = 0;
+    double coldSends = 0;
+    for (const Replica &replica : mReplicas) {
+        coldCould += mShape.coldRate * replica.coldCouldMs / sSecond;
+        coldSends += replica.coldSends;
+    }
+    mResult.coldUsed = coldCould > 0 ? coldSends / coldCould : 0;
     mResult.refused = static_cast<double>(mRefused) / mRequests;
     mResult.refusedWhileRoom = static_cast<double>(mRefusedWhileRoom) / mRequests;
     mResult.asksPerGateway
@@ -109,13 +134,172 @@
     return mResult;
 }
 
+// All limited replicas return together, cold, when the others have been in use for a while.
+bool LimitLab::isCold(std::size_t index) const
+{
+    const double limited = static_cast<double>(mReplicas.size()) * mShape.limitedShare + 0.5;
+    return isColdPlay() && index < static_cast<std::size_t>(limited);
+}
+
+bool LimitLab::hasOwners() const
+{
+    const int middle = mShape.seconds * sSecond / 2;
+    return mNow < middle || mNow >= middle + mShape.ownerGoneMs;
+}
+
+void LimitLab::joinAndCut()
+{
+    const int middle = mShape.seconds * sSecond / 2;
+    if (mNow == middle) {
+        const auto cut
+            = static_cast<std::size_t>(static_cast<double>(mGateways.size()) * mShape.cutShare);
+        for (std::size_t gateway = 0; gateway < cut; ++gateway) {
+            mGateways[gateway].isCut = true;
+        }
+    }
+    const bool isRestart = mShape.ownerRestartMs > 0 && mNow >= middle
+        && (mNow - middle) % mShape.ownerRestartMs == 0;
+    if (isRestart || (mShape.ownerGoneMs > 0 && mNow == middle)) {
+        restartOwners();
+    }
+    for (std::size_t number = mShape.gateways; number < mGateways.size(); ++number) {
+        Gateway &joining = mGateways[number];
+        if (joining.startsAt != mNow) {
+            continue;
+        }
+        joining.isAlive = true;
+        for (std::size_t other = 0; other < mGateways.size(); ++other) {
+            const bool isOwn = other == number;
+            mGateways[other].knowsAt[number]
+                = isOwn ? mNow : mNow + static_cast<int>(chance() * sRecordMs);
+        }
+    }
+}
+
+// They start again without any knowledge, and no gateway tells its sends again, because it does not
+// know that its owner is another process.
+void LimitLab::restartOwners()
+{
+    for (Replica &replica : mReplicas) {
+        replica.coldPermits.clear();
+    }
+}
+
+void LimitLab::noteColdTime()
+{
+    for (std::size_t index = 0; index < mReplicas.size(); ++index) {
+        if (isCold(index) && mNow >= sWarmUpMs && hasOwners()) {
+            ++mReplicas[index].coldCouldMs;
+        }
+    }
+}
+
+std::size_t LimitLab::knownGateways(std::size_t gateway) const
+{
+    std::size_t known = 0;
+    for (std::size_t other = 0; other < mGateways.size(); ++other) {
+        const bool hasRecord = other < mShape.gateways
+            || (mGateways[other].isAlive && mGateways[gateway].knowsAt[other] <= mNow);
+        known += hasRecord ? 1 : 0;
+    }
+    return known;
+}
+
+std::size_t LimitLab::recordedHome(std::size_t index, std::size_t gateway) const
+{
+    std::size_t home = 0;
+    std::uint64_t most = 0;
+    for (std::size_t other = 0; other < mGateways.size(); ++other) {
+        const bool hasRecord = other < mShape.gateways
+            || (mGateways[other].isAlive && mGateways[gateway].knowsAt[other] <= mNow);
+        const std::uint64_t weight = rendezvousWeight(std::to_string(index), std::to_string(other));
+        if (hasRecord && weight >= most) {
+            most = weight;
+            home = other;
+        }
+    }
+    return home;
+}
+
+bool LimitLab::maySendCold(std::size_t gateway, std::size_t index)
+{
+    if (mNow < sWarmUpMs) {
+        return false;
+    }
+    Gateway &own = mGateways[gateway];
+    if (mShape.way == LimitWay::EqualShares) {
+        // A share of the rate by the number of gateways that this one knows.
+        const double share = mShape.coldRate / static_cast<double>(knownGateways(gateway));
+        if (own.own[index].rate() != share) {
+            own.own[index].setRate(share, time(), sColdBurst);
+        }
+        return own.own[index].take(time());
+    }
+    return own.deniedUntil[index] <= time() && takeColdPermit(gateway, index);
+}
+
+bool LimitLab::takeColdPermit(std::size_t gateway, std::size_t index)
+{
+    ++mAsks;
+    Gateway &own = mGateways[gateway];
+    const bool isHome = mShape.way == LimitWay::HomePermits;
+    const std::size_t owner = isHome ? recordedHome(index, gateway) : 0;
+    const Gateway &home = mGateways[owner];
+    const bool isCutOff = isHome ? own.isCut != home.isCut : own.isCut;
+    // A home that is cut off does not hear most of the gateways, and a new one waits.
+    const bool isWrongHome = isHome
+        && (home.isCut || recordedHome(index, owner) != owner
+            || (owner >= mShape.gateways && mNow < home.startsAt + sNewHomeMs));
+    if (!hasOwners() || isCutOff || isWrongHome) {
+        own.deniedUntil[index] = time() + sKeeperPause;
+        return false;
+    }
+    std::vector<Instant> sends;
+    if (!own.hasToldSends[index]) {
+        own.hasToldSends[index] = true;
+        std::ranges::copy_if(own.sent[index], std::back_inserter(sends),
+                             [&](Instant sent) { return time() - sent < sSendWindow; });
+    }
+    ReplicaPermits &permits = mReplicas[index].coldPermits[owner];
+    const ColdTime cold{mShape.coldRate, time() + Milliseconds(mShape.seconds * sSecond - mNow)};
+    permits.apply(std::nullopt, Instant(), cold, sends, time());
+    const bool isGranted = permits.take(time());
+    own.deniedUntil[index] = time() + permits.wait(time());
+    return isGranted;
+}
+
+void LimitLab::sendCold(std::size_t gateway, std::size_t index)
+{
+    Replica &replica = mReplicas[index];
+    mGateways[gateway].sent[index].push_back(time());
+    replica.coldSends += hasOwners() ? 1 : 0;
+    // At regular times a link holds what is sent and then delivers it at once.
+    const int phase = mNow % sStallIntervalMs;
+    const int delay = phase < mShape.sendDelayMs ? mShape.sendDelayMs - phase
+                                                 : static_cast<int>(chance() * mShape.sendDelayMs);
+    replica.coldArrivals.insert(mNow + delay);
+    // A later send may arrive earlier, so the seconds that it can still fill are judged again.
+    const auto inSecondTo = [&](int end) {
+        return std::distance(replica.coldArrivals.upper_bound(end - sSecond),
+                             replica.coldArrivals.upper_bound(end));
+    };
+    const double bound = sColdFactor * mShape.coldRate + sColdBeyond;
+    for (auto it = replica.coldArrivals.lower_bound(mNow); it != replica.coldArrivals.end(); ++it) {
+        mResult.mostOfColdBound
+            = std::max(mResult.mostOfColdBound, static_cast<double>(inSecondTo(*it)) / bound);
+    }
+    while (*replica.coldArrivals.begin() < mNow - 3 * sSecond) {
+        replica.coldArrivals.erase(replica.coldArrivals.begin());
+    }
+}
+
 void LimitLab::changeRates()
 {
     const auto limited = static_cast<std::size_t>(
         static_cast<double>(mReplicas.size()) * mShape.limitedShare + 0.5);
     for (std::size_t index = 0; index < limited; ++index) {
         const double factor = mNow == sWarmUpMs ? 1 : 0.5 + 1.5 * chance();
-        mReplicas[index].rate = mShape.rate * factor;
+        mReplicas[index].rate = isColdPlay() ? 0 : mShape.rate * factor;
     }
 }
 
@@ -134,8 +318,7 @@
         replica.keeper = homeOf(index);
         replica.keeperSince = mNow + sMissedMs;
         if (mShape.way == LimitWay::HomePermits) {
-            replica.permits = SendPermits();
-            replica.known = ReplicaRateLimit();
+            replica.permits = ReplicaPermits();
             for (Gateway &gateway : mGateways) {
                 gateway.hasToldSends[index] = false;
             }
@@ -178,9 +361,7 @@
     const double part = isShared ? static_cast<double>(mGateways.size()) : 1;
     own.own[index].setRate(perSecond / part, time());
     Replica &replica = mReplicas[index];
-    if (replica.known.hear(perSecond, time()) != LimitChange::Nothing) {
-        replica.permits.setRate(perSecond, time());
-    }
+    replica.permits.apply(perSecond, time(), {}, {}, time());
 }
 
 std::size_t LimitLab::pickGateway()
@@ -202,33 +383,44 @@
         order[index] = index;
     }
     std::ranges::shuffle(order, mRandom);
+    // Warm replicas go first.
+    std::ranges::stable_partition(order, [&](std::size_t index) { return !isCold(index); });
+    const int deniedBefore = mAsks;
     for (const std::size_t index : order) {
-        if (hasRoom(mReplicas[index]) && maySend(gateway, index)) {
+        if (isColdPlay() && mAsks - deniedBefore >= sMaxDenied) {
+            break;
+        }
+        if (hasRoom(index) && maySend(gateway, index)) {
             send(gateway, index);
             return;
         }
     }
     ++mRefused;
-    const bool isRoom = std::ranges::any_of(mReplicas, [&](const Replica &replica) {
+    const bool isRoom = std::ranges::any_of(order, [&](std::size_t index) {
+        const Replica &replica = mReplicas[index];
         const bool isLimited = replica.rate > 0;
-        return isLimited ? replica.permits.rate() > 0
+        return isLimited ? replica.permits.perSecond(time())
                 && replica.permits.wait(time()) == Microseconds(0) && replica.keeperSince <= mNow
-                         : hasRoom(replica);
+                         : hasRoom(index);
     });
     mRefusedWhileRoom += isRoom ? 1 : 0;
 }
 
-bool LimitLab::hasRoom(const Replica &replica) const
+// A cold replica has as much room as its rate needs.
+bool LimitLab::hasRoom(std::size_t index) const
 {
-    return replica.running.size() < sPlaces;
+    return isCold(index) || mReplicas[index].running.size() < sPlaces;
 }
 
 bool LimitLab::maySend(std::size_t gateway, std::size_t index)
 {
+    if (isCold(index)) {
+        return maySendCold(gateway, index);
+    }
     Gateway &own = mGateways[gateway];
     const Replica &replica = mReplicas[index];
     // Agents are asked before a choice and tell what they know.
-    const bool isTold = mShape.way == LimitWay::AgentPermits && replica.known.perSecond();
+    const bool isTold = mShape.way == LimitWay::AgentPermits && replica.permits.perSecond(time());
     if (!own.limits[index].perSecond() && !isTold) {
         return true;
     }
@@ -258,17 +450,14 @@
         return false;
     }
     const auto known = own.limits[index].perSecond();
-    if (known && replica.known.hear(known, own.limits[index].heardAt()) != LimitChange::Nothing) {
-        replica.permits.setRate(*known, time());
-    }
+    std::vector<Instant> sends;
     if (!own.hasToldSends[index]) {
         own.hasToldSends[index] = true;
-        for (const Instant sent : own.sent[index]) {
-            if (time() - sent < sSendWindow) {
-                replica.permits.noteSend(sent);
-            }
-        }
+        std::ranges::copy_if(own.sent[index], std::back_inserter(sends),
+                             [&](Instant sent) { return time() - sent < sSendWindow; });
     }
+    const Instant heardAt = known ? own.limits[index].heardAt() : Instant();
+    replica.permits.apply(known, heardAt, {}, sends, time());
     const bool isGranted = replica.permits.take(time());
     own.deniedUntil[index] = time() + replica.permits.wait(time());
     return isGranted;
@@ -278,6 +467,10 @@
 {
     Replica &replica = mReplicas[index];
     replica.running.push_back(mNow + sRunMs);
+    if (isCold(index)) {
+        sendCold(gateway, index);
+        return;
+    }
     replica.answers.insert({mNow + sAnswerMs, {gateway, replica.rate}});
     Gateway &own = mGateways[gateway];
     own.sent[index].push_back(time());
--- a/tests/limits/limitlab.h
+++ b/tests/limits/limitlab.h
@@ -8,13 +8,13 @@
 
 #pragma once
 
-#include "replicaratelimit.h"
-#include "sendpermits.h"
+#include "replicapermits.h"
 
 #include <cstdint>
 #include <deque>
 #include <map>
 #include <random>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -33,7 +33,8 @@
 
 /**
  * Gateways, replicas and callers in virtual time, a millisecond a step. Some replicas name
- * a limit and change it. Knowledge and permits are the product's own. Owned by one test.
+ * a limit and change it, or are cold from their return on. Knowledge and permits are the product's
+ * own. Owned by one test.
  */
 class LimitLab
 {
@@ -48,6 +49,13 @@
         double load = 0.6; ///< of what all can take
         double uneven = 0; ///< the busiest gateway gets so much more than its part
         double killShare = 0; ///< of the gateways, in the midst
+        double coldRate = 0; ///< the limited replicas are cold at it instead; zero: they are not
+        int sendDelayMs = 0; ///< longest time from a permit to the arrival at a cold replica
+        std::size_t joining = 0; ///< gateways that start within a second in the midst
+        double cutShare = 0; ///< of the gateways, cut off from the permit owners in the midst
+        double rush = 1; ///< the load from the midst on, by the load before
+        int ownerGoneMs = 0; ///< the permit owners end in the midst and start again after it
+        int ownerRestartMs = 0; ///< they start again this often from the midst on; zero: never
         int seconds = 30;
         std::uint64_t seed = 1;
         LimitWay way = LimitWay::AgentPermits;
@@ -60,6 +68,8 @@
         double refused = 0; ///< share of the requests
         double refusedWhileRoom = 0; ///< share, though a replica would have taken one
         double asksPerGateway = 0; ///< a second
+        double mostOfColdBound = 0; ///< arrivals in any second at a cold replica, by its bound
+        double coldUsed = 0; ///< of what cold replicas take while their permit owners are there
     };
 
     explicit LimitLab(Shape shape);
@@ -75,6 +85,9 @@
         std::vector<SendPermits> own; ///< its own part, in the ways without permits
         std::vector<bool> hasToldSends;
         std::vector<std::deque<Instant>> sent;
+        int startsAt = 0;
+        bool isCut = false;
+        std::vector<int> knowsAt; ///< when the record of each gateway arrives
     };
 
     struct Replica
@@ -84,14 +97,28 @@
         std::deque<int> running; ///< when each ends
         std::deque<int> arrivals; ///< from gateways that were told
         std::multimap<int, std::pair<std::size_t, double>> answers; ///< on their way: to, named
-        SendPermits permits;
-        ReplicaRateLimit known; ///< by who hands them out
+        ReplicaPermits permits; ///< with what is known by who hands them out
+        std::map<std::size_t, ReplicaPermits> coldPermits; ///< by permit owner
+        std::multiset<int> coldArrivals;
+        int coldSends = 0;
+        int coldCouldMs = 0;
         std::size_t keeper = 0; ///< a gateway, in the ways that have a home
         int keeperSince = 0;
         int taken = 0;
         double could = 0;
     };
 
+    bool isColdPlay() const { return mShape.coldRate > 0; }
+    bool isCold(std::size_t index) const;
+    bool hasOwners() const;
+    void joinAndCut();
+    void restartOwners();
+    void noteColdTime();
+    std::size_t knownGateways(std::size_t gateway) const;
+    std::size_t recordedHome(std::size_t index, std::size_t gateway) const;
+    bool maySendCold(std::size_t gateway, std::size_t index);
+    bool takeColdPermit(std::size_t gateway, std::size_t index);
+    void sendCold(std::size_t gateway, std::size_t index);
     void changeRates();
     void kill();
     void answer(std::size_t index);
@@ -101,7 +128,7 @@
     void send(std::size_t gateway, std::size_t index);
     void noteNamed(std::size_t gateway, std::size_t index, double perSecond);
     void judge(const Replica &replica);
-    bool hasRoom(const Replica &replica) const;
+    bool hasRoom(std::size_t index) const;
     std::size_t homeOf(std::size_t index) const;
     std::size_t pickGateway();
     double chance() { return std::uniform_real_distribution<double>(0, 1)(mRandom); }
--- a/tests/platform/test_calls.cpp
+++ b/tests/platform/test_calls.cpp
@@ -226,3 +226,26 @@
     BOOST_TEST(answer.body.find(R"("addresses":["10.1.0.40:8005"])") != std::string::npos);
     BOOST_TEST(calls.retryAfter(Milliseconds(1'250)).value == "1.250");
 }
+
+BOOST_AUTO_TEST_CASE(cold_time_is_read_from_answers_and_not_passed_on)
+{
+    const Platform::HttpCallAdapter calls;
+    const auto fieldsOf = [&](std::vector<HttpHeader> headers) {
+        LinkHead head;
+        head.status = 200;
+        head.headers = std::move(headers);
+        BOOST_TEST(calls.responseHeaders(head).empty());
+        return calls.responseFields(head);
+    };
+    BOOST_TEST(!fieldsOf({}).coldLeft.has_value());
+    BOOST_TEST(fieldsOf({{"loomjunction-cold-ms", "1500"}}).coldLeft->count() == 1500);
+    BOOST_TEST(fieldsOf({{"Loomjunction-Cold-Ms", "0"}}).coldLeft->count() == 0);
+    BOOST_TEST(
+        fieldsOf({{"Loomjunction-Cold-Ms", "7"}, {"Loomjunction-Cold-Ms", "9"}}).coldLeft->count()
+        == 9);
+    for (const auto *text : {"", "-1", "soon", "1.5", "99999999999999", "1 "}) {
+        const ResponseFields fields = fieldsOf({{"Loomjunction-Cold-Ms", text}});
+        BOOST_TEST(!fields.coldLeft.has_value(), text);
+        BOOST_TEST(fields.notice.unreadable.size() == 1U, text);
+    }
+}
--- a/tests/platform/test_records.cpp
+++ b/tests/platform/test_records.cpp
@@ -318,3 +318,45 @@
         Platform::parseManifest(text, "m", 2);
     }
 }
+
+BOOST_AUTO_TEST_CASE(cold_rate_of_a_service_is_decoded)
+{
+    const auto service = [](std::string_view fields) {
+        return readConfig(R"({"version":1,"services":[{"name":"s")" + std::string(fields) + "}]}")
+            .services.at(0);
+    };
+    BOOST_TEST(service("").coldPerSecond == 0);
+    BOOST_TEST(service(R"(,"cold_per_s":14)").coldPerSecond == 14);
+    BOOST_TEST(service(R"(,"cold_per_s":2.5,"cold_start_s":30)").coldPerSecond == 2.5);
+    BOOST_TEST(service(R"(,"cold_per_s":0)").coldPerSecond == 0);
+    BOOST_TEST(service(R"(,"cold_per_s":14,"cold_start_s":30.5)").invalidColdFields.empty());
+    for (const auto *value : {"-1", "\"14\"", "null", "true", "[14]", "{}"}) {
+        const ServiceConfig read = service(R"(,"cold_per_s":)" + std::string(value));
+        BOOST_TEST(read.coldPerSecond == 0, value);
+        BOOST_TEST((read.invalidColdFields == std::vector<std::string>{"cold_per_s"}), value);
+    }
+    // An invalid cold_start_s does not take the limit away.
+    const ServiceConfig read = service(R"(,"cold_per_s":14,"cold_start_s":-1)");
+    BOOST_TEST(read.coldPerSecond == 14);
+    BOOST_TEST((read.invalidColdFields == std::vector<std::string>{"cold_start_s"}));
+}
+
+BOOST_AUTO_TEST_CASE(cold_time_of_a_replica_is_decoded_or_its_record_is_rejected)
+{
+    const Platform::RecordDecoder records;
+    const auto read = [&](std::string_view field) {
+        return records.replicaRecord(
+            "i-1",
+            R"({"service":"s1","address":"10.0.0.1:80","zone":"z1","slots":4,"state":"ready")"
+                + std::string(field) + "}");
+    };
+    BOOST_REQUIRE(read("").has_value());
+    BOOST_TEST(read("")->coldLeft.count() == 0);
+    BOOST_TEST(read(R"(,"cold_left_ms":0)")->coldLeft.count() == 0);
+    BOOST_TEST(read(R"(,"cold_left_ms":1500)")->coldLeft.count() == 1500);
+    for (const auto *value : {"-1", "1.5", "\"1500\"", "null", "true", "[]", "99999999999999"}) {
+        const auto record = read(R"(,"cold_left_ms":)" + std::string(value));
+        BOOST_TEST_REQUIRE(!record.has_value(), value);
+        BOOST_TEST(record.error().starts_with("cold_left_ms"), value);
+    }
+}
--- a/util/bench.py
+++ b/util/bench.py
@@ -6,12 +6,13 @@
 import json
 import os
 import random
+import re
 import signal
 import subprocess
 import sys
 import time
 
-from loomlab import HOST, Lab, program, request, request_json, wait_for, whole_digest
+from loomlab import HOST, Lab, build_dir, program, request, request_json, wait_for, whole_digest
 
 CLOCK_TICKS = os.sysconf("SC_CLK_TCK")
 PAGE = os.sysconf("SC_PAGE_SIZE")
@@ -509,6 +510,28 @@
     emit(**json.loads(done.stdout))
 
 
+COLD_CASES = ["twenty_replicas_that_return_cold_together_get_their_rate_and_no_more",
+              "gateways_that_double_within_a_second_do_not_double_what_a_cold_replica_gets",
+              "rush_after_a_quiet_time_stays_within_the_bound",
+              "shares_by_the_number_of_gateways_exceed_the_bound_of_cold_replicas"]
+
+
+def bench_cold(options):
+    """What cold replicas receive in virtual time: one line for each way, load and number of gateways."""
+    done = subprocess.run([os.path.join(build_dir(), "tests", "test_limits"), "--color_output=no",
+                           "--log_level=message", "--run_test=" + ",".join(COLD_CASES)],
+                          capture_output=True, text=True)
+    row = re.compile(r"cold, (\w+), (\d+) gateways, (.+): of bound (\S+), used (\S+), asks (\S+)")
+    for way, gateways, load, bound, used, asks in row.findall(done.stdout + done.stderr):
+        if int(gateways) in options.gateways:
+            emit(bench="cold", way=way, gateways=int(gateways), load=load,
+                 mostOfBound=round(float(bound), 3), used=round(float(used), 3),
+                 asksPerGateway=round(float(asks), 2))
+    if done.returncode != 0:
+        note("the tests of the bound failed")
+        sys.exit(1)
+
+
 def main():
     parser = argparse.ArgumentParser()
     cases = parser.add_subparsers(dest="case", required=True)
@@ -560,9 +583,12 @@
     state = cases.add_parser("state")
     state.add_argument("--services", type=int, default=1000)
     state.add_argument("--keys", type=int, default=50000)
+    cold = cases.add_parser("cold")
+    cold.add_argument("--gateways", type=int, nargs="+", default=[9, 41, 149])
     options = parser.parse_args()
     {"path": bench_path, "config": bench_config, "control": bench_control,
-     "rollout": bench_rollout, "burst": bench_burst, "state": bench_state, "once": bench_once}[options.case](options)
+     "rollout": bench_rollout, "burst": bench_burst, "state": bench_state, "once": bench_once,
+     "cold": bench_cold}[options.case](options)
 
 
 if __name__ == "__main__":
