Test gateways: ports below the range of outgoing connections

Cause: one run of test_limits beside two other test programs failed at a gateway's start in replica_that_turns_cold_again_gets_its_rate: its peer port, which the system had chosen and freed, was most likely taken by an outgoing connection before the gateway listened (the log has no reason; inferred). Change: fleets choose their ports from 15,000 to 31,999. Result: the case and one other pass in a run of their own; not repeated under load here.

--- a/tests/gateway/fleetgateway.cpp
+++ b/tests/gateway/fleetgateway.cpp
@@ -9,6 +9,8 @@
 #include "fleetgateway.h"
 
 #include <algorithm>
+#include <cstdint>
+#include <random>
 
 #include <boost/test/unit_test.hpp>
 
@@ -35,8 +37,20 @@
 
 Tcp::endpoint freeEndpoint(asio::io_context &context)
 {
-    Tcp::acceptor acceptor(context, Tcp::endpoint(asio::ip::address_v4::loopback(), 0));
-    return acceptor.local_endpoint();
+    // Between this check and the start of the gateway, an outgoing connection of any process may
+    // take a port that the system chose. It takes none below the range of such ports.
+    constexpr std::uint16_t minPort = 15'000;
+    constexpr std::uint16_t maxPort = 31'999;
+    static std::mt19937 random{std::random_device{}()};
+    std::uniform_int_distribution<std::uint16_t> pick(minPort, maxPort);
+    Tcp::acceptor acceptor(context, Tcp::v4());
+    boost::system::error_code error;
+    Tcp::endpoint endpoint;
+    do {
+        endpoint = Tcp::endpoint(asio::ip::address_v4::loopback(), pick(random));
+        acceptor.bind(endpoint, error);
+    } while (error);
+    return endpoint;
 }
 
 FleetGateway::FleetGateway(asio::io_context &context, MemoryStore &store, std::string box)
