--- a/tests/limits/limitfleet.cpp
+++ b/tests/limits/limitfleet.cpp
@@ -32,7 +32,7 @@
         + R"(","timeout_ms":8000,"goal_ms":4000,"gap_aim_ms":4000,"service":"served",)"
           R"("max_attempts":2,"resumable":true}],"services":[{"name":"served","max_conns":1000)"
         + (hasEngines ? engine : std::string())
-        + (coldPerSecond > 0 ? R"(,"cold_per_s":)" + std::to_string(coldPerSecond) : "")
+        + (coldPerSecond != 0 ? R"(,"cold_per_s":)" + std::to_string(coldPerSecond) : "")
         + R"(}],"tenants":[{"name":"t1","api_keys":["k"]}]})";
 }
 
--- a/tests/limits/limitfleet.h
+++ b/tests/limits/limitfleet.h
@@ -67,7 +67,7 @@
 /** What the service and the first records of a fleet's replicas state about cold replicas. */
 struct ColdFields
 {
-    double perSecond = 0; ///< zero: the service has no rate
+    double perSecond = 0; ///< zero: the configuration does not mention a rate
     Milliseconds left{0};
 };
 
--- a/tests/limits/test_coldfleet.cpp
+++ b/tests/limits/test_coldfleet.cpp
@@ -279,3 +279,30 @@
         co_await fleet.waitFor([&] { return isHome(fleet, 0); });
     });
 }
+
+// A rate that cannot be one must neither reject the configuration nor limit anything.
+BOOST_AUTO_TEST_CASE(invalid_cold_rate_is_reported_and_has_no_effect)
+{
+    LimitFleet fleet(LimitFleet::Kind::Plain, 1, 1, {-1, sLongCold});
+    fleet.run([&]() -> awaitable<void> {
+        co_await fleet.untilReady();
+        BOOST_TEST(fleet.gateway(0).metrics().counter("cold_rates_refused") == 1U);
+        co_await fleet.call(0);
+        BOOST_TEST(fleet.served() == 1);
+        BOOST_TEST(fleet.gateway(0).metrics().text().find("loom_cold_replicas 0")
+                   != std::string::npos);
+    });
+}
+
+BOOST_AUTO_TEST_CASE(cold_replicas_are_counted)
+{
+    LimitFleet fleet(LimitFleet::Kind::Plain, 1, sReplicas, {sColdRate, Milliseconds(1'500)});
+    fleet.run([&]() -> awaitable<void> {
+        co_await fleet.untilReady();
+        const auto shows = [&](std::string_view line) {
+            return fleet.gateway(0).metrics().text().find(line) != std::string::npos;
+        };
+        co_await fleet.waitFor([&] { return shows("loom_cold_replicas 2"); });
+        co_await fleet.waitFor([&] { return shows("loom_cold_replicas 0"); });
+    });
+}
