--- a/tests/direct/test_demandestimate.cpp
+++ b/tests/direct/test_demandestimate.cpp
@@ -198,3 +198,17 @@
         BOOST_TEST(used <= compared / 50);
     }
 }
+
+// A link between data centres fails, so that no report arrives from the other side, whose gateways
+// are still counted. If they were taken to have no calls, this side would expect too few.
+BOOST_AUTO_TEST_CASE(data_centre_without_reports_is_taken_to_be_like_the_others)
+{
+    DemandEstimate estimate = unevenEstimate(at(0));
+    for (int gateway = 0; gateway < 3; ++gateway) {
+        estimate.forget("far-" + std::to_string(gateway));
+    }
+    const MeanDemand demand = estimate.mean(sService, own(0.04), at(100));
+    BOOST_TEST(demand.reportingGateways == 3U);
+    BOOST_TEST(!demand.hasLocalExcess);
+    BOOST_TEST(demand.perMs == 0.04, boost::test_tools::tolerance(sTolerance));
+}
