Priorities and shares: order of calls by rank under overload

Cause: under overload, calls of all ranks and accounts competed equally for free capacity, and a caller that repeated refused calls at once was served more often than others.

Change: CallPriorities keeps, by service, the composition of recent calls by standing (UrgencyDemand) and the work of accounts by rank (AccountShares). While a service refuses many calls, a less urgent call is admitted only if capacity remains for the more urgent ones. A part of the calls, selected by a seed that immediate repeats share, is exempt. The most urgent callers are told to return early, and replicas get the order in "Priority" (3 to 6). Priorities that are no integers from 0 to 1,000 reject the configuration.

--- a/src/libloomjunction/core/replicaestimate.h
+++ b/src/libloomjunction/core/replicaestimate.h
@@ -10,6 +10,7 @@
 
 #include "enginemodel.h"
 #include "replica.h"
+#include "requestrank.h"
 
 #include <cstdint>
 #include <span>
@@ -47,6 +48,11 @@
         Empty: it is not. */
     std::span<const std::string> answered;
     std::uint64_t random = 0; ///< seed of the random decisions
+    RequestStanding standing; ///< as CallPriorities determined it when the call arrived
+    std::string_view account; ///< see CallOrigin
+    double work = 1; ///< see CallOrigin
+    /** Seed of decisions that are the same for immediate repeats of the request. */
+    std::uint64_t repeatSeed = 0;
 };
 
 /** Prediction for one request at one replica. Times in milliseconds. */
--- a/src/libloomjunction/core/replicaset.cpp
+++ b/src/libloomjunction/core/replicaset.cpp
@@ -182,9 +182,11 @@
     }
 }
 
-void ReplicaSet::noteCall(std::string_view service, Milliseconds goal, Instant now)
+RequestStanding ReplicaSet::noteCall(std::string_view service, Milliseconds goal, Instant now,
+                                     const std::optional<CallOrigin> &origin)
 {
     mCalls.try_emplace(std::string(service)).first->second.note(goal, now);
+    return origin ? mPriorities.noteCall(service, *origin, now) : RequestStanding();
 }
 
 double ReplicaSet::minAnswerMs(const ReplicaEstimator &estimator) const
@@ -308,6 +310,20 @@
     return std::max(sMinExpectedCalls, perMs * survey.horizonMs / static_cast<double>(usableCount));
 }
 
+// Capacity of the examined replicas that more urgent calls are expected to need until these
+// replicas have completed a request each.
+double ReplicaSet::reservedFor(const ReplicaQuery &query, const Precedence &precedence,
+                               const Survey &survey, double expected)
+{
+    if (precedence.moreUrgentFraction <= 0 || survey.horizonMs <= 0) {
+        return 0;
+    }
+    const double meanHorizonMs = survey.horizonMs / static_cast<double>(survey.examined);
+    const double intervalMs = EngineModel(*query.engine).completionIntervalMs();
+    return UrgencyDemand::reserve(expected * precedence.moreUrgentFraction * intervalMs
+                                  / meanHorizonMs);
+}
+
 // All gateways know the same slightly outdated loads. If each of them took the best replica,
 // a replica with one free slot would get all requests until its next report. So the requests
 // that are expected until then are distributed by water-filling, and each request goes to
@@ -355,10 +371,16 @@
 
 void ReplicaSet::noteChoice(const ReplicaQuery &query, const ReplicaChoice &choice, Instant now)
 {
-    if (query.engine == nullptr || query.isResumed || !canMeetGoal(query)) {
+    if (query.engine == nullptr || query.isResumed) {
         return;
     }
     const auto *chosen = std::get_if<ChosenReplica>(&choice);
+    if (chosen != nullptr) {
+        mPriorities.noteAdmitted(query, now);
+    }
+    if (!canMeetGoal(query)) {
+        return;
+    }
     const bool hasRoom = chosen != nullptr && !chosen->isPatient;
     mRefusals[std::string(query.service)].note(hasRoom, now);
 }
@@ -385,13 +407,19 @@
     const double expected = expectedCalls(query, survey, sharingCount, now);
     ChoiceRandom draws(query.random ^ sSelectionSeedMask);
     const double chance = draws.nextFraction();
-    const bool isShared = query.engine == nullptr || chance * expected < survey.room;
-    const bool meetsGoal = !survey.meetingGoal.empty() && isShared;
     const bool isOverloaded = query.engine != nullptr && isServiceOverloaded(query.service, now);
-    const bool mayBeLate = query.isResumed || survey.freeSlots > expected;
+    const Precedence precedence = mPriorities.precedence(query, isOverloaded);
+    const double reserved = reservedFor(query, precedence, survey, expected);
+    const double needed = chance * expected * precedence.competingFraction;
+    const bool isShared = query.engine == nullptr || needed < survey.room - reserved;
+    const bool meetsGoal = !survey.meetingGoal.empty() && isShared;
+    const bool mayBeLate = query.isResumed || survey.freeSlots > expected + reserved;
     const bool isPatient = !meetsGoal && mayBeLate && !survey.acceptingLate.empty();
     if (!meetsGoal && !isPatient) {
-        return AllBusy{RetryAdvice(query).whenBusy(survey.minLoad, isOverloaded), survey.minLoad};
+        const bool isHeldBack = reserved > 0 && !survey.meetingGoal.empty() && needed < survey.room;
+        return AllBusy{
+            RetryAdvice(query).whenBusy(survey.minLoad, isOverloaded, precedence.returnsEarly),
+            survey.minLoad, false, reserved, isHeldBack};
     }
     const std::vector<Candidate> &candidates
         = meetsGoal ? survey.meetingGoal : survey.acceptingLate;
@@ -401,7 +429,9 @@
         : Milliseconds(-1);
     // A resumed stream is never patient: even if it is late, other requests must not overtake it.
     return ChosenReplica{chosen.replica->record.id, isPatient && !query.isResumed,
-                         chosen.estimate.load, age, chosen.estimate.answer};
+                         chosen.estimate.load,      age,
+                         chosen.estimate.answer,    reserved,
+                         precedence.urgencyLevel};
 }
 
 std::uint32_t ReplicaSet::serviceReplicaCount(std::string_view service) const
--- a/src/libloomjunction/core/replicaset.h
+++ b/src/libloomjunction/core/replicaset.h
@@ -8,6 +8,7 @@
 
 #pragma once
 
+#include "callpriorities.h"
 #include "callrate.h"
 #include "instant.h"
 #include "probeplan.h"
@@ -39,6 +40,8 @@
     Milliseconds retryAfter{0}; ///< retry delay for the caller
     double minLoad = 0; ///< requests per slot at the least busy replica
     bool areAllPaused = false; ///< all replicas rest or are rate limited
+    double reserved = 0; ///< capacity kept free for more urgent requests, in requests
+    bool isHeldBack = false; ///< there is capacity, but it is reserved
 };
 /** The replica that a request is to be sent to. */
 struct ChosenReplica
@@ -48,6 +51,8 @@
     double load = 0; ///< estimated requests per slot at the replica
     Milliseconds loadAge{-1}; ///< age of the agent's report; below zero: there is none
     double answerMs = 0; ///< expected time to the answer or its first event
+    double reserved = 0; ///< capacity kept free for more urgent requests, in requests
+    std::uint8_t urgencyLevel = UrgencyDemand::sDefaultLevel; ///< see UrgencyDemand
 };
 using ReplicaChoice = std::variant<ChosenReplica, AllBusy, NoneUsable>;
 
@@ -111,8 +116,12 @@
     /** Replicas of an engine's service that this gateway should keep connections to. */
     std::vector<const Replica *> subset(const ReplicaQuery &query, Instant now) const;
 
-    /** Counts a caller's request for @p service. */
-    void noteCall(std::string_view service, Milliseconds goal, Instant now);
+    /**
+     * Counts a caller's request for @p service and returns its standing. @p origin: empty for a
+     * service without an engine, which has no standings.
+     */
+    RequestStanding noteCall(std::string_view service, Milliseconds goal, Instant now,
+                             const std::optional<CallOrigin> &origin = std::nullopt);
     /** Counts the final result of choose() for a caller's request. */
     void noteChoice(const ReplicaQuery &query, const ReplicaChoice &choice, Instant now);
     /** A request was sent to the replica. */
@@ -184,6 +193,8 @@
                          const ReplicaEstimator &estimator, Instant now);
     double expectedCalls(const ReplicaQuery &query, const Survey &survey, std::size_t usableCount,
                          Instant now) const;
+    static double reservedFor(const ReplicaQuery &query, const Precedence &precedence,
+                              const Survey &survey, double expected);
     static const Candidate &pickWeighted(std::span<const Candidate> candidates, double requests,
                                          double random);
     static bool canMeetGoal(const ReplicaQuery &query);
@@ -193,6 +204,7 @@
     std::string mGatewayKey;
     std::map<std::string, CallRate, std::less<>> mCalls; ///< by service
     std::map<std::string, RefusalRatio, std::less<>> mRefusals; ///< by service
+    CallPriorities mPriorities;
     std::map<std::string, Replica, std::less<>> mReplicas;
     RetainedNotices mRetained;
 };
--- a/src/libloomjunction/core/requestdigest.cpp
+++ b/src/libloomjunction/core/requestdigest.cpp
@@ -12,6 +12,8 @@
 
 #include <algorithm>
 
+#include <xxhash.h>
+
 namespace Loom {
 
 namespace {
@@ -34,6 +36,17 @@
     return digest;
 }
 
+// Not a digest: whoever constructs requests with a given seed only changes their own chances.
+std::uint64_t RequestDigest::repeatSeed(std::string_view account, std::string_view target,
+                                        std::string_view body, std::uint64_t period)
+{
+    std::uint64_t seed = period;
+    for (const std::string_view part : {account, target, body}) {
+        seed = XXH3_64bits_withSeed(part.data(), part.size(), seed);
+    }
+    return seed;
+}
+
 tl::expected<RequestDigest, std::string> RequestDigest::parse(std::string_view text)
 {
     const bool isHex
--- a/src/libloomjunction/core/requestdigest.h
+++ b/src/libloomjunction/core/requestdigest.h
@@ -9,6 +9,7 @@
 #pragma once
 
 #include <compare>
+#include <cstdint>
 #include <string>
 #include <string_view>
 
@@ -30,6 +31,13 @@
     /** Parses the result of text(); the error describes the expected format. */
     static tl::expected<RequestDigest, std::string> parse(std::string_view text);
 
+    /**
+     * Seed of random decisions that equal requests within one period of some seconds share at all
+     * gateways. @p period: number of that period.
+     */
+    static std::uint64_t repeatSeed(std::string_view account, std::string_view target,
+                                    std::string_view body, std::uint64_t period);
+
     /** 32 hexadecimal digits, or empty if there is no digest. */
     const std::string &text() const { return mText; }
     bool isEmpty() const { return mText.empty(); }
--- a/src/libloomjunction/core/retryadvice.cpp
+++ b/src/libloomjunction/core/retryadvice.cpp
@@ -46,6 +46,27 @@
     return std::max(sMinRetryDelay, Milliseconds(static_cast<std::int64_t>(wait)));
 }
 
+// Returns before the callers that lateRetry() applies to.
+Milliseconds RetryAdvice::earlyRetry() const
+{
+    const double longest = static_cast<double>(mQuery.timeLeft.count()) * sMaxWaitFraction;
+    const double wait = longest * sMinLateFraction * randomFraction();
+    return std::max(sMinRetryDelay, Milliseconds(static_cast<std::int64_t>(wait)));
+}
+
+std::optional<Milliseconds> RetryAdvice::retryWithinGoal() const
+{
+    const EngineModel model(*mQuery.engine);
+    const double timeForRetry
+        = static_cast<double>((mQuery.goal - mQuery.waited).count()) * sPlannableGoalFraction
+        - model.firstEventMs({}, mQuery.promptTokens) - sRoundTripMs;
+    if (timeForRetry < sMinReturnDelayMs) {
+        return std::nullopt;
+    }
+    return Milliseconds(static_cast<std::int64_t>(
+        sMinReturnDelayMs + (timeForRetry - sMinReturnDelayMs) * randomFraction()));
+}
+
 Milliseconds RetryAdvice::whenNoneUsable() const
 {
     if (mQuery.engine == nullptr || mQuery.timeLeft.count() <= 0) {
@@ -66,22 +87,23 @@
 
 // A caller that can still meet its goal is told to retry once within it, since slots become
 // free all the time. Under overload, callers on their first attempt take all of them.
-Milliseconds RetryAdvice::whenBusy(double minLoad, bool isOverloaded) const
+// The most urgent ones have precedence over them, and so are likely to find one early.
+Milliseconds RetryAdvice::whenBusy(double minLoad, bool isOverloaded, bool returnsEarly) const
 {
     if (mQuery.engine == nullptr) {
         return sPlainRetryDelay;
     }
-    if (isOverloaded && mQuery.timeLeft.count() > 0) {
+    const bool isContested = isOverloaded && mQuery.timeLeft.count() > 0;
+    if (isContested && !returnsEarly) {
         return lateRetry();
     }
-    const EngineModel model(*mQuery.engine);
-    const double timeForRetry
-        = static_cast<double>((mQuery.goal - mQuery.waited).count()) * sPlannableGoalFraction
-        - model.firstEventMs({}, mQuery.promptTokens) - sRoundTripMs;
-    if (timeForRetry >= sMinReturnDelayMs) {
-        return Milliseconds(static_cast<std::int64_t>(
-            sMinReturnDelayMs + (timeForRetry - sMinReturnDelayMs) * randomFraction()));
+    if (const auto withinGoal = retryWithinGoal()) {
+        return *withinGoal;
     }
+    if (isContested) {
+        return earlyRetry();
+    }
+    const EngineModel model(*mQuery.engine);
     const double excessRequests = std::max(0.0, minLoad - 1) * mQuery.engine->slots;
     const double wait = (excessRequests + 1) * model.completionIntervalMs() * sRetryIntervalFactor;
     const Milliseconds delay(static_cast<std::int64_t>(wait * (0.75 + 0.5 * randomFraction())));
--- a/src/libloomjunction/core/retryadvice.h
+++ b/src/libloomjunction/core/retryadvice.h
@@ -11,6 +11,8 @@
 #include "instant.h"
 #include "replicaestimate.h"
 
+#include <optional>
+
 namespace Loom {
 
 /** Computes the retry delay for a caller that got no replica. Lives as long as one choice. */
@@ -25,9 +27,10 @@
     /**
      * Delay when all replicas are busy, the least busy one with @p minLoad requests per
      * slot. @p isOverloaded: many calls were refused recently, so that freed slots will be
-     * contested for a while.
+     * contested for a while. @p returnsEarly: under overload, the request has precedence over
+     * others at its return.
      */
-    Milliseconds whenBusy(double minLoad, bool isOverloaded) const;
+    Milliseconds whenBusy(double minLoad, bool isOverloaded, bool returnsEarly = false) const;
     /** Delay when all replicas rest or are rate limited, the first one for another @p wait. */
     Milliseconds afterPause(Microseconds wait) const;
     /** Delay when no replica is usable at all, as during a change of weights. */
@@ -35,6 +38,8 @@
 
 private:
     Milliseconds lateRetry() const;
+    Milliseconds earlyRetry() const;
+    std::optional<Milliseconds> retryWithinGoal() const;
     double randomFraction() const;
 
     const ReplicaQuery &mQuery;
--- a/src/libloomjunction/gateway/gatewaycall.cpp
+++ b/src/libloomjunction/gateway/gatewaycall.cpp
@@ -54,6 +54,11 @@
 // Limits the denied send permits for replicas with a rate limit; each one costs a network round
 // trip.
 constexpr std::uint32_t sMaxDeniedPermits = 6;
+// Repeats within it have the same standing and exemption, so that immediate repeats gain no second
+// chance. Callers that honour Retry-After under overload return in a later period.
+constexpr Milliseconds sRepeatPeriod{1'000};
+// Generating a token takes about as long as reading ten tokens of a prompt.
+constexpr double sOutputTokenWork = 10;
 constexpr int sBadRequest = 400;
 constexpr int sUnavailable = 503;
 // Sent to callers of a request that is quarantined because replicas crashed while executing it.
@@ -125,6 +130,7 @@
         }
         return Refusal{404, "no such route", std::nullopt};
     }
+    mStanding.rank.route = mCall.route->priority;
     if (auto refusal = authenticate()) {
         return refusal;
     }
@@ -162,6 +168,7 @@
         = mCall.caller.key.empty() ? nullptr : mCall.table->accountForKey(mCall.caller.key);
     if (account != nullptr) {
         mCall.account = account->name;
+        mStanding.rank.account = account->priority;
         return std::nullopt;
     }
     if (!mCall.caller.key.empty() && mCall.parts.config.mayBeStale()) {
@@ -215,6 +222,10 @@
         = mTimes.waitedBefore() + std::chrono::duration_cast<Milliseconds>(now() - mArrivedAt);
     query.timeLeft = mCall.caller.deadline ? mCall.timeLeft() : Milliseconds(0);
     query.isResumed = mCall.isHeadSent;
+    query.standing = mStanding;
+    query.account = mCall.account;
+    query.work = work();
+    query.repeatSeed = mRepeatSeed;
     if (mCall.service != nullptr && mCall.service->engine) {
         query.engine = &*mCall.service->engine;
         const WeightVersionTracker &weights = mCall.parts.config.weights();
@@ -225,6 +236,27 @@
     return query;
 }
 
+double GatewayCall::work() const
+{
+    const double work = mCall.caller.promptTokens + sOutputTokenWork * mCall.caller.outputTokens;
+    return work > 0 ? work : 1;
+}
+
+void GatewayCall::noteArrival()
+{
+    std::optional<CallOrigin> origin;
+    if (mCall.isForEngine()) {
+        const HttpRequest &request = mCall.exchange.request();
+        const auto period = static_cast<std::uint64_t>(wallNow().count() / sRepeatPeriod.count());
+        mRepeatSeed
+            = RequestDigest::repeatSeed(mCall.account, request.target, request.body, period);
+        origin = CallOrigin{mStanding.rank, mCall.account, work(), mRepeatSeed};
+    }
+    const RequestStanding standing
+        = mCall.parts.replicas.noteRequest(mCall.serviceName, mCall.route->goal, origin);
+    mStanding.isOverShare = standing.isOverShare;
+}
+
 awaitable<ReplicaChoice> GatewayCall::choose() const
 {
     const ReplicaQuery asked = query();
@@ -241,7 +273,7 @@
 
 awaitable<void> GatewayCall::sendToReplicas()
 {
-    mCall.parts.replicas.noteRequest(mCall.serviceName, mCall.route->goal);
+    noteArrival();
     Refusal last{503, "no replica can take it", sNoReplicaRetryDelay};
     std::optional<AttemptUnknown> unknown;
     while (true) {
@@ -255,6 +287,8 @@
         if (chosen == nullptr) {
             mStopReason = std::holds_alternative<AllBusy>(choice) ? "all busy" : "no replica";
             const auto *busy = std::get_if<AllBusy>(&choice);
+            mReserved = busy != nullptr ? busy->reserved : 0;
+            mIsHeldBack = busy != nullptr && busy->isHeldBack;
             if (busy != nullptr && (mExcludedReplicas.empty() || busy->areAllPaused)) {
                 last = {503, "all replicas are busy", busy->retryAfter};
             }
@@ -395,6 +429,7 @@
 {
     mAttempt = std::move(attempt);
     mLastChosen = mAttempt->chosen();
+    mReserved = mLastChosen.reserved;
     mWasPatient = mWasPatient || mLastChosen.isPatient;
 }
 
@@ -697,6 +732,11 @@
         response.headers.push_back(mCall.parts.calls.retryAfter(*refusal.retryAfter));
     }
     co_await mCall.exchange.respond(std::move(response));
+    if (mCall.route != nullptr) {
+        const std::string_view reason
+            = mIsHeldBack ? std::string_view("capacity is reserved") : refusal.reason;
+        mCall.parts.metrics.count("refused", mStanding.rank.text() + ", " + std::string(reason));
+    }
     logOutcome(refusal.status, "refused", refusal.reason);
 }
 
@@ -736,6 +776,9 @@
               mCall.route == nullptr ? std::string_view() : std::string_view(mCall.route->name)},
              {"service", mCall.serviceName},
              {"account", mCall.account},
+             {"rank", mCall.route == nullptr ? std::string() : mStanding.rank.text()},
+             {"overShare", mStanding.isOverShare},
+             {"reserved", mReserved},
              {"config", mCall.table ? mCall.table->version() : 0},
              {"status", status},
              {"outcome", outcome},
--- a/src/libloomjunction/gateway/gatewaycall.h
+++ b/src/libloomjunction/gateway/gatewaycall.h
@@ -63,6 +63,9 @@
     void noteSuccess();
     void noteSent();
     ReplicaQuery query() const;
+    /** Work that the request causes, in units of reading a token of its prompt. */
+    double work() const;
+    void noteArrival();
     awaitable<ReplicaChoice> choose() const;
     Milliseconds retryDelayAfterRefusal() const;
     /** Whether the request may be sent again after an attempt with an unknown outcome. */
@@ -129,6 +132,10 @@
     std::string_view mStopReason; ///< why no further attempt followed the last one
     AnswerTiming mTimes;
     ChosenReplica mLastChosen; ///< the replica of the last attempt
+    RequestStanding mStanding;
+    std::uint64_t mRepeatSeed = 0;
+    double mReserved = 0; ///< capacity that the last choice kept for more urgent requests
+    bool mIsHeldBack = false; ///< the last choice refused the request for that reason
     RequestDigest mDigest; ///< computed on first use
     bool mWasPatient = false; ///< an attempt was expected to miss the latency goal
 };
--- a/src/libloomjunction/gateway/ports.h
+++ b/src/libloomjunction/gateway/ports.h
@@ -146,6 +146,8 @@
     std::optional<std::uint64_t> lastEvent;
     std::optional<std::uint64_t> weightsVersion; ///< only this version may run the request
     std::optional<Urgency> urgency; ///< nothing if the request has no urgency
+    /** Order of the requests with the urgency Prompt, see UrgencyDemand::urgencyLevel(). */
+    std::uint8_t urgencyLevel = UrgencyDemand::sDefaultLevel;
 };
 
 /** The response states no limit. */
--- a/src/libloomjunction/gateway/replicaattempt.cpp
+++ b/src/libloomjunction/gateway/replicaattempt.cpp
@@ -373,6 +373,7 @@
     fields.urgency = mCall.isHeadSent ? Urgency::Resumed
         : mChosen.isPatient           ? Urgency::Patient
                                       : Urgency::Prompt;
+    fields.urgencyLevel = mChosen.urgencyLevel;
     const Replica *replica = mCall.parts.replicas.replicas().find(mChosen.id);
     const std::uint64_t newest = mCall.parts.config.weights().newest(mCall.caller.model);
     // A replica with an older version may switch versions during the request, and either version
--- a/src/libloomjunction/gateway/replicaservice.cpp
+++ b/src/libloomjunction/gateway/replicaservice.cpp
@@ -402,10 +402,11 @@
     co_return answer->granted();
 }
 
-void ReplicaService::noteRequest(const std::string &service, Milliseconds goal)
+RequestStanding ReplicaService::noteRequest(const std::string &service, Milliseconds goal,
+                                            const std::optional<CallOrigin> &origin)
 {
     budget(service).noteRequest(now());
-    mReplicas.noteCall(service, goal, now());
+    return mReplicas.noteCall(service, goal, now(), origin);
 }
 
 Milliseconds ReplicaService::waitedBefore(const std::string &route, Milliseconds timeLeft)
--- a/src/libloomjunction/gateway/replicaservice.h
+++ b/src/libloomjunction/gateway/replicaservice.h
@@ -59,8 +59,12 @@
      * first. @p query views data that must outlive the call.
      */
     awaitable<ReplicaChoice> choose(ReplicaQuery query);
-    /** Notes that a caller's request for @p service arrived. @p goal: latency goal of its route. */
-    void noteRequest(const std::string &service, Milliseconds goal);
+    /**
+     * Notes that a caller's request for @p service arrived. @p goal: latency goal of its route;
+     * @p origin: see ReplicaSet::noteCall().
+     */
+    RequestStanding noteRequest(const std::string &service, Milliseconds goal,
+                                const std::optional<CallOrigin> &origin);
     /**
      * Estimated time since the first try of a caller of @p route whose request has
      * @p timeLeft until its deadline.
--- a/src/libloomjunction/net/clock.h
+++ b/src/libloomjunction/net/clock.h
@@ -41,7 +41,7 @@
     return std::chrono::steady_clock::now() + std::min(instant - now(), most);
 }
 
-/** The wall clock; only for key births and reports, never for leases. */
+/** The wall clock; only for key births, seeds and reports, never for leases. */
 inline WallMilliseconds wallNow()
 {
     const auto since = std::chrono::system_clock::now().time_since_epoch();
--- a/tests/direct/overloadlab.cpp
+++ b/tests/direct/overloadlab.cpp
@@ -9,8 +9,10 @@
 #include "overloadlab.h"
 
 #include "fakelog.h"
+#include "retryadvice.h"
 
 #include <algorithm>
+#include <cmath>
 #include <variant>
 
 namespace Loom {
@@ -27,6 +29,13 @@
 constexpr int sRecoveredMs = 4'000; // the last part of a run, in which recovery() compares engines
 constexpr std::size_t sMaxAttempts = 2;
 constexpr Milliseconds sRefusedRetryDelay{200};
+constexpr int sImmediateRepeats = 3;
+// Generating a token takes about as long as reading ten.
+constexpr double sOutputWorkFactor = 10;
+// The cutoff follows this ratio of refusals of the most urgent rank; at a ratio of one, it
+// rises by a rank in 25 calls.
+constexpr double sCutoffTargetRatio = 0.05;
+constexpr double sCutoffGain = 0.04;
 const std::string sService = "scorer";
 
 } // namespace
@@ -37,20 +46,71 @@
     , mRandom(mShape.seed)
 {
     for (std::size_t gateway = 0; gateway < mShape.gateways; ++gateway) {
-        mGateways.emplace_back(Milliseconds(2'000), "gateway-" + std::to_string(gateway));
+        mGateways.push_back(newGateway(gateway));
     }
-    for (ReplicaSet &gateway : mGateways) {
-        for (std::size_t engine = 0; engine < mEngines.size(); ++engine) {
-            ReplicaRecord record;
-            record.id = replicaId(engine);
-            record.service = sService;
-            record.address = "10.0.0.1:" + std::to_string(engine + 1);
-            record.dataCentre = dataCentreOf(engine);
-            record.slots = mShape.figures.slots;
-            record.weightsVersion = 1;
-            gateway.put(record, at(0));
+    for (std::size_t account = 0; account < mShape.accounts; ++account) {
+        mAccountNames.push_back("account-" + std::to_string(account));
+    }
+    mCutoffs.resize(mShape.gateways);
+    mCutoffLevels.resize(mShape.gateways);
+}
+
+ReplicaSet OverloadLab::newGateway(std::size_t index) const
+{
+    ReplicaSet gateway(Milliseconds(2'000), "gateway-" + std::to_string(index));
+    for (std::size_t engine = 0; engine < mEngines.size(); ++engine) {
+        ReplicaRecord record;
+        record.id = replicaId(engine);
+        record.service = sService;
+        record.address = "10.0.0.1:" + std::to_string(engine + 1);
+        record.dataCentre = dataCentreOf(engine);
+        record.slots = mShape.figures.slots;
+        record.weightsVersion = 1;
+        gateway.put(record, at(0));
+    }
+    return gateway;
+}
+
+// The gateway's callers lose their connections, so their requests at engines end unanswered.
+// They are counted as refused.
+void OverloadLab::restart(std::size_t index)
+{
+    const auto isOfGateway = [&](const RequestPtr &request) { return request->gateway == index; };
+    for (Engine &engine : mEngines) {
+        for (const RequestPtr &request : engine.waiting) {
+            if (isOfGateway(request)) {
+                note(*request, &Outcomes::refused);
+            }
+        }
+        for (const RequestPtr &request : engine.active) {
+            if (isOfGateway(request) && !request->hasStarted) {
+                note(*request, &Outcomes::refused);
+            }
         }
+        std::erase_if(engine.waiting, isOfGateway);
+        std::erase_if(engine.active, isOfGateway);
+    }
+    for (const auto &[time, request] : mInTransit) {
+        if (isOfGateway(request)) {
+            note(*request, &Outcomes::refused);
+        }
+    }
+    std::erase_if(mInTransit, [&](const auto &item) { return isOfGateway(item.second); });
+    mGateways[index] = newGateway(index);
+}
+
+double OverloadLab::classFactor(const Phase &phase) const
+{
+    if (phase.factors.empty()) {
+        return 1;
     }
+    double sum = 0;
+    double weighted = 0;
+    for (std::size_t index = 0; index < mShape.classes.size(); ++index) {
+        sum += mShape.classes[index].fraction;
+        weighted += mShape.classes[index].fraction * phase.factors[index];
+    }
+    return weighted / sum;
 }
 
 std::string OverloadLab::dataCentreOf(std::size_t index) const
@@ -69,34 +129,119 @@
     return 1'000.0 / model.completionIntervalMs() * static_cast<double>(mEngines.size());
 }
 
-OverloadLab::Second &OverloadLab::secondOf(const Request &request)
+void OverloadLab::note(const Request &request, int Outcomes::*outcome)
 {
-    return mSeconds[static_cast<std::size_t>(request.firstAttemptAt / 1'000)];
+    Second &second = mSeconds[static_cast<std::size_t>(request.firstAttemptAt / 1'000)];
+    ++(second.*outcome);
+    ++(second.byGateway[request.firstGateway].*outcome);
+    if (!mShape.classes.empty()) {
+        ++(second.byClass[request.requestClass].*outcome);
+    }
+    if (mShape.accounts > 0) {
+        ++(second.byAccount[request.account].*outcome);
+    }
+}
+
+Milliseconds OverloadLab::goalOf(const Request &request) const
+{
+    return mShape.classes.empty() ? mShape.goal : mShape.classes[request.requestClass].goal;
+}
+
+// Draws the class, account and patience of a caller. Without classes and accounts, no random
+// number is drawn.
+void OverloadLab::drawOrigin(Request &request, const std::vector<double> &factors)
+{
+    if (!mShape.classes.empty()) {
+        std::vector<double> weights;
+        for (std::size_t index = 0; index < mShape.classes.size(); ++index) {
+            weights.push_back(mShape.classes[index].fraction
+                              * (factors.empty() ? 1.0 : factors[index]));
+        }
+        request.requestClass
+            = std::discrete_distribution<std::size_t>(weights.begin(), weights.end())(mRandom);
+    }
+    request.repeatSeed = mShape.classes.empty() ? 0 : mRandom();
+    if (mShape.accounts > 0) {
+        std::vector<double> weights;
+        double sum = 0;
+        for (std::size_t index = 0; index < mShape.accounts; ++index) {
+            weights.push_back(std::pow(static_cast<double>(index + 1), -mShape.accountExponent));
+            sum += weights.back();
+        }
+        weights.front() += sum * mShape.heavyAccountFraction / (1 - mShape.heavyAccountFraction);
+        request.account
+            = std::discrete_distribution<std::size_t>(weights.begin(), weights.end())(mRandom);
+    }
+    if (mShape.repeatingFraction > 0 || mShape.repeatingAccount) {
+        const bool isRepeating = mShape.repeatingAccount == request.account
+            || std::bernoulli_distribution(mShape.repeatingFraction)(mRandom);
+        request.repeatsLeft = isRepeating ? sImmediateRepeats : 0;
+        request.isRetry = isRepeating;
+    }
+}
+
+// The cutoff to compare with: a rank is refused by a level between 0 and the number of ranks,
+// which rises while the most urgent rank is refused and falls while it is not.
+bool OverloadLab::isCutOff(const Request &request)
+{
+    const std::map<RequestRank, RefusalRatio> &ranks = mCutoffs[request.gateway];
+    const RequestRank rank = mShape.classes[request.requestClass].rank;
+    const auto lessUrgent = static_cast<double>(
+        std::ranges::count_if(ranks, [&](const auto &item) { return rank < item.first; }));
+    const bool isMostUrgent = !ranks.empty() && ranks.begin()->first >= rank;
+    const double refusedFraction
+        = std::clamp(mCutoffLevels[request.gateway] - lessUrgent, 0.0, 1.0);
+    return !isMostUrgent
+        && std::uniform_real_distribution<double>(0, 1)(mRandom)
+        < refusedFraction * (1 - UrgencyDemand::sExemptFraction);
+}
+
+void OverloadLab::noteCutoff(const Request &request, bool isRefused)
+{
+    std::map<RequestRank, RefusalRatio> &ranks = mCutoffs[request.gateway];
+    ranks[mShape.classes[request.requestClass].rank].note(!isRefused, at(mNow));
+    const double ratio = ranks.begin()->second.ratio(at(mNow));
+    const double step = (ratio - sCutoffTargetRatio) * sCutoffGain;
+    double &level = mCutoffLevels[request.gateway];
+    level = std::clamp(level + step, 0.0, static_cast<double>(ranks.size()));
 }
 
 std::vector<OverloadLab::Second> OverloadLab::run(const std::vector<Phase> &phases)
 {
     std::vector<double> rates;
+    std::vector<std::vector<double>> factors;
     for (const Phase &phase : phases) {
-        rates.insert(rates.end(), static_cast<std::size_t>(phase.seconds), phase.callsPerSecond);
+        const auto count = static_cast<std::size_t>(phase.seconds);
+        rates.insert(rates.end(), count, phase.callsPerSecond * classFactor(phase));
+        factors.insert(factors.end(), count, phase.factors);
     }
-    mSeconds.assign(rates.size(), Second());
+    Second empty;
+    empty.byClass.resize(mShape.classes.size());
+    empty.byAccount.resize(mShape.accounts);
+    empty.byGateway.resize(mGateways.size());
+    mSeconds.assign(rates.size(), empty);
     std::exponential_distribution<double> sizeFactor(1);
     double expected = 0;
     const int end = static_cast<int>(rates.size()) * 1'000;
     for (int time = 0; time < end + sDeadlineMs; ++time) {
+        mNow = time;
+        if (mShape.restartedGateway && time == mShape.restartAtMs) {
+            restart(*mShape.restartedGateway);
+        }
         expected += time < end ? rates[static_cast<std::size_t>(time / 1'000)] / 1'000 : 0;
         std::poisson_distribution<int> arrivals(std::exchange(expected, 0));
         for (int count = time < end ? arrivals(mRandom) : 0; count > 0; --count) {
             auto request = std::make_shared<Request>();
             request->gateway = mRandom() % mGateways.size();
+            request->firstGateway = request->gateway;
             request->firstAttemptAt = time;
+            drawOrigin(*request, factors[static_cast<std::size_t>(time / 1'000)]);
             request->prompt
                 = mShape.figures.meanPromptTokens * std::min(3.0, 0.3 + 0.7 * sizeFactor(mRandom));
             const double events = mShape.figures.meanAnswerTokens / mShape.figures.stepsPerPass;
             request->eventsLeft
                 = 1 + static_cast<int>((events - 1) * std::min(3.0, sizeFactor(mRandom)));
-            ++secondOf(*request).calls;
+            note(*request, &Outcomes::calls);
             sendOrRefuse(std::move(request), time);
         }
         while (!mRetries.empty() && mRetries.begin()->first <= time) {
@@ -131,25 +276,48 @@
 void OverloadLab::sendOrRefuse(RequestPtr request, int time)
 {
     ReplicaSet &gateway = mGateways[request->gateway];
-    gateway.noteCall(sService, mShape.goal, at(time));
+    const Milliseconds goal = goalOf(*request);
     ReplicaQuery query;
     query.service = sService;
     const std::string dataCentre = dataCentreOf(request->gateway);
     query.dataCentre = dataCentre;
     query.engine = &mShape.figures;
-    query.goal = mShape.goal;
+    query.goal = goal;
     query.waited = Milliseconds(time - request->firstAttemptAt);
     query.promptTokens = request->prompt;
     query.minVersion = 1;
-    query.gatewayCount = static_cast<std::uint32_t>(mGateways.size());
+    const bool isDeaf = mShape.deafGateway == request->gateway;
+    query.gatewayCount = isDeaf ? 1U : static_cast<std::uint32_t>(mGateways.size());
     query.random = mRandom();
+    std::optional<CallOrigin> origin;
+    if (mShape.usesRanks && !mShape.classes.empty()) {
+        origin.emplace();
+        origin->rank = mShape.classes[request->requestClass].rank;
+        origin->work = request->prompt + sOutputWorkFactor * mShape.figures.meanAnswerTokens;
+        if (mShape.accounts > 0) {
+            origin->account = mAccountNames[request->account];
+        }
+        origin->repeatSeed = request->repeatSeed;
+        query.account = origin->account;
+        query.work = origin->work;
+        query.repeatSeed = origin->repeatSeed;
+    }
+    query.standing = gateway.noteCall(sService, goal, at(time), origin);
+    const bool isCutOff = mShape.usesCutoff && this->isCutOff(*request);
     query.excluded = request->refusedBy;
     query.timeLeft = Milliseconds(sDeadlineMs - (time - request->firstAttemptAt));
-    const ReplicaChoice choice = choose(request->gateway, query, time);
+    const ReplicaChoice choice = isCutOff
+        ? ReplicaChoice(AllBusy{RetryAdvice(query).whenBusy(1, true), 1})
+        : choose(request->gateway, query, time);
     gateway.noteChoice(query, choice, at(time));
+    if (mShape.usesCutoff) {
+        noteCutoff(*request, !std::holds_alternative<ChosenReplica>(choice));
+    }
     if (const auto *chosen = std::get_if<ChosenReplica>(&choice)) {
         request->engine = static_cast<std::size_t>(std::stoul(chosen->id.substr(1)));
+        mDecisions.push_back(static_cast<std::int64_t>(request->engine));
         request->isPatient = chosen->isPatient;
+        request->urgencyLevel = chosen->urgencyLevel;
         request->sentAt = time;
         gateway.began(chosen->id, chosen->isPatient, at(time));
         mEngines[request->engine].inTransit.note(at(time));
@@ -157,18 +325,26 @@
         return;
     }
     const auto *busy = std::get_if<AllBusy>(&choice);
+    mDecisions.push_back(busy ? -busy->retryAfter.count() : -sDeadlineMs);
     scheduleRetry(std::move(request),
                   busy ? static_cast<int>(busy->retryAfter.count()) : sDeadlineMs, time);
 }
 
 void OverloadLab::scheduleRetry(RequestPtr request, int wait, int time)
 {
+    if (request->repeatsLeft > 0) {
+        --request->repeatsLeft;
+        request->refusedBy.clear();
+        mRetries.emplace(time + 2 * mShape.transitMs, std::move(request));
+        return;
+    }
     if (request->isRetry) {
-        ++secondOf(*request).refused;
+        note(*request, &Outcomes::refused);
         return;
     }
     request->isRetry = true;
     request->refusedBy.clear();
+    request->repeatSeed = mShape.classes.empty() ? 0 : mRandom();
     if (mShape.restMs > 0) {
         request->gateway = mRandom() % mGateways.size(); // a rest applies to one gateway
     }
@@ -320,7 +496,7 @@
             ReplicaSet &gateway = mGateways[request->gateway];
             gateway.answerMissed(replicaId(request->engine), request->isPatient);
             gateway.ended(replicaId(request->engine), ReplicaOutcome::Abandoned, at(time));
-            ++secondOf(*request).refused;
+            note(*request, &Outcomes::refused);
             return true;
         });
     }
@@ -341,8 +517,8 @@
         if (!request->hasStarted) {
             request->hasStarted = true;
             const int took = time + mShape.transitMs - request->firstAttemptAt;
-            const bool isInTime = took <= mShape.goal.count();
-            ++(isInTime ? secondOf(*request).inTime : secondOf(*request).late);
+            const bool isInTime = took <= goalOf(*request).count();
+            note(*request, isInTime ? &Outcomes::inTime : &Outcomes::late);
             announceLeaving(*request, time);
             mGateways[request->gateway].answerStarted(replicaId(request->engine),
                                                       request->isPatient,
@@ -360,8 +536,9 @@
 
 void OverloadLab::beginPass(Engine &engine, int time)
 {
-    std::ranges::stable_sort(engine.waiting, {},
-                             [](const RequestPtr &request) { return request->isPatient ? 1 : 0; });
+    std::ranges::stable_sort(engine.waiting, {}, [](const RequestPtr &request) {
+        return request->isPatient ? UrgencyDemand::sLevelCount : request->urgencyLevel;
+    });
     const EngineModel model(mShape.figures);
     double length = 0;
     while (!engine.waiting.empty() && engine.active.size() < mShape.figures.slots) {
--- a/tests/direct/overloadlab.h
+++ b/tests/direct/overloadlab.h
@@ -17,6 +17,7 @@
 #include <deque>
 #include <map>
 #include <memory>
+#include <optional>
 #include <random>
 #include <string>
 #include <vector>
@@ -31,6 +32,14 @@
 class OverloadLab
 {
 public:
+    /** Callers with the same rank and goal. */
+    struct RequestClass
+    {
+        RequestRank rank;
+        Milliseconds goal{400};
+        double fraction = 1; ///< of all calls in a phase without factors
+    };
+
     struct Shape
     {
         std::size_t engines = 12;
@@ -52,6 +61,19 @@
         std::size_t refusing = 0; ///< engines that refuse all requests for some time
         int refusingFromMs = 0;
         int refusingUntilMs = 0;
+        std::vector<RequestClass> classes; ///< empty: all calls have the goal above and no rank
+        bool usesRanks = true; ///< gateways know the ranks and accounts of calls
+        std::size_t accounts = 0; ///< zero: no call has an account
+        double accountExponent = 1.2; ///< of the power law of the accounts' sizes
+        double heavyAccountFraction = 0; ///< of all calls, added to those of the first account
+        double repeatingFraction = 0; ///< callers that repeat at once, three times, when refused
+        std::optional<std::size_t> repeatingAccount; ///< all its callers repeat so
+        std::optional<std::size_t> deafGateway; ///< does not know of other gateways
+        std::optional<std::size_t> restartedGateway; ///< loses its state at restartAtMs
+        int restartAtMs = 0;
+        /** Refuses calls by their rank before a choice instead of reserving capacity; for
+            comparison. */
+        bool usesCutoff = false;
     };
 
     /** Use of the engines that refused all requests for some time, after that time. */
@@ -78,10 +100,11 @@
     {
         int seconds = 0;
         double callsPerSecond = 0;
+        std::vector<double> factors; ///< of the calls by class; empty: all are 1
     };
 
-    /** Outcomes of the calls whose first attempt was in one second. */
-    struct Second
+    /** Outcomes of calls. */
+    struct Outcomes
     {
         int calls = 0;
         int inTime = 0;
@@ -89,11 +112,21 @@
         int refused = 0; ///< after all attempts
     };
 
+    /** Outcomes of the calls whose first attempt was in one second. */
+    struct Second : Outcomes
+    {
+        std::vector<Outcomes> byClass;
+        std::vector<Outcomes> byAccount;
+        std::vector<Outcomes> byGateway; ///< of the first attempt
+    };
+
     explicit OverloadLab(Shape shape);
 
     /** Number of probes that gateways sent to agents. */
     std::uint64_t probes() const { return mProbes; }
     const Notices &notices() const { return mNotices; }
+    /** The choices in their order: the index of the engine, or the negated retry delay. */
+    const std::vector<std::int64_t> &decisions() const { return mDecisions; }
     /** Valid after a run with refusing engines. */
     Recovery recovery() const;
     /** Runs the phases and returns one entry per second. */
@@ -105,7 +138,13 @@
     struct Request
     {
         std::size_t gateway = 0;
+        std::size_t firstGateway = 0;
         std::size_t engine = 0;
+        std::size_t requestClass = 0;
+        std::size_t account = 0;
+        std::uint64_t repeatSeed = 0;
+        int repeatsLeft = 0; ///< immediate retries of an impatient caller
+        std::uint8_t urgencyLevel = 0;
         int firstAttemptAt = 0;
         int sentAt = 0;
         double prompt = 0;
@@ -136,6 +175,9 @@
         int lateRequests = 0; ///< requests in the last seconds of the run
     };
 
+    ReplicaSet newGateway(std::size_t index) const;
+    void restart(std::size_t index);
+    double classFactor(const Phase &phase) const;
     void sendOrRefuse(RequestPtr request, int time);
     void arrive(const RequestPtr &request, int time);
     void handleRefusal(const RequestPtr &request, int time);
@@ -154,7 +196,11 @@
     ReplicaLoad probeAnswer(std::size_t engine, int time);
     void report(std::size_t engine, int time);
     std::string dataCentreOf(std::size_t index) const;
-    Second &secondOf(const Request &request);
+    void note(const Request &request, int Outcomes::*outcome);
+    void drawOrigin(Request &request, const std::vector<double> &factors);
+    Milliseconds goalOf(const Request &request) const;
+    bool isCutOff(const Request &request);
+    void noteCutoff(const Request &request, bool isRefused);
     std::string replicaId(std::size_t engine) const;
 
     Shape mShape;
@@ -164,8 +210,13 @@
     std::multimap<int, RequestPtr> mRefusals; ///< refused requests, by arrival at the gateway
     std::multimap<int, RequestPtr> mRetries; ///< requests of waiting callers, by retry time
     std::vector<Second> mSeconds;
+    std::vector<std::string> mAccountNames;
+    std::vector<std::map<RequestRank, RefusalRatio>> mCutoffs; ///< refusals by gateway and rank
+    std::vector<double> mCutoffLevels; ///< number of ranks that each gateway refuses
+    int mNow = 0;
     std::mt19937_64 mRandom;
     std::uint64_t mProbes = 0;
+    std::vector<std::int64_t> mDecisions;
     Notices mNotices;
 };
 
--- a/tests/direct/test_retryadvice.cpp
+++ b/tests/direct/test_retryadvice.cpp
@@ -71,6 +71,23 @@
     }
 }
 
+// Guards against urgent callers that return together with all others, when the overload that
+// they have precedence in is over.
+BOOST_AUTO_TEST_CASE(most_urgent_callers_return_before_the_others_under_overload)
+{
+    for (std::uint64_t random = 0; random < 1'024; random += 31) {
+        ReplicaQuery request = query(random);
+        const Milliseconds withinGoal = RetryAdvice(request).whenBusy(1, true, true);
+        BOOST_TEST(withinGoal.count() >= 40);
+        BOOST_TEST(withinGoal.count() < 400);
+        request.waited = Milliseconds(490); // the goal can't be met any more
+        const Milliseconds early = RetryAdvice(request).whenBusy(1, true, true);
+        BOOST_TEST(early.count() >= 150);
+        BOOST_TEST(early.count() <= 1'000);
+        BOOST_TEST(RetryAdvice(request).whenBusy(1, true, false).count() >= 1'000);
+    }
+}
+
 BOOST_AUTO_TEST_CASE(callers_without_a_deadline_get_the_fixed_delays)
 {
     ReplicaQuery request = query(0);
--- a/tests/platform/test_calls.cpp
+++ b/tests/platform/test_calls.cpp
@@ -72,6 +72,26 @@
     }
 }
 
+// Guards against ranks that overtake resumed streams or yield to late requests, and against another
+// value than before while ranks do not differ.
+BOOST_AUTO_TEST_CASE(priority_of_requests_in_time_is_between_resumed_and_late_ones)
+{
+    const Platform::HttpCallAdapter calls;
+    const auto priorityOf = [&](Urgency urgency, std::optional<std::uint8_t> level) {
+        OutgoingFields fields;
+        fields.urgency = urgency;
+        fields.urgencyLevel = level.value_or(fields.urgencyLevel);
+        return valueOf(calls.outgoing(request({}), fields), "Priority");
+    };
+    BOOST_TEST(priorityOf(Urgency::Prompt, std::nullopt) == "[4]");
+    const std::vector<std::string> byLevel{"[3]", "[4]", "[5]", "[6]", "[6]"};
+    for (std::uint8_t level = 0; level < byLevel.size(); ++level) {
+        BOOST_TEST(priorityOf(Urgency::Prompt, level) == byLevel[level]);
+        BOOST_TEST(priorityOf(Urgency::Resumed, level) == "[2]");
+        BOOST_TEST(priorityOf(Urgency::Patient, level) == "[8]");
+    }
+}
+
 BOOST_AUTO_TEST_CASE(request_fields_are_read_and_duplicate_headers_are_ignored)
 {
     const Platform::HttpCallAdapter calls;
--- a/tests/platform/test_records.cpp
+++ b/tests/platform/test_records.cpp
@@ -78,6 +78,36 @@
     BOOST_TEST(config.limits.idleTimeout.count() == 15000);
 }
 
+// Guards against a configuration whose requests would be served in another order than written.
+BOOST_AUTO_TEST_CASE(configuration_with_an_invalid_priority_is_rejected_and_names_the_field)
+{
+    const Platform::RecordDecoder records;
+    const auto errorOf = [&](std::string_view list, std::string_view priority) {
+        const std::string text = R"({"version":7,")" + std::string(list)
+            + R"(":[{"name":"first","priority":1},{"name":"x","priority":)" + std::string(priority)
+            + "}]}";
+        const auto record = records.operatorRecord("config", text);
+        return record ? std::string() : record.error();
+    };
+    for (const std::string_view list : {"routes", "tenants"}) {
+        for (const std::string_view bad :
+             {"-1", "1001", "1.5", "2.0", "\"3\"", "null", "true", "[]", "18446744073709551615"}) {
+            BOOST_TEST(errorOf(list, bad).starts_with(std::string(list) + "[x].priority: "));
+        }
+        for (const std::string_view good : {"0", "5", "1000"}) {
+            BOOST_TEST(errorOf(list, good).empty());
+        }
+    }
+}
+
+BOOST_AUTO_TEST_CASE(priorities_are_read_and_missing_ones_are_the_default)
+{
+    const RouteConfig config = readConfig(sConfig);
+    BOOST_TEST(config.routes[0].priority == 1U);
+    BOOST_TEST(config.routes[1].priority == 5U);
+    BOOST_TEST(config.accounts[0].priority == 1U);
+}
+
 BOOST_AUTO_TEST_CASE(errors_of_unreadable_records_name_the_field)
 {
     const Platform::RecordDecoder records;
