--- a/src/libloomjunction/core/urgencydemand.cpp
+++ b/src/libloomjunction/core/urgencydemand.cpp
@@ -26,7 +26,7 @@
 constexpr double sMinCalls = 8;
 // Part of the time between two completions for which capacity is reserved, and standard deviations
 // of the number of calls that are added. With a whole interval and one deviation, engines had idle
-// slots, and the goodput at 1.3 to 1.8 times the capacity fell by 5 to 6 in 100.
+// slots, and the goodput at 1.3 to 1.8 times the capacity fell by 5 to 7 in 100.
 constexpr double sReservedIntervalFraction = 0.35;
 constexpr double sReservedDeviations = 0.5;
 // Added to the exempt fraction for each level. While a rank exceeds the capacity alone, all others
