--- a/tests/direct/overloadlab.h
+++ b/tests/direct/overloadlab.h
@@ -17,6 +17,7 @@
 #include <deque>
 #include <map>
 #include <memory>
+#include <optional>
 #include <random>
 #include <string>
 #include <vector>
@@ -31,6 +32,14 @@
 class OverloadLab
 {
 public:
+    /** Callers with the same rank and goal. */
+    struct RequestClass
+    {
+        RequestRank rank;
+        Milliseconds goal{400};
+        double fraction = 1; ///< of all calls in a phase without factors
+    };
+
     struct Shape
     {
         std::size_t engines = 12;
@@ -55,6 +64,19 @@
         /** Spread of log-normal prompt and answer sizes; zero: exponential, up to 3 means. */
         double sizeSigma = 0;
         bool sharesDemand = false; ///< gateways exchange their call rates
+        std::vector<RequestClass> classes; ///< empty: all calls have the goal above and no rank
+        bool usesRanks = true; ///< gateways know the ranks and accounts of calls
+        std::size_t accounts = 0; ///< zero: no call has an account
+        double accountExponent = 1.2; ///< of the power law of the accounts' sizes
+        double heavyAccountFraction = 0; ///< of all calls, added to those of the first account
+        double repeatingFraction = 0; ///< callers that repeat at once, three times, when refused
+        std::optional<std::size_t> repeatingAccount; ///< all its callers repeat so
+        std::optional<std::size_t> deafGateway; ///< does not know of other gateways
+        std::optional<std::size_t> restartedGateway; ///< loses its state at restartAtMs
+        int restartAtMs = 0;
+        /** Refuses calls by their rank before a choice instead of reserving capacity; for
+            comparison. */
+        bool usesCutoff = false;
     };
 
     /** Use of the engines that refused all requests for some time, after that time. */
@@ -83,10 +105,11 @@
         double callsPerSecond = 0;
         /** Share of the calls by data centre, in any unit; empty: gateways get equal shares. */
         std::vector<double> shares;
+        std::vector<double> factors; ///< of the calls by class; empty: all are 1
     };
 
-    /** Outcomes of the calls whose first attempt was in one second. */
-    struct Second
+    /** Outcomes of calls. */
+    struct Outcomes
     {
         int calls = 0;
         int inTime = 0;
@@ -95,6 +118,14 @@
         int refusedAtFirst = 0; ///< calls whose first attempt a gateway refused
     };
 
+    /** Outcomes of the calls whose first attempt was in one second. */
+    struct Second : Outcomes
+    {
+        std::vector<Outcomes> byClass;
+        std::vector<Outcomes> byAccount;
+        std::vector<Outcomes> byGateway; ///< of the first attempt
+    };
+
     explicit OverloadLab(Shape shape);
 
     /** Number of probes that gateways sent to agents. */
@@ -107,6 +138,8 @@
     }
     /** Requests that reached engines in another data centre than their gateway's, per second. */
     const std::vector<std::vector<int>> &remoteSends() const { return mRemoteSends; }
+    /** The choices in their order: the index of the engine, or the negated retry delay. */
+    const std::vector<std::int64_t> &decisions() const { return mDecisions; }
     /** Valid after a run with refusing engines. */
     Recovery recovery() const;
     /** Runs the phases and returns one entry per second. */
@@ -118,8 +151,14 @@
     struct Request
     {
         std::size_t gateway = 0;
+        std::size_t firstGateway = 0;
         std::size_t dataCentre = 0; ///< of the gateway called first
         std::size_t engine = 0;
+        std::size_t requestClass = 0;
+        std::size_t account = 0;
+        std::uint64_t repeatSeed = 0;
+        int repeatsLeft = 0; ///< immediate retries of an impatient caller
+        std::uint8_t urgencyLevel = 0;
         int firstAttemptAt = 0;
         int sentAt = 0;
         double prompt = 0;
@@ -150,6 +189,9 @@
         int lateRequests = 0; ///< requests in the last seconds of the run
     };
 
+    ReplicaSet newGateway(std::size_t index) const;
+    void restart(std::size_t index);
+    double classFactor(const Phase &phase) const;
     void sendOrRefuse(RequestPtr request, int time);
     void arrive(const RequestPtr &request, int time);
     void handleRefusal(const RequestPtr &request, int time);
@@ -172,7 +214,11 @@
     std::size_t drawGateway(const std::vector<double> &shares);
     void exchangeDemand(int time);
     void followGateways();
-    void countOutcome(const Request &request, int Second::*outcome);
+    void note(const Request &request, int Outcomes::*outcome);
+    void drawOrigin(Request &request, const std::vector<double> &factors);
+    Milliseconds goalOf(const Request &request) const;
+    bool isCutOff(const Request &request);
+    void noteCutoff(const Request &request, bool isRefused);
     std::string replicaId(std::size_t engine) const;
 
     Shape mShape;
@@ -185,8 +231,13 @@
     std::vector<std::vector<Second>> mSecondsByDataCentre;
     std::vector<std::vector<int>> mRemoteSends; ///< by data centre and second
     std::vector<std::vector<std::size_t>> mFollowed; ///< gateways whose status each one receives
+    std::vector<std::string> mAccountNames;
+    std::vector<std::map<RequestRank, RefusalRatio>> mCutoffs; ///< refusals by gateway and rank
+    std::vector<double> mCutoffLevels; ///< number of ranks that each gateway refuses
+    int mNow = 0;
     std::mt19937_64 mRandom;
     std::uint64_t mProbes = 0;
+    std::vector<std::int64_t> mDecisions;
     Notices mNotices;
 };
 
--- a/tests/gateway/test_demandexchange.cpp
+++ b/tests/gateway/test_demandexchange.cpp
@@ -74,7 +74,8 @@
         while (!condition()) {
             BOOST_REQUIRE(std::chrono::steady_clock::now() < until);
             for (const std::size_t index : {0U, 1U}) {
-                gateway(index).replicas().noteRequest(std::string(sService), Milliseconds(400));
+                gateway(index).replicas().noteRequest(std::string(sService), Milliseconds(400),
+                                                          std::nullopt);
             }
             co_await sleepFor(sCallInterval);
         }
