Weights: versions in succession are skipped, and chunks outlive the agent

Cause: an agent that received two versions within milliseconds fetched both over the origin's link, and a starting agent joined such a fetch. Fetched chunks were in memory only until the load, so that a killed agent lost them.

Change: FetchSelection decides which versions are worth fetching, by the times of receipt. StageWritePlan decides which chunk is written to the engine's stage next. Chunks are adopted at any index, also when the engine becomes reachable during the fetch, and adopted chunks take no turn at the origin. The stand-in engine of the soak lists its staged pieces, as the published protocol does.

On the code before, five of the new tests fail: the version received right before a newer one (11 chunks of it served), the starting agent, the killed agent (nothing staged), adoption at any index (12 chunks fetched instead of 3) and the search of an empty stage.

--- a/src/libloomjunction/core/chunkplan.cpp
+++ b/src/libloomjunction/core/chunkplan.cpp
@@ -135,6 +135,7 @@
 {
     for (Chunk &chunk : mChunks) {
         chunk.index = static_cast<std::uint32_t>(&chunk - mChunks.data());
+        chunk.turn = chunk.index;
         chunk.tieBreak = static_cast<std::uint32_t>(mRandom());
     }
     setMembers({});
@@ -409,10 +410,15 @@
 }
 
 // Pulls are staggered: if all owners pulled at once, they would share the origin's link
-// and all chunks would arrive late and together, with nothing to forward until then.
+// and all chunks would arrive late and together, with nothing to forward until then. Adopted
+// chunks move the later pulls up, but never delay them: the other members of a swarm that has
+// not restarted expect a pull at its scheduled time.
 Instant ChunkPlan::originPullAt(const Chunk &chunk) const
 {
-    return firstOriginPullAt() + mOptions.originPullInterval * chunk.index;
+    const Instant first = firstOriginPullAt();
+    const Instant scheduled = first + mOptions.originPullInterval * chunk.index;
+    const Instant movedUp = std::max(first, mStartedAt) + mOptions.originPullInterval * chunk.turn;
+    return std::min(scheduled, movedUp);
 }
 
 Instant ChunkPlan::nextOriginRetryAt(const Chunk &chunk, ChunkFailure why, Instant now) const
@@ -502,10 +508,11 @@
 // least one of its chunks is available.
 bool ChunkPlan::areActiveSharesAvailable() const
 {
-    const auto isOfActive
-        = [&](const Chunk &chunk) { return mAvailableByOwner[chunk.ownerIndex] > 0; };
+    const auto isOfActive = [&](const Chunk &chunk) {
+        return !chunk.isAdopted && mAvailableByOwner[chunk.ownerIndex] > 0;
+    };
     const auto active = static_cast<double>(std::ranges::count_if(mChunks, isOfActive));
-    const double least = sMinActiveFraction * static_cast<double>(mChunks.size());
+    const double least = sMinActiveFraction * static_cast<double>(mChunks.size() - mAdoptedCount);
     return active >= least && mAvailableCount >= sMostAvailableFraction * active;
 }
 
@@ -619,7 +626,8 @@
         mActiveSharesAvailableAt = now;
     }
     if (!mMostAvailableAt
-        && mAvailableCount >= sMostAvailableFraction * static_cast<double>(mChunks.size())) {
+        && mAvailableCount
+            >= sMostAvailableFraction * static_cast<double>(mChunks.size() - mAdoptedCount)) {
         mMostAvailableAt = now;
     }
 }
@@ -772,7 +780,24 @@
     return progress;
 }
 
+// The pulls of later chunks move up: after a restart with most chunks adopted, the origin's
+// link would otherwise be idle for the turns of all adopted chunks.
 void ChunkPlan::addStored(std::uint32_t index)
+{
+    if (mChunks[index].state == State::Have) {
+        return;
+    }
+    setStored(index);
+    if (!mChunks[index].wasAvailable) {
+        mChunks[index].isAdopted = true;
+        ++mAdoptedCount;
+    }
+    for (std::size_t later = std::size_t{index} + 1; later < mChunks.size(); ++later) {
+        --mChunks[later].turn;
+    }
+}
+
+void ChunkPlan::setStored(std::uint32_t index)
 {
     if (mChunks[index].state != State::Have) {
         mChunks[index].state = State::Have;
@@ -783,7 +808,7 @@
 void ChunkPlan::received(std::uint32_t index, const ChunkSource &source, Instant now)
 {
     closeRequest(source);
-    addStored(index);
+    setStored(index);
     const auto interval = static_cast<double>((now - mLastReceivedAt).count());
     const bool isFirst = mMeanIntervalMicroseconds <= 0;
     mMeanIntervalMicroseconds
--- a/src/libloomjunction/core/chunkplan.h
+++ b/src/libloomjunction/core/chunkplan.h
@@ -135,7 +135,10 @@
     /** Returns the requests to send now; each must be followed by received() or failed(). */
     std::vector<ChunkFetch> next(Instant now);
 
-    /** Chunk @p index was stored before the plan started. */
+    /**
+     * Chunk @p index was stored without a request of this plan, for example by an earlier
+     * process of this agent. Such chunks need no turn at the origin.
+     */
     void addStored(std::uint32_t index);
     /** Chunk @p index was received and verified. */
     void received(std::uint32_t index, const ChunkSource &source, Instant now);
@@ -173,6 +176,8 @@
         Instant pullStartedAt; ///< start of the latest own pull from the origin
         std::uint32_t consecutiveOriginFailures = 0;
         bool isRequestedFromOrigin = false;
+        std::uint32_t turn = 0; ///< number of chunks with lower indexes that are not adopted
+        bool isAdopted = false; ///< stored without a request of this plan
         bool wasAvailable = false; ///< received from the origin, or announced by a neighbour
         Instant availableSince; ///< when the chunk last became available at the neighbours
     };
@@ -207,6 +212,7 @@
     Instant nextOriginRoundAt(const Chunk &chunk, Instant now) const;
     Microseconds originRoundDuration() const;
     bool mayRetryReturnedOrigin(const Chunk &chunk, Instant now) const;
+    void setStored(std::uint32_t index);
     void noteAvailable(Chunk &chunk, Instant now);
     std::optional<Instant> standbyPullAt(const Chunk &chunk) const;
     Instant expectedPullEnd(const Peer &peer, const Chunk &chunk, Instant dueAt) const;
@@ -230,6 +236,7 @@
     std::map<std::string, Peer, std::less<>> mPeers;
     std::vector<std::uint32_t> mAvailableByOwner; ///< number of available chunks by owner index
     std::uint32_t mStoredCount = 0;
+    std::uint32_t mAdoptedCount = 0; ///< number of chunks with isAdopted set
     std::uint32_t mOpenOriginRequests = 0;
     std::uint32_t mOpenPeerRequests = 0;
     Instant mLastReceivedAt; ///< when the last chunk was received
--- a/src/libloomjunction/core/weightversiontracker.cpp
+++ b/src/libloomjunction/core/weightversiontracker.cpp
@@ -29,10 +29,12 @@
 
 } // namespace
 
-void WeightVersionTracker::name(std::string_view model, std::uint64_t version, Instant learnedAt)
+void WeightVersionTracker::name(std::string_view model, std::uint64_t version, Instant learnedAt,
+                                Instant receivedAt)
 {
     auto &versions = mVersionsByModel[std::string(model)];
-    const auto [it, isNew] = versions.emplace(version, PublishedVersion{version, 0, learnedAt});
+    const auto [it, isNew]
+        = versions.emplace(version, PublishedVersion{version, 0, learnedAt, receivedAt});
     if (isNew && it != versions.begin()) {
         it->second.previousVersion = std::prev(it)->first;
     }
@@ -100,6 +102,19 @@
     return published == it->second.end() ? Instant() : published->second.learnedAt;
 }
 
+std::vector<PublishedVersion> WeightVersionTracker::newerThan(std::string_view model,
+                                                              std::uint64_t version) const
+{
+    std::vector<PublishedVersion> newer;
+    const auto it = mVersionsByModel.find(model);
+    if (it != mVersionsByModel.end()) {
+        for (auto known = it->second.upper_bound(version); known != it->second.end(); ++known) {
+            newer.push_back(known->second);
+        }
+    }
+    return newer;
+}
+
 const PublishedVersion *WeightVersionTracker::find(std::string_view model) const
 {
     const auto it = mVersionsByModel.find(model);
--- a/src/libloomjunction/core/weightversiontracker.h
+++ b/src/libloomjunction/core/weightversiontracker.h
@@ -15,6 +15,7 @@
 #include <optional>
 #include <string>
 #include <string_view>
+#include <vector>
 
 namespace Loom {
 
@@ -24,6 +25,8 @@
     std::uint64_t version = 1;
     std::uint64_t previousVersion = 0; ///< the next older published version; zero if there is none
     Instant learnedAt;
+    /** When this process received the announcement, which may be long after the publication. */
+    Instant receivedAt;
 };
 
 /**
@@ -42,7 +45,12 @@
     void setGracePeriod(Milliseconds gracePeriod) { mGracePeriod = gracePeriod; }
 
     /** Records that @p version was published at @p learnedAt, which may lie in the past. */
-    void name(std::string_view model, std::uint64_t version, Instant learnedAt);
+    void name(std::string_view model, std::uint64_t version, Instant learnedAt)
+    {
+        name(model, version, learnedAt, learnedAt);
+    }
+    /** As above, for an announcement that was received at @p receivedAt. */
+    void name(std::string_view model, std::uint64_t version, Instant learnedAt, Instant receivedAt);
     /** The version that replicas should load; 1 if none was published. */
     std::uint64_t newest(std::string_view model) const;
     /** The oldest version that may start a request sent at @p now. */
@@ -60,6 +68,8 @@
     bool isCutoffNear(std::string_view model, std::uint64_t version, Instant now) const;
     /** When @p version was learned of; a default Instant if it is unknown. */
     Instant learnedAt(std::string_view model, std::uint64_t version) const;
+    /** The known versions newer than @p version, in ascending order. */
+    std::vector<PublishedVersion> newerThan(std::string_view model, std::uint64_t version) const;
     /** The newest version published for @p model; null if there is none. */
     const PublishedVersion *find(std::string_view model) const;
 
--- a/src/libloomjunction/gateway/manifestexchange.cpp
+++ b/src/libloomjunction/gateway/manifestexchange.cpp
@@ -178,6 +178,12 @@
     co_return co_await fetchFromPeers(std::move(model), sOldestNeeded, sampleStagers());
 }
 
+awaitable<bool> ManifestExchange::isFetchedByPeers(std::string model, std::uint64_t version)
+{
+    const std::string text = co_await fetchFromPeers(std::move(model), version, sampleStagers());
+    co_return !text.empty();
+}
+
 awaitable<void> ManifestExchange::serveManifest(PeerStreamPtr stream)
 {
     const auto deadline = std::chrono::steady_clock::now() + sPeerTimeout;
--- a/src/libloomjunction/gateway/manifestexchange.h
+++ b/src/libloomjunction/gateway/manifestexchange.h
@@ -56,6 +56,8 @@
                                                                     std::uint64_t version);
     /** Fetches the manifest of an older version that peers still fetch; empty if none does. */
     awaitable<std::string> fetchOldestNeeded(std::string model);
+    /** Whether one of some random peers fetches the version or has fetched it. */
+    awaitable<bool> isFetchedByPeers(std::string model, std::uint64_t version);
 
 private:
     struct PeerQuery;
--- a/src/libloomjunction/gateway/operatorconfigservice.cpp
+++ b/src/libloomjunction/gateway/operatorconfigservice.cpp
@@ -158,7 +158,8 @@
 {
     const Microseconds maxAge = mBounds.weightsGracePeriod - sInitialWeightsGracePeriod;
     const Microseconds age = std::min(change.age, maxAge);
-    mWeights.name(named.model, named.version, now() - age);
+    const Instant receivedAt = now();
+    mWeights.name(named.model, named.version, receivedAt - age, receivedAt);
     logLine(LogLevel::Info, "weights-named",
             {{"model", named.model},
              {"version", named.version},
--- a/src/libloomjunction/gateway/ports.h
+++ b/src/libloomjunction/gateway/ports.h
@@ -250,6 +250,12 @@
                                         std::uint64_t acceptedOrderCount)
         = 0;
     virtual awaitable<bool> stagePut(std::string model, std::uint32_t index, std::string data) = 0;
+    /**
+     * Lists the indexes of the staged pieces, whose contents may be corrupt or of any version;
+     * nothing if the stage cannot be reached.
+     */
+    virtual awaitable<std::optional<std::vector<std::uint32_t>>> stagedPieces(std::string model)
+        = 0;
     /** Reads a staged piece; nothing if it is not staged or the stage cannot be reached. */
     virtual awaitable<std::optional<std::string>> stageGet(std::string model, std::uint32_t index)
         = 0;
--- a/src/libloomjunction/gateway/weightstagingservice.cpp
+++ b/src/libloomjunction/gateway/weightstagingservice.cpp
@@ -65,6 +65,18 @@
 constexpr Milliseconds sMaxTakeoverDelay{2'000};
 // Several times the transfer time of a chunk that shares an idle link with three others.
 constexpr double sSlowChunkSeconds = 0.5;
+// Interval between background writes to the stage. It allows for several times the chunks
+// that the box's link can deliver, and leaves most of the processor to requests.
+constexpr Milliseconds sStageWriteInterval{10};
+constexpr Milliseconds sStageIdleInterval{50};
+// The second attempt repairs chunks that were corrupt.
+constexpr int sMaxPrepareAttempts = 2;
+// An engine that does not list its staged pieces must not prevent writing to its stage.
+constexpr std::uint32_t sMaxAdoptionAttempts = 3;
+// A peer receives a new version within some hundreds of milliseconds after the others.
+constexpr Milliseconds sMinConfirmDelay{500};
+// A joined version of which more than this part is stored is fetched even without a peer.
+constexpr std::uint32_t sMaxUnconfirmedDivisor = 4;
 // Allows for the current version, the next one, and one after it.
 constexpr std::size_t sMaxFetches = 3;
 
@@ -115,6 +127,7 @@
     mConfig->addListener([this] { mWakeSignal->notify(); });
     asio::co_spawn(kernel.executor(), runEnginePolling(), asio::detached);
     asio::co_spawn(kernel.executor(), runRollout(), asio::detached);
+    asio::co_spawn(kernel.executor(), runStageWriting(), asio::detached);
     return {};
 }
 
@@ -175,6 +188,7 @@
         logLine(LogLevel::Warning, "engine-started-again",
                 {{"born", report->born}, {"wasLoading", mIsLoading}});
         mIsLoading = false;
+        mStageWrites.clear(); // a restart may lose the staging area
     }
     mEngineIncarnation = report->born;
 }
@@ -265,6 +279,7 @@
     const std::uint64_t newest = mConfig->weights().newest(model);
     const std::uint64_t loaded = loadedVersion(model);
     updateFetches();
+    skipFetches(model);
     const bool isFetching = !mFetches.empty() && mFetches.back().id.version >= newest
         && mStore->find(mFetches.back().id.digest) != nullptr;
     // The older version is fetched concurrently, because the manifest of the newest one
@@ -279,6 +294,10 @@
     if (!mReport) {
         co_return; // starting an engine takes about half as long as a fetch
     }
+    co_await adoptPendingChunks(model);
+    if (!mReport) {
+        co_return;
+    }
     if (mIsLoading) {
         checkLoadFinished(model, loaded);
         co_return;
@@ -350,33 +369,118 @@
                 {{"model", model}, {"version", version}, {"problem", text.error()}});
         co_return false;
     }
-    const auto id = co_await storeManifest(model, version, std::move(*text));
+    const auto id = storeManifest(version, *text);
     if (!id) {
         co_return false;
     }
+    const bool isAdopted = co_await adoptStagedChunks(model, *id);
     while (mFetches.size() >= sMaxFetches) {
         mFetches.front().fetch->cancel();
         mFetches.erase(mFetches.begin());
     }
-    mFetches.push_back({*id, launchFetch(model, *id)});
+    VersionFetch entry{*id, launchFetch(model, *id)};
+    entry.isAdopted = isAdopted;
+    mFetches.push_back(std::move(entry));
     co_return true;
 }
 
-// Opens the version in the store and adds the chunks that are in the staging area already.
-awaitable<std::optional<WeightStagingService::VersionId>>
-WeightStagingService::storeManifest(std::string model, std::uint64_t version, std::string text)
+// Cancels the fetches of versions that were announced in quick succession with a newer one.
+// A newer version must be fetched already: while its manifest is missing, the older one may
+// be the only version that can be had.
+void WeightStagingService::skipFetches(const std::string &model)
+{
+    for (const SkippedVersion &skip : skippedVersions(model)) {
+        if (mFetches.empty() || mFetches.back().id.version <= skip.version) {
+            continue;
+        }
+        logSkip(model, skip);
+        std::erase_if(mFetches, [&](const VersionFetch &entry) {
+            const bool isErased = entry.id.version == skip.version && !entry.fetch->isComplete();
+            if (isErased) {
+                entry.fetch->cancel();
+            }
+            return isErased;
+        });
+    }
+}
+
+std::vector<SkippedVersion> WeightStagingService::skippedVersions(std::string_view model) const
+{
+    std::vector<FetchCandidate> candidates;
+    for (const PublishedVersion &known :
+         mConfig->weights().newerThan(model, loadedVersion(model))) {
+        FetchCandidate &candidate
+            = candidates.emplace_back(FetchCandidate{known.version, known.receivedAt});
+        for (const VersionFetch &entry : mFetches) {
+            const std::uint32_t count = entry.fetch->chunkCount();
+            if (entry.id.version == known.version && count > 0) {
+                candidate.progress = static_cast<double>(entry.fetch->storedCount()) / count;
+            }
+        }
+    }
+    return FetchSelection(originCopyTime()).skipped(candidates);
+}
+
+bool WeightStagingService::isSkipped(std::string_view model, std::uint64_t version) const
+{
+    const std::vector<SkippedVersion> skipped = skippedVersions(model);
+    return std::ranges::find(skipped, version, &SkippedVersion::version) != skipped.end();
+}
+
+// Time that the origin needs to send one copy of the weights; zero if it is unknown. The
+// versions of a model have about the same size.
+Microseconds WeightStagingService::originCopyTime() const
+{
+    const RouteTablePtr &table = mConfig->table();
+    const OriginConfig *figures = table ? table->origin() : nullptr;
+    if (figures == nullptr || figures->linkMbit <= 0) {
+        return Microseconds(0);
+    }
+    for (const VersionFetch &entry : mFetches) {
+        if (const StoredVersion *stored = mStore->find(entry.id.digest)) {
+            const double bytes
+                = static_cast<double>(stored->manifest.chunkBytes) * stored->manifest.chunkCount();
+            return Microseconds(static_cast<std::int64_t>(
+                bytes / (figures->linkMbit * sBytesPerMbit) * sMicrosecondsPerSecond));
+        }
+    }
+    return Microseconds(0);
+}
+
+void WeightStagingService::logSkip(std::string_view model, const SkippedVersion &skip)
+{
+    if (!mLoggedSkips.insert(skip.version).second) {
+        return;
+    }
+    const auto interval = std::chrono::duration_cast<Milliseconds>(skip.interval);
+    logLine(LogLevel::Info, "fetch-skipped",
+            {{"model", model},
+             {"version", skip.version},
+             {"newerVersion", skip.newerVersion},
+             {"intervalMs", interval.count()}});
+}
+
+WeightStagingService::VersionFetch *WeightStagingService::findFetch(std::uint64_t version)
+{
+    const auto it = std::ranges::find_if(
+        mFetches, [&](const VersionFetch &entry) { return entry.id.version == version; });
+    return it == mFetches.end() ? nullptr : &*it;
+}
+
+// Opens the version in the store.
+std::optional<WeightStagingService::VersionId>
+WeightStagingService::storeManifest(std::uint64_t version, const std::string &text)
 {
     auto manifest = Manifest::parse(text);
     if (!manifest) {
         logLine(LogLevel::Error, "manifest-unreadable", {{"problem", manifest.error()}});
-        co_return std::nullopt;
+        return std::nullopt;
     }
     const VersionId id{version, sha256Hex(text)};
     if (mStore->find(id.digest) == nullptr) {
         mStore->open(id.digest, std::move(*manifest), text);
     }
-    co_await adoptStagedChunks(model, id);
-    co_return id;
+    return id;
 }
 
 // The platform's store provides only the newest version, but other agents may still fetch
@@ -385,7 +489,7 @@
 // agents were killed in between, and the origin failed soon after.
 awaitable<void> WeightStagingService::joinOlderFetch(std::string model, std::uint64_t newest)
 {
-    std::string text = co_await mManifests->fetchOldestNeeded(model);
+    const std::string text = co_await mManifests->fetchOldestNeeded(model);
     const auto manifest = Manifest::parse(text);
     if (!manifest) {
         co_return; // no peer fetches an older version
@@ -393,12 +497,45 @@
     std::uint64_t version = 0;
     const std::string &versionText = manifest->version;
     std::from_chars(versionText.data(), versionText.data() + versionText.size(), version);
-    if (version <= loadedVersion(model) || version >= newest) {
+    if (version <= loadedVersion(model) || version >= newest || isSkipped(model, version)) {
         co_return;
     }
-    if (const auto id = co_await storeManifest(model, version, std::move(text))) {
-        mFetches.insert(mFetches.begin(), {*id, launchFetch(model, *id)});
+    const auto id = storeManifest(version, text);
+    if (!id) {
+        co_return;
+    }
+    const bool isAdopted = co_await adoptStagedChunks(model, *id);
+    if (findFetch(version) != nullptr || isSkipped(model, version)) {
+        co_return;
     }
+    VersionFetch entry{*id, launchFetch(model, *id)};
+    entry.isJoined = true;
+    entry.isAdopted = isAdopted;
+    mFetches.insert(mFetches.begin(), std::move(entry));
+    co_await confirmJoinedFetch(model, version);
+}
+
+// A peer that names an older version may not have received the newer one yet, and cancels
+// its fetch when it does. The joined fetch must then end as well.
+awaitable<void> WeightStagingService::confirmJoinedFetch(std::string model, std::uint64_t version)
+{
+    const FetchSelection selection(originCopyTime());
+    if (selection.successionInterval().count() == 0) {
+        co_return;
+    }
+    co_await sleepFor(std::max<Microseconds>(selection.successionInterval(), sMinConfirmDelay));
+    if (co_await mManifests->isFetchedByPeers(model, version)) {
+        co_return;
+    }
+    const VersionFetch *entry = findFetch(version);
+    const bool isAhead = entry != nullptr
+        && entry->fetch->storedCount() * sMaxUnconfirmedDivisor >= entry->fetch->chunkCount();
+    if (entry == nullptr || entry->fetch->isComplete() || isAhead) {
+        co_return;
+    }
+    logSkip(model, {version, mConfig->weights().newest(model), Microseconds(0)});
+    entry->fetch->cancel();
+    std::erase_if(mFetches, [&](const VersionFetch &other) { return other.id.version == version; });
 }
 
 // Other agents may request the manifests of all versions that this agent fetches. The
@@ -410,41 +547,134 @@
     const std::uint64_t loaded = loadedVersion(model);
     for (const VersionFetch &entry : mFetches) {
         const StoredVersion *stored = mStore->find(entry.id.digest);
-        const bool isAsked
-            = isOldestRequested ? entry.id.version > loaded : entry.id.version == version;
-        if (isAsked && stored != nullptr && stored->manifest.service == model) {
+        const bool isNeeded = entry.id.version > loaded && !isSkipped(model, entry.id.version);
+        const bool isAsked = isOldestRequested ? isNeeded : entry.id.version == version;
+        // Two agents that joined an outdated version must not confirm it to each other.
+        if (isAsked && !entry.isJoined && stored != nullptr && stored->manifest.service == model) {
             return &stored->manifestText;
         }
     }
     return nullptr;
 }
 
-// Chunks that an earlier run left in the staging area need not be transferred again.
-awaitable<void> WeightStagingService::adoptStagedChunks(std::string model, VersionId id)
+// An agent often starts before its engine and can search the stage only while it fetches.
+awaitable<void> WeightStagingService::adoptPendingChunks(std::string model)
+{
+    const auto pending = std::ranges::find_if(
+        mFetches, [](const VersionFetch &entry) { return !entry.isAdopted; });
+    if (pending == mFetches.end()) {
+        co_return;
+    }
+    const VersionId id = pending->id;
+    const std::shared_ptr<WeightFetch> fetch = pending->fetch;
+    ++pending->adoptionAttempts;
+    bool isAdopted = true;
+    if (!fetch->isComplete()) {
+        isAdopted = co_await adoptStagedChunks(model, id);
+    }
+    if (const StoredVersion *stored = mStore->find(id.digest)) {
+        for (std::uint32_t index = 0; index < stored->has.size(); ++index) {
+            if (stored->has[index]) {
+                fetch->addStored(index);
+            }
+        }
+    }
+    if (VersionFetch *entry = findFetch(id.version)) {
+        entry->isAdopted = isAdopted || entry->adoptionAttempts >= sMaxAdoptionAttempts;
+    }
+}
+
+// Chunks that an earlier process left in the staging area need not be transferred again.
+// Returns whether the staging area was searched.
+awaitable<bool> WeightStagingService::adoptStagedChunks(std::string model, VersionId id)
 {
     if (!mReport) {
-        co_return; // the engine is not reachable yet
+        co_return false; // the engine is not reachable yet
+    }
+    const auto use = mStageUse;
+    co_await waitForStageWrite();
+    const auto pieces = co_await mEngine.stagedPieces(model);
+    if (!pieces) {
+        co_return false;
     }
     const std::string digest = id.digest;
-    const std::uint32_t count = mStore->find(digest)->manifest.chunkCount();
     std::uint32_t adopted = 0;
-    for (std::uint32_t index = 0; index < count && !mStopped; ++index) {
+    for (const std::uint32_t index : *pieces) {
+        const StoredVersion *before = mStore->find(digest);
+        if (before == nullptr || mStopped) {
+            co_return true;
+        }
+        if (index >= before->has.size() || before->has[index]) {
+            continue;
+        }
         auto data = co_await mEngine.stageGet(model, index);
-        StoredVersion *stored = mStore->find(digest);
+        const StoredVersion *stored = mStore->find(digest);
         if (stored == nullptr) {
-            co_return;
+            co_return true;
         }
-        const bool isIntact = data && sha256Hex(*data) == stored->manifest.chunkDigests[index];
-        if (isIntact && !stored->has[index]) {
+        if (!data || sha256Hex(*data) != stored->manifest.chunkDigests[index]) {
+            continue;
+        }
+        mStageWrites.noteHeld(digest, index);
+        if (!stored->has[index]) {
             mStore->put(digest, index, std::move(*data));
             ++adopted;
         }
-        // A staging area whose first chunk is of another version holds none of this one.
-        if (!isIntact && index == 0) {
-            break;
-        }
     }
     logLine(LogLevel::Info, "stage-adopted", {{"version", id.version}, {"chunks", adopted}});
+    co_return true;
+}
+
+// Writes verified chunks to the stage, one at a time, so that a killed agent need not
+// transfer them again.
+awaitable<void> WeightStagingService::runStageWriting()
+{
+    while (!mStopped) {
+        const auto write = nextStageWrite();
+        if (!write) {
+            co_await sleepFor(sStageIdleInterval);
+            continue;
+        }
+        std::string data = mStore->find(write->digest)->chunks[write->index];
+        std::string model = engineFigures()->models.front();
+        mStageWrites.forget(write->index);
+        mIsStageWriteOpen = true;
+        const bool isWritten
+            = co_await mEngine.stagePut(std::move(model), write->index, std::move(data));
+        mIsStageWriteOpen = false;
+        if (isWritten) {
+            mStageWrites.noteHeld(write->digest, write->index);
+        } else {
+            logLine(LogLevel::Warning, "stage-write-failed", {{"index", write->index}});
+        }
+        co_await sleepFor(isWritten ? sStageWriteInterval : sRetryDelay);
+    }
+}
+
+std::optional<StageWrite> WeightStagingService::nextStageWrite()
+{
+    const EngineProfile *engine = engineFigures();
+    if (engine == nullptr || engine->models.empty() || !mReport) {
+        return std::nullopt;
+    }
+    const std::uint64_t loaded = loadedVersion(engine->models.front());
+    std::vector<StageCandidate> candidates;
+    for (const VersionFetch &entry : mFetches) {
+        const StoredVersion *stored = mStore->find(entry.id.digest);
+        if (stored != nullptr && entry.id.version > loaded) {
+            candidates.push_back({entry.id.digest, stored->has, entry.isAdopted});
+        }
+    }
+    const bool isStageInUse = mIsLoading || mReport->isBusy || mStageUse.use_count() > 1;
+    return mStageWrites.next(candidates, isStageInUse);
+}
+
+// Each write ends within the time limit of its request.
+awaitable<void> WeightStagingService::waitForStageWrite()
+{
+    while (mIsStageWriteOpen && !mStopped) {
+        co_await sleepFor(sStageWriteInterval / 2);
+    }
 }
 
 // Interval between pulls from the origin, derived from its link rate; zero if that is
@@ -535,13 +765,18 @@
     if (mReport->isBusy) {
         co_return false; // a running load still reads the staging area
     }
+    // Nothing may be written between the verification and the order, nor during the load,
+    // when mIsLoading is set.
+    const auto use = mStageUse;
+    co_await waitForStageWrite();
+    if (!mReport || mReport->isBusy) {
+        co_return false;
+    }
     // A restart of the engine may lose the staging area after it was verified here.
     const std::uint64_t life = mEngineIncarnation;
-    if (!co_await verifyStage(model, id.digest)) {
-        if (!co_await writeStage(model, id.digest) || !co_await verifyStage(model, id.digest)) {
-            co_await sleepFor(sRetryDelay);
-            co_return false;
-        }
+    if (!co_await prepareStage(model, id.digest)) {
+        co_await sleepFor(sRetryDelay);
+        co_return false;
     }
     mIsLoading = true;
     mOrderedVersion = id.version;
@@ -582,6 +817,21 @@
     co_return true;
 }
 
+// Writes the chunks that the stage lacks and reads back all of it. Chunks that turn out to be
+// corrupt are written once more.
+awaitable<bool> WeightStagingService::prepareStage(std::string model, std::string digest)
+{
+    for (int attempt = 0; attempt < sMaxPrepareAttempts; ++attempt) {
+        if (!co_await writeStage(model, digest)) {
+            co_return false;
+        }
+        if (co_await verifyStage(model, digest)) {
+            co_return true;
+        }
+    }
+    co_return false;
+}
+
 awaitable<bool> WeightStagingService::writeStage(std::string model, std::string digest)
 {
     const std::uint32_t count = mStore->find(digest)->manifest.chunkCount();
@@ -590,28 +840,37 @@
         if (stored == nullptr || !stored->has[index]) {
             co_return false;
         }
+        if (mStageWrites.holds(digest, index)) {
+            continue;
+        }
         std::string data = stored->chunks[index];
+        mStageWrites.forget(index);
         if (!co_await mEngine.stagePut(model, index, std::move(data))) {
             logLine(LogLevel::Warning, "stage-write-failed", {{"index", index}});
             co_return false;
         }
+        mStageWrites.noteHeld(digest, index);
     }
     co_return true;
 }
 
+// Reads all chunks back, so that one repair covers all that are corrupt.
 awaitable<bool> WeightStagingService::verifyStage(std::string model, std::string digest)
 {
     const std::uint32_t count = mStore->find(digest)->manifest.chunkCount();
+    std::uint32_t intactCount = 0;
     for (std::uint32_t index = 0; index < count && !mStopped; ++index) {
         const auto data = co_await mEngine.stageGet(model, index);
         const StoredVersion *stored = mStore->find(digest);
         const bool isIntact
             = stored != nullptr && data && sha256Hex(*data) == stored->manifest.chunkDigests[index];
-        if (!isIntact) {
-            co_return false;
+        if (isIntact) {
+            ++intactCount;
+        } else {
+            mStageWrites.forget(index);
         }
     }
-    co_return count > 0;
+    co_return count > 0 && intactCount == count;
 }
 
 } // namespace Loom
--- a/src/libloomjunction/gateway/weightstagingservice.h
+++ b/src/libloomjunction/gateway/weightstagingservice.h
@@ -10,17 +10,20 @@
 
 #include "chunkserver.h"
 #include "chunkstore.h"
+#include "fetchselection.h"
 #include "kernel.h"
 #include "manifestexchange.h"
 #include "memberservice.h"
 #include "membersettings.h"
 #include "ports.h"
 #include "reloadschedule.h"
+#include "stagewriteplan.h"
 #include "tokenbucket.h"
 #include "weightfetch.h"
 
 #include <memory>
 #include <optional>
+#include <set>
 #include <string>
 
 namespace Loom {
@@ -32,9 +35,10 @@
 
 /**
  * Loads the published weights into the engine of this box. The service fetches the
- * chunks from the origin and other agents, writes them to the engine's staging area
- * when it is this box's turn, reads them back, and orders the load only if every chunk
- * is intact. No other component sends orders to this engine.
+ * chunks from the origin and other agents and writes them to the engine's staging area as
+ * they arrive, so that they outlive this process. When it is this box's turn, it reads them
+ * back, and orders the load only if every chunk is intact. No other component sends orders to this
+ * engine.
  */
 class WeightStagingService final : public Service
 {
@@ -59,27 +63,42 @@
     {
         VersionId id;
         std::shared_ptr<WeightFetch> fetch;
+        /** Joined because a peer fetches it; the time of its publication is unknown here. */
+        bool isJoined = false;
+        std::uint32_t adoptionAttempts = 0;
+        bool isAdopted = false; ///< the stage was searched for its chunks
     };
 
     awaitable<void> runEnginePolling();
     awaitable<void> runRollout();
+    awaitable<void> runStageWriting();
+    std::optional<StageWrite> nextStageWrite();
     awaitable<bool> pollEngine();
     void detectEngineRestart(const std::optional<EngineReport> &report);
     bool isUpToDate() const;
     awaitable<void> advanceRollout();
     awaitable<bool> startFetch(std::string model, std::uint64_t version);
-    awaitable<std::optional<VersionId>> storeManifest(std::string model, std::uint64_t version,
-                                                      std::string text);
+    std::optional<VersionId> storeManifest(std::uint64_t version, const std::string &text);
     awaitable<void> joinOlderFetch(std::string model, std::uint64_t newest);
     void updateFetches();
     const std::string *localManifest(std::string_view model, std::uint64_t version) const;
-    awaitable<void> adoptStagedChunks(std::string model, VersionId id);
+    awaitable<void> confirmJoinedFetch(std::string model, std::uint64_t version);
+    void skipFetches(const std::string &model);
+    std::vector<SkippedVersion> skippedVersions(std::string_view model) const;
+    bool isSkipped(std::string_view model, std::uint64_t version) const;
+    Microseconds originCopyTime() const;
+    void logSkip(std::string_view model, const SkippedVersion &skip);
+    VersionFetch *findFetch(std::uint64_t version);
+    awaitable<void> adoptPendingChunks(std::string model);
+    awaitable<bool> adoptStagedChunks(std::string model, VersionId id);
+    awaitable<void> waitForStageWrite();
     awaitable<tl::expected<std::string, ChunkFailure>>
     originChunk(std::string model, std::uint64_t version, std::uint32_t index);
     Microseconds originPullInterval(const VersionId &id) const;
     std::shared_ptr<WeightFetch> launchFetch(const std::string &model, const VersionId &id);
     void checkLoadFinished(std::string_view model, std::uint64_t loaded);
     awaitable<bool> stageAndLoad(std::string model, VersionId id);
+    awaitable<bool> prepareStage(std::string model, std::string digest);
     awaitable<bool> drainEngineQueue();
     awaitable<bool> writeStage(std::string model, std::string digest);
     awaitable<bool> verifyStage(std::string model, std::string digest);
@@ -111,6 +130,11 @@
     std::optional<EngineReport> mReport;
     std::uint64_t mEngineIncarnation = 0; ///< last reported; zero before the first report
     std::vector<VersionFetch> mFetches; ///< oldest first; the last is the newest published version
+    std::set<std::uint64_t> mLoggedSkips; ///< versions whose skipping was logged
+    StageWritePlan mStageWrites;
+    /** Copied by whoever reads the stage; nothing is written in the background meanwhile. */
+    std::shared_ptr<const bool> mStageUse = std::make_shared<const bool>(true);
+    bool mIsStageWriteOpen = false; ///< a background write has not been answered
     bool mHasTriedOlderFetch = false; ///< joinOlderFetch() was called
     VersionId mCompleteVersion; ///< the newest completely fetched version
     Instant mCompleteSince; ///< when it was complete
--- a/src/libloomjunction/weights/weightfetch.cpp
+++ b/src/libloomjunction/weights/weightfetch.cpp
@@ -61,6 +61,14 @@
     mProgressSignal.notify();
 }
 
+void WeightFetch::addStored(std::uint32_t index)
+{
+    if (mPlan) {
+        mPlan->addStored(index);
+        mProgressSignal.notify();
+    }
+}
+
 awaitable<void> WeightFetch::run(std::shared_ptr<WeightFetch> self)
 {
     const Instant startedAt = now();
--- a/src/libloomjunction/weights/weightfetch.h
+++ b/src/libloomjunction/weights/weightfetch.h
@@ -61,7 +61,11 @@
     static awaitable<void> run(std::shared_ptr<WeightFetch> self);
     void cancel();
 
+    /** Chunk @p index was stored without a request of this fetch. */
+    void addStored(std::uint32_t index);
+
     const VersionTarget &target() const { return mTarget; }
+    bool isCancelled() const { return mCancelled; }
     bool isComplete() const { return mPlan && mPlan->isComplete(); }
     /** Recent transfer time of chunks from neighbours, or the age of the oldest open request. */
     double recentChunkSeconds() const;
--- a/tests/gateway/stagingfixture.h
+++ b/tests/gateway/stagingfixture.h
@@ -30,6 +30,14 @@
     std::set<std::uint64_t> requestedVersions; ///< versions of which a chunk was requested
     std::function<void(std::uint32_t index)> onStageGet;
     std::uint32_t servedChunks = 0; ///< number of chunks that the origin served
+    std::map<std::uint64_t, std::uint32_t> servedByVersion; ///< servedChunks by version
+    std::set<std::uint64_t> missingManifests; ///< versions whose manifest the origin lacks
+    bool isBusy = false; ///< a load that an earlier agent ordered is in progress
+    Milliseconds putDuration{0}; ///< time from a write to the stage until it takes effect
+    int listReads = 0; ///< number of reads of the list of staged pieces
+    int putsWhileBusy = 0;
+    int ordersOnMixedStage = 0; ///< load orders while the stage held another version's chunk
+    std::vector<std::uint64_t> loadedVersions; ///< in the order of loading
     int loadOrders = 0;
     int ordersOnIncompleteStage = 0;
     std::map<std::uint32_t, std::string> stage;
@@ -41,12 +49,18 @@
                                      sChunkBytes);
     }
 
+    static std::string chunkOf(std::uint64_t version, std::uint32_t index)
+    {
+        return weightsOf(version).substr(std::size_t{index} * sChunkBytes, sChunkBytes);
+    }
+
     awaitable<std::optional<EngineReport>> report(std::uint32_t) override
     {
         EngineReport report;
         report.loaded.push_back({"m", loaded, true});
         report.born = born;
         report.acceptedOrderCount = 0;
+        report.isBusy = isBusy;
         co_return report;
     }
 
@@ -54,16 +68,34 @@
     {
         ++loadOrders;
         ordersOnIncompleteStage += stage.size() < sChunks ? 1 : 0;
+        for (const auto &[index, data] : stage) {
+            ordersOnMixedStage += data == chunkOf(version, index) ? 0 : 1;
+        }
+        loadedVersions.push_back(version);
         loaded = version;
         co_return OrderResult::Begun;
     }
 
     awaitable<bool> stagePut(std::string, std::uint32_t index, std::string data) override
     {
+        if (putDuration.count() > 0) {
+            co_await sleepFor(putDuration);
+        }
+        putsWhileBusy += isBusy ? 1 : 0;
         stage[index] = std::move(data);
         co_return true;
     }
 
+    awaitable<std::optional<std::vector<std::uint32_t>>> stagedPieces(std::string) override
+    {
+        ++listReads;
+        std::vector<std::uint32_t> indexes;
+        for (const auto &[index, data] : stage) {
+            indexes.push_back(index);
+        }
+        co_return indexes;
+    }
+
     awaitable<std::optional<std::string>> stageGet(std::string, std::uint32_t index) override
     {
         const auto it = stage.find(index);
@@ -77,6 +109,9 @@
     awaitable<tl::expected<Manifest, std::string>> manifest(Tcp::endpoint, std::string,
                                                             std::uint64_t version) override
     {
+        if (missingManifests.contains(version)) {
+            co_return tl::unexpected(std::string("no such version"));
+        }
         co_return manifestOf(version);
     }
 
@@ -88,7 +123,8 @@
             co_return std::nullopt;
         }
         ++servedChunks;
-        co_return weightsOf(version).substr(std::size_t{index} * sChunkBytes, sChunkBytes);
+        ++servedByVersion[version];
+        co_return chunkOf(version, index);
     }
 
 private:
--- a/tests/platform/test_records.cpp
+++ b/tests/platform/test_records.cpp
@@ -318,3 +318,16 @@
         Platform::parseManifest(text, "m", 2);
     }
 }
+
+// Guards against reading an index that is out of range or of another type as another one.
+BOOST_AUTO_TEST_CASE(staged_pieces_are_listed_by_index)
+{
+    const auto held = Platform::parseStagedPieces(R"({"held":[0,3,95]})");
+    BOOST_REQUIRE(held.has_value());
+    BOOST_TEST(*held == (std::vector<std::uint32_t>{0, 3, 95}), boost::test_tools::per_element());
+    BOOST_TEST(Platform::parseStagedPieces(R"({"held":[]})")->empty());
+    for (const char *text : {"", "[]", "{}", R"({"held":3})", R"({"held":["3"]})",
+                             R"({"held":[-1]})", R"({"held":[4294967296]})", R"({"held":[1.5]})"}) {
+        BOOST_TEST(!Platform::parseStagedPieces(text).has_value());
+    }
+}
--- a/tests/soak/replicas.py
+++ b/tests/soak/replicas.py
@@ -159,6 +159,8 @@
         return web.Response(status=200)
 
     async def _stage_get(self, request):
+        if "n" not in request.query:
+            return web.json_response({"held": sorted(self.stage)})
         data = self.stage.get(int(request.query.get("n", -1)))
         return web.Response(status=404) if data is None else web.Response(body=data)
 
