--- a/tests/gateway/test_stage.cpp
+++ b/tests/gateway/test_stage.cpp
@@ -333,13 +333,12 @@
     asio::io_context context{1};
     MemoryStore store(context.get_executor());
     store.write(Feed::Operators, "config", sSlowOriginConfig);
-    store.write(Feed::Operators, "version/m", versionRecord(1));
+    store.write(Feed::Operators, "version/m", versionRecord(2));
     StagingFixture fixture(context, store, "box-1");
-    fixture.engine.putDuration = Milliseconds(100);
+    fixture.engine.putDuration = Milliseconds(400);
+    fixture.engine.loaded = 0; // an empty engine loads at once, without waiting for its turn
     fixture.start();
     runTest(context, [&]() -> awaitable<void> {
-        co_await waitFor([&] { return fixture.engine.requestedVersions.contains(1); });
-        store.write(Feed::Operators, "version/m", versionRecord(2));
         co_await waitFor(
             [&] { return fixture.engine.servedByVersion[2] >= FakeEngine::sChunks / 3; });
         fixture.engine.unavailableVersions = {2};
@@ -350,6 +349,8 @@
                 return piece.second == FakeEngine::chunkOf(3, piece.first);
             });
         });
+        fixture.engine.unavailableVersions = {3};
+        co_await waitFor([&] { return fixture.engine.loaded == 2; });
         fixture.engine.unavailableVersions.clear();
         co_await waitFor([&] { return fixture.engine.loaded == 3; });
         BOOST_TEST(fixture.engine.ordersOnMixedStage == 0);
