--- a/tests/platform/test_records.cpp
+++ b/tests/platform/test_records.cpp
@@ -438,5 +438,15 @@
         const auto record = read(R"(,"cold_left_ms":)" + std::string(value));
         BOOST_TEST_REQUIRE(!record.has_value(), value);
         BOOST_TEST(record.error().starts_with("cold_left_ms"), value);
+// Guards against reading an index that is out of range or of another type as another one.
+BOOST_AUTO_TEST_CASE(staged_pieces_are_listed_by_index)
+{
+    const auto held = Platform::parseStagedPieces(R"({"held":[0,3,95]})");
+    BOOST_REQUIRE(held.has_value());
+    BOOST_TEST(*held == (std::vector<std::uint32_t>{0, 3, 95}), boost::test_tools::per_element());
+    BOOST_TEST(Platform::parseStagedPieces(R"({"held":[]})")->empty());
+    for (const char *text : {"", "[]", "{}", R"({"held":3})", R"({"held":["3"]})",
+                             R"({"held":[-1]})", R"({"held":[4294967296]})", R"({"held":[1.5]})"}) {
+        BOOST_TEST(!Platform::parseStagedPieces(text).has_value());
     }
 }
