Weight staging: reload turns end before the loaded version expires

Cause: turns counted from the publication of the version to load. If that is the second of two, the loaded version expires earlier: at 45 members and 4 s between two publications, 25 turns came up to 2.6 s after it (computed).

Change: turns count from the first publication after the loaded version, with which its grace period begins.

--- a/src/libloomjunction/core/weightversiontracker.cpp
+++ b/src/libloomjunction/core/weightversiontracker.cpp
@@ -62,8 +62,8 @@
     return oldest;
 }
 
-std::optional<Instant> WeightVersionTracker::cutoffAt(std::string_view model,
-                                                      std::uint64_t version) const
+std::optional<Instant> WeightVersionTracker::supersededAt(std::string_view model,
+                                                          std::uint64_t version) const
 {
     const auto it = mVersionsByModel.find(model);
     if (it == mVersionsByModel.end()) {
@@ -72,12 +72,19 @@
     std::optional<Instant> earliest;
     for (auto published = it->second.upper_bound(version); published != it->second.end();
          ++published) {
-        const Instant over = published->second.learnedAt + mGracePeriod;
-        earliest = std::min(earliest.value_or(over), over);
+        const Instant learnedAt = published->second.learnedAt;
+        earliest = std::min(earliest.value_or(learnedAt), learnedAt);
     }
     return earliest;
 }
 
+std::optional<Instant> WeightVersionTracker::cutoffAt(std::string_view model,
+                                                      std::uint64_t version) const
+{
+    const auto superseded = supersededAt(model, version);
+    return superseded ? std::optional(*superseded + mGracePeriod) : std::nullopt;
+}
+
 bool WeightVersionTracker::isCutoffNear(std::string_view model, std::uint64_t version,
                                         Instant now) const
 {
--- a/src/libloomjunction/core/weightversiontracker.h
+++ b/src/libloomjunction/core/weightversiontracker.h
@@ -57,6 +57,8 @@
     std::uint64_t oldestAllowed(std::string_view model, Instant now) const;
     /** When @p version may no longer start requests; empty if it is the newest version. */
     std::optional<Instant> cutoffAt(std::string_view model, std::uint64_t version) const;
+    /** When the first version newer than @p version was learned of; empty if it is the newest. */
+    std::optional<Instant> supersededAt(std::string_view model, std::uint64_t version) const;
     /**
      * When a request sent to @p version must be cancelled unless it has started;
      * empty if @p version is the newest.
--- a/src/libloomjunction/gateway/weightstagingservice.cpp
+++ b/src/libloomjunction/gateway/weightstagingservice.cpp
@@ -336,10 +336,13 @@
     for (const Member &member : mMembers->stagersForService(mStagerSettings.service)) {
         boxes.push_back(member.box);
     }
+    // The loaded version expires a grace period after the first newer one was published. If that is
+    // not the one to load now, turns that count from the latter come too late.
     const ReloadSchedule turn(mSettings.bounds.weightsGracePeriod);
-    const Instant learnedAt = mConfig->weights().learnedAt(model, version);
-    return now()
-        >= turn.at(versionKey(model, version), mSettings.box, boxes, learnedAt, mCompleteSince);
+    const auto announcedAt = mConfig->weights().supersededAt(model, loadedVersion(model));
+    return !announcedAt
+        || now()
+        >= turn.at(versionKey(model, version), mSettings.box, boxes, *announcedAt, mCompleteSince);
 }
 
 void WeightStagingService::updateFetches()
--- a/tests/direct/test_weightversiontracker.cpp
+++ b/tests/direct/test_weightversiontracker.cpp
@@ -110,3 +110,28 @@
     // Weights that are complete after the last turn are loaded at once.
     BOOST_TEST((turn.at("m@2", "box-3", boxes, at(0), at(7'000)) <= at(7'000)));
 }
+
+// Guards against turns that come after the loaded version has expired. Two versions were published
+// 4 s apart, and only the second one was fetched; 25 of 45 turns came up to 2.6 s too late, since
+// they counted from the second publication.
+BOOST_AUTO_TEST_CASE(reload_turns_of_the_second_of_two_versions_come_before_the_loaded_one_expires)
+{
+    constexpr Milliseconds grace(13'400);
+    WeightVersionTracker tracker(grace);
+    tracker.name("m", 1, at(0));
+    tracker.name("m", 2, at(18'000));
+    tracker.name("m", 3, at(22'000));
+    std::vector<std::string> boxes;
+    for (int number = 0; number < 45; ++number) {
+        boxes.push_back("box-" + std::to_string(number));
+    }
+    const auto announcedAt = tracker.supersededAt("m", 1);
+    BOOST_REQUIRE(announcedAt.has_value());
+    const ReloadSchedule turn(grace);
+    for (const std::string &box : boxes) {
+        const Instant reloadAt = turn.at("m@3", box, boxes, *announcedAt, at(28'000));
+        BOOST_TEST((reloadAt >= at(28'000)));
+        BOOST_TEST((tracker.oldestAllowed("m", reloadAt) == 1));
+    }
+    BOOST_TEST(!tracker.supersededAt("m", 3).has_value());
+}
--- a/tests/platform/test_records.cpp
+++ b/tests/platform/test_records.cpp
@@ -438,6 +438,9 @@
         const auto record = read(R"(,"cold_left_ms":)" + std::string(value));
         BOOST_TEST_REQUIRE(!record.has_value(), value);
         BOOST_TEST(record.error().starts_with("cold_left_ms"), value);
+    }
+}
+
 // Guards against reading an index that is out of range or of another type as another one.
 BOOST_AUTO_TEST_CASE(staged_pieces_are_listed_by_index)
 {
