Soak: cold replicas, and a rate that all gateways keep together

Both services get cold_per_s 6. A replica is cold for 3 s when it starts again, when an evacuation of its data centre ends, and at random; its record and its answers carry the time left, the record at each heartbeat. FAILBACK judges the arrivals in any second at any time, calm or not, against 1.5 x the rate + 5, and leaves out seconds in which the soak's own process stood still.

--- a/tests/soak/placement.py
+++ b/tests/soak/placement.py
@@ -9,7 +9,8 @@
 EVACUATION_BOUND = 2.5  # seconds from the accepted write until it is in force everywhere
 LONGEST_EVACUATION = 8.0  # seconds
 CALM_EVACUATION = 6.0  # seconds
-CHOICES = ([], [], ["north"], ["south"], ["north", "south"])
+ONE_REGION = (["north"], ["south"])
+CHOICES = ([], [], *ONE_REGION, ["north", "south"])
 
 
 class Placement:
@@ -20,6 +21,7 @@
         self.rng = rng
         self.say = say
         self.is_stopped = False
+        self.on_restored = None  # called with the data centre; set by the soak
         self.evacuations = []  # (zone, time of acceptance, time of removal or None)
 
     def _evacuate(self, zone):
@@ -32,6 +34,7 @@
         # What begins while the removal is written may belong to either side.
         self.evacuations[-1] = (zone, at, time.monotonic())
         self.world.store.write(OPERATORS, f"evacuate/{zone}", None)
+        self.on_restored(zone)
         self.say(f"evacuation of {zone} ends")
 
     async def _play(self, zones, seconds):
@@ -50,7 +53,7 @@
     async def play_calm(self, zones):
         """Under load and without faults, a new configuration and an evacuation that stands."""
         self.is_stopped = False
-        self.world.configure()
+        self.world.configure(binds=True)
         await self._play(zones, CALM_EVACUATION)
 
     def is_unservable(self, kind, account):
--- a/tests/soak/replicas.py
+++ b/tests/soak/replicas.py
@@ -11,6 +11,7 @@
 
 from aiohttp import web
 
+from cold import COLD, HEARTBEAT
 from notices import TURNED_AWAY
 
 CHUNKS = 6
@@ -71,6 +72,8 @@
         self.fails = 0.0  # share of requests that get a failure of its own
         self.breaks = 0.0  # share of answers that are cut
         self.loses = 0.0  # share of answers that run and are never given
+        self.cold_until = 0.0
+        self.cold_spans = []  # (time of the record, end, whether it is its first record)
         self.limit = None  # requests a second that its answers name
         self.named = []  # (time, limit), in order
         self.arrivals = []  # times
@@ -92,11 +95,30 @@
     def record(self):
         entry = {"service": self.service, "address": f"{self.address[0]}:{self.address[1]}",
                  "zone": self.zone, "version": "v1", "slots": self.slots, "sequence": 1,
-                 "state": "draining" if self.draining_since else "ready", "cold_left_ms": 0}
+                 "state": "draining" if self.draining_since else "ready",
+                 "cold_left_ms": self._cold_left_ms()}
         if self.is_engine:
             entry.update(self._weights_told())
         self.store.write(SERVERS, self.id, json.dumps(entry).encode())
 
+    def _cold_left_ms(self):
+        return max(0, round((self.cold_until - time.monotonic()) * 1000))
+
+    def turn_cold(self, is_first=False):
+        """Its record says so from now on, with the time that is left at each heartbeat."""
+        if self._cold_left_ms():
+            return
+        self.cold_until = time.monotonic() + COLD
+        self.record()
+        self.cold_spans.append((time.monotonic(), self.cold_until, is_first))
+        asyncio.ensure_future(self._keep_cold(self.life))
+
+    async def _keep_cold(self, life):
+        while self._cold_left_ms() and life == self.life:
+            await asyncio.sleep(HEARTBEAT)
+            if self.is_up and life == self.life:
+                self.record()
+
     def remove_record(self):
         self.store.write(SERVERS, self.id, None)
 
@@ -120,7 +142,15 @@
         self.is_busy = False
         self.orders = 0
         self.weights = 0
-        self.record()
+        self._end_cold_span()
+        self.cold_until = 0.0
+        self.turn_cold(is_first=True)
+
+    def _end_cold_span(self):
+        """What its next life gets is judged by that one's own cold time."""
+        if self.cold_spans and self.cold_spans[-1][1] > time.monotonic():
+            written_at, _, is_first = self.cold_spans[-1]
+            self.cold_spans[-1] = (written_at, time.monotonic(), is_first)
 
     def name_limit(self, limit):
         if limit != self.limit:
@@ -214,6 +244,8 @@
             return web.Response(status=500)
         self.arrivals.append(time.monotonic())
         common = {"Loomjunction-Request-Id": name, "Loomjunction-Instance-Id": self.id}
+        if self._cold_left_ms():
+            common["Loomjunction-Cold-Ms"] = str(self._cold_left_ms())
         if self.limit is not None:
             common["Server-Limit"] = str(self.limit)
         if self.is_leaving():
--- a/tests/soak/soak.py
+++ b/tests/soak/soak.py
@@ -17,6 +17,7 @@
 import time
 
 from callers import PROMISES_NOT_RUN, Caller, CrashingCaller
+from cold import COLD, Cold, over_cold_rate
 from faults import Faults
 from limits import Limits, over_limits
 from notices import Notices, unheeded
@@ -120,6 +121,9 @@
         self.notices = Notices(self.world, random.Random(seed + 4), self.say)
         self.notices_judged = 0
         self.placement = Placement(self.world, random.Random(seed + 7), self.say)
+        self.cold = Cold(self.world, random.Random(seed + 9), self.say)
+        self.placement.on_restored = self.cold.note_restored
+        self.cold_judged = 0
         self.regions_judged = 0
         self.evacuations_judged = 0
         self.stalls = []  # when this process stood still
@@ -223,6 +227,7 @@
         limiting = asyncio.ensure_future(self.limits.run())
         noticing = asyncio.ensure_future(self.notices.run())
         returning = asyncio.ensure_future(self.returns.run())
+        chilling = asyncio.ensure_future(self.cold.run())
         evacuating = asyncio.ensure_future(self.placement.run(ZONES))
         probing = asyncio.ensure_future(self.probe.run())
         await asyncio.sleep(self.options.seconds)
@@ -231,7 +236,9 @@
         self.limits.is_stopped = True
         self.notices.is_stopped = True
         self.placement.is_stopped = True
-        await asyncio.gather(faulting, limiting, noticing, returning, evacuating)
+        self.cold.is_stopped = True
+        await asyncio.gather(faulting, limiting, noticing, returning, evacuating,
+                             chilling)
         self.say("faults are over")
         if not await self.wait_served(RECOVERY + BOUNDS["stopSeconds"], 0.9):
             self.broken.append("RECOVER: too little is served after the faults")
@@ -239,6 +246,7 @@
         if not self.options.planned:
             await self.limits.play_calm(LIMITS_ALONE)
         await self.placement.play_calm(ZONES)
+        await asyncio.sleep(COLD)  # the replicas of that data centre are cold now
         for caller in [*callers, self.probe]:
             caller.is_stopped = True
         await asyncio.gather(*calling, probing)
@@ -265,7 +273,8 @@
             self.world, self.asked, runs, ZONES, CONFIG_APPLY + SLACK, was_stable)
         evacuated, self.evacuations_judged = in_evacuated(
             self.placement.evacuations, runs, ZONES, SLACK, was_stable)
-        self.broken += outside + evacuated
+        over_rate, self.cold_judged = over_cold_rate(self.world.replicas, self.stalls)
+        self.broken += outside + evacuated + over_rate
         unheeded_notices, self.notices_judged = unheeded(self.world, self.asked, self.stalls)
         self.broken += unheeded_notices
         for one in [*self.world.processes, *self.world.replicas]:
@@ -286,7 +295,8 @@
           f"{sum(run.request.startswith(CrashingCaller.NAMES) for run in soak.world.runs)} of them "
           f"ended what ran them; {soak.limits_judged} judged by limits, "
           f"{soak.notices_judged} by notices, {soak.regions_judged} by regions, "
-          f"{soak.evacuations_judged} by evacuations; "
+          f"{soak.evacuations_judged} by evacuations, "
+          f"{soak.cold_judged} by cold rates; "
           f"logs in {soak.folder}", flush=True)
     for text in soak.broken[:options.show]:
         print("    " + text, flush=True)
--- a/tests/soak/world.py
+++ b/tests/soak/world.py
@@ -9,7 +9,8 @@
 import subprocess
 import time
 
-from placement import CHOICES
+from cold import RATE
+from placement import CHOICES, ONE_REGION
 from proxy import Proxy
 from replicas import MODEL, Origin, Replica
 from store import Store
@@ -192,12 +193,14 @@
     def gateways(self):
         return [one for one in self.processes if one.settings["role"] == "gateway"]
 
-    def configure(self):
-        """A new version; each has one route that no other has, to tell them apart."""
+    def configure(self, binds=False):
+        """A new version; each has one route that no other has, to tell them apart. If `binds`, the
+        route "safe" is bound to one region."""
         version = (self.configs[-1][0] if self.configs else 0) + self.rng.randint(1, 3)
         common = {"host": "soak.example", "max_attempts": 2, "goal_ms": 400, "priority": 1}
         plain = {**common, "service": "plain-svc", "timeout_ms": 1500}
-        safe_regions, account_regions = (self.region_rng.choice(CHOICES) for _ in range(2))
+        safe_regions = self.region_rng.choice(ONE_REGION if binds else CHOICES)
+        account_regions = self.region_rng.choice(CHOICES)
         config = {
             "version": version,
             "routes": [
@@ -209,11 +212,11 @@
                  "allowed_regions": safe_regions},
                 {**plain, "name": "mark", "path_prefix": f"/mark-{version}/", "kind": "safe"}],
             "services": [
-                {"name": "engine-svc", "max_conns": 200, "engine": {
+                {"name": "engine-svc", "max_conns": 200, "cold_per_s": RATE, "engine": {
                     "slots": 8, "step_ms": 5, "per_seq_ms": 0.1, "context_per_k": 0.01,
                     "read_per_s": 100000, "stride": 2, "kv_capacity": 100000, "layers": 1,
                     "usual": {"prompt": 100, "answer": 30}, "models": [{"name": MODEL}]}},
-                {"name": "plain-svc", "max_conns": 200},
+                {"name": "plain-svc", "max_conns": 200, "cold_per_s": RATE},
                 {"name": "origin-svc", "origin": self.origin_address, "link_mbps": 50}],
             "tenants": [{"name": name, "api_keys": [key],
                          "allowed_regions": account_regions if name == "acc-b" else []}
