--- a/tests/soak/world.py
+++ b/tests/soak/world.py
@@ -9,6 +9,8 @@
 import subprocess
 import time
 
+from cold import RATE
+from placement import CHOICES, ONE_REGION
 from proxy import Proxy
 from replicas import MODEL, Origin, Replica
 from store import Store
@@ -92,7 +94,7 @@
 class World:
     """Everything of one soak. `base` is the first of the ports that it uses."""
 
-    def __init__(self, program, folder, rng, base, gateways, engines):
+    def __init__(self, program, folder, rng, region_rng, base, gateways, engines):
         self.program = program
         self.folder = folder
         self.rng = rng
@@ -109,6 +111,8 @@
         self.engine_count = engines
         self.runners = []
         self.configs = []  # (version, time of acceptance)
+        self.region_rng = region_rng
+        self.regions = []  # (time of acceptance, allowed regions by (kind, account))
         self.named = []  # (weights' version, time of acceptance)
         self.accounts = {"acc-a": "key-a", "acc-b": "key-b"}
 
@@ -158,7 +162,8 @@
     async def _add_gateway(self, index, peers, store_port):
         box = f"gateway-{index}"
         settings = {"role": "gateway", "box": box, "dataCentre": ZONES[index % 2],
-                    "region": ZONES[index % 2], "peers": peers[index], "seeds": peers[:3],
+                    "region": ZONES[index % 2], "regions": {zone: zone for zone in ZONES},
+                    "peers": peers[index], "seeds": peers[:3],
                     "store": await self._store_proxy(box, store_port), "bounds": BOUNDS,
                     "gateway": {"callers": f"{HOST}:{self.port()}",
                                 "readiness": f"{HOST}:{self.port()}",
@@ -188,11 +193,14 @@
     def gateways(self):
         return [one for one in self.processes if one.settings["role"] == "gateway"]
 
-    def configure(self):
-        """A new version; each has one route that no other has, to tell them apart."""
+    def configure(self, binds=False):
+        """A new version; each has one route that no other has, to tell them apart. If `binds`, the
+        route "safe" is bound to one region."""
         version = (self.configs[-1][0] if self.configs else 0) + self.rng.randint(1, 3)
         common = {"host": "soak.example", "max_attempts": 2, "goal_ms": 400, "priority": 1}
         plain = {**common, "service": "plain-svc", "timeout_ms": 1500}
+        safe_regions = self.region_rng.choice(ONE_REGION if binds else CHOICES)
+        account_regions = self.region_rng.choice(CHOICES)
         config = {
             "version": version,
             "routes": [
@@ -200,20 +208,36 @@
                  "timeout_ms": 6000, "service": "engine-svc", "resumable": True, "sticky": True,
                  "gap_aim_ms": 300},
                 {**plain, "name": "once", "path_prefix": "/once/", "kind": "unsafe"},
-                {**plain, "name": "safe", "path_prefix": "/safe/", "kind": "safe"},
+                {**plain, "name": "safe", "path_prefix": "/safe/", "kind": "safe",
+                 "allowed_regions": safe_regions},
                 {**plain, "name": "mark", "path_prefix": f"/mark-{version}/", "kind": "safe"}],
             "services": [
-                {"name": "engine-svc", "max_conns": 200, "engine": {
+                {"name": "engine-svc", "max_conns": 200, "cold_per_s": RATE, "engine": {
                     "slots": 8, "step_ms": 5, "per_seq_ms": 0.1, "context_per_k": 0.01,
                     "read_per_s": 100000, "stride": 2, "kv_capacity": 100000, "layers": 1,
                     "usual": {"prompt": 100, "answer": 30}, "models": [{"name": MODEL}]}},
-                {"name": "plain-svc", "max_conns": 200},
+                {"name": "plain-svc", "max_conns": 200, "cold_per_s": RATE},
                 {"name": "origin-svc", "origin": self.origin_address, "link_mbps": 50}],
-            "tenants": [{"name": name, "api_keys": [key]} for name, key in self.accounts.items()],
+            "tenants": [{"name": name, "api_keys": [key],
+                         "allowed_regions": account_regions if name == "acc-b" else []}
+                        for name, key in self.accounts.items()],
             "limits": {"max_header_bytes": 16384, "max_body_bytes": 1 << 20,
                        "header_timeout_ms": 3000, "idle_timeout_ms": 10000}}
         at = self.store.write(OPERATORS, CONFIG_KEY, json.dumps(config).encode())
         self.configs.append((version, at))
+        self.regions.append((at, self._binding(safe_regions, account_regions)))
+
+    def _binding(self, safe_regions, account_regions):
+        """The regions that may serve each (kind, account) that a list binds."""
+        found = {}
+        for kind in ("stream", "once", "safe"):
+            for account in self.accounts:
+                lists = [safe_regions if kind == "safe" else [],
+                         account_regions if account == "acc-b" else []]
+                lists = [one for one in lists if one]
+                if lists:
+                    found[(kind, account)] = set.intersection(*map(set, lists))
+        return found
 
     def name_weights(self):
         version = (self.named[-1][0] if self.named else 1) + 1
