--- a/tests/gateway/test_demandexchange.cpp
+++ b/tests/gateway/test_demandexchange.cpp
@@ -75,7 +75,7 @@
             BOOST_REQUIRE(std::chrono::steady_clock::now() < until);
             for (const std::size_t index : {0U, 1U}) {
                 gateway(index).replicas().noteRequest(std::string(sService), Milliseconds(400),
-                                                          std::nullopt);
+                                                      std::nullopt);
             }
             co_await sleepFor(sCallInterval);
         }
