Priorities: callers return early only if enough others yield to them

Cause: with accounts alone, a service's calls have two standings as soon as one account is over its share. All others counted as most urgent and were told to return within their goal or in the first half, before the overload had ended.

Change: early returns need a quarter of the calls to be less urgent.

Measured: the new test fails with the earlier rule; test_direct passes.

--- a/src/libloomjunction/core/callpriorities.cpp
+++ b/src/libloomjunction/core/callpriorities.cpp
@@ -10,6 +10,14 @@
 
 namespace Loom {
 
+namespace {
+
+// If fewer calls yield to them, callers who return early mostly compete with calls of their own
+// standing and are refused again, since the overload has not ended by then.
+constexpr double sMinYieldingFraction = 0.25;
+
+} // namespace
+
 RequestStanding CallPriorities::noteCall(std::string_view service, const CallOrigin &origin,
                                          Instant now)
 {
@@ -48,7 +56,8 @@
         return precedence;
     }
     const UrgencyDemand::Split split = demand.split(query.standing);
-    precedence.returnsEarly = split.isMostUrgent && !split.isUniform;
+    precedence.returnsEarly
+        = split.isMostUrgent && split.lessUrgentFraction >= sMinYieldingFraction;
     if (!UrgencyDemand::isExempt(query.repeatSeed, precedence.urgencyLevel)) {
         precedence.moreUrgentFraction = split.moreUrgentFraction;
         precedence.competingFraction = split.competingFraction;
--- a/src/libloomjunction/core/urgencydemand.cpp
+++ b/src/libloomjunction/core/urgencydemand.cpp
@@ -80,6 +80,7 @@
     split.isMostUrgent = moreUrgent <= 0;
     split.moreUrgentFraction = moreUrgent / mCount;
     const double lessUrgent = std::max(0.0, mCount - moreUrgent - asUrgent);
+    split.lessUrgentFraction = lessUrgent / mCount;
     split.competingFraction = (moreUrgent + asUrgent + sExemptFraction * lessUrgent) / mCount;
     return split;
 }
--- a/src/libloomjunction/core/urgencydemand.h
+++ b/src/libloomjunction/core/urgencydemand.h
@@ -29,6 +29,7 @@
             as urgent or more, and the exempt ones among the others. */
         double competingFraction = 1;
         bool isMostUrgent = true; ///< no recent call is more urgent
+        double lessUrgentFraction = 0; ///< calls that are less urgent, as a fraction of all
         bool isUniform = true; ///< all recent calls have the same standing
     };
 
--- a/tests/direct/test_callpriorities.cpp
+++ b/tests/direct/test_callpriorities.cpp
@@ -66,6 +66,30 @@
     BOOST_TEST(!priorities.precedence(urgent, false).returnsEarly);
 }
 
+// Guards against callers of a single rank that all return before the overload has ended, only
+// because a heavy account is over its share. Most of them were refused again.
+BOOST_AUTO_TEST_CASE(callers_of_one_rank_do_not_return_early_beside_a_heavy_account)
+{
+    CallPriorities priorities;
+    bool hasOverShare = false;
+    const EngineProfile engine;
+    ReplicaQuery admitted = query(engine, sUrgent);
+    for (int call = 0; call < 400; ++call) {
+        const bool isHeavy = call % 4 == 0;
+        const std::string account
+            = isHeavy ? "heavy" : "light-" + std::to_string(call % 40); // thirty of them
+        const auto standing = priorities.noteCall(
+            "scorer", {sUrgent, account, 1, static_cast<std::uint64_t>(call)}, at(call * 10));
+        hasOverShare = hasOverShare || standing.isOverShare;
+        if (call % 5 != 0) {
+            admitted.account = account;
+            priorities.noteAdmitted(admitted, at(call * 10));
+        }
+    }
+    BOOST_REQUIRE(hasOverShare);
+    BOOST_TEST(!priorities.precedence(query(engine, sUrgent), true).returnsEarly);
+}
+
 // Guards against cut streams: their callers can't get the remaining events otherwise.
 BOOST_AUTO_TEST_CASE(resumed_streams_and_exempt_calls_leave_nothing)
 {
