Calls log the shared parts of their prompt, and answers that end with their connection

After an incident with engines that ended one after the other, the cut calls could be intersected by account and route, but not by the parts of their prompts, and an answer with neither length nor chunks could not be told from any other. `call` lines have `promptParts` and `unframed`. No decision changes. test_platform passes, with a new case for the list.

--- a/src/libloomjunction/gateway/gatewaycall.cpp
+++ b/src/libloomjunction/gateway/gatewaycall.cpp
@@ -19,6 +19,7 @@
 #include <cmath>
 #include <exception>
 #include <random>
+#include <span>
 #include <utility>
 
 #include <boost/asio/co_spawn.hpp>
@@ -75,6 +76,15 @@
     return HttpResponse::json(status, R"({"error":")" + std::string(reason) + R"("})");
 }
 
+std::string joinedParts(std::span<const std::string> parts)
+{
+    std::string all;
+    for (const std::string &part : parts) {
+        all += (all.empty() ? "" : " ") + part;
+    }
+    return all;
+}
+
 bool hasFailed(const AttemptOutcome &result)
 {
     return std::holds_alternative<AttemptNotExecuted>(result)
@@ -849,6 +859,8 @@
              {"queuedMs", mQueuedFor.count()},
              {"replica", mLastChosen.id},
              {"request", mDigest.text()},
+             {"promptParts", joinedParts(mCall.caller.sharedParts)},
+             {"unframed", mAttempt && mAttempt->isUnframed()},
              {"promptTokens", mCall.caller.promptTokens},
              {"waitingTokens", mLastChosen.waitingTokens},
              {"load", mLastChosen.load},
--- a/src/libloomjunction/gateway/ports.h
+++ b/src/libloomjunction/gateway/ports.h
@@ -132,6 +132,8 @@
     std::string model;
     std::uint32_t promptTokens = 0;
     std::uint32_t outputTokens = 0;
+    /** Ids of the parts of the prompt that other requests may share, in order of the prompt. */
+    std::vector<std::string> sharedParts;
 };
 
 /** Order of requests in the queue of a replica, most urgent first. */
--- a/src/libloomjunction/gateway/replicaattempt.cpp
+++ b/src/libloomjunction/gateway/replicaattempt.cpp
@@ -213,6 +213,7 @@
         co_return tl::unexpected(AttemptUnknown{"answer to another request", std::nullopt});
     }
     const bool isSuccess = head.status / 100 == 2;
+    mIsUnframed = !mLink->isFramed();
     noteRate(fields.rate, isSuccess && fields.isSigned);
     mIsStream = isSuccess && fields.isStream;
     if (!mIsStream) {
--- a/src/libloomjunction/gateway/replicaattempt.h
+++ b/src/libloomjunction/gateway/replicaattempt.h
@@ -87,6 +87,8 @@
     awaitable<tl::expected<LinkHead, AttemptOutcome>> sendRequest();
     /** Whether the response is an event stream. */
     bool isStream() const { return mIsStream; }
+    /** Whether the end of the response shows only by the end of the connection. */
+    bool isUnframed() const { return mIsUnframed; }
     /** Reads the complete body of a response that is not an event stream. */
     awaitable<tl::expected<std::string, AttemptOutcome>> readWhole();
     /** Reads the next events of a stream. */
@@ -146,6 +148,7 @@
     bool mWasConnected = false;
     bool mWasRequestSent = false;
     bool mIsStream = false;
+    bool mIsUnframed = false;
     bool mIsFinished = false;
 };
 
--- a/src/libloomjunction/net/httplink.cpp
+++ b/src/libloomjunction/net/httplink.cpp
@@ -183,6 +183,8 @@
         mStream.close();
     }
 
+    bool isFramed() const { return mFramed; }
+
     bool isReusable() const
     {
         return !mCancelled && !mWriteFailed && !mWriting && mParser && mParser->is_done() && mFramed
@@ -320,6 +322,11 @@
     mImpl->cancel();
 }
 
+bool HttpLink::isFramed() const
+{
+    return mImpl->isFramed();
+}
+
 bool HttpLink::isReusable() const
 {
     return mImpl->isReusable();
--- a/src/libloomjunction/net/httplink.h
+++ b/src/libloomjunction/net/httplink.h
@@ -79,6 +79,8 @@
      */
     void cancel();
 
+    /** The answer's head states where its body ends; otherwise it ends with the connection. */
+    bool isFramed() const;
     /** The answer is whole, was framed, and another request may follow. */
     bool isReusable() const;
     /** Nothing came in and the other side has not closed, as far as can be seen. */
--- a/tests/platform/test_calls.cpp
+++ b/tests/platform/test_calls.cpp
@@ -36,6 +36,36 @@
 
 } // namespace
 
+BOOST_AUTO_TEST_CASE(parts_of_a_prompt_that_others_may_share_are_read)
+{
+    const Platform::HttpCallAdapter calls;
+    const auto parts = [&](std::vector<HttpHeader> headers) {
+        std::string all;
+        for (const std::string &part :
+             calls.callerFields(request(std::move(headers))).sharedParts) {
+            all += "[" + part + "]";
+        }
+        return all;
+    };
+    const std::string name = "Loomjunction-Prompt-Prefix";
+    BOOST_TEST(parts({{name, "5c1e07a2:800,91bd3f06:410,e4402b7d:250"}}) == "[5c1e07a2][91bd3f06]");
+    BOOST_TEST(parts({{"loomjunction-prompt-prefix", " 5C1E:8 ,\t91bd:4 , e4:2"}})
+               == "[5c1e][91bd]");
+    BOOST_TEST(parts({{name, "a1:8,b2:4"}, {name, "c3:2"}}) == "[a1][b2]");
+    BOOST_TEST(parts({{name, "e4402b7d:250"}}).empty());
+    BOOST_TEST(parts({}).empty());
+    for (const char *invalid :
+         {"", "a1:8,b2,c3:2", "a1:8,,c3:2", "xyz:8,c3:2", "a1:-8,c3:2", "a1:8;b2:4", ":8,c3:2"}) {
+        BOOST_TEST(parts({{name, invalid}}).empty(), invalid);
+    }
+    std::string many = "a1:1";
+    for (int i = 0; i < 1'000; ++i) {
+        many += ",a1:1";
+    }
+    BOOST_TEST(parts({{name, many}}).empty());
+    BOOST_TEST(parts({{name, std::string(65, 'a') + ":8,c3:2"}}).empty());
+}
+
 BOOST_AUTO_TEST_CASE(headers_reserved_for_the_system_are_removed_from_requests)
 {
     const Platform::HttpCallAdapter calls;
