--- a/tests/crashes/crashfleet.cpp
+++ b/tests/crashes/crashfleet.cpp
@@ -8,6 +8,8 @@
 
 #include "crashfleet.h"
 
+#include "streamtext.h"
+
 #include <algorithm>
 
 #include <boost/asio/read.hpp>
@@ -22,7 +24,9 @@
 
 constexpr std::string_view sConfig = R"({"version":1,"routes":[
     {"name":"safe","host":"h","path_prefix":"/safe/","kind":"safe","timeout_ms":8000,
-     "goal_ms":500,"service":"plain","max_attempts":2}],
+     "goal_ms":500,"service":"plain","max_attempts":2},
+    {"name":"stream","host":"h","path_prefix":"/stream/","kind":"stream","timeout_ms":8000,
+     "goal_ms":500,"gap_aim_ms":500,"service":"plain","max_attempts":2}],
     "services":[{"name":"plain","max_conns":100}],
     "tenants":[{"name":"t1","api_keys":["k"]}]})";
 
@@ -32,6 +36,15 @@
         + "\r\nLoomjunction-Response-Signature: s\r\nContent-Length: 5\r\n\r\nwhole";
 }
 
+/** Beginning of an answer to @p head that ends with its connection. */
+std::string beginOfUnframedAnswer(const std::string &head)
+{
+    const bool isStream = head.find(" /stream/") != std::string::npos;
+    return "HTTP/1.1 200 X\r\nLoomjunction-Request-Id: " + requestIdOf(head)
+        + "\r\nLoomjunction-Response-Signature: s\r\nConnection: close\r\n"
+        + (isStream ? "Content-Type: text/event-stream\r\n\r\n" + event(1) : "\r\nwho");
+}
+
 std::size_t lengthIn(const std::string &head)
 {
     constexpr std::string_view name = "Content-Length: ";
@@ -87,6 +100,15 @@
             end();
             co_return;
         }
+        if (head.find(std::string(sCrashingPart) + ":") != std::string::npos) {
+            ++mCrashingPartCount;
+            if (mCrashMoment == CrashMoment::DuringUnframedBody) {
+                const std::string begin = beginOfUnframedAnswer(head);
+                co_await asio::async_write(*socket, asio::buffer(begin), sAsValue);
+            }
+            end();
+            co_return;
+        }
         const bool isFirst = std::ranges::count(mBodies, sResetting) == 1;
         if (mBodies.back() == sResetting && isFirst) {
             break;
@@ -162,21 +184,35 @@
     }
 }
 
-awaitable<HttpResponse> CrashFleet::call(std::size_t index, std::string body)
+awaitable<HttpResponse> CrashFleet::call(std::size_t index, std::string body,
+                                         std::string promptParts)
+{
+    auto response = co_await tryCall(index, "/safe/a", std::move(body), std::move(promptParts));
+    BOOST_REQUIRE(response.has_value());
+    co_return std::move(*response);
+}
+
+awaitable<std::optional<HttpResponse>>
+CrashFleet::tryCall(std::size_t index, std::string path, std::string body, std::string promptParts)
 {
     HttpCall request;
     request.endpoint = gateway(index).callers();
     request.method = "POST";
-    request.target = "/safe/a";
+    request.target = std::move(path);
     request.body = std::move(body);
     request.headers = {{"Loomjunction-Request-Id", "id" + std::to_string(++mCalls)},
                        {"Loomjunction-Deadline-Ms", "6000"},
                        {"Authorization", "Token k"},
                        {"Host", "h"}};
+    if (!promptParts.empty()) {
+        request.headers.push_back({"Loomjunction-Prompt-Prefix", std::move(promptParts)});
+    }
     request.timeout = sGenerous;
     HttpClient fresh(context.get_executor());
     auto response = co_await fresh.send(std::move(request));
-    BOOST_REQUIRE(response.has_value());
+    if (!response) {
+        co_return std::nullopt;
+    }
     co_return std::move(*response);
 }
 
@@ -222,4 +258,13 @@
         std::ranges::count_if(mReplicas, [](const auto &replica) { return replica->hasEnded(); }));
 }
 
+int CrashFleet::crashingPartSends() const
+{
+    int count = 0;
+    for (const auto &replica : mReplicas) {
+        count += replica->crashingPartCount();
+    }
+    return count;
+}
+
 } // namespace Loom
--- a/tests/crashes/crashfleet.h
+++ b/tests/crashes/crashfleet.h
@@ -10,7 +10,9 @@
 
 #include "fleetgateway.h"
 
+#include <cstdint>
 #include <memory>
+#include <optional>
 #include <set>
 #include <string>
 #include <vector>
@@ -21,6 +23,15 @@
 inline constexpr std::string_view sCrashing = "ends what runs it";
 inline constexpr std::string_view sResetting = "its connection is reset the first time";
 inline constexpr std::string_view sHolding = "runs until it is let go";
+/** Id of a prompt part that crashes a replica once it begins to write the answer. */
+inline constexpr std::string_view sCrashingPart = "bad0";
+
+/** What a replica of a CrashFleet has written of its answer when a prompt part crashes it. */
+enum class CrashMoment : std::uint8_t
+{
+    BeforeResponse,
+    DuringUnframedBody, ///< the body has neither a length nor chunks and ends with the connection
+};
 
 /**
  * A replica whose process ends with a request whose body says so: it takes all of its
@@ -37,6 +48,9 @@
     const std::vector<std::string> &bodies() const { return mBodies; }
     /** Answers what holds. */
     void letGo() { mHolds = false; }
+    void setCrashMoment(CrashMoment moment) { mCrashMoment = moment; }
+    /** Number of requests with sCrashingPart that reached it. */
+    int crashingPartCount() const { return mCrashingPartCount; }
 
 private:
     using SocketPtr = std::shared_ptr<Tcp::socket>;
@@ -49,6 +63,8 @@
     std::string mAddress;
     std::set<SocketPtr> mSockets;
     std::vector<std::string> mBodies;
+    CrashMoment mCrashMoment = CrashMoment::BeforeResponse;
+    int mCrashingPartCount = 0;
     bool mHasEnded = false;
     bool mHolds = true;
 };
@@ -69,8 +85,14 @@
     FleetGateway &gateway(std::size_t index) { return *mGateways[index]; }
     std::vector<std::unique_ptr<CrashingReplica>> &replicas() { return mReplicas; }
 
-    /** The answer to a request that may be repeated, at gateway @p index. */
-    awaitable<HttpResponse> call(std::size_t index, std::string body);
+    /**
+     * The answer to a request that may be repeated, at gateway @p index. @p promptParts lists the
+     * parts of its prompt, as the header that names them does.
+     */
+    awaitable<HttpResponse> call(std::size_t index, std::string body, std::string promptParts = {});
+    /** The same without a check that the answer is whole; nothing if it is cut off. */
+    awaitable<std::optional<HttpResponse>> tryCall(std::size_t index, std::string path,
+                                                   std::string body, std::string promptParts);
     awaitable<void> untilReady();
     awaitable<void> waitFor(std::function<bool()> condition);
 
@@ -79,6 +101,8 @@
     /** Replicas that ended and had the request with @p body. */
     int endedUnder(std::string_view body) const;
     int ended() const;
+    /** Requests with sCrashingPart that reached replicas so far. */
+    int crashingPartSends() const;
 
 private:
     std::vector<std::unique_ptr<FleetGateway>> mGateways;
