Answers without length or chunks are whole only if their replica still runs

Callers got answers, whole ones and streams, that stopped where the replica had crashed and looked whole: such an answer ends with its connection, and a crash closes that as well. The gateway took it for a good end, which also cleared the request of earlier crashes, and counted no crash.

At the end of such an answer the gateway now connects to the replica. If that is refused or nobody answers, the answer is broken off or resumed, and the crash counts. The look moves into CrashProber, which also mends two faults of it: a successful look counted for 100 ms, also for connections that were lost after it, and a box that did not answer within 250 ms (a cut, a lost packet) counted as a crash for a minute. Only a refused connection is a crash now; a first packet may be lost. Only a success of the replica clears a request, no 4xx.

--- a/src/libloomjunction/gateway/gatewaycall.cpp
+++ b/src/libloomjunction/gateway/gatewaycall.cpp
@@ -381,8 +381,10 @@
             continue;
         }
         AttemptOutcome result = co_await runAttemptWithHedge(*chosen);
-        if (std::holds_alternative<AttemptCompleted>(result)) {
-            noteSuccess();
+        if (const auto *completed = std::get_if<AttemptCompleted>(&result)) {
+            if (completed->isSuccess) {
+                noteSuccess();
+            }
             co_return;
         }
         co_await noteFailedAttempt(*mAttempt, result);
@@ -568,7 +570,7 @@
     noteResponseStarted();
     const bool sent = co_await mCall.exchange.respond(std::move(response));
     logOutcome(head.status, sent ? "answered" : "caller left", "");
-    co_return AttemptCompleted{};
+    co_return AttemptCompleted{head.status / 100 == 2};
 }
 
 awaitable<AttemptOutcome> GatewayCall::forwardStream(LinkHead head)
@@ -599,7 +601,7 @@
     }
     const bool sent = co_await mCall.exchange.endStream();
     logOutcome(head.status, sent ? "answered" : "caller left", "");
-    co_return AttemptCompleted{};
+    co_return AttemptCompleted{true};
 }
 
 awaitable<void> GatewayCall::beginStream(const LinkHead &head)
--- a/src/libloomjunction/gateway/quarantineservice.cpp
+++ b/src/libloomjunction/gateway/quarantineservice.cpp
@@ -25,15 +25,9 @@
 
 namespace {
 
-// Several dozen times the one-way delay between the farthest data centres.
-constexpr std::chrono::milliseconds sProbeTimeout{250};
 // A stream that continues at another replica must not wait for a replica whose box does not
 // respond. A refused connection is reported within a round trip, some 10 ms between regions.
 constexpr std::chrono::milliseconds sMaxProbeWait{50};
-// When a replica ends, its connections are lost within milliseconds of each other. A loss
-// later than this after a successful probe causes a new probe.
-constexpr Milliseconds sReachableResultLifetime{100};
-constexpr Milliseconds sProbeRetention{60'000};
 constexpr std::chrono::seconds sSweepInterval{5};
 // Maximum number of entries in one status message of a gateway; each takes some 100 bytes.
 constexpr std::size_t sMaxNewsCount = 64;
@@ -61,6 +55,7 @@
 tl::expected<void, std::string> QuarantineService::start(Kernel &kernel)
 {
     mExecutor = kernel.executor();
+    mProber = std::make_unique<CrashProber>(mExecutor, mMetrics);
     mFeeds = &kernel.find<FeedService>(FeedService::sName);
     mMembers = &kernel.find<MemberService>(MemberService::sName);
     mFeeds->listen(Feed::Members, [this](const FeedChange &change) { applyFeedChange(change); });
@@ -95,80 +90,45 @@
     });
 }
 
-// A lost connection may also be due to a reset, to loading of weights, or to the closing of a
-// reused connection. A replica that still accepts connections has not crashed; counting it
-// would refuse requests that merely ran where connections are reset.
-QuarantineService::ProbePtr QuarantineService::probeReplica(const ReplicaIncarnation &incarnation)
-{
-    ProbePtr &probe = mProbes[incarnation.text()];
-    const bool isExpired = probe && probe->isUnreachable && !*probe->isUnreachable
-        && now() - probe->finishedAt > sReachableResultLifetime;
-    if (!probe || isExpired) {
-        probe = std::make_shared<Probe>(mExecutor);
-        asio::co_spawn(mExecutor, runProbe(incarnation, probe), asio::detached);
-    }
-    return probe;
-}
-
-awaitable<void> QuarantineService::runProbe(ReplicaIncarnation incarnation, ProbePtr probe)
-{
-    const auto endpoint = parseEndpoint(incarnation.address);
-    if (!endpoint) {
-        probe->isUnreachable = false;
-        probe->done.notify();
-        co_return;
-    }
-    const auto connected = co_await connectWithin(*endpoint, sProbeTimeout);
-    probe->isUnreachable = !connected.has_value();
-    probe->finishedAt = now();
-    probe->done.notify();
-    if (connected) {
-        co_return;
-    }
-    mMetrics.count("replica_crashes");
-    logLine(LogLevel::Warning, "replica-crashed",
-            {{"replica", incarnation.id},
-             {"born", incarnation.born},
-             {"address", incarnation.address},
-             {"problem", connected.error().message()}});
-}
-
 awaitable<void> QuarantineService::noteConnectionLost(RequestDigest digest, std::string account,
                                                       ReplicaIncarnation incarnation)
 {
     if (incarnation.isLeaving) {
         co_return;
     }
-    const ProbePtr probe = probeReplica(incarnation);
-    if (!probe->isUnreachable) {
-        co_await probe->done.waitFor(sMaxProbeWait);
-    }
-    if (probe->isUnreachable) {
-        noteProbeResult(*probe, digest, account, incarnation);
-        co_return;
+    const Instant lostAt = now();
+    const ReplicaLiveness liveness = co_await mProber->check(incarnation, lostAt, sMaxProbeWait);
+    if (liveness == ReplicaLiveness::Ended) {
+        noteCrash(digest, account, incarnation);
+    } else if (liveness == ReplicaLiveness::Unknown) {
+        asio::co_spawn(
+            mExecutor,
+            noteCrashLater(std::move(digest), std::move(account), std::move(incarnation), lostAt),
+            asio::detached);
     }
-    asio::co_spawn(mExecutor, noteProbeResultLater(probe, digest, account, incarnation),
-                   asio::detached);
 }
 
-awaitable<void> QuarantineService::noteProbeResultLater(ProbePtr probe, RequestDigest digest,
-                                                        std::string account,
-                                                        ReplicaIncarnation incarnation)
+awaitable<void> QuarantineService::noteCrashLater(RequestDigest digest, std::string account,
+                                                  ReplicaIncarnation incarnation, Instant lostAt)
 {
-    if (!probe->isUnreachable) {
-        co_await probe->done.waitFor(2 * sProbeTimeout);
+    const ReplicaLiveness liveness
+        = co_await mProber->check(incarnation, lostAt, CrashProber::maxDuration());
+    if (liveness == ReplicaLiveness::Ended) {
+        noteCrash(digest, account, incarnation);
     }
-    noteProbeResult(*probe, digest, account, incarnation);
 }
 
-void QuarantineService::noteProbeResult(const Probe &probe, const RequestDigest &digest,
-                                        const std::string &account,
-                                        const ReplicaIncarnation &incarnation)
+awaitable<bool> QuarantineService::isRunning(ReplicaIncarnation replica)
 {
-    if (probe.isUnreachable.value_or(false)) {
-        handleNews(mQuarantine.noteCrash(digest, account, incarnation.text(), now()), digest,
-                   "own");
-    }
+    const ReplicaLiveness liveness
+        = co_await mProber->check(std::move(replica), now(), CrashProber::maxDuration());
+    co_return liveness == ReplicaLiveness::Running;
+}
+
+void QuarantineService::noteCrash(const RequestDigest &digest, const std::string &account,
+                                  const ReplicaIncarnation &incarnation)
+{
+    handleNews(mQuarantine.noteCrash(digest, account, incarnation.text(), now()), digest, "own");
 }
 
 void QuarantineService::noteSuccess(const RequestDigest &digest)
@@ -347,9 +307,7 @@
                     asio::detached);
             }
         }
-        std::erase_if(mProbes, [](const auto &item) {
-            return item.second->isUnreachable && now() - item.second->finishedAt > sProbeRetention;
-        });
+        mProber->forgetOldResults(now());
     }
 }
 
--- a/src/libloomjunction/gateway/quarantineservice.h
+++ b/src/libloomjunction/gateway/quarantineservice.h
@@ -10,6 +10,7 @@
 
 #include "asynctypes.h"
 #include "clock.h"
+#include "crashprober.h"
 #include "feedtable.h"
 #include "kernel.h"
 #include "ports.h"
@@ -32,18 +33,6 @@
 class Metrics;
 struct FeedChange;
 
-/** The incarnation of a replica to which a request was sent. */
-struct ReplicaIncarnation
-{
-    std::string id;
-    std::uint64_t born = 0;
-    std::string address; ///< IP:PORT
-    bool isLeaving = false; ///< its record or its answers announce its shutdown
-
-    /** Identifies the incarnation; the same at every gateway. */
-    std::string text() const { return id + sIncarnationSeparator + std::to_string(born); }
-};
-
 /**
  * Prevents requests that crash the replicas that run them from running again, at any gateway.
  * Crashes are reported to the other gateways at once. A refused request is also recorded in
@@ -72,34 +61,20 @@
     }
 
     /**
-     * The connection on which the request ran was lost. Probes whether the replica has ended,
-     * and returns when that is known or after some tens of milliseconds.
+     * The connection on which the request ran was lost. Checks whether its replica has ended, and
+     * returns when that is known or after some tens of milliseconds.
      */
     awaitable<void> noteConnectionLost(RequestDigest digest, std::string account,
                                        ReplicaIncarnation incarnation);
+    /** Whether the replica still runs, now that a connection to it was closed. */
+    awaitable<bool> isRunning(ReplicaIncarnation replica);
     void noteSuccess(const RequestDigest &digest);
 
 private:
-    /** Connection attempt to a replica, shared by all requests that lost their connection. */
-    struct Probe
-    {
-        explicit Probe(const asio::any_io_executor &executor)
-            : done(executor)
-        {
-        }
-
-        Signal done;
-        std::optional<bool> isUnreachable; ///< empty until the attempt is finished
-        Instant finishedAt;
-    };
-    using ProbePtr = std::shared_ptr<Probe>;
-
-    ProbePtr probeReplica(const ReplicaIncarnation &incarnation);
-    awaitable<void> runProbe(ReplicaIncarnation incarnation, ProbePtr probe);
-    awaitable<void> noteProbeResultLater(ProbePtr probe, RequestDigest digest, std::string account,
-                                         ReplicaIncarnation incarnation);
-    void noteProbeResult(const Probe &probe, const RequestDigest &digest,
-                         const std::string &account, const ReplicaIncarnation &incarnation);
+    awaitable<void> noteCrashLater(RequestDigest digest, std::string account,
+                                   ReplicaIncarnation incarnation, Instant lostAt);
+    void noteCrash(const RequestDigest &digest, const std::string &account,
+                   const ReplicaIncarnation &incarnation);
     void applyFeedChange(const FeedChange &change);
     void restoreRecords(const FeedTable::Keys &missing);
     Milliseconds remoteWriteDelay(const RequestDigest &digest) const;
@@ -118,7 +93,7 @@
     FeedService *mFeeds = nullptr;
     MemberService *mMembers = nullptr;
     Quarantine mQuarantine;
-    std::map<std::string, ProbePtr> mProbes; ///< by the replica's incarnation
+    std::unique_ptr<CrashProber> mProber;
     std::map<RequestDigest, std::size_t>
         mRecordedCrashCounts; ///< number of crashes in each stored record
     std::set<RequestDigest> mWritesInProgress; ///< requests whose record is being written
--- a/src/libloomjunction/gateway/replicaattempt.cpp
+++ b/src/libloomjunction/gateway/replicaattempt.cpp
@@ -233,9 +233,23 @@
     if (!body) {
         co_return tl::unexpected(outcomeOfLinkError(body.error()));
     }
+    if (!co_await isWhole()) {
+        co_return tl::unexpected(
+            AttemptUnknown{"replica ended within an answer", std::nullopt, false, true});
+    }
     co_return std::move(*body);
 }
 
+// The connection of a replica that crashes is closed like one that ends an unframed response, so
+// that the response is complete only if the replica is still there.
+awaitable<bool> ReplicaAttempt::isWhole() const
+{
+    if (!mIsUnframed) {
+        co_return true;
+    }
+    co_return co_await mCall.parts.quarantine.isRunning(mIncarnation);
+}
+
 awaitable<tl::expected<EventBatch, AttemptOutcome>> ReplicaAttempt::nextEvents()
 {
     if (mPrefetched) {
@@ -257,6 +271,10 @@
             co_return tl::unexpected(
                 AttemptUnknown{"stream ended within an event", std::nullopt, false, true});
         }
+        if (batch.isEndOfStream && !co_await isWhole()) {
+            co_return tl::unexpected(
+                AttemptUnknown{"replica ended within a stream", std::nullopt, false, true});
+        }
         stopWatchingWeightsExpiry();
         appendEvents(*piece, batch);
     }
--- a/src/libloomjunction/gateway/replicaattempt.h
+++ b/src/libloomjunction/gateway/replicaattempt.h
@@ -28,6 +28,7 @@
 /** The caller has the complete response. */
 struct AttemptCompleted
 {
+    bool isSuccess = false; ///< the replica executed the request and reported no error
 };
 
 /** The replica certainly did not execute the request. */
@@ -126,6 +127,7 @@
     void noteFirstResponse(bool hasBegun);
     void noteRate(const AdvertisedRate &rate, bool isGood);
     void noteNotice(const ResponseFields &fields);
+    awaitable<bool> isWhole() const;
     /** Cancels the attempt once its weights expire, unless the request has started to run. */
     void watchWeightsExpiry();
     void stopWatchingWeightsExpiry();
