--- a/src/libloomjunction/gateway/gatewaycall.cpp
+++ b/src/libloomjunction/gateway/gatewaycall.cpp
@@ -13,7 +13,9 @@
 #include "memberservice.h"
 #include "metrics.h"
 #include "operatorconfigservice.h"
+#include "quarantineservice.h"
 #include "replicaservice.h"
+#include "requestdigest.h"
 
 #include <algorithm>
 #include <cmath>
@@ -156,8 +158,8 @@
     mCall.service = mCall.table->service(mCall.serviceName);
     const Milliseconds routeTime
         = mCall.route->timeout.count() > 0 ? mCall.route->timeout : sDefaultTimeout;
-    if (const auto timeLeft = quarantineTimeLeft()) {
-        return Refusal{503, std::string(sQuarantinedReason), timeLeft};
+    if (auto refusal = quarantineRefusal()) {
+        return refusal;
     }
     if (mCall.caller.deadline) {
         // How long the caller has been retrying is estimated from the time that it has left.
@@ -366,8 +368,8 @@
             break;
         }
         // Other gateways may have reported the request since it arrived or since the last attempt.
-        if (const auto timeLeft = quarantineTimeLeft()) {
-            last = {503, std::string(sQuarantinedReason), timeLeft};
+        if (auto refusal = quarantineRefusal()) {
+            last = std::move(*refusal);
             mStopReason = "held back";
             break;
         }
@@ -436,58 +438,88 @@
     return mCall.timeLeft() > sMinTimeLeft ? "" : "no time left";
 }
 
-const RequestDigest &GatewayCall::digest()
+const std::vector<QuarantineSubject> &GatewayCall::subjects()
 {
-    if (mDigest.isEmpty()) {
+    if (mSubjects.empty()) {
         const HttpRequest &request = mCall.exchange.request();
-        mDigest = RequestDigest::of(mCall.account, request.target, request.body);
+        mSubjects = partSubjects();
+        mSubjects.insert(mSubjects.begin(),
+                         RequestDigest::of(mCall.account, request.target, request.body));
+    }
+    return mSubjects;
+}
+
+std::vector<QuarantineSubject> GatewayCall::partSubjects() const
+{
+    std::vector<QuarantineSubject> parts;
+    for (const std::string &id : mCall.caller.sharedParts) {
+        parts.emplace_back(PromptPart{mCall.serviceName, id});
     }
-    return mDigest;
+    return parts;
 }
 
-std::optional<Milliseconds> GatewayCall::quarantineTimeLeft()
+std::optional<GatewayCall::Refusal> GatewayCall::quarantineRefusal()
 {
     if (mCall.parts.quarantine.isEmpty()) {
         return std::nullopt;
     }
-    return mCall.parts.quarantine.refusedFor(digest());
+    const auto refusal = mCall.parts.quarantine.refusal(subjects());
+    if (!refusal) {
+        return std::nullopt;
+    }
+    mQuarantinedFor = subjectText(refusal->subject);
+    return Refusal{sUnavailable, std::string(sQuarantinedReason), refusal->timeLeft};
 }
 
 void GatewayCall::noteSent()
 {
     ++mSendCount;
+    mArePartsSound = false;
     if (!mCall.parts.quarantine.isEmpty()) {
-        mCall.parts.quarantine.noteSent(digest());
+        mCall.parts.quarantine.noteSent(subjects());
     }
 }
 
+// A replica that has been writing an answer for long does not end because of its prompt.
 awaitable<void> GatewayCall::noteFailedAttempt(const ReplicaAttempt &attempt,
                                                const AttemptOutcome &result)
 {
     mExcludedReplicas.push_back(attempt.chosen().id);
     const auto *failed = std::get_if<AttemptUnknown>(&result);
-    if (failed != nullptr && failed->isClosedByReplica) {
-        const RequestDigest own = digest();
-        co_await mCall.parts.quarantine.noteConnectionLost(own, mCall.account,
-                                                           attempt.incarnation());
+    if (failed == nullptr || !failed->isClosedByReplica) {
+        co_return;
+    }
+    LostRun run{mCall.caller.id, subjects(), mCall.account, attempt.incarnation()};
+    if (attempt.hasRunForLong()) {
+        std::erase_if(run.subjects, [](const QuarantineSubject &subject) {
+            return std::holds_alternative<PromptPart>(subject);
+        });
     }
+    co_await mCall.parts.quarantine.noteConnectionLost(std::move(run));
 }
 
 void GatewayCall::noteSuccess()
 {
-    if (!mCall.parts.quarantine.isEmpty()) {
-        mCall.parts.quarantine.noteSuccess(digest());
+    const bool isAnySuspected = !mCall.parts.quarantine.isEmpty();
+    mCall.parts.quarantine.noteSuccess(isAnySuspected ? subjects() : partSubjects());
+}
+
+void GatewayCall::notePartsSound()
+{
+    if (!std::exchange(mArePartsSound, true)) {
+        mCall.parts.quarantine.noteSuccess(partSubjects());
     }
 }
 
-bool GatewayCall::mayRepeat() const
+bool GatewayCall::mayRepeat()
 {
     if (!mCall.route->mayRepeat() || mCall.isCallerGone || mCall.isTimedOut) {
         return false;
     }
-    // Two replicas crashed while executing this request. A retry within the same call could crash
-    // a third one, with all requests that run there.
-    if (!mDigest.isEmpty() && mCall.parts.quarantine.isRetryForbidden(mDigest)) {
+    // Two replicas crashed while executing this request, or requests with a part of its prompt. A
+    // retry within the same call could crash a third one, with all requests that run there.
+    const QuarantineService &quarantine = mCall.parts.quarantine;
+    if (!quarantine.isEmpty() && quarantine.isRetryForbidden(subjects())) {
         return false;
     }
     // Once the caller has received events, only a resumed stream can continue the response.
@@ -531,6 +563,9 @@
         mFailedConnectCount += mAttempt->wasConnected() ? 0 : 1;
         co_return std::move(*failed);
     }
+    if (auto held = outcomeIfQuarantined()) {
+        co_return std::move(*held);
+    }
     noteSent();
     if (mCall.route->isStream) {
         const auto firstSilence
@@ -548,6 +583,15 @@
     co_return co_await forwardResponse(std::move(*head));
 }
 
+// Other gateways may have reported crashes while the attempt waited for its connection.
+std::optional<AttemptOutcome> GatewayCall::outcomeIfQuarantined()
+{
+    if (!quarantineRefusal()) {
+        return std::nullopt;
+    }
+    return AttemptNotExecuted{std::string(sQuarantinedReason)};
+}
+
 awaitable<AttemptOutcome> GatewayCall::forwardResponse(LinkHead head)
 {
     auto body = co_await mAttempt->readWhole();
@@ -619,6 +663,9 @@
     mCall.lastEvent = events.last;
     mForwardedEventCount += events.count;
     mLastForwardedAt = now();
+    if (mAttempt->hasRunForLong()) {
+        notePartsSound();
+    }
     const bool sent = co_await mCall.exchange.write(events.text);
     startSilenceTimer(std::max(sMinStreamSilence, mCall.route->pauseGoal * sStreamSilencePauses));
     co_return sent;
@@ -709,7 +756,7 @@
     mExcludedReplicas.push_back(mAttempt->chosen().id);
     const ReplicaChoice choice = co_await choose();
     const auto *chosen = std::get_if<ChosenReplica>(&choice);
-    if (chosen == nullptr || !isHedgeNeeded() || quarantineTimeLeft()) {
+    if (chosen == nullptr || !isHedgeNeeded() || quarantineRefusal()) {
         co_return std::nullopt;
     }
     if (!co_await mCall.parts.replicas.takePermit(chosen->id)) {
@@ -741,6 +788,9 @@
 awaitable<std::optional<AttemptOutcome>> GatewayCall::prefetchHedge()
 {
     auto failed = co_await mHedge->connect();
+    if (!failed) {
+        failed = outcomeIfQuarantined();
+    }
     if (failed) {
         co_return std::move(failed);
     }
@@ -860,7 +910,8 @@
              {"events", mForwardedEventCount},
              {"queuedMs", mQueuedFor.count()},
              {"replica", mLastChosen.id},
-             {"request", mDigest.text()},
+             {"request", mSubjects.empty() ? std::string() : subjectText(mSubjects.front())},
+             {"quarantinedFor", mQuarantinedFor},
              {"promptParts", joinedParts(mCall.caller.sharedParts)},
              {"unframed", mAttempt && mAttempt->isUnframed()},
              {"promptTokens", mCall.caller.promptTokens},
--- a/src/libloomjunction/gateway/gatewaycall.h
+++ b/src/libloomjunction/gateway/gatewaycall.h
@@ -14,8 +14,8 @@
 #include "callstate.h"
 #include "capacityqueue.h"
 #include "instant.h"
+#include "quarantinesubject.h"
 #include "replicaattempt.h"
-#include "requestdigest.h"
 
 #include <cstdint>
 #include <memory>
@@ -57,11 +57,14 @@
     awaitable<void> sendToReplicas();
     /** Why no further attempt is allowed; empty if one is. */
     std::string_view stopReason() const;
-    const RequestDigest &digest();
-    /** How much longer the request is refused because it crashes replicas; empty if it is not. */
-    std::optional<Milliseconds> quarantineTimeLeft();
+    /** What the request has in common with others that may crash replicas. */
+    const std::vector<QuarantineSubject> &subjects();
+    std::vector<QuarantineSubject> partSubjects() const;
+    /** The refusal if the request is known to crash replicas; empty if it may run. */
+    std::optional<Refusal> quarantineRefusal();
     awaitable<void> noteFailedAttempt(const ReplicaAttempt &attempt, const AttemptOutcome &result);
     void noteSuccess();
+    void notePartsSound();
     void noteSent();
     /** @p regions views a configuration that outlives the query. */
     ReplicaQuery query(const AllowedRegions &regions) const;
@@ -75,11 +78,12 @@
     Milliseconds retryDelayAfterRefusal() const;
     Refusal refusalWithoutRegion(const NoneUsable &none) const;
     /** Whether the request may be sent again after an attempt with an unknown outcome. */
-    bool mayRepeat() const;
+    bool mayRepeat();
 
     /** Runs an attempt at @p chosen and, if it fails, continues with a hedge that took over. */
     awaitable<AttemptOutcome> runAttemptWithHedge(ChosenReplica chosen);
     awaitable<AttemptOutcome> runAttempt();
+    std::optional<AttemptOutcome> outcomeIfQuarantined();
     awaitable<AttemptOutcome> forwardResponse(LinkHead head);
     awaitable<AttemptOutcome> forwardStream(LinkHead head);
     awaitable<bool> forwardEvents(const EventBatch &events);
@@ -146,7 +150,9 @@
     std::uint64_t mRepeatSeed = 0;
     double mReserved = 0; ///< capacity that the last choice kept for more urgent requests
     bool mIsHeldBack = false; ///< the last choice refused the request for that reason
-    RequestDigest mDigest; ///< computed on first use
+    std::vector<QuarantineSubject> mSubjects; ///< computed on first use
+    std::string mQuarantinedFor; ///< the subject for which the request was refused
+    bool mArePartsSound = false; ///< the current attempt has shown it
     bool mWasPatient = false; ///< an attempt was expected to miss the latency goal
 };
 
--- a/src/libloomjunction/gateway/ports.h
+++ b/src/libloomjunction/gateway/ports.h
@@ -41,7 +41,7 @@
     Members, ///< the system's own processes, and records that they store
 };
 inline constexpr std::size_t sFeedCount = 3;
-/** Prefix of the keys of Feed::Members that hold a quarantined request, not a process. */
+/** Prefix of the keys of Feed::Members that hold a quarantined subject, not a process. */
 inline constexpr std::string_view sQuarantineKeys = "quarantine/";
 std::string_view feedName(Feed feed);
 
--- a/src/libloomjunction/gateway/quarantinerecord.cpp
+++ b/src/libloomjunction/gateway/quarantinerecord.cpp
@@ -19,8 +19,7 @@
 // The wall clocks of boxes differ by seconds and may jump by seconds.
 constexpr Milliseconds sMaxClockSkew{60'000};
 constexpr std::size_t sMaxIncarnationLength = 200;
-constexpr std::size_t sMaxIncarnationCount = 16;
-constexpr std::int64_t sMaxEpoch = 1'000'000'000;
+constexpr std::int64_t sMaxCount = 1'000'000'000;
 
 } // namespace
 
@@ -34,16 +33,17 @@
     boost::json::object value;
     value["account"] = entry.account;
     value["epoch"] = entry.epoch;
+    value["failedTrials"] = entry.failedTrials;
     value["crashes"] = std::move(crashes);
     value["at"] = (wallNow - age).count();
     return boost::json::serialize(value);
 }
 
-tl::expected<QuarantineEntry, std::string> readQuarantineRecord(std::string_view digest,
+tl::expected<QuarantineEntry, std::string> readQuarantineRecord(std::string_view subject,
                                                                 std::string_view value, Instant now,
                                                                 WallMilliseconds wallNow)
 {
-    const auto parsed = RequestDigest::parse(digest);
+    const auto parsed = parseSubject(subject);
     if (!parsed) {
         return tl::unexpected("key: " + parsed.error());
     }
@@ -57,19 +57,25 @@
         return tl::unexpected(std::string("at: expected a time in the past"));
     }
     const std::int64_t epoch = jsonInteger(object, "epoch", -1);
-    if (epoch < 0 || epoch > sMaxEpoch) {
+    if (epoch < 0 || epoch > sMaxCount) {
         return tl::unexpected(std::string("epoch: expected an integer within its bounds"));
     }
+    // Absent in records of releases that counted no trials.
+    const std::int64_t failedTrials = jsonInteger(object, "failedTrials", 0);
+    if (failedTrials < 0 || failedTrials > sMaxCount) {
+        return tl::unexpected(std::string("failedTrials: expected an integer within its bounds"));
+    }
     const boost::json::value *found = object.if_contains("crashes");
     const boost::json::array *crashes = found == nullptr ? nullptr : found->if_array();
-    if (crashes == nullptr || crashes->empty() || crashes->size() > sMaxIncarnationCount) {
-        return tl::unexpected("crashes: expected 1 to " + std::to_string(sMaxIncarnationCount)
+    if (crashes == nullptr || crashes->empty() || crashes->size() > QuarantineEntry::sMaxLives) {
+        return tl::unexpected("crashes: expected 1 to " + std::to_string(QuarantineEntry::sMaxLives)
                               + " incarnations");
     }
     QuarantineEntry entry;
-    entry.digest = *parsed;
+    entry.subject = *parsed;
     entry.account = jsonText(object, "account");
     entry.epoch = static_cast<std::uint32_t>(epoch);
+    entry.failedTrials = static_cast<std::uint32_t>(failedTrials);
     entry.lastEventAt = now - std::max(age, WallMilliseconds(0));
     for (const boost::json::value &incarnation : *crashes) {
         if (!incarnation.is_string() || incarnation.as_string().empty()
--- a/src/libloomjunction/gateway/quarantinerecord.h
+++ b/src/libloomjunction/gateway/quarantinerecord.h
@@ -18,11 +18,11 @@
 
 namespace Loom {
 
-/** Serializes a refused request for the store, where times are of the wall clock. */
+/** Serializes an entry for the store, where times are of the wall clock. */
 std::string quarantineRecord(const QuarantineEntry &entry, Instant now, WallMilliseconds wallNow);
 
-/** Parses the record of the request @p digest; the error states the invalid field. */
-tl::expected<QuarantineEntry, std::string> readQuarantineRecord(std::string_view digest,
+/** Parses the record of @p subject; the error states the invalid field. */
+tl::expected<QuarantineEntry, std::string> readQuarantineRecord(std::string_view subject,
                                                                 std::string_view value, Instant now,
                                                                 WallMilliseconds wallNow);
 
--- a/src/libloomjunction/gateway/quarantineservice.cpp
+++ b/src/libloomjunction/gateway/quarantineservice.cpp
@@ -38,10 +38,44 @@
 constexpr Milliseconds sRemoteWriteDelay{1'000};
 constexpr Milliseconds sMaxRemoveDelay{5'000};
 constexpr std::chrono::milliseconds sRecordRetryDelay{400};
+// Most suspected prompt parts are cleared by another gateway or a successful run before.
+constexpr Milliseconds sSuspectWriteDelay{300};
+constexpr Milliseconds sSuspectWriteSpread{500};
+// An entry with as many crashes is cleared at all gateways at once, others with the next status.
+constexpr std::size_t sUrgentCrashCount = 2;
+// Source of news in logs and metrics.
+constexpr std::string_view sOwnSource = "own";
 
-std::string recordKey(const RequestDigest &digest)
+std::string recordKey(const QuarantineSubject &subject)
 {
-    return std::string(sQuarantineKeys) + digest.text();
+    return std::string(sQuarantineKeys) + subjectText(subject);
+}
+
+std::optional<QuarantineSubject> subjectOfKey(std::string_view key)
+{
+    if (!key.starts_with(sQuarantineKeys)) {
+        return std::nullopt;
+    }
+    const auto subject = parseSubject(key.substr(sQuarantineKeys.size()));
+    return subject ? std::optional(*subject) : std::nullopt;
+}
+
+std::string joined(std::span<const std::string> texts)
+{
+    std::string all;
+    for (const std::string &text : texts) {
+        all += (all.empty() ? "" : " ") + text;
+    }
+    return all;
+}
+
+std::string textOf(std::span<const QuarantineSubject> subjects)
+{
+    std::vector<std::string> texts;
+    for (const QuarantineSubject &subject : subjects) {
+        texts.push_back(subjectText(subject));
+    }
+    return joined(texts);
 }
 
 } // namespace
@@ -71,50 +105,70 @@
     return {};
 }
 
-std::optional<Milliseconds> QuarantineService::refusedFor(const RequestDigest &digest) const
+std::optional<Milliseconds> QuarantineService::refusedFor(const QuarantineSubject &subject) const
 {
-    const auto remaining = mQuarantine.refusedFor(digest, false, now());
+    const auto remaining = mQuarantine.refusedFor(subject, false, now());
     if (!remaining) {
         return std::nullopt; // the usual case; the home gateway need not be determined
     }
-    return mQuarantine.refusedFor(digest, isHomeGateway(digest), now());
+    return mQuarantine.refusedFor(subject, isHomeGateway(subject), now());
 }
 
-// All gateways that know the same members determine the same home gateway.
-bool QuarantineService::isHomeGateway(const RequestDigest &digest) const
+std::optional<QuarantineRefusal>
+QuarantineService::refusal(std::span<const QuarantineSubject> subjects)
 {
-    const std::uint64_t ownWeight = rendezvousWeight(digest.text(), mMembers->key());
-    return std::ranges::none_of(mMembers->others(), [&](const Member &member) {
-        return member.isGateway
-            && rendezvousWeight(digest.text(), endpointText(member.peers)) > ownWeight;
+    mQuarantine.settle(now());
+    reportChanges(sOwnSource);
+    std::optional<QuarantineRefusal> longest;
+    for (const QuarantineSubject &subject : mQuarantine.culprits(subjects)) {
+        const auto timeLeft = refusedFor(subject);
+        if (timeLeft && (!longest || *timeLeft > longest->timeLeft)) {
+            longest = {subject, *timeLeft};
+        }
+    }
+    return longest;
+}
+
+void QuarantineService::noteSent(std::span<const QuarantineSubject> subjects)
+{
+    for (const QuarantineSubject &subject : mQuarantine.culprits(subjects)) {
+        mQuarantine.noteSent(subject, now());
+    }
+}
+
+bool QuarantineService::isRetryForbidden(std::span<const QuarantineSubject> subjects) const
+{
+    return std::ranges::any_of(subjects, [this](const QuarantineSubject &subject) {
+        return mQuarantine.isRetryForbidden(subject);
     });
 }
 
-awaitable<void> QuarantineService::noteConnectionLost(RequestDigest digest, std::string account,
-                                                      ReplicaIncarnation incarnation)
+// Gateways that are cut off from each other agree on the home gateway, too.
+bool QuarantineService::isHomeGateway(const QuarantineSubject &subject) const
+{
+    return !mMembers->recordedOwnerOf(subjectText(subject)) && mMembers->isMajorityHeard();
+}
+
+awaitable<void> QuarantineService::noteConnectionLost(LostRun run)
 {
-    if (incarnation.isLeaving) {
+    if (run.replica.isLeaving) {
         co_return;
     }
     const Instant lostAt = now();
-    const ReplicaLiveness liveness = co_await mProber->check(incarnation, lostAt, sMaxProbeWait);
+    const ReplicaLiveness liveness = co_await mProber->check(run.replica, lostAt, sMaxProbeWait);
     if (liveness == ReplicaLiveness::Ended) {
-        noteCrash(digest, account, incarnation);
+        noteCrash(run);
     } else if (liveness == ReplicaLiveness::Unknown) {
-        asio::co_spawn(
-            mExecutor,
-            noteCrashLater(std::move(digest), std::move(account), std::move(incarnation), lostAt),
-            asio::detached);
+        asio::co_spawn(mExecutor, noteCrashLater(std::move(run), lostAt), asio::detached);
     }
 }
 
-awaitable<void> QuarantineService::noteCrashLater(RequestDigest digest, std::string account,
-                                                  ReplicaIncarnation incarnation, Instant lostAt)
+awaitable<void> QuarantineService::noteCrashLater(LostRun run, Instant lostAt)
 {
     const ReplicaLiveness liveness
-        = co_await mProber->check(incarnation, lostAt, CrashProber::maxDuration());
+        = co_await mProber->check(run.replica, lostAt, CrashProber::maxDuration());
     if (liveness == ReplicaLiveness::Ended) {
-        noteCrash(digest, account, incarnation);
+        noteCrash(run);
     }
 }
 
@@ -125,88 +179,142 @@
     co_return liveness == ReplicaLiveness::Running;
 }
 
-void QuarantineService::noteCrash(const RequestDigest &digest, const std::string &account,
-                                  const ReplicaIncarnation &incarnation)
+void QuarantineService::noteCrash(const LostRun &run)
 {
-    handleNews(mQuarantine.noteCrash(digest, account, incarnation.text(), now()), digest, "own");
+    logLine(LogLevel::Info, "run-crashed",
+            {{"id", run.requestId},
+             {"replica", run.replica.text()},
+             {"account", run.account},
+             {"subjects", textOf(run.subjects)}});
+    for (const QuarantineSubject &subject : run.subjects) {
+        handleNews(mQuarantine.noteCrash(subject, run.account, run.replica.text(), now()), subject,
+                   sOwnSource);
+    }
 }
 
-void QuarantineService::noteSuccess(const RequestDigest &digest)
+void QuarantineService::noteSuccess(std::span<const QuarantineSubject> subjects)
 {
-    if (!mQuarantine.noteSuccess(digest, now())) {
-        return;
-    }
-    logLine(LogLevel::Info, "request-cleared", {{"request", digest.text()}});
-    mMembers->noteChange();
-    if (mRecordedCrashCounts.contains(digest)) {
-        asio::co_spawn(mExecutor, removeRecord(digest, Milliseconds(0)), asio::detached);
+    for (const QuarantineSubject &subject : subjects) {
+        const QuarantineEntry *entry = mQuarantine.find(subject);
+        const std::size_t crashCount = entry == nullptr ? 0 : entry->lives.size();
+        if (!mQuarantine.noteSuccess(subject, now())) {
+            continue;
+        }
+        if (crashCount >= sUrgentCrashCount) {
+            logLine(LogLevel::Info, "request-cleared",
+                    {{"request", subjectText(subject)}, {"crashes", crashCount}});
+            mMembers->noteChange();
+        }
+        if (mRecordedCrashCounts.contains(subject)) {
+            asio::co_spawn(mExecutor, removeRecord(subject, Milliseconds(0)), asio::detached);
+        }
     }
+    reportChanges(sOwnSource);
 }
 
-void QuarantineService::handleNews(QuarantineNews news, const RequestDigest &digest,
+void QuarantineService::handleNews(QuarantineNews news, const QuarantineSubject &subject,
                                    std::string_view source)
 {
     if (news == QuarantineNews::Nothing) {
         return;
     }
-    mMembers->noteChange();
-    const QuarantineEntry *entry = mQuarantine.find(digest);
-    if (news != QuarantineNews::Refused || entry == nullptr) {
-        return;
+    const QuarantineEntry *entry = mQuarantine.find(subject);
+    if (entry != nullptr && !entry->lives.empty()) {
+        mMembers->noteChange();
     }
-    mMetrics.count("quarantined", source);
-    std::string lives;
-    for (const std::string &incarnation : entry->lives) {
-        lives += (lives.empty() ? "" : " ") + incarnation;
+    reportChanges(source);
+    if (entry != nullptr && source == sOwnSource && isWorthRecording(*entry)
+        && !refusedFor(subject)) {
+        const Milliseconds delay
+            = sSuspectWriteDelay + staggeredDelay(subject, sSuspectWriteSpread);
+        asio::co_spawn(mExecutor, writeRecord(subject, delay), asio::detached);
+    }
+}
+
+// A crash that becomes known may change the verdict on any subject.
+void QuarantineService::reportChanges(std::string_view source)
+{
+    const QuarantineChanges changes = mQuarantine.takeChanges();
+    for (const QuarantineSubject &subject : changes.refused) {
+        const QuarantineEntry *entry = mQuarantine.find(subject);
+        if (entry == nullptr) {
+            continue;
+        }
+        mMetrics.count("quarantined", source);
+        logRefusal(*entry, source);
+        const Milliseconds delay = source == sOwnSource
+            ? Milliseconds(0)
+            : sRemoteWriteDelay + staggeredDelay(subject, sRemoteWriteDelay);
+        asio::co_spawn(mExecutor, writeRecord(subject, delay), asio::detached);
     }
+    for (const QuarantineSubject &subject : changes.released) {
+        logLine(LogLevel::Info, "request-released", {{"request", subjectText(subject)}});
+    }
+}
+
+void QuarantineService::logRefusal(const QuarantineEntry &entry, std::string_view source) const
+{
+    const std::vector<std::string> lives(entry.lives.begin(), entry.lives.end());
     logLine(LogLevel::Warning, "request-quarantined",
-            {{"request", digest.text()},
-             {"account", entry->account},
-             {"crashes", entry->lives.size()},
-             {"replicas", lives},
+            {{"request", subjectText(entry.subject)},
+             {"account", entry.account},
+             {"crashes", entry.lives.size()},
+             {"replicas", joined(lives)},
              {"from", source},
-             {"forMs", refusedFor(digest).value_or(Milliseconds(0)).count()}});
-    const Milliseconds delay = source == "own" ? Milliseconds(0) : remoteWriteDelay(digest);
-    asio::co_spawn(mExecutor, writeRecord(digest, delay), asio::detached);
+             {"forMs", refusedFor(entry.subject).value_or(Milliseconds(0)).count()}});
 }
 
-Milliseconds QuarantineService::remoteWriteDelay(const RequestDigest &digest) const
+// Spreads what several gateways would do at the same time.
+Milliseconds QuarantineService::staggeredDelay(const QuarantineSubject &subject,
+                                               Milliseconds range) const
 {
-    const std::uint64_t weight = rendezvousWeight(digest.text(), mMembers->key());
-    const auto range = static_cast<std::uint64_t>(sRemoteWriteDelay.count());
-    return sRemoteWriteDelay + Milliseconds(static_cast<std::int64_t>(weight % range));
+    const std::uint64_t weight = rendezvousWeight(subjectText(subject), mMembers->key());
+    return Milliseconds(
+        static_cast<std::int64_t>(weight % static_cast<std::uint64_t>(range.count())));
 }
 
 bool QuarantineService::isRecorded(const QuarantineEntry &entry) const
 {
-    const auto recorded = mRecordedCrashCounts.find(entry.digest);
+    const auto recorded = mRecordedCrashCounts.find(entry.subject);
     return recorded != mRecordedCrashCounts.end() && recorded->second >= entry.lives.size();
 }
 
-awaitable<void> QuarantineService::writeRecord(RequestDigest digest, Milliseconds delay)
+bool QuarantineService::isWorthRecording(const QuarantineEntry &entry) const
+{
+    const bool isSuspectedPart
+        = std::holds_alternative<PromptPart>(entry.subject) && entry.epoch == 0;
+    return !entry.lives.empty() && (isSuspectedPart || refusedFor(entry.subject));
+}
+
+awaitable<void> QuarantineService::writeRecord(QuarantineSubject subject, Milliseconds delay)
 {
-    if (!mWritesInProgress.insert(digest).second) {
+    if (delay.count() > 0 && mWritesInProgress.contains(subject)) {
         co_return;
     }
+    mWritesInProgress.insert(subject);
     co_await sleepFor(delay);
-    const QuarantineEntry *entry = mQuarantine.find(digest);
-    while (!mStopped && entry != nullptr && !entry->lives.empty() && !isRecorded(*entry)) {
+    const QuarantineEntry *entry = mQuarantine.find(subject);
+    while (!mStopped && entry != nullptr && isWorthRecording(*entry) && !isRecorded(*entry)) {
         const std::string value = quarantineRecord(*entry, now(), wallNow());
-        const auto done = co_await mStore.put(recordKey(digest), value);
-        if (done) {
+        const std::size_t crashCount = entry->lives.size();
+        const auto done = co_await mStore.put(recordKey(subject), value);
+        entry = mQuarantine.find(subject);
+        if (done && (entry == nullptr || entry->lives.size() <= crashCount)) {
             break;
         }
-        co_await sleepFor(sRecordRetryDelay);
-        entry = mQuarantine.find(digest);
+        if (!done) {
+            co_await sleepFor(sRecordRetryDelay);
+            entry = mQuarantine.find(subject);
+        }
     }
-    mWritesInProgress.erase(digest);
+    mWritesInProgress.erase(subject);
 }
 
-awaitable<void> QuarantineService::removeRecord(RequestDigest digest, Milliseconds delay)
+awaitable<void> QuarantineService::removeRecord(QuarantineSubject subject, Milliseconds delay)
 {
     co_await sleepFor(delay);
-    while (!mStopped && mRecordedCrashCounts.contains(digest) && !refusedFor(digest)) {
-        const auto done = co_await mStore.put(recordKey(digest), std::nullopt);
+    while (!mStopped && mRecordedCrashCounts.contains(subject) && !refusedFor(subject)) {
+        const auto done = co_await mStore.put(recordKey(subject), std::nullopt);
         if (done) {
             co_return;
         }
@@ -219,20 +327,19 @@
 void QuarantineService::restoreRecords(const FeedTable::Keys &missing)
 {
     for (const std::string &key : missing) {
-        if (key.starts_with(sQuarantineKeys)) {
-            const auto digest
-                = RequestDigest::parse(std::string_view(key).substr(sQuarantineKeys.size()));
-            mRecordedCrashCounts.erase(digest.value_or(RequestDigest()));
+        if (const auto subject = subjectOfKey(key)) {
+            mRecordedCrashCounts.erase(*subject);
         }
     }
     std::uint64_t sinceStart = 0;
     for (const QuarantineEntry &entry : mQuarantine.changedSince(sinceStart, sMaxRestoreCount)) {
-        if (!refusedFor(entry.digest) || isRecorded(entry)) {
+        if (!refusedFor(entry.subject) || isRecorded(entry)) {
             continue;
         }
-        const bool isHome = isHomeGateway(entry.digest);
-        const Milliseconds delay = isHome ? Milliseconds(0) : remoteWriteDelay(entry.digest);
-        asio::co_spawn(mExecutor, writeRecord(entry.digest, delay), asio::detached);
+        const Milliseconds delay = isHomeGateway(entry.subject)
+            ? Milliseconds(0)
+            : sRemoteWriteDelay + staggeredDelay(entry.subject, sRemoteWriteDelay);
+        asio::co_spawn(mExecutor, writeRecord(entry.subject, delay), asio::detached);
     }
 }
 
@@ -243,9 +350,9 @@
         return;
     }
     if (!change.record.value) {
-        const auto digest
-            = RequestDigest::parse(std::string_view(key).substr(sQuarantineKeys.size()));
-        mRecordedCrashCounts.erase(digest.value_or(RequestDigest()));
+        if (const auto subject = subjectOfKey(key)) {
+            mRecordedCrashCounts.erase(*subject);
+        }
         return;
     }
     const auto entry = readQuarantineRecord(std::string_view(key).substr(sQuarantineKeys.size()),
@@ -255,24 +362,25 @@
                 {{"key", key}, {"problem", entry.error()}});
         return;
     }
-    mRecordedCrashCounts[entry->digest] = entry->lives.size();
-    handleNews(mQuarantine.merge(*entry, now()), entry->digest, "store");
+    mRecordedCrashCounts[entry->subject] = entry->lives.size();
+    handleNews(mQuarantine.merge(*entry, now()), entry->subject, "store");
 }
 
 void QuarantineService::readMemberNews(const wire::MemberStatus &status)
 {
     for (const wire::QuarantineNews &news : status.quarantine()) {
-        const auto digest = RequestDigest::parse(news.digest());
-        if (!digest) {
-            continue;
+        const auto subject = parseSubject(news.subject());
+        if (!subject || news.lives_size() > static_cast<int>(QuarantineEntry::sMaxLives)) {
+            continue; // of a later release
         }
         QuarantineEntry entry;
-        entry.digest = *digest;
+        entry.subject = *subject;
         entry.account = news.account();
         entry.epoch = news.epoch();
+        entry.failedTrials = news.failed_trials();
         entry.lives.insert(news.lives().begin(), news.lives().end());
         entry.lastEventAt = now() - Milliseconds(static_cast<std::int64_t>(news.age_ms()));
-        handleNews(mQuarantine.merge(entry, now()), *digest, status.box());
+        handleNews(mQuarantine.merge(entry, now()), *subject, status.box());
     }
 }
 
@@ -281,9 +389,10 @@
 {
     for (const QuarantineEntry &entry : mQuarantine.changedSince(since, sMaxNewsCount)) {
         wire::QuarantineNews *news = status.add_quarantine();
-        news->set_digest(entry.digest.text());
+        news->set_subject(subjectText(entry.subject));
         news->set_account(entry.account);
         news->set_epoch(entry.epoch);
+        news->set_failed_trials(entry.failedTrials);
         for (const std::string &incarnation : entry.lives) {
             news->add_lives(incarnation);
         }
@@ -297,16 +406,14 @@
 {
     while (!mStopped) {
         co_await sleepFor(sSweepInterval);
-        for (const RequestDigest &digest : mQuarantine.sweep(now())) {
-            if (mRecordedCrashCounts.contains(digest)) {
-                const auto stagger = rendezvousWeight(digest.text(), mMembers->key())
-                    % static_cast<std::uint64_t>(sMaxRemoveDelay.count());
-                asio::co_spawn(
-                    mExecutor,
-                    removeRecord(digest, Milliseconds(static_cast<std::int64_t>(stagger))),
-                    asio::detached);
+        for (const QuarantineSubject &subject : mQuarantine.sweep(now())) {
+            if (mRecordedCrashCounts.contains(subject)) {
+                asio::co_spawn(mExecutor,
+                               removeRecord(subject, staggeredDelay(subject, sMaxRemoveDelay)),
+                               asio::detached);
             }
         }
+        reportChanges(sOwnSource);
         mProber->forgetOldResults(now());
     }
 }
--- a/src/libloomjunction/gateway/replicaattempt.cpp
+++ b/src/libloomjunction/gateway/replicaattempt.cpp
@@ -27,6 +27,8 @@
 constexpr Milliseconds sRefusalRoundTrip{100};
 // Late responses to earlier requests that may precede the expected one on a reused connection.
 constexpr int sMaxStaleResponses = 2;
+// A prompt that crashes replicas does so when they begin to write the answer to it.
+constexpr Milliseconds sMaxTimeToCrash{500};
 constexpr std::size_t sMaxResponseBytes = std::size_t{16} * 1024 * 1024;
 
 std::string_view linkErrorName(LinkError error)
@@ -280,6 +282,7 @@
     }
     if (batch.count > 0) {
         noteFirstResponse(true);
+        mFirstEventAt = mFirstEventAt.value_or(now());
     }
     co_return batch;
 }
@@ -310,6 +313,11 @@
     co_return std::nullopt;
 }
 
+bool ReplicaAttempt::hasRunForLong() const
+{
+    return mFirstEventAt && now() - *mFirstEventAt > sMaxTimeToCrash;
+}
+
 void ReplicaAttempt::cancel()
 {
     if (mLink) {
--- a/src/libloomjunction/gateway/replicaattempt.h
+++ b/src/libloomjunction/gateway/replicaattempt.h
@@ -90,6 +90,8 @@
     bool isStream() const { return mIsStream; }
     /** Whether the end of the response shows only by the end of the connection. */
     bool isUnframed() const { return mIsUnframed; }
+    /** Whether the replica has been writing the response for longer than a crash takes. */
+    bool hasRunForLong() const;
     /** Reads the complete body of a response that is not an event stream. */
     awaitable<tl::expected<std::string, AttemptOutcome>> readWhole();
     /** Reads the next events of a stream. */
@@ -143,6 +145,7 @@
     BootTimer mWeightsTimer;
     std::shared_ptr<bool> mAlive = std::make_shared<bool>(true); ///< expires with the attempt
     Instant mSentAt;
+    std::optional<Instant> mFirstEventAt;
     std::uint64_t mNewestWeightsSeen = 0; ///< newest version during the attempt
     CancelReason mCancelReason = CancelReason::None;
     bool mIsWaitingToRun = false; ///< sent to an engine service and not known to have started
--- a/tests/crashes/crashlab.cpp
+++ b/tests/crashes/crashlab.cpp
@@ -21,8 +21,17 @@
 constexpr int sReturnAfterMs = 500;
 constexpr std::size_t sCommonBodies = 50;
 constexpr int sMostSends = 2; // of one call
-constexpr int sThirdCrash = 3;
+// Crashes from which on few more sends are allowed, of a whole request and of a prompt part.
+constexpr int sRequestCrashes = 3;
+constexpr int sPartCrashes = 5;
 constexpr int sBound = 3'000; // what is known must be known everywhere by then
+constexpr int sWaitMs = 150; // from the arrival at a replica to the first event
+constexpr int sCrashAfterMs = 100; // from the first event to the end of the replica
+constexpr int sMaxTimeToCrashMs = 500; // what has been writing for longer is no suspect
+constexpr int sNextStatusMs = 400; // news that is not urgent is told by then
+constexpr std::size_t sUrgentCrashes = 2;
+constexpr int sRecordAfterMs = 50;
+constexpr std::size_t sRareParts = 4'000;
 constexpr double sResets = 0.4; // of the runs at a replica that resets
 constexpr std::size_t sOneInSix = 6;
 
@@ -37,11 +46,16 @@
     : mShape(shape)
     , mGateways(shape.gateways, Quarantine(shape.bounds))
     , mReplicas(shape.replicas)
-    , mGuilty(shape.guilty)
+    , mGuilty(shape.guilty + shape.guiltyParts)
     , mRandom(shape.seed)
 {
-    for (Guilty &guilty : mGuilty) {
-        guilty.nextAt = static_cast<int>(pick(static_cast<std::size_t>(sSecond)));
+    for (std::size_t index = 0; index < mGuilty.size(); ++index) {
+        Guilty &guilty = mGuilty[index];
+        guilty.nextAt
+            = shape.guiltyFromMs + static_cast<int>(pick(static_cast<std::size_t>(sSecond)));
+        if (index >= shape.guilty) {
+            guilty.part = PromptPart{"s", "bad" + std::to_string(index)};
+        }
     }
 }
 
@@ -61,6 +75,9 @@
             mGateways[gateway].merge(entry, instantOf(mTime));
             mOnTheWay.erase(mOnTheWay.begin());
         }
+        if (mTime == mShape.killAllAtMs) {
+            killAll();
+        }
         for (std::size_t index = 0; index < mReplicas.size(); ++index) {
             step(mReplicas[index], index);
         }
@@ -82,8 +99,13 @@
         }
     }
     for (const Guilty &guilty : mGuilty) {
-        mResult.guiltySends = std::max(mResult.guiltySends, guilty.sends);
-        mResult.lateSends = std::max(mResult.lateSends, guilty.lateSends);
+        int &sends = guilty.part ? mResult.partSends : mResult.guiltySends;
+        int &late = guilty.part ? mResult.latePartSends : mResult.lateSends;
+        sends = std::max(sends, guilty.sends);
+        late = std::max(late, guilty.lateSends);
+        if (guilty.part) {
+            mResult.partCrashes = std::max(mResult.partCrashes, guilty.crashes);
+        }
     }
     return mResult;
 }
@@ -95,11 +117,58 @@
     const std::string body
         = isCommon ? "common" + std::to_string(pick(sCommonBodies)) : std::to_string(++mMade);
     Request request;
-    request.digest = RequestDigest::of("a", body, "");
+    request.subjects = {RequestDigest::of("a", body, "")};
+    addParts(request, std::nullopt);
     request.gateway = pick(mShape.gateways);
     begin(request);
 }
 
+// Every request has a first part that many share, and one in the middle.
+void CrashLab::addParts(Request &request, const std::optional<PromptPart> &guilty)
+{
+    if (mShape.firstParts == 0) {
+        return;
+    }
+    request.subjects.emplace_back(PromptPart{"s", "a" + std::to_string(pick(mShape.firstParts))});
+    if (guilty) {
+        request.subjects.emplace_back(*guilty);
+    } else if (chance(mShape.rareShare)) {
+        request.subjects.emplace_back(PromptPart{"s", "c" + std::to_string(pick(sRareParts))});
+    } else {
+        request.subjects.emplace_back(
+            PromptPart{"s", "b" + std::to_string(pick(mShape.middleParts))});
+    }
+}
+
+void CrashLab::killAll()
+{
+    mOnTheWay.clear();
+    for (Quarantine &gateway : mGateways) {
+        gateway = Quarantine(mShape.bounds);
+        for (const auto &[subject, entry] : mRecords) {
+            gateway.merge(entry, instantOf(mTime));
+        }
+    }
+}
+
+// Of refused subjects and of suspected parts.
+void CrashLab::record(std::size_t gateway)
+{
+    std::uint64_t sinceStart = 0;
+    constexpr std::size_t all = 100'000;
+    for (const QuarantineEntry &entry : mGateways[gateway].changedSince(sinceStart, all)) {
+        const bool isPart = std::holds_alternative<PromptPart>(entry.subject);
+        const bool isSuspected = isPart && entry.epoch == 0 && !entry.lives.empty();
+        const bool isWorthIt
+            = isSuspected || mGateways[gateway].refusedFor(entry.subject, false, instantOf(mTime));
+        const auto known = mRecords.find(entry.subject);
+        if (isWorthIt
+            && (known == mRecords.end() || known->second.lives.size() < entry.lives.size())) {
+            mRecords[entry.subject] = entry;
+        }
+    }
+}
+
 // Its caller calls once more, at any gateway.
 void CrashLab::lose(Request request)
 {
@@ -118,25 +187,66 @@
 
 void CrashLab::comeAgain(std::size_t guilty)
 {
-    mGuilty[guilty].nextAt = mTime + mShape.returnsAfterMs;
+    const bool isPart = mGuilty[guilty].part.has_value();
+    mGuilty[guilty].nextAt = mTime + (isPart ? mShape.partReturnsAfterMs : mShape.returnsAfterMs);
     Request request;
-    request.digest = RequestDigest::of("g", std::to_string(guilty), "");
+    const std::optional<PromptPart> &part = mGuilty[guilty].part;
+    const std::string body = part ? std::to_string(++mMade) : std::to_string(guilty);
+    request.subjects = {RequestDigest::of("g", body, "")};
+    addParts(request, part);
     request.gateway = pick(mShape.gateways);
     request.isGuilty = true;
     request.guiltyIndex = guilty;
     begin(request);
 }
 
-bool CrashLab::isHome(const Request &request) const
+bool CrashLab::isHome(const QuarantineSubject &subject, std::size_t gateway) const
+{
+    return std::hash<std::string>()(subjectText(subject)) % mGateways.size() == gateway;
+}
+
+bool CrashLab::isRefused(const Request &request) const
 {
-    return std::hash<std::string>()(request.digest.text()) % mGateways.size() == request.gateway;
+    const Quarantine &own = mGateways[request.gateway];
+    return std::ranges::any_of(own.culprits(request.subjects), [&](const auto &subject) {
+        return own.refusedFor(subject, isHome(subject, request.gateway), instantOf(mTime))
+            .has_value();
+    });
+}
+
+void CrashLab::countAttempt(const Request &request, bool hasBegun)
+{
+    if (request.isGuilty || request.isReturn || request.sends > 0) {
+        return;
+    }
+    const auto isOver = [&](const Guilty &guilty) {
+        return guilty.part && guilty.boundFrom > 0 && mTime > guilty.boundFrom + 2 * sBound;
+    };
+    if (mTime < mShape.guiltyFromMs) {
+        ++mResult.askedBefore;
+        mResult.beganBefore += hasBegun ? 1 : 0;
+    } else if (std::ranges::all_of(mGuilty, isOver)) {
+        ++mResult.askedAfter;
+        mResult.beganAfter += hasBegun ? 1 : 0;
+    }
+}
+
+void CrashLab::noteGuiltySend(Guilty &guilty)
+{
+    ++guilty.sends;
+    guilty.lateSends += guilty.boundFrom > 0 && mTime > guilty.boundFrom + sBound ? 1 : 0;
 }
 
 void CrashLab::begin(Request request)
 {
     Quarantine &own = mGateways[request.gateway];
-    if (own.refusedFor(request.digest, isHome(request), instantOf(mTime))) {
+    own.settle(instantOf(mTime));
+    if (isRefused(request)) {
+        countAttempt(request, false);
         mResult.refused += request.isGuilty ? 0 : 1;
+        const bool isForPart
+            = std::holds_alternative<PromptPart>(own.culprits(request.subjects)[0]);
+        mResult.refusedForParts += !request.isGuilty && isForPart ? 1 : 0;
         return;
     }
     std::vector<std::size_t> living;
@@ -145,21 +255,22 @@
             living.push_back(index);
         }
     }
+    countAttempt(request, !living.empty());
     if (living.empty()) {
         lose(std::move(request));
         return;
     }
-    own.noteSent(request.digest, instantOf(mTime));
+    for (const QuarantineSubject &subject : own.culprits(request.subjects)) {
+        own.noteSent(subject, instantOf(mTime));
+    }
     request.replica = living[pick(living.size())];
     ++request.sends;
     const bool isGrey = request.replica % sOneInSix == 0;
     request.isReset = isGrey && !request.isGuilty && chance(mShape.resetShare * sResets);
     request.endsAt = mTime + (request.isGuilty ? sGuiltyRunMs : sRunMs);
+    request.writesFrom = request.isGuilty ? request.endsAt - sCrashAfterMs : mTime + sWaitMs;
     if (request.isGuilty) {
-        Guilty &guilty = mGuilty[request.guiltyIndex];
-        ++guilty.sends;
-        const bool isLate = guilty.crashes >= sThirdCrash && mTime > guilty.thirdCrashAt + sBound;
-        guilty.lateSends += isLate ? 1 : 0;
+        noteGuiltySend(mGuilty[request.guiltyIndex]);
     }
     mReplicas[request.replica].running.push_back(request);
 }
@@ -182,9 +293,20 @@
         }
         if (request.isReset) {
             cut(request, false, "");
-        } else if (!mGateways[request.gateway].isEmpty()
-                   && mGateways[request.gateway].noteSuccess(request.digest, instantOf(mTime))) {
-            tell(request.gateway, request.digest);
+        } else {
+            noteSuccess(request);
+        }
+    }
+}
+
+void CrashLab::noteSuccess(const Request &request)
+{
+    Quarantine &own = mGateways[request.gateway];
+    for (const QuarantineSubject &subject : request.subjects) {
+        const QuarantineEntry *entry = own.find(subject);
+        const bool isUrgent = entry != nullptr && entry->lives.size() >= sUrgentCrashes;
+        if (own.noteSuccess(subject, instantOf(mTime))) {
+            tell(request.gateway, subject, isUrgent ? mShape.toldAfterMs : sNextStatusMs);
         }
     }
 }
@@ -205,7 +327,8 @@
         if (request.isGuilty && request.endsAt <= mTime) {
             Guilty &guilty = mGuilty[request.guiltyIndex];
             ++guilty.crashes;
-            guilty.thirdCrashAt = guilty.crashes == sThirdCrash ? mTime : guilty.thirdCrashAt;
+            const int bound = guilty.part ? sPartCrashes : sRequestCrashes;
+            guilty.boundFrom = guilty.crashes == bound ? mTime : guilty.boundFrom;
         }
         cut(request, true, life);
     }
@@ -216,27 +339,43 @@
     const bool counts = mShape.memory == CrashMemory::ToldCuts
         || (hasCrashed && mShape.memory != CrashMemory::Nothing);
     Quarantine &own = mGateways[request.gateway];
-    if (counts) {
-        const std::string what = hasCrashed ? life : "cut" + std::to_string(request.replica);
-        own.noteCrash(request.digest, "a", what, instantOf(mTime));
-        tell(request.gateway, request.digest);
+    const bool isSuspect = mTime - request.writesFrom <= sMaxTimeToCrashMs;
+    for (const QuarantineSubject &subject : request.subjects) {
+        const bool isPart = std::holds_alternative<PromptPart>(subject);
+        if (counts && (isSuspect || !isPart)) {
+            const std::string what = hasCrashed ? life : "cut" + std::to_string(request.replica);
+            own.noteCrash(subject, "a", what, instantOf(mTime));
+            tell(request.gateway, subject, mShape.toldAfterMs);
+        }
+    }
+    if (!mShape.isStoreAway && mShape.killAllAtMs >= 0
+        && mTime + sRecordAfterMs < mShape.killAllAtMs) {
+        record(request.gateway);
     }
-    if (request.sends < sMostSends && !own.isRetryForbidden(request.digest)) {
+    const bool mayRepeat = std::ranges::none_of(
+        request.subjects, [&](const auto &subject) { return own.isRetryForbidden(subject); });
+    if (request.sends < sMostSends && mayRepeat) {
         begin(std::move(request));
         return;
     }
     lose(std::move(request));
 }
 
-void CrashLab::tell(std::size_t gateway, const RequestDigest &digest)
+bool CrashLab::isCut(std::size_t gateway, std::size_t other) const
+{
+    return mTime >= mShape.cutFromMs && mTime < mShape.cutUntilMs && gateway % 2 != other % 2;
+}
+
+void CrashLab::tell(std::size_t gateway, const QuarantineSubject &subject, int delayMs)
 {
     if (mShape.memory == CrashMemory::EachAlone) {
         return;
     }
-    const QuarantineEntry *entry = mGateways[gateway].find(digest);
+    const QuarantineEntry *entry = mGateways[gateway].find(subject);
     for (std::size_t other = 0; entry != nullptr && other < mGateways.size(); ++other) {
         if (other != gateway) {
-            mOnTheWay.insert({mTime + mShape.toldAfterMs, {other, *entry}});
+            const int at = isCut(gateway, other) ? mShape.cutUntilMs : mTime;
+            mOnTheWay.insert({at + delayMs, {other, *entry}});
         }
     }
 }
--- a/tests/crashes/test_ways.cpp
+++ b/tests/crashes/test_ways.cpp
@@ -108,9 +108,9 @@
         shape.memory = CrashMemory::ToldCuts;
         show("cuts, " + load.name, played(shape));
         shape.memory = CrashMemory::ToldCrashes;
-        shape.bounds.crashes = 2;
+        shape.bounds.crashes.request = 2;
         show("after two, " + load.name, played(shape));
-        shape.bounds.crashes = 3;
+        shape.bounds.crashes.request = 3;
         shape.bounds.noRepeatAfter = 3;
         show("not held back, " + load.name, played(shape));
         shape.bounds.noRepeatAfter = 1;
--- a/tests/direct/test_quarantine.cpp
+++ b/tests/direct/test_quarantine.cpp
@@ -36,6 +36,30 @@
     }
 }
 
+QuarantineSubject part(const std::string &id)
+{
+    return PromptPart{"service", id};
+}
+
+/** Notes that replica @p life crashed with requests that have @p parts, no two alike. */
+void noteCrashWith(Quarantine &quarantine, const std::vector<std::string> &parts, int life,
+                   Instant now)
+{
+    quarantine.noteCrash(numbered(life), "account", std::to_string(life), now);
+    for (const std::string &id : parts) {
+        quarantine.noteCrash(part(id), "account", std::to_string(life), now);
+    }
+}
+
+bool isRefused(const Quarantine &quarantine, const std::vector<std::string> &parts)
+{
+    std::vector<QuarantineSubject> subjects{numbered(-1)};
+    for (const std::string &id : parts) {
+        subjects.push_back(part(id));
+    }
+    return !quarantine.culprits(subjects).empty();
+}
+
 /** Merges all entries of @p from into @p to; returns true if that changed any. */
 bool mergeAll(const Quarantine &from, Quarantine &to, Instant now)
 {
@@ -146,6 +170,148 @@
     }
 }
 
+BOOST_AUTO_TEST_CASE(part_is_refused_in_every_request_after_crashes_under_unlike_ones)
+{
+    Quarantine quarantine;
+    for (int life = 1; life <= 4; ++life) {
+        BOOST_TEST(!isRefused(quarantine, {"bad"}));
+        noteCrashWith(quarantine, {"bad"}, life, at(life * 1'000));
+        BOOST_TEST(quarantine.isRetryForbidden(part("bad")) == (life >= 3));
+    }
+    BOOST_TEST(isRefused(quarantine, {"bad"}));
+    BOOST_TEST(isRefused(quarantine, {"any", "bad", "other"}));
+    BOOST_TEST(!isRefused(quarantine, {"any", "other"}));
+    const auto otherService = QuarantineSubject(PromptPart{"other service", "bad"});
+    BOOST_TEST(quarantine.culprits(std::vector{otherService}).empty());
+    BOOST_TEST((quarantine.refusedFor(part("bad"), true, at(4'000)) == Milliseconds(60'000)));
+    BOOST_TEST(quarantine.takeChanges().refused.size() == 1U);
+}
+
+// Guards against refusals of whatever ran beside a crashing part each time.
+BOOST_AUTO_TEST_CASE(crashes_that_a_part_explains_do_not_count_against_others)
+{
+    Quarantine quarantine;
+    for (int life = 1; life <= 12; ++life) {
+        const std::string beside = life % 2 == 0 ? "even" : "odd";
+        noteCrashWith(quarantine, {"bad", beside}, life, at(life * 1'000));
+        quarantine.noteCrash(sRequest, "account", std::to_string(life - life % 3),
+                             at(life * 1'000));
+    }
+    BOOST_TEST(isRefused(quarantine, {"bad"}));
+    BOOST_TEST(!isRefused(quarantine, {"even"}));
+    BOOST_TEST(!isRefused(quarantine, {"odd"}));
+    BOOST_TEST(quarantine.culprits(std::vector<QuarantineSubject>{sRequest}).empty());
+}
+
+BOOST_AUTO_TEST_CASE(parts_that_crashes_cannot_tell_apart_are_refused_only_together)
+{
+    Quarantine quarantine;
+    for (int life = 1; life <= 4; ++life) {
+        noteCrashWith(quarantine, {"bad", "beside"}, life, at(life * 1'000));
+    }
+    BOOST_TEST(isRefused(quarantine, {"bad", "beside"}));
+    BOOST_TEST(!isRefused(quarantine, {"bad"}));
+    BOOST_TEST(!isRefused(quarantine, {"beside"}));
+    quarantine.noteSuccess(part("beside"), at(5'000));
+    BOOST_TEST(isRefused(quarantine, {"bad"}));
+    BOOST_TEST(!isRefused(quarantine, {"beside"}));
+}
+
+BOOST_AUTO_TEST_CASE(a_part_is_not_refused_before_all_gateways_have_reported_a_crash)
+{
+    Quarantine quarantine;
+    for (int life = 1; life <= 3; ++life) {
+        noteCrashWith(quarantine, {"bad", "shared"}, life, at(life * 1'000));
+    }
+    noteCrashWith(quarantine, {"shared"}, 4, at(4'000)); // the report with the other part is late
+    BOOST_TEST(!isRefused(quarantine, {"shared"}));
+    quarantine.settle(at(4'299));
+    BOOST_TEST(!isRefused(quarantine, {"shared"}));
+    quarantine.settle(at(4'300));
+    BOOST_TEST(isRefused(quarantine, {"shared"}));
+}
+
+BOOST_AUTO_TEST_CASE(a_part_that_succeeded_before_takes_more_crashes)
+{
+    Quarantine quarantine;
+    quarantine.noteSuccess(part("common"), at(0));
+    for (int life = 1; life <= 6; ++life) {
+        noteCrashWith(quarantine, {"common"}, life, at(life * 1'000));
+    }
+    BOOST_TEST(!isRefused(quarantine, {"common"}));
+    BOOST_TEST(!quarantine.isRetryForbidden(part("common")));
+    noteCrashWith(quarantine, {"common"}, 7, at(7'000));
+    BOOST_TEST(isRefused(quarantine, {"common"}));
+    quarantine.noteSuccess(part("common"), at(8'000));
+    BOOST_TEST(!isRefused(quarantine, {"common"}));
+    // Another gateway that did not see the success still reports the crashes.
+    QuarantineEntry reported;
+    reported.subject = part("common");
+    reported.lives = {"1", "2", "3", "4", "5", "6", "7"};
+    reported.lastEventAt = at(7'000);
+    quarantine.merge(reported, at(9'000));
+    BOOST_TEST(!isRefused(quarantine, {"common"}));
+}
+
+BOOST_AUTO_TEST_CASE(a_part_in_few_of_the_recent_crashes_takes_more_of_them)
+{
+    Quarantine quarantine;
+    for (int life = 1; life <= 20; ++life) {
+        noteCrashWith(quarantine, {}, -life, at(life));
+    }
+    for (int life = 1; life <= 4; ++life) {
+        noteCrashWith(quarantine, {"rare"}, life, at(life * 1'000));
+    }
+    BOOST_TEST(!isRefused(quarantine, {"rare"}));
+    noteCrashWith(quarantine, {"rare"}, 5, at(5'000));
+    BOOST_TEST(isRefused(quarantine, {"rare"}));
+    // What became known of a part once is not unlearned with later crashes of others.
+    for (int life = 1; life <= 20; ++life) {
+        noteCrashWith(quarantine, {}, -100 - life, at(6'000));
+    }
+    BOOST_TEST(isRefused(quarantine, {"rare"}));
+}
+
+BOOST_AUTO_TEST_CASE(crashes_under_one_request_refuse_it_and_not_a_part_of_its_prompt)
+{
+    Quarantine quarantine;
+    for (int life = 1; life <= 4; ++life) {
+        quarantine.noteCrash(sRequest, "a", std::to_string(life), at(life * 1'000));
+        quarantine.noteCrash(part("mine"), "a", std::to_string(life), at(life * 1'000));
+    }
+    BOOST_TEST(!quarantine.culprits(std::vector<QuarantineSubject>{sRequest}).empty());
+    BOOST_TEST(!isRefused(quarantine, {"mine"}));
+}
+
+// A burst of crashes before the refusal leads to the first trial, not to a later one.
+BOOST_AUTO_TEST_CASE(only_failed_trials_lengthen_the_refusal)
+{
+    Quarantine quarantine;
+    for (int life = 1; life <= 12; ++life) {
+        noteCrashWith(quarantine, {"bad"}, life, at(life));
+    }
+    BOOST_TEST((quarantine.refusedFor(part("bad"), true, at(12)) == Milliseconds(60'000)));
+    noteCrashWith(quarantine, {"bad"}, 13, at(60'012));
+    BOOST_TEST((quarantine.refusedFor(part("bad"), true, at(60'012)) == Milliseconds(600'000)));
+    noteCrashWith(quarantine, {"bad"}, 14, at(60'100)); // was on its way beside the trial
+    BOOST_TEST((quarantine.refusedFor(part("bad"), true, at(60'100)) == Milliseconds(600'000)));
+}
+
+BOOST_AUTO_TEST_CASE(subjects_are_told_as_texts)
+{
+    for (const QuarantineSubject &subject : {QuarantineSubject(sRequest), part("5c1e07a2")}) {
+        const auto parsed = parseSubject(subjectText(subject));
+        BOOST_TEST_REQUIRE(parsed.has_value());
+        BOOST_TEST((*parsed == subject));
+    }
+    const auto slash = QuarantineSubject(PromptPart{"a/b", "5c"});
+    BOOST_TEST((parseSubject(subjectText(slash)).value() == slash));
+    for (const char *invalid :
+         {"", "part/", "part/5c", "part/5c/", "part/xyz/s", "part//s", "5c"}) {
+        BOOST_TEST(!parseSubject(invalid).has_value(), invalid);
+    }
+}
+
 BOOST_AUTO_TEST_CASE(flooding_account_evicts_its_own_entries)
 {
     QuarantineLimits limits;
@@ -221,6 +387,10 @@
     BOOST_TEST(problem(key, R"({"epoch":0,"crashes":["x@1"],"at":"soon"})") == "at");
     BOOST_TEST(problem(key, R"({"epoch":0,"crashes":["x@1"],"at":9000000})") == "at");
     BOOST_TEST(problem(key, R"({"epoch":-1,"crashes":["x@1"],"at":1})") == "epoch");
+    BOOST_TEST(problem("part/5c/service", good).empty());
+    BOOST_TEST(problem("part/5c", good) == "key");
+    BOOST_TEST(problem(key, R"({"epoch":0,"failedTrials":-1,"crashes":["x@1"],"at":1})")
+               == "failedTrials");
     BOOST_TEST(problem(key, R"({"epoch":0,"crashes":[],"at":1})") == "crashes");
     BOOST_TEST(problem(key, R"({"epoch":0,"crashes":[1],"at":1})") == "crashes");
     BOOST_TEST(problem(key, R"({"epoch":0,"crashes":"x@1","at":1})") == "crashes");
