Attribution of crashes: requests explain nothing to other requests

A request is now measured by the crashes that parts leave; a part by those that parts and requests leave, and one crash may count for two culprits.

--- a/src/libloomjunction/core/crashattribution.cpp
+++ b/src/libloomjunction/core/crashattribution.cpp
@@ -23,6 +23,8 @@
 // A single request explains the crashes under a part of its prompt unless the part was also
 // present in this many crashes without that request.
 constexpr std::size_t sMinCrashesBesideOneRequest = 2;
+// Two culprits may be present at a crash; it counts for both of them then.
+constexpr std::size_t sMaxSharedCrashes = 1;
 
 bool isPart(const CrashSuspect &suspect)
 {
@@ -96,7 +98,8 @@
 }
 
 // Greedy: the suspect that explains the most crashes is a culprit, and the others have to explain
-// what it leaves.
+// what it leaves. Requests explain nothing to other requests: each is refused alone, while a
+// culprit that is missed costs replicas.
 std::vector<CrashCulprit> attributeCrashes(std::vector<CrashSuspect> suspects,
                                            const RecentCrashes &recent,
                                            const AttributionLimits &limits)
@@ -107,10 +110,13 @@
     };
     std::ranges::sort(suspects, {}, order);
     std::vector<CrashCulprit> culprits;
+    Lives explainedByParts;
     Lives explained;
     for (const CrashSuspect &suspect : suspects) {
-        const std::size_t unexplained = countMissing(explained, *suspect.lives);
-        if (unexplained < requiredCrashes(suspect, recent.count, limits)) {
+        const Lives &others = isPart(suspect) ? explained : explainedByParts;
+        const std::size_t required = requiredCrashes(suspect, recent.count, limits);
+        const std::size_t unexplained = countMissing(others, *suspect.lives);
+        if (suspect.lives->size() < required || unexplained + sMaxSharedCrashes < required) {
             continue;
         }
         if (!isPart(suspect)) {
@@ -118,6 +124,7 @@
         } else if (!isExplainedByOneRequest(suspect, suspects)) {
             culprits.push_back(
                 {suspect.subject, companionsOf(suspect, suspects, recent.unsettled)});
+            explainedByParts.insert(suspect.lives->begin(), suspect.lives->end());
         } else {
             continue;
         }
