--- a/tests/soak/callers.py
+++ b/tests/soak/callers.py
@@ -9,7 +9,7 @@
 
 import aiohttp
 
-from replicas import CRASHING, digest
+from replicas import CRASHING, CRASHING_PART, PROMPT_PARTS, digest
 
 PROMISES_NOT_RUN = (408, 421, 429, 503)
 FORGETS_AFTER = 12.0  # a caller asks for addresses anew at least this often
@@ -30,6 +30,12 @@
     is_unservable: bool = False  # refused while no replica that is up may serve it
 
 
+def prompt_parts(rng, middle=None):
+    """A first part that all callers share, one in the middle, and the request's own."""
+    middle = middle or f"b{rng.randint(0, 15):x}"
+    return f"a0:40,{middle}:300,f{rng.getrandbits(48):x}:20"
+
+
 class CrashingCaller:
     """Sends one request again and again, at any gateway, each time with a new id."""
 
@@ -41,23 +47,40 @@
         self.rng = rng
         self.is_stopped = False
 
+    def request(self):
+        """Path, body and further headers of the next request."""
+        return "safe/crashing", CRASHING, {}
+
     async def run(self):
         timeout = aiohttp.ClientTimeout(total=3, sock_connect=1)
         async with aiohttp.ClientSession(timeout=timeout) as session:
             while not self.is_stopped:
                 gateway = self.rng.choice(self.world.gateways())
+                path, body, more = self.request()
                 headers = {"Host": "soak.example", "Authorization": "Token key-a",
                            "Loomjunction-Request-Id": f"{self.NAMES}{self.rng.getrandbits(64):x}",
-                           "Loomjunction-Deadline-Ms": "2000"}
-                url = f"http://{gateway.settings['gateway']['callers']}/safe/crashing"
+                           "Loomjunction-Deadline-Ms": "2000", **more}
+                url = f"http://{gateway.settings['gateway']['callers']}/{path}"
                 try:
-                    async with session.post(url, data=CRASHING, headers=headers) as answer:
+                    async with session.post(url, data=body, headers=headers) as answer:
                         await answer.read()
                 except (aiohttp.ClientError, asyncio.TimeoutError, ConnectionError):
                     pass
                 await asyncio.sleep(self.EVERY)
 
 
+class CrashingPartCaller(CrashingCaller):
+    """Sends requests that have a crashing part in their prompts in common, and nothing else."""
+
+    NAMES = "badpart"
+    EVERY = 0.2
+
+    def request(self):
+        headers = {"Loomjunction-Model": "soak-model", "Loomjunction-Token-Usage": "100,30",
+                   PROMPT_PARTS: prompt_parts(self.rng, CRASHING_PART)}
+        return "stream/bad?events=3&gap=30", self.rng.randbytes(200), headers
+
+
 class Caller:
     """Sends requests one after the other, over connections that it keeps."""
 
@@ -120,7 +143,8 @@
                    "Loomjunction-Target-Instance": "forged"}
         if kind == "stream":
             headers.update({"Loomjunction-Model": "soak-model",
-                            "Loomjunction-Token-Usage": "100,30"})
+                            "Loomjunction-Token-Usage": "100,30",
+                            PROMPT_PARTS: prompt_parts(self.rng)})
         url = f"http://{one.gateway}/{kind}/x?events={total}&gap={gap}"
         try:
             async with self.session.post(url, data=body, headers=headers) as answer:
--- a/tests/soak/replicas.py
+++ b/tests/soak/replicas.py
@@ -32,6 +32,26 @@
 
 # A request with this body ends each replica that runs it.
 CRASHING = b"ends what runs it"
+PROMPT_PARTS = "Loomjunction-Prompt-Prefix"
+# A shared part of a prompt with which an engine ends once it begins to write the answer.
+CRASHING_PART = "bad0"
+CRASHES_AFTER = 0.1  # seconds from the head of the answer on
+UNFRAMED = 0.2  # share of the streams that have neither a length nor chunks
+
+
+def has_crashing_part(request):
+    parts = request.headers.get(PROMPT_PARTS, "").split(",")
+    return any(part.split(":")[0] == CRASHING_PART for part in parts[:-1])
+
+
+class UnframedResponse(web.StreamResponse):
+    """An answer that ends with its connection."""
+
+    _length_check = False
+
+    def __init__(self, **options):
+        super().__init__(**options)
+        self.force_close()
 
 
 @dataclasses.dataclass
@@ -80,6 +100,7 @@
         self.says_leaving = False  # in its answers, whatever its record says
         self.rest = None  # seconds that it asks for when it turns a request away
         self.came = []  # (time, request, life)
+        self.crashing_came = []  # times of requests with a crashing part
         self.said_leaving = []  # (request, life)
         self.rests = []  # (time, request, life, seconds)
         self.paused_until = 0.0  # its streams say nothing until then, and go on
@@ -254,6 +275,8 @@
         status = self._refusal(request)
         if not self._is_for_other(request):
             self.came.append((time.monotonic(), name, self.id))
+            if has_crashing_part(request):
+                self.crashing_came.append(time.monotonic())
             if self.rest is not None and self.rng.random() < TURNED_AWAY:
                 return self._turn_away(name, common)
         if status:
@@ -319,8 +342,11 @@
         first = int(request.headers.get("Last-Event-Id", 0)) + 1
         breaks_at = self.rng.randint(1, total) if self.rng.random() < self.breaks else 0
         headers = {**common, "Content-Type": "text/event-stream"}
-        response = web.StreamResponse(headers=headers)
+        is_unframed = self.rng.random() < UNFRAMED
+        response = (UnframedResponse if is_unframed else web.StreamResponse)(headers=headers)
         await response.prepare(request)
+        if has_crashing_part(request):
+            asyncio.get_running_loop().call_later(CRASHES_AFTER, self._crash_in_life, life)
         for event in range(first, total + 1):
             await asyncio.sleep(gap)
             await asyncio.sleep(max(0.0, self.paused_until - time.monotonic()))
@@ -329,10 +355,16 @@
                 await response.write(text[:7])  # within an event
                 self._break_off(request, name)
                 return response
+            if has_crashing_part(request) and event == total:
+                await asyncio.sleep(CRASHES_AFTER)
             await response.write(text)
         await response.write_eof()
         return response
 
+    def _crash_in_life(self, life):
+        if life == self.life and self.is_up:
+            asyncio.ensure_future(self.on_crashing(self))
+
 
 class Origin:
     """Where weights come from; it may be slow, spoil what it gives, or be away."""
--- a/tests/soak/soak.py
+++ b/tests/soak/soak.py
@@ -16,7 +16,7 @@
 import tempfile
 import time
 
-from callers import PROMISES_NOT_RUN, Caller, CrashingCaller
+from callers import PROMISES_NOT_RUN, Caller, CrashingCaller, CrashingPartCaller
 from cold import COLD, Cold, over_cold_rate
 from faults import Faults
 from limits import Limits, over_limits
@@ -33,6 +33,7 @@
 RECOVERY = 15.0
 LIMITS_ALONE = 13.0  # longer than until a limit is judged, and its span
 CRASHES_ALLOWED = 3
+PART_CRASHES_ALLOWED = 5
 RETRIES_ALLOWED = 3
 STALL = 0.25  # seconds; what replicas got meanwhile seems to come later
 # Mean seconds between series of returns of the store from copies.
@@ -59,7 +60,7 @@
     account = {one.name: one.account for one in asked}
     broken = []
     for run in runs:
-        if run.request.startswith(("mark", CrashingCaller.NAMES)):
+        if run.request.startswith(("mark", CrashingCaller.NAMES, CrashingPartCaller.NAMES)):
             continue
         if run.request not in account:
             broken.append(f"UNASKED: {run.request} ran, and nobody sent it")
@@ -92,6 +93,20 @@
             f"{len(crashing)} times in all"]
 
 
+def late_parts(world, runs, calm):
+    """Requests with a part under which five replicas had ended, sent when all must know it."""
+    crashes = sorted(run.at for run in runs if run.request.startswith(CrashingPartCaller.NAMES))
+    if len(crashes) < PART_CRASHES_ALLOWED:
+        return []
+    known_by = crashes[PART_CRASHES_ALLOWED - 1] + CONTACT + SLACK
+    came = [at for replica in world.replicas for at in replica.crashing_came]
+    late = [at for at in came if at > known_by and calm(at, at)]
+    if len(late) <= RETRIES_ALLOWED:
+        return []
+    return [f"BUDGET: requests with a part that ended {PART_CRASHES_ALLOWED} replicas came "
+            f"{len(late)} times more, {len(came)} times in all"]
+
+
 def lost_streams(asked, runs, broke_off):
     """Streams that a replica worked on, and that ended early though it did not break them off."""
     ran = {run.request for run in runs}
@@ -217,10 +232,15 @@
                           self.broken, self.placement, *gap) for _ in range(self.options.callers)]
         if not self.options.planned:
             callers.append(CrashingCaller(self.world, random.Random(self.rng.getrandbits(32))))
+            self.part_caller = CrashingPartCaller(self.world,
+                                                  random.Random(self.rng.getrandbits(32)))
         calling = [asyncio.ensure_future(caller.run()) for caller in callers]
         if not await self.wait_served(RECOVERY, 0.9):
             self.broken.append("RECOVER: nothing is served after the start")
         self.say("served; faults begin")
+        if not self.options.planned:
+            callers.append(self.part_caller)
+            calling.append(asyncio.ensure_future(self.part_caller.run()))
         faulting = asyncio.ensure_future(self.faults.run())
         if self.options.planned:
             self.limits.is_stopped = True
@@ -261,6 +281,7 @@
         self.broken += unasked_runs(self.asked, runs)
         self.broken += late_weights(self.world, runs, self.was_calm)
         self.broken += late_crashes(runs, self.was_calm)
+        self.broken += late_parts(self.world, runs, self.was_calm)
         if self.options.planned:
             self.broken += lost_streams(self.asked, runs, self.world.broke_off)
         was_stable = self.returns.was_stable if self.options.returns else self.was_calm
@@ -293,7 +314,9 @@
     verdict = "held" if not soak.broken else ", ".join(f"{w} {n}" for w, n in words.items())
     print(f"seed {seed}: {verdict}; {count} asked, {good} served, {len(soak.world.runs)} runs, "
           f"{sum(run.request.startswith(CrashingCaller.NAMES) for run in soak.world.runs)} of them "
-          f"ended what ran them; {soak.limits_judged} judged by limits, "
+          f"ended what ran them, "
+          f"{sum(len(one.crashing_came) for one in soak.world.replicas)} came with a crashing part; "
+          f"{soak.limits_judged} judged by limits, "
           f"{soak.notices_judged} by notices, {soak.regions_judged} by regions, "
           f"{soak.evacuations_judged} by evacuations, "
           f"{soak.cold_judged} by cold rates; "
