Quarantine: companions of a refused part are recorded with it; lists that can't be read are counted

A gateway that started between the records of a refused part and of those that crashes can't tell from it would have refused all requests with the first one (found on reading).

--- a/src/libloomjunction/core/quarantine.cpp
+++ b/src/libloomjunction/core/quarantine.cpp
@@ -250,6 +250,12 @@
     return present;
 }
 
+std::vector<QuarantineSubject> Quarantine::companions(const QuarantineSubject &subject) const
+{
+    return mCulprits.contains(subject) ? mEntries.at(subject).companions
+                                       : std::vector<QuarantineSubject>();
+}
+
 // Only one gateway gives trials, one at a time. If every gateway gave its own, a request that
 // crashes replicas would crash as many of them as there are gateways.
 std::optional<Milliseconds> Quarantine::refusedFor(const QuarantineSubject &subject, bool isHome,
--- a/src/libloomjunction/core/quarantine.h
+++ b/src/libloomjunction/core/quarantine.h
@@ -102,6 +102,8 @@
 
     /** The subjects for which a request with all of @p subjects is refused or needs a trial. */
     std::vector<QuarantineSubject> culprits(std::span<const QuarantineSubject> subjects) const;
+    /** The subjects that a refused request must have besides @p subject, see CrashCulprit. */
+    std::vector<QuarantineSubject> companions(const QuarantineSubject &subject) const;
     /**
      * Remaining time of refusal, or nothing if requests with the subject may run. After a refusal
      * one request gets a trial, which only the subject's home gateway gives.
--- a/src/libloomjunction/gateway/gatewaycall.cpp
+++ b/src/libloomjunction/gateway/gatewaycall.cpp
@@ -9,6 +9,7 @@
 #include "gatewaycall.h"
 
 #include "clock.h"
+#include "joinedtext.h"
 #include "jsonlog.h"
 #include "memberservice.h"
 #include "metrics.h"
@@ -21,7 +22,6 @@
 #include <cmath>
 #include <exception>
 #include <random>
-#include <span>
 #include <utility>
 
 #include <boost/asio/co_spawn.hpp>
@@ -78,15 +78,6 @@
     return HttpResponse::json(status, R"({"error":")" + std::string(reason) + R"("})");
 }
 
-std::string joinedParts(std::span<const std::string> parts)
-{
-    std::string all;
-    for (const std::string &part : parts) {
-        all += (all.empty() ? "" : " ") + part;
-    }
-    return all;
-}
-
 bool hasFailed(const AttemptOutcome &result)
 {
     return std::holds_alternative<AttemptNotExecuted>(result)
@@ -127,6 +118,9 @@
 std::optional<GatewayCall::Refusal> GatewayCall::prepare()
 {
     mCall.caller = mCall.parts.calls.callerFields(mCall.exchange.request());
+    if (mCall.caller.hasUnreadableParts) {
+        mCall.parts.metrics.count("unreadable_prompt_parts");
+    }
     if (!mCall.table) {
         return Refusal{503, "no configuration is known yet", sNoConfigRetryDelay};
     }
@@ -912,7 +906,7 @@
              {"replica", mLastChosen.id},
              {"request", mSubjects.empty() ? std::string() : subjectText(mSubjects.front())},
              {"quarantinedFor", mQuarantinedFor},
-             {"promptParts", joinedParts(mCall.caller.sharedParts)},
+             {"promptParts", joinedText(mCall.caller.sharedParts, " ")},
              {"unframed", mAttempt && mAttempt->isUnframed()},
              {"promptTokens", mCall.caller.promptTokens},
              {"waitingTokens", mLastChosen.waitingTokens},
--- a/src/libloomjunction/gateway/membersettings.cpp
+++ b/src/libloomjunction/gateway/membersettings.cpp
@@ -8,6 +8,7 @@
 
 #include "membersettings.h"
 
+#include "joinedtext.h"
 #include "settingsfile.h"
 
 #include <cmath>
@@ -122,7 +123,7 @@
     }
     reader.refuseUnknown();
     if (!problems.empty()) {
-        return tl::unexpected(joinProblems(problems));
+        return tl::unexpected(joinedText(problems, "\n"));
     }
     return settings;
 }
--- a/src/libloomjunction/gateway/ports.h
+++ b/src/libloomjunction/gateway/ports.h
@@ -134,6 +134,7 @@
     std::uint32_t outputTokens = 0;
     /** Ids of the parts of the prompt that other requests may share, in order of the prompt. */
     std::vector<std::string> sharedParts;
+    bool hasUnreadableParts = false; ///< a list of parts was given that cannot be parsed
 };
 
 /** Order of requests in the queue of a replica, most urgent first. */
--- a/src/libloomjunction/gateway/quarantineservice.cpp
+++ b/src/libloomjunction/gateway/quarantineservice.cpp
@@ -9,6 +9,7 @@
 #include "quarantineservice.h"
 
 #include "feedservice.h"
+#include "joinedtext.h"
 #include "jsonlog.h"
 #include "memberservice.h"
 #include "metrics.h"
@@ -60,22 +61,13 @@
     return subject ? std::optional(*subject) : std::nullopt;
 }
 
-std::string joined(std::span<const std::string> texts)
-{
-    std::string all;
-    for (const std::string &text : texts) {
-        all += (all.empty() ? "" : " ") + text;
-    }
-    return all;
-}
-
 std::string textOf(std::span<const QuarantineSubject> subjects)
 {
     std::vector<std::string> texts;
     for (const QuarantineSubject &subject : subjects) {
         texts.push_back(subjectText(subject));
     }
-    return joined(texts);
+    return joinedText(texts, " ");
 }
 
 } // namespace
@@ -246,6 +238,10 @@
             ? Milliseconds(0)
             : sRemoteWriteDelay + staggeredDelay(subject, sRemoteWriteDelay);
         asio::co_spawn(mExecutor, writeRecord(subject, delay), asio::detached);
+        // Without them a gateway that starts would refuse every request with the subject.
+        for (const QuarantineSubject &companion : mQuarantine.companions(subject)) {
+            asio::co_spawn(mExecutor, writeRecord(companion, delay), asio::detached);
+        }
     }
     for (const QuarantineSubject &subject : changes.released) {
         logLine(LogLevel::Info, "request-released", {{"request", subjectText(subject)}});
@@ -259,7 +255,7 @@
             {{"request", subjectText(entry.subject)},
              {"account", entry.account},
              {"crashes", entry.lives.size()},
-             {"replicas", joined(lives)},
+             {"replicas", joinedText(lives, " ")},
              {"from", source},
              {"forMs", refusedFor(entry.subject).value_or(Milliseconds(0)).count()}});
 }
--- a/src/libloomjunction/kernel/settingsfile.cpp
+++ b/src/libloomjunction/kernel/settingsfile.cpp
@@ -219,13 +219,4 @@
     }
 }
 
-std::string joinProblems(std::span<const std::string> problems)
-{
-    std::string text;
-    for (const std::string &problem : problems) {
-        text += (text.empty() ? "" : "\n") + problem;
-    }
-    return text;
-}
-
 } // namespace Loom
--- a/src/libloomjunction/kernel/settingsfile.h
+++ b/src/libloomjunction/kernel/settingsfile.h
@@ -70,7 +70,4 @@
     std::set<std::string, std::less<>> mKnown;
 };
 
-/** All @p problems, a line each. */
-std::string joinProblems(std::span<const std::string> problems);
-
 } // namespace Loom
--- a/src/loomjunctiond/daemonsettings.cpp
+++ b/src/loomjunctiond/daemonsettings.cpp
@@ -8,6 +8,7 @@
 
 #include "daemonsettings.h"
 
+#include "joinedtext.h"
 #include "settingsfile.h"
 
 namespace Loom {
@@ -110,7 +111,7 @@
     }
     reader.refuseUnknown();
     if (!problems.empty()) {
-        return tl::unexpected(joinProblems(problems));
+        return tl::unexpected(joinedText(problems, "\n"));
     }
     return settings;
 }
--- a/tests/platform/test_calls.cpp
+++ b/tests/platform/test_calls.cpp
@@ -57,6 +57,8 @@
     for (const char *invalid :
          {"", "a1:8,b2,c3:2", "a1:8,,c3:2", "xyz:8,c3:2", "a1:-8,c3:2", "a1:8;b2:4", ":8,c3:2"}) {
         BOOST_TEST(parts({{name, invalid}}).empty(), invalid);
+        const bool isGiven = !std::string(invalid).empty();
+        BOOST_TEST(calls.callerFields(request({{name, invalid}})).hasUnreadableParts == isGiven);
     }
     std::string many = "a1:1";
     for (int i = 0; i < 1'000; ++i) {
--- a/tests/soak/limits.py
+++ b/tests/soak/limits.py
@@ -52,7 +52,8 @@
             replica.name_limit(None)
         for service in ("engine-svc", "plain-svc"):
             able = [one for one in self.world.replicas if one.service == service and one.is_up]
-            self.rng.choice(able).name_limit(self.rng.choice(RATES[1:]))
+            if able:
+                self.rng.choice(able).name_limit(self.rng.choice(RATES[1:]))
         await asyncio.sleep(seconds)
         for replica in self.world.replicas:
             replica.name_limit(None)
--- a/tests/weights/swarmsimulator.cpp
+++ b/tests/weights/swarmsimulator.cpp
@@ -11,6 +11,7 @@
 #include "fakelog.h"
 
 #include <algorithm>
+#include <map>
 
 namespace Loom {
 
@@ -139,9 +140,11 @@
 {
     std::vector<double> uploadCounts(mScenario.members.size() + 1);
     std::vector<double> downloadCounts(mScenario.members.size());
+    std::map<std::pair<std::string, std::string>, double> regionCounts;
     for (const Transfer &transfer : mTransfers) {
         ++uploadCounts[transfer.from];
         ++downloadCounts[transfer.to];
+        ++regionCounts[regionLink(transfer)];
     }
     const bool isBack = mScenario.originReturnsMs >= 0 && time >= mScenario.originReturnsMs;
     if (mScenario.originFailsMs >= 0 && time >= mScenario.originFailsMs && !isBack) {
@@ -151,8 +154,12 @@
         const bool isOrigin = transfer.from == mScenario.members.size();
         const double sending
             = (isOrigin ? mScenario.originRate : mScenario.linkRate) / uploadCounts[transfer.from];
-        transfer.remainingBytes
-            -= std::min(sending, mScenario.linkRate / downloadCounts[transfer.to]) * sStepMs;
+        double rate = std::min(sending, mScenario.linkRate / downloadCounts[transfer.to]);
+        const auto link = regionLink(transfer);
+        if (!link.first.empty()) {
+            rate = std::min(rate, mScenario.regionRate / regionCounts[link]);
+        }
+        transfer.remainingBytes -= rate * sStepMs;
     }
     for (const Transfer &transfer : mTransfers) {
         if (transfer.remainingBytes <= 0) {
@@ -163,6 +170,16 @@
                   [](const Transfer &transfer) { return transfer.remainingBytes <= 0; });
 }
 
+std::pair<std::string, std::string> SwarmSimulator::regionLink(const Transfer &transfer) const
+{
+    if (transfer.from == mScenario.members.size()) {
+        return {};
+    }
+    const std::string &from = mScenario.members[transfer.from].dataCentre;
+    const std::string &to = mScenario.members[transfer.to].dataCentre;
+    return from == to ? std::pair<std::string, std::string>() : std::pair(from, to);
+}
+
 void SwarmSimulator::deliver(const Transfer &done, int time)
 {
     mPlans[done.to].received(done.fetch.index, done.fetch.source, at(time));
--- a/tests/weights/swarmsimulator.h
+++ b/tests/weights/swarmsimulator.h
@@ -13,6 +13,7 @@
 #include <cstdint>
 #include <set>
 #include <string>
+#include <utility>
 #include <vector>
 
 namespace Loom {
@@ -32,6 +33,8 @@
         double chunkBytes = 49'152;
         double linkRate = 1'175; ///< 9.4 Mbit/s
         double originRate = 1'875; ///< 15 Mbit/s
+        /** All transfers from one data centre to another one share it, each way; 24 Mbit/s. */
+        double regionRate = 3'000;
         std::uint32_t maxUploads = 3; ///< per member; further requests get "busy"
         std::set<std::string> killed; ///< members that fail; they stay in the list of members
         int killedAtMs = 0; ///< time of their failure
@@ -75,6 +78,8 @@
     void killMembers(int time);
     int startOf(std::size_t member) const;
     std::size_t memberOf(const ChunkSource &source) const;
+    /** The sender's and the receiver's data centre; empty within one, and from the origin. */
+    std::pair<std::string, std::string> regionLink(const Transfer &transfer) const;
     void startTransfer(std::size_t to, const ChunkFetch &fetch, int time);
     void advanceTransfers(int time);
     void failOriginPulls(int time);
