--- a/src/libloomjunction/gateway/feedservice.cpp
+++ b/src/libloomjunction/gateway/feedservice.cpp
@@ -30,6 +30,7 @@
 namespace {
 
 constexpr std::string_view sFollowPath = "/follow";
+constexpr std::string_view sStoreSource = "store"; // see RecordOrigin::from
 // Timeouts of the long polls of the store. Each call to the store has a cost, but a lost
 // store is noticed only when a pending call should have returned: each timeout trades one
 // against the other.
@@ -254,10 +255,25 @@
     return now() - *completeAt;
 }
 
-void FeedService::updateCompleteAt(Feed feed, Instant at)
+FeedEvidence FeedService::evidence(Feed feed) const
 {
-    std::optional<Instant> &completeAt = state(feed).completeAt;
-    completeAt = std::max(completeAt.value_or(at), at);
+    const FeedState &state = this->state(feed);
+    FeedEvidence evidence;
+    if (const auto known = age(feed)) {
+        evidence.age = std::chrono::ceil<Milliseconds>(*known);
+    }
+    evidence.from = state.completeFrom;
+    evidence.next = state.table.next();
+    return evidence;
+}
+
+void FeedService::updateCompleteAt(Feed feed, Instant at, std::string_view from)
+{
+    FeedState &state = this->state(feed);
+    if (!state.completeAt || at > *state.completeAt) {
+        state.completeAt = at;
+        state.completeFrom = from;
+    }
 }
 
 // An agent that reaches none of its seeds eventually reads the members from the store, which
@@ -468,7 +484,7 @@
     // request, or as of the end of the wait if nothing was found during all of it.
     state.hasReturnedEarly = !batch.records.empty() || now() < asked + wait;
     if (!batch.hasMore) {
-        updateCompleteAt(feed, state.hasReturnedEarly ? asked : asked + wait);
+        updateCompleteAt(feed, state.hasReturnedEarly ? asked : asked + wait, sStoreSource);
     }
     state.isRelayDoubtful = false;
 }
@@ -496,7 +512,7 @@
     state.isFirstSync = false;
     state.isSynced = true;
     state.hasReturnedEarly = false;
-    updateCompleteAt(feed, asked);
+    updateCompleteAt(feed, asked, sStoreSource);
     if (isRestored) {
         finishRestore(feed);
     }
@@ -867,7 +883,7 @@
         state.isFirstSync = false;
     }
     if (knownAsOf) {
-        updateCompleteAt(feed, *knownAsOf - Milliseconds(update.age_ms()));
+        updateCompleteAt(feed, *knownAsOf - Milliseconds(update.age_ms()), endpointText(from));
     }
     if (isRestored) {
         finishRestore(feed);
--- a/src/libloomjunction/gateway/feedservice.h
+++ b/src/libloomjunction/gateway/feedservice.h
@@ -59,6 +59,14 @@
     std::uint32_t hops = 0; ///< number of times that the record was relayed
 };
 
+/** How recently a feed was known to be complete, and from where. */
+struct FeedEvidence
+{
+    Milliseconds age{-1}; ///< negative: it was never known to be complete
+    std::string from; ///< "store", or the address of the process that reported it last
+    LogPosition next; ///< all records before it are known
+};
+
 /** A changed record, as passed to listeners. */
 struct FeedChange
 {
@@ -128,6 +136,7 @@
 
     /** Time since the feed was last known to be complete; nothing if it never was. */
     std::optional<Microseconds> age(Feed feed) const;
+    FeedEvidence evidence(Feed feed) const;
     /** Whether a read of the store failed within the last seconds. */
     bool hasStoreFailed() const;
     /**
@@ -171,6 +180,7 @@
         /** Compressed long values by key, shared by all followers. */
         std::map<std::string, CompressedValue> compressed;
         std::optional<Instant> completeAt;
+        std::string completeFrom; ///< source of completeAt
         Instant storeFailedAt;
         bool hasStoreFailed = false;
         bool isStoreReached = false;
@@ -240,7 +250,7 @@
     void applyFullUpdate(Feed feed, const wire::FollowUpdate &update, Microseconds age);
     std::optional<FeedRecord> readRelayed(Feed feed, const wire::RelayedRecord &relayed) const;
     LogPosition knownBefore(Feed feed) const;
-    void updateCompleteAt(Feed feed, Instant at);
+    void updateCompleteAt(Feed feed, Instant at, std::string_view from);
     wire::FollowUpdate newRecords(Follower &follower, bool isFullUpdate);
     wire::FollowUpdate buildUpdate(Follower &follower);
     void setUpdateState(Feed feed, wire::FollowUpdate &update) const;
--- a/src/libloomjunction/gateway/gatewaycall.cpp
+++ b/src/libloomjunction/gateway/gatewaycall.cpp
@@ -62,6 +62,8 @@
 // Generating a token takes about as long as reading ten tokens of a prompt.
 constexpr double sOutputTokenWork = 10;
 constexpr int sBadRequest = 400;
+constexpr int sUnauthorized = 401;
+constexpr int sNotFound = 404;
 constexpr int sUnavailable = 503;
 // Sent to callers of a request that is quarantined because replicas crashed while executing it.
 constexpr std::string_view sQuarantinedReason = "replicas ended under this request";
@@ -134,7 +136,7 @@
             return Refusal{503, "no such route in a configuration that may be old",
                            sNoConfigRetryDelay};
         }
-        return Refusal{404, "no such route", std::nullopt};
+        return Refusal{sNotFound, "no such route", std::nullopt};
     }
     mStanding.rank.route = mCall.route->priority;
     if (auto refusal = authenticate()) {
@@ -180,7 +182,7 @@
     if (!mCall.caller.key.empty() && mCall.parts.config.mayBeStale()) {
         return Refusal{503, "no such key in a configuration that may be old", sNoConfigRetryDelay};
     }
-    return Refusal{401, "no such key", std::nullopt};
+    return Refusal{sUnauthorized, "no such key", std::nullopt};
 }
 
 void GatewayCall::watchCallerAndDeadline()
@@ -793,6 +795,9 @@
         response.headers.push_back(mCall.parts.calls.retryAfter(*refusal.retryAfter));
     }
     co_await mCall.exchange.respond(std::move(response));
+    if (refusal.status == sUnauthorized || refusal.status == sNotFound) {
+        mCall.parts.config.logEvidence(mCall.caller.id, refusal.status);
+    }
     if (mCall.route != nullptr) {
         const std::string_view reason
             = mIsHeldBack ? std::string_view("capacity is reserved") : refusal.reason;
--- a/src/libloomjunction/gateway/operatorconfigservice.cpp
+++ b/src/libloomjunction/gateway/operatorconfigservice.cpp
@@ -39,9 +39,9 @@
 // A process that reads a record at startup doesn't know when an operator wrote it and assumes an
 // age of one day. Such ages would hide all others in the metric.
 constexpr Microseconds sMaxObservedAge = std::chrono::hours(12);
-// Interval of the checks for evacuations whose records the store has lost; far shorter than the
-// time for which these stay in force.
-constexpr std::chrono::milliseconds sLostRecordCheckInterval{100};
+// Interval of the checks for a change of mayBeStale(), and for evacuations whose records the store
+// has lost; far shorter than the time for which these stay in force.
+constexpr std::chrono::milliseconds sCheckInterval{100};
 
 } // namespace
 
@@ -62,7 +62,7 @@
                          },
                          true});
     setBounds(mBounds);
-    asio::co_spawn(kernel.executor(), watchLostEvacuations(), asio::detached);
+    asio::co_spawn(kernel.executor(), runChecks(), asio::detached);
     return {};
 }
 
@@ -107,6 +107,19 @@
         || *age > mBounds.maxConfigAge * sFreshnessNumerator / sFreshnessDenominator;
 }
 
+void OperatorConfigService::logEvidence(std::string_view id, int status) const
+{
+    const FeedEvidence evidence = mFeeds->evidence(Feed::Operators);
+    logLine(LogLevel::Info, "refused-for-good",
+            {{"id", id},
+             {"status", status},
+             {"config", mTable ? mTable->version() : 0},
+             {"ageMs", evidence.age.count()},
+             {"from", evidence.from},
+             {"era", evidence.next.era},
+             {"next", evidence.next.offset}});
+}
+
 void OperatorConfigService::applyRecord(const FeedChange &change)
 {
     if (!change.record.value) {
@@ -183,19 +196,44 @@
     }
 }
 
+awaitable<void> OperatorConfigService::runChecks()
+{
+    while (!mStopped) {
+        co_await sleepFor(sCheckInterval);
+        updateLostEvacuations();
+        logStaleness();
+    }
+}
+
 // The feed's table is checked regularly rather than when a restore ends: a process that starts
 // may receive a lost record from another one, and a rewritten record of the same value is not
 // announced to listeners.
-awaitable<void> OperatorConfigService::watchLostEvacuations()
+void OperatorConfigService::updateLostEvacuations()
 {
-    while (!mStopped) {
-        co_await sleepFor(sLostRecordCheckInterval);
-        const FeedTable::Keys &missing = mFeeds->table(Feed::Operators).missing();
-        const auto isLost = [&](const std::string &key) { return missing.contains(key); };
-        for (const EvacuationChange &change : mEvacuations.update(isLost, now())) {
-            announce(change);
-        }
+    const FeedTable::Keys &missing = mFeeds->table(Feed::Operators).missing();
+    const auto isLost = [&](const std::string &key) { return missing.contains(key); };
+    for (const EvacuationChange &change : mEvacuations.update(isLost, now())) {
+        announce(change);
+    }
+}
+
+void OperatorConfigService::logStaleness()
+{
+    const bool isStale = mTable && mayBeStale();
+    if (isStale == mStaleSince.has_value()) {
+        return;
     }
+    const FeedEvidence evidence = mFeeds->evidence(Feed::Operators);
+    const Instant since = mStaleSince.value_or(now());
+    mStaleSince = isStale ? std::optional(now()) : std::nullopt;
+    logLine(isStale ? LogLevel::Warning : LogLevel::Info,
+            isStale ? "config-may-be-stale" : "config-is-recent",
+            {{"config", mTable ? mTable->version() : 0},
+             {"ageMs", evidence.age.count()},
+             {"from", evidence.from},
+             {"era", evidence.next.era},
+             {"next", evidence.next.offset},
+             {"forMs", std::chrono::duration_cast<Milliseconds>(now() - since).count()}});
 }
 
 void OperatorConfigService::applyNamedWeights(const NamedWeights &named, const FeedChange &change)
--- a/src/libloomjunction/gateway/operatorconfigservice.h
+++ b/src/libloomjunction/gateway/operatorconfigservice.h
@@ -16,6 +16,7 @@
 #include "weightversiontracker.h"
 
 #include <functional>
+#include <optional>
 #include <vector>
 
 namespace Loom {
@@ -47,6 +48,8 @@
     const WeightVersionTracker &weights() const { return mWeights; }
     /** Whether the table may be outdated, so that a newer one may hold a missing route or key. */
     bool mayBeStale() const;
+    /** Logs how recent the configuration was when the request @p id was refused for good. */
+    void logEvidence(std::string_view id, int status) const;
 
     /** Calls @p listener after each change of the configuration or the weight versions. */
     void addListener(Listener listener) { mListeners.push_back(std::move(listener)); }
@@ -66,7 +69,9 @@
     void applyNamedWeights(const NamedWeights &named, const FeedChange &change);
     void applyEvacuation(const Evacuation &evacuation, const FeedChange &change);
     void announce(const EvacuationChange &change) const;
-    awaitable<void> watchLostEvacuations();
+    awaitable<void> runChecks();
+    void updateLostEvacuations();
+    void logStaleness();
 
     RecordPort &mRecords;
     MemberBounds mBounds;
@@ -77,6 +82,7 @@
     EvacuationTable mEvacuations;
     std::vector<Listener> mListeners;
     std::vector<EvacuationListener> mEvacuationListeners;
+    std::optional<Instant> mStaleSince; ///< nothing while the configuration is recent
     bool mStopped = false;
 };
 
