--- a/tests/gateway/delayingproxy.cpp
+++ b/tests/gateway/delayingproxy.cpp
@@ -8,6 +8,8 @@
 
 #include "delayingproxy.h"
 
+#include <algorithm>
+
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
 #include <boost/asio/write.hpp>
@@ -32,6 +34,7 @@
     : mAcceptor(executor, Tcp::endpoint(asio::ip::address_v4::loopback(), 0))
     , mTarget(std::move(target))
     , mMinDelay(minDelay)
+    , mReleased(executor)
 {
     asio::co_spawn(executor, accept(), asio::detached);
 }
@@ -60,6 +63,24 @@
     start(target, caller, mMinDelay);
 }
 
+void DelayingProxy::release()
+{
+    mIsHolding = false;
+    mReleased.notify();
+}
+
+DelayingProxy::Time DelayingProxy::dueAt(const Direction &direction, std::size_t size)
+{
+    const Time arrivesAt = std::chrono::steady_clock::now() + direction.minDelay;
+    if (!direction.isRateLimited || mBytesPerSecond <= 0) {
+        return arrivesAt;
+    }
+    const std::chrono::duration<double> duration(static_cast<double>(size) / mBytesPerSecond);
+    mLinkFreeAt = std::max(mLinkFreeAt, std::chrono::steady_clock::now())
+        + std::chrono::duration_cast<Time::duration>(duration);
+    return mLinkFreeAt + direction.minDelay;
+}
+
 void DelayingProxy::start(std::shared_ptr<Tcp::socket> from, std::shared_ptr<Tcp::socket> to,
                           std::chrono::milliseconds minDelay)
 {
@@ -67,6 +88,7 @@
     direction->from = std::move(from);
     direction->to = std::move(to);
     direction->minDelay = minDelay;
+    direction->isRateLimited = minDelay == mMinDelay;
     direction->changed = std::make_unique<Signal>(mAcceptor.get_executor());
     asio::co_spawn(mAcceptor.get_executor(), receive(direction), asio::detached);
     asio::co_spawn(mAcceptor.get_executor(), forward(direction), asio::detached);
@@ -81,8 +103,7 @@
         if (error) {
             break;
         }
-        const Time dueAt = std::chrono::steady_clock::now() + direction->minDelay;
-        direction->pieces.push_back({dueAt, buffer.substr(0, size)});
+        direction->pieces.push_back({dueAt(*direction, size), buffer.substr(0, size)});
         direction->changed->notify();
     }
     direction->hasEnded = true;
@@ -105,6 +126,9 @@
             asio::steady_timer timer(direction->to->get_executor(), piece.dueAt);
             co_await timer.async_wait(sAsValue);
         }
+        while (mIsHolding) {
+            co_await mReleased.waitFor(sNoDeadline);
+        }
         auto [error, size]
             = co_await asio::async_write(*direction->to, asio::buffer(piece.bytes), sAsValue);
         if (error) {
--- a/tests/gateway/delayingproxy.h
+++ b/tests/gateway/delayingproxy.h
@@ -17,7 +17,10 @@
 
 namespace Loom {
 
-/** A TCP proxy that delays every byte from the target to the client by a minimum time. */
+/**
+ * A TCP proxy that delays every byte from the target to the client by a minimum time, and forwards
+ * these bytes at a limited rate if one is set.
+ */
 class DelayingProxy
 {
 public:
@@ -25,6 +28,11 @@
                   std::chrono::milliseconds minDelay);
 
     Tcp::endpoint address() const { return mAcceptor.local_endpoint(); }
+    /** Sets the rate of all connections together. */
+    void setRate(double bytesPerSecond) { mBytesPerSecond = bytesPerSecond; }
+    /** Holds up all bytes, in both directions, until release(). */
+    void hold() { mIsHolding = true; }
+    void release();
 
 private:
     using Time = std::chrono::steady_clock::time_point;
@@ -41,6 +49,7 @@
         std::shared_ptr<Tcp::socket> from;
         std::shared_ptr<Tcp::socket> to;
         std::chrono::milliseconds minDelay{0};
+        bool isRateLimited = false;
         std::deque<Piece> pieces;
         std::unique_ptr<Signal> changed;
         bool hasEnded = false;
@@ -51,12 +60,17 @@
     awaitable<void> connectTarget(std::shared_ptr<Tcp::socket> caller);
     void start(std::shared_ptr<Tcp::socket> from, std::shared_ptr<Tcp::socket> to,
                std::chrono::milliseconds minDelay);
-    static awaitable<void> receive(DirectionPtr direction);
-    static awaitable<void> forward(DirectionPtr direction);
+    Time dueAt(const Direction &direction, std::size_t size);
+    awaitable<void> receive(DirectionPtr direction);
+    awaitable<void> forward(DirectionPtr direction);
 
     Tcp::acceptor mAcceptor;
     Tcp::endpoint mTarget;
     std::chrono::milliseconds mMinDelay;
+    double mBytesPerSecond = 0; ///< zero: unlimited
+    Time mLinkFreeAt; ///< when the link has forwarded all bytes so far
+    bool mIsHolding = false;
+    Signal mReleased;
 };
 
 } // namespace Loom
--- a/tests/gateway/fleetgateway.cpp
+++ b/tests/gateway/fleetgateway.cpp
@@ -11,6 +11,7 @@
 #include <algorithm>
 #include <cstdint>
 #include <random>
+#include <set>
 
 #include <boost/test/unit_test.hpp>
 
@@ -42,15 +43,16 @@
     constexpr std::uint16_t minPort = 15'000;
     constexpr std::uint16_t maxPort = 31'999;
     static std::mt19937 random{std::random_device{}()};
+    static std::set<std::uint16_t> given; // a fleet may ask for many before it listens
     std::uniform_int_distribution<std::uint16_t> pick(minPort, maxPort);
     Tcp::acceptor acceptor(context, Tcp::v4());
-    boost::system::error_code error;
-    Tcp::endpoint endpoint;
-    do {
-        endpoint = Tcp::endpoint(asio::ip::address_v4::loopback(), pick(random));
-        acceptor.bind(endpoint, error);
-    } while (error);
-    return endpoint;
+    while (true) {
+        const Tcp::endpoint endpoint(asio::ip::address_v4::loopback(), pick(random));
+        boost::system::error_code error;
+        if (given.insert(endpoint.port()).second && !acceptor.bind(endpoint, error)) {
+            return endpoint;
+        }
+    }
 }
 
 FleetGateway::FleetGateway(asio::io_context &context, MemoryStore &store, std::string box)
@@ -72,6 +74,14 @@
     BOOST_REQUIRE(mKernel.start().has_value());
 }
 
+std::string FleetGateway::memberRecord() const
+{
+    const auto &role = std::get<GatewaySettings>(mSettings.role);
+    return R"({"box":")" + mSettings.box + R"(","dataCentre":"z1","region":"r1","role":"gateway",)"
+        + R"("peers":")" + endpointText(mSettings.peers) + R"(","callers":")"
+        + endpointText(role.callers) + R"(","incarnation":1})";
+}
+
 bool FleetGateway::isReady(std::size_t replicas, std::size_t others)
 {
     const auto &members = mKernel.find<MemberService>(MemberService::sName);
--- a/tests/gateway/fleetgateway.h
+++ b/tests/gateway/fleetgateway.h
@@ -36,6 +36,8 @@
     ReplicaService &replicas() { return mKernel.find<ReplicaService>(ReplicaService::sName); }
     PermitService &permits() { return mKernel.find<PermitService>(PermitService::sName); }
     const Metrics &metrics() const { return mMetrics; }
+    /** Value of its membership record, as it writes it to the store. */
+    std::string memberRecord() const;
 
 private:
     MemberSettings mSettings;
--- a/tests/gateway/gatewayfixture.h
+++ b/tests/gateway/gatewayfixture.h
@@ -47,6 +47,7 @@
     }
 
     bool isUnreachable = false;
+    bool answersWithoutWaiting = false; ///< reads that find nothing return at once
     bool hasLostHistory = false; ///< the next read fails because its records are gone
     int readCount = 0; ///< number of incremental reads of all feeds so far
     int fullReadCount = 0; ///< number of full reads of all feeds so far
@@ -97,7 +98,8 @@
         requestedWaits[static_cast<std::size_t>(feed)].push_back(wait);
         const auto &log = mLogs[static_cast<std::size_t>(feed)];
         const std::uint64_t askedIn = mEra;
-        if (!isUnreachable && log.size() <= from && !isBeyondEnd(log, from)) {
+        const bool isWaiting = !isUnreachable && !answersWithoutWaiting;
+        if (isWaiting && log.size() <= from && !isBeyondEnd(log, from)) {
             co_await mChanged.waitFor(wait);
         }
         bool &isCancelled = mIsCancelled[static_cast<std::size_t>(feed)];
--- /dev/null
+++ b/tests/propagation/test_propagation.cpp
@@ -0,0 +1,118 @@
+/*
+ * test_propagation.cpp
+ * Copyright 2026, the loomjunction authors
+ *
+ * This file is part of loomjunction (tests).
+ * SPDX-License-Identifier: BSD-2-Clause
+ */
+
+#define BOOST_TEST_MODULE propagation
+#include "gatewayfleet.h"
+
+#include <boost/test/data/monomorphic.hpp>
+#include <boost/test/data/test_case.hpp>
+#include <boost/test/unit_test.hpp>
+
+using namespace Loom;
+
+namespace {
+
+/** A deployment's number of gateways and the time in which a configuration must be in force. */
+struct Size
+{
+    std::size_t gateways;
+    Milliseconds bound;
+};
+
+std::ostream &operator<<(std::ostream &out, const Size &size)
+{
+    return out << size.gateways << " gateways, " << size.bound.count() << " ms";
+}
+
+const std::vector<Size> sSizes{
+    {9, Milliseconds(2'000)}, {41, Milliseconds(3'000)}, {149, Milliseconds(4'000)}};
+
+FleetSettings settingsOf(const Size &size, std::size_t routes = 10)
+{
+    FleetSettings settings;
+    settings.gatewayCount = size.gateways;
+    settings.maxConfigAge = size.bound;
+    settings.routeCount = routes;
+    return settings;
+}
+
+/** Accepts @p count versions, one each @p gap, and lets the last one spread. */
+void acceptSeries(GatewayFleet &fleet, int count, Milliseconds gap)
+{
+    for (int index = 0; index < count; ++index) {
+        fleet.accept();
+        fleet.pass(gap);
+    }
+    fleet.pass(Milliseconds(6'000));
+}
+
+void checkBounds(const FleetReport &report, const Size &size)
+{
+    BOOST_TEST_MESSAGE("slowest " << report.slowest.count() << " ms, stale samples "
+                                  << report.staleSamples << ", store calls " << report.storeCalls
+                                  << ", bytes to other regions " << report.regionBytes);
+    BOOST_TEST(report.missing == 0U);
+    BOOST_TEST(report.wrongRefusals == 0U);
+    BOOST_TEST(report.reverts == 0U);
+    BOOST_TEST(report.slowest.count() <= (size.bound / 2).count());
+}
+
+} // namespace
+
+BOOST_DATA_TEST_CASE(configuration_is_in_force_everywhere_in_the_calm, sSizes)
+{
+    GatewayFleet fleet(settingsOf(sample));
+    BOOST_REQUIRE(fleet.start());
+    acceptSeries(fleet, 4, Milliseconds(1'300));
+    const FleetReport report = fleet.report();
+    checkBounds(report, sample);
+    BOOST_TEST(report.staleSamples == 0U);
+}
+
+BOOST_DATA_TEST_CASE(large_configurations_in_quick_succession_are_in_force_in_time, sSizes)
+{
+    GatewayFleet fleet(settingsOf(sample, 1'400));
+    BOOST_REQUIRE(fleet.start());
+    acceptSeries(fleet, 6, Milliseconds(300));
+    const FleetReport report = fleet.report();
+    checkBounds(report, sample);
+    BOOST_TEST(report.staleSamples == 0U);
+}
+
+// Guards against a gateway that waits for a silent store while others have newer records.
+BOOST_DATA_TEST_CASE(gateways_locked_out_of_the_store_get_configurations_in_time, sSizes)
+{
+    GatewayFleet fleet(settingsOf(sample, 1'400));
+    BOOST_REQUIRE(fleet.start());
+    fleet.globalReader().access.setMode(StoreAccess::Mode::Silent);
+    fleet.nearReader().access.setMode(StoreAccess::Mode::Silent);
+    for (std::size_t index = 0; index < fleet.gateways().size(); index += 3) {
+        fleet.gateways()[index].access.setMode(StoreAccess::Mode::Silent);
+    }
+    acceptSeries(fleet, 12, Milliseconds(700));
+    checkBounds(fleet.report(), sample);
+}
+
+// Guards against followers that wait long for a reader that stands still.
+BOOST_DATA_TEST_CASE(configuration_passes_readers_that_stand_still, sSizes)
+{
+    GatewayFleet fleet(settingsOf(sample, 1'400));
+    BOOST_REQUIRE(fleet.start());
+    for (int round = 0; round < 3; ++round) {
+        ConfigGateway &reader = fleet.globalReader();
+        ConfigGateway &near = fleet.nearReader();
+        reader.cutOff();
+        near.cutOff();
+        acceptSeries(fleet, 3, Milliseconds(400));
+        checkBounds(fleet.report(), sample);
+        reader.reconnect();
+        near.reconnect();
+        fleet.pass(Milliseconds(6'000));
+        fleet.resetReport();
+    }
+}
