A missing key is not refused for good by a configuration that may be old

Callers got 401 for a request without a key, however old the configuration was: only an unknown key asked for its age. A successor may have made the route public or dropped the client accounts. Every 401 asks now. Shown by request_without_key_gets_no_permanent_error_from_a_stale_configuration (401 before).

--- a/src/libloomjunction/gateway/gatewaycall.cpp
+++ b/src/libloomjunction/gateway/gatewaycall.cpp
@@ -179,7 +179,7 @@
         mStanding.rank.account = account->priority;
         return std::nullopt;
     }
-    if (!mCall.caller.key.empty() && mCall.parts.config.mayBeStale()) {
+    if (mCall.parts.config.mayBeStale()) {
         return Refusal{503, "no such key in a configuration that may be old", sNoConfigRetryDelay};
     }
     return Refusal{sUnauthorized, "no such key", std::nullopt};
