A configuration with an unreadable successor may be stale

A gateway that could not read a newer configuration logged that and went on with the one before. Its feed was complete, so the age was young and unknown routes and keys got 404 and 401 although the newer configuration may hold them. They get 503 until a readable configuration is installed. Shown by unreadable_successor_makes_a_configuration_stale.

--- a/src/libloomjunction/gateway/operatorconfigservice.cpp
+++ b/src/libloomjunction/gateway/operatorconfigservice.cpp
@@ -103,7 +103,7 @@
 bool OperatorConfigService::mayBeStale() const
 {
     const auto age = mFeeds->age(Feed::Operators);
-    return mFeeds->mayLackRecords(Feed::Operators) || !age
+    return mFeeds->mayLackRecords(Feed::Operators) || mHasUnreadableSuccessor || !age
         || *age > mBounds.maxConfigAge * sFreshnessNumerator / sFreshnessDenominator;
 }
 
@@ -136,6 +136,7 @@
                 {{"key", change.record.key},
                  {"offset", change.record.offset},
                  {"problem", record.error()}});
+        mHasUnreadableSuccessor = mHasUnreadableSuccessor || change.record.key == mConfigKey;
         return;
     }
     std::visit(Overload{
@@ -165,6 +166,8 @@
         return;
     }
     observeAge(change);
+    mConfigKey = change.record.key;
+    mHasUnreadableSuccessor = false;
     mTable = std::make_shared<const RouteTable>(std::move(config));
     for (const Listener &listener : mListeners) {
         listener();
--- a/src/libloomjunction/gateway/operatorconfigservice.h
+++ b/src/libloomjunction/gateway/operatorconfigservice.h
@@ -17,6 +17,7 @@
 
 #include <functional>
 #include <optional>
+#include <string>
 #include <vector>
 
 namespace Loom {
@@ -78,6 +79,8 @@
     FeedService *mFeeds = nullptr;
     Metrics *mMetrics = nullptr; ///< null if ages are not recorded
     RouteTablePtr mTable;
+    std::string mConfigKey; ///< of the record that holds the configuration
+    bool mHasUnreadableSuccessor = false; ///< of the table, which is thus not the newest
     WeightVersionTracker mWeights;
     EvacuationTable mEvacuations;
     std::vector<Listener> mListeners;
