Compressed values are cached by position, not by offset alone

After the store's return from a copy its offsets are given out again. A relay that had compressed the lost value of an offset sent it under the position of the new one, and followers kept it until the next change: a configuration that went back. The cache is keyed by era and offset. Shown by long_value_at_a_reused_offset_is_relayed_after_a_restore.

--- a/src/libloomjunction/gateway/feedservice.cpp
+++ b/src/libloomjunction/gateway/feedservice.cpp
@@ -954,9 +954,9 @@
         return;
     }
     CompressedValue &cached = state.compressed[record.key];
-    if (cached.bytes.empty() || cached.offset != record.offset) {
+    if (cached.bytes.empty() || cached.position != record.position()) {
         const LoopStep step("compressing a record");
-        cached = {record.offset, compressed(*record.value)};
+        cached = {record.position(), compressed(*record.value)};
     }
     relayed.set_compressed(cached.bytes);
 }
--- a/src/libloomjunction/gateway/feedservice.h
+++ b/src/libloomjunction/gateway/feedservice.h
@@ -157,7 +157,7 @@
 private:
     struct CompressedValue
     {
-        std::uint64_t offset = 0; ///< of the record that was compressed
+        LogPosition position; ///< of the record that was compressed
         std::string bytes;
     };
 
