Unasked updates of an earlier era answer no question

While a process starts up, updates of an earlier era are passed over, but each counted as the answer to the oldest open question, also those that came unasked. Later answers were then matched with later questions than theirs, and ages understated by a query interval each. Shown by unasked_update_of_an_earlier_era_answers_no_question.

--- a/src/libloomjunction/gateway/feedservice.cpp
+++ b/src/libloomjunction/gateway/feedservice.cpp
@@ -100,6 +100,12 @@
 // assumed.
 constexpr Microseconds sUnknownAge = std::chrono::hours(24);
 
+// Updates with records are sent without being asked for.
+bool isAnswer(const wire::FollowUpdate &update)
+{
+    return update.records().empty() && !update.whole();
+}
+
 Milliseconds jitter(Milliseconds minDelay, Milliseconds maxDelay)
 {
     static std::mt19937 random{std::random_device{}()};
@@ -804,7 +810,9 @@
         const bool isAwaitingData
             = update && *update && ((*update)->waiting() || isOfEarlierEra(feed, **update));
         if (isAwaitingData && isStartingUp(feed)) {
-            queries.answered();
+            if (isAnswer(**update)) {
+                queries.answered();
+            }
             lastReceivedAt = now();
             hasReceived = true;
             continue;
@@ -863,8 +871,8 @@
     state.isRelayDoubtful = update.store_doubtful();
     // The ages in the update are as of its sending. It may have been in transit for long, so
     // they are counted from the last query that the sender had received by then.
-    const bool isAnswer = update.records().empty() && !update.whole();
-    const std::optional<Instant> knownAsOf = isAnswer ? queries.answered() : queries.heard();
+    const bool hasRecords = !isAnswer(update);
+    const std::optional<Instant> knownAsOf = hasRecords ? queries.heard() : queries.answered();
     const bool isRestored = !state.isFirstSync && update.next_era() > state.table.next().era;
     if (isRestored && !update.whole()) {
         return false;
@@ -872,7 +880,7 @@
     if (isRestored) {
         state.restoredAt = now();
     }
-    if (!isAnswer && !applyRecords(feed, update, now() - *knownAsOf, from)) {
+    if (hasRecords && !applyRecords(feed, update, now() - *knownAsOf, from)) {
         return false;
     }
     // Each update holds everything that the peer knows and had not sent yet, so this table now
@@ -888,7 +896,7 @@
     if (isRestored) {
         finishRestore(feed);
     }
-    if (!isAnswer) {
+    if (hasRecords) {
         wakeFollowers(feed);
     }
     return true;
