A configuration older than another gateway's may be stale

Status messages have told the version in force at each gateway all along, and nobody compared it: a gateway refused for good although it had heard of a newer version. It answers 503 until it has that version. The number travels by other links than the records.

--- a/src/libloomjunction/gateway/gatewayserver.cpp
+++ b/src/libloomjunction/gateway/gatewayserver.cpp
@@ -61,6 +61,8 @@
         state.configVersion = mConfig->table() ? mConfig->table()->version() : 0;
         return state;
     });
+    mMembers->listenConfigVersions(
+        [this](std::uint64_t version) { mConfig->noteReportedVersion(version); });
     mConfig->addListener([this] { applyLimits(); });
     mServer = std::make_unique<HttpServer>(
         kernel.executor(), [this](HttpExchange &exchange) { return handle(exchange); });
--- a/src/libloomjunction/gateway/memberservice.cpp
+++ b/src/libloomjunction/gateway/memberservice.cpp
@@ -657,6 +657,9 @@
             state.isLeaving = (*status)->leaving();
             state.incarnation = (*status)->incarnation();
             state.configVersion = (*status)->config_version();
+            if (mConfigVersionListener) {
+                mConfigVersionListener(state.configVersion);
+            }
             state.hasStoreFailed = (*status)->store_failed();
             state.heardAt = now();
             state.isUnreachable = false;
--- a/src/libloomjunction/gateway/memberservice.h
+++ b/src/libloomjunction/gateway/memberservice.h
@@ -93,6 +93,11 @@
 
     /** Sets the source of this gateway's own state, which is sent to the other gateways. */
     void setStatusSource(StatusSource source) { mStatusSource = std::move(source); }
+    /** Calls @p listener with the configuration version in each status message received. */
+    void listenConfigVersions(std::function<void(std::uint64_t version)> listener)
+    {
+        mConfigVersionListener = std::move(listener);
+    }
     /**
      * Adds data to the status messages sent and received; must be called before the first of
      * these, that is while the services start.
@@ -183,6 +188,7 @@
     FeedService *mFeeds = nullptr;
     PeerHub *mHub = nullptr;
     StatusSource mStatusSource;
+    std::function<void(std::uint64_t)> mConfigVersionListener;
     std::vector<StatusExtension> mStatusExtensions;
     std::map<std::string, Member> mMembers;
     std::map<std::string, GatewayState> mGatewayStates;
--- a/src/libloomjunction/gateway/operatorconfigservice.cpp
+++ b/src/libloomjunction/gateway/operatorconfigservice.cpp
@@ -103,10 +103,17 @@
 bool OperatorConfigService::mayBeStale() const
 {
     const auto age = mFeeds->age(Feed::Operators);
-    return mFeeds->mayLackRecords(Feed::Operators) || mHasUnreadableSuccessor || !age
+    const bool hasSuccessor
+        = mHasUnreadableSuccessor || (mTable && mTable->version() < mReportedVersion);
+    return mFeeds->mayLackRecords(Feed::Operators) || hasSuccessor || !age
         || *age > mBounds.maxConfigAge * sFreshnessNumerator / sFreshnessDenominator;
 }
 
+void OperatorConfigService::noteReportedVersion(std::uint64_t version)
+{
+    mReportedVersion = std::max(mReportedVersion, version);
+}
+
 void OperatorConfigService::logEvidence(std::string_view id, int status) const
 {
     const FeedEvidence evidence = mFeeds->evidence(Feed::Operators);
--- a/src/libloomjunction/gateway/operatorconfigservice.h
+++ b/src/libloomjunction/gateway/operatorconfigservice.h
@@ -49,6 +49,8 @@
     const WeightVersionTracker &weights() const { return mWeights; }
     /** Whether the table may be outdated, so that a newer one may hold a missing route or key. */
     bool mayBeStale() const;
+    /** Notes that @p version is in force at another gateway. */
+    void noteReportedVersion(std::uint64_t version);
     /** Logs how recent the configuration was when the request @p id was refused for good. */
     void logEvidence(std::string_view id, int status) const;
 
@@ -80,6 +82,7 @@
     Metrics *mMetrics = nullptr; ///< null if ages are not recorded
     RouteTablePtr mTable;
     std::string mConfigKey; ///< of the record that holds the configuration
+    std::uint64_t mReportedVersion = 0; ///< newest one in force at another gateway
     bool mHasUnreadableSuccessor = false; ///< of the table, which is thus not the newest
     WeightVersionTracker mWeights;
     EvacuationTable mEvacuations;
