--- a/src/libloomjunction/gateway/feedservice.cpp
+++ b/src/libloomjunction/gateway/feedservice.cpp
@@ -9,18 +9,14 @@
 #include "feedservice.h"
 
 #include "clock.h"
-#include "compression.h"
 #include "jsonlog.h"
-#include "loopstep.h"
 #include "metrics.h"
 #include "peerconnection.h"
 #include "peerhub.h"
-#include "pendingqueries.h"
-#include "wire.pb.h"
+#include "retrydelay.h"
 
 #include <algorithm>
-#include <random>
-#include <set>
+#include <functional>
 
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
@@ -29,55 +25,50 @@
 
 namespace {
 
-constexpr std::string_view sFollowPath = "/follow";
-constexpr std::string_view sStoreSource = "store"; // see RecordOrigin::from
-// Timeouts of the long polls of the store. Each call to the store has a cost, but a lost
-// store is noticed only when a pending call should have returned: each timeout trades one
-// against the other.
+constexpr std::array sFeeds{Feed::Operators, Feed::Replicas, Feed::Members};
+
+// Times of the operators' feed as fractions of the time within which its records must have come.
+// In the calm, records at the second process behind the store are at most two polls, two queries
+// and their transit old, a quarter of that time. Older ones show that a source does not respond.
+// What is left of half of it is for reading past that source.
+constexpr int sPollsPerMaxAge = 10;
+constexpr int sQueriesPerMaxAge = 32;
+constexpr int sUnrelayedPollsPerMaxAge = 4;
+constexpr int sSourceAgePercent = 33;
+constexpr Milliseconds sMinPollTimeout{50};
 constexpr Milliseconds sMaxOperatorsPollTimeout{2'000};
-constexpr Milliseconds sMinOperatorsPollTimeout{200};
-constexpr Milliseconds sReplicasPollTimeout{2'000};
-constexpr Milliseconds sMembersPollTimeout{8'000};
+constexpr Milliseconds sMinQueryInterval{75};
+constexpr Milliseconds sMaxQueryInterval{300};
+// Timeouts of the long polls of the other feeds. Each call to the store has a cost; each timeout
+// trades it against the age of the data.
+constexpr Milliseconds sReplicasPollTimeout{1'000};
+constexpr Milliseconds sMembersPollTimeout{4'000};
+constexpr Milliseconds sRelayedReplicasPollTimeout{200};
+constexpr Milliseconds sReplicasQueryInterval{200};
+// Draining replicas must not be used for more than two seconds: half of that is for detection.
+constexpr Milliseconds sMaxReplicasSourceAge{1'000};
+// Members also exchange their state directly, so their records need not be as fresh.
+constexpr Milliseconds sRelayedMembersPollTimeout{1'250};
+constexpr Milliseconds sMaxMembersSourceAge{4'000};
 // Delays after a read that found records, so that records written in quick succession are
 // read in one call.
 constexpr Milliseconds sOperatorsReadDelay{20};
 constexpr Milliseconds sMembersReadDelay{150};
-constexpr Milliseconds sMinRetryDelay{100};
-constexpr Milliseconds sMaxRetryDelay{400};
-// A follower queries the age of its peer's data at this interval, and drops a peer that sends
-// nothing for the timeout. A follower of a stalled reader receives no changes, and draining
-// replicas must not be used for more than two seconds: half of that is for detection.
-constexpr Milliseconds sRelayQueryInterval{300};
-constexpr Milliseconds sRelayTimeout{900};
-// A follower that sends no query for this time is considered lost, and its state is dropped.
-constexpr std::chrono::milliseconds sFollowerTimeout{3'000};
-// A reader with followers polls the store at least this often, and a follower leaves a
-// reader whose data is older than the maximum age. The age that a follower of the reader
-// reports is at most the poll timeout, a query interval and two transit times.
-constexpr Milliseconds sRelayedPollTimeout{500};
-constexpr Milliseconds sMaxRelayedAge{1'000};
-// A read that returned early shows the state of the store only at the time of the request, so
-// the next poll is shortened by the age of the data. The minimum bounds the number of calls,
-// since each call to the store has a cost.
-constexpr Milliseconds sMinPollTimeout{50};
-// Members also exchange their state directly, so their records need not be as fresh.
-constexpr Milliseconds sRelayedMembersPollTimeout{2'500};
-constexpr Milliseconds sMaxRelayedMembersAge{4'000};
-// Time for which a peer is followed as a fallback before the store is tried again.
-constexpr Milliseconds sFallbackFollowDuration{1'000};
+// Interval of the checks whether a feed needs another source.
+constexpr std::chrono::milliseconds sSuperviseInterval{50};
+// The processes next in order become sources one after the other, each after this fraction of the
+// age at which the first does.
+constexpr int sTakeoverStepsPerSourceAge = 8;
+constexpr std::size_t sMaxTakeoverSteps = 3;
+// Time for which a process reads in place of the readers, or follows an alternate. It covers the
+// time after which a failed reader is known to all and another one is planned.
+constexpr Milliseconds sTakeoverDuration{3'000};
+constexpr std::size_t sMaxAlternates = 4;
+constexpr Milliseconds sAlternateRetryDelay{300};
+// A process that is no reader checks at this interval whether the store answers it again.
+constexpr Milliseconds sProbeInterval{2'000};
 // Time for which a preferred peer is followed before the source is chosen anew.
 constexpr Milliseconds sPreferredFollowDuration{30'000};
-// Delay between two unsolicited updates, so that changes are relayed in batches.
-constexpr Milliseconds sRelayBatchDelay{10};
-// Shorter values gain little from compression, which would run for each of their changes.
-constexpr std::size_t sMinCompressedSize = std::size_t{4} * 1024;
-// Many times the size of the largest record that the platform's store accepts.
-constexpr std::size_t sMaxValueSize = std::size_t{16} * 1024 * 1024;
-// A follower that does not receive a sent update within this time is considered lost. A large
-// configuration needs some hundred milliseconds on the narrowest links.
-constexpr std::chrono::milliseconds sFollowerSendTimeout{3'000};
-// A removal read from the store is trusted only if no store read failed for this time.
-constexpr Milliseconds sStoreFailureWindow{3'000};
 // A process with a store failure within this time does not read for others if another can.
 constexpr Milliseconds sReaderFailureWindow{5'000};
 // Time that a starting process waits for all processes that read before it, and for each one
@@ -91,27 +82,6 @@
 constexpr Milliseconds sRestoreReaderTimeout{500};
 // Operators and replicas write again what the store has lost within about this time.
 constexpr Milliseconds sRewriteTime{2'000};
-constexpr std::chrono::milliseconds sRequestTimeout{2'000};
-// A record may have been written at any time since the feed was last known to be complete.
-// Up to this much of that time is attributed to the wait of the poll and left out of the
-// record's age; the time limits for weights allow for this difference.
-constexpr Milliseconds sMaxPollTimeDiscount{400};
-// Age of records that existed at the first read. The actual age is unknown, so a long time is
-// assumed.
-constexpr Microseconds sUnknownAge = std::chrono::hours(24);
-
-// Updates with records are sent without being asked for.
-bool isAnswer(const wire::FollowUpdate &update)
-{
-    return update.records().empty() && !update.whole();
-}
-
-Milliseconds jitter(Milliseconds minDelay, Milliseconds maxDelay)
-{
-    static std::mt19937 random{std::random_device{}()};
-    std::uniform_int_distribution<std::int64_t> spread(minDelay.count(), maxDelay.count());
-    return Milliseconds(spread(random));
-}
 
 } // namespace
 
@@ -119,29 +89,48 @@
     : mStore(store)
     , mBox(std::move(box))
     , mPreference(preference)
+    , mRelay([this](Feed feed) -> FeedState & { return state(feed); })
 {
 }
 
-void FeedService::listen(Feed feed, Listener listener)
+void FeedService::countInto(Metrics &metrics)
 {
-    state(feed).listeners.push_back(std::move(listener));
+    mMetrics = &metrics;
 }
 
 tl::expected<void, std::string> FeedService::start(Kernel &kernel)
 {
-    mHub = &kernel.find<PeerHub>(PeerHub::sName);
+    PeerHub &hub = kernel.find<PeerHub>(PeerHub::sName);
     mChanged = std::make_unique<Signal>(kernel.executor());
-    mHub->serve(std::string(sFollowPath),
-                [this](PeerStreamPtr stream) { return serveFollower(std::move(stream)); });
-    mStore.setEraListener([this] { cancelOutdatedReads(); });
+    hub.serve(std::string(FeedFollower::sPath),
+              [this](PeerStreamPtr stream) { return mRelay.serve(std::move(stream)); });
+    mStore.setEraListener([this] {
+        for (Room &room : mRooms) {
+            room.reader->cancelIfOutdated();
+        }
+        mChanged->notify();
+    });
     mStartupDeadline = now() + sStartupTimeout;
-    for (const Feed feed : {Feed::Operators, Feed::Replicas, Feed::Members}) {
-        state(feed).readingOrder = {now(), sStartupReaderTimeout, sStartupTimeout};
-        const bool isNeeded = mPreference == FeedPreference::Store || feed != Feed::Replicas;
-        if (isNeeded) {
-            asio::co_spawn(kernel.executor(), follow(feed), asio::detached);
+    for (const Feed feed : sFeeds) {
+        Room &room = this->room(feed);
+        room.readingOrder = {now(), sStartupReaderTimeout, sStartupTimeout};
+        room.reader
+            = std::make_unique<StoreReader>(mStore, room.state, [this, feed] { noteChange(feed); });
+        room.follower = std::make_unique<FeedFollower>(
+            hub, mBox, room.state, [this] { return mStore.era(); },
+            [this, feed] { noteChange(feed); });
+        if (mMetrics != nullptr) {
+            room.reader->countInto(*mMetrics);
+        }
+        if (mPreference == FeedPreference::Store) {
+            asio::co_spawn(kernel.executor(), startUp(feed), asio::detached);
+        } else if (feed != Feed::Replicas) {
+            asio::co_spawn(kernel.executor(), runPeerPreference(feed), asio::detached);
         }
     }
+    if (mPreference == FeedPreference::Store) {
+        asio::co_spawn(kernel.executor(), supervise(), asio::detached);
+    }
     return {};
 }
 
@@ -149,586 +138,295 @@
 {
     mStopped = true;
     mChanged->notify();
-    wakeAllFollowers();
+    mRelay.stop();
 }
 
-// A process is a follower only once its feed is synced. Until then, a gateway waits for other
-// readers for at most sStartupTimeout.
-bool FeedService::isFollower(Feed feed) const
+void FeedService::noteChange(Feed feed)
 {
-    return mReaders && state(feed).isSynced && !mReaders().isReader;
+    mChanged->notify();
+    mRelay.wake(feed);
 }
 
-// Whether the store failed recently, here or at the followed process.
-bool FeedService::isStoreDoubtful(Feed feed) const
+// A process is a follower only once its feed is synced. Until then, a gateway waits for other
+// readers for at most sStartupTimeout.
+bool FeedService::isFollower(Feed feed) const
 {
-    const FeedState &state = this->state(feed);
-    const bool hasFailed
-        = state.hasStoreFailed && now() - state.storeFailedAt <= sStoreFailureWindow;
-    const bool isRestored = state.restoredAt && now() - *state.restoredAt <= sStoreFailureWindow;
-    return hasFailed || isRestored || state.isRelayDoubtful;
+    return mReaders && state(feed).isSynced() && !mReaders().isReader;
 }
 
 bool FeedService::mayLackRecords(Feed feed) const
 {
-    const auto &restoredAt = state(feed).restoredAt;
+    const auto restoredAt = state(feed).restoredAt();
     return restoredAt && now() - *restoredAt <= sRewriteTime;
 }
 
 bool FeedService::isRestoring() const
 {
     return std::ranges::any_of(
-        mFeeds, [](const FeedState &state) { return !state.isSynced && state.restoredAt; });
-}
-
-// Whether the table was read before the store's last return from a copy.
-bool FeedService::isOutdated(Feed feed) const
-{
-    const FeedState &state = this->state(feed);
-    return !state.isFirstSync && state.table.next().era < mStore.era();
+        mRooms, [](const Room &room) { return !room.state.isSynced() && room.state.restoredAt(); });
 }
 
+// A process whose last call failed says so until a call succeeds: if it were planned as a reader
+// again after a while, all that follow it would wait for the next failure.
 bool FeedService::hasStoreFailed() const
 {
-    return std::ranges::any_of(mFeeds, [](const FeedState &state) {
-        return state.hasStoreFailed && now() - state.storeFailedAt <= sReaderFailureWindow;
+    return std::ranges::any_of(mRooms, [](const Room &room) {
+        return room.state.hasStoreFailed() || room.state.hasStoreFailedWithin(sReaderFailureWindow);
     });
 }
 
-void FeedService::setOperatorsPollTimeout(Milliseconds timeout)
+bool FeedService::isInStartup() const
 {
-    mOperatorsPollTimeout = std::clamp(timeout, sMinOperatorsPollTimeout, sMaxOperatorsPollTimeout);
+    return now() < mStartupDeadline;
 }
 
-Milliseconds FeedService::pollTimeout(Feed feed) const
+Milliseconds FeedService::pollTimeout(Feed feed, bool isRelayed) const
 {
-    if (mReaders && mReaders().isRelayed) {
-        const Milliseconds wait
-            = feed == Feed::Members ? sRelayedMembersPollTimeout : sRelayedPollTimeout;
-        return feed == Feed::Operators ? std::min(wait, mOperatorsPollTimeout) : wait;
-    }
     switch (feed) {
-    case Feed::Operators:
-        return mOperatorsPollTimeout;
+    case Feed::Operators: {
+        const int polls = isRelayed ? sPollsPerMaxAge : sUnrelayedPollsPerMaxAge;
+        return std::clamp(mMaxOperatorsAge / polls, sMinPollTimeout, sMaxOperatorsPollTimeout);
+    }
     case Feed::Replicas:
-        return sReplicasPollTimeout;
+        return isRelayed ? sRelayedReplicasPollTimeout : sReplicasPollTimeout;
     case Feed::Members:
-        return sMembersPollTimeout;
+        return isRelayed ? sRelayedMembersPollTimeout : sMembersPollTimeout;
     }
     return sMembersPollTimeout;
 }
 
-// Keeps the age of a feed in use at or below about pollTimeout(), also when reads find records.
+// Keeps the age of a feed in use at or below about twice the poll timeout, also when reads find
+// records.
 Milliseconds FeedService::nextPollTimeout(Feed feed) const
 {
-    const Milliseconds maxDuration = pollTimeout(feed);
-    if (!state(feed).hasReturnedEarly) {
+    const Milliseconds maxDuration = pollTimeout(feed, mReaders && mReaders().isRelayed);
+    if (!state(feed).hasReturnedEarly()) {
         return maxDuration;
     }
     const auto known = std::chrono::duration_cast<Milliseconds>(age(feed).value_or(maxDuration));
     return std::clamp(maxDuration - known, std::min(sMinPollTimeout, maxDuration), maxDuration);
 }
 
-// Age of records that have just been read. The store may have accepted them at any time since
-// the feed was last complete. Most are written while the read waits, so up to
-// sMaxPollTimeDiscount of the wait is subtracted.
-Microseconds FeedService::ageOfRead(Feed feed, Milliseconds wait) const
+Milliseconds FeedService::queryInterval(Feed feed) const
 {
-    return std::max(Microseconds(0),
-                    age(feed).value_or(sUnknownAge) - std::min(wait, sMaxPollTimeDiscount));
+    if (mPreference == FeedPreference::Peers || feed == Feed::Members) {
+        return sMaxQueryInterval;
+    }
+    if (feed == Feed::Replicas) {
+        return sReplicasQueryInterval;
+    }
+    return std::clamp(mMaxOperatorsAge / sQueriesPerMaxAge, sMinQueryInterval, sMaxQueryInterval);
 }
 
-// Delay between a read that found records and the next read.
-Milliseconds FeedService::readDelay(Feed feed) const
+Milliseconds FeedService::maxSourceAge(Feed feed) const
 {
     switch (feed) {
     case Feed::Operators:
-        return sOperatorsReadDelay;
+        return mMaxOperatorsAge * sSourceAgePercent / 100;
     case Feed::Replicas:
-        return mReplicasReadDelay;
+        return sMaxReplicasSourceAge;
     case Feed::Members:
-        return sMembersReadDelay;
+        return sMaxMembersSourceAge;
     }
-    return sOperatorsReadDelay;
+    return sMaxMembersSourceAge;
 }
 
-std::optional<Microseconds> FeedService::age(Feed feed) const
+Microseconds FeedService::excessAge(Feed feed) const
 {
-    const auto &completeAt = state(feed).completeAt;
-    if (!completeAt) {
-        return std::nullopt;
-    }
-    return now() - *completeAt;
+    // A feed that was never complete has no source yet.
+    const Microseconds age = state(feed).age().value_or(std::chrono::hours(1));
+    return age - maxSourceAge(feed);
 }
 
-FeedEvidence FeedService::evidence(Feed feed) const
+// Delay between a read that found records and the next read.
+Milliseconds FeedService::readDelay(Feed feed) const
 {
-    const FeedState &state = this->state(feed);
-    FeedEvidence evidence;
-    if (const auto known = age(feed)) {
-        evidence.age = std::chrono::ceil<Milliseconds>(*known);
+    switch (feed) {
+    case Feed::Operators:
+        return sOperatorsReadDelay;
+    case Feed::Replicas:
+        return mReplicasReadDelay;
+    case Feed::Members:
+        return sMembersReadDelay;
     }
-    evidence.from = state.completeFrom;
-    evidence.next = state.table.next();
-    return evidence;
+    return sOperatorsReadDelay;
 }
 
-void FeedService::updateCompleteAt(Feed feed, Instant at, std::string_view from)
+awaitable<void> FeedService::supervise()
 {
-    FeedState &state = this->state(feed);
-    if (!state.completeAt || at > *state.completeAt) {
-        state.completeAt = at;
-        state.completeFrom = from;
+    co_await sleepFor(Milliseconds(0)); // lets services that start after this one set the readers
+    while (!mStopped) {
+        for (const Feed feed : sFeeds) {
+            supervise(feed);
+        }
+        co_await mChanged->waitFor(sSuperviseInterval);
     }
 }
 
-// An agent that reaches none of its seeds eventually reads the members from the store, which
-// tell it the nearby gateways. The later deadline gives it time to follow one of them: if all
-// agents read the large feeds from the store at that point, they would saturate the links.
-Instant FeedService::readingDeadline(Feed feed) const
-{
-    const ReadingOrder &order = state(feed).readingOrder;
-    const bool needsMembers = mPreference == FeedPreference::Peers && feed != Feed::Members;
-    return order.begunAt + order.timeout + (needsMembers ? order.readerTimeout : Milliseconds(0));
-}
-
-bool FeedService::isStartingUp(Feed feed) const
+void FeedService::supervise(Feed feed)
 {
-    return !mStopped && !state(feed).isSynced && now() < readingDeadline(feed);
-}
-
-// Whether the first data, from the store or a peer, can still be expected: no store read has
-// failed.
-bool FeedService::isAwaitingData(Feed feed) const
-{
-    const FeedState &state = this->state(feed);
-    return !state.isSynced && !state.hasStoreFailed;
-}
-
-// When many processes start together, or the store returns from a copy, each would read the large
-// feeds in full from the store, and the responses would saturate the links that callers use. The
-// members' feed is small, is read at once, and determines who reads first.
-awaitable<void> FeedService::startUp(Feed feed)
-{
-    const bool knowsOthers = mReaders || mPeers;
-    if (!knowsOthers) {
-        co_return;
-    }
-    if (mPreference == FeedPreference::Peers) {
-        co_await startUpFromPeers(feed);
-        co_return;
-    }
-    if (feed == Feed::Members && state(feed).isFirstSync) {
-        co_return;
+    Room &room = this->room(feed);
+    if (!room.hasStarted) {
+        return;
     }
-    co_await waitForMembers(feed);
-    while (isStartingUp(feed) && co_await followEarlierReaders(feed)) {
-        co_await delayStartup(feed);
+    const asio::any_io_executor &executor = mChanged->executor();
+    if (room.reader->isOutdated() && room.state.isSynced()) {
+        room.state.beginRestore(mStore.era());
+        room.readingOrder = {now(), sRestoreReaderTimeout, sRestoreTimeout};
+        room.hasStarted = false;
+        asio::co_spawn(executor, startUp(feed), asio::detached);
+        return;
     }
-}
-
-// During startup, an agent reads from gateways only. One that does not respond may just be
-// starting a moment later, so it is tried again.
-awaitable<void> FeedService::startUpFromPeers(Feed feed)
-{
-    if (feed != Feed::Members) {
-        co_await waitForMembers(feed); // the members tell which gateways are near
+    if (!room.isReading && mayRead(feed)) {
+        room.isReading = true;
+        asio::co_spawn(executor, runReading(feed), asio::detached);
     }
-    while (isStartingUp(feed) && !mPeers().empty()) {
-        co_await readPeer(feed);
-        co_await delayStartup(feed);
+    if (!room.isFollowing && isFollower(feed)) {
+        room.isFollowing = true;
+        asio::co_spawn(executor, runFollowing(feed), asio::detached);
     }
+    openAlternates(feed);
 }
 
-awaitable<void> FeedService::waitForMembers(Feed feed)
+// A follower reads the store itself if its sources let the feed become too old, and while the
+// store has failed it, to learn when it is back.
+bool FeedService::mayRead(Feed feed)
 {
-    while (feed != Feed::Members && isStartingUp(feed) && isAwaitingData(Feed::Members)) {
-        co_await mChanged->waitUntil(steadyTime(readingDeadline(feed)));
+    const Room &room = this->room(feed);
+    const bool mustRestore = room.state.isSynced() && room.reader->isOutdated();
+    if (mStopped || !room.hasStarted || mustRestore) {
+        return false;
     }
-}
-
-awaitable<void> FeedService::delayStartup(Feed feed)
-{
-    if (isStartingUp(feed)) {
-        co_await sleepFor(jitter(sMinRetryDelay, sMaxRetryDelay));
+    if (!mReaders || !room.state.isSynced()) {
+        return true;
     }
+    const FeedReaders readers = mReaders();
+    return readers.isReader || room.state.hasStoreFailed()
+        || hasTakenOver(feed, readers.takeoverRank);
 }
 
-// Follows the processes that are planned to read before this gateway; returns false when it is
-// this gateway's turn to read the store.
-awaitable<bool> FeedService::followEarlierReaders(Feed feed)
+bool FeedService::hasTakenOver(Feed feed, std::size_t rank)
 {
-    if (!mReaders) {
-        co_return false;
+    Room &room = this->room(feed);
+    const auto steps = static_cast<int>(std::min(rank, sMaxTakeoverSteps));
+    if (excessAge(feed) > maxSourceAge(feed) * steps / sTakeoverStepsPerSourceAge) {
+        room.takeoverUntil = now() + sTakeoverDuration;
     }
-    const std::vector<Tcp::endpoint> earlier = mReaders().earlier;
-    const auto size = static_cast<std::int64_t>(earlier.size());
-    const ReadingOrder &order = state(feed).readingOrder;
-    if (now() >= order.begunAt + order.readerTimeout * size) {
-        co_return false;
-    }
-    for (const Tcp::endpoint &address : earlier) {
-        const auto left = std::chrono::duration_cast<Milliseconds>(readingDeadline(feed) - now());
-        if (!isStartingUp(feed) || co_await followPeer(feed, address, left)) {
-            break;
-        }
-    }
-    co_return true;
+    return room.takeoverUntil && now() < *room.takeoverUntil;
 }
 
-awaitable<void> FeedService::follow(Feed feed)
+awaitable<void> FeedService::runReading(Feed feed)
 {
-    co_await sleepFor(Milliseconds(0)); // lets services that start after this one add listeners
-    co_await startUp(feed);
-    while (!mStopped) {
-        bool hasSucceeded = false;
-        if (isOutdated(feed) && state(feed).isSynced) {
-            beginRestore(feed);
-            co_await startUp(feed);
-        }
-        if (isFollower(feed) && co_await followReader(feed)) {
-            continue;
-        }
-        if (mPreference == FeedPreference::Store) {
-            hasSucceeded = co_await readStore(feed) || co_await readPeer(feed);
-        } else {
-            hasSucceeded = co_await readPeer(feed) || co_await readStore(feed);
-        }
+    Room &room = this->room(feed);
+    while (mayRead(feed)) {
+        const bool isProbe = room.state.hasStoreFailed() && isFollower(feed);
+        const bool hasSucceeded = co_await room.reader->read(nextPollTimeout(feed));
         if (!hasSucceeded) {
-            co_await sleepFor(jitter(sMinRetryDelay, sMaxRetryDelay));
+            co_await sleepFor(isProbe ? sProbeInterval : retryDelay());
+        } else if (room.state.hasReturnedEarly()) {
+            co_await sleepFor(readDelay(feed));
         }
     }
+    room.isReading = false;
 }
 
-// Reads until the store fails or has returned from a copy, or once where that is enough;
-// returns false if no read succeeded.
-awaitable<bool> FeedService::readStore(Feed feed)
+// Follows one of the planned readers of the store as long as it is planned.
+awaitable<void> FeedService::runFollowing(Feed feed)
 {
-    const FeedState &state = this->state(feed);
-    bool hasRead = false;
-    // A process that prefers its peers tries them again after each read of the store.
-    const bool isSingleRead = mPreference == FeedPreference::Peers;
-    while (!mStopped) {
-        if (!state.isSynced) {
-            if (!co_await sync(feed)) {
-                co_return hasRead;
-            }
-            hasRead = true;
-        }
-        if (!co_await readOnward(feed, isSingleRead ? sMinRetryDelay : nextPollTimeout(feed))) {
-            co_return hasRead;
+    while (!mStopped && isFollower(feed)) {
+        const std::vector<Tcp::endpoint> readers = mReaders().others;
+        if (readers.empty()) {
+            break;
         }
-        hasRead = true;
-        if (isSingleRead || isOutdated(feed) || isFollower(feed)) {
-            co_return true;
+        // The hash spreads the followers over the readers; each failure selects another reader.
+        const std::size_t own = std::hash<std::string>()(mBox);
+        const Tcp::endpoint address = readers[(own + mPeerIndex) % readers.size()];
+        Condition isPlanned = [this, feed, address] {
+            const std::vector<Tcp::endpoint> planned = mReaders().others;
+            return isFollower(feed) && std::ranges::find(planned, address) != planned.end();
+        };
+        const bool hasSucceeded
+            = co_await follow(feed, address, sPreferredFollowDuration, std::move(isPlanned));
+        if (!hasSucceeded) {
+            ++mPeerIndex;
+            logLine(LogLevel::Warning, "reader-lost",
+                    {{"feed", feedName(feed)}, {"reader", endpointText(address)}});
+            co_await sleepFor(retryDelay());
         }
     }
-    co_return hasRead;
-}
-
-// Reads what follows the table; returns false if the store failed. Records of a later era than
-// the table's are not applied, since the table may lack others before them.
-awaitable<bool> FeedService::readOnward(Feed feed, Milliseconds wait)
-{
-    FeedState &state = this->state(feed);
-    const LogPosition from = state.table.next();
-    const Instant asked = now();
-    state.isPolling = true;
-    const auto batch = co_await mStore.read(feed, from.offset, wait);
-    state.isPolling = false;
-    if (!batch && isOutdated(feed)) {
-        co_return true; // cancelled, or refused for an offset that is lost
-    }
-    if (!batch) {
-        co_await handleFailedRead(feed, batch.error());
-        co_return batch.error() == StoreError::Forgotten;
-    }
-    updateStoreState(feed, true, "read");
-    state.isRefused = false;
-    countRead(feed, "onward", batch->bytes);
-    if (batch->era < from.era) {
-        co_await sleepFor(sMinRetryDelay); // the answer was on its way when the store returned
-    }
-    if (batch->era != from.era) {
-        co_return true;
-    }
-    applyBatch(feed, *batch, asked, wait);
-    if (!batch->records.empty()) {
-        wakeFollowers(feed);
-        co_await sleepFor(readDelay(feed));
-    }
-    co_return true;
+    room(feed).isFollowing = false;
 }
 
-// Missed records are read from the end of the table. A full read after each failure would
-// transfer everything again, for every gateway at once, just when the connection to the store
-// is at its worst. It follows only if the store doesn't hold the end of the table.
-awaitable<void> FeedService::handleFailedRead(Feed feed, StoreError error)
+// The planned sources are kept meanwhile: what they send last may still be under way, and they may
+// recover.
+void FeedService::openAlternates(Feed feed)
 {
-    FeedState &state = this->state(feed);
-    const bool isRefused = error == StoreError::Forgotten;
-    updateStoreState(feed, isRefused, storeErrorName(error));
-    if (!isRefused) {
-        co_return;
+    Room &room = this->room(feed);
+    const Microseconds excess = excessAge(feed);
+    if (excess <= Microseconds(0)) {
+        return;
     }
-    countRefusedRead(feed);
-    state.isSynced = false;
-    if (std::exchange(state.isRefused, true)) {
-        co_await sleepFor(jitter(sMinRetryDelay, sMaxRetryDelay));
+    std::vector<Tcp::endpoint> addresses
+        = mReaders ? mReaders().alternates : std::vector<Tcp::endpoint>();
+    if (addresses.empty() && mPeers) {
+        addresses = mPeers();
+    }
+    // Two at once, one nearby and one elsewhere; the next ones if these don't help.
+    const Milliseconds step = maxSourceAge(feed) / sTakeoverStepsPerSourceAge;
+    const std::size_t count = excess > step ? sMaxAlternates : sMaxAlternates / 2;
+    for (std::size_t index = 0; index < std::min(count, addresses.size()); ++index) {
+        Instant &nextAt = room.alternates[addresses[index]];
+        if (now() < nextAt) {
+            continue;
+        }
+        nextAt = now() + sTakeoverDuration;
+        asio::co_spawn(mChanged->executor(), followAlternate(feed, addresses[index]),
+                       asio::detached);
     }
 }
 
-void FeedService::applyBatch(Feed feed, const FeedBatch &batch, Instant asked, Milliseconds wait)
+awaitable<void> FeedService::followAlternate(Feed feed, Tcp::endpoint address)
 {
-    FeedState &state = this->state(feed);
-    const Microseconds age = ageOfRead(feed, wait);
-    for (const FeedRecord &record : batch.records) {
-        applyRead(feed, record, age);
-    }
-    state.table.setNext({batch.era, batch.next});
-    // The response may have been in transit for long. It shows the store as of the time of the
-    // request, or as of the end of the wait if nothing was found during all of it.
-    state.hasReturnedEarly = !batch.records.empty() || now() < asked + wait;
-    if (!batch.hasMore) {
-        updateCompleteAt(feed, state.hasReturnedEarly ? asked : asked + wait, sStoreSource);
+    const bool hasSucceeded = co_await follow(feed, address, sTakeoverDuration, Condition());
+    if (!hasSucceeded) {
+        room(feed).alternates[address] = now() + sAlternateRetryDelay;
     }
-    state.isRelayDoubtful = false;
 }
 
-awaitable<bool> FeedService::sync(Feed feed)
+awaitable<bool> FeedService::follow(Feed feed, Tcp::endpoint address, Milliseconds maxDuration,
+                                    Condition isNeeded)
 {
-    FeedState &state = this->state(feed);
-    const Instant asked = now();
-    const auto batch = co_await mStore.newest(feed);
-    if (!batch && batch.error() == StoreError::Restored) {
-        co_return false;
-    }
-    if (!batch) {
-        updateStoreState(feed, false, storeErrorName(batch.error()));
-        co_return false;
-    }
-    updateStoreState(feed, true, "full read");
-    countRead(feed, "full", batch->bytes);
-    noteLogEnd(feed, batch->next);
-    const bool isRestored = !state.isFirstSync && batch->era > state.table.next().era;
-    if (isRestored) {
-        state.restoredAt = now();
-    }
-    applyFullRead(feed, *batch);
-    state.isFirstSync = false;
-    state.isSynced = true;
-    state.hasReturnedEarly = false;
-    updateCompleteAt(feed, asked, sStoreSource);
-    if (isRestored) {
-        finishRestore(feed);
-    }
-    wakeFollowers(feed);
-    co_return true;
+    FollowLimits limits;
+    limits.until = now() + maxDuration;
+    limits.queryInterval = queryInterval(feed);
+    limits.mayWaitForData = [this, feed] { return isStartingUp(feed); };
+    limits.isNeeded
+        = [this, isNeeded = std::move(isNeeded)] { return !mStopped && (!isNeeded || isNeeded()); };
+    const bool hasSucceeded
+        = co_await room(feed).follower->follow(std::move(address), std::move(limits));
+    co_return hasSucceeded;
 }
 
-void FeedService::applyFullRead(Feed feed, const FeedBatch &batch)
+// An agent follows one gateway at a time, and reads the store if it reaches none.
+awaitable<void> FeedService::runPeerPreference(Feed feed)
 {
-    const LoopStep step("taking a full read");
-    FeedState &state = this->state(feed);
-    // At the first read, it is unknown when the records were written.
-    const Microseconds age = state.isFirstSync ? sUnknownAge : ageOfRead(feed, Milliseconds(0));
-    const LogPosition end{batch.era, batch.next};
-    std::set<std::string_view> present;
-    for (const FeedRecord &record : batch.records) {
-        present.insert(record.key);
-        const bool isRevived = state.table.isRevival(record);
-        if (applyToTable(state, record)) {
-            state.learnedAt[record.key] = now() - std::min(age, sUnknownAge);
-            state.origins[record.key] = RecordOrigin();
-            notifyListeners(feed, record, age, isRevived);
+    Room &room = this->room(feed);
+    co_await startUp(feed);
+    while (!mStopped) {
+        if (room.reader->isOutdated() && room.state.isSynced()) {
+            room.state.beginRestore(mStore.era());
+            room.readingOrder = {now(), sRestoreReaderTimeout, sRestoreTimeout};
+            co_await startUp(feed);
         }
-    }
-    announceRemovals(feed, present, end, age);
-    state.table.setNext(end);
-    state.removalsKnownFrom = std::max(state.removalsKnownFrom, end);
-}
-
-// Announces the removal of the keys that a read of all keys did not return. A replica whose
-// record the store has lost may write it again, so its removal counts from now.
-void FeedService::announceRemovals(Feed feed, const std::set<std::string_view> &present,
-                                   LogPosition end, Microseconds age)
-{
-    FeedState &state = this->state(feed);
-    for (const RemovedKey &removed : state.table.removeAbsent(present, end)) {
-        const Microseconds removedAgo = removed.isLost ? Microseconds(0) : age;
-        state.learnedAt[removed.key] = now() - std::min(removedAgo, sUnknownAge);
-        state.origins[removed.key] = RecordOrigin();
-        notifyListeners(feed, state.table.all().find(removed.key)->second, removedAgo);
-    }
-}
-
-// A read may wait at an offset of an earlier era for its whole timeout. The first answer of the
-// new era, to whichever call, ends it.
-void FeedService::cancelOutdatedReads()
-{
-    for (const Feed feed : {Feed::Operators, Feed::Replicas, Feed::Members}) {
-        if (state(feed).isPolling && isOutdated(feed)) {
-            mStore.cancelRead(feed);
+        // It tries its peers again after each read of the store.
+        const bool hasSucceeded
+            = co_await readPeer(feed) || co_await room.reader->read(sMinRetryDelay);
+        if (!hasSucceeded) {
+            co_await sleepFor(retryDelay());
         }
     }
 }
 
-// The store has returned from a copy: offsets were given out again, and records written after
-// the copy are lost.
-void FeedService::beginRestore(Feed feed)
-{
-    FeedState &state = this->state(feed);
-    state.isSynced = false;
-    state.isRefused = false;
-    state.restoredAt = now();
-    state.readingOrder = {now(), sRestoreReaderTimeout, sRestoreTimeout};
-    logLine(LogLevel::Warning, "feed-outdated",
-            {{"feed", feedName(feed)},
-             {"era", state.table.next().era},
-             {"offset", state.table.nextOffset()},
-             {"storeEra", mStore.era()}});
-}
-
-void FeedService::finishRestore(Feed feed)
-{
-    FeedState &state = this->state(feed);
-    ++state.changeCount; // followers need the new positions, also if no value has changed
-    logLine(LogLevel::Warning, "feed-restored",
-            {{"feed", feedName(feed)},
-             {"era", state.table.next().era},
-             {"offset", state.table.nextOffset()},
-             {"missing", state.table.missing().size()}});
-    for (const RestoreListener &listener : state.restoreListeners) {
-        listener(state.table.missing());
-    }
-}
-
-void FeedService::updateStoreState(Feed feed, bool isReached, std::string_view reason)
-{
-    FeedState &state = this->state(feed);
-    if (!isReached) {
-        state.hasStoreFailed = true;
-        state.storeFailedAt = now();
-        mChanged->notify(); // other feeds may wait for the data of this one
-    }
-    if (state.isStoreReached == isReached) {
-        return;
-    }
-    state.isStoreReached = isReached;
-    logLine(isReached ? LogLevel::Info : LogLevel::Warning,
-            isReached ? "store-regained" : "store-lost",
-            {{"feed", feedName(feed)}, {"why", reason}, {"offset", state.table.nextOffset()}});
-}
-
-void FeedService::noteLogEnd(Feed feed, std::uint64_t end)
-{
-    FeedState &state = this->state(feed);
-    const std::uint64_t expected = state.table.nextOffset();
-    const bool isShortened = !isOutdated(feed) && end < expected;
-    if (isShortened && !state.isLogShortened) {
-        logLine(LogLevel::Warning, "store-log-shortened",
-                {{"feed", feedName(feed)}, {"end", end}, {"expected", expected}});
-    }
-    state.isLogShortened = isShortened;
-}
-
-void FeedService::countRefusedRead(Feed feed)
-{
-    if (mMetrics != nullptr) {
-        mMetrics->count("store_reads_refused", std::string(feedName(feed)));
-    }
-}
-
-void FeedService::countRead(Feed feed, std::string_view kind, std::uint64_t bytes)
-{
-    if (mMetrics != nullptr) {
-        mMetrics->count("store_bytes", std::string(feedName(feed)) + ", " + std::string(kind),
-                        bytes);
-    }
-}
-
-// Replicas write a heartbeat about every second. With hundreds of replicas, relaying these
-// records to every process would load a box more than everything else it does.
-bool FeedService::isUnchanged(Feed feed, const FeedRecord &record) const
-{
-    const FeedState &state = this->state(feed);
-    if (!state.isEquivalent || !record.value) {
-        return false;
-    }
-    const auto known = state.table.all().find(record.key);
-    const bool hasValue = known != state.table.all().end() && known->second.value;
-    return hasValue && known->second.era == record.era && known->second.offset < record.offset
-        && state.isEquivalent(known->second, record);
-}
-
-// Returns whether the record is new. A record that was written again after the store had lost it is
-// not, but followers consider it missing until they learn of its new position.
-bool FeedService::applyToTable(FeedState &state, const FeedRecord &record)
-{
-    const bool wasMissing = state.table.missing().contains(record.key);
-    const bool isNew = state.table.apply(record);
-    const bool isWrittenAgain = wasMissing && !state.table.missing().contains(record.key);
-    state.changeCount += isWrittenAgain && !isNew ? 1 : 0;
-    return isNew;
-}
-
-// Applies a record from the store's log. A log grows at its end, so a record of an earlier
-// offset than the known one shows that the store returned from a copy without a new era.
-void FeedService::applyRead(Feed feed, const FeedRecord &record, Microseconds age)
-{
-    const auto &records = state(feed).table.all();
-    const auto known = records.find(record.key);
-    const bool isComparable = known != records.end() && known->second.era == record.era;
-    if (isComparable && known->second.offset > record.offset) {
-        logLine(LogLevel::Warning, "record-passed-over",
-                {{"feed", feedName(feed)},
-                 {"key", record.key},
-                 {"offset", record.offset},
-                 {"known", known->second.offset}});
-    }
-    apply(feed, record, age);
-}
-
-void FeedService::apply(Feed feed, const FeedRecord &record, Microseconds age, RecordOrigin origin,
-                        bool isRevived)
-{
-    FeedState &state = this->state(feed);
-    if (isUnchanged(feed, record) || !applyToTable(state, record)) {
-        return;
-    }
-    state.learnedAt[record.key] = now() - std::min(age, sUnknownAge);
-    state.origins[record.key] = std::move(origin);
-    notifyListeners(feed, record, age, isRevived);
-}
-
-// Changes of a record in quick succession are relayed as the last one only. A record that is
-// equivalent to the known one may thus have replaced a different value: its offset must be
-// stored, or a process that knows the other value would never learn that it is outdated.
-void FeedService::applyRelayed(Feed feed, const FeedRecord &record, Microseconds age,
-                               RecordOrigin origin, bool isCopy)
-{
-    FeedState &state = this->state(feed);
-    const bool isRevived = isCopy && state.table.isRevival(record);
-    if (isUnchanged(feed, record)) {
-        // Followers of this process may know the intermediate value.
-        state.changeCount += state.table.apply(record) ? 1 : 0;
-        return;
-    }
-    apply(feed, record, age, std::move(origin), isRevived);
-}
-
-void FeedService::notifyListeners(Feed feed, const FeedRecord &record, Microseconds age,
-                                  bool isRevived)
-{
-    FeedState &state = this->state(feed);
-    ++state.changeCount;
-    const FeedChange change{record, age, !isStoreDoubtful(feed), state.origins[record.key],
-                            isRevived};
-    for (const Listener &listener : state.listeners) {
-        listener(change);
-    }
-}
-
 // Follows one peer for a limited time; returns false if it could not be reached or stopped
 // responding.
 awaitable<bool> FeedService::readPeer(Feed feed)
@@ -739,424 +437,107 @@
     }
     // The peers are ordered by distance. A failure selects the next one, a success the first.
     const Tcp::endpoint &address = peers[mPeerIndex % peers.size()];
-    const bool isPreferred = mPreference == FeedPreference::Peers;
-    const bool hasSucceeded = co_await followPeer(
-        feed, address, isPreferred ? sPreferredFollowDuration : sFallbackFollowDuration);
+    const bool hasSucceeded = co_await follow(feed, address, sPreferredFollowDuration, Condition());
     mPeerIndex = hasSucceeded ? 0 : mPeerIndex + 1;
     co_return hasSucceeded;
 }
 
-// Follows one of the readers of the store until it stalls or its data becomes too old; the
-// caller then reads the store itself.
-awaitable<bool> FeedService::followReader(Feed feed)
-{
-    const std::vector<Tcp::endpoint> readers = mReaders().others;
-    if (readers.empty()) {
-        co_return false;
-    }
-    // The hash spreads the followers over the readers; each failure selects another reader.
-    const std::size_t own = std::hash<std::string>()(mBox);
-    const Tcp::endpoint &address = readers[(own + mPeerIndex) % readers.size()];
-    const bool hasSucceeded = co_await followPeer(feed, address, sPreferredFollowDuration);
-    if (!hasSucceeded) {
-        ++mPeerIndex;
-        logLine(LogLevel::Warning, "reader-lost",
-                {{"feed", feedName(feed)}, {"reader", endpointText(address)}});
-    }
-    co_return hasSucceeded;
-}
-
-// Returns false if the peer could not be reached, stopped responding, or has outdated data.
-awaitable<bool> FeedService::followPeer(Feed feed, Tcp::endpoint address, Milliseconds maxDuration)
-{
-    const PeerStreamPtr stream = co_await mHub->open(address, std::string(sFollowPath));
-    if (!stream) {
-        co_return false;
-    }
-    wire::FollowRequest request;
-    request.set_feed(static_cast<std::uint32_t>(feed));
-    request.set_box(mBox);
-    request.set_known_before(knownBefore(feed).offset);
-    request.set_known_era(knownBefore(feed).era);
-    request.set_accepts_unchanged(true);
-    const bool asFollower = isFollower(feed);
-    const Milliseconds maxAge = feed == Feed::Members ? sMaxRelayedMembersAge : sMaxRelayedAge;
-    const Instant until = now() + maxDuration;
-    PendingQueries queries(now());
-    stream->send(request);
-    Instant lastQueryAt = now();
-    Instant lastReceivedAt = now();
-    std::uint64_t bytes = 0;
-    bool hasReceived = false;
-    while (!mStopped && now() < until) {
-        // A long update needs several round trips of the stream's window. If it were requested
-        // again while it arrives, it would never complete and would saturate the link. Received
-        // bytes therefore count as a response; the sender ends transfers that take too long.
-        if (stream->bytesIn() != bytes) {
-            bytes = stream->bytesIn();
-            lastReceivedAt = now();
-        }
-        if (now() >= lastQueryAt + sRelayQueryInterval) {
-            lastQueryAt = now();
-            queries.ask(lastQueryAt);
-            stream->send(wire::FollowRequest());
-        }
-        const Instant timeoutAt = lastReceivedAt + sRelayTimeout;
-        const auto deadline = steadyTime(std::min(timeoutAt, lastQueryAt + sRelayQueryInterval));
-        const auto update = co_await stream->receiveMessage<wire::FollowUpdate>(deadline);
-        if (!update && update.error() == PeerError::TimedOut && now() < timeoutAt) {
-            continue; // the next query is due
-        }
-        const bool isAwaitingData
-            = update && *update && ((*update)->waiting() || isOfEarlierEra(feed, **update));
-        if (isAwaitingData && isStartingUp(feed)) {
-            if (isAnswer(**update)) {
-                queries.answered();
-            }
-            lastReceivedAt = now();
-            hasReceived = true;
-            continue;
-        }
-        const bool isGood
-            = !isAwaitingData && update && *update && applyUpdate(feed, **update, queries, address);
-        if (!isGood || (asFollower && Milliseconds((*update)->age_ms()) > maxAge)) {
-            stream->reset();
-            co_return false;
-        }
-        hasReceived = true;
-        lastReceivedAt = now();
-        if (asFollower && !isFollower(feed)) {
-            break; // it is this process's turn to read
-        }
-    }
-    stream->reset();
-    co_return hasReceived;
-}
-
-// Returns nothing if the value cannot be decompressed.
-std::optional<FeedRecord> FeedService::readRelayed(Feed feed,
-                                                   const wire::RelayedRecord &relayed) const
-{
-    FeedRecord record{relayed.key(), std::nullopt, relayed.offset(), relayed.era()};
-    if (!relayed.compressed().empty()) {
-        auto value = decompressed(relayed.compressed(), sMaxValueSize);
-        if (!value) {
-            logLine(LogLevel::Error, "relayed-record-refused",
-                    {{"feed", feedName(feed)}, {"key", relayed.key()}, {"problem", value.error()}});
-            return std::nullopt;
-        }
-        record.value = std::move(*value);
-    } else if (!relayed.removed()) {
-        record.value = relayed.value();
-    }
-    return record;
-}
-
-// Whether the update shows the store before its last return from a copy. Records of such an
-// update may be lost, and its age says nothing about the present store.
-bool FeedService::isOfEarlierEra(Feed feed, const wire::FollowUpdate &update) const
-{
-    const std::uint64_t known = state(feed).table.next().era;
-    const std::uint64_t needed = isStartingUp(feed) ? std::max(known, mStore.era()) : known;
-    return update.next_era() < needed;
-}
-
-// Returns false if the update holds an unreadable record. The end of the update is then ignored,
-// so that the same records are read from the store.
-bool FeedService::applyUpdate(Feed feed, const wire::FollowUpdate &update, PendingQueries &queries,
-                              const Tcp::endpoint &from)
-{
-    const LoopStep step("taking an update");
-    FeedState &state = this->state(feed);
-    state.isRelayDoubtful = update.store_doubtful();
-    // The ages in the update are as of its sending. It may have been in transit for long, so
-    // they are counted from the last query that the sender had received by then.
-    const bool hasRecords = !isAnswer(update);
-    const std::optional<Instant> knownAsOf = hasRecords ? queries.heard() : queries.answered();
-    const bool isRestored = !state.isFirstSync && update.next_era() > state.table.next().era;
-    if (isRestored && !update.whole()) {
-        return false;
-    }
-    if (isRestored) {
-        state.restoredAt = now();
-    }
-    if (hasRecords && !applyRecords(feed, update, now() - *knownAsOf, from)) {
-        return false;
-    }
-    // Each update holds everything that the peer knows and had not sent yet, so this table now
-    // reaches as far as the peer's.
-    state.table.setNext({update.next_era(), update.next_offset()});
-    if (update.complete()) {
-        state.isSynced = true;
-        state.isFirstSync = false;
-    }
-    if (knownAsOf) {
-        updateCompleteAt(feed, *knownAsOf - Milliseconds(update.age_ms()), endpointText(from));
-    }
-    if (isRestored) {
-        finishRestore(feed);
-    }
-    if (hasRecords) {
-        wakeFollowers(feed);
-    }
-    return true;
-}
-
-// Applies the records of an update that was sent @p elapsed ago.
-bool FeedService::applyRecords(Feed feed, const wire::FollowUpdate &update, Microseconds elapsed,
-                               const Tcp::endpoint &from)
+// An agent that reaches none of its seeds eventually reads the members from the store, which
+// tell it the nearby gateways. The later deadline gives it time to follow one of them: if all
+// agents read the large feeds from the store at that point, they would saturate the links.
+Instant FeedService::readingDeadline(Feed feed) const
 {
-    FeedState &state = this->state(feed);
-    const bool isCopy = update.whole() && update.next_era() > state.table.next().era;
-    for (const wire::RelayedRecord &relayed : update.records()) {
-        if (relayed.unchanged()) {
-            if (!state.table.move(relayed.key(), {relayed.era(), relayed.offset()})) {
-                return false;
-            }
-            ++state.changeCount; // followers need the new position
-            continue;
-        }
-        const auto record = readRelayed(feed, relayed);
-        if (!record) {
-            return false;
-        }
-        applyRelayed(feed, *record, elapsed + Milliseconds(relayed.age_ms()),
-                     {endpointText(from), relayed.hops() + 1}, isCopy);
-    }
-    if (update.whole()) {
-        applyFullUpdate(feed, update, elapsed);
-    }
-    return true;
+    const ReadingOrder &order = room(feed).readingOrder;
+    const bool needsMembers = mPreference == FeedPreference::Peers && feed != Feed::Members;
+    return order.begunAt + order.timeout + (needsMembers ? order.readerTimeout : Milliseconds(0));
 }
 
-// Removes the keys that are missing from a full update. The store no longer held them at a
-// full read, so no update reports their removal.
-void FeedService::applyFullUpdate(Feed feed, const wire::FollowUpdate &update, Microseconds age)
+bool FeedService::isStartingUp(Feed feed) const
 {
-    FeedState &state = this->state(feed);
-    const LogPosition end{update.next_era(), update.next_offset()};
-    std::set<std::string_view> present;
-    for (const wire::RelayedRecord &relayed : update.records()) {
-        present.insert(relayed.key());
-    }
-    announceRemovals(feed, present, end, age);
-    for (const wire::RelayedRecord &relayed : update.records()) {
-        if (relayed.missing()) {
-            state.table.noteMissing(relayed.key());
-        }
-    }
-    state.removalsKnownFrom = std::max(state.removalsKnownFrom, end);
+    return !mStopped && !state(feed).isSynced() && now() < readingDeadline(feed);
 }
 
-// A configuration of some thousand routes has some hundred kilobytes. Relaying it uncompressed
-// to a dozen followers occupies the link of the reader for about a second, and callers'
-// requests share that link. Compression reduces it to a tenth.
-void FeedService::setRelayedValue(FeedState &state, const FeedRecord &record,
-                                  wire::RelayedRecord &relayed)
+awaitable<void> FeedService::startUp(Feed feed)
 {
-    if (!record.value) {
-        return;
-    }
-    if (record.value->size() < sMinCompressedSize) {
-        relayed.set_value(*record.value);
-        return;
+    co_await sleepFor(Milliseconds(0)); // lets services that start after this one add listeners
+    if (mPreference == FeedPreference::Peers) {
+        co_await startUpFromPeers(feed);
     }
-    CompressedValue &cached = state.compressed[record.key];
-    if (cached.bytes.empty() || cached.position != record.position()) {
-        const LoopStep step("compressing a record");
-        cached = {record.position(), compressed(*record.value)};
+    const bool readsMembersFirst = feed == Feed::Members && state(feed).isFirstSync();
+    const bool knowsOthers = mReaders || mPeers;
+    if (mPreference == FeedPreference::Store && knowsOthers && !readsMembersFirst) {
+        co_await startUpInOrder(feed);
     }
-    relayed.set_compressed(cached.bytes);
-}
-
-// A table that has never been complete may lack records before its end.
-LogPosition FeedService::knownBefore(Feed feed) const
-{
-    const FeedState &state = this->state(feed);
-    return state.isFirstSync ? LogPosition() : state.table.next();
+    room(feed).hasStarted = true;
+    mChanged->notify();
 }
 
-// Collects the records that have not been sent to the follower yet. A full update also names the
-// other keys, since the follower removes those that it doesn't name.
-wire::FollowUpdate FeedService::newRecords(Follower &follower, bool isFullUpdate)
+// When many processes start together, or the store returns from a copy, each would read the large
+// feeds in full from the store, and the responses would saturate the links that callers use. The
+// members' feed is small, is read at once, and determines who reads first.
+awaitable<void> FeedService::startUpInOrder(Feed feed)
 {
-    const LoopStep step("building an update for a follower");
-    FeedState &state = this->state(follower.feed);
-    wire::FollowUpdate update;
-    for (const auto &[key, record] : state.table.all()) {
-        const bool isHeld = follower.sent.holds(record, state.table.movedFrom(key));
-        const bool isMoved
-            = isHeld && follower.acceptsUnchanged && !follower.sent.holds(record, std::nullopt);
-        follower.sent.noteSent(record);
-        if (isHeld && !isMoved && !(isFullUpdate && record.value)) {
-            continue;
-        }
-        wire::RelayedRecord &relayed = *update.add_records();
-        relayed.set_key(key);
-        relayed.set_offset(record.offset);
-        relayed.set_era(record.era);
-        relayed.set_missing(state.table.missing().contains(key));
-        if (isHeld) {
-            relayed.set_unchanged(true);
-            continue;
+    co_await waitForMembers(feed);
+    while (isStartingUp(feed)) {
+        const bool isOwnTurn = !co_await followEarlierReaders(feed);
+        if (isOwnTurn) {
+            break;
         }
-        relayed.set_removed(!record.value);
-        setRelayedValue(state, record, relayed);
-        relayed.set_hops(state.origins[key].hops);
-        const auto age = std::chrono::ceil<Milliseconds>(now() - state.learnedAt[key]);
-        relayed.set_age_ms(static_cast<std::uint64_t>(age.count()));
+        co_await delayStartup(feed);
     }
-    return update;
-}
-
-void FeedService::setUpdateState(Feed feed, wire::FollowUpdate &update) const
-{
-    const auto age = std::chrono::ceil<Milliseconds>(this->age(feed).value_or(sUnknownAge));
-    update.set_age_ms(static_cast<std::uint64_t>(age.count()));
-    update.set_next_offset(state(feed).table.nextOffset());
-    update.set_next_era(state(feed).table.next().era);
-    update.set_complete(state(feed).isSynced);
-    update.set_store_doubtful(isStoreDoubtful(feed));
 }
 
-// Sends new records before the answers to queries, so that an answer covers everything known
-// here. Returns false if there is no data to send and none can be expected soon.
-bool FeedService::sendUpdate(Follower &follower)
+// During startup, an agent reads from gateways only. One that does not respond may just be
+// starting a moment later, so it is tried again.
+awaitable<void> FeedService::startUpFromPeers(Feed feed)
 {
-    wire::FollowUpdate update = buildUpdate(follower);
-    if (!state(follower.feed).completeAt && update.records().empty()) {
-        return sendWaiting(follower);
+    if (feed != Feed::Members) {
+        co_await waitForMembers(feed); // the members tell which gateways are near
     }
-    setUpdateState(follower.feed, update);
-    if (!update.records().empty() || update.whole()) {
-        follower.stream->send(update);
-        update.clear_records();
-        update.set_whole(false);
+    while (mPeers && isStartingUp(feed) && !mPeers().empty()) {
+        co_await readPeer(feed);
+        co_await delayStartup(feed);
     }
-    answerQueries(follower, update);
-    return true;
 }
 
-void FeedService::answerQueries(Follower &follower, const wire::FollowUpdate &answer)
+awaitable<void> FeedService::waitForMembers(Feed feed)
 {
-    for (; follower.pendingQueryCount > 0; --follower.pendingQueryCount) {
-        follower.stream->send(answer);
+    while (feed != Feed::Members && isStartingUp(feed) && state(Feed::Members).isAwaitingData()) {
+        co_await mChanged->waitUntil(steadyTime(readingDeadline(feed)));
     }
 }
 
-// Tells the follower that there is no data yet; returns false if none can be expected soon.
-bool FeedService::sendWaiting(Follower &follower) const
-{
-    wire::FollowUpdate update;
-    update.set_waiting(true);
-    answerQueries(follower, update);
-    return isAwaitingData(follower.feed);
-}
-
-// This process does not know of removals before its own full read. A follower whose table ends
-// before that read is therefore sent all keys. A follower that knows a later era than this
-// process has no use for its records.
-wire::FollowUpdate FeedService::buildUpdate(Follower &follower)
+awaitable<void> FeedService::delayStartup(Feed feed)
 {
-    const FeedState &state = this->state(follower.feed);
-    SentRecords &sent = follower.sent;
-    if (follower.sentChangeCount == state.changeCount) {
-        return {};
-    }
-    follower.sentChangeCount = state.changeCount;
-    if (sent.knownBefore().era > state.table.next().era) {
-        return {};
-    }
-    const bool isFullUpdate = state.isSynced && sent.knownBefore() < state.removalsKnownFrom;
-    if (isFullUpdate && !follower.acceptsUnchanged) {
-        sent.clear();
-    }
-    wire::FollowUpdate update = newRecords(follower, isFullUpdate);
-    update.set_whole(isFullUpdate);
-    if (state.isSynced) {
-        sent.setKnownBefore(state.table.next());
+    if (isStartingUp(feed)) {
+        co_await sleepFor(retryDelay());
     }
-    return update;
 }
 
-bool FeedService::hasPendingUpdate(const Follower &follower) const
-{
-    return follower.pendingQueryCount > 0
-        || follower.sentChangeCount != state(follower.feed).changeCount;
-}
-
-void FeedService::wakeFollowers(Feed feed)
+// Follows the processes that are planned to read before this gateway; returns false when it is
+// this gateway's turn to read the store.
+awaitable<bool> FeedService::followEarlierReaders(Feed feed)
 {
-    mChanged->notify();
-    for (const FollowerPtr &follower : mFollowers) {
-        if (follower->feed == feed) {
-            follower->wakeSignal.notify();
-        }
+    if (!mReaders) {
+        co_return false;
     }
-}
-
-void FeedService::wakeAllFollowers()
-{
-    for (const Feed feed : {Feed::Operators, Feed::Replicas, Feed::Members}) {
-        wakeFollowers(feed);
+    const std::vector<Tcp::endpoint> earlier = mReaders().earlier;
+    const auto size = static_cast<std::int64_t>(earlier.size());
+    const ReadingOrder &order = room(feed).readingOrder;
+    if (now() >= order.begunAt + order.readerTimeout * size) {
+        co_return false;
     }
-}
-
-awaitable<void> FeedService::receiveQueries(FollowerPtr follower)
-{
-    while (!mStopped) {
-        const auto deadline = std::chrono::steady_clock::now() + sFollowerTimeout;
-        const auto query = co_await follower->stream->receiveMessage<wire::FollowRequest>(deadline);
-        if (!query || !*query) {
+    for (const Tcp::endpoint &address : earlier) {
+        if (!isStartingUp(feed)) {
             break;
         }
-        ++follower->pendingQueryCount;
-        follower->wakeSignal.notify();
-    }
-    follower->stream->reset();
-    follower->wakeSignal.notify();
-}
-
-awaitable<void> FeedService::sendUpdates(FollowerPtr follower)
-{
-    const PeerStreamPtr &stream = follower->stream;
-    while (stream->isOpen() && !mStopped && sendUpdate(*follower)) {
-        // Waiting for the transfer merges changes on a slow link: only the newest is sent.
-        if (!co_await stream->sentBy(std::chrono::steady_clock::now() + sFollowerSendTimeout)) {
-            co_return;
-        }
-        while (stream->isOpen() && !mStopped && !hasPendingUpdate(*follower)) {
-            co_await follower->wakeSignal.waitFor(sFollowerTimeout);
-        }
-        if (follower->pendingQueryCount == 0) {
-            co_await sleepFor(sRelayBatchDelay);
+        const auto left = std::chrono::duration_cast<Milliseconds>(readingDeadline(feed) - now());
+        const bool hasSucceeded = co_await follow(feed, address, left, Condition());
+        if (hasSucceeded) {
+            break;
         }
     }
-}
-
-awaitable<void> FeedService::serveFollower(PeerStreamPtr stream)
-{
-    const auto deadline = std::chrono::steady_clock::now() + sRequestTimeout;
-    const auto request = co_await stream->receiveMessage<wire::FollowRequest>(deadline);
-    if (!request || !*request || (*request)->feed() >= sFeedCount) {
-        stream->reset();
-        co_return;
-    }
-    const auto executor = stream->connection()->executor();
-    // Sending the whole table on each new stream would saturate the links that callers use.
-    const LogPosition knownBefore{(*request)->known_era(), (*request)->known_before()};
-    const auto follower = std::make_shared<Follower>(Follower{stream,
-                                                              static_cast<Feed>((*request)->feed()),
-                                                              SentRecords(knownBefore),
-                                                              (*request)->accepts_unchanged(),
-                                                              {},
-                                                              1,
-                                                              Signal(executor)});
-    mFollowers.insert(follower);
-    asio::co_spawn(executor, receiveQueries(follower), asio::detached);
-    co_await sendUpdates(follower);
-    mFollowers.erase(follower);
-    stream->reset();
+    co_return true;
 }
 
 } // namespace Loom
--- a/src/libloomjunction/gateway/feedservice.h
+++ b/src/libloomjunction/gateway/feedservice.h
@@ -8,32 +8,24 @@
 
 #pragma once
 
-#include "clock.h"
-#include "feedtable.h"
-#include "instant.h"
+#include "feedfollower.h"
+#include "feedrelay.h"
+#include "feedstate.h"
 #include "kernel.h"
-#include "peerstream.h"
-#include "ports.h"
-#include "sentrecords.h"
+#include "storereader.h"
 
 #include <array>
 #include <functional>
 #include <map>
 #include <memory>
 #include <optional>
-#include <set>
 #include <string>
 #include <vector>
 
 namespace Loom {
 
 class Metrics;
-class PendingQueries;
 class PeerHub;
-namespace wire {
-class FollowUpdate;
-class RelayedRecord;
-}
 
 /** Preferred source of records; the other source is the fallback. */
 enum class FeedPreference : std::uint8_t
@@ -50,51 +42,27 @@
     std::vector<Tcp::endpoint> others; ///< readers other than this process
     /** Nearby processes that read the store before this one during startup, in order. */
     std::vector<Tcp::endpoint> earlier;
-};
-
-/** Source of a record and its distance from the store. */
-struct RecordOrigin
-{
-    std::string from = "store"; ///< or the address of the process that relayed it
-    std::uint32_t hops = 0; ///< number of times that the record was relayed
-};
-
-/** How recently a feed was known to be complete, and from where. */
-struct FeedEvidence
-{
-    Milliseconds age{-1}; ///< negative: it was never known to be complete
-    std::string from; ///< "store", or the address of the process that reported it last
-    LogPosition next; ///< all records before it are known
-};
-
-/** A changed record, as passed to listeners. */
-struct FeedChange
-{
-    const FeedRecord &record;
-    Microseconds age; ///< estimated time since the store accepted it, transit included
-    bool isTrusted; ///< the store had no recent failure when the change was read
-    const RecordOrigin &origin;
-    /** The store's copy holds a record whose removal was known, and which may thus be outdated. */
-    bool isRevived = false;
+    /** Processes to follow as well while the records from the readers are too old, in order. */
+    std::vector<Tcp::endpoint> alternates;
+    /** Number of processes that read the store before this one in that case. */
+    std::size_t takeoverRank = 0;
 };
 
 /**
- * Follows the feeds of the platform's store and relays them to other processes.
- * Records from the store and from peers are merged in one FeedTable per feed, so
- * an older record from one source never replaces a newer one from the other.
+ * Keeps the feeds of the platform's store up to date: decides for each feed whether this process
+ * reads the store, which other processes it follows, or both. It has several sources at once while
+ * its records are older than the planned source should let them become, so that none that does not
+ * respond delays another.
  */
 class FeedService final : public Service
 {
 public:
     static constexpr std::string_view sName = "feeds";
-    using Listener = std::function<void(const FeedChange &change)>;
-    /** @p missing: keys that the store has lost, and that stay valid. */
-    using RestoreListener = std::function<void(const FeedTable::Keys &missing)>;
+    using Listener = FeedState::Listener;
+    using RestoreListener = FeedState::RestoreListener;
     using PeerAddresses = std::function<std::vector<Tcp::endpoint>()>;
     using Readers = std::function<FeedReaders()>;
-    /** Whether a new value of a record means the same as the known one. */
-    using EquivalencePredicate
-        = std::function<bool(const FeedRecord &known, const FeedRecord &next)>;
+    using EquivalencePredicate = FeedState::EquivalencePredicate;
 
     FeedService(StorePort &store, std::string box, FeedPreference preference);
 
@@ -106,28 +74,28 @@
      * Counts the bytes of store responses as `store_bytes`, by feed and kind of read, and reads
      * at offsets that the store does not hold as `store_reads_refused`, by feed.
      */
-    void countInto(Metrics &metrics) { mMetrics = &metrics; }
+    void countInto(Metrics &metrics);
     /** Calls @p listener for every change of @p feed; must be called before start(). */
-    void listen(Feed feed, Listener listener);
+    void listen(Feed feed, Listener listener) { state(feed).listen(std::move(listener)); }
     /** Calls @p listener when @p feed was read for the first time after the store's return. */
     void listenRestored(Feed feed, RestoreListener listener)
     {
-        state(feed).restoreListeners.push_back(std::move(listener));
+        state(feed).listenRestored(std::move(listener));
     }
     /** Sets which records of @p feed stay valid when the store returns from a copy. */
-    void setEraRules(Feed feed, EraRules rules) { state(feed).table.setEraRules(std::move(rules)); }
+    void setEraRules(Feed feed, EraRules rules) { state(feed).setEraRules(std::move(rules)); }
     /** Neither announces nor relays records of @p feed that are equivalent to the known one. */
     void skipUnchanged(Feed feed, EquivalencePredicate isEquivalent)
     {
-        state(feed).isEquivalent = std::move(isEquivalent);
+        state(feed).setEquivalence(std::move(isEquivalent));
     }
     /**
      * Sets the minimum delay between two reads of replicas' records. A draining replica may
      * get requests until the next read.
      */
     void setReplicasReadDelay(Milliseconds delay) { mReplicasReadDelay = delay; }
-    /** Sets the longest time that a read of operators' records waits for a new record. */
-    void setOperatorsPollTimeout(Milliseconds timeout);
+    /** Sets the time within which operators' records must have come from the store. */
+    void setMaxOperatorsAge(Milliseconds age) { mMaxOperatorsAge = age; }
     /** Sets the processes that can be followed instead of reading the store. */
     void setPeers(PeerAddresses peers) { mPeers = std::move(peers); }
 
@@ -135,31 +103,27 @@
     void setReaders(Readers readers) { mReaders = std::move(readers); }
 
     /** Time since the feed was last known to be complete; nothing if it never was. */
-    std::optional<Microseconds> age(Feed feed) const;
-    FeedEvidence evidence(Feed feed) const;
-    /** Whether a read of the store failed within the last seconds. */
+    std::optional<Microseconds> age(Feed feed) const { return state(feed).age(); }
+    FeedEvidence evidence(Feed feed) const { return state(feed).evidence(); }
+    /** Whether a read of the store failed within the last seconds, or the last one did. */
     bool hasStoreFailed() const;
     /**
      * Whether the store returned from a copy so recently that records which were written before
      * may not have been written again.
      */
     bool mayLackRecords(Feed feed) const;
-    bool isStoreReached(Feed feed) const { return state(feed).isStoreReached; }
+    bool isStoreReached(Feed feed) const { return state(feed).isStoreReached(); }
     /**
      * Whether this process started so recently that the planned readers count more than the
      * member states received so far.
      */
-    bool isInStartup() const { return now() < mStartupDeadline; }
+    bool isInStartup() const;
     /** Whether a feed has yet to be read after the store's return from a copy. */
     bool isRestoring() const;
-    const FeedTable &table(Feed feed) const { return state(feed).table; }
+    const FeedTable &table(Feed feed) const { return state(feed).table(); }
 
 private:
-    struct CompressedValue
-    {
-        LogPosition position; ///< of the record that was compressed
-        std::string bytes;
-    };
+    using Condition = std::function<bool()>;
 
     /** Period in which a feed that is not synced is read by the planned readers first. */
     struct ReadingOrder
@@ -169,130 +133,74 @@
         Milliseconds timeout{0};
     };
 
-    struct FeedState
+    /** One feed and its sources. */
+    struct Room
     {
-        FeedTable table;
-        std::vector<Listener> listeners;
-        std::vector<RestoreListener> restoreListeners;
-        EquivalencePredicate isEquivalent;
-        std::map<std::string, Instant> learnedAt;
-        std::map<std::string, RecordOrigin> origins; ///< of the newest record, by key
-        /** Compressed long values by key, shared by all followers. */
-        std::map<std::string, CompressedValue> compressed;
-        std::optional<Instant> completeAt;
-        std::string completeFrom; ///< source of completeAt
-        Instant storeFailedAt;
-        bool hasStoreFailed = false;
-        bool isStoreReached = false;
-        bool isSynced = false; ///< the table holds all records before its next offset
-        LogPosition removalsKnownFrom; ///< removals at or after this position are in the table
+        explicit Room(Feed feed)
+            : state(feed)
+        {
+        }
+
+        FeedState state;
+        std::unique_ptr<StoreReader> reader;
+        std::unique_ptr<FeedFollower> follower;
         ReadingOrder readingOrder;
-        std::optional<Instant> restoredAt; ///< when the store's last return was noticed
-        bool isPolling = false; ///< a read of the store's log is under way
-        bool isRefused = false; ///< the last read was refused; nothing was read since
-        bool isFirstSync = true; ///< the table has not been complete since this process started
-        bool isRelayDoubtful = false; ///< the followed process reports a recent store failure
-        bool isLogShortened = false; ///< at the last full read, the log ended before the table
-        bool hasReturnedEarly = false; ///< the last store read ended before its timeout
-        std::uint64_t changeCount = 0;
+        bool hasStarted = false; ///< the period of readingOrder is over
+        bool isReading = false;
+        bool isFollowing = false; ///< one of the planned readers
+        std::optional<Instant> takeoverUntil; ///< this process reads in place of the readers
+        std::map<Tcp::endpoint, Instant> alternates; ///< when each may be followed again
     };
 
-    /** Another process that follows a feed of this one. */
-    struct Follower
-    {
-        PeerStreamPtr stream;
-        Feed feed = Feed::Operators;
-        SentRecords sent{LogPosition()};
-        bool acceptsUnchanged = false; ///< see wire::FollowRequest::accepts_unchanged
-        std::optional<std::uint64_t>
-            sentChangeCount; ///< change count of the feed when it was last sent
-        std::uint32_t pendingQueryCount = 1; ///< includes the request that opened the stream
-        Signal wakeSignal;
-    };
-    using FollowerPtr = std::shared_ptr<Follower>;
-
-    FeedState &state(Feed feed) { return mFeeds[static_cast<std::size_t>(feed)]; }
-    const FeedState &state(Feed feed) const { return mFeeds[static_cast<std::size_t>(feed)]; }
+    Room &room(Feed feed) { return mRooms[static_cast<std::size_t>(feed)]; }
+    const Room &room(Feed feed) const { return mRooms[static_cast<std::size_t>(feed)]; }
+    FeedState &state(Feed feed) { return room(feed).state; }
+    const FeedState &state(Feed feed) const { return room(feed).state; }
+
+    awaitable<void> supervise();
+    void supervise(Feed feed);
+    awaitable<void> runReading(Feed feed);
+    awaitable<void> runFollowing(Feed feed);
+    awaitable<void> runPeerPreference(Feed feed);
+    void openAlternates(Feed feed);
+    awaitable<void> followAlternate(Feed feed, Tcp::endpoint address);
+    bool mayRead(Feed feed);
+    bool hasTakenOver(Feed feed, std::size_t rank);
+    bool isFollower(Feed feed) const;
+    /** How much older than its sources should let it become the feed is; negative: it isn't. */
+    Microseconds excessAge(Feed feed) const;
 
-    awaitable<void> follow(Feed feed);
     awaitable<void> startUp(Feed feed);
+    awaitable<void> startUpInOrder(Feed feed);
     awaitable<void> startUpFromPeers(Feed feed);
     awaitable<void> waitForMembers(Feed feed);
     awaitable<void> delayStartup(Feed feed);
     awaitable<bool> followEarlierReaders(Feed feed);
     Instant readingDeadline(Feed feed) const;
     bool isStartingUp(Feed feed) const;
-    bool isAwaitingData(Feed feed) const;
-    awaitable<bool> readStore(Feed feed);
-    awaitable<bool> readOnward(Feed feed, Milliseconds wait);
-    awaitable<void> handleFailedRead(Feed feed, StoreError error);
-    void applyBatch(Feed feed, const FeedBatch &batch, Instant asked, Milliseconds wait);
-    awaitable<bool> sync(Feed feed);
-    void applyFullRead(Feed feed, const FeedBatch &batch);
-    bool isOutdated(Feed feed) const;
-    void cancelOutdatedReads();
-    void beginRestore(Feed feed);
-    void finishRestore(Feed feed);
-    void announceRemovals(Feed feed, const std::set<std::string_view> &present, LogPosition end,
-                          Microseconds age);
     awaitable<bool> readPeer(Feed feed);
-    awaitable<bool> followPeer(Feed feed, Tcp::endpoint address, Milliseconds maxDuration);
-    awaitable<bool> followReader(Feed feed);
-    bool isFollower(Feed feed) const;
-    bool isStoreDoubtful(Feed feed) const;
-    static void setRelayedValue(FeedState &state, const FeedRecord &record,
-                                wire::RelayedRecord &relayed);
-    bool isOfEarlierEra(Feed feed, const wire::FollowUpdate &update) const;
-    bool applyUpdate(Feed feed, const wire::FollowUpdate &update, PendingQueries &queries,
-                     const Tcp::endpoint &from);
-    bool applyRecords(Feed feed, const wire::FollowUpdate &update, Microseconds elapsed,
-                      const Tcp::endpoint &from);
-    void applyFullUpdate(Feed feed, const wire::FollowUpdate &update, Microseconds age);
-    std::optional<FeedRecord> readRelayed(Feed feed, const wire::RelayedRecord &relayed) const;
-    LogPosition knownBefore(Feed feed) const;
-    void updateCompleteAt(Feed feed, Instant at, std::string_view from);
-    wire::FollowUpdate newRecords(Follower &follower, bool isFullUpdate);
-    wire::FollowUpdate buildUpdate(Follower &follower);
-    void setUpdateState(Feed feed, wire::FollowUpdate &update) const;
-    bool sendUpdate(Follower &follower);
-    bool sendWaiting(Follower &follower) const;
-    static void answerQueries(Follower &follower, const wire::FollowUpdate &answer);
-    bool hasPendingUpdate(const Follower &follower) const;
-    awaitable<void> receiveQueries(FollowerPtr follower);
-    awaitable<void> sendUpdates(FollowerPtr follower);
-    void wakeFollowers(Feed feed);
-    void wakeAllFollowers();
-    void updateStoreState(Feed feed, bool isReached, std::string_view reason);
-    void noteLogEnd(Feed feed, std::uint64_t end);
-    void countRead(Feed feed, std::string_view kind, std::uint64_t bytes);
-    void countRefusedRead(Feed feed);
-    static bool applyToTable(FeedState &state, const FeedRecord &record);
-    void applyRead(Feed feed, const FeedRecord &record, Microseconds age);
-    void apply(Feed feed, const FeedRecord &record, Microseconds age, RecordOrigin origin = {},
-               bool isRevived = false);
-    void applyRelayed(Feed feed, const FeedRecord &record, Microseconds age, RecordOrigin origin,
-                      bool isCopy);
-    void notifyListeners(Feed feed, const FeedRecord &record, Microseconds age,
-                         bool isRevived = false);
-    awaitable<void> serveFollower(PeerStreamPtr stream);
-    Milliseconds pollTimeout(Feed feed) const;
+    awaitable<bool> follow(Feed feed, Tcp::endpoint address, Milliseconds maxDuration,
+                           Condition isNeeded);
+
+    void noteChange(Feed feed);
+    Milliseconds pollTimeout(Feed feed, bool isRelayed) const;
     Milliseconds nextPollTimeout(Feed feed) const;
-    Microseconds ageOfRead(Feed feed, Milliseconds wait) const;
+    Milliseconds queryInterval(Feed feed) const;
+    Milliseconds maxSourceAge(Feed feed) const;
     Milliseconds readDelay(Feed feed) const;
-    bool isUnchanged(Feed feed, const FeedRecord &record) const;
 
     StorePort &mStore;
     std::string mBox;
     FeedPreference mPreference;
-    PeerHub *mHub = nullptr;
-    Metrics *mMetrics = nullptr; ///< null if nothing is counted
     PeerAddresses mPeers;
     Readers mReaders;
-    std::array<FeedState, sFeedCount> mFeeds;
-    std::unique_ptr<Signal> mChanged; ///< a feed changed, or a store read failed
-    std::set<FollowerPtr> mFollowers;
+    Metrics *mMetrics = nullptr; ///< null if nothing is counted
+    std::array<Room, sFeedCount> mRooms{Room(Feed::Operators), Room(Feed::Replicas),
+                                        Room(Feed::Members)};
+    FeedRelay mRelay;
+    std::unique_ptr<Signal> mChanged; ///< a feed changed, or a call to the store failed
     Milliseconds mReplicasReadDelay{200};
-    Milliseconds mOperatorsPollTimeout{2'000};
+    Milliseconds mMaxOperatorsAge{4'000};
     std::uint64_t mPeerIndex = 0;
     Instant mStartupDeadline; ///< until then, waits for other processes to read first
     bool mStopped = false;
--- a/src/libloomjunction/gateway/memberservice.cpp
+++ b/src/libloomjunction/gateway/memberservice.cpp
@@ -49,6 +49,8 @@
 // Limits how many preceding readers a starting gateway waits for: the second one reads if the
 // first is down.
 constexpr std::size_t sMaxEarlierReaders = 2;
+// Number of gateways of a data centre, and of all, that are considered when the readers fail.
+constexpr std::size_t sMaxSuccessors = 3;
 constexpr std::string_view sGatewayRole = "gateway";
 constexpr std::string_view sStagerRole = "stager";
 
@@ -524,16 +526,70 @@
     readers.isRelayed = true;
     readers.earlier = earlierReaders();
     const std::string &reader = selectReader(mGlobalReaders);
+    const std::string &near = selectReader(mDataCentreReaders);
+    const std::array planned{reader, near};
+    readers.alternates = alternateSources(planned);
+    readers.takeoverRank = takeoverRank(planned);
     readers.isReader = reader == mKey;
     if (readers.isReader) {
         return readers;
     }
-    const std::string &near = selectReader(mDataCentreReaders);
     const std::string &followed = near == mKey ? reader : near;
     readers.others.push_back(mMembers.find(followed)->second.peers);
     return readers;
 }
 
+// The successors of the readers, nearby and global ones by turns: those are the first to read the
+// store if the readers fail, and a failure that strikes a data centre spares the others.
+std::vector<Tcp::endpoint>
+MemberService::alternateSources(std::span<const std::string> planned) const
+{
+    const std::vector<std::string> near = successors(mDataCentreReaders, planned);
+    const std::vector<std::string> global = successors(mGlobalReaders, planned);
+    std::vector<Tcp::endpoint> sources;
+    for (std::size_t index = 0; index < std::max(near.size(), global.size()); ++index) {
+        for (const std::vector<std::string> *order : {&near, &global}) {
+            if (index >= order->size() || (*order)[index] == mKey) {
+                continue;
+            }
+            const Tcp::endpoint &address = mMembers.find((*order)[index])->second.peers;
+            if (std::ranges::find(sources, address) == sources.end()) {
+                sources.push_back(address);
+            }
+        }
+    }
+    return sources;
+}
+
+std::size_t MemberService::takeoverRank(std::span<const std::string> planned) const
+{
+    const std::vector<std::string> near = successors(mDataCentreReaders, planned);
+    const std::vector<std::string> global = successors(mGlobalReaders, planned);
+    const auto rankIn = [this](const std::vector<std::string> &order) {
+        return static_cast<std::size_t>(std::ranges::find(order, mKey) - order.begin());
+    };
+    return std::min(rankIn(near), rankIn(global));
+}
+
+// The first gateways of @p order that may read the store, as far as this gateway knows, without
+// those that are @p planned to do so now.
+std::vector<std::string> MemberService::successors(std::span<const std::string> order,
+                                                   std::span<const std::string> planned) const
+{
+    std::vector<std::string> keys;
+    for (const std::string &key : order) {
+        const bool mayRead
+            = key == mKey ? !mFeeds->hasStoreFailed() : mMembers.contains(key) && mayReadStore(key);
+        if (mayRead && std::ranges::find(planned, key) == planned.end()) {
+            keys.push_back(key);
+        }
+        if (keys.size() == sMaxSuccessors) {
+            break;
+        }
+    }
+    return keys;
+}
+
 bool MemberService::isUsable(const GatewayState &state)
 {
     const bool isHeard = state.heardAt && now() - *state.heardAt < sStatusTimeout;
--- a/src/libloomjunction/gateway/memberservice.h
+++ b/src/libloomjunction/gateway/memberservice.h
@@ -174,6 +174,10 @@
     static bool isUsable(const GatewayState &state);
     bool mayReadStore(const std::string &key) const;
     std::vector<Tcp::endpoint> earlierReaders() const;
+    std::vector<Tcp::endpoint> alternateSources(std::span<const std::string> planned) const;
+    std::size_t takeoverRank(std::span<const std::string> planned) const;
+    std::vector<std::string> successors(std::span<const std::string> order,
+                                        std::span<const std::string> planned) const;
     void updatePlan();
     const std::string &selectReader(std::span<const std::string> order) const;
     std::vector<Tcp::endpoint> localDataCentreFirst(std::span<const Member> members) const;
--- a/src/libloomjunction/gateway/operatorconfigservice.cpp
+++ b/src/libloomjunction/gateway/operatorconfigservice.cpp
@@ -30,9 +30,6 @@
 // maximum age, 2 s.
 constexpr int sFreshnessNumerator = 3;
 constexpr int sFreshnessDenominator = 4;
-// A long poll of the store returns after the maximum age divided by this number even if nothing
-// has changed, so that the configuration stays fresh while the store is idle.
-constexpr int sReadsPerMaxAge = 2;
 // The time at which a version was selected is unknown if this process finds it at startup.
 // Requests may start on older weights for this long after that.
 constexpr Milliseconds sInitialWeightsGracePeriod{1'500};
@@ -70,7 +67,7 @@
 {
     mBounds = bounds;
     mWeights.setGracePeriod(bounds.weightsGracePeriod);
-    mFeeds->setOperatorsPollTimeout(bounds.maxConfigAge / sReadsPerMaxAge);
+    mFeeds->setMaxOperatorsAge(bounds.maxConfigAge);
 }
 
 // Versions of configurations and weights only rise, and operators write again what the store has
--- a/tests/propagation/gatewayfleet.cpp
+++ b/tests/propagation/gatewayfleet.cpp
@@ -170,8 +170,8 @@
         mReport.reverts += version < mLastVersion[index] ? 1 : 0;
         mLastVersion[index] = version;
         mInForceAt[index].resize(version, now());
-        const bool isBehind = version < mAcceptedAt.size()
-            && now() - mAcceptedAt[version] > mSettings.maxConfigAge;
+        const bool isBehind
+            = version < mAcceptedAt.size() && now() - mAcceptedAt[version] > mSettings.maxConfigAge;
         const bool isStale = gateway.config().mayBeStale();
         mReport.wrongRefusals += isBehind && !isStale ? 1 : 0;
         mReport.staleSamples += gateway.isInTouch() && isStale ? 1 : 0;
@@ -191,8 +191,7 @@
                 continue;
             }
             const Microseconds duration = mInForceAt[index][version] - mAcceptedAt[version];
-            mReport.slowest
-                = std::max(mReport.slowest, std::chrono::ceil<Milliseconds>(duration));
+            mReport.slowest = std::max(mReport.slowest, std::chrono::ceil<Milliseconds>(duration));
         }
     }
     mReport.storeCalls -= mCallsBefore;
--- a/tests/propagation/storeaccess.h
+++ b/tests/propagation/storeaccess.h
@@ -119,7 +119,7 @@
     {
         mStore.setEraListener(std::move(listener));
     }
-    void cancelRead(Feed) override {}
+    void cancelRead(Feed) override { }
 
 private:
     /** Like the timeout of a call to the store, without its wait for a record. */
--- a/tests/propagation/virtualtime.cpp
+++ b/tests/propagation/virtualtime.cpp
@@ -57,8 +57,7 @@
                                itimerspec *previous) noexcept
 {
     if (!sIsActive) {
-        return static_cast<int>(
-            ::syscall(SYS_timerfd_settime, descriptor, flags, next, previous));
+        return static_cast<int>(::syscall(SYS_timerfd_settime, descriptor, flags, next, previous));
     }
     const bool isExpired = (flags & TFD_TIMER_ABSTIME) != 0;
     sNextTimer = isExpired ? sNow : sNow + fromTimespec(next->it_value);
--- a/tests/propagation/virtualtime.h
+++ b/tests/propagation/virtualtime.h
@@ -29,7 +29,8 @@
     VirtualTime(const VirtualTime &) = delete;
     VirtualTime &operator=(const VirtualTime &) = delete;
 
-    /** Runs @p context for @p maxDuration of simulated time, or until @p isDone; returns the latter. */
+    /** Runs @p context for @p maxDuration of simulated time, or until @p isDone; returns the
+     * latter. */
     bool run(boost::asio::io_context &context, Milliseconds maxDuration,
              const std::function<bool()> &isDone);
 };
--- a/tests/staleconfig/test_staleconfig.cpp
+++ b/tests/staleconfig/test_staleconfig.cpp
@@ -191,11 +191,11 @@
             stream->send(answer);
         }
     });
-    BOOST_REQUIRE(
-        peer.listen(Tcp::endpoint(asio::ip::address_v4::loopback(), 0)).has_value());
+    BOOST_REQUIRE(peer.listen(Tcp::endpoint(asio::ip::address_v4::loopback(), 0)).has_value());
     FeedProcess follower(context);
-    follower.feeds().setReaders(
-        [&] { return FeedReaders{false, true, {peer.localEndpoint()}, {peer.localEndpoint()}}; });
+    follower.feeds().setReaders([&] {
+        return FeedReaders{false, true, {peer.localEndpoint()}, {peer.localEndpoint()}};
+    });
     const auto test = [&]() -> awaitable<void> {
         follower.store.restore(); // to the second era
         co_await follower.store.put("any", "value"); // its answer shows the era
