A feed is complete as of the question that the store answered

An empty answer that arrived after its wait counted as the store's state at the end of the wait. One that was given early and was long under way thus understated the age of the feed by up to the wait, 1.5 s where the configuration's bound is 3 s, and a gateway could refuse for good what a newer configuration allows.

--- a/src/libloomjunction/gateway/feedstate.cpp
+++ b/src/libloomjunction/gateway/feedstate.cpp
@@ -88,8 +88,8 @@
                     age().value_or(sUnknownAge) - std::min(wait, sMaxPollTimeDiscount));
 }
 
-// The response may have been in transit for long. It shows the store as of the time of the
-// request, or as of the end of the wait if nothing was found during all of it.
+// The response may have been in transit for long, and an empty one may have been given before the
+// end of its wait. It shows the store as of the time of the request.
 void FeedState::applyBatch(const FeedBatch &batch, Instant asked, Milliseconds wait)
 {
     const Microseconds age = ageOfRead(wait);
@@ -99,7 +99,7 @@
     mTable.setNext({batch.era, batch.next});
     mHasReturnedEarly = !batch.records.empty() || now() < asked + wait;
     if (!batch.hasMore) {
-        noteComplete(mHasReturnedEarly ? asked : asked + wait, sStoreSource);
+        noteComplete(asked, sStoreSource);
     }
     mIsRelayDoubtful = false;
 }
