Soak: a final refusal by what may be old breaks a run whatever goes wrong

The probe of the newest configuration's route was judged only in the calm, where a late configuration is rare. A 401, 403 or 404 later than the bound now counts among all faults, without slack; only returns of the store from a copy are left out, which lose what was accepted.

--- a/tests/soak/returns.py
+++ b/tests/soak/returns.py
@@ -124,6 +124,16 @@
                               f"{sent_at - accepted_at:.1f} s after it was accepted")
         return broken
 
+    def refused_for_good(self, bound, was_stable):
+        """Refusals for good by what may be old. Neither calm nor slack is asked for, because a
+        gateway that can't show how recent its configuration is has another answer; but a store
+        that returns from a copy loses what it has accepted."""
+        return [f"CONFIG: {box} refused the route of configuration {version} for good, "
+                f"{sent_at - accepted_at:.1f} s after it was accepted"
+                for sent_at, box, _, version, accepted_at, is_known in self.samples
+                if not is_known and sent_at - accepted_at > bound
+                and was_stable(accepted_at, sent_at)]
+
 
 def late_drains(replicas, runs, slack, was_calm):
     """Runs at a replica whose record said long before that it leaves."""
--- a/tests/soak/soak.py
+++ b/tests/soak/soak.py
@@ -287,6 +287,7 @@
         was_stable = self.returns.was_stable if self.options.returns else self.was_calm
         self.broken += late_drains(self.world.replicas, runs, SLACK, was_stable)
         self.broken += self.probe.broken(CONFIG_APPLY + SLACK, was_stable)
+        self.broken += self.probe.refused_for_good(CONFIG_APPLY, self.returns.was_stable)
         self.broken += too_many_calls(self.world.store.calls, len(self.world.processes))
         over, self.limits_judged = over_limits(self.world.replicas, self.was_calm)
         self.broken += over
