While the store fails every gateway, the first in order look for its return

Now the first one that is alive stays the reader, the next three ask less often, and the rest every 4 s; all get what the first one finds by following it. Beyond the first three, a gateway whose records are too old reads the store once instead of for three seconds.

--- a/src/libloomjunction/gateway/feedservice.cpp
+++ b/src/libloomjunction/gateway/feedservice.cpp
@@ -65,8 +65,10 @@
 constexpr Milliseconds sTakeoverDuration{3'000};
 constexpr std::size_t sMaxAlternates = 4;
 constexpr Milliseconds sAlternateRetryDelay{300};
-// A process that is no reader checks at this interval whether the store answers it again.
-constexpr Milliseconds sProbeInterval{2'000};
+// A process that is no reader checks at these intervals whether the store answers it again: the
+// first to take over often, since others wait for them, and the rest to become readers again.
+constexpr Milliseconds sFirstProbeInterval{500};
+constexpr Milliseconds sProbeInterval{4'000};
 // Time for which a preferred peer is followed before the source is chosen anew.
 constexpr Milliseconds sPreferredFollowDuration{30'000};
 // A process with a store failure within this time does not read for others if another can.
@@ -309,7 +311,11 @@
 {
     Room &room = this->room(feed);
     const auto steps = static_cast<int>(std::min(rank, sMaxTakeoverSteps));
-    if (excessAge(feed) > maxSourceAge(feed) * steps / sTakeoverStepsPerSourceAge) {
+    const bool isDue = excessAge(feed) > maxSourceAge(feed) * steps / sTakeoverStepsPerSourceAge;
+    if (rank >= sMaxTakeoverSteps) {
+        return isDue; // there may be many of these, so each reads once
+    }
+    if (isDue) {
         room.takeoverUntil = now() + sTakeoverDuration;
     }
     return room.takeoverUntil && now() < *room.takeoverUntil;
@@ -319,10 +325,9 @@
 {
     Room &room = this->room(feed);
     while (mayRead(feed)) {
-        const bool isProbe = room.state.hasStoreFailed() && isFollower(feed);
         const bool hasSucceeded = co_await room.reader->read(nextPollTimeout(feed));
         if (!hasSucceeded) {
-            co_await sleepFor(isProbe ? sProbeInterval : retryDelay());
+            co_await sleepFor(delayAfterFailure(feed));
         } else if (room.state.hasReturnedEarly()) {
             co_await sleepFor(readDelay(feed));
         }
@@ -330,6 +335,18 @@
     room.isReading = false;
 }
 
+Milliseconds FeedService::delayAfterFailure(Feed feed) const
+{
+    if (!isFollower(feed)) {
+        return retryDelay();
+    }
+    const std::size_t rank = mReaders().takeoverRank;
+    if (feed == Feed::Members || rank >= sMaxTakeoverSteps) {
+        return sProbeInterval;
+    }
+    return sFirstProbeInterval * static_cast<int>(rank + 1);
+}
+
 // Follows one of the planned readers of the store as long as it is planned.
 awaitable<void> FeedService::runFollowing(Feed feed)
 {
@@ -340,7 +357,7 @@
         }
         // The hash spreads the followers over the readers; each failure selects another reader.
         const std::size_t own = std::hash<std::string>()(mBox);
-        const Tcp::endpoint address = readers[(own + mPeerIndex) % readers.size()];
+        const Tcp::endpoint &address = readers[(own + mPeerIndex) % readers.size()];
         Condition isPlanned = [this, feed, address] {
             const std::vector<Tcp::endpoint> planned = mReaders().others;
             return isFollower(feed) && std::ranges::find(planned, address) != planned.end();
--- a/src/libloomjunction/gateway/feedservice.h
+++ b/src/libloomjunction/gateway/feedservice.h
@@ -188,6 +188,7 @@
     Milliseconds queryInterval(Feed feed) const;
     Milliseconds maxSourceAge(Feed feed) const;
     Milliseconds readDelay(Feed feed) const;
+    Milliseconds delayAfterFailure(Feed feed) const;
 
     StorePort &mStore;
     std::string mBox;
--- a/src/libloomjunction/gateway/memberservice.cpp
+++ b/src/libloomjunction/gateway/memberservice.cpp
@@ -283,18 +283,15 @@
 }
 
 // Returns the first gateway of the order that is alive and reaches the store, as far as this
-// gateway knows, or this gateway if there is none.
+// gateway knows. If the store has failed all of them, the first one that is alive is the first to
+// reach it again.
 const std::string &MemberService::selectReader(std::span<const std::string> order) const
 {
-    for (const std::string &key : order) {
-        if (key == mKey) {
-            if (!mFeeds->hasStoreFailed()) {
-                return mKey;
-            }
-            continue;
-        }
-        if (mMembers.contains(key) && mayReadStore(key)) {
-            return key;
+    for (const bool mayHaveFailed : {false, true}) {
+        const auto found = std::ranges::find_if(
+            order, [&](const std::string &key) { return mayReadStore(key, mayHaveFailed); });
+        if (found != order.end()) {
+            return *found;
         }
     }
     return mKey;
@@ -303,8 +300,14 @@
 // A starting gateway has heard from few others, and those that start at the same time can't
 // serve callers yet. During startup another gateway therefore counts as alive unless it is
 // leaving or could not be reached.
-bool MemberService::mayReadStore(const std::string &key) const
+bool MemberService::mayReadStore(const std::string &key, bool mayHaveFailed) const
 {
+    if (key == mKey) {
+        return mayHaveFailed || !mFeeds->hasStoreFailed();
+    }
+    if (!mMembers.contains(key)) {
+        return false;
+    }
     const auto found = mGatewayStates.find(key);
     const bool isInStartup = mFeeds->isInStartup();
     if (found == mGatewayStates.end()) {
@@ -312,7 +315,7 @@
     }
     const GatewayState &state = found->second;
     const bool mayBeAlive = isInStartup && !state.isUnreachable && !state.isLeaving;
-    return (mayBeAlive || isUsable(state)) && !state.hasStoreFailed;
+    return (mayBeAlive || isUsable(state)) && (mayHaveFailed || !state.hasStoreFailed);
 }
 
 // Includes gateways that can't be reached yet, since they may start a moment later than this
@@ -572,19 +575,18 @@
 }
 
 // The first gateways of @p order that may read the store, as far as this gateway knows, without
-// those that are @p planned to do so now.
+// those that are @p planned to do so now; last, those that the store has failed.
 std::vector<std::string> MemberService::successors(std::span<const std::string> order,
                                                    std::span<const std::string> planned) const
 {
     std::vector<std::string> keys;
-    for (const std::string &key : order) {
-        const bool mayRead
-            = key == mKey ? !mFeeds->hasStoreFailed() : mMembers.contains(key) && mayReadStore(key);
-        if (mayRead && std::ranges::find(planned, key) == planned.end()) {
-            keys.push_back(key);
-        }
-        if (keys.size() == sMaxSuccessors) {
-            break;
+    for (const bool mayHaveFailed : {false, true}) {
+        for (const std::string &key : order) {
+            const bool isKnown = std::ranges::find(planned, key) != planned.end()
+                || std::ranges::find(keys, key) != keys.end();
+            if (keys.size() < sMaxSuccessors && !isKnown && mayReadStore(key, mayHaveFailed)) {
+                keys.push_back(key);
+            }
         }
     }
     return keys;
--- a/src/libloomjunction/gateway/memberservice.h
+++ b/src/libloomjunction/gateway/memberservice.h
@@ -172,7 +172,7 @@
     bool mayBeAlive(const std::string &key) const;
     GatewayAvailability availabilityOf(const std::string &key) const;
     static bool isUsable(const GatewayState &state);
-    bool mayReadStore(const std::string &key) const;
+    bool mayReadStore(const std::string &key, bool mayHaveFailed) const;
     std::vector<Tcp::endpoint> earlierReaders() const;
     std::vector<Tcp::endpoint> alternateSources(std::span<const std::string> planned) const;
     std::size_t takeoverRank(std::span<const std::string> planned) const;
