The first in order ask a failed store often

With the store away for everybody, the return was found by one reader and by twelve others every 0.5 to 1.5 s. The first three in each order try again after 0.1 to 0.4 s now, the rest after 2 s.

--- a/src/libloomjunction/gateway/feedservice.cpp
+++ b/src/libloomjunction/gateway/feedservice.cpp
@@ -65,10 +65,9 @@
 constexpr Milliseconds sTakeoverDuration{3'000};
 constexpr std::size_t sMaxAlternates = 4;
 constexpr Milliseconds sAlternateRetryDelay{300};
-// A process that is no reader checks at these intervals whether the store answers it again: the
-// first to take over often, since others wait for them, and the rest to become readers again.
-constexpr Milliseconds sFirstProbeInterval{500};
-constexpr Milliseconds sProbeInterval{4'000};
+// A process that neither reads for others nor is among the first to do so checks at this interval
+// whether the store answers it again.
+constexpr Milliseconds sProbeInterval{2'000};
 // Time for which a preferred peer is followed before the source is chosen anew.
 constexpr Milliseconds sPreferredFollowDuration{30'000};
 // A process with a store failure within this time does not read for others if another can.
@@ -335,23 +334,21 @@
     room.isReading = false;
 }
 
-// A follower waits longer, but not if it becomes a reader meanwhile.
+// The first in order try often: the sooner one of them reads what was accepted in an outage, the
+// more exactly is it known how long ago that was.
 awaitable<void> FeedService::waitAfterFailure(Feed feed)
 {
     const Instant failedAt = now();
     co_await sleepFor(retryDelay());
-    while (mayRead(feed) && isFollower(feed) && now() < failedAt + probeInterval(feed)) {
+    while (mayRead(feed) && isOnlyProbing(feed) && now() < failedAt + sProbeInterval) {
         co_await mChanged->waitFor(sSuperviseInterval);
     }
 }
 
-Milliseconds FeedService::probeInterval(Feed feed) const
+bool FeedService::isOnlyProbing(Feed feed) const
 {
-    const std::size_t rank = mReaders().takeoverRank;
-    if (feed == Feed::Members || rank >= sMaxTakeoverSteps) {
-        return sProbeInterval;
-    }
-    return sFirstProbeInterval * static_cast<int>(rank + 1);
+    const bool isAmongFirst = mReaders && mReaders().takeoverRank < sMaxTakeoverSteps;
+    return isFollower(feed) && (feed == Feed::Members || !isAmongFirst);
 }
 
 // Follows one of the planned readers of the store as long as it is planned.
--- a/src/libloomjunction/gateway/feedservice.h
+++ b/src/libloomjunction/gateway/feedservice.h
@@ -189,7 +189,8 @@
     Milliseconds maxSourceAge(Feed feed) const;
     Milliseconds readDelay(Feed feed) const;
     awaitable<void> waitAfterFailure(Feed feed);
-    Milliseconds probeInterval(Feed feed) const;
+    /** Whether no other process waits for this one to read @p feed. */
+    bool isOnlyProbing(Feed feed) const;
 
     StorePort &mStore;
     std::string mBox;
