--- a/src/libloomjunction/gateway/feedservice.cpp
+++ b/src/libloomjunction/gateway/feedservice.cpp
@@ -106,22 +106,22 @@
     hub.serve(std::string(FeedFollower::sPath),
               [this](PeerStreamPtr stream) { return mRelay.serve(std::move(stream)); });
     mStore.setEraListener([this] {
-        for (Room &room : mRooms) {
-            room.reader->cancelIfOutdated();
+        for (Sources &sources : mSources) {
+            sources.reader->cancelIfOutdated();
         }
         mChanged->notify();
     });
     mStartupDeadline = now() + sStartupTimeout;
     for (const Feed feed : sFeeds) {
-        Room &room = this->room(feed);
-        room.readingOrder = {now(), sStartupReaderTimeout, sStartupTimeout};
-        room.reader
-            = std::make_unique<StoreReader>(mStore, room.state, [this, feed] { noteChange(feed); });
-        room.follower = std::make_unique<FeedFollower>(
-            hub, mBox, room.state, [this] { return mStore.era(); },
+        Sources &sources = this->sources(feed);
+        sources.readingOrder = {now(), sStartupReaderTimeout, sStartupTimeout};
+        sources.reader = std::make_unique<StoreReader>(mStore, sources.state,
+                                                       [this, feed] { noteChange(feed); });
+        sources.follower = std::make_unique<FeedFollower>(
+            hub, mBox, sources.state, [this] { return mStore.era(); },
             [this, feed] { noteChange(feed); });
         if (mMetrics != nullptr) {
-            room.reader->countInto(*mMetrics);
+            sources.reader->countInto(*mMetrics);
         }
         if (mPreference == FeedPreference::Store) {
             asio::co_spawn(kernel.executor(), startUp(feed), asio::detached);
@@ -163,16 +163,18 @@
 
 bool FeedService::isRestoring() const
 {
-    return std::ranges::any_of(
-        mRooms, [](const Room &room) { return !room.state.isSynced() && room.state.restoredAt(); });
+    return std::ranges::any_of(mSources, [](const Sources &sources) {
+        return !sources.state.isSynced() && sources.state.restoredAt();
+    });
 }
 
 // A process whose last call failed says so until a call succeeds: if it were planned as a reader
 // again after a while, all that follow it would wait for the next failure.
 bool FeedService::hasStoreFailed() const
 {
-    return std::ranges::any_of(mRooms, [](const Room &room) {
-        return room.state.hasStoreFailed() || room.state.hasStoreFailedWithin(sReaderFailureWindow);
+    return std::ranges::any_of(mSources, [](const Sources &sources) {
+        return sources.state.hasStoreFailed()
+            || sources.state.hasStoreFailedWithin(sReaderFailureWindow);
     });
 }
 
@@ -266,24 +268,24 @@
 
 void FeedService::supervise(Feed feed)
 {
-    Room &room = this->room(feed);
-    if (!room.hasStarted) {
+    Sources &sources = this->sources(feed);
+    if (!sources.hasStarted) {
         return;
     }
     const asio::any_io_executor &executor = mChanged->executor();
-    if (room.reader->isOutdated() && room.state.isSynced()) {
-        room.state.beginRestore(mStore.era());
-        room.readingOrder = {now(), sRestoreReaderTimeout, sRestoreTimeout};
-        room.hasStarted = false;
+    if (sources.reader->isOutdated() && sources.state.isSynced()) {
+        sources.state.beginRestore(mStore.era());
+        sources.readingOrder = {now(), sRestoreReaderTimeout, sRestoreTimeout};
+        sources.hasStarted = false;
         asio::co_spawn(executor, startUp(feed), asio::detached);
         return;
     }
-    if (!room.isReading && mayRead(feed)) {
-        room.isReading = true;
+    if (!sources.isReading && mayRead(feed)) {
+        sources.isReading = true;
         asio::co_spawn(executor, runReading(feed), asio::detached);
     }
-    if (!room.isFollowing && isFollower(feed)) {
-        room.isFollowing = true;
+    if (!sources.isFollowing && isFollower(feed)) {
+        sources.isFollowing = true;
         asio::co_spawn(executor, runFollowing(feed), asio::detached);
     }
     openAlternates(feed);
@@ -293,45 +295,45 @@
 // store has failed it, to learn when it is back.
 bool FeedService::mayRead(Feed feed)
 {
-    const Room &room = this->room(feed);
-    const bool mustRestore = room.state.isSynced() && room.reader->isOutdated();
-    if (mStopped || !room.hasStarted || mustRestore) {
+    const Sources &sources = this->sources(feed);
+    const bool mustRestore = sources.state.isSynced() && sources.reader->isOutdated();
+    if (mStopped || !sources.hasStarted || mustRestore) {
         return false;
     }
-    if (!mReaders || !room.state.isSynced()) {
+    if (!mReaders || !sources.state.isSynced()) {
         return true;
     }
     const FeedReaders readers = mReaders();
-    return readers.isReader || room.state.hasStoreFailed()
+    return readers.isReader || sources.state.hasStoreFailed()
         || hasTakenOver(feed, readers.takeoverRank);
 }
 
 bool FeedService::hasTakenOver(Feed feed, std::size_t rank)
 {
-    Room &room = this->room(feed);
+    Sources &sources = this->sources(feed);
     const auto steps = static_cast<int>(std::min(rank, sMaxTakeoverSteps));
     const bool isDue = excessAge(feed) > maxSourceAge(feed) * steps / sTakeoverStepsPerSourceAge;
     if (rank >= sMaxTakeoverSteps) {
         return isDue; // there may be many of these, so each reads once
     }
     if (isDue) {
-        room.takeoverUntil = now() + sTakeoverDuration;
+        sources.takeoverUntil = now() + sTakeoverDuration;
     }
-    return room.takeoverUntil && now() < *room.takeoverUntil;
+    return sources.takeoverUntil && now() < *sources.takeoverUntil;
 }
 
 awaitable<void> FeedService::runReading(Feed feed)
 {
-    Room &room = this->room(feed);
+    Sources &sources = this->sources(feed);
     while (mayRead(feed)) {
-        const bool hasSucceeded = co_await room.reader->read(nextPollTimeout(feed));
+        const bool hasSucceeded = co_await sources.reader->read(nextPollTimeout(feed));
         if (!hasSucceeded) {
             co_await waitAfterFailure(feed);
-        } else if (room.state.hasReturnedEarly()) {
+        } else if (sources.state.hasReturnedEarly()) {
             co_await sleepFor(readDelay(feed));
         }
     }
-    room.isReading = false;
+    sources.isReading = false;
 }
 
 // The first in order try often: the sooner one of them reads what was accepted in an outage, the
@@ -375,17 +377,17 @@
             co_await sleepFor(retryDelay());
         }
     }
-    room(feed).isFollowing = false;
+    sources(feed).isFollowing = false;
 }
 
 // The planned sources are kept meanwhile: what they send last may still be under way, and they may
 // recover.
 void FeedService::openAlternates(Feed feed)
 {
-    Room &room = this->room(feed);
+    Sources &sources = this->sources(feed);
     const Microseconds excess = excessAge(feed);
     if (excess <= Microseconds(0)) {
-        std::erase_if(room.alternates, [](const auto &item) { return now() >= item.second; });
+        std::erase_if(sources.alternates, [](const auto &item) { return now() >= item.second; });
         return;
     }
     std::vector<Tcp::endpoint> addresses
@@ -397,7 +399,7 @@
     const Milliseconds step = maxSourceAge(feed) / sTakeoverStepsPerSourceAge;
     const std::size_t count = excess > step ? sMaxAlternates : sMaxAlternates / 2;
     for (std::size_t index = 0; index < std::min(count, addresses.size()); ++index) {
-        Instant &nextAt = room.alternates[addresses[index]];
+        Instant &nextAt = sources.alternates[addresses[index]];
         if (now() < nextAt) {
             continue;
         }
@@ -411,7 +413,7 @@
 {
     const bool hasSucceeded = co_await follow(feed, address, sTakeoverDuration, Condition());
     if (!hasSucceeded) {
-        room(feed).alternates[address] = now() + sAlternateRetryDelay;
+        sources(feed).alternates[address] = now() + sAlternateRetryDelay;
     }
 }
 
@@ -425,24 +427,24 @@
     limits.isNeeded
         = [this, isNeeded = std::move(isNeeded)] { return !mStopped && (!isNeeded || isNeeded()); };
     const bool hasSucceeded
-        = co_await room(feed).follower->follow(std::move(address), std::move(limits));
+        = co_await sources(feed).follower->follow(std::move(address), std::move(limits));
     co_return hasSucceeded;
 }
 
 // An agent follows one gateway at a time, and reads the store if it reaches none.
 awaitable<void> FeedService::runPeerPreference(Feed feed)
 {
-    Room &room = this->room(feed);
+    Sources &sources = this->sources(feed);
     co_await startUp(feed);
     while (!mStopped) {
-        if (room.reader->isOutdated() && room.state.isSynced()) {
-            room.state.beginRestore(mStore.era());
-            room.readingOrder = {now(), sRestoreReaderTimeout, sRestoreTimeout};
+        if (sources.reader->isOutdated() && sources.state.isSynced()) {
+            sources.state.beginRestore(mStore.era());
+            sources.readingOrder = {now(), sRestoreReaderTimeout, sRestoreTimeout};
             co_await startUp(feed);
         }
         // It tries its peers again after each read of the store.
         const bool hasSucceeded
-            = co_await readPeer(feed) || co_await room.reader->read(sMinRetryDelay);
+            = co_await readPeer(feed) || co_await sources.reader->read(sMinRetryDelay);
         if (!hasSucceeded) {
             co_await sleepFor(retryDelay());
         }
@@ -469,7 +471,7 @@
 // agents read the large feeds from the store at that point, they would saturate the links.
 Instant FeedService::readingDeadline(Feed feed) const
 {
-    const ReadingOrder &order = room(feed).readingOrder;
+    const ReadingOrder &order = sources(feed).readingOrder;
     const bool needsMembers = mPreference == FeedPreference::Peers && feed != Feed::Members;
     return order.begunAt + order.timeout + (needsMembers ? order.readerTimeout : Milliseconds(0));
 }
@@ -490,7 +492,7 @@
     if (mPreference == FeedPreference::Store && knowsOthers && !readsMembersFirst) {
         co_await startUpInOrder(feed);
     }
-    room(feed).hasStarted = true;
+    sources(feed).hasStarted = true;
     mChanged->notify();
 }
 
@@ -545,7 +547,7 @@
     }
     const std::vector<Tcp::endpoint> earlier = mReaders().earlier;
     const auto size = static_cast<std::int64_t>(earlier.size());
-    const ReadingOrder &order = room(feed).readingOrder;
+    const ReadingOrder &order = sources(feed).readingOrder;
     if (now() >= order.begunAt + order.readerTimeout * size) {
         co_return false;
     }
--- a/src/libloomjunction/gateway/feedservice.h
+++ b/src/libloomjunction/gateway/feedservice.h
@@ -134,9 +134,9 @@
     };
 
     /** One feed and its sources. */
-    struct Room
+    struct Sources
     {
-        explicit Room(Feed feed)
+        explicit Sources(Feed feed)
             : state(feed)
         {
         }
@@ -152,10 +152,10 @@
         std::map<Tcp::endpoint, Instant> alternates; ///< when each may be followed again
     };
 
-    Room &room(Feed feed) { return mRooms[static_cast<std::size_t>(feed)]; }
-    const Room &room(Feed feed) const { return mRooms[static_cast<std::size_t>(feed)]; }
-    FeedState &state(Feed feed) { return room(feed).state; }
-    const FeedState &state(Feed feed) const { return room(feed).state; }
+    Sources &sources(Feed feed) { return mSources[static_cast<std::size_t>(feed)]; }
+    const Sources &sources(Feed feed) const { return mSources[static_cast<std::size_t>(feed)]; }
+    FeedState &state(Feed feed) { return sources(feed).state; }
+    const FeedState &state(Feed feed) const { return sources(feed).state; }
 
     awaitable<void> supervise();
     void supervise(Feed feed);
@@ -198,8 +198,8 @@
     PeerAddresses mPeers;
     Readers mReaders;
     Metrics *mMetrics = nullptr; ///< null if nothing is counted
-    std::array<Room, sFeedCount> mRooms{Room(Feed::Operators), Room(Feed::Replicas),
-                                        Room(Feed::Members)};
+    std::array<Sources, sFeedCount> mSources{Sources(Feed::Operators), Sources(Feed::Replicas),
+                                             Sources(Feed::Members)};
     FeedRelay mRelay;
     std::unique_ptr<Signal> mChanged; ///< a feed changed, or a call to the store failed
     Milliseconds mReplicasReadDelay{200};
--- a/tests/gateway/delayingproxy.cpp
+++ b/tests/gateway/delayingproxy.cpp
@@ -59,8 +59,8 @@
         closeIgnoringErrors(*caller);
         co_return;
     }
-    start(caller, target, std::chrono::milliseconds(0));
-    start(target, caller, mMinDelay);
+    start(caller, target, std::chrono::milliseconds(0), false);
+    start(target, caller, mMinDelay, true);
 }
 
 void DelayingProxy::release()
@@ -82,13 +82,13 @@
 }
 
 void DelayingProxy::start(std::shared_ptr<Tcp::socket> from, std::shared_ptr<Tcp::socket> to,
-                          std::chrono::milliseconds minDelay)
+                          std::chrono::milliseconds minDelay, bool isRateLimited)
 {
     auto direction = std::make_shared<Direction>();
     direction->from = std::move(from);
     direction->to = std::move(to);
     direction->minDelay = minDelay;
-    direction->isRateLimited = minDelay == mMinDelay;
+    direction->isRateLimited = isRateLimited;
     direction->changed = std::make_unique<Signal>(mAcceptor.get_executor());
     asio::co_spawn(mAcceptor.get_executor(), receive(direction), asio::detached);
     asio::co_spawn(mAcceptor.get_executor(), forward(direction), asio::detached);
--- a/tests/gateway/delayingproxy.h
+++ b/tests/gateway/delayingproxy.h
@@ -59,7 +59,7 @@
     awaitable<void> accept();
     awaitable<void> connectTarget(std::shared_ptr<Tcp::socket> caller);
     void start(std::shared_ptr<Tcp::socket> from, std::shared_ptr<Tcp::socket> to,
-               std::chrono::milliseconds minDelay);
+               std::chrono::milliseconds minDelay, bool isRateLimited);
     Time dueAt(const Direction &direction, std::size_t size);
     awaitable<void> receive(DirectionPtr direction);
     awaitable<void> forward(DirectionPtr direction);
