--- a/tests/propagation/test_propagation.cpp
+++ b/tests/propagation/test_propagation.cpp
@@ -209,9 +209,9 @@
 
 } // namespace
 
-// Whatever the faults, nothing is refused for good beyond the limit and nothing goes back; once
-// they are over, everything is in force everywhere.
-BOOST_DATA_TEST_CASE(no_wrong_refusal_and_no_older_version_among_random_faults, randomSeeds())
+// Whatever the faults, nothing is refused for good beyond the limit, nothing goes back, and every
+// version is in force in time wherever it can be.
+BOOST_DATA_TEST_CASE(promises_hold_among_random_faults, randomSeeds())
 {
     for (const Size &size : {sSizes[1], sSizes[2]}) {
         GatewayFleet fleet(settingsOf(size, sample % 2 == 0 ? 1'400 : 10));
@@ -228,11 +228,7 @@
             gateway.reconnect();
         }
         fleet.pass(Milliseconds(8'000));
-        const FleetReport report = fleet.report();
-        BOOST_TEST_MESSAGE("seed " << sample << ", " << size << ": slowest "
-                                   << report.slowest.count() << " ms");
-        BOOST_TEST(report.missing == 0U);
-        BOOST_TEST(report.wrongRefusals == 0U);
-        BOOST_TEST(report.reverts == 0U);
+        BOOST_TEST_MESSAGE("seed " << sample << ", " << size);
+        checkBounds(fleet.report(), size);
     }
 }
