--- a/src/libloomjunction/gateway/feedfollower.cpp
+++ b/src/libloomjunction/gateway/feedfollower.cpp
@@ -144,6 +144,7 @@
                                std::string_view from)
 {
     const LoopStep step("taking an update");
+    mState.noteRelayDoubt(update.store_doubtful()); // decides whether its removals are trusted
     // The ages in the update are as of its sending. It may have been in transit for long, so
     // they are counted from the last query that the sender had received by then.
     const bool hasRecords = !isAnswer(update);
@@ -161,7 +162,7 @@
     }
     // Each update holds everything that the peer knows and had not sent yet, so this table now
     // reaches as far as the peer's.
-    mState.noteRelayed(end, update.complete(), update.store_doubtful());
+    mState.noteRelayed(end, update.complete());
     if (knownAsOf) {
         mState.noteComplete(*knownAsOf - Milliseconds(update.age_ms()), from);
     }
--- a/src/libloomjunction/gateway/feedstate.cpp
+++ b/src/libloomjunction/gateway/feedstate.cpp
@@ -188,10 +188,9 @@
     }
 }
 
-void FeedState::noteRelayed(LogPosition next, bool isComplete, bool isStoreDoubtful)
+void FeedState::noteRelayed(LogPosition next, bool isComplete)
 {
     mTable.setNext(next);
-    mIsRelayDoubtful = isStoreDoubtful;
     if (isComplete) {
         mIsSynced = true;
         mIsFirstSync = false;
--- a/src/libloomjunction/gateway/feedstate.h
+++ b/src/libloomjunction/gateway/feedstate.h
@@ -120,7 +120,9 @@
     void removeAbsent(const std::set<std::string_view> &present, LogPosition end, Microseconds age);
     void noteMissing(std::string_view key) { mTable.noteMissing(key); }
     /** Notes that the table is now as complete as that of another process. */
-    void noteRelayed(LogPosition next, bool isComplete, bool isStoreDoubtful);
+    void noteRelayed(LogPosition next, bool isComplete);
+    /** Notes whether the store failed recently at the process whose update is applied next. */
+    void noteRelayDoubt(bool isDoubtful) { mIsRelayDoubtful = isDoubtful; }
     /** Notes that the table holds all records that the store accepted before @p at. */
     void noteComplete(Instant at, std::string_view from);
     /** Notes the result of a call to the store. */
--- a/tests/gateway/test_feeds.cpp
+++ b/tests/gateway/test_feeds.cpp
@@ -92,6 +92,61 @@
     });
 }
 
+// Guards against judging a removal by what the update before it said of the store.
+BOOST_AUTO_TEST_CASE(removal_in_the_first_doubtful_update_is_untrusted)
+{
+    asio::io_context context{1};
+    const auto update = [](std::uint64_t offset, bool isRemoved, bool isDoubtful) {
+        wire::FollowUpdate update;
+        wire::RelayedRecord &record = *update.add_records();
+        record.set_key("first");
+        record.set_offset(offset);
+        record.set_era(1);
+        record.set_removed(isRemoved);
+        record.set_value(isRemoved ? "" : "value");
+        update.set_next_offset(offset + 1);
+        update.set_next_era(1);
+        update.set_complete(true);
+        update.set_store_doubtful(isDoubtful);
+        return update;
+    };
+    PeerServer reader(context.get_executor(), [&](PeerStreamPtr stream) -> awaitable<void> {
+        stream->send(update(1, false, false));
+        stream->send(update(2, true, true));
+        while (stream->isOpen()) {
+            const auto deadline = std::chrono::steady_clock::now() + sTestTimeout;
+            const auto query = co_await stream->receiveMessage<wire::FollowRequest>(deadline);
+            if (!query || !*query) {
+                break;
+            }
+        }
+    });
+    BOOST_REQUIRE(reader.listen(Tcp::endpoint(asio::ip::address_v4::loopback(), 0)).has_value());
+    FeedProcess follower(context);
+    follower.feeds().setReaders([&] {
+        return FeedReaders{false, true, {reader.localEndpoint()}, {reader.localEndpoint()}};
+    });
+    const auto test = [&]() -> awaitable<void> {
+        follower.start();
+        const auto until = std::chrono::steady_clock::now() + sTestTimeout;
+        const auto hasRemoval = [&follower] {
+            const auto &records = follower.feeds().table(Feed::Replicas).all();
+            const auto it = records.find("first");
+            return it != records.end() && !it->second.value;
+        };
+        while (!hasRemoval() && std::chrono::steady_clock::now() < until) {
+            co_await sleepFor(std::chrono::milliseconds(5));
+        }
+        BOOST_TEST(hasRemoval());
+        BOOST_TEST(!follower.isLastTrusted);
+        follower.stop();
+        reader.stopListening();
+        context.stop();
+    };
+    asio::co_spawn(context, test(), asio::detached);
+    context.run();
+}
+
 BOOST_AUTO_TEST_CASE(equivalent_record_is_neither_announced_nor_relayed)
 {
     RelayFixture fixture;
