--- a/tests/direct/overloadlab.cpp
+++ b/tests/direct/overloadlab.cpp
@@ -23,8 +23,6 @@
 
 constexpr int sReportIntervalMs = 50;
 constexpr int sDeadlineMs = 6'000;
-// Largest request in mean sizes, as an operator's limit on the body would set it.
-constexpr double sMaxSizeFactor = 12;
 constexpr int sStatusIntervalMs = 400; // of the messages in which gateways report their rates
 constexpr int sFirstEventTimeoutMs = 2'400; // callers disconnect without an event for this long
 // Required by the users: no requests in a rest after this grace period, and none to a leaving
@@ -134,12 +132,41 @@
     return 1'000.0 / model.completionIntervalMs() * static_cast<double>(mEngines.size());
 }
 
-// A log-normal factor with a mean of one before the limit.
-double OverloadLab::drawSizeFactor()
+// A log-normal factor with a mean of one, before the limit or after it.
+double OverloadLab::drawSizeFactor(double limit)
 {
-    std::lognormal_distribution<double> factor(-mShape.sizeSigma * mShape.sizeSigma / 2,
-                                               mShape.sizeSigma);
-    return std::min(sMaxSizeFactor, factor(mRandom));
+    const double sigma = mShape.sizeSigma;
+    std::lognormal_distribution<double> factor(-sigma * sigma / 2, sigma);
+    const double drawn = std::min(limit, factor(mRandom));
+    if (!mShape.hasExactMean) {
+        return drawn;
+    }
+    const auto normal = [](double x) { return 0.5 * std::erfc(-x / std::sqrt(2.0)); };
+    const double deviations = std::log(limit) / sigma;
+    const double mean
+        = normal(deviations - sigma / 2) + limit * (1 - normal(deviations + sigma / 2));
+    return drawn / mean;
+}
+
+void OverloadLab::drawSize(Request &request)
+{
+    std::exponential_distribution<double> sizeFactor(1);
+    const bool isSpread = mShape.sizeSigma > 0;
+    const double prompt = isSpread ? drawSizeFactor(mShape.maxSizeFactor)
+                                   : std::min(3.0, 0.3 + 0.7 * sizeFactor(mRandom));
+    const double answer
+        = isSpread ? drawSizeFactor(mShape.maxAnswerFactor) : std::min(3.0, sizeFactor(mRandom));
+    RequestClass requestClass;
+    if (!mShape.classes.empty()) {
+        requestClass = mShape.classes[request.requestClass];
+    }
+    request.prompt = mShape.figures.meanPromptTokens * requestClass.promptFactor * prompt;
+    const double events
+        = mShape.figures.meanAnswerTokens * requestClass.answerFactor / mShape.figures.stepsPerPass;
+    request.eventsLeft = 1 + static_cast<int>((events - 1) * answer);
+    request.answerTokens = static_cast<double>(request.eventsLeft * mShape.figures.stepsPerPass);
+    request.isSizeNamed
+        = mShape.namedSizes >= 1 || std::bernoulli_distribution(mShape.namedSizes)(mRandom);
 }
 
 // Draws the data centre by its share of the calls, and one of its gateways.
@@ -161,9 +188,9 @@
     Second &second = mSeconds[index];
     ++(second.*outcome);
     ++(mSecondsByDataCentre[request.dataCentre][index].*outcome);
-    if (outcome == &Outcomes::inTime || outcome == &Outcomes::late
-        || outcome == &Outcomes::refused) {
-        mSizedOutcomes.push_back({request.prompt, outcome != &Outcomes::refused});
+    const bool isStarted = outcome == &Outcomes::inTime || outcome == &Outcomes::late;
+    if (outcome == &Outcomes::refused || (isStarted && !mShape.endsAtDeadline)) {
+        noteSize(request, isStarted);
     }
     ++(second.byGateway[request.firstGateway].*outcome);
     if (!mShape.classes.empty()) {
@@ -174,6 +201,12 @@
     }
 }
 
+void OverloadLab::noteSize(const Request &request, bool isServed)
+{
+    mSizedOutcomes.push_back({request.requestClass, request.prompt,
+                              request.prompt + sOutputWorkFactor * request.answerTokens, isServed});
+}
+
 Milliseconds OverloadLab::goalOf(const Request &request) const
 {
     return mShape.classes.empty() ? mShape.goal : mShape.classes[request.requestClass].goal;
@@ -254,7 +287,6 @@
     mSeconds.assign(rates.size(), empty);
     mSecondsByDataCentre.assign(mShape.dataCentres, mSeconds);
     mRemoteSends.assign(mShape.dataCentres, std::vector<int>(rates.size() + sDeadlineMs / 1'000));
-    std::exponential_distribution<double> sizeFactor(1);
     double expected = 0;
     const int end = static_cast<int>(rates.size()) * 1'000;
     for (int time = 0; time < end + sDeadlineMs; ++time) {
@@ -268,6 +300,11 @@
                 engine.inTransit = InTransitCount();
             }
         }
+        if (mShape.crashing > 0 && time == mShape.crashAtMs) {
+            for (std::size_t index = 0; index < mShape.crashing; ++index) {
+                crash(mEngines.size() - 1 - index);
+            }
+        }
         expected += time < end ? rates[static_cast<std::size_t>(time / 1'000)] / 1'000 : 0;
         std::poisson_distribution<int> arrivals(std::exchange(expected, 0));
         for (int count = time < end ? arrivals(mRandom) : 0; count > 0; --count) {
@@ -278,14 +315,7 @@
             request->dataCentre = request->gateway % mShape.dataCentres;
             request->firstAttemptAt = time;
             drawOrigin(*request, phase.factors);
-            const double prompt = mShape.sizeSigma > 0
-                ? drawSizeFactor()
-                : std::min(3.0, 0.3 + 0.7 * sizeFactor(mRandom));
-            request->prompt = mShape.figures.meanPromptTokens * prompt;
-            const double events = mShape.figures.meanAnswerTokens / mShape.figures.stepsPerPass;
-            const double answer
-                = mShape.sizeSigma > 0 ? drawSizeFactor() : std::min(3.0, sizeFactor(mRandom));
-            request->eventsLeft = 1 + static_cast<int>((events - 1) * answer);
+            drawSize(*request);
             note(*request, &Outcomes::calls);
             sendOrRefuse(std::move(request), time);
         }
@@ -305,9 +335,11 @@
             handleRefusal(request, time);
         }
         abandonWaiting(time);
+        endAtDeadline(time);
         exchangeDemand(time);
         for (std::size_t engine = 0; engine < mEngines.size(); ++engine) {
             runEngine(mEngines[engine], time);
+            recordHistory(engine);
             // Agents sample their engines at different times.
             const bool isDue
                 = time % sReportIntervalMs == static_cast<int>(engine * 7 % sReportIntervalMs);
@@ -371,7 +403,7 @@
     query.engine = &mShape.figures;
     query.goal = goal;
     query.waited = Milliseconds(time - request->firstAttemptAt);
-    query.promptTokens = mShape.usesOwnSize ? request->prompt : 0;
+    query.promptTokens = mShape.usesOwnSize && request->isSizeNamed ? request->prompt : 0;
     query.minVersion = 1;
     const bool isDeaf = mShape.deafGateway == request->gateway;
     query.gatewayCount = isDeaf ? 1U : static_cast<std::uint32_t>(mGateways.size());
@@ -380,7 +412,9 @@
     if (mShape.usesRanks && !mShape.classes.empty()) {
         origin.emplace();
         origin->rank = mShape.classes[request->requestClass].rank;
-        origin->work = request->prompt + sOutputWorkFactor * mShape.figures.meanAnswerTokens;
+        origin->work = request->isSizeNamed
+            ? request->prompt + sOutputWorkFactor * mShape.figures.meanAnswerTokens
+            : 1;
         if (mShape.accounts > 0) {
             origin->account = mAccountNames[request->account];
         }
@@ -407,7 +441,7 @@
         request->urgencyLevel = chosen->urgencyLevel;
         request->sentAt = time;
         gateway.began(chosen->id, chosen->isPatient, at(time),
-                      mShape.announcesSizes ? static_cast<std::uint64_t>(request->prompt) : 0);
+                      isSizeKnown(*request) ? static_cast<std::uint64_t>(request->prompt) : 0);
         if (dataCentreOf(request->engine) != dataCentre) {
             ++mRemoteSends[request->gateway % mShape.dataCentres]
                           [static_cast<std::size_t>(time / 1'000)];
@@ -433,10 +467,15 @@
     }
     Engine &engine = mEngines[request.engine];
     engine.inTransit.note(at(time));
-    const bool hasSize = mShape.announcesSizes && request.gateway >= mShape.earlierGateways;
+    const bool hasSize = isSizeKnown(request) && request.gateway >= mShape.earlierGateways;
     engine.announcedSizes.note(hasSize ? static_cast<std::uint64_t>(request.prompt) : 0);
 }
 
+bool OverloadLab::isSizeKnown(const Request &request) const
+{
+    return mShape.announcesSizes && request.isSizeNamed;
+}
+
 void OverloadLab::scheduleRetry(RequestPtr request, int wait, int time)
 {
     if (request->repeatsLeft > 0) {
@@ -508,6 +547,10 @@
     checkNotices(*request, time);
     noteRecovery(*request, time);
     Engine &engine = mEngines[request->engine];
+    if (engine.hasCrashed) {
+        mRefusals.emplace(time + mShape.transitMs, request);
+        return;
+    }
     const std::size_t requests = engine.waiting.size() + engine.active.size();
     const bool isFull = mShape.maxHeld > 0 && requests >= mShape.maxHeld;
     if (!isFull && !isRefusing(request->engine, time)) {
@@ -609,6 +652,53 @@
     }
 }
 
+void OverloadLab::crash(std::size_t engine)
+{
+    Engine &crashed = mEngines[engine];
+    crashed.hasCrashed = true;
+    crashed.waiting.clear();
+    crashed.active.clear();
+    for (ReplicaSet &gateway : mGateways) {
+        gateway.replaced(replicaId(engine), at(mShape.crashAtMs));
+    }
+}
+
+void OverloadLab::endAtDeadline(int time)
+{
+    if (!mShape.endsAtDeadline) {
+        return;
+    }
+    for (Engine &engine : mEngines) {
+        std::erase_if(engine.active, [&](const RequestPtr &request) {
+            if (time - request->firstAttemptAt < sDeadlineMs) {
+                return false;
+            }
+            ReplicaSet &gateway = mGateways[request->gateway];
+            gateway.ended(replicaId(request->engine), ReplicaOutcome::Abandoned, at(time));
+            noteSize(*request, false);
+            return true;
+        });
+    }
+}
+
+double OverloadLab::paceOf(std::size_t engine) const
+{
+    return engine < mShape.slowEngines ? mShape.slowPace : 1;
+}
+
+// The agents' answers state what the engines reported some time ago.
+void OverloadLab::recordHistory(std::size_t engine)
+{
+    if (mShape.reportLagMs == 0) {
+        return;
+    }
+    std::deque<ReplicaLoad> &history = mEngines[engine].history;
+    history.push_back(engineLoadReport(engine));
+    if (history.size() > static_cast<std::size_t>(mShape.reportLagMs)) {
+        history.pop_front();
+    }
+}
+
 void OverloadLab::runEngine(Engine &engine, int time)
 {
     if (time < engine.passEndsAt) {
@@ -635,6 +725,9 @@
         if (request->eventsLeft <= 0) {
             mGateways[request->gateway].ended(replicaId(request->engine), ReplicaOutcome::Answered,
                                               at(time));
+            if (mShape.endsAtDeadline) {
+                noteSize(*request, true);
+            }
         }
     }
     std::erase_if(engine.active,
@@ -657,6 +750,7 @@
         return;
     }
     length += model.passMs(static_cast<double>(engine.active.size()));
+    length *= paceOf(static_cast<std::size_t>(&engine - mEngines.data()));
     engine.passEndsAt = time + std::max(1, static_cast<int>(length));
 }
 
@@ -664,6 +758,7 @@
 {
     ReplicaLoad load;
     load.weightsVersion = 1;
+    load.pace = paceOf(engine);
     for (const RequestPtr &request : mEngines[engine].active) {
         ++(request->hasStarted ? load.running : load.waiting);
     }
@@ -677,7 +772,8 @@
 // The answer of the engine's agent to a probe.
 ReplicaLoad OverloadLab::probeAnswer(std::size_t engine, int time)
 {
-    ReplicaLoad load = engineLoadReport(engine);
+    const std::deque<ReplicaLoad> &history = mEngines[engine].history;
+    ReplicaLoad load = history.empty() ? engineLoadReport(engine) : history.front();
     if (mShape.includesInTransit) {
         load.includesInTransit = true;
         load.waiting += mEngines[engine].inTransit.notVisibleAt(at(time));
--- a/tests/direct/overloadlab.h
+++ b/tests/direct/overloadlab.h
@@ -39,6 +39,8 @@
         RequestRank rank;
         Milliseconds goal{400};
         double fraction = 1; ///< of all calls in a phase without factors
+        double promptFactor = 1; ///< mean prompt, relative to the configured mean
+        double answerFactor = 1; ///< mean answer, relative to the configured mean
     };
 
     struct Shape
@@ -64,6 +66,16 @@
         int refusingUntilMs = 0;
         /** Spread of log-normal prompt and answer sizes; zero: exponential, up to 3 means. */
         double sizeSigma = 0;
+        double maxSizeFactor = 12; ///< largest log-normal size, in mean sizes
+        double maxAnswerFactor = 12; ///< the same for answers
+        bool hasExactMean = false; ///< log-normal sizes are scaled so that the limit keeps the mean
+        double namedSizes = 1; ///< fraction of the requests whose prompt size gateways know
+        bool endsAtDeadline = false; ///< callers leave streams that are unfinished by then
+        std::size_t slowEngines = 0; ///< the first engines, whose passes take longer
+        double slowPace = 1; ///< of the slow engines, as their reports state it
+        std::size_t crashing = 0; ///< the last engines, which end at crashAtMs for good
+        int crashAtMs = 0;
+        int reportLagMs = 0; ///< age of the engines' state in the answers of agents
         bool announcesSizes = false; ///< gateways announce the prompts' tokens to agents
         std::size_t earlierGateways = 0; ///< the first gateways, which announce no tokens
         double lostAnnouncements = 0; ///< fraction of all, also for the count in transit
@@ -124,11 +136,13 @@
         int refusedAtFirst = 0; ///< calls whose first attempt a gateway refused
     };
 
-    /** Outcome of a call by the size of its prompt. */
+    /** Outcome of a call by its size. */
     struct SizedOutcome
     {
-        double prompt = 0;
-        bool isServed = false; ///< in time or late
+        std::size_t requestClass = 0;
+        double prompt = 0; ///< tokens
+        double work = 0; ///< tokens of the prompt, and ten times those of the answer
+        bool isServed = false; ///< in time or late, and complete if streams end at the deadline
     };
 
     /** Outcomes of the calls whose first attempt was in one second. */
@@ -180,6 +194,8 @@
         bool isPatient = false;
         bool isRetry = false;
         bool hasStarted = false;
+        bool isSizeNamed = true;
+        double answerTokens = 0;
         std::vector<std::string> refusedBy;
     };
     using RequestPtr = std::shared_ptr<Request>;
@@ -202,6 +218,8 @@
         std::map<std::size_t, int> announcedLeavingAt; ///< by gateway
         std::map<std::size_t, int> returnedAt; ///< by gateway that was refused; negative: never
         int lateRequests = 0; ///< requests in the last seconds of the run
+        bool hasCrashed = false;
+        std::deque<ReplicaLoad> history; ///< states of the last milliseconds, the newest last
     };
 
     ReplicaSet newGateway(std::size_t index) const;
@@ -225,7 +243,14 @@
     ReplicaLoad probeAnswer(std::size_t engine, int time);
     void report(std::size_t engine, int time);
     std::string dataCentreOf(std::size_t index) const;
-    double drawSizeFactor();
+    double drawSizeFactor(double limit);
+    void drawSize(Request &request);
+    void noteSize(const Request &request, bool isServed);
+    bool isSizeKnown(const Request &request) const;
+    double paceOf(std::size_t engine) const;
+    void crash(std::size_t engine);
+    void endAtDeadline(int time);
+    void recordHistory(std::size_t engine);
     std::size_t drawGateway(const std::vector<double> &shares);
     void exchangeDemand(int time);
     void announce(const Request &request, int time);
--- a/tests/soak/replicas.py
+++ b/tests/soak/replicas.py
@@ -109,6 +109,7 @@
         self.broke_off = broke_off
         self.broken_promises = []
         self.on_crashing = None  # ends this replica; set by the world
+        self.batch = None  # a BatchEngine that paces its answers, if it has one
 
     @property
     def id(self):
@@ -204,6 +205,8 @@
             reset(request.transport)
         told = {"stage": "hybrid", "busy": self.is_busy, "sequence": self.orders, "waiting": 0,
                 "running": self.running, "kv_used": 0, "kv_total": 1000, "handles": 0}
+        if self.batch:
+            told.update(self.batch.report())
         return web.json_response({**told, **self._weights_told()})
 
     async def _stage_put(self, request):
@@ -256,7 +259,8 @@
             return 421
         if self.is_engine and expected and int(expected) != self.weights:
             return 421
-        return 503 if self.running >= self.slots else 0
+        is_full = self.batch.is_full() if self.batch else self.running >= self.slots
+        return 503 if is_full else 0
 
     async def _request(self, request):
         name = request.headers.get("Loomjunction-Request-Id", "")
@@ -299,7 +303,8 @@
     async def _work(self, request, name, body, common):
         life = self.life
         common["Loomjunction-Response-Signature"] = f"{self.id}/{name}"
-        await asyncio.sleep(self.rng.uniform(0.005, 0.03))
+        if not self.batch:
+            await asyncio.sleep(self.rng.uniform(0.005, 0.03))
         if body == CRASHING and life == self.life and self.is_up:
             asyncio.ensure_future(self.on_crashing(self))
             return web.Response(status=500)
@@ -332,12 +337,15 @@
 
     async def _stream(self, request, name, common, life):
         self.streams[name] = request.transport
+        job = self.batch.add(request) if self.batch else None
         try:
-            return await self._events(request, name, common, life)
+            return await self._events(request, name, common, life, job)
         finally:
             self.streams.pop(name, None)
+            if job:
+                job.is_gone = True
 
-    async def _events(self, request, name, common, life):
+    async def _events(self, request, name, common, life, job):
         total = int(request.query.get("events", 6))
         gap = int(request.query.get("gap", 20)) / 1000
         first = int(request.headers.get("Last-Event-Id", 0)) + 1
@@ -349,7 +357,10 @@
         if has_crashing_part(request):
             asyncio.get_running_loop().call_later(CRASHES_AFTER, self._crash_in_life, life)
         for event in range(first, total + 1):
-            await asyncio.sleep(gap)
+            if job:
+                await job.event(event - first + 1)
+            else:
+                await asyncio.sleep(gap)
             await asyncio.sleep(max(0.0, self.paused_until - time.monotonic()))
             text = f"id: {event}\ndata: {name}/{event}/{total}\n\n".encode()
             if event == breaks_at or life != self.life or not self.is_up:
--- a/tests/soak/soak.py
+++ b/tests/soak/soak.py
@@ -23,6 +23,7 @@
 from notices import Notices, unheeded
 from placement import Placement, in_evacuated, outside_regions
 from returns import ConfigProbe, Returns, late_drains, too_many_calls
+from sizes import Sizes
 from world import BOUNDS, ZONES, World
 
 # Promises with a time hold where nothing was wrong for so long before.
@@ -303,6 +304,56 @@
             self.broken += one.broken_promises
 
 
+class SizedSoak:
+    """One seed of requests whose sizes are spread widely, from the start to the verdict."""
+
+    def __init__(self, options, seed):
+        self.options = options
+        self.folder = tempfile.mkdtemp(prefix=f"loom-soak-sizes-{seed}-")
+        self.world = World(options.program, self.folder, random.Random(seed + 1),
+                           random.Random(seed + 8),
+                           10_000 + (os.getpid() * 97 + seed * 211) % 18_000, options.gateways,
+                           options.engines, has_sizes=True)
+        self.seed = seed
+        self.broken = []
+        self.lines = []
+
+    async def keep_processes(self):
+        while True:
+            for process in self.world.processes:
+                process.keep_alive()
+            await asyncio.sleep(0.05)
+
+    async def play(self):
+        await self.world.start()
+        keeper = asyncio.ensure_future(self.keep_processes())
+        sizes = Sizes(self.world, self.seed, self.options)
+        if await sizes.wait_served(RECOVERY):
+            await sizes.run(self.options.seconds)
+        else:
+            self.broken.append("RECOVER: nothing is served after the start")
+        keeper.cancel()
+        await self.world.stop()
+        self.lines, broken = sizes.judge()
+        self.broken += broken
+        for process in self.world.processes:
+            self.broken += process.broken_promises
+
+
+async def play_sizes(options, seed):
+    soak = SizedSoak(options, seed)
+    try:
+        await asyncio.wait_for(soak.play(), options.seconds + 60)
+    except asyncio.TimeoutError:
+        soak.broken.append("STUCK: the soak itself did not come to its end")
+        await soak.world.stop()
+    print(f"seed {seed}: {'held' if not soak.broken else 'broken'}; logs in {soak.folder}",
+          flush=True)
+    for text in [*soak.lines, *soak.broken[:options.show]]:
+        print("    " + text, flush=True)
+    return not soak.broken
+
+
 async def play_seed(options, seed):
     soak = Soak(options, seed)
     try:
@@ -340,6 +391,14 @@
                         help="planned work alone, and streams of up to 3 s that may pause")
     parser.add_argument("--returns", action="store_true",
                         help="planned work, and a store that returns from copies")
+    parser.add_argument("--sizes", action="store_true",
+                        help="engines that work in passes, and how often each size is served")
+    parser.add_argument("--load", type=float, default=0,
+                        help="with --sizes, of what the engines complete; zero: by the seed")
+    parser.add_argument("--named", type=float, default=-1,
+                        help="with --sizes, share of the requests that name theirs; negative: by the seed")
+    parser.add_argument("--pace", type=float, default=0,
+                        help="with --sizes, of half of the engines; zero: by the seed")
     parser.add_argument("--show", type=int, default=8, help="broken promises to print")
     parser.add_argument("--verbose", action="store_true", help="print each fault")
     options = parser.parse_args()
@@ -348,7 +407,8 @@
     logging.getLogger("asyncio").setLevel(logging.CRITICAL)
     seeds = [int(seed) for seed in options.seeds.split(",") if seed]
     seeds += [random.SystemRandom().randrange(10**9) for _ in range(options.fresh)]
-    results = [asyncio.run(play_seed(options, seed)) for seed in seeds]
+    play = play_sizes if options.sizes else play_seed
+    results = [asyncio.run(play(options, seed)) for seed in seeds]
     print(f"{sum(results)} passed, {len(results) - sum(results)} failed")
     return 0 if all(results) and results else 1
 
--- a/tests/soak/world.py
+++ b/tests/soak/world.py
@@ -13,6 +13,7 @@
 from placement import CHOICES, ONE_REGION
 from proxy import Proxy
 from replicas import MODEL, Origin, Replica
+from sizes import ENGINE, KINDS, SLOTS, BatchEngine
 from store import Store
 
 HOST = "127.0.0.1"
@@ -94,7 +95,7 @@
 class World:
     """Everything of one soak. `base` is the first of the ports that it uses."""
 
-    def __init__(self, program, folder, rng, region_rng, base, gateways, engines):
+    def __init__(self, program, folder, rng, region_rng, base, gateways, engines, has_sizes=False):
         self.program = program
         self.folder = folder
         self.rng = rng
@@ -109,6 +110,7 @@
         self.processes = []
         self.gateway_count = gateways
         self.engine_count = engines
+        self.has_sizes = has_sizes  # engines work in passes, requests have sizes
         self.runners = []
         self.configs = []  # (version, time of acceptance)
         self.region_rng = region_rng
@@ -149,6 +151,9 @@
         self.replicas.append(replica)
         self.replica_proxies[replica] = proxy
         replica.on_crashing = self.end_replica
+        if self.has_sizes and is_engine:
+            replica.batch = BatchEngine()
+            replica.slots = SLOTS
         replica.record()
         return replica
 
@@ -196,26 +201,28 @@
     def configure(self, binds=False):
         """A new version; each has one route that no other has, to tell them apart. If `binds`, the
         route "safe" is bound to one region."""
+        engine = {"slots": 8, "step_ms": 5, "per_seq_ms": 0.1, "context_per_k": 0.01,
+                  "read_per_s": 100000, "stride": 2, "kv_capacity": 100000, "layers": 1,
+                  "usual": {"prompt": 100, "answer": 30}}
         version = (self.configs[-1][0] if self.configs else 0) + self.rng.randint(1, 3)
         common = {"host": "soak.example", "max_attempts": 2, "goal_ms": 400, "priority": 1}
         plain = {**common, "service": "plain-svc", "timeout_ms": 1500}
         safe_regions = self.region_rng.choice(ONE_REGION if binds else CHOICES)
         account_regions = self.region_rng.choice(CHOICES)
+        streams = KINDS if self.has_sizes else ("stream",)
         config = {
             "version": version,
             "routes": [
-                {**common, "name": "stream", "path_prefix": "/stream/", "kind": "stream",
-                 "timeout_ms": 6000, "service": "engine-svc", "resumable": True, "sticky": True,
-                 "gap_aim_ms": 300},
+                *({**common, "name": kind, "path_prefix": f"/{kind}/", "kind": "stream",
+                   "timeout_ms": 6000, "service": "engine-svc", "resumable": True, "sticky": True,
+                   "gap_aim_ms": 300} for kind in streams),
                 {**plain, "name": "once", "path_prefix": "/once/", "kind": "unsafe"},
                 {**plain, "name": "safe", "path_prefix": "/safe/", "kind": "safe",
                  "allowed_regions": safe_regions},
                 {**plain, "name": "mark", "path_prefix": f"/mark-{version}/", "kind": "safe"}],
             "services": [
-                {"name": "engine-svc", "max_conns": 200, "cold_per_s": RATE, "engine": {
-                    "slots": 8, "step_ms": 5, "per_seq_ms": 0.1, "context_per_k": 0.01,
-                    "read_per_s": 100000, "stride": 2, "kv_capacity": 100000, "layers": 1,
-                    "usual": {"prompt": 100, "answer": 30}, "models": [{"name": MODEL}]}},
+                {"name": "engine-svc", "max_conns": 200, "cold_per_s": RATE,
+                 "engine": {**(ENGINE if self.has_sizes else engine), "models": [{"name": MODEL}]}},
                 {"name": "plain-svc", "max_conns": 200, "cold_per_s": RATE},
                 {"name": "origin-svc", "origin": self.origin_address, "link_mbps": 50}],
             "tenants": [{"name": name, "api_keys": [key],
