Calls for engines tell their size, and refusals whether it was the reason

Whether large requests are passed over could not be told from logs or metrics: a call line had the prompt, not the answer's tokens, and a refusal for a prompt that is too long for its goal looked like one of a full service.

The call line has outputTokens and forSize: a request of the mean size would have been sent. loom_calls_by_size_total counts by route, size relative to the mean and outcome.

--- a/src/libloomjunction/core/replicaset.cpp
+++ b/src/libloomjunction/core/replicaset.cpp
@@ -520,9 +520,14 @@
     const bool isPatient = !meetsGoal && mayBeLate && !survey.acceptingLate.empty();
     if (!meetsGoal && !isPatient) {
         const bool isHeldBack = reserved > 0 && !survey.meetingGoal.empty() && needed < survey.room;
+        const bool isForSize = survey.meetingGoal.empty() && survey.room > 0 && isShared;
         return AllBusy{
             RetryAdvice(query).whenBusy(survey.minLoad, isOverloaded, precedence.returnsEarly),
-            survey.minLoad, false, reserved, isHeldBack};
+            survey.minLoad,
+            false,
+            reserved,
+            isHeldBack,
+            isForSize};
     }
     const std::vector<Candidate> &candidates
         = meetsGoal ? survey.meetingGoal : survey.acceptingLate;
--- a/src/libloomjunction/core/replicaset.h
+++ b/src/libloomjunction/core/replicaset.h
@@ -45,6 +45,8 @@
     bool areAllPaused = false; ///< all replicas rest or are rate limited
     double reserved = 0; ///< capacity kept free for more urgent requests, in requests
     bool isHeldBack = false; ///< there is capacity, but it is reserved
+    /** A request of the mean size would have been sent, but this one would miss its goal. */
+    bool isForSize = false;
 };
 /** The replica that a request is to be sent to. */
 struct ChosenReplica
--- a/src/libloomjunction/gateway/gatewaycall.cpp
+++ b/src/libloomjunction/gateway/gatewaycall.cpp
@@ -16,6 +16,7 @@
 #include "operatorconfigservice.h"
 #include "replicaservice.h"
 #include "requestdigest.h"
+#include "sizeband.h"
 
 #include <algorithm>
 #include <cmath>
@@ -350,6 +351,7 @@
             const auto *busy = std::get_if<AllBusy>(&choice);
             mReserved = busy != nullptr ? busy->reserved : 0;
             mIsHeldBack = busy != nullptr && busy->isHeldBack;
+            mIsRefusedForSize = busy != nullptr && busy->isForSize;
             if (busy != nullptr && (mExcludedReplicas.empty() || busy->areAllPaused)) {
                 last = {503, "all replicas are busy", busy->retryAfter};
             }
@@ -832,6 +834,13 @@
     const bool isJudged = outcome == "answered" && mCall.route != nullptr;
     const std::string_view late = isJudged ? mTimes.latenessCause(*mCall.route, mSendCount) : "";
     mCall.parts.metrics.count("calls", outcome);
+    if (mCall.route != nullptr && mCall.isForEngine()) {
+        const SizeBand band
+            = sizeBand(mCall.caller.promptTokens, mCall.service->engine->meanPromptTokens);
+        mCall.parts.metrics.count("calls_by_size",
+                                  mCall.route->name + ", " + std::string(sizeBandName(band)) + ", "
+                                      + std::string(outcome));
+    }
     mCall.parts.replicas.noteRequestEnd(status == 503);
     if (!late.empty()) {
         mCall.parts.metrics.count("late", late);
@@ -861,6 +870,8 @@
              {"promptParts", joinedText(mCall.caller.sharedParts, " ")},
              {"unframed", mAttempt && mAttempt->isUnframed()},
              {"promptTokens", mCall.caller.promptTokens},
+             {"outputTokens", mCall.caller.outputTokens},
+             {"forSize", mIsRefusedForSize && outcome == "refused"},
              {"waitingTokens", mLastChosen.waitingTokens},
              {"load", mLastChosen.load},
              {"loadAgeMs", mLastChosen.loadAge.count()},
--- a/src/libloomjunction/gateway/gatewaycall.h
+++ b/src/libloomjunction/gateway/gatewaycall.h
@@ -144,6 +144,7 @@
     ChosenReplica mLastChosen; ///< the replica of the last attempt
     RequestStanding mStanding;
     std::uint64_t mRepeatSeed = 0;
+    bool mIsRefusedForSize = false; ///< see AllBusy::isForSize
     double mReserved = 0; ///< capacity that the last choice kept for more urgent requests
     bool mIsHeldBack = false; ///< the last choice refused the request for that reason
     bool mWasPatient = false; ///< an attempt was expected to miss the latency goal
