Places are given by the mean size, and large requests take their share of them

Cause: a call was sent only where its own prompt would be read within its goal, and each freed place was taken at once by a call that fits. Class: a decision by 'does this one fit now' among requests of unlike size.

Now there is a place where one of mean size would be in time, whatever the size of the call. Its own size decides where it goes, and if it will be late everywhere, it takes the place as often as its group of sizes is due one: credits at each gateway, a required fraction that follows from the fraction of attempts that is admitted. The search ends at such a place, since it is gone by the next round of probes.

--- a/src/libloomjunction/core/probedchoice.cpp
+++ b/src/libloomjunction/core/probedchoice.cpp
@@ -34,16 +34,17 @@
     return replicas;
 }
 
-// The search ends when a replica meets the goal, or when all ten probed replicas are busy.
+// The search ends when there is a place, or when all ten probed replicas are busy. A large request
+// does not pass up a place where it will be late: by the next round, others have taken it.
 // More probes would find a free slot occasionally, but they would load all agents most when
 // these are busiest. Further replicas are probed only if none of the ten is usable at all,
 // as during a change of weights.
 bool ProbedChoice::isEnough() const
 {
     const auto *chosen = std::get_if<ChosenReplica>(&mChoice);
-    const bool meetsGoal = chosen != nullptr && !chosen->isPatient;
+    const bool hasPlace = chosen != nullptr && !chosen->isPatient;
     const bool isUsable = !std::holds_alternative<NoneUsable>(mChoice);
-    return !mAnswered.empty() && (meetsGoal || (isUsable && mRound != ProbeRound::Local));
+    return !mAnswered.empty() && (hasPlace || (isUsable && mRound != ProbeRound::Local));
 }
 
 void ProbedChoice::decide(std::vector<std::string> answered, Microseconds elapsed, Instant now)
--- a/src/libloomjunction/core/replicaset.cpp
+++ b/src/libloomjunction/core/replicaset.cpp
@@ -366,6 +366,9 @@
         survey.freeSlots += estimate.freeSlots;
         survey.minLoad
             = survey.examined == 1 ? estimate.load : std::min(survey.minLoad, estimate.load);
+        if (estimate.room > 0) {
+            survey.withRoom.push_back({replica, estimate});
+        }
         if (estimate.meetsGoal) {
             survey.meetingGoal.push_back({replica, estimate});
         }
@@ -450,12 +453,10 @@
     return *last;
 }
 
-// Whether so many calls were refused recently that each free slot is needed by a call that
-// can still meet its goal.
-bool ReplicaSet::isServiceOverloaded(std::string_view service, Instant now) const
+double ReplicaSet::refusalRatio(std::string_view service, Instant now) const
 {
     const auto it = mRefusals.find(service);
-    return it != mRefusals.end() && it->second.ratio(now) > sOverloadRefusalRatio;
+    return it == mRefusals.end() ? 0 : it->second.ratio(now);
 }
 
 bool ReplicaSet::canMeetGoal(const ReplicaQuery &query)
@@ -466,6 +467,35 @@
     return model.firstEventMs({}, query.promptTokens) <= timeLeft;
 }
 
+SizeShares::Group ReplicaSet::sizeGroup(const ReplicaQuery &query)
+{
+    return {query.goal, sizeBand(query.promptTokens, query.engine->meanPromptTokens)};
+}
+
+bool ReplicaSet::isDueForSize(const ReplicaQuery &query, Instant now) const
+{
+    if (query.engine == nullptr || query.isResumed) {
+        return false;
+    }
+    static const SizeShares sNothingOffered;
+    const auto it = mSizeShares.find(query.service);
+    const SizeShares &shares = it == mSizeShares.end() ? sNothingOffered : it->second;
+    return shares.isDue(sizeGroup(query), 1 - refusalRatio(query.service, now));
+}
+
+// A patient request took no place: it uses slots that nobody else is expected to need.
+void ReplicaSet::noteOffer(const ReplicaQuery &query, const ReplicaChoice &choice, Instant now)
+{
+    const auto *chosen = std::get_if<ChosenReplica>(&choice);
+    const auto *busy = std::get_if<AllBusy>(&choice);
+    const bool isTaken = chosen != nullptr && !chosen->isPatient;
+    const bool isPassedOver = busy != nullptr && busy->isForSize;
+    if (isTaken || isPassedOver) {
+        const double admitted = 1 - refusalRatio(query.service, now);
+        mSizeShares[std::string(query.service)].noteOffer(sizeGroup(query), admitted, isTaken);
+    }
+}
+
 void ReplicaSet::noteChoice(const ReplicaQuery &query, const ReplicaChoice &choice, Instant now)
 {
     if (query.engine == nullptr || query.isResumed) {
@@ -479,6 +509,7 @@
     if (chosen != nullptr) {
         mPriorities.noteAdmitted(query, now);
     }
+    noteOffer(query, choice, now);
     if (!canMeetGoal(query)) {
         return;
     }
@@ -510,37 +541,47 @@
     const double expected = expectedCalls(query, survey, sharing, now);
     ChoiceRandom draws(query.random ^ sSelectionSeedMask);
     const double chance = draws.nextFraction();
-    const bool isOverloaded = query.engine != nullptr && isServiceOverloaded(query.service, now);
+    // Each free slot is needed by a call that can still meet its goal.
+    const bool isOverloaded
+        = query.engine != nullptr && refusalRatio(query.service, now) > sOverloadRefusalRatio;
     const Precedence precedence = mPriorities.precedence(query, isOverloaded);
     const double reserved = reservedFor(query, precedence, survey, expected);
     const double needed = chance * expected * precedence.competingFraction;
-    const bool isShared = query.engine == nullptr || needed < survey.room - reserved;
-    const bool meetsGoal = !survey.meetingGoal.empty() && isShared;
+    // The room is that for requests of the mean size, so large ones find a place as often.
+    const bool hasPlace = query.engine == nullptr || needed < survey.room - reserved;
+    const bool meetsGoal = !survey.meetingGoal.empty() && hasPlace;
+    const bool isTooLarge = !meetsGoal && hasPlace && !survey.withRoom.empty();
+    const bool isLateForSize = isTooLarge && isDueForSize(query, now);
     const bool mayBeLate = query.isResumed || survey.freeSlots > expected + reserved;
-    const bool isPatient = !meetsGoal && mayBeLate && !survey.acceptingLate.empty();
-    if (!meetsGoal && !isPatient) {
+    const bool isPatient
+        = !meetsGoal && !isLateForSize && mayBeLate && !survey.acceptingLate.empty();
+    if (!meetsGoal && !isLateForSize && !isPatient) {
         const bool isHeldBack = reserved > 0 && !survey.meetingGoal.empty() && needed < survey.room;
-        const bool isForSize = survey.meetingGoal.empty() && survey.room > 0 && isShared;
         return AllBusy{
             RetryAdvice(query).whenBusy(survey.minLoad, isOverloaded, precedence.returnsEarly),
             survey.minLoad,
             false,
             reserved,
             isHeldBack,
-            isForSize};
+            isTooLarge};
     }
-    const std::vector<Candidate> &candidates
-        = meetsGoal ? survey.meetingGoal : survey.acceptingLate;
+    const std::vector<Candidate> &candidates = meetsGoal ? survey.meetingGoal
+        : isLateForSize                                  ? survey.withRoom
+                                                         : survey.acceptingLate;
     const Candidate &chosen = pickWeighted(candidates, expected, draws.nextFraction());
     const auto age = chosen.replica->load
         ? std::chrono::duration_cast<Milliseconds>(now - chosen.replica->loadAt)
         : Milliseconds(-1);
     // A resumed stream is never patient: even if it is late, other requests must not overtake it.
-    return ChosenReplica{
-        chosen.replica->record.id, isPatient && !query.isResumed,
-        chosen.estimate.load,      age,
-        chosen.estimate.answer,    reserved,
-        precedence.urgencyLevel,   chosen.replica->load ? chosen.replica->load->waitingTokens : 0};
+    return ChosenReplica{chosen.replica->record.id,
+                         isPatient && !query.isResumed,
+                         isLateForSize,
+                         chosen.estimate.load,
+                         age,
+                         chosen.estimate.answer,
+                         reserved,
+                         precedence.urgencyLevel,
+                         chosen.replica->load ? chosen.replica->load->waitingTokens : 0};
 }
 
 std::uint32_t ReplicaSet::serviceReplicaCount(std::string_view service) const
--- a/src/libloomjunction/core/replicaset.h
+++ b/src/libloomjunction/core/replicaset.h
@@ -18,6 +18,7 @@
 #include "replica.h"
 #include "replicaestimate.h"
 #include "retainednotices.h"
+#include "sizeshares.h"
 
 #include <cstdint>
 #include <map>
@@ -53,6 +54,8 @@
 {
     std::string id;
     bool isPatient = false; ///< the answer will miss the goal, so the request yields to others
+    /** The prompt is too long for the goal, and the place is due to a request of its size. */
+    bool isLateForSize = false;
     double load = 0; ///< estimated requests per slot at the replica
     Milliseconds loadAge{-1}; ///< age of the agent's report; below zero: there is none
     double answerMs = 0; ///< expected time to the answer or its first event
@@ -194,6 +197,8 @@
     struct Survey
     {
         std::vector<Candidate> meetingGoal; ///< replicas that meet the goal
+        /** Replicas where a request of the mean size would meet the shortest common goal. */
+        std::vector<Candidate> withRoom;
         std::vector<Candidate> acceptingLate; ///< replicas that accept a request past its goal
         std::size_t examined = 0; ///< number of examined replicas
         double horizonMs = 0; ///< sum of their unreportedMs()
@@ -230,7 +235,10 @@
     static const Candidate &pickWeighted(std::span<const Candidate> candidates, double requests,
                                          double random);
     static bool canMeetGoal(const ReplicaQuery &query);
-    bool isServiceOverloaded(std::string_view service, Instant now) const;
+    double refusalRatio(std::string_view service, Instant now) const;
+    static SizeShares::Group sizeGroup(const ReplicaQuery &query);
+    bool isDueForSize(const ReplicaQuery &query, Instant now) const;
+    void noteOffer(const ReplicaQuery &query, const ReplicaChoice &choice, Instant now);
 
     Milliseconds mDrainTime;
     std::string mGatewayKey;
@@ -238,6 +246,7 @@
     std::map<std::string, CallRate, std::less<>> mCalls; ///< by service
     DemandEstimate mDemand;
     std::map<std::string, RefusalRatio, std::less<>> mRefusals; ///< by service
+    std::map<std::string, SizeShares, std::less<>> mSizeShares; ///< by service
     CallPriorities mPriorities;
     std::map<std::string, Replica, std::less<>> mReplicas;
     RetainedNotices mRetained;
--- a/src/libloomjunction/core/sizeband.cpp
+++ b/src/libloomjunction/core/sizeband.cpp
@@ -8,43 +8,48 @@
 
 #include "sizeband.h"
 
+#include <algorithm>
+#include <array>
+
 namespace Loom {
 
+namespace {
+
+struct UpperEdge
+{
+    double means = 0;
+    SizeBand band = SizeBand::Unknown;
+    std::string_view name;
+};
+
+constexpr std::array sUpperEdges{
+    UpperEdge{1, SizeBand::UpToMean, "up to 1"},
+    UpperEdge{1.5, SizeBand::UpToOneAndAHalf, "up to 1.5"},
+    UpperEdge{2, SizeBand::UpToTwo, "up to 2"},
+    UpperEdge{3, SizeBand::UpToThree, "up to 3"},
+    UpperEdge{4, SizeBand::UpToFour, "up to 4"},
+    UpperEdge{6, SizeBand::UpToSix, "up to 6"},
+};
+
+} // namespace
+
 SizeBand sizeBand(double promptTokens, double meanPromptTokens)
 {
     if (promptTokens <= 0 || meanPromptTokens <= 0) {
         return SizeBand::Unknown;
     }
-    const double means = promptTokens / meanPromptTokens;
-    if (means <= 1) {
-        return SizeBand::UpToMean;
-    }
-    if (means <= 1.5) {
-        return SizeBand::UpToOneAndAHalf;
-    }
-    if (means <= 2) {
-        return SizeBand::UpToTwo;
-    }
-    return means <= 3 ? SizeBand::UpToThree : SizeBand::Larger;
+    const auto *edge = std::ranges::lower_bound(sUpperEdges, promptTokens / meanPromptTokens, {},
+                                                &UpperEdge::means);
+    return edge == sUpperEdges.end() ? SizeBand::Larger : edge->band;
 }
 
 std::string_view sizeBandName(SizeBand band)
 {
-    switch (band) {
-    case SizeBand::Unknown:
-        return "unknown";
-    case SizeBand::UpToMean:
-        return "up to 1";
-    case SizeBand::UpToOneAndAHalf:
-        return "up to 1.5";
-    case SizeBand::UpToTwo:
-        return "up to 2";
-    case SizeBand::UpToThree:
-        return "up to 3";
-    case SizeBand::Larger:
-        return "over 3";
+    const auto *edge = std::ranges::find(sUpperEdges, band, &UpperEdge::band);
+    if (edge != sUpperEdges.end()) {
+        return edge->name;
     }
-    return "unknown";
+    return band == SizeBand::Larger ? "over 6" : "unknown";
 }
 
 } // namespace Loom
--- a/src/libloomjunction/core/sizeband.h
+++ b/src/libloomjunction/core/sizeband.h
@@ -21,6 +21,8 @@
     UpToOneAndAHalf, ///< up to 1.5 means
     UpToTwo,
     UpToThree,
+    UpToFour,
+    UpToSix,
     Larger,
 };
 
--- a/src/libloomjunction/gateway/gatewaycall.cpp
+++ b/src/libloomjunction/gateway/gatewaycall.cpp
@@ -871,6 +871,7 @@
              {"unframed", mAttempt && mAttempt->isUnframed()},
              {"promptTokens", mCall.caller.promptTokens},
              {"outputTokens", mCall.caller.outputTokens},
+             {"lateForSize", mLastChosen.isLateForSize},
              {"forSize", mIsRefusedForSize && outcome == "refused"},
              {"waitingTokens", mLastChosen.waitingTokens},
              {"load", mLastChosen.load},
