A refused large request is a sign of overload like any other

Callers of large requests were refused without their service counting as overloaded: a call whose own prompt misses the goal at an idle engine was left out of the refusal ratio, so that others were told to return within their goal, and the share of large requests was derived from too few refusals. The count is by the mean size now. Test: refused_large_requests_count_as_overload, which fails without it (150 to 1,500 ms instead of a late return).

--- a/src/libloomjunction/core/replicaset.cpp
+++ b/src/libloomjunction/core/replicaset.cpp
@@ -459,12 +459,13 @@
     return it == mRefusals.end() ? 0 : it->second.ratio(now);
 }
 
+// Judged at the mean size: a refused large request is a sign of overload like any other.
 bool ReplicaSet::canMeetGoal(const ReplicaQuery &query)
 {
     const EngineModel model(*query.engine);
     const double timeLeft
         = static_cast<double>((query.goal - query.waited).count()) * sPlannableGoalFraction;
-    return model.firstEventMs({}, query.promptTokens) <= timeLeft;
+    return model.firstEventMs({}, 0) <= timeLeft;
 }
 
 SizeShares::Group ReplicaSet::sizeGroup(const ReplicaQuery &query)
--- a/tests/sizes/test_places.cpp
+++ b/tests/sizes/test_places.cpp
@@ -122,3 +122,15 @@
     BOOST_TEST(choice.isDone());
     BOOST_TEST(std::get<ChosenReplica>(choice.choice()).isLateForSize);
 }
+
+// Guards against an overload that goes unnoticed while the large requests bear it.
+BOOST_AUTO_TEST_CASE(refused_large_requests_count_as_overload)
+{
+    Gateway gateway(24);
+    const ReplicaQuery large = gateway.query(sLargeTokens);
+    for (int call = 0; call < 50; ++call) {
+        gateway.replicas.noteChoice(large, gateway.replicas.choose(large, at(1)), at(1));
+    }
+    const ReplicaChoice choice = gateway.replicas.choose(gateway.query(sMeanTokens), at(1));
+    BOOST_TEST(std::get<AllBusy>(choice).retryAfter.count() >= 1'000); // as under overload
+}
