Callers of large requests are told to return as early as others

A refused caller returns within its goal while that can still be met, but its own prompt was subtracted from the time for that: large ones came back late, when first attempts had taken everything. The mean size counts now. Test: callers_of_large_requests_return_as_early_as_others, which fails without it.

--- a/src/libloomjunction/core/retryadvice.cpp
+++ b/src/libloomjunction/core/retryadvice.cpp
@@ -54,12 +54,13 @@
     return std::max(sMinRetryDelay, Milliseconds(static_cast<std::int64_t>(wait)));
 }
 
+// Judged at the mean size, so that callers of large requests return as early as others.
 std::optional<Milliseconds> RetryAdvice::retryWithinGoal() const
 {
     const EngineModel model(*mQuery.engine);
     const double timeForRetry
         = static_cast<double>((mQuery.goal - mQuery.waited).count()) * sPlannableGoalFraction
-        - model.firstEventMs({}, mQuery.promptTokens) - sRoundTripMs;
+        - model.firstEventMs({}, 0) - sRoundTripMs;
     if (timeForRetry < sMinReturnDelayMs) {
         return std::nullopt;
     }
--- a/tests/sizes/test_places.cpp
+++ b/tests/sizes/test_places.cpp
@@ -11,6 +11,7 @@
 #include "fakelog.h"
 #include "probedchoice.h"
 #include "replicaset.h"
+#include "retryadvice.h"
 
 using namespace Loom;
 
@@ -123,6 +124,22 @@
     BOOST_TEST(std::get<ChosenReplica>(choice.choice()).isLateForSize);
 }
 
+// Guards against callers of large requests that return when the places are taken.
+BOOST_AUTO_TEST_CASE(callers_of_large_requests_return_as_early_as_others)
+{
+    const Gateway gateway = busyGateway();
+    for (std::uint64_t random = 0; random < 1'024; random += 31) {
+        ReplicaQuery large = gateway.query(sLargeTokens);
+        ReplicaQuery mean = gateway.query(sMeanTokens);
+        large.random = random;
+        mean.random = random;
+        for (const bool isOverloaded : {false, true}) {
+            BOOST_TEST(RetryAdvice(large).whenBusy(1, isOverloaded).count()
+                       == RetryAdvice(mean).whenBusy(1, isOverloaded).count());
+        }
+    }
+}
+
 // Guards against an overload that goes unnoticed while the large requests bear it.
 BOOST_AUTO_TEST_CASE(refused_large_requests_count_as_overload)
 {
