--- a/src/libloomjunction/core/replicaset.cpp
+++ b/src/libloomjunction/core/replicaset.cpp
@@ -11,7 +11,6 @@
 #include "choicerandom.h"
 #include "retryadvice.h"
 #include "sendpermits.h"
-#include "waterfill.h"
 
 #include <algorithm>
 #include <sstream>
@@ -349,32 +348,16 @@
         + (replica.reportIntervalMs > 0 ? replica.reportIntervalMs : sDefaultReportIntervalMs);
 }
 
-ReplicaSet::Survey ReplicaSet::survey(std::span<const Replica *const> usable,
-                                      const ReplicaQuery &query, const ReplicaEstimator &estimator,
-                                      Instant now)
+ReplicaSurvey ReplicaSet::survey(std::span<const Replica *const> usable, const ReplicaQuery &query,
+                                 const ReplicaEstimator &estimator, Instant now)
 {
     const std::size_t maxExamined = query.engine == nullptr ? usable.size() : sMaxExamined;
-    Survey survey;
+    ReplicaSurvey survey;
     for (const Replica *replica : usable) {
-        if (survey.examined >= maxExamined && !survey.meetingGoal.empty()) {
+        if (survey.examined() >= maxExamined && !survey.meetingGoal().empty()) {
             break;
         }
-        ++survey.examined;
-        const ReplicaEstimate estimate = estimator.estimate(*replica);
-        survey.horizonMs += unreportedMs(*replica, query, now);
-        survey.room += estimate.room;
-        survey.freeSlots += estimate.freeSlots;
-        survey.minLoad
-            = survey.examined == 1 ? estimate.load : std::min(survey.minLoad, estimate.load);
-        if (estimate.room > 0) {
-            survey.withRoom.push_back({replica, estimate});
-        }
-        if (estimate.meetsGoal) {
-            survey.meetingGoal.push_back({replica, estimate});
-        }
-        if (estimate.acceptsLate) {
-            survey.acceptingLate.push_back({replica, estimate});
-        }
+        survey.add(*replica, estimator.estimate(*replica), unreportedMs(*replica, query, now));
     }
     return survey;
 }
@@ -398,7 +381,7 @@
 }
 
 // Expected calls at all gateways until the next reports, scaled to the examined replicas.
-double ReplicaSet::expectedCalls(const ReplicaQuery &query, const Survey &survey,
+double ReplicaSet::expectedCalls(const ReplicaQuery &query, const ReplicaSurvey &survey,
                                  std::size_t usableCount, Instant now) const
 {
     const auto calls = mCalls.find(query.service);
@@ -407,50 +390,21 @@
     }
     const double perMs
         = meanDemand(query.service, query.dataCentre, now).perMs * std::max(query.gatewayCount, 1U);
-    return std::max(sMinExpectedCalls, perMs * survey.horizonMs / static_cast<double>(usableCount));
+    return std::max(sMinExpectedCalls,
+                    perMs * survey.horizonMs() / static_cast<double>(usableCount));
 }
 
 // Capacity of the examined replicas that more urgent calls are expected to need until these
 // replicas have completed a request each.
 double ReplicaSet::reservedFor(const ReplicaQuery &query, const Precedence &precedence,
-                               const Survey &survey, double expected)
+                               const ReplicaSurvey &survey, double expected)
 {
-    if (precedence.moreUrgentFraction <= 0 || survey.horizonMs <= 0) {
+    if (precedence.moreUrgentFraction <= 0 || survey.horizonMs() <= 0) {
         return 0;
     }
-    const double meanHorizonMs = survey.horizonMs / static_cast<double>(survey.examined);
     const double intervalMs = EngineModel(*query.engine).completionIntervalMs();
     return UrgencyDemand::reserve(expected * precedence.moreUrgentFraction * intervalMs
-                                  / meanHorizonMs);
-}
-
-// All gateways know the same slightly outdated loads. If each of them took the best replica,
-// a replica with one free slot would get all requests until its next report. So the requests
-// that are expected until then are distributed by water-filling, and each request goes to
-// one replica at random, weighted by these shares.
-const ReplicaSet::Candidate &ReplicaSet::pickWeighted(std::span<const Candidate> candidates,
-                                                      double requests, double random)
-{
-    std::vector<WaterFillTarget> targets;
-    targets.reserve(candidates.size());
-    for (const Candidate &candidate : candidates) {
-        targets.push_back(
-            {candidate.estimate.cost, std::max(candidate.estimate.costPerRequest, 1.0)});
-    }
-    const std::vector<double> shares = waterFillShares(targets, requests);
-    double remaining = requests * random;
-    const Candidate *last = &candidates.front();
-    for (std::size_t index = 0; index < candidates.size(); ++index) {
-        if (shares[index] <= 0) {
-            continue;
-        }
-        last = &candidates[index];
-        remaining -= shares[index];
-        if (remaining < 0) {
-            break;
-        }
-    }
-    return *last;
+                                  / survey.meanHorizonMs());
 }
 
 double ReplicaSet::refusalRatio(std::string_view service, Instant now) const
@@ -526,18 +480,11 @@
     ReplicaEstimator estimator(query, shortestGoal, now);
     estimator.setMinAnswerMs(minAnswerMs(estimator));
     std::vector<const Replica *> usable = usableFor(query, estimator);
-    const auto opening = usable.empty() ? nextAvailability(query, now) : std::nullopt;
-    if (opening) {
-        return AllBusy{RetryAdvice(query).afterPause(*opening - now), 1, true};
-    }
     if (usable.empty()) {
-        const bool isRegionBound = query.regions.isRestricted()
-            && (query.excluded.empty() || candidatesFor(query, now).empty());
-        return NoneUsable{serviceReplicaCount(query.service), RetryAdvice(query).whenNoneUsable(),
-                          isRegionBound};
+        return choiceWithoutUsable(query, now);
     }
     ChoiceRandom(query.random).shuffle(usable);
-    const Survey survey = ReplicaSet::survey(usable, query, estimator, now);
+    const ReplicaSurvey survey = ReplicaSet::survey(usable, query, estimator, now);
     const std::size_t sharing = sharingCount(query, usable.size(), shortestGoal, now);
     const double expected = expectedCalls(query, survey, sharing, now);
     ChoiceRandom draws(query.random ^ sSelectionSeedMask);
@@ -549,40 +496,60 @@
     const double reserved = reservedFor(query, precedence, survey, expected);
     const double needed = chance * expected * precedence.competingFraction;
     // The room is that for requests of the mean size, so large ones find a place as often.
-    const bool hasPlace = query.engine == nullptr || needed < survey.room - reserved;
-    const bool meetsGoal = !survey.meetingGoal.empty() && hasPlace;
-    const bool isTooLarge = !meetsGoal && hasPlace && !survey.withRoom.empty();
+    const bool hasPlace = query.engine == nullptr || needed < survey.room() - reserved;
+    const bool meetsGoal = !survey.meetingGoal().empty() && hasPlace;
+    const bool isTooLarge = !meetsGoal && hasPlace && !survey.withRoom().empty();
     const bool isLateForSize = isTooLarge && isDueForSize(query, now);
-    const bool mayBeLate = query.isResumed || survey.freeSlots > expected + reserved;
+    const bool mayBeLate = query.isResumed || survey.freeSlots() > expected + reserved;
     const bool isPatient
-        = !meetsGoal && !isLateForSize && mayBeLate && !survey.acceptingLate.empty();
+        = !meetsGoal && !isLateForSize && mayBeLate && !survey.acceptingLate().empty();
     if (!meetsGoal && !isLateForSize && !isPatient) {
-        const bool isHeldBack = reserved > 0 && !survey.meetingGoal.empty() && needed < survey.room;
+        const bool isHeldBack
+            = reserved > 0 && !survey.meetingGoal().empty() && needed < survey.room();
         return AllBusy{
-            RetryAdvice(query).whenBusy(survey.minLoad, isOverloaded, precedence.returnsEarly),
-            survey.minLoad,
+            RetryAdvice(query).whenBusy(survey.minLoad(), isOverloaded, precedence.returnsEarly),
+            survey.minLoad(),
             false,
             reserved,
             isHeldBack,
             isTooLarge};
     }
-    const std::vector<Candidate> &candidates = meetsGoal ? survey.meetingGoal
-        : isLateForSize                                  ? survey.withRoom
-                                                         : survey.acceptingLate;
-    const Candidate &chosen = pickWeighted(candidates, expected, draws.nextFraction());
-    const auto age = chosen.replica->load
-        ? std::chrono::duration_cast<Milliseconds>(now - chosen.replica->loadAt)
-        : Milliseconds(-1);
+    const std::vector<ReplicaCandidate> &candidates = meetsGoal ? survey.meetingGoal()
+        : isLateForSize                                         ? survey.withRoom()
+                                                                : survey.acceptingLate();
+    const ReplicaCandidate &chosen
+        = ReplicaSurvey::pickWeighted(candidates, expected, draws.nextFraction());
+    ChosenReplica choice = chosenReplica(chosen, now);
     // A resumed stream is never patient: even if it is late, other requests must not overtake it.
-    return ChosenReplica{chosen.replica->record.id,
-                         isPatient && !query.isResumed,
-                         isLateForSize,
-                         chosen.estimate.load,
-                         age,
-                         chosen.estimate.answer,
-                         reserved,
-                         precedence.urgencyLevel,
-                         chosen.replica->load ? chosen.replica->load->waitingTokens : 0};
+    choice.isPatient = isPatient && !query.isResumed;
+    choice.isLateForSize = isLateForSize;
+    choice.reserved = reserved;
+    choice.urgencyLevel = precedence.urgencyLevel;
+    return choice;
+}
+
+ReplicaChoice ReplicaSet::choiceWithoutUsable(const ReplicaQuery &query, Instant now) const
+{
+    if (const auto opening = nextAvailability(query, now)) {
+        return AllBusy{RetryAdvice(query).afterPause(*opening - now), 1, true};
+    }
+    const bool isRegionBound = query.regions.isRestricted()
+        && (query.excluded.empty() || candidatesFor(query, now).empty());
+    return NoneUsable{serviceReplicaCount(query.service), RetryAdvice(query).whenNoneUsable(),
+                      isRegionBound};
+}
+
+ChosenReplica ReplicaSet::chosenReplica(const ReplicaCandidate &candidate, Instant now)
+{
+    ChosenReplica chosen;
+    chosen.id = candidate.replica->record.id;
+    chosen.load = candidate.estimate.load;
+    chosen.answerMs = candidate.estimate.answer;
+    if (candidate.replica->load) {
+        chosen.loadAge = std::chrono::duration_cast<Milliseconds>(now - candidate.replica->loadAt);
+        chosen.waitingTokens = candidate.replica->load->waitingTokens;
+    }
+    return chosen;
 }
 
 std::uint32_t ReplicaSet::serviceReplicaCount(std::string_view service) const
--- a/src/libloomjunction/core/replicaset.h
+++ b/src/libloomjunction/core/replicaset.h
@@ -17,6 +17,7 @@
 #include "refusalratio.h"
 #include "replica.h"
 #include "replicaestimate.h"
+#include "replicasurvey.h"
 #include "retainednotices.h"
 #include "sizeshares.h"
 
@@ -187,26 +188,6 @@
     void sweep(Instant now);
 
 private:
-    struct Candidate
-    {
-        const Replica *replica = nullptr;
-        ReplicaEstimate estimate;
-    };
-
-    /** Summary of the replicas that were examined for one request. */
-    struct Survey
-    {
-        std::vector<Candidate> meetingGoal; ///< replicas that meet the goal
-        /** Replicas where a request of the mean size would meet the shortest common goal. */
-        std::vector<Candidate> withRoom;
-        std::vector<Candidate> acceptingLate; ///< replicas that accept a request past its goal
-        std::size_t examined = 0; ///< number of examined replicas
-        double horizonMs = 0; ///< sum of their unreportedMs()
-        double room = 0; ///< sum of their room
-        double freeSlots = 0; ///< sum of their free slots
-        double minLoad = 0;
-    };
-
     static bool isCandidate(const Replica &replica, const ReplicaQuery &query, Instant now);
     std::vector<const Replica *> candidatesFor(const ReplicaQuery &query, Instant now) const;
     ProbePlan probePlan(const ReplicaQuery &query, Instant now) const;
@@ -226,14 +207,14 @@
     std::vector<const Replica *> usableFor(const ReplicaQuery &query,
                                            const ReplicaEstimator &estimator) const;
     static double unreportedMs(const Replica &replica, const ReplicaQuery &query, Instant now);
-    static Survey survey(std::span<const Replica *const> usable, const ReplicaQuery &query,
-                         const ReplicaEstimator &estimator, Instant now);
-    double expectedCalls(const ReplicaQuery &query, const Survey &survey, std::size_t usableCount,
-                         Instant now) const;
+    static ReplicaSurvey survey(std::span<const Replica *const> usable, const ReplicaQuery &query,
+                                const ReplicaEstimator &estimator, Instant now);
+    double expectedCalls(const ReplicaQuery &query, const ReplicaSurvey &survey,
+                         std::size_t usableCount, Instant now) const;
     static double reservedFor(const ReplicaQuery &query, const Precedence &precedence,
-                              const Survey &survey, double expected);
-    static const Candidate &pickWeighted(std::span<const Candidate> candidates, double requests,
-                                         double random);
+                              const ReplicaSurvey &survey, double expected);
+    ReplicaChoice choiceWithoutUsable(const ReplicaQuery &query, Instant now) const;
+    static ChosenReplica chosenReplica(const ReplicaCandidate &candidate, Instant now);
     static bool canMeetGoal(const ReplicaQuery &query);
     double refusalRatio(std::string_view service, Instant now) const;
     static SizeShares::Group sizeGroup(const ReplicaQuery &query);
--- a/tests/sizes/test_sizes.cpp
+++ b/tests/sizes/test_sizes.cpp
@@ -200,6 +200,21 @@
     }
 }
 
+// Shares of accounts count the work that they ask for, which must not pass over single requests.
+BOOST_AUTO_TEST_CASE(large_requests_are_served_where_ranks_and_accounts_differ)
+{
+    for (const double load : {1.2, 1.6, 2.5}) {
+        OverloadLab::Shape shape = shapeOf(sMediumFleet);
+        shape.accounts = 24;
+        shape.heavyAccountFraction = 0.3;
+        checkSizes(playAt(shape, 2, load, "accounts"));
+        for (std::uint32_t kind = 0; kind < shape.classes.size(); ++kind) {
+            shape.classes[kind].rank.route = kind;
+        }
+        checkSizes(playAt(shape, 4, load, "ranks and accounts"));
+    }
+}
+
 // Guards against a share for large requests that costs the small ones too much. The fraction
 // before is of the same seeds, where each request was judged by its own size.
 BOOST_AUTO_TEST_CASE(calls_in_time_fall_by_little)
