--- a/src/libloomjunction/core/sizeshares.cpp
+++ b/src/libloomjunction/core/sizeshares.cpp
@@ -20,8 +20,7 @@
 constexpr double sTargetRatio = 0.92;
 // Below this fraction, attempts and requests are served about alike.
 constexpr double sMinAdmitted = 0.05;
-// Groups start halfway to a place, so that neither the first nor the second request of each
-// gateway decides alone.
+// Enough for a group's first request at a gateway to take its place.
 constexpr double sInitialCredit = 0.5;
 
 } // namespace
