--- a/tests/soak/world.py
+++ b/tests/soak/world.py
@@ -6,6 +6,7 @@
 import json
 import os
 import signal
+import socket
 import subprocess
 import time
 
@@ -119,8 +120,16 @@
         self.accounts = {"acc-a": "key-a", "acc-b": "key-b"}
 
     def port(self):
-        self.base += 1
-        return self.base
+        """The next port that no other program on the machine listens at."""
+        while True:
+            self.base += 1
+            with socket.socket() as probe:
+                probe.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+                try:
+                    probe.bind((HOST, self.base))
+                    return self.base
+                except OSError:
+                    continue
 
     async def start(self):
         store_port = self.port()
