--- a/review/standins/client.py
+++ b/review/standins/client.py
@@ -15,7 +15,7 @@
     def __init__(self, name):
         self.name = name
         self.status = 0  # 0: no answer
-        self.how = "closed"  # "whole", "refused", "failed", "gave up", "cut", "closed"
+        self.how = "closed"  # "whole", "answered", "refused", "failed", "gave up", "cut", "closed"
         self.events = 0
         self.last = 0
         self.after = 0.0  # seconds
@@ -62,7 +62,7 @@
             told.how = "gave up"
         except (OSError, asyncio.IncompleteReadError):
             told.how = "cut" if told.status else "closed"
-        if told.how not in ("whole", "refused", "failed"):
+        if told.how not in ("whole", "answered", "refused", "failed"):
             self.close()
         told.after = time.monotonic() - began
         return told
@@ -75,7 +75,8 @@
         headers = head[1]
         if headers.get("transfer-encoding", "") != "chunked":
             await read_body(reader, headers)
-            told.how = "refused" if told.status in (429, 503) else "failed"
+            is_good = told.status // 100 == 2
+            told.how = "refused" if told.status in (429, 503) else "answered" if is_good else "failed"
             if headers.get("connection", "") == "close":
                 self.close()
             return
