--- a/review/standins/client.py
+++ b/review/standins/client.py
@@ -39,8 +39,8 @@
             self.stream[1].close()
         self.stream = None
 
-    async def ask(self, path, prompt, extra=None):
-        """One attempt, with an id of its own."""
+    async def ask(self, path, prompt=None):
+        """One attempt, with an id of its own; `prompt`: its tokens, for a model."""
         self.count += 1
         name = f"{self.number:06x}{self.count:010x}"
         told = Answer(name)
@@ -50,13 +50,15 @@
                 await self.connect()
             reader, writer = self.stream
             body = b"x" * 300
-            writer.write(head_bytes(f"POST {path} HTTP/1.1", {
-                "Host": self.host, "Authorization": f"Token {self.key}",
-                "Loomjunction-Request-Id": name, "Loomjunction-Model": "model-0",
-                "Loomjunction-Token-Usage": f"{prompt},80",
-                "Loomjunction-Prompt-Prefix": f"5c1e07a2:40,{name}:{prompt - 40}",
-                "Loomjunction-Deadline-Ms": str(int(TIME_BUDGET * 1000)),
-                "Content-Length": str(len(body)), **(extra or {})}) + body)
+            headers = {"Host": self.host, "Authorization": f"Token {self.key}",
+                       "Loomjunction-Request-Id": name,
+                       "Loomjunction-Deadline-Ms": str(int(TIME_BUDGET * 1000)),
+                       "Content-Length": str(len(body))}
+            if prompt:
+                headers.update({"Loomjunction-Model": "model-0",
+                                "Loomjunction-Token-Usage": f"{prompt},80",
+                                "Loomjunction-Prompt-Prefix": f"5c1e07a2:40,{name}:{prompt - 40}"})
+            writer.write(head_bytes(f"POST {path} HTTP/1.1", headers) + body)
             await self._read(reader, told, began)
         except asyncio.TimeoutError:  # a subclass of OSError
             told.how = "gave up"
--- a/review/standins/deployment.py
+++ b/review/standins/deployment.py
@@ -111,7 +111,6 @@
             json.dump(settings, file)
         command = [path if word.startswith("/etc/") else word
                    for word in commands()[machine_class]]
-        command[0] = os.environ.get("REVIEW_DAEMON", command[0])
         return self._start(command, name + ".log")
 
     async def start(self):
--- a/review/standins/engine.py
+++ b/review/standins/engine.py
@@ -38,6 +38,7 @@
         self.running = 0
         self.waiting = 0
         self.changed = asyncio.Event()
+        self.pass_ended = asyncio.Event()
         self.log = open(self.record, "a", encoding="utf-8", buffering=1)
 
     def note(self, what, **fields):
@@ -48,6 +49,13 @@
         self.changed.set()
         self.changed = asyncio.Event()
 
+    async def passes(self):
+        """Works in passes: each ends with an event for every request that writes."""
+        while True:
+            await asyncio.sleep(self.event_ms / 1000)
+            self.pass_ended.set()
+            self.pass_ended = asyncio.Event()
+
     def weights(self):
         held = self.version > 0
         return {"models": [{"name": self.model, "version": self.version, "adapters": []}] if held
@@ -185,26 +193,30 @@
             await self.events(request, name, told, until, watcher)
         finally:
             watcher.cancel()
+            await asyncio.gather(watcher, return_exceptions=True)
             self.running -= 1
             self.wake()
-        request.writer.close()  # the reader was watched for a close
 
     async def events(self, request, name, told, until, watcher):
         total = int(request.query.get("events", 20))
         first = int(request.headers.get("last-event-id", 0)) + 1
-        await asyncio.sleep(0.03)
+        await asyncio.sleep(0.03)  # reads the prompt
+        await self.pass_ended.wait()
         self.note("run", request=name, version=self.version, bad=self.bad, first=first)
         request.writer.write(head_bytes("HTTP/1.1 200 OK", {
             **told, "Content-Type": "text/event-stream", "Transfer-Encoding": "chunked",
-            "Versions": str(self.version), "Connection": "close",
+            "Versions": str(self.version),
             "Loomjunction-Response-Signature": f"{self.id}.{name}"}))
         for event in range(first, total + 1):
             text = f"id: {event}\ndata: {name}/{event}/{total}\n\n".encode()
             request.writer.write(b"%x\r\n%s\r\n" % (len(text), text))
             await request.writer.drain()
-            await asyncio.wait({watcher}, timeout=self.event_ms / 1000)
+            pass_end = asyncio.ensure_future(self.pass_ended.wait())
+            await asyncio.wait({watcher, pass_end}, return_when=asyncio.FIRST_COMPLETED)
+            pass_end.cancel()
             if watcher.done() or time.monotonic() > until:
                 self.note("run ended", request=name, event=event)
+                request.writer.close()
                 return
         request.writer.write(b"0\r\n\r\n")
         await request.writer.drain()
@@ -221,7 +233,7 @@
     await serve(engine.handle, host, int(port))
     with open(engine.ready, "w", encoding="utf-8") as file:
         file.write(str(os.getpid()))
-    await engine.beat()
+    await asyncio.gather(engine.beat(), engine.passes())
 
 
 if __name__ == "__main__":
