--- a/review/2/case.py
+++ b/review/2/case.py
@@ -13,7 +13,7 @@
 sys.path.insert(0, os.path.join(os.path.dirname(FOLDER), "standins"))
 
 from client import Client  # noqa: E402
-from deployment import KEY, ROUTE_HOST, Deployment  # noqa: E402
+from deployment import KEY, ROUTE_HOST, Deployment, end_cleanly_on_sigterm  # noqa: E402
 
 GATEWAYS, MACHINES = 2, 4
 STREAM_CLIENTS = 110
@@ -157,6 +157,7 @@
             case = Case(deployment, record)
             await case.run()
         finally:
+            deployment.write_runs(record)
             deployment.stop()
         print(f"{case.served} streams served, {case.frozen} standstills, "
               f"{len(case.taken)} machines took newer weights")
@@ -168,4 +169,5 @@
 
 
 if __name__ == "__main__":
+    end_cleanly_on_sigterm()
     sys.exit(asyncio.run(main()))
--- a/review/standins/deployment.py
+++ b/review/standins/deployment.py
@@ -40,6 +40,15 @@
     return {role["on"]: role["run"].split() for role in roles.values()}
 
 
+def end_cleanly_on_sigterm():
+    """Lets the script's `finally` blocks end what it started."""
+
+    def leave(*_):
+        sys.exit(2)
+
+    signal.signal(signal.SIGTERM, leave)
+
+
 class Desk:
     """A replica of a plain service that never fails."""
 
@@ -229,6 +238,15 @@
                 return False
         return True
 
+    def write_runs(self, record):
+        """Adds what the replicas ran, as they noted it."""
+        for settings, _ in self.engines:
+            if os.path.exists(settings["record"]):
+                with open(settings["record"], encoding="utf-8") as file:
+                    record.write(f"noted by replica {settings['id']}:\n" + file.read())
+        for desk in self.desk:
+            record.write(f"run by replica {desk.id}:\n" + "\n".join(desk.runs) + "\n")
+
     def stop(self):
         """Ends all that was started here, by its id."""
         for process in self.processes:
--- a/review/standins/engine.py
+++ b/review/standins/engine.py
@@ -184,6 +184,11 @@
             except asyncio.TimeoutError:
                 pass
         self.waiting -= 1
+        if request.reader.at_eof() or request.writer.transport.is_closing():
+            self.note("dropped", request=name)  # its connection closed while it waited
+            self.wake()
+            request.writer.close()
+            return
         if self.running >= self.slots:
             await answer(request, 503, {**told, "Loomjunction-Not-Executed": "1"})
             return
