Weights: a load needs a check of the stage that is young enough

The agent checked the stage, its machine stood still for 4 s, and it ordered the load without looking again: the check had no age.

A load is ordered only on one that is young enough, and weights that the engine may have taken from a stage that was checked too long ago aren't announced until they are checked once more. WeightLoader and StageAccess are taken out of the staging service.

--- a/src/libloomjunction/gateway/loadreporter.h
+++ b/src/libloomjunction/gateway/loadreporter.h
@@ -57,6 +57,8 @@
     void setEnginePoll(EnginePoll poll) { mEnginePoll = std::move(poll); }
     /** Sets the load that is reported to gateways. */
     void set(const ReplicaLoad &load);
+    /** The load that is reported to gateways; empty before the first set(). */
+    const std::optional<ReplicaLoad> &load() const { return mLoad; }
 
 private:
     awaitable<void> serve(PeerStreamPtr stream);
--- a/src/libloomjunction/gateway/weightstagingservice.cpp
+++ b/src/libloomjunction/gateway/weightstagingservice.cpp
@@ -37,13 +37,6 @@
 // The feed of members is read within some tens of milliseconds after the start.
 constexpr Milliseconds sMembersTimeout{600};
 constexpr Milliseconds sMembersPollInterval{50};
-// Gateways must learn that the replica accepts no requests before the load is ordered.
-constexpr Milliseconds sLoadReportDelay{30};
-// Limit on waiting for the engine's queue to empty before the load is ordered. Requests
-// that are still queued then are sent to other replicas.
-constexpr Milliseconds sQueueDrainTimeout{700};
-// An order without an answer and without a visible effect for this long was not accepted.
-constexpr Milliseconds sOrderTimeout{1'500};
 constexpr std::uint64_t sStoreBytes = std::uint64_t{48} * 1024 * 1024;
 // Live responses share the link with uploads; few concurrent uploads keep its queue short.
 constexpr std::uint32_t sMaxUploads = 3;
@@ -69,8 +62,6 @@
 // that the box's link can deliver, and leaves most of the processor to requests.
 constexpr Milliseconds sStageWriteInterval{10};
 constexpr Milliseconds sStageIdleInterval{50};
-// The second attempt repairs chunks that were corrupt.
-constexpr int sMaxPrepareAttempts = 2;
 // An engine that does not list its staged pieces must not prevent writing to its stage.
 constexpr std::uint32_t sMaxAdoptionAttempts = 3;
 // A peer receives a new version within some hundreds of milliseconds after the others.
@@ -113,6 +104,13 @@
     mReporter->setEnginePoll([this]() -> awaitable<void> { co_await pollEngine(); });
     mWakeSignal = std::make_unique<Signal>(kernel.executor());
     mStore = std::make_unique<ChunkStore>(kernel.executor(), sStoreBytes);
+    mLoader = std::make_unique<WeightLoader>(WeightLoader::Parts{
+        mEngine, *mStore, mStageWrites, mStage, mMetrics, mReport,
+        [this]() -> awaitable<bool> { co_return co_await pollEngine(); }, [this] { reportLoad(); },
+        [this](std::uint64_t version) {
+            const VersionFetch *entry = findFetch(version);
+            return entry == nullptr ? std::string() : entry->id.digest;
+        }});
     mServer = std::make_unique<ChunkServer>(*mStore, mEgress, sMaxUploads);
     mHub->serve(std::string(sHavePath),
                 [this](PeerStreamPtr stream) { return mServer->serveHave(std::move(stream)); });
@@ -134,6 +132,8 @@
 void WeightStagingService::stop()
 {
     mStopped = true;
+    mStage.stop();
+    mLoader->stop();
     mServer->stop();
     mManifests->stop();
     for (const VersionFetch &entry : mFetches) {
@@ -155,7 +155,7 @@
 bool WeightStagingService::isUpToDate() const
 {
     const EngineProfile *engine = engineFigures();
-    if (!mReport || mIsLoading || engine == nullptr || engine->models.empty()) {
+    if (!mReport || mLoader->isLoading() || engine == nullptr || engine->models.empty()) {
         return false;
     }
     const std::string &model = engine->models.front();
@@ -173,6 +173,7 @@
     }
     detectEngineRestart(report);
     mReport = std::move(report);
+    mLoader->noteReport();
     reportLoad();
     co_return mReport.has_value();
 }
@@ -186,8 +187,8 @@
     }
     if (mEngineIncarnation != 0) {
         logLine(LogLevel::Warning, "engine-started-again",
-                {{"born", report->born}, {"wasLoading", mIsLoading}});
-        mIsLoading = false;
+                {{"born", report->born}, {"wasLoading", mLoader->isLoading()}});
+        mLoader->noteEngineRestart();
         mStageWrites.clear(); // a restart may lose the staging area
     }
     mEngineIncarnation = report->born;
@@ -206,7 +207,11 @@
         load.weightsVersion = whole == mReport->loaded.end() ? 0 : whole->version;
     }
     load.isLinkSlow = isLinkSlow();
-    load.isAccepting = mReport && !mReport->isBusy && !mIsLoading;
+    load.isAccepting = mReport && !mReport->isBusy && !mLoader->isLoading();
+    if (mLoader->isSuspect(load.weightsVersion)) {
+        load.weightsVersion = 0;
+        load.isAccepting = false;
+    }
     mReporter->set(load);
 }
 
@@ -298,32 +303,18 @@
     if (!mReport) {
         co_return;
     }
-    if (mIsLoading) {
-        checkLoadFinished(model, loaded);
+    if (mLoader->isLoading()) {
+        co_await mLoader->advance(model, loadedVersion(model));
         co_return;
     }
     const bool isLoadDue
         = loaded < mCompleteVersion.version && mStore->find(mCompleteVersion.digest) != nullptr;
-    if (isLoadDue && (loaded == 0 || isMyTurn(model, mCompleteVersion.version))) {
+    // A replica that serves nothing loads at once.
+    const bool isIdle = loaded == 0 || mLoader->isSuspect(loaded);
+    if (isLoadDue && (isIdle || isMyTurn(model, mCompleteVersion.version))) {
         const VersionId id = mCompleteVersion;
-        co_await stageAndLoad(model, id);
-    }
-}
-
-void WeightStagingService::checkLoadFinished(std::string_view model, std::uint64_t loaded)
-{
-    const bool isTimedOut = !mReport->isBusy && now() - mOrderedAt > sOrderTimeout;
-    if (loaded != mOrderedVersion && !isTimedOut) {
-        return;
+        co_await mLoader->load(model, id.version, id.digest);
     }
-    const auto took = std::chrono::duration_cast<Milliseconds>(now() - mOrderedAt);
-    logLine(loaded == mOrderedVersion ? LogLevel::Info : LogLevel::Warning, "load-ended",
-            {{"model", model},
-             {"version", mOrderedVersion},
-             {"loaded", loaded},
-             {"tookMs", took.count()}});
-    mIsLoading = false;
-    reportLoad();
 }
 
 bool WeightStagingService::isMyTurn(const std::string &model, std::uint64_t version) const
@@ -594,8 +585,7 @@
     if (!mReport) {
         co_return false; // the engine is not reachable yet
     }
-    const auto use = mStageUse;
-    co_await waitForStageWrite();
+    const StageAccess::Use use = co_await mStage.acquire();
     const auto pieces = co_await mEngine.stagedPieces(model);
     if (!pieces) {
         co_return false;
@@ -641,10 +631,10 @@
         std::string data = mStore->find(write->digest)->chunks[write->index];
         std::string model = engineFigures()->models.front();
         mStageWrites.forget(write->index);
-        mIsStageWriteOpen = true;
+        mStage.beginWrite();
         const bool isWritten
             = co_await mEngine.stagePut(std::move(model), write->index, std::move(data));
-        mIsStageWriteOpen = false;
+        mStage.endWrite();
         if (isWritten) {
             mStageWrites.noteHeld(write->digest, write->index);
         } else {
@@ -668,18 +658,10 @@
             candidates.push_back({entry.id.digest, stored->has, entry.isAdopted});
         }
     }
-    const bool isStageInUse = mIsLoading || mReport->isBusy || mStageUse.use_count() > 1;
+    const bool isStageInUse = mLoader->isLoading() || mReport->isBusy || mStage.isInUse();
     return mStageWrites.next(candidates, isStageInUse);
 }
 
-// Each write ends within the time limit of its request.
-awaitable<void> WeightStagingService::waitForStageWrite()
-{
-    while (mIsStageWriteOpen && !mStopped) {
-        co_await sleepFor(sStageWriteInterval / 2);
-    }
-}
-
 // Interval between pulls from the origin, derived from its link rate; zero if that is
 // not configured.
 Microseconds WeightStagingService::originPullInterval(const VersionId &id) const
@@ -761,119 +743,4 @@
     co_return nullptr;
 }
 
-// Stages the version, verifies the staging area and orders the load. Returns false if all
-// of this must be retried.
-awaitable<bool> WeightStagingService::stageAndLoad(std::string model, VersionId id)
-{
-    if (mReport->isBusy) {
-        co_return false; // a running load still reads the staging area
-    }
-    // Nothing may be written between the verification and the order, nor during the load,
-    // when mIsLoading is set.
-    const auto use = mStageUse;
-    co_await waitForStageWrite();
-    if (!mReport || mReport->isBusy) {
-        co_return false;
-    }
-    // A restart of the engine may lose the staging area after it was verified here.
-    const std::uint64_t life = mEngineIncarnation;
-    if (!co_await prepareStage(model, id.digest)) {
-        co_await sleepFor(sRetryDelay);
-        co_return false;
-    }
-    mIsLoading = true;
-    mOrderedVersion = id.version;
-    mOrderedAt = now();
-    reportLoad();
-    if (!co_await drainEngineQueue() || mReport->isBusy || mEngineIncarnation != life) {
-        mIsLoading = false;
-        co_return false;
-    }
-    const std::uint64_t acceptedOrderCount = mReport->acceptedOrderCount;
-    mOrderedAt = now();
-    const OrderResult answer = co_await mEngine.load(model, id.version, acceptedOrderCount);
-    logLine(LogLevel::Info, "load-ordered",
-            {{"model", model},
-             {"version", id.version},
-             {"answer", static_cast<int>(answer)},
-             {"ordersTaken", acceptedOrderCount},
-             {"running", mReport ? mReport->running : 0}});
-    if (answer == OrderResult::Refused) {
-        mIsLoading = false;
-        co_await sleepFor(sRetryDelay);
-    }
-    co_return answer != OrderResult::Refused;
-}
-
-// Gateways send no more requests, and the queued ones may still start. Running requests
-// are not interrupted, because the engine delays the load until they are done. Breaking
-// off a stream would end it for its caller if no other replica could continue it.
-awaitable<bool> WeightStagingService::drainEngineQueue()
-{
-    const Instant deadline = now() + sQueueDrainTimeout;
-    do {
-        co_await sleepFor(sLoadReportDelay);
-        if (!co_await pollEngine()) {
-            co_return false;
-        }
-    } while (now() < deadline && mReport->waiting > 0 && !mStopped);
-    co_return true;
-}
-
-// Writes the chunks that the stage lacks and reads back all of it. Chunks that turn out to be
-// corrupt are written once more.
-awaitable<bool> WeightStagingService::prepareStage(std::string model, std::string digest)
-{
-    for (int attempt = 0; attempt < sMaxPrepareAttempts; ++attempt) {
-        if (!co_await writeStage(model, digest)) {
-            co_return false;
-        }
-        if (co_await verifyStage(model, digest)) {
-            co_return true;
-        }
-    }
-    co_return false;
-}
-
-awaitable<bool> WeightStagingService::writeStage(std::string model, std::string digest)
-{
-    const std::uint32_t count = mStore->find(digest)->manifest.chunkCount();
-    for (std::uint32_t index = 0; index < count && !mStopped; ++index) {
-        const StoredVersion *stored = mStore->find(digest);
-        if (stored == nullptr || !stored->has[index]) {
-            co_return false;
-        }
-        if (mStageWrites.holds(digest, index)) {
-            continue;
-        }
-        std::string data = stored->chunks[index];
-        mStageWrites.forget(index);
-        if (!co_await mEngine.stagePut(model, index, std::move(data))) {
-            logLine(LogLevel::Warning, "stage-write-failed", {{"index", index}});
-            co_return false;
-        }
-        mStageWrites.noteHeld(digest, index);
-    }
-    co_return true;
-}
-
-// Reads all chunks back, so that one repair covers all that are corrupt.
-awaitable<bool> WeightStagingService::verifyStage(std::string model, std::string digest)
-{
-    const std::uint32_t count = mStore->find(digest)->manifest.chunkCount();
-    std::uint32_t intactCount = 0;
-    for (std::uint32_t index = 0; index < count && !mStopped; ++index) {
-        const auto data = co_await mEngine.stageGet(model, index);
-        const StoredVersion *stored = mStore->find(digest);
-        const bool isIntact
-            = stored != nullptr && data && sha256Hex(*data) == stored->manifest.chunkDigests[index];
-        if (isIntact) {
-            ++intactCount;
-        } else {
-            mStageWrites.forget(index);
-        }
-    }
-    co_return count > 0 && intactCount == count;
-}
-
 } // namespace Loom
--- a/src/libloomjunction/gateway/weightstagingservice.h
+++ b/src/libloomjunction/gateway/weightstagingservice.h
@@ -17,9 +17,11 @@
 #include "membersettings.h"
 #include "ports.h"
 #include "reloadschedule.h"
+#include "stageaccess.h"
 #include "stagewriteplan.h"
 #include "tokenbucket.h"
 #include "weightfetch.h"
+#include "weightloader.h"
 
 #include <memory>
 #include <optional>
@@ -91,17 +93,10 @@
     VersionFetch *findFetch(std::uint64_t version);
     awaitable<void> adoptPendingChunks(std::string model);
     awaitable<bool> adoptStagedChunks(std::string model, VersionId id);
-    awaitable<void> waitForStageWrite();
     awaitable<tl::expected<std::string, ChunkFailure>>
     originChunk(std::string model, std::uint64_t version, std::uint32_t index);
     Microseconds originPullInterval(const VersionId &id) const;
     std::shared_ptr<WeightFetch> launchFetch(const std::string &model, const VersionId &id);
-    void checkLoadFinished(std::string_view model, std::uint64_t loaded);
-    awaitable<bool> stageAndLoad(std::string model, VersionId id);
-    awaitable<bool> prepareStage(std::string model, std::string digest);
-    awaitable<bool> drainEngineQueue();
-    awaitable<bool> writeStage(std::string model, std::string digest);
-    awaitable<bool> verifyStage(std::string model, std::string digest);
     bool isMyTurn(const std::string &model, std::uint64_t version) const;
     std::vector<SwarmMember> members() const;
     awaitable<PeerStreamPtr> openPeerStream(std::string box, std::string path);
@@ -132,15 +127,11 @@
     std::vector<VersionFetch> mFetches; ///< oldest first; the last is the newest published version
     std::set<std::uint64_t> mLoggedSkips; ///< versions whose skipping was logged
     StageWritePlan mStageWrites;
-    /** Copied by whoever reads the stage; nothing is written in the background meanwhile. */
-    std::shared_ptr<const bool> mStageUse = std::make_shared<const bool>(true);
-    bool mIsStageWriteOpen = false; ///< a background write has not been answered
+    StageAccess mStage;
+    std::unique_ptr<WeightLoader> mLoader;
     bool mHasTriedOlderFetch = false; ///< joinOlderFetch() was called
     VersionId mCompleteVersion; ///< the newest completely fetched version
     Instant mCompleteSince; ///< when it was complete
-    std::uint64_t mOrderedVersion = 0; ///< the version of the last load order
-    Instant mOrderedAt;
-    bool mIsLoading = false; ///< whether a load order has not finished yet
     bool mStopped = false;
 };
 
--- a/tests/gateway/stagingfixture.h
+++ b/tests/gateway/stagingfixture.h
@@ -8,27 +8,39 @@
 
 #pragma once
 
+#include "clock.h"
 #include "gatewayfixture.h"
 #include "loadreporter.h"
 #include "manifest.h"
+#include "runtest.h"
 #include "weightstagingservice.h"
 
+#include <algorithm>
 #include <map>
 #include <set>
 
 namespace Loom {
 
-/** Fakes an engine and an origin of weights in memory. */
+/**
+ * Fakes an engine and an origin of weights in memory. The engine takes the staged chunks when it
+ * receives the order.
+ */
 class FakeEngine final : public EnginePort
 {
 public:
     static constexpr std::uint32_t sChunks = 12;
+    /** A chunk that turned corrupt within this time before the engine takes it is excused. */
+    static constexpr Milliseconds sExcusedAge{3'000};
 
     std::uint64_t loaded = 1;
     std::uint64_t born = 1'000;
     std::set<std::uint64_t> unavailableVersions; ///< not served by the origin
     std::set<std::uint64_t> requestedVersions; ///< versions of which a chunk was requested
     std::function<void(std::uint32_t index)> onStageGet;
+    std::function<void()> onReport;
+    std::function<void()> onOrderArrived; ///< before the engine takes the staged chunks
+    OrderResult orderAnswer = OrderResult::Begun; ///< to an order that was accepted
+    int ordersOnCorruptStage = 0; ///< load orders that took an inexcusably corrupt chunk
     std::uint32_t servedChunks = 0; ///< number of chunks that the origin served
     std::map<std::uint64_t, std::uint32_t> servedByVersion; ///< servedChunks by version
     std::set<std::uint64_t> missingManifests; ///< versions whose manifest the origin lacks
@@ -54,8 +66,17 @@
         return weightsOf(version).substr(std::size_t{index} * sChunkBytes, sChunkBytes);
     }
 
+    void corrupt(std::uint32_t index)
+    {
+        stage[index][0] ^= 1;
+        mCorruptSince.try_emplace(index, now());
+    }
+
     awaitable<std::optional<EngineReport>> report(std::uint32_t) override
     {
+        if (onReport) {
+            onReport();
+        }
         EngineReport report;
         report.loaded.push_back({"m", loaded, true});
         report.born = born;
@@ -66,14 +87,20 @@
 
     awaitable<OrderResult> load(std::string, std::uint64_t version, std::uint64_t) override
     {
+        if (onOrderArrived) {
+            onOrderArrived();
+        }
         ++loadOrders;
+        const bool isCorrupt = std::ranges::any_of(
+            mCorruptSince, [](const auto &chunk) { return now() - chunk.second > sExcusedAge; });
+        ordersOnCorruptStage += isCorrupt ? 1 : 0;
         ordersOnIncompleteStage += stage.size() < sChunks ? 1 : 0;
         for (const auto &[index, data] : stage) {
             ordersOnMixedStage += data == chunkOf(version, index) ? 0 : 1;
         }
         loadedVersions.push_back(version);
         loaded = version;
-        co_return OrderResult::Begun;
+        co_return orderAnswer;
     }
 
     awaitable<bool> stagePut(std::string, std::uint32_t index, std::string data) override
@@ -83,6 +110,7 @@
         }
         putsWhileBusy += isBusy ? 1 : 0;
         stage[index] = std::move(data);
+        mCorruptSince.erase(index);
         co_return true;
     }
 
@@ -138,8 +166,31 @@
         }
         return bytes;
     }
+
+    std::map<std::uint32_t, Instant> mCorruptSince; ///< by index of the chunk
 };
 
+inline const std::string sStagingConfig = R"({"version":1,"routes":[],"services":[
+    {"name":"weights","origin":"127.0.0.1:9","link_mbps":9.0},
+    {"name":"engine","engine":{"slots":4,"step_ms":5,"read_per_s":100000,"stride":1,"layers":1,
+     "usual":{"prompt":10,"answer":10},"models":[{"name":"m"}]}}]})";
+
+inline std::string versionRecord(int version)
+{
+    return R"({"model":"m","version":)" + std::to_string(version) + "}";
+}
+
+/** Waits until @p condition holds; fails the test after some seconds. */
+inline awaitable<void> waitFor(std::function<bool()> condition)
+{
+    constexpr std::chrono::seconds sTestTimeout{20};
+    const auto until = std::chrono::steady_clock::now() + sTestTimeout;
+    while (!condition()) {
+        BOOST_REQUIRE(std::chrono::steady_clock::now() < until);
+        co_await sleepFor(std::chrono::milliseconds(5));
+    }
+}
+
 /** One agent with a weight staging service on top of a store in memory. */
 class StagingFixture
 {
@@ -159,6 +210,12 @@
     FakeEngine engine;
 
     void start() { BOOST_REQUIRE(mKernel.start().has_value()); }
+    /** The load that gateways are told. */
+    const std::optional<ReplicaLoad> &reportedLoad()
+    {
+        return mKernel.find<LoadReporter>(LoadReporter::sName).load();
+    }
+    const Metrics &metrics() const { return mMetrics; }
 
 private:
     static MemberSettings settings(asio::io_context &context, std::string box)
--- a/tests/gateway/test_stage.cpp
+++ b/tests/gateway/test_stage.cpp
@@ -14,46 +14,12 @@
 
 namespace {
 
-constexpr std::chrono::seconds sTestTimeout{20};
-
-const std::string sConfig = R"({"version":1,"routes":[],"services":[
-    {"name":"weights","origin":"127.0.0.1:9","link_mbps":9.0},
-    {"name":"engine","engine":{"slots":4,"step_ms":5,"read_per_s":100000,"stride":1,"layers":1,
-     "usual":{"prompt":10,"answer":10},"models":[{"name":"m"}]}}]})";
-
 // The origin needs 2.5 s to send a copy.
 const std::string sSlowOriginConfig = R"({"version":1,"routes":[],"services":[
     {"name":"weights","origin":"127.0.0.1:9","link_mbps":0.01},
     {"name":"engine","engine":{"slots":4,"step_ms":5,"read_per_s":100000,"stride":1,"layers":1,
      "usual":{"prompt":10,"answer":10},"models":[{"name":"m"}]}}]})";
 
-std::string versionRecord(int version)
-{
-    return R"({"model":"m","version":)" + std::to_string(version) + "}";
-}
-
-awaitable<void> waitFor(std::function<bool()> condition)
-{
-    const auto until = std::chrono::steady_clock::now() + sTestTimeout;
-    while (!condition()) {
-        BOOST_REQUIRE(std::chrono::steady_clock::now() < until);
-        co_await sleepFor(std::chrono::milliseconds(5));
-    }
-}
-
-void runTest(asio::io_context &context, std::function<awaitable<void>()> test)
-{
-    std::exception_ptr thrown;
-    asio::co_spawn(context, std::move(test), [&](std::exception_ptr error) {
-        thrown = error;
-        context.stop();
-    });
-    context.run();
-    if (thrown) {
-        std::rethrow_exception(thrown);
-    }
-}
-
 } // namespace
 
 // Guards against missing chunks of an older version. Two versions were published two
@@ -66,7 +32,7 @@
 {
     asio::io_context context{1};
     MemoryStore store(context.get_executor());
-    store.write(Feed::Operators, "config", sConfig);
+    store.write(Feed::Operators, "config", sStagingConfig);
     store.write(Feed::Operators, "version/m", versionRecord(1));
     StagingFixture first(context, store, "box-1");
     first.engine.unavailableVersions = {2, 3};
@@ -94,7 +60,7 @@
 {
     asio::io_context context{1};
     MemoryStore store(context.get_executor());
-    store.write(Feed::Operators, "config", sConfig);
+    store.write(Feed::Operators, "config", sStagingConfig);
     store.write(Feed::Operators, "version/m", versionRecord(2));
     StagingFixture fixture(context, store, "box-1");
     int completeReads = 0;
@@ -244,7 +210,7 @@
 {
     asio::io_context context{1};
     MemoryStore store(context.get_executor());
-    store.write(Feed::Operators, "config", sConfig);
+    store.write(Feed::Operators, "config", sStagingConfig);
     store.write(Feed::Operators, "version/m", versionRecord(2));
     StagingFixture fixture(context, store, "box-1");
     for (std::uint32_t index = 0; index < FakeEngine::sChunks; ++index) {
@@ -267,7 +233,7 @@
 {
     asio::io_context context{1};
     MemoryStore store(context.get_executor());
-    store.write(Feed::Operators, "config", sConfig);
+    store.write(Feed::Operators, "config", sStagingConfig);
     store.write(Feed::Operators, "version/m", versionRecord(2));
     StagingFixture fixture(context, store, "box-1");
     int readsOfEmptyStage = 0;
@@ -287,7 +253,7 @@
 {
     asio::io_context context{1};
     MemoryStore store(context.get_executor());
-    store.write(Feed::Operators, "config", sConfig);
+    store.write(Feed::Operators, "config", sStagingConfig);
     store.write(Feed::Operators, "version/m", versionRecord(2));
     StagingFixture fixture(context, store, "box-1");
     bool hasCorrupted = false;
@@ -311,7 +277,7 @@
 {
     asio::io_context context{1};
     MemoryStore store(context.get_executor());
-    store.write(Feed::Operators, "config", sConfig);
+    store.write(Feed::Operators, "config", sStagingConfig);
     store.write(Feed::Operators, "version/m", versionRecord(2));
     StagingFixture fixture(context, store, "box-1");
     fixture.engine.isBusy = true;
--- a/tests/suspended/test_suspended.cpp
+++ b/tests/suspended/test_suspended.cpp
@@ -16,32 +16,12 @@
 #include "bootclock.h"
 #include "gatewayfixture.h"
 #include "loopwatch.h"
+#include "suspendedclock.h"
 
 using namespace Loom;
 
 namespace {
 
-std::chrono::nanoseconds sSuspendedTime{0};
-
-std::chrono::nanoseconds timeIncludingSuspension()
-{
-    return std::chrono::steady_clock::now().time_since_epoch() + sSuspendedTime;
-}
-
-/** Replaces the boot clock by the monotonic clock plus a simulated suspension time. */
-class SuspendedClock
-{
-public:
-    SuspendedClock()
-    {
-        sSuspendedTime = std::chrono::nanoseconds(0);
-        BootClock::setSource(timeIncludingSuspension);
-    }
-    ~SuspendedClock() { BootClock::setSource(nullptr); }
-
-    void suspend(std::chrono::seconds duration) { sSuspendedTime += duration; }
-};
-
 std::string answerTo(const std::string &head, const std::string &more = "")
 {
     return "HTTP/1.1 200 X\r\nLoomjunction-Request-Id: " + requestIdOf(head) + "\r\n" + more
