--- a/src/libloomjunction/core/replicaestimate.h
+++ b/src/libloomjunction/core/replicaestimate.h
@@ -17,6 +17,7 @@
 #include <span>
 #include <string>
 #include <string_view>
+#include <vector>
 
 namespace Loom {
 
@@ -25,7 +26,10 @@
 /** Fraction of a goal that plans may use; the rest is a margin for estimation errors. */
 inline constexpr double sPlannableGoalFraction = 0.85;
 
-/** What a request requires of a replica. */
+/**
+ * What a request requires of a replica. A choice that waits for agents keeps the query for longer
+ * than a function call: what its views and pointers refer to must not change until the choice ends.
+ */
 struct ReplicaQuery
 {
     std::string_view service;
@@ -45,7 +49,9 @@
     /** The caller has received the start of a stream that has to be continued. */
     bool isResumed = false;
     AllowedRegions regions; ///< of the replicas that may be chosen
-    std::span<const std::string> excluded; ///< ids of replicas that must not be chosen
+    /** Ids of replicas that must not be chosen. Owned, since the call may add to its list of tried
+        replicas while the choice waits. */
+    std::vector<std::string> excluded;
     /** Ids of replicas whose agents just answered a probe; the choice is limited to them.
         Empty: it is not. */
     std::span<const std::string> answered;
--- a/tests/direct/test_placement.cpp
+++ b/tests/direct/test_placement.cpp
@@ -157,7 +157,7 @@
         }
         BOOST_TEST(areAllIn(set.subset(request, at(1)), "e1"));
         const std::array<std::string, 2> tried{"21", "22"};
-        request.excluded = tried;
+        request.excluded = {tried.begin(), tried.end()};
         BOOST_TEST(chosenDataCentres(set, request) == std::set<std::string>{"e1"});
     }
 }
--- a/tests/gateway/test_loadprober.cpp
+++ b/tests/gateway/test_loadprober.cpp
@@ -10,6 +10,7 @@
 
 #include "loadreporter.h"
 #include "scriptedagent.h"
+#include "streamtext.h"
 
 using namespace Loom;
 
@@ -266,3 +267,46 @@
         kernel.stop();
     });
 }
+
+// Guards against a crash of the gateway (found by the sanitizers only): callers leave while the
+// choice of a replica for a hedge waits for agents that answer late.
+BOOST_AUTO_TEST_CASE(callers_may_leave_while_a_hedge_waits_for_agents)
+{
+    constexpr int sCallers = 6;
+    GatewayFixture fixture;
+    fixture.writeConfig(1);
+    const auto fallsSilent = [](const std::string &head) -> ScriptedReplica::Answer {
+        return {streamHead(requestIdOf(head)) + chunk(event(1)), false};
+    };
+    ScriptedReplica &first = fixture.addReplica("i-1", "engine", fallsSilent);
+    ScriptedReplica &second = fixture.addReplica("i-2", "engine", fallsSilent);
+    ScriptedAgent firstAgent(fixture, first);
+    ScriptedAgent secondAgent(fixture, second);
+    fixture.run([&]() -> awaitable<void> {
+        co_await fixture.waitFor([&] {
+            return fixture.front().isReady() && fixture.replicas().replicas().all().size() == 2
+                && firstAgent.queryCount > 0 && secondAgent.queryCount > 0;
+        });
+        std::vector<Tcp::socket> callers;
+        for (int index = 0; index < sCallers; ++index) {
+            auto caller
+                = co_await connectWithin(fixture.front().localEndpoint(), std::chrono::seconds(5));
+            BOOST_REQUIRE(caller.has_value());
+            const std::string request
+                = "POST /model/a HTTP/1.1\r\nHost: h\r\nLoomjunction-Request-Id: id"
+                + std::to_string(index) + "\r\nAuthorization: Token k\r\nContent-Length: 0\r\n\r\n";
+            co_await asio::async_write(*caller, asio::buffer(request), sAsValue);
+            callers.push_back(std::move(*caller));
+        }
+        co_await fixture.waitFor([&] { return first.requests() + second.requests() == sCallers; });
+        // The choices for the hedges wait for the agents, which don't count as unresponsive yet.
+        firstAgent.delay = std::chrono::milliseconds(40);
+        secondAgent.delay = std::chrono::milliseconds(40);
+        const auto asked = [&] { return fixture.metrics().counter("load_questions", "asked"); };
+        const std::uint64_t askedBefore = asked();
+        co_await fixture.waitFor([&] { return asked() > askedBefore; });
+        callers.clear();
+        co_await fixture.waitFor([&] { return fixture.front().inFlight() == 0; });
+        BOOST_TEST(fixture.metrics().counter("standby_tries", "none found") > 0U);
+    });
+}
