Answers: bytes that complete nothing and do not end are bounded

A server in trouble may send bytes that are no answer until its caller closes.

Heads, interim heads, framing, surplus bodies, refusal bodies, events and whole answers have checked limits in bytes and time (gateway.answers), answers that are kept whole share one budget, and other clients limit their bodies. The connection is closed once the bytes are plain, the replica counts as failing, and `endless-answer` and a counter say why. A refusal whose body doesn't end is tried elsewhere at once; silence within a refusal is a plain time-out. A call that throws waits for its hedge.

--- a/src/libloomjunction/core/eventsplitter.h
+++ b/src/libloomjunction/core/eventsplitter.h
@@ -21,6 +21,7 @@
 {
     std::string text;
     std::optional<std::uint64_t> id;
+    bool hasData = false; ///< has a data field; comments alone have none
 };
 
 /** Splits the bytes of one event stream into complete events. */
@@ -34,6 +35,7 @@
 
 private:
     std::string mPending;
+    std::size_t mSearched = 0; ///< bytes of mPending that are known not to end an event
 };
 
 } // namespace Loom
--- a/src/libloomjunction/gateway/gatewaycall.cpp
+++ b/src/libloomjunction/gateway/gatewaycall.cpp
@@ -109,13 +109,22 @@
         co_return;
     }
     watchCallerAndDeadline();
-    if (mCall.isCallerGone) {
-        co_await failCall(502, "the caller left before its request was read");
-    } else {
-        co_await sendToReplicas();
+    // A hedge uses this object until it ends, whatever ends the call.
+    std::exception_ptr thrown;
+    try {
+        if (mCall.isCallerGone) {
+            co_await failCall(502, "the caller left before its request was read");
+        } else {
+            co_await sendToReplicas();
+        }
+    } catch (...) {
+        thrown = std::current_exception();
     }
     mDeadlineTimer.cancel();
     co_await finishHedge();
+    if (thrown) {
+        std::rethrow_exception(thrown);
+    }
 }
 
 std::optional<GatewayCall::Refusal> GatewayCall::prepare()
@@ -582,6 +591,7 @@
             co_await beginStream(head);
         }
         if (events->isEndOfStream) {
+            co_await mCall.exchange.write(events->text); // comments behind the last event
             break;
         }
         if (!co_await forwardEvents(*events)) {
--- a/src/libloomjunction/gateway/membersettings.cpp
+++ b/src/libloomjunction/gateway/membersettings.cpp
@@ -23,6 +23,8 @@
 constexpr double sMaxRatio = 10;
 constexpr double sMaxExtraRetries = 1'000'000;
 constexpr int sMaxToleratedFailures = 64;
+constexpr std::size_t sMinAnswerBytes = 1'024;
+constexpr std::int64_t sMaxAnswerBytes = 1'073'741'824;
 constexpr double sMillisecondsPerSecond = 1'000;
 constexpr std::string_view sGateway = "gateway";
 constexpr std::string_view sStager = "stager";
@@ -67,12 +69,36 @@
     return failureTolerance;
 }
 
+std::size_t bytes(SettingsReader &reader, std::string_view field, std::size_t least,
+                  std::size_t defaultValue)
+{
+    return static_cast<std::size_t>(reader.integer(field, static_cast<std::int64_t>(least),
+                                                   sMaxAnswerBytes,
+                                                   static_cast<std::int64_t>(defaultValue)));
+}
+
+AnswerLimits readAnswerLimits(SettingsReader reader)
+{
+    AnswerLimits limits;
+    limits.headBytes = bytes(reader, "headBytes", sMinAnswerBytes, limits.headBytes);
+    limits.eventBytes = bytes(reader, "eventBytes", sMinAnswerBytes, limits.eventBytes);
+    limits.refusalBytes = bytes(reader, "refusalBytes", 0, limits.refusalBytes);
+    limits.bodyBytes = bytes(reader, "bodyBytes", sMinAnswerBytes, limits.bodyBytes);
+    limits.heldBytes = bytes(reader, "heldBytes", sMinAnswerBytes, limits.heldBytes);
+    limits.unfinished = milliseconds(reader, "unfinishedMs", limits.unfinished);
+    reader.refuseUnknown();
+    return limits;
+}
+
 GatewaySettings readGateway(SettingsReader reader)
 {
     GatewaySettings gateway;
     gateway.callers = reader.endpoint("callers");
     gateway.readiness = reader.endpoint("readiness");
     gateway.addresses = reader.endpoint("addresses");
+    if (reader.has("answers")) {
+        gateway.answers = readAnswerLimits(reader.child("answers"));
+    }
     reader.refuseUnknown();
     return gateway;
 }
--- a/src/libloomjunction/gateway/membersettings.h
+++ b/src/libloomjunction/gateway/membersettings.h
@@ -9,6 +9,7 @@
 #pragma once
 
 #include "addressselector.h"
+#include "answerlimits.h"
 #include "asynctypes.h"
 #include "instant.h"
 #include "jsonlog.h"
@@ -31,6 +32,7 @@
     Tcp::endpoint callers; ///< listening address for requests
     Tcp::endpoint readiness; ///< listening address for readiness checks of the platform
     Tcp::endpoint addresses; ///< listening address at which callers query gateways to use
+    AnswerLimits answers; ///< for answers of replicas
 
     bool operator==(const GatewaySettings &) const = default;
 };
--- a/src/libloomjunction/gateway/replicaattempt.cpp
+++ b/src/libloomjunction/gateway/replicaattempt.cpp
@@ -29,7 +29,8 @@
 constexpr int sMaxStaleResponses = 2;
 // A prompt that crashes replicas does so when they begin to write the answer to it.
 constexpr Milliseconds sMaxTimeToCrash{500};
-constexpr std::size_t sMaxResponseBytes = std::size_t{16} * 1024 * 1024;
+// The body of a refusal follows its head at once.
+constexpr Milliseconds sRefusalBodyTimeout{100};
 
 std::string_view linkErrorName(LinkError error)
 {
@@ -44,25 +45,29 @@
         return "silent";
     case LinkError::Cancelled:
         return "cancelled";
+    case LinkError::Endless:
+        return "bytes without end";
     }
     return "unknown";
 }
 
 ReplicaOutcome outcomeOf(const AttemptOutcome &result)
 {
-    return std::visit(Overload{
-                          [](const AttemptCompleted &) { return ReplicaOutcome::Answered; },
-                          [](const AttemptNotExecuted &) { return ReplicaOutcome::Refused; },
-                          [](const AttemptUnknown &failed) {
-                              if (failed.isAbandonedByGateway) {
-                                  return ReplicaOutcome::Abandoned;
-                              }
-                              return failed.answer ? ReplicaOutcome::Failed
-                                                   : ReplicaOutcome::Broken;
-                          },
-                          [](const AttemptAborted &) { return ReplicaOutcome::Abandoned; },
-                      },
-                      result);
+    return std::visit(
+        Overload{
+            [](const AttemptCompleted &) { return ReplicaOutcome::Answered; },
+            [](const AttemptNotExecuted &refused) {
+                return refused.isBroken ? ReplicaOutcome::Broken : ReplicaOutcome::Refused;
+            },
+            [](const AttemptUnknown &failed) {
+                if (failed.isAbandonedByGateway) {
+                    return ReplicaOutcome::Abandoned;
+                }
+                return failed.answer ? ReplicaOutcome::Failed : ReplicaOutcome::Broken;
+            },
+            [](const AttemptAborted &) { return ReplicaOutcome::Abandoned; },
+        },
+        result);
 }
 
 } // namespace
@@ -206,9 +211,7 @@
         } else {
             noteRate(fields.rate, false);
         }
-        co_await mLink->readWhole(sMaxResponseBytes, steadyTime(mCall.deadline));
-        co_return tl::unexpected(
-            AttemptNotExecuted{"replica refused: " + std::to_string(head.status)});
+        co_return tl::unexpected(co_await refusalOutcome(head.status));
     }
     if (fields.requestId != mCall.caller.id) {
         mLink->cancel();
@@ -228,13 +231,47 @@
     co_return std::move(head);
 }
 
+// The head says all that matters. The body is only read so that the connection can be used again;
+// another replica need not wait for it.
+awaitable<AttemptNotExecuted> ReplicaAttempt::refusalOutcome(int status)
+{
+    const auto deadline = std::chrono::steady_clock::now() + sRefusalBodyTimeout;
+    const auto skipped = co_await mLink->skipBody(limits().refusalBytes, deadline);
+    const std::string reason = "replica refused: " + std::to_string(status);
+    if (skipped) {
+        co_return AttemptNotExecuted{reason};
+    }
+    const LinkError error = skipped.error();
+    // A replica that was suspended within its refusal has sent nothing of the body.
+    const bool isTrickle = error == LinkError::TimedOut && mLink->bodyBytesRead() > 0;
+    if (isTrickle || error == LinkError::Endless) {
+        noteEndless(isTrickle ? EndlessPart::RefusalBody : mLink->endlessPart());
+    }
+    mLink->cancel();
+    const bool isBroken = isTrickle || error == LinkError::Endless || error == LinkError::Malformed;
+    co_return AttemptNotExecuted{reason, isBroken};
+}
+
+const AnswerLimits &ReplicaAttempt::limits() const
+{
+    return mCall.parts.replicas.answerLimits();
+}
+
 awaitable<tl::expected<std::string, AttemptOutcome>> ReplicaAttempt::readWhole()
 {
     const auto deadline = steadyTime(mCall.deadline + sMinTimeLeft);
-    auto body = co_await mLink->readWhole(sMaxResponseBytes, deadline);
+    const bool hasLength = mLink->bodyLength().has_value();
+    mMemory = std::make_unique<AnswerMemory::Share>(mCall.parts.replicas.answerMemory(), hasLength,
+                                                    [this] { cancel(); });
+    auto body = co_await mLink->readWhole(
+        limits().bodyBytes, deadline, [this](std::size_t bytes) { return mMemory->resize(bytes); });
+    if (!body && mMemory->isGivenUp() && !mCall.isCallerGone && !mCall.isTimedOut) {
+        co_return tl::unexpected(endlessOutcome(EndlessPart::Body));
+    }
     if (!body) {
         co_return tl::unexpected(outcomeOfLinkError(body.error()));
     }
+    mMemory->settle();
     if (!co_await isWhole()) {
         co_return tl::unexpected(
             AttemptUnknown{"replica ended within an answer", std::nullopt, false, true});
@@ -278,7 +315,11 @@
                 AttemptUnknown{"replica ended within a stream", std::nullopt, false, true});
         }
         stopWatchingWeightsExpiry();
+        const std::uint32_t countBefore = batch.count;
         appendEvents(*piece, batch);
+        if (isEventEndless(piece->size(), batch.count > countBefore)) {
+            co_return tl::unexpected(endlessOutcome(EndlessPart::Event));
+        }
     }
     if (batch.count > 0) {
         noteFirstResponse(true);
@@ -296,6 +337,9 @@
             continue;
         }
         batch.text += event.text;
+        if (!event.id && !event.hasData) {
+            continue; // a comment, which is sent on with the next event
+        }
         ++batch.count;
         if (event.id) {
             batch.last = event.id;
@@ -303,6 +347,38 @@
     }
 }
 
+// An event has to be complete soon after its first byte. The time is only looked at when bytes
+// arrive: a replica may fall silent within an event.
+bool ReplicaAttempt::isEventEndless(std::size_t size, bool hasNewEvent)
+{
+    const bool wasUnfinished = mUnfinishedSince.has_value();
+    mBytesSinceEvent = hasNewEvent ? mSplitter.pending() : mBytesSinceEvent + size;
+    if (mSplitter.pending() == 0) {
+        mUnfinishedSince.reset();
+    } else if (hasNewEvent || !wasUnfinished) {
+        mUnfinishedSince = now();
+    }
+    const bool isTooLate = mUnfinishedSince && now() - *mUnfinishedSince > limits().unfinished;
+    return isTooLate || mBytesSinceEvent > limits().eventBytes;
+}
+
+AttemptOutcome ReplicaAttempt::endlessOutcome(EndlessPart part) const
+{
+    noteEndless(part);
+    mLink->cancel();
+    return AttemptUnknown{std::string(linkErrorName(LinkError::Endless)), std::nullopt};
+}
+
+void ReplicaAttempt::noteEndless(EndlessPart part) const
+{
+    mCall.parts.metrics.count("endless_answers", endlessPartName(part));
+    logLine(LogLevel::Warning, "endless-answer",
+            {{"id", mCall.caller.id},
+             {"replica", mChosen.id},
+             {"service", mCall.serviceName},
+             {"part", endlessPartName(part)}});
+}
+
 awaitable<std::optional<AttemptOutcome>> ReplicaAttempt::prefetchEvents()
 {
     auto events = co_await nextEvents();
@@ -362,6 +438,9 @@
     case CancelReason::None:
         break;
     }
+    if (error == LinkError::Endless) {
+        return endlessOutcome(mLink->endlessPart());
+    }
     return AttemptUnknown{std::string(linkErrorName(error)), std::nullopt, false,
                           error == LinkError::Closed};
 }
--- a/src/libloomjunction/gateway/replicaattempt.h
+++ b/src/libloomjunction/gateway/replicaattempt.h
@@ -8,6 +8,7 @@
 
 #pragma once
 
+#include "answermemory.h"
 #include "bootclock.h"
 #include "callstate.h"
 #include "eventsplitter.h"
@@ -35,6 +36,7 @@
 struct AttemptNotExecuted
 {
     std::string reason;
+    bool isBroken = false; ///< what followed the head of the refusal was no answer
 };
 
 /** The replica may have executed the request. */
@@ -121,6 +123,12 @@
 
     void cancelFor(CancelReason ending);
     void appendEvents(std::string_view piece, EventBatch &batch);
+    /** Whether @p size bytes that just arrived belong to an event without end. */
+    bool isEventEndless(std::size_t size, bool hasNewEvent);
+    awaitable<AttemptNotExecuted> refusalOutcome(int status);
+    const AnswerLimits &limits() const;
+    AttemptOutcome endlessOutcome(EndlessPart part) const;
+    void noteEndless(EndlessPart part) const;
     OutgoingFields outgoingFields() const;
     Milliseconds timeUntilWeightsExpire(std::uint64_t version) const;
     awaitable<tl::expected<LinkHead, LinkError>> exchangeHead();
@@ -142,6 +150,9 @@
     std::unique_ptr<HttpLink> mLink;
     EventSplitter mSplitter;
     std::optional<EventBatch> mPrefetched;
+    std::size_t mBytesSinceEvent = 0; ///< of the stream, since the last event that continued it
+    std::optional<Instant> mUnfinishedSince; ///< when the incomplete event began to arrive
+    std::unique_ptr<AnswerMemory::Share> mMemory; ///< of the answer that is kept whole
     BootTimer mWeightsTimer;
     std::shared_ptr<bool> mAlive = std::make_shared<bool>(true); ///< expires with the attempt
     Instant mSentAt;
--- a/src/libloomjunction/gateway/replicaservice.cpp
+++ b/src/libloomjunction/gateway/replicaservice.cpp
@@ -45,6 +45,12 @@
 // left to gateways that this one does not know of.
 constexpr double sConnectionShare = 0.8;
 
+AnswerLimits answerLimitsOf(const MemberSettings &settings)
+{
+    const auto *gateway = std::get_if<GatewaySettings>(&settings.role);
+    return gateway == nullptr ? AnswerLimits() : gateway->answers;
+}
+
 } // namespace
 
 ReplicaService::ReplicaService(RecordPort &records, Metrics &metrics,
@@ -55,6 +61,8 @@
     , mBounds(settings.bounds.retries)
     , mStartedAt(now())
     , mReplicas(settings.bounds.drainTimeout, settings.box)
+    , mAnswerLimits(answerLimitsOf(settings))
+    , mAnswerMemory(mAnswerLimits.heldBytes)
 {
 }
 
@@ -540,7 +548,7 @@
     }
     ++pool.open;
     mMetrics.count("replica_connections");
-    auto connected = co_await HttpLink::connect(*endpoint, sConnectTimeout);
+    auto connected = co_await HttpLink::connect(*endpoint, sConnectTimeout, mAnswerLimits);
     if (!connected) {
         --mPools[id].open;
     }
--- a/src/libloomjunction/gateway/replicaservice.h
+++ b/src/libloomjunction/gateway/replicaservice.h
@@ -8,6 +8,7 @@
 
 #pragma once
 
+#include "answermemory.h"
 #include "callerwaitestimator.h"
 #include "capacityqueue.h"
 #include "demandexchange.h"
@@ -106,6 +107,10 @@
     /** The calls of @p service that wait for a replica. */
     CapacityQueue &capacityQueue(const std::string &service);
 
+    /** Limits on the answers of replicas. */
+    const AnswerLimits &answerLimits() const { return mAnswerLimits; }
+    /** The answers that the gateway's calls keep whole. */
+    AnswerMemory &answerMemory() { return mAnswerMemory; }
     /** Returns a connection to the replica @p id at @p address, from the pool or new. */
     awaitable<tl::expected<std::unique_ptr<HttpLink>, LinkError>>
     link(std::string id, std::string address, std::uint32_t maxConnections);
@@ -154,6 +159,8 @@
     Instant mStartedAt;
     MemberService *mMembers = nullptr;
     ReplicaSet mReplicas;
+    const AnswerLimits mAnswerLimits;
+    AnswerMemory mAnswerMemory;
     std::set<std::string> mColdReplicas; ///< ids of the replicas that were cold at the last update
     RouteTablePtr mColdRatesTable; ///< the configuration that the cold rates come from
     std::map<std::string, Pool> mPools; ///< by replica id
--- a/src/libloomjunction/net/http.h
+++ b/src/libloomjunction/net/http.h
@@ -128,6 +128,7 @@
     Cut, ///< the server may have acted
     TimedOut, ///< the server may have acted
     Aborted, ///< the data handler gave up
+    TooLarge, ///< the answer exceeds HttpCall::maxBodyBytes; the server may have acted
 };
 
 struct HttpError
@@ -147,6 +148,8 @@
     /** An answer that goes on arriving may take longer: each piece has this time anew, four
         times at most. */
     std::chrono::milliseconds pieceTimeout{0};
+    /** An answer that is kept whole may have a body of this size. */
+    std::size_t maxBodyBytes = std::size_t{16} * 1024 * 1024;
     /** False for servers whose few connections many callers share: it ends with the call. */
     bool keepsConnection = true;
 };
--- a/src/libloomjunction/net/httpclient.cpp
+++ b/src/libloomjunction/net/httpclient.cpp
@@ -9,6 +9,7 @@
 #include "http.h"
 
 #include "httpfields.h"
+#include "jsonlog.h"
 
 #include <algorithm>
 #include <deque>
@@ -52,9 +53,7 @@
             co_return tl::unexpected(connected.error());
         }
         Stream stream = std::move(*connected);
-        self->mUsed.insert(stream.get());
-        auto result = co_await exchange(*stream, call, onData, deadline);
-        self->mUsed.erase(stream.get());
+        auto result = co_await self->exchangeCancellable(*stream, call, onData, deadline);
         if (result && result->second && call.keepsConnection) {
             self->keep(call.endpoint, std::move(stream));
         }
@@ -74,6 +73,33 @@
 private:
     using Exchanged = std::pair<HttpResponse, bool>; // the answer; may the connection be kept?
 
+    /** Lets cancel() reach a connection, until the end of its scope. */
+    class Use
+    {
+    public:
+        Use(Impl &owner, beast::tcp_stream &stream)
+            : mOwner(owner)
+            , mStream(stream)
+        {
+            mOwner.mUsed.insert(&mStream);
+        }
+        ~Use() { mOwner.mUsed.erase(&mStream); }
+        Use(const Use &) = delete;
+        Use &operator=(const Use &) = delete;
+
+    private:
+        Impl &mOwner;
+        beast::tcp_stream &mStream;
+    };
+
+    awaitable<tl::expected<Exchanged, HttpError>>
+    exchangeCancellable(beast::tcp_stream &stream, HttpCall &call, const HttpDataHandler &onData,
+                        std::chrono::steady_clock::time_point deadline)
+    {
+        const Use use(*this, stream);
+        co_return co_await exchange(stream, call, onData, deadline);
+    }
+
     awaitable<tl::expected<Stream, HttpError>>
     connect(const Tcp::endpoint &endpoint, std::chrono::steady_clock::time_point deadline)
     {
@@ -130,6 +156,16 @@
         return {late ? HttpFailure::TimedOut : HttpFailure::Cut, error.message()};
     }
 
+    static HttpError tooLarge(const HttpCall &call)
+    {
+        logLine(LogLevel::Warning, "answer-too-large",
+                {{"server", endpointText(call.endpoint)},
+                 {"target", call.target},
+                 {"maxBytes", call.maxBodyBytes}});
+        return {HttpFailure::TooLarge,
+                "the answer is larger than " + std::to_string(call.maxBodyBytes) + " bytes"};
+    }
+
     static awaitable<tl::expected<Exchanged, HttpError>>
     exchange(beast::tcp_stream &stream, HttpCall &call, const HttpDataHandler &onData,
              std::chrono::steady_clock::time_point deadline)
@@ -148,13 +184,12 @@
         if (writeError) {
             co_return tl::unexpected(failure(writeError));
         }
-        co_return co_await readAnswer(stream, onData, deadline, call.pieceTimeout);
+        co_return co_await readAnswer(stream, call, onData, deadline);
     }
 
     static awaitable<tl::expected<Exchanged, HttpError>>
-    readAnswer(beast::tcp_stream &stream, const HttpDataHandler &onData,
-               std::chrono::steady_clock::time_point deadline,
-               std::chrono::milliseconds pieceTimeout)
+    readAnswer(beast::tcp_stream &stream, const HttpCall &call, const HttpDataHandler &onData,
+               std::chrono::steady_clock::time_point deadline)
     {
         beast::flat_buffer buffer;
         http::response_parser<http::buffer_body> parser;
@@ -167,10 +202,13 @@
         HttpResponse response;
         response.status = static_cast<int>(parser.get().result_int());
         response.headers = copyHeaders(parser.get());
+        if (!onData && parser.content_length().value_or(0) > call.maxBodyBytes) {
+            co_return tl::unexpected(tooLarge(call));
+        }
         std::string piece(sReadPieceBytes, '\0');
-        const auto last = deadline + pieceTimeout * sMostPieceTimes;
+        const auto last = deadline + call.pieceTimeout * sMostPieceTimes;
         while (!parser.is_done()) {
-            const auto next = std::chrono::steady_clock::now() + pieceTimeout;
+            const auto next = std::chrono::steady_clock::now() + call.pieceTimeout;
             stream.expires_at(std::clamp(next, deadline, last));
             parser.get().body().data = piece.data();
             parser.get().body().size = piece.size();
@@ -180,6 +218,9 @@
             }
             const std::size_t filled = piece.size() - parser.get().body().size;
             const std::string_view data(piece.data(), filled);
+            if (!onData && response.body.size() + filled > call.maxBodyBytes) {
+                co_return tl::unexpected(tooLarge(call));
+            }
             if (!onData) {
                 response.body += data;
             } else if (!data.empty() && !co_await onData(response, data)) {
--- a/src/libloomjunction/net/httplink.cpp
+++ b/src/libloomjunction/net/httplink.cpp
@@ -10,9 +10,11 @@
 
 #include "httpfields.h"
 
+#include <algorithm>
 #include <array>
 #include <charconv>
 #include <optional>
+#include <utility>
 
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
@@ -36,6 +38,9 @@
 constexpr std::chrono::milliseconds sIdleMargin{700};
 constexpr std::chrono::seconds sIdleUnknown{4};
 constexpr std::string_view sHeadMethod = "HEAD";
+// Heads such as 100 that may precede the one that counts.
+constexpr int sMaxInterimHeads = 8;
+constexpr std::size_t sMaxSurplusBytes = std::size_t{64} * 1024;
 
 // The seconds in "timeout=5, max=100"; nothing where there are none.
 std::optional<std::chrono::seconds> keepAliveTime(std::string_view text)
@@ -97,8 +102,9 @@
 class HttpLink::Impl : public std::enable_shared_from_this<HttpLink::Impl>
 {
 public:
-    explicit Impl(Tcp::socket socket)
+    Impl(Tcp::socket socket, AnswerLimits limits)
         : mStream(std::move(socket))
+        , mLimits(limits)
     {
         boost::system::error_code ignored;
         mStream.socket().set_option(Tcp::no_delay(true), ignored);
@@ -127,27 +133,23 @@
         co_return co_await readHead(deadline);
     }
 
+    // Heads such as 100 are followed by the one that counts.
     awaitable<tl::expected<LinkHead, LinkError>> readHead(Deadline deadline)
     {
-        mParser.emplace();
-        mParser->body_limit(boost::none);
-        mParser->skip(mIsHead);
-        mFramed = false;
-        mStream.expires_at(deadline);
-        auto [error, size] = co_await http::async_read_header(mStream, mBuffer, *mParser, sAsValue);
-        if (error) {
-            co_return tl::unexpected(classify(error));
-        }
-        // Answers such as 100 are followed by the one that counts.
-        if (mParser->get().result_int() / 100 == 1) {
-            co_return co_await readHead(deadline);
+        noteProgress();
+        for (int interimCount = 0; interimCount <= sMaxInterimHeads; ++interimCount) {
+            const auto error = co_await parseHead(deadline);
+            if (error) {
+                co_return tl::unexpected(classify(error));
+            }
+            if (mParser->get().result_int() / 100 != 1) {
+                noteProgress();
+                co_return takeHead();
+            }
+            mStalledSince.reset();
         }
-        LinkHead head;
-        head.status = static_cast<int>(mParser->get().result_int());
-        head.headers = copyHeaders(mParser->get());
-        mFramed = !mParser->need_eof();
-        noteKeepAlive(head);
-        co_return std::move(head);
+        mEndlessPart = EndlessPart::InterimHeads;
+        co_return tl::unexpected(LinkError::Endless);
     }
 
     awaitable<tl::expected<std::string_view, LinkError>> readBody(Deadline deadline)
@@ -157,20 +159,67 @@
             mParser->get().body().data = mPiece.data();
             mParser->get().body().size = mPiece.size();
             mParser->get().body().more = true;
-            mStream.expires_at(deadline);
-            auto [error, size]
-                = co_await http::async_read_some(mStream, mBuffer, *mParser, sAsValue);
+            const auto error = co_await parseNext(deadline, EndlessPart::Framing);
             if (error && error != http::error::need_buffer) {
                 co_return tl::unexpected(classify(error));
             }
             const std::size_t filled = mPiece.size() - mParser->get().body().size;
             if (filled > 0) {
+                noteProgress();
+                mBodyBytesRead += filled;
                 co_return std::string_view(mPiece.data(), filled);
             }
         }
         co_return std::string_view();
     }
 
+    awaitable<tl::expected<void, LinkError>> skipBody(std::size_t most, EndlessPart part,
+                                                      Deadline deadline)
+    {
+        std::size_t skipped = 0;
+        while (true) {
+            const auto piece = co_await readBody(deadline);
+            if (!piece) {
+                co_return tl::unexpected(piece.error());
+            }
+            if (piece->empty()) {
+                co_return tl::expected<void, LinkError>();
+            }
+            skipped += piece->size();
+            if (skipped > most) {
+                mEndlessPart = part;
+                co_return tl::unexpected(LinkError::Endless);
+            }
+        }
+    }
+
+    awaitable<tl::expected<std::string, LinkError>> readWhole(std::size_t most, Deadline deadline,
+                                                              KeepHandler mayKeep)
+    {
+        std::string whole;
+        const auto length = bodyLength();
+        while (true) {
+            const auto piece = co_await readBody(deadline);
+            if (!piece) {
+                co_return tl::unexpected(piece.error());
+            }
+            if (piece->empty()) {
+                co_return whole;
+            }
+            const std::size_t size = whole.size() + piece->size();
+            std::size_t kept = whole.capacity();
+            if (size > kept) {
+                kept = std::max(size, std::min<std::size_t>(2 * kept, length.value_or(2 * kept)));
+            }
+            if (length.value_or(size) > most || size > most || (mayKeep && !mayKeep(kept))) {
+                mEndlessPart = EndlessPart::Body;
+                co_return tl::unexpected(LinkError::Endless);
+            }
+            whole.reserve(kept);
+            whole += *piece;
+        }
+    }
+
     // Closed in the ordinary way, what has not left this box yet is still delivered,
     // as over a full link, and the request runs for nobody.
     void cancel()
@@ -184,11 +233,20 @@
     }
 
     bool isFramed() const { return mFramed; }
+    EndlessPart endlessPart() const { return mEndlessPart; }
+    std::size_t bodyBytesRead() const { return mBodyBytesRead; }
+
+    std::optional<std::uint64_t> bodyLength() const
+    {
+        const auto length = mParser ? mParser->content_length() : boost::none;
+        return length ? std::optional<std::uint64_t>(*length) : std::nullopt;
+    }
 
     bool isReusable() const
     {
-        return !mCancelled && !mWriteFailed && !mWriting && mParser && mParser->is_done() && mFramed
-            && mParser->get().keep_alive() && mBuffer.size() == 0;
+        return !mCancelled && mEndlessPart == EndlessPart::Nothing && !mWriteFailed && !mWriting
+            && mParser && mParser->is_done() && mFramed && mParser->get().keep_alive()
+            && mBuffer.size() == 0;
     }
 
     bool isQuiet()
@@ -209,6 +267,92 @@
         return mHasSent && (mWriting || !isAnswered);
     }
 
+    awaitable<beast::error_code> parseHead(Deadline deadline)
+    {
+        mParser.emplace();
+        mParser->body_limit(boost::none);
+        mParser->header_limit(static_cast<std::uint32_t>(mLimits.headBytes));
+        mParser->skip(mIsHead);
+        mFramed = false;
+        mBodyBytesRead = 0;
+        while (!mParser->is_header_done()) {
+            const auto error = co_await parseNext(deadline, EndlessPart::Head);
+            if (error) {
+                co_return error;
+            }
+        }
+        co_return beast::error_code();
+    }
+
+    LinkHead takeHead()
+    {
+        LinkHead head;
+        head.status = static_cast<int>(mParser->get().result_int());
+        head.headers = copyHeaders(mParser->get());
+        mFramed = !mParser->need_eof();
+        noteKeepAlive(head);
+        return head;
+    }
+
+    // Lets the parser take its next step, and reads until it can. Bytes that arrive without
+    // completing a step count as stalled until noteProgress(). The time is only looked at when
+    // bytes arrive: silence is not endless, and after a standstill of this process what completes
+    // the step has arrived as well.
+    awaitable<beast::error_code> parseNext(Deadline deadline, EndlessPart part)
+    {
+        while (true) {
+            beast::error_code error;
+            if (mBuffer.size() > 0) {
+                mBuffer.consume(mParser->put(mBuffer.data(), error));
+                if (error == http::error::header_limit) {
+                    mEndlessPart = EndlessPart::Head;
+                }
+                if (error != http::error::need_more) {
+                    co_return error;
+                }
+            }
+            if (isStalled()) {
+                mEndlessPart = part;
+                co_return http::error::header_limit;
+            }
+            mStream.expires_at(deadline);
+            auto [readError, size]
+                = co_await mStream.async_read_some(mBuffer.prepare(sReadBytes), sAsValue);
+            mBuffer.commit(size);
+            noteArrival(size);
+            if (readError == asio::error::eof && mParser->got_some()) {
+                error = {};
+                mParser->put_eof(error);
+                co_return error;
+            }
+            if (readError) {
+                const bool isEnd = readError == asio::error::eof;
+                co_return isEnd ? beast::error_code(http::error::end_of_stream) : readError;
+            }
+        }
+    }
+
+    void noteArrival(std::size_t size)
+    {
+        mStalledBytes += size;
+        if (!mStalledSince) {
+            mStalledSince = std::chrono::steady_clock::now();
+        }
+    }
+
+    void noteProgress()
+    {
+        mStalledBytes = 0;
+        mStalledSince.reset();
+    }
+
+    bool isStalled() const
+    {
+        const bool isTooLate = mStalledSince
+            && std::chrono::steady_clock::now() - *mStalledSince > mLimits.unfinished;
+        return isTooLate || mStalledBytes > mLimits.headBytes;
+    }
+
     static awaitable<void> writeAll(std::shared_ptr<Impl> self, std::string bytes)
     {
         auto [error, sent]
@@ -230,6 +374,9 @@
         if (mCancelled || error == asio::error::operation_aborted) {
             return LinkError::Cancelled;
         }
+        if (mEndlessPart != EndlessPart::Nothing) {
+            return LinkError::Endless;
+        }
         if (error == beast::error::timeout) {
             return LinkError::TimedOut;
         }
@@ -240,7 +387,8 @@
     }
 
     beast::tcp_stream mStream;
-    beast::flat_buffer mBuffer{sReadBytes * 8};
+    const AnswerLimits mLimits;
+    beast::flat_buffer mBuffer;
     std::optional<http::response_parser<http::buffer_body>> mParser;
     std::string mPiece;
     BootClock::time_point mUsableUntil;
@@ -250,6 +398,10 @@
     bool mWriting = false;
     bool mWriteFailed = false;
     bool mCancelled = false;
+    std::size_t mBodyBytesRead = 0; ///< of the answer whose head was read last
+    std::size_t mStalledBytes = 0; ///< read since the last progress
+    std::optional<SteadyTime> mStalledSince; ///< when the first of them were read
+    EndlessPart mEndlessPart = EndlessPart::Nothing;
 };
 
 HttpLink::HttpLink(std::shared_ptr<Impl> impl)
@@ -263,13 +415,13 @@
 }
 
 awaitable<tl::expected<std::unique_ptr<HttpLink>, LinkError>>
-HttpLink::connect(Tcp::endpoint endpoint, std::chrono::milliseconds timeout)
+HttpLink::connect(Tcp::endpoint endpoint, std::chrono::milliseconds timeout, AnswerLimits limits)
 {
     auto socket = co_await connectWithin(endpoint, timeout);
     if (!socket) {
         co_return tl::unexpected(LinkError::NotConnected);
     }
-    auto impl = std::make_shared<Impl>(std::move(*socket));
+    auto impl = std::make_shared<Impl>(std::move(*socket), limits);
     co_return std::unique_ptr<HttpLink>(new HttpLink(std::move(impl)));
 }
 
@@ -281,14 +433,10 @@
 
 awaitable<tl::expected<LinkHead, LinkError>> HttpLink::nextHead(Deadline deadline)
 {
-    while (true) {
-        const auto piece = co_await mImpl->readBody(deadline);
-        if (!piece) {
-            co_return tl::unexpected(piece.error());
-        }
-        if (piece->empty()) {
-            break;
-        }
+    const auto skipped
+        = co_await mImpl->skipBody(sMaxSurplusBytes, EndlessPart::SurplusBody, deadline);
+    if (!skipped) {
+        co_return tl::unexpected(skipped.error());
     }
     co_return co_await mImpl->readHead(deadline);
 }
@@ -298,23 +446,15 @@
     co_return co_await mImpl->readBody(deadline);
 }
 
-awaitable<tl::expected<std::string, LinkError>> HttpLink::readWhole(std::size_t most,
-                                                                    Deadline deadline)
+awaitable<tl::expected<std::string, LinkError>>
+HttpLink::readWhole(std::size_t most, Deadline deadline, KeepHandler mayKeep)
 {
-    std::string whole;
-    while (true) {
-        const auto piece = co_await mImpl->readBody(deadline);
-        if (!piece) {
-            co_return tl::unexpected(piece.error());
-        }
-        if (piece->empty()) {
-            co_return whole;
-        }
-        whole += *piece;
-        if (whole.size() > most) {
-            co_return tl::unexpected(LinkError::Malformed);
-        }
-    }
+    co_return co_await mImpl->readWhole(most, deadline, std::move(mayKeep));
+}
+
+awaitable<tl::expected<void, LinkError>> HttpLink::skipBody(std::size_t most, Deadline deadline)
+{
+    co_return co_await mImpl->skipBody(most, EndlessPart::RefusalBody, deadline);
 }
 
 void HttpLink::cancel()
@@ -327,6 +467,21 @@
     return mImpl->isFramed();
 }
 
+std::optional<std::uint64_t> HttpLink::bodyLength() const
+{
+    return mImpl->bodyLength();
+}
+
+std::size_t HttpLink::bodyBytesRead() const
+{
+    return mImpl->bodyBytesRead();
+}
+
+EndlessPart HttpLink::endlessPart() const
+{
+    return mImpl->endlessPart();
+}
+
 bool HttpLink::isReusable() const
 {
     return mImpl->isReusable();
--- a/src/libloomjunction/net/httplink.h
+++ b/src/libloomjunction/net/httplink.h
@@ -8,11 +8,14 @@
 
 #pragma once
 
+#include "answerlimits.h"
 #include "bootclock.h"
 #include "http.h"
 
 #include <cstdint>
+#include <functional>
 #include <memory>
+#include <optional>
 #include <span>
 #include <string>
 #include <string_view>
@@ -27,6 +30,7 @@
     Malformed, ///< bytes that are no answer
     TimedOut,
     Cancelled, ///< cancel() was called
+    Endless, ///< bytes without end, see HttpLink::endlessPart()
 };
 
 /** A request as it goes out; the views must live until the answer's head is there. */
@@ -57,7 +61,7 @@
     using Deadline = std::chrono::steady_clock::time_point;
 
     static awaitable<tl::expected<std::unique_ptr<HttpLink>, LinkError>>
-    connect(Tcp::endpoint endpoint, std::chrono::milliseconds timeout);
+    connect(Tcp::endpoint endpoint, std::chrono::milliseconds timeout, AnswerLimits limits = {});
 
     ~HttpLink();
 
@@ -66,12 +70,17 @@
      * body is out. TimedOut, Closed and Malformed leave open whether it ran.
      */
     awaitable<tl::expected<LinkHead, LinkError>> exchange(LinkRequest request, Deadline deadline);
-    /** Passes over the answer in hand and reads the next one's head. */
+    /** Passes over the answer in hand, if it is short, and reads the next one's head. */
     awaitable<tl::expected<LinkHead, LinkError>> nextHead(Deadline deadline);
     /** More of the body; empty at its whole end. The view holds until the next call. */
     awaitable<tl::expected<std::string_view, LinkError>> readBody(Deadline deadline);
-    /** The whole body, at most @p most bytes. */
-    awaitable<tl::expected<std::string, LinkError>> readWhole(std::size_t most, Deadline deadline);
+    /** Told of the bytes that are about to be kept; false: they may not be. */
+    using KeepHandler = std::function<bool(std::size_t bytes)>;
+    /** The whole body; Endless if it is longer than @p most bytes or @p mayKeep refuses. */
+    awaitable<tl::expected<std::string, LinkError>> readWhole(std::size_t most, Deadline deadline,
+                                                              KeepHandler mayKeep = {});
+    /** Passes over the rest of the body; Endless if it is longer than @p most bytes. */
+    awaitable<tl::expected<void, LinkError>> skipBody(std::size_t most, Deadline deadline);
 
     /**
      * Ends what is under way with Cancelled; the link is of no more use. Without a
@@ -81,6 +90,12 @@
 
     /** The answer's head states where its body ends; otherwise it ends with the connection. */
     bool isFramed() const;
+    /** Length of the body that the answer's head states; empty if it states none. */
+    std::optional<std::uint64_t> bodyLength() const;
+    /** Bytes of the answer's body that have been read. */
+    std::size_t bodyBytesRead() const;
+    /** Where the server sent bytes without end, after a failure with Endless. */
+    EndlessPart endlessPart() const;
     /** The answer is whole, was framed, and another request may follow. */
     bool isReusable() const;
     /** Nothing came in and the other side has not closed, as far as can be seen. */
--- a/src/loomjunctiond/callservice.cpp
+++ b/src/loomjunctiond/callservice.cpp
@@ -250,6 +250,7 @@
     case HttpFailure::Aborted:
         return Unknown{abortedBecause};
     case HttpFailure::Cut:
+    case HttpFailure::TooLarge:
         return Unknown{UnknownReason::UpstreamCut};
     }
     return Unknown{UnknownReason::UpstreamCut};
--- a/tests/process/test_input.py
+++ b/tests/process/test_input.py
@@ -6,6 +6,7 @@
 import os
 import socket
 import subprocess
+import tempfile
 
 from common import basic_lab, call, main, request, request_json
 from loomlab import HOST, program
@@ -84,6 +85,25 @@
         assert missing.returncode == 2 and ".none" in missing.stderr
 
 
+def test_answer_limits_of_a_gateway_are_checked():
+    good = {"role": "gateway", "box": "g1", "dataCentre": "z1", "region": "r1", "peers": "127.0.0.1:1",
+            "store": "127.0.0.1:2", "gateway": {"callers": "127.0.0.1:3", "readiness": "127.0.0.1:4",
+                                                "addresses": "127.0.0.1:5"}}
+    with tempfile.TemporaryDirectory() as folder:
+        def check(answers):
+            path = os.path.join(folder, "settings.json")
+            with open(path, "w") as file:
+                json.dump({**good, "gateway": {**good["gateway"], "answers": answers}}, file)
+            done = subprocess.run([program("loomjunctiond"), "--check", "--config", path],
+                                  capture_output=True, text=True)
+            return done.returncode, done.stderr
+
+        assert check({"eventBytes": 4096, "unfinishedMs": 500})[0] == 0
+        for field, value in (("eventBytes", 10), ("headBytes", "x"), ("heldBytes", -1), ("odd", 1)):
+            code, text = check({field: value})
+            assert code == 2 and "'gateway.answers.%s'" % field in text, text
+
+
 def test_metrics_and_logs_have_their_names():
     with basic_lab(entries=1, plain=0, log_level="debug") as lab:
         entry = lab.entries[0]
@@ -115,4 +135,5 @@
          test_oversized_requests_are_refused,
          test_a_service_without_upstreams_refuses_at_once,
          test_settings_files_are_checked,
+         test_answer_limits_of_a_gateway_are_checked,
          test_metrics_and_logs_have_their_names)
