--- a/tests/soak/callers.py
+++ b/tests/soak/callers.py
@@ -27,6 +27,7 @@
     ended_at: float = 0.0
     gateway: str = ""
     signature: str = ""  # of the answer; empty: none
+    has_left: bool = False  # the caller closed its connection before the answer was whole
     is_unservable: bool = False  # refused while no replica that is up may serve it
 
 
@@ -98,6 +99,7 @@
         self.heard_at = 0.0
         self.is_stopped = False
         self.session = None
+        self.exchange = None  # the request that is under way
 
     async def run(self):
         timeout = aiohttp.ClientTimeout(total=8, sock_connect=1)
@@ -146,6 +148,21 @@
                             "Loomjunction-Token-Usage": "100,30",
                             PROMPT_PARTS: prompt_parts(self.rng)})
         url = f"http://{one.gateway}/{kind}/x?events={total}&gap={gap}"
+        self.exchange = asyncio.ensure_future(self._exchange(one, url, body, headers, total))
+        await asyncio.wait({self.exchange})
+        if self.exchange.cancelled():
+            one.has_left = True
+        else:
+            self.exchange.result()
+        one.ended_at = time.monotonic()
+        one.is_unservable = one.status == 503 and self.placement.is_unservable(kind, account)
+
+    def leave(self):
+        """Closes the connection of the request that is under way."""
+        if self.exchange is not None:
+            self.exchange.cancel()
+
+    async def _exchange(self, one, url, body, headers, total):
         try:
             async with self.session.post(url, data=body, headers=headers) as answer:
                 text = await answer.read()
@@ -153,8 +170,6 @@
                 self._check(one, answer, text, total, body)
         except (aiohttp.ClientError, asyncio.TimeoutError, ConnectionError):
             one.status = 0
-        one.ended_at = time.monotonic()
-        one.is_unservable = one.status == 503 and self.placement.is_unservable(kind, account)
 
     def _check(self, one, answer, text, total, body):
         signature = answer.headers.get("Loomjunction-Response-Signature", "")
--- a/tests/soak/replicas.py
+++ b/tests/soak/replicas.py
@@ -37,6 +37,7 @@
 # A shared part of a prompt with which an engine ends once it begins to write the answer.
 CRASHING_PART = "bad0"
 CRASHES_AFTER = 0.1  # seconds from the head of the answer on
+FLOOD_BYTES = 16_384
 UNFRAMED = 0.2  # share of the streams that have neither a length nor chunks
 
 
@@ -93,6 +94,8 @@
         self.fails = 0.0  # share of requests that get a failure of its own
         self.breaks = 0.0  # share of answers that are cut
         self.loses = 0.0  # share of answers that run and are never given
+        self.floods = 0.0  # share of answers that never end
+        self.flood_kind = "body"
         self.cold_until = 0.0
         self.cold_spans = []  # (time of the record, end, whether it is its first record)
         self.limit = None  # requests a second that its answers name
@@ -278,6 +281,9 @@
             common["Server-Leaving"] = "1"
             self.said_leaving.append((name, self.id))
         status = self._refusal(request)
+        is_flooding = self.rng.random() < self.floods if self.floods else False
+        if is_flooding and self.flood_kind == "refusal":
+            return await self._flood(request, {**common, "Loomjunction-Not-Executed": "1"}, 503, b"")
         if not self._is_for_other(request):
             self.came.append((time.monotonic(), name, self.id))
             if has_crashing_part(request):
@@ -291,10 +297,30 @@
                              self.weights))
         self.running += 1
         try:
+            if is_flooding:
+                self.broke_off.add(name)
+                common["Loomjunction-Response-Signature"] = f"{self.id}/{name}"
+                is_event = self.flood_kind == "event" and self.is_engine
+                more = {"Content-Type": "text/event-stream"} if is_event else {}
+                begin = b"id: 1\ndata: " if is_event else b""
+                return await self._flood(request, {**common, **more}, 200, begin)
             return await self._work(request, name, body, common)
         finally:
             self.running -= 1
 
+    async def _flood(self, request, headers, status, begin):
+        """Sends bytes until the other side closes."""
+        response = web.StreamResponse(status=status, headers=headers)
+        await response.prepare(request)
+        await response.write(begin)
+        try:
+            while request.transport is not None and not request.transport.is_closing():
+                await response.write(b"x" * FLOOD_BYTES)
+                await asyncio.sleep(0.005)
+        except (ConnectionError, OSError):
+            pass
+        return response
+
     def _turn_away(self, name, common):
         self.rests.append((time.monotonic(), name, self.id, self.rest))
         return web.Response(status=503, headers={**common, "Loomjunction-Not-Executed": "1",
--- a/tests/soak/world.py
+++ b/tests/soak/world.py
@@ -71,6 +71,12 @@
             self.signal(signal.SIGTERM)
             self.stopping_since = time.monotonic()
 
+    def note_resumed(self):
+        """It runs again after a suspension, and has its whole time to stop from now on."""
+        self.is_frozen = False
+        if self.stopping_since is not None:
+            self.stopping_since = time.monotonic()
+
     def keep_alive(self):
         """Starts it again when it ended, as the platform does; says how it ended."""
         if self.is_running():
