--- a/tests/crashes/crashfleet.cpp
+++ b/tests/crashes/crashfleet.cpp
@@ -8,6 +8,7 @@
 
 #include "crashfleet.h"
 
+#include "runtest.h"
 #include "streamtext.h"
 
 #include <algorithm>
@@ -173,15 +174,7 @@
         gateway->start();
     }
     mIsRunning = true;
-    std::exception_ptr thrown;
-    asio::co_spawn(context, std::move(test), [&](std::exception_ptr error) {
-        thrown = error;
-        context.stop();
-    });
-    context.run();
-    if (thrown) {
-        std::rethrow_exception(thrown);
-    }
+    runTest(context, std::move(test));
 }
 
 awaitable<HttpResponse> CrashFleet::call(std::size_t index, std::string body,
--- a/tests/gateway/gatewayfixture.cpp
+++ b/tests/gateway/gatewayfixture.cpp
@@ -8,6 +8,8 @@
 
 #include "gatewayfixture.h"
 
+#include "runtest.h"
+
 #include <boost/test/unit_test.hpp>
 
 namespace Loom {
@@ -103,15 +105,7 @@
 void GatewayFixture::run(std::function<awaitable<void>()> test)
 {
     BOOST_REQUIRE(mKernel.start().has_value());
-    std::exception_ptr thrown;
-    asio::co_spawn(context, std::move(test), [&](std::exception_ptr error) {
-        thrown = error;
-        context.stop();
-    });
-    context.run();
-    if (thrown) {
-        std::rethrow_exception(thrown);
-    }
+    runTest(context, std::move(test));
 }
 
 awaitable<tl::expected<HttpResponse, HttpError>>
--- a/tests/gateway/test_demandexchange.cpp
+++ b/tests/gateway/test_demandexchange.cpp
@@ -9,6 +9,7 @@
 #include <boost/test/unit_test.hpp>
 
 #include "fleetgateway.h"
+#include "runtest.h"
 #include "wire.pb.h"
 
 #include <functional>
@@ -56,15 +57,7 @@
         for (const auto &gateway : mGateways) {
             gateway->start();
         }
-        std::exception_ptr thrown;
-        asio::co_spawn(context, std::move(test), [&](std::exception_ptr error) {
-            thrown = error;
-            context.stop();
-        });
-        context.run();
-        if (thrown) {
-            std::rethrow_exception(thrown);
-        }
+        runTest(context, std::move(test));
     }
 
     /** Notes calls at the first two gateways until @p condition holds. */
--- a/tests/limits/limitfleet.cpp
+++ b/tests/limits/limitfleet.cpp
@@ -8,6 +8,8 @@
 
 #include "limitfleet.h"
 
+#include "runtest.h"
+
 #include <algorithm>
 
 #include <boost/test/unit_test.hpp>
@@ -173,15 +175,7 @@
     for (const auto &gateway : mGateways) {
         gateway->start();
     }
-    std::exception_ptr thrown;
-    asio::co_spawn(context, std::move(test), [&](std::exception_ptr error) {
-        thrown = error;
-        context.stop();
-    });
-    context.run();
-    if (thrown) {
-        std::rethrow_exception(thrown);
-    }
+    runTest(context, std::move(test));
 }
 
 awaitable<void> LimitFleet::waitFor(std::function<bool()> condition)
--- a/tests/transport/test_peer.cpp
+++ b/tests/transport/test_peer.cpp
@@ -12,10 +12,9 @@
 #include "http.h"
 #include "logclient.h"
 #include "peerserver.h"
+#include "runtest.h"
 #include "wire.pb.h"
 
-#include <boost/asio/co_spawn.hpp>
-#include <boost/asio/detached.hpp>
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/write.hpp>
 
@@ -30,20 +29,6 @@
     return std::chrono::steady_clock::now() + std::chrono::seconds(20);
 }
 
-/** Runs @p work on its own event loop and fails the test if it throws. */
-void runLoop(asio::io_context &context, std::function<awaitable<void>()> work)
-{
-    std::exception_ptr thrown;
-    asio::co_spawn(context, std::move(work), [&](std::exception_ptr error) {
-        thrown = error;
-        context.stop();
-    });
-    context.run();
-    if (thrown) {
-        std::rethrow_exception(thrown);
-    }
-}
-
 awaitable<void> echo(PeerStreamPtr stream)
 {
     while (true) {
@@ -64,7 +49,7 @@
     asio::io_context context;
     PeerServer server(context.get_executor(), echo);
     BOOST_REQUIRE(server.listen(sAnyPort).has_value());
-    runLoop(context, [&]() -> awaitable<void> {
+    runTest(context, [&]() -> awaitable<void> {
         auto connection
             = co_await PeerConnection::connect(server.localEndpoint(), std::chrono::seconds(5));
         BOOST_REQUIRE(connection.has_value());
@@ -94,7 +79,7 @@
     asio::io_context context;
     PeerServer server(context.get_executor(), echo);
     BOOST_REQUIRE(server.listen(sAnyPort).has_value());
-    runLoop(context, [&]() -> awaitable<void> {
+    runTest(context, [&]() -> awaitable<void> {
         auto connection
             = co_await PeerConnection::connect(server.localEndpoint(), std::chrono::seconds(5));
         const PeerStreamPtr stream = (*connection)->open("/echo");
@@ -121,7 +106,7 @@
         }
     });
     BOOST_REQUIRE(server.listen(sAnyPort).has_value());
-    runLoop(context, [&]() -> awaitable<void> {
+    runTest(context, [&]() -> awaitable<void> {
         auto connection
             = co_await PeerConnection::connect(server.localEndpoint(), std::chrono::seconds(5));
         const PeerStreamPtr stream = (*connection)->open("/flood");
@@ -143,7 +128,7 @@
     asio::io_context context;
     PeerServer server(context.get_executor(), echo);
     BOOST_REQUIRE(server.listen(sAnyPort).has_value());
-    runLoop(context, [&]() -> awaitable<void> {
+    runTest(context, [&]() -> awaitable<void> {
         auto good
             = co_await PeerConnection::connect(server.localEndpoint(), std::chrono::seconds(5));
         Tcp::socket bad(context);
@@ -178,7 +163,7 @@
         stream->connection()->close();
     });
     BOOST_REQUIRE(server.listen(sAnyPort).has_value());
-    runLoop(context, [&]() -> awaitable<void> {
+    runTest(context, [&]() -> awaitable<void> {
         auto connection
             = co_await PeerConnection::connect(server.localEndpoint(), std::chrono::seconds(5));
         const PeerStreamPtr stream = (*connection)->open("/cut");
