Soak: a FAILBACK finding says who sent the requests, and which were refused

The line named a count and a time; nothing told requests of two permit owners from requests to a former life of the replica. Each arrival keeps its request and the status of a refusal at once; a finding lists them by gateway.

--- a/tests/soak/cold.py
+++ b/tests/soak/cold.py
@@ -3,6 +3,7 @@
 """Replicas that are cold for a while, and how many requests reached them meanwhile."""
 
 import asyncio
+import collections
 import time
 
 RATE = 6.0  # requests a second
@@ -43,20 +44,35 @@
     return any(since - STALL_REACH <= at <= until + STALL_REACH for at in stalls)
 
 
-def over_cold_rate(replicas, stalls):
+def by_sender(came, asked):
+    """What each gateway sent of `came`, and when its callers had asked, for a finding."""
+    senders = collections.defaultdict(list)
+    for arrival in came:
+        one = asked.get(arrival.request)
+        name = one.gateway.rsplit(":")[-1] if one else "unknown"
+        waited = f"{arrival.at - one.at:.2f}" if one else "?"
+        senders[name].append(f"{arrival.at - came[-1].at:.2f}/{waited}/{arrival.status}")
+    return "; ".join(f"{name} {len(sent)}: {' '.join(sent)}"
+                     for name, sent in sorted(senders.items()))
+
+
+def over_cold_rate(replicas, stalls, asked):
     """Cold replicas that got more than they can take, from all gateways, at any time."""
     broken, judged = [], 0
+    asked = {one.name: one for one in asked}
     for replica in replicas:
         for written_at, end, is_first in replica.cold_spans:
             begin = written_at if is_first else written_at + KNOWN_AFTER
-            came = [at for at in replica.arrivals if begin <= at < end]
-            for index, at in enumerate(came):
-                if is_stalled(stalls, at - SPAN, at):
+            came = [one for one in replica.arrivals if begin <= one.at < end]
+            for index, last in enumerate(came):
+                if is_stalled(stalls, last.at - SPAN, last.at):
                     continue
                 judged += 1
-                count = sum(1 for one in came[:index + 1] if at - SPAN < one)
-                if count > ALLOWED:
+                within = [one for one in came[:index + 1] if last.at - SPAN < one.at]
+                if len(within) > ALLOWED:
                     broken.append(f"FAILBACK: {replica.service} at {replica.address[1]} got "
-                                  f"{count} requests in {SPAN:.0f} s, {at - written_at:.1f} s "
-                                  f"after it turned cold; allowed {ALLOWED:.0f}")
+                                  f"{len(within)} requests in {SPAN:.0f} s, "
+                                  f"{last.at - written_at:.1f} s after it turned cold; "
+                                  f"allowed {ALLOWED:.0f} (gateway, seconds before the last / "
+                                  f"after its caller asked / status: {by_sender(within, asked)})")
     return broken, judged
--- a/tests/soak/limits.py
+++ b/tests/soak/limits.py
@@ -88,11 +88,12 @@
     broken, judged = [], 0
     for replica in replicas:
         for first, end, rates in spans(replica.named):
-            for at in replica.arrivals:
+            times = [arrival.at for arrival in replica.arrivals]
+            for at in times:
                 if not first + KNOWN_AFTER <= at <= end or not calm(at - SPAN, at):
                     continue
                 judged += 1
-                count = sum(1 for one in replica.arrivals if at - SPAN < one <= at)
+                count = sum(1 for one in times if at - SPAN < one <= at)
                 allowed = TOLERANCE * named_in(rates, at - SPAN, at) + BEYOND
                 if count > allowed:
                     broken.append(f"LIMIT: {replica.service} at {replica.address[1]} got {count} "
--- a/tests/soak/replicas.py
+++ b/tests/soak/replicas.py
@@ -68,6 +68,15 @@
     weights: int
 
 
+@dataclasses.dataclass
+class Arrival:
+    """One request that reached a replica."""
+
+    at: float
+    request: str
+    status: int  # of a refusal at once; 0: none
+
+
 class Replica:
     """One replica, over all its lives; `runs` and `broke_off`, the requests whose answers
     replicas cut for reasons of their own, are shared by all of a soak."""
@@ -100,7 +109,7 @@
         self.cold_spans = []  # (time of the record, end, whether it is its first record)
         self.limit = None  # requests a second that its answers name
         self.named = []  # (time, limit), in order
-        self.arrivals = []  # times
+        self.arrivals = []  # of requests, see Arrival
         self.says_leaving = False  # in its answers, whatever its record says
         self.rest = None  # seconds that it asks for when it turns a request away
         self.came = []  # (time, request, life)
@@ -271,7 +280,8 @@
         if not self.is_up:
             reset(request.transport)
             return web.Response(status=500)
-        self.arrivals.append(time.monotonic())
+        status = self._refusal(request)
+        self.arrivals.append(Arrival(time.monotonic(), name, status))
         common = {"Loomjunction-Request-Id": name, "Loomjunction-Instance-Id": self.id}
         if self._cold_left_ms():
             common["Loomjunction-Cold-Ms"] = str(self._cold_left_ms())
@@ -280,7 +290,6 @@
         if self.is_leaving():
             common["Server-Leaving"] = "1"
             self.said_leaving.append((name, self.id))
-        status = self._refusal(request)
         is_flooding = self.rng.random() < self.floods if self.floods else False
         if is_flooding and self.flood_kind == "refusal":
             return await self._flood(request, {**common, "Loomjunction-Not-Executed": "1"}, 503, b"")
--- a/tests/soak/soak.py
+++ b/tests/soak/soak.py
@@ -302,7 +302,8 @@
             self.world, self.asked, runs, ZONES, CONFIG_APPLY + SLACK, was_stable)
         evacuated, self.evacuations_judged = in_evacuated(
             self.placement.evacuations, runs, ZONES, SLACK, was_stable)
-        over_rate, self.cold_judged = over_cold_rate(self.world.replicas, self.stalls)
+        over_rate, self.cold_judged = over_cold_rate(self.world.replicas, self.stalls,
+                                                       self.asked)
         self.broken += outside + evacuated + over_rate
         unheeded_notices, self.notices_judged = unheeded(self.world, self.asked, self.stalls)
         self.broken += unheeded_notices
