Tests: gateways that leave together each grant the whole rate (red)

A leaving gateway that knows no other one takes the absence of an owner for its own election.

Seen failing on this code: three of three gateways grant, 31 arrivals in a second of 20 allowed; the same for a limit that a replica names.

--- a/tests/gateway/fleetgateway.h
+++ b/tests/gateway/fleetgateway.h
@@ -26,6 +26,11 @@
     void start();
     /** Stops the gateway as a kill does, without any message to others. */
     void kill() { mKernel.stop(); }
+    /** Leaves as after SIGTERM: serves on, until no calls arrive or the time to stop is over. */
+    awaitable<void> drain()
+    {
+        return mKernel.find<GatewayServer>(GatewayServer::sName).drain();
+    }
     /** Whether it is ready and knows at least @p replicas replicas and @p others healthy gateways.
      */
     bool isReady(std::size_t replicas, std::size_t others);
@@ -34,6 +39,7 @@
         return mKernel.find<GatewayServer>(GatewayServer::sName).localEndpoint();
     }
     ReplicaService &replicas() { return mKernel.find<ReplicaService>(ReplicaService::sName); }
+    MemberService &members() { return mKernel.find<MemberService>(MemberService::sName); }
     PermitService &permits() { return mKernel.find<PermitService>(PermitService::sName); }
     const Metrics &metrics() const { return mMetrics; }
     /** Value of its membership record, as it writes it to the store. */
--- a/tests/limits/limitfleet.cpp
+++ b/tests/limits/limitfleet.cpp
@@ -217,6 +217,17 @@
     mGateways[index]->kill();
 }
 
+void LimitFleet::leave(std::size_t index)
+{
+    asio::co_spawn(context, mGateways[index]->drain(), asio::detached);
+}
+
+bool LimitFleet::haveAllLeft()
+{
+    return std::ranges::all_of(
+        mGateways, [](const auto &gateway) { return gateway->members().others().empty(); });
+}
+
 awaitable<void> LimitFleet::keepCalling(std::size_t gateway, double perSecond)
 {
     const auto pause = std::chrono::microseconds(static_cast<std::int64_t>(1e6 / perSecond));
--- a/tests/limits/limitfleet.h
+++ b/tests/limits/limitfleet.h
@@ -102,6 +102,10 @@
     awaitable<void> stopCallers();
     /** Ends a gateway as a kill does, and its callers with it. */
     void kill(std::size_t index);
+    /** Lets a gateway leave; it serves its callers meanwhile. */
+    void leave(std::size_t index);
+    /** Whether no gateway has a membership record that another one knows of. */
+    bool haveAllLeft();
     void killAgent(std::size_t index) { mAgents[index]->kill(); }
 
     int calls() const { return mCalls; }
--- a/tests/limits/test_coldfleet.cpp
+++ b/tests/limits/test_coldfleet.cpp
@@ -29,6 +29,9 @@
 // Records are read at least this often, and a permit owner then learns of the cold time.
 constexpr Milliseconds sKnown{1'500};
 
+// Gateways that leave take new requests for at least this long.
+constexpr std::chrono::milliseconds sAfterLeaving{2'000};
+
 constexpr ColdFields sCold{sColdRate, sLongCold};
 
 int mostAt(LimitFleet &fleet, Instant from)
@@ -280,6 +283,46 @@
     });
 }
 
+// A gateway that leaves isn't the home while others stay. When all leave together, none of them
+// must take the absence of another home for its own election.
+BOOST_AUTO_TEST_CASE(gateways_that_leave_together_do_not_each_grant_the_cold_rate)
+{
+    LimitFleet fleet(LimitFleet::Kind::Plain, sGateways, sReplicas, sCold);
+    fleet.run([&]() -> awaitable<void> {
+        co_await fleet.untilReady();
+        co_await fleet.waitFor([&] { return homeOf(fleet).has_value(); });
+        fleet.startCallers(sCallsPerSecond);
+        const Instant begin = now();
+        for (std::size_t index = 0; index < sGateways; ++index) {
+            fleet.leave(index);
+        }
+        co_await fleet.waitFor([&] { return fleet.haveAllLeft(); });
+        for (std::size_t index = 0; index < sGateways; ++index) {
+            BOOST_TEST(!isHome(fleet, index));
+        }
+        co_await sleepFor(sAfterLeaving);
+        co_await fleet.stopCallers();
+        BOOST_TEST(mostAt(fleet, begin) <= sBound);
+    });
+}
+
+// Callers of the last one would otherwise get nothing until it is back.
+BOOST_AUTO_TEST_CASE(last_gateway_that_leaves_remains_the_home_of_cold_replicas)
+{
+    LimitFleet fleet(LimitFleet::Kind::Plain, 2, 1, sCold);
+    fleet.run([&]() -> awaitable<void> {
+        co_await fleet.untilReady();
+        fleet.leave(0);
+        co_await fleet.waitFor([&] { return fleet.gateway(1).members().others().empty(); });
+        BOOST_TEST(!isHome(fleet, 0));
+        co_await fleet.waitFor([&] { return isHome(fleet, 1); });
+        fleet.leave(1);
+        co_await fleet.waitFor([&] { return fleet.gateway(0).members().others().empty(); });
+        BOOST_TEST(!isHome(fleet, 0));
+        BOOST_TEST(isHome(fleet, 1));
+    });
+}
+
 // A rate that cannot be one must neither reject the configuration nor limit anything.
 BOOST_AUTO_TEST_CASE(invalid_cold_rate_is_reported_and_has_no_effect)
 {
--- a/tests/limits/test_limits.cpp
+++ b/tests/limits/test_limits.cpp
@@ -199,23 +199,46 @@
     });
 }
 
+namespace {
+
+// Gateways that grant the permits of the replica without an agent, whose limit is named here.
+std::size_t permitOwnerCount(LimitFleet &fleet, std::size_t gateways)
+{
+    std::size_t owners = 0;
+    for (std::size_t index = 0; index < gateways; ++index) {
+        wire::PermitQuery query;
+        query.mutable_limit()->set_replica("i-0@0");
+        query.mutable_limit()->set_per_second(sNamed);
+        query.set_address(fleet.replica(0).address());
+        query.set_asks(true);
+        const wire::PermitAnswer answer = fleet.gateway(index).permits().answer(query);
+        owners += answer.has_limit() ? 1 : 0;
+        BOOST_TEST(!answer.granted());
+    }
+    return owners;
+}
+
+} // namespace
+
 // Two that both thought so would hand out twice the limit.
 BOOST_AUTO_TEST_CASE(one_gateway_alone_hands_out_the_sends_to_a_replica_without_an_agent)
 {
     LimitFleet fleet(LimitFleet::Kind::Plain, 3, 1);
     fleet.run([&]() -> awaitable<void> {
         co_await fleet.untilReady();
-        int homes = 0;
+        BOOST_TEST(permitOwnerCount(fleet, 3) == 1U);
+    });
+}
+
+BOOST_AUTO_TEST_CASE(gateways_that_leave_together_do_not_each_hand_out_a_limit)
+{
+    LimitFleet fleet(LimitFleet::Kind::Plain, 3, 1);
+    fleet.run([&]() -> awaitable<void> {
+        co_await fleet.untilReady();
         for (std::size_t index = 0; index < 3; ++index) {
-            wire::PermitQuery query;
-            query.mutable_limit()->set_replica("i-0@0");
-            query.mutable_limit()->set_per_second(sNamed);
-            query.set_address(fleet.replica(0).address());
-            query.set_asks(true);
-            const wire::PermitAnswer answer = fleet.gateway(index).permits().answer(query);
-            homes += answer.has_limit() ? 1 : 0;
-            BOOST_TEST(!answer.granted());
+            fleet.leave(index);
         }
-        BOOST_TEST(homes == 1);
+        co_await fleet.waitFor([&] { return fleet.haveAllLeft(); });
+        BOOST_TEST(permitOwnerCount(fleet, 3) <= 1U);
     });
 }
