Members: a leaving gateway without successor owns no key

All four gateways were leaving, two of them still served, and each granted the whole rate: an empty result of ownerOf() meant "this process", so that a gateway whose own weight did not count and that knew no other one elected itself. The same held for named limits and for probes of a quarantined request.

ownerOf() and recordedOwnerOf() return a KeyOwner, which tells an owner that there is none from this process. The last gateway to leave, which knew no other one at that moment, goes on granting. With no owner nothing is sent, as when the owner doesn't answer.

--- a/src/libloomjunction/gateway/memberservice.cpp
+++ b/src/libloomjunction/gateway/memberservice.cpp
@@ -174,7 +174,9 @@
 
 awaitable<void> MemberService::leave()
 {
-    mIsLeaving = true;
+    if (!std::exchange(mIsLeaving, true)) {
+        mIsLastGateway = mSettings.isGateway() && !knowsOtherGateways();
+    }
     const auto result = co_await mStore.put(mKey, std::nullopt);
     logLine(result ? LogLevel::Info : LogLevel::Warning, "member-record-removed",
             {{"key", mKey}, {"done", result.has_value()}});
@@ -626,12 +628,19 @@
     return !isSilent;
 }
 
-std::optional<Tcp::endpoint> MemberService::ownerOf(std::string_view key) const
+bool MemberService::knowsOtherGateways() const
+{
+    return std::ranges::any_of(mMembers, [](const auto &item) { return item.second.isGateway; });
+}
+
+// Gateways that leave at the same time can't agree on an owner, as they have no records any more.
+// The last one to leave may go on: the others knew it when they left.
+KeyOwner MemberService::ownerOf(std::string_view key) const
 {
     const GatewayState own = mStatusSource ? mStatusSource() : GatewayState();
-    const bool isOwnUsable = own.isReady && !own.isLeaving;
+    const bool isOwnUsable = mIsLeaving ? mIsLastGateway : own.isReady && !own.isLeaving;
     std::uint64_t highestWeight = isOwnUsable ? rendezvousWeight(key, mKey) : 0;
-    std::optional<Tcp::endpoint> owner;
+    KeyOwner owner = isOwnUsable ? KeyOwner(OwnedHere{}) : KeyOwner(Unowned{});
     for (const auto &[member, candidate] : mMembers) {
         if (!candidate.isGateway || availabilityOf(member) == GatewayAvailability::Unavailable) {
             continue;
@@ -645,10 +654,11 @@
     return owner;
 }
 
-std::optional<Tcp::endpoint> MemberService::recordedOwnerOf(std::string_view key) const
+KeyOwner MemberService::recordedOwnerOf(std::string_view key) const
 {
-    std::uint64_t highestWeight = mIsLeaving ? 0 : rendezvousWeight(key, mKey);
-    std::optional<Tcp::endpoint> owner;
+    const bool isOwnUsable = !mIsLeaving || mIsLastGateway;
+    std::uint64_t highestWeight = isOwnUsable ? rendezvousWeight(key, mKey) : 0;
+    KeyOwner owner = isOwnUsable ? KeyOwner(OwnedHere{}) : KeyOwner(Unowned{});
     for (const auto &[member, candidate] : mMembers) {
         const std::uint64_t weight = candidate.isGateway ? rendezvousWeight(key, member) : 0;
         if (weight > highestWeight) {
@@ -659,6 +669,11 @@
     return owner;
 }
 
+bool MemberService::isUndisputedOwnerOf(std::string_view key) const
+{
+    return std::holds_alternative<OwnedHere>(recordedOwnerOf(key)) && isMajorityHeard();
+}
+
 bool MemberService::isMajorityHeard() const
 {
     std::size_t heard = 1;
--- a/src/libloomjunction/gateway/memberservice.h
+++ b/src/libloomjunction/gateway/memberservice.h
@@ -24,6 +24,7 @@
 #include <set>
 #include <span>
 #include <string>
+#include <variant>
 #include <vector>
 
 namespace Loom {
@@ -51,6 +52,11 @@
     std::uint64_t incarnation = 0;
 };
 
+/** The gateway that decides about a key on behalf of all. */
+struct OwnedHere {}; ///< this process
+struct Unowned {}; ///< none: all that are known are leaving or unavailable
+using KeyOwner = std::variant<Unowned, OwnedHere, Tcp::endpoint>; ///< else: its peer address
+
 /** State of another gateway, as received from it directly. */
 struct GatewayState
 {
@@ -137,15 +143,17 @@
     /** The same by data centre. */
     std::map<std::string, std::uint32_t, std::less<>> gatewayCountByDataCentre() const;
     /**
-     * Peer address of the gateway that owns @p key on behalf of all; nothing if this process
-     * owns it. Gateways that know the same members in the same states agree on the owner.
+     * The gateway that owns @p key on behalf of all. Gateways that know the same members in the
+     * same states agree on it.
      */
-    std::optional<Tcp::endpoint> ownerOf(std::string_view key) const;
+    KeyOwner ownerOf(std::string_view key) const;
     /**
      * The same among all gateways with a membership record, whether they are heard or not, so that
      * gateways that are cut off from each other agree on the owner.
      */
-    std::optional<Tcp::endpoint> recordedOwnerOf(std::string_view key) const;
+    KeyOwner recordedOwnerOf(std::string_view key) const;
+    /** Whether this process is the recorded owner of @p key and hears most gateways. */
+    bool isUndisputedOwnerOf(std::string_view key) const;
     /**
      * Whether more than half of the gateways that this one follows, itself included, are heard. A
      * gateway that is cut off with a minority of them does not hear the majority.
@@ -170,6 +178,7 @@
     void noteHeardFromDataCentre(const std::string &key);
     bool isOverdue(const std::string &key, const Member &member) const;
     bool mayBeAlive(const std::string &key) const;
+    bool knowsOtherGateways() const;
     GatewayAvailability availabilityOf(const std::string &key) const;
     static bool isUsable(const GatewayState &state);
     bool mayReadStore(const std::string &key, bool mayHaveFailed) const;
@@ -213,6 +222,8 @@
     std::uint64_t mStatusChangeCount = 0;
     bool mIsRecorded = false;
     bool mIsLeaving = false;
+    /** No other gateway was known when this one began to leave. */
+    bool mIsLastGateway = false;
     bool mStopped = false;
 };
 
--- a/src/libloomjunction/gateway/permitclient.cpp
+++ b/src/libloomjunction/gateway/permitclient.cpp
@@ -8,7 +8,6 @@
 
 #include "permitclient.h"
 
-#include "memberservice.h"
 #include "peerhub.h"
 #include "permitservice.h"
 
@@ -43,12 +42,11 @@
 {
 }
 
-// The agent of the replica, or its home gateway if no agent is known; empty if this process
-// is the home gateway.
-std::optional<Tcp::endpoint> PermitClient::permitOwnerOf(const Replica &replica) const
+// The agent of the replica, or its home gateway if no agent is known.
+KeyOwner PermitClient::permitOwnerOf(const Replica &replica) const
 {
-    if (auto agent = mMembers.agentFor(replica.record.address)) {
-        return agent;
+    if (const auto agent = mMembers.agentFor(replica.record.address)) {
+        return *agent;
     }
     const std::string incarnation = replica.record.incarnation();
     return replica.isCold(now()) ? mMembers.recordedOwnerOf(incarnation)
@@ -83,30 +81,37 @@
 
 void PermitClient::reportLimit(const Replica &replica)
 {
-    const auto owner = permitOwnerOf(replica);
-    if (!owner) {
+    const KeyOwner owner = permitOwnerOf(replica);
+    if (std::holds_alternative<OwnedHere>(owner)) {
         mLocalService.answer(queryFor(replica, mMembers.key()));
-        return;
+    } else if (const auto *address = std::get_if<Tcp::endpoint>(&owner)) {
+        send(*address, queryFor(replica, endpointText(*address)));
     }
-    send(*owner, queryFor(replica, endpointText(*owner)));
 }
 
 awaitable<std::optional<wire::PermitAnswer>> PermitClient::ask(Replica replica)
 {
-    const auto owner = permitOwnerOf(replica);
-    wire::PermitQuery query = queryFor(replica, owner ? endpointText(*owner) : mMembers.key());
-    query.set_asks(true);
-    if (!owner) {
+    const KeyOwner owner = permitOwnerOf(replica);
+    if (std::holds_alternative<OwnedHere>(owner)) {
+        wire::PermitQuery query = queryFor(replica, mMembers.key());
+        query.set_asks(true);
         co_return mLocalService.answer(query);
     }
+    const auto *address = std::get_if<Tcp::endpoint>(&owner);
+    if (address == nullptr) {
+        co_return std::nullopt;
+    }
+    const std::string key = endpointText(*address);
+    wire::PermitQuery query = queryFor(replica, key);
+    query.set_asks(true);
     const auto request = std::make_shared<PendingRequest>(mExecutor);
     request->incarnation = replica.record.incarnation();
     request->sentAt = now();
-    Link &link = mLinks[endpointText(*owner)];
+    Link &link = mLinks[key];
     if (isUnresponsive(link, request->sentAt)) {
         dropConnection(link);
     }
-    if (!send(*owner, std::move(query))) {
+    if (!send(*address, std::move(query))) {
         co_return std::nullopt;
     }
     link.pending.push_back(request);
--- a/src/libloomjunction/gateway/permitclient.h
+++ b/src/libloomjunction/gateway/permitclient.h
@@ -11,6 +11,7 @@
 #include "asynctypes.h"
 #include "clock.h"
 #include "kernel.h"
+#include "memberservice.h"
 #include "peerstream.h"
 #include "replica.h"
 #include "wire.pb.h"
@@ -23,7 +24,6 @@
 
 namespace Loom {
 
-class MemberService;
 class PeerHub;
 class PermitService;
 
@@ -76,7 +76,7 @@
     };
 
     wire::PermitQuery queryFor(const Replica &replica, const std::string &owner);
-    std::optional<Tcp::endpoint> permitOwnerOf(const Replica &replica) const;
+    KeyOwner permitOwnerOf(const Replica &replica) const;
     static bool isUnresponsive(const Link &link, Instant now);
     bool send(const Tcp::endpoint &owner, wire::PermitQuery query);
     awaitable<void> connect(Tcp::endpoint owner);
--- a/src/libloomjunction/gateway/permitservice.cpp
+++ b/src/libloomjunction/gateway/permitservice.cpp
@@ -97,14 +97,15 @@
     if (query.cold_per_second() > 0) {
         return isColdPermitOwnerOf(query);
     }
-    return !mMembers->agentFor(query.address()) && !mMembers->ownerOf(query.limit().replica());
+    return !mMembers->agentFor(query.address())
+        && std::holds_alternative<OwnedHere>(mMembers->ownerOf(query.limit().replica()));
 }
 
 // Gateways that are cut off from each other must not both grant the whole rate.
 bool PermitService::isColdPermitOwnerOf(const wire::PermitQuery &query) const
 {
     return !mMembers->agentFor(query.address())
-        && !mMembers->recordedOwnerOf(query.limit().replica()) && mMembers->isMajorityHeard()
+        && mMembers->isUndisputedOwnerOf(query.limit().replica())
         && now() - mStartedAt >= sNewHomeDelay;
 }
 
--- a/src/libloomjunction/gateway/quarantineservice.cpp
+++ b/src/libloomjunction/gateway/quarantineservice.cpp
@@ -138,7 +138,7 @@
 // Gateways that are cut off from each other agree on the home gateway, too.
 bool QuarantineService::isHomeGateway(const QuarantineSubject &subject) const
 {
-    return !mMembers->recordedOwnerOf(subjectText(subject)) && mMembers->isMajorityHeard();
+    return mMembers->isUndisputedOwnerOf(subjectText(subject));
 }
 
 awaitable<void> QuarantineService::noteConnectionLost(LostRun run)
