Members: a gateway that was out of contact owns no key at first

A gateway that stood still or was cut off for longer than others wait before they remove its record went on as the owner of its keys once it was back: it read status messages that had arrived meanwhile, seemed to hear all, and granted the rate of cold replicas beside the gateway that had taken over.

MemberService notes when it last heard most gateways. After 4 s without, a gateway owns nothing for 3 s, as after its start; that delay moves here from the permit service, and so holds for probes of quarantined requests, too.

--- a/src/libloomjunction/gateway/memberservice.cpp
+++ b/src/libloomjunction/gateway/memberservice.cpp
@@ -41,6 +41,11 @@
 constexpr Milliseconds sPresumedAliveTimeout{15'000};
 // Longer than a restart takes, so that only records of boxes that stay away are removed.
 constexpr Milliseconds sRemovalTimeout{5'000};
+// A gateway that was out of contact for so long may have lost its record, and others own its keys.
+constexpr Milliseconds sMaxContactLoss{4'000};
+// Within this time it has read the removal, and the others its new record; the same holds for a
+// gateway that has just started.
+constexpr Milliseconds sOwnershipDelay{3'000};
 constexpr Milliseconds sRemovalStagger{500};
 constexpr std::uint64_t sRemovalSlotCount = 8;
 constexpr std::chrono::milliseconds sRemovalCheckInterval{500};
@@ -88,6 +93,8 @@
 
 tl::expected<void, std::string> MemberService::start(Kernel &kernel)
 {
+    mInContactAt = now();
+    mMayOwnFrom = mInContactAt + sOwnershipDelay;
     mFeeds = &kernel.find<FeedService>(FeedService::sName);
     mHub = &kernel.find<PeerHub>(PeerHub::sName);
     mStatusChanged = std::make_unique<Signal>(kernel.executor());
@@ -671,7 +678,24 @@
 
 bool MemberService::isUndisputedOwnerOf(std::string_view key) const
 {
-    return std::holds_alternative<OwnedHere>(recordedOwnerOf(key)) && isMajorityHeard();
+    const Instant time = now();
+    const bool isInContact = isMajorityHeard() && time - mInContactAt < sMaxContactLoss;
+    return std::holds_alternative<OwnedHere>(recordedOwnerOf(key)) && isInContact
+        && time >= mMayOwnFrom;
+}
+
+// The time since the last check tells a process that stood still, too: after that it reads the
+// messages which arrived meanwhile and would seem to hear all.
+void MemberService::updateContact()
+{
+    if (!isMajorityHeard()) {
+        return;
+    }
+    const Instant time = now();
+    if (time - mInContactAt >= sMaxContactLoss) {
+        mMayOwnFrom = time + sOwnershipDelay;
+    }
+    mInContactAt = time;
 }
 
 bool MemberService::isMajorityHeard() const
@@ -698,6 +722,7 @@
 {
     while (!mStopped) {
         updatePlan();
+        updateContact();
         for (const std::string &key : mGatewaysToFollow) {
             if (mFollowedGateways.insert(key).second) {
                 asio::co_spawn(mStatusChanged->executor(), followGateway(key), asio::detached);
--- a/src/libloomjunction/gateway/memberservice.h
+++ b/src/libloomjunction/gateway/memberservice.h
@@ -152,7 +152,10 @@
      * gateways that are cut off from each other agree on the owner.
      */
     KeyOwner recordedOwnerOf(std::string_view key) const;
-    /** Whether this process is the recorded owner of @p key and hears most gateways. */
+    /**
+     * Whether this process is the recorded owner of @p key and hears most gateways, and has run and
+     * heard them for long enough for all to agree on its record.
+     */
     bool isUndisputedOwnerOf(std::string_view key) const;
     /**
      * Whether more than half of the gateways that this one follows, itself included, are heard. A
@@ -179,6 +182,7 @@
     bool isOverdue(const std::string &key, const Member &member) const;
     bool mayBeAlive(const std::string &key) const;
     bool knowsOtherGateways() const;
+    void updateContact();
     GatewayAvailability availabilityOf(const std::string &key) const;
     static bool isUsable(const GatewayState &state);
     bool mayReadStore(const std::string &key, bool mayHaveFailed) const;
@@ -220,6 +224,8 @@
     std::vector<std::string> mDataCentreReaders; ///< the same for this data centre
     std::unique_ptr<Signal> mStatusChanged;
     std::uint64_t mStatusChangeCount = 0;
+    Instant mInContactAt; ///< last check at which most gateways were heard
+    Instant mMayOwnFrom; ///< when all agree on this gateway's record after a start or loss of contact
     bool mIsRecorded = false;
     bool mIsLeaving = false;
     /** No other gateway was known when this one began to leave. */
--- a/src/libloomjunction/gateway/permitservice.cpp
+++ b/src/libloomjunction/gateway/permitservice.cpp
@@ -33,10 +33,6 @@
 constexpr Milliseconds sWrongOwnerRetryDelay{200};
 // A longer cold time in a query is implausible.
 constexpr std::uint64_t sMaxColdUs = std::uint64_t{24} * 60 * 60 * 1'000'000;
-// A gateway that has just started becomes the home of replicas that another one has granted permits
-// for. It grants none to cold replicas until its membership record has reached that one, which
-// takes less than two seconds.
-constexpr Milliseconds sNewHomeDelay{3'000};
 
 Instant timeBefore(Instant now, std::uint64_t microseconds)
 {
@@ -81,7 +77,6 @@
 
 tl::expected<void, std::string> PermitService::start(Kernel &kernel)
 {
-    mStartedAt = now();
     mMembers = &kernel.find<MemberService>(MemberService::sName);
     kernel.find<PeerHub>(PeerHub::sName)
         .serve(std::string(sPermitPath),
@@ -105,8 +100,7 @@
 bool PermitService::isColdPermitOwnerOf(const wire::PermitQuery &query) const
 {
     return !mMembers->agentFor(query.address())
-        && mMembers->isUndisputedOwnerOf(query.limit().replica())
-        && now() - mStartedAt >= sNewHomeDelay;
+        && mMembers->isUndisputedOwnerOf(query.limit().replica());
 }
 
 PermitService::Entry &PermitService::entryOf(const std::string &incarnation)
--- a/src/libloomjunction/gateway/permitservice.h
+++ b/src/libloomjunction/gateway/permitservice.h
@@ -79,7 +79,6 @@
 
     std::string mReplicaAddress;
     MemberService *mMembers = nullptr;
-    Instant mStartedAt;
     std::map<std::string, Entry> mEntries; ///< by the replica's incarnation
     std::string mLatestIncarnation; ///< from the latest query
     bool mStopped = false;
--- a/tests/limits/test_coldfleet.cpp
+++ b/tests/limits/test_coldfleet.cpp
@@ -11,6 +11,7 @@
 #include <boost/test/unit_test.hpp>
 
 #include "limitfleet.h"
+#include "suspendedclock.h"
 #include "wire.pb.h"
 
 using namespace Loom;
@@ -32,6 +33,9 @@
 // Gateways that leave take new requests for at least this long.
 constexpr std::chrono::milliseconds sAfterLeaving{2'000};
 
+// In which a gateway checks several times which others it hears.
+constexpr std::chrono::milliseconds sSeveralChecks{700};
+
 constexpr ColdFields sCold{sColdRate, sLongCold};
 
 int mostAt(LimitFleet &fleet, Instant from)
@@ -323,6 +327,24 @@
     });
 }
 
+// The others may have removed its record meanwhile and taken over, which it reads only later.
+BOOST_AUTO_TEST_CASE(gateway_that_was_suspended_is_no_home_of_cold_replicas_at_once)
+{
+    SuspendedClock clock;
+    LimitFleet fleet(LimitFleet::Kind::Plain, 1, 1, sCold);
+    fleet.run([&]() -> awaitable<void> {
+        co_await fleet.waitFor([&] { return isHome(fleet, 0); });
+        clock.suspend(std::chrono::seconds(1));
+        co_await sleepFor(sSeveralChecks);
+        BOOST_TEST(isHome(fleet, 0));
+        clock.suspend(std::chrono::seconds(6));
+        BOOST_TEST(!isHome(fleet, 0));
+        co_await sleepFor(sSeveralChecks);
+        BOOST_TEST(!isHome(fleet, 0));
+        co_await fleet.waitFor([&] { return isHome(fleet, 0); });
+    });
+}
+
 // A rate that cannot be one must neither reject the configuration nor limit anything.
 BOOST_AUTO_TEST_CASE(invalid_cold_rate_is_reported_and_has_no_effect)
 {
