--- a/src/libloomjunction/gateway/memberservice.h
+++ b/src/libloomjunction/gateway/memberservice.h
@@ -52,10 +52,18 @@
     std::uint64_t incarnation = 0;
 };
 
-/** The gateway that decides about a key on behalf of all. */
-struct OwnedHere {}; ///< this process
-struct Unowned {}; ///< none: all that are known are leaving or unavailable
-using KeyOwner = std::variant<Unowned, OwnedHere, Tcp::endpoint>; ///< else: its peer address
+/** This process owns a key. */
+struct OwnedHere
+{
+};
+
+/** No gateway owns a key: all that are known are leaving or unavailable. */
+struct Unowned
+{
+};
+
+/** The gateway that decides about a key on behalf of all; another one by its peer address. */
+using KeyOwner = std::variant<Unowned, OwnedHere, Tcp::endpoint>;
 
 /** State of another gateway, as received from it directly. */
 struct GatewayState
@@ -225,7 +233,8 @@
     std::unique_ptr<Signal> mStatusChanged;
     std::uint64_t mStatusChangeCount = 0;
     Instant mInContactAt; ///< last check at which most gateways were heard
-    Instant mMayOwnFrom; ///< when all agree on this gateway's record after a start or loss of contact
+    Instant
+        mMayOwnFrom; ///< when all agree on this gateway's record after a start or loss of contact
     bool mIsRecorded = false;
     bool mIsLeaving = false;
     /** No other gateway was known when this one began to leave. */
--- a/tests/gateway/fleetgateway.h
+++ b/tests/gateway/fleetgateway.h
@@ -27,10 +27,7 @@
     /** Stops the gateway as a kill does, without any message to others. */
     void kill() { mKernel.stop(); }
     /** Leaves as after SIGTERM: serves on, until no calls arrive or the time to stop is over. */
-    awaitable<void> drain()
-    {
-        return mKernel.find<GatewayServer>(GatewayServer::sName).drain();
-    }
+    awaitable<void> drain() { return mKernel.find<GatewayServer>(GatewayServer::sName).drain(); }
     /** Whether it is ready and knows at least @p replicas replicas and @p others healthy gateways.
      */
     bool isReady(std::size_t replicas, std::size_t others);
