Members: the last leaving gateway owns keys only until another one starts

A gateway that starts doesn't know of one that leaves and becomes the owner after 3 s, while the leaving one may go on for some seconds more. Found by reading the change again; last_gateway_that_leaves_remains_the_home_of_cold_replicas covers it now.

--- a/src/libloomjunction/gateway/memberservice.cpp
+++ b/src/libloomjunction/gateway/memberservice.cpp
@@ -182,7 +182,7 @@
 awaitable<void> MemberService::leave()
 {
     if (!std::exchange(mIsLeaving, true)) {
-        mIsLastGateway = mSettings.isGateway() && !knowsOtherGateways();
+        mWasLastGateway = mSettings.isGateway() && !knowsOtherGateways();
     }
     const auto result = co_await mStore.put(mKey, std::nullopt);
     logLine(result ? LogLevel::Info : LogLevel::Warning, "member-record-removed",
@@ -641,11 +641,16 @@
 }
 
 // Gateways that leave at the same time can't agree on an owner, as they have no records any more.
-// The last one to leave may go on: the others knew it when they left.
+// The last one to leave may go on until another one starts: the others knew it when they left.
+bool MemberService::isLastGateway() const
+{
+    return mWasLastGateway && !knowsOtherGateways();
+}
+
 KeyOwner MemberService::ownerOf(std::string_view key) const
 {
     const GatewayState own = mStatusSource ? mStatusSource() : GatewayState();
-    const bool isOwnUsable = mIsLeaving ? mIsLastGateway : own.isReady && !own.isLeaving;
+    const bool isOwnUsable = mIsLeaving ? isLastGateway() : own.isReady && !own.isLeaving;
     std::uint64_t highestWeight = isOwnUsable ? rendezvousWeight(key, mKey) : 0;
     KeyOwner owner = isOwnUsable ? KeyOwner(OwnedHere{}) : KeyOwner(Unowned{});
     for (const auto &[member, candidate] : mMembers) {
@@ -663,7 +668,7 @@
 
 KeyOwner MemberService::recordedOwnerOf(std::string_view key) const
 {
-    const bool isOwnUsable = !mIsLeaving || mIsLastGateway;
+    const bool isOwnUsable = !mIsLeaving || isLastGateway();
     std::uint64_t highestWeight = isOwnUsable ? rendezvousWeight(key, mKey) : 0;
     KeyOwner owner = isOwnUsable ? KeyOwner(OwnedHere{}) : KeyOwner(Unowned{});
     for (const auto &[member, candidate] : mMembers) {
--- a/src/libloomjunction/gateway/memberservice.h
+++ b/src/libloomjunction/gateway/memberservice.h
@@ -190,6 +190,7 @@
     bool isOverdue(const std::string &key, const Member &member) const;
     bool mayBeAlive(const std::string &key) const;
     bool knowsOtherGateways() const;
+    bool isLastGateway() const;
     void updateContact();
     GatewayAvailability availabilityOf(const std::string &key) const;
     static bool isUsable(const GatewayState &state);
@@ -233,12 +234,12 @@
     std::unique_ptr<Signal> mStatusChanged;
     std::uint64_t mStatusChangeCount = 0;
     Instant mInContactAt; ///< last check at which most gateways were heard
-    Instant
-        mMayOwnFrom; ///< when all agree on this gateway's record after a start or loss of contact
+    /** When all agree on this gateway's record after its start or a loss of contact. */
+    Instant mMayOwnFrom;
     bool mIsRecorded = false;
     bool mIsLeaving = false;
     /** No other gateway was known when this one began to leave. */
-    bool mIsLastGateway = false;
+    bool mWasLastGateway = false;
     bool mStopped = false;
 };
 
--- a/tests/limits/test_coldfleet.cpp
+++ b/tests/limits/test_coldfleet.cpp
@@ -324,6 +324,11 @@
         co_await fleet.waitFor([&] { return fleet.gateway(0).members().others().empty(); });
         BOOST_TEST(!isHome(fleet, 0));
         BOOST_TEST(isHome(fleet, 1));
+        // A gateway that starts doesn't know of it, and becomes the home of all replicas.
+        fleet.addGateway();
+        co_await fleet.waitFor([&] { return isHome(fleet, 2); });
+        BOOST_TEST(!isHome(fleet, 0));
+        BOOST_TEST(!isHome(fleet, 1));
     });
 }
 
