--- a/tests/limits/test_coldfleet.cpp
+++ b/tests/limits/test_coldfleet.cpp
@@ -36,6 +36,9 @@
 // In which a gateway checks several times which others it hears.
 constexpr std::chrono::milliseconds sSeveralChecks{700};
 
+// Enough for each of two gateways to have the highest weight for some.
+constexpr int sManyReplicas = 20;
+
 constexpr ColdFields sCold{sColdRate, sLongCold};
 
 int mostAt(LimitFleet &fleet, Instant from)
@@ -246,7 +249,8 @@
                 fleet.kill(index);
             }
         }
-        co_await fleet.waitFor([&] { return !isHome(fleet, home); });
+        co_await fleet.waitFor([&] { return !fleet.gateway(home).members().isMajorityHeard(); });
+        BOOST_TEST(!isHome(fleet, home));
     });
 }
 
@@ -327,8 +331,11 @@
         // A gateway that starts doesn't know of it, and becomes the home of all replicas.
         fleet.addGateway();
         co_await fleet.waitFor([&] { return isHome(fleet, 2); });
-        BOOST_TEST(!isHome(fleet, 0));
-        BOOST_TEST(!isHome(fleet, 1));
+        for (int replica = 0; replica < sManyReplicas; ++replica) {
+            const std::string incarnation = "i-" + std::to_string(replica) + "@0";
+            BOOST_TEST(fleet.gateway(2).members().isUndisputedOwnerOf(incarnation));
+            BOOST_TEST(!fleet.gateway(1).members().isUndisputedOwnerOf(incarnation));
+        }
     });
 }
 
