--- a/tests/process/gatewaylab.py
+++ b/tests/process/gatewaylab.py
@@ -101,8 +101,9 @@
     def __init__(self, store):
         self.folder = tempfile.TemporaryDirectory()
         self.path = os.path.join(self.folder.name, "settings.json")
-        free = [serve(BaseHTTPRequestHandler) for _ in range(3)]
-        self.callers, self.ready, self.metrics = [server.server_address[1] for server in free]
+        free = [serve(BaseHTTPRequestHandler) for _ in range(4)]
+        self.callers, self.ready, self.metrics, self.addresses = [
+            server.server_address[1] for server in free]
         for server in free:
             server.shutdown()
             server.server_close()
@@ -112,7 +113,7 @@
                        "seeds": [], "bounds": {"retryRatio": 10, "retryExtra": 100, "retryWindowSeconds": 1}, "metrics": "%s:%d" % (HOST, self.metrics),
                        "gateway": {"callers": "%s:%d" % (HOST, self.callers),
                                    "readiness": "%s:%d" % (HOST, self.ready),
-                                   "addresses": HOST + ":0"}}, file)
+                                   "addresses": "%s:%d" % (HOST, self.addresses)}}, file)
         self.start()
 
     def start(self):
