Requests: what frames a body is bounded by the limit of the head

Callers saw a gateway end by its memory: eight clients that sent trailer fields, a chunk extension or the digits of a chunk size without end brought it from 9 MB to 300 MB and more within a second, at each of its listeners, and agents and entries as well.

Cause: the parser needs a chunk's line, or all trailer fields, as a whole, and the server read into a buffer without a maximum until the end was there. The limits of the parser are for the head and for the bytes of the body.

RequestReader reads for the server now. It ends a request whose line or trailers exceed the limit of the head, or whose framing exceeds eight bytes for a byte of body besides that; a chunk of one byte needs five. Such a request gets 431 before anything was sent on. Headers are taken before the body is read: the parser adds trailer fields to them, so that a trailer passed for a header.

--- a/src/libloomjunction/net/httpserver.cpp
+++ b/src/libloomjunction/net/httpserver.cpp
@@ -10,6 +10,7 @@
 
 #include "httpfields.h"
 #include "listener.h"
+#include "requestreader.h"
 
 #include <cerrno>
 #include <set>
@@ -29,21 +30,9 @@
 namespace beast = boost::beast;
 namespace http = boost::beast::http;
 
-constexpr std::size_t sFirstReadBytes = std::size_t{16} * 1024;
-constexpr std::string_view sContinue = "HTTP/1.1 100 Continue\r\n\r\n";
 // A HEAD request's answer has headers only, whatever they say of a body.
 constexpr std::string_view sHeadMethod = "HEAD";
 
-HttpRequest toRequest(http::request<http::string_body> &&message)
-{
-    HttpRequest request;
-    request.method = message.method_string();
-    request.target = message.target();
-    request.headers = copyHeaders(message);
-    request.body = std::move(message.body());
-    return request;
-}
-
 // How often a caller is looked at whose next request lies there already: the loop
 // would tell of those bytes again and again, and of no close behind them.
 constexpr std::chrono::milliseconds sLookEvery{20};
@@ -241,24 +230,23 @@
     bool mComplete = false;
 };
 
-HttpResponse badInput(const beast::error_code &error)
+HttpResponse refusalOf(RequestProblem problem)
 {
-    if (error == http::error::body_limit) {
+    switch (problem) {
+    case RequestProblem::BodyTooLarge:
         return HttpResponse::json(413, R"({"error":"body: larger than the limit"})");
-    }
-    if (error == http::error::header_limit || error == http::error::buffer_overflow) {
+    case RequestProblem::HeadTooLarge:
         return HttpResponse::json(431, R"({"error":"headers: larger than the limit"})");
+    case RequestProblem::FramingTooLarge:
+        return HttpResponse::json(431,
+                                  R"({"error":"chunk lines or trailers: larger than the limit"})");
+    case RequestProblem::Closed:
+    case RequestProblem::Malformed:
+        break;
     }
     return HttpResponse::json(400, R"({"error":"request: not valid HTTP"})");
 }
 
-bool isPeerGone(const beast::error_code &error)
-{
-    return error == http::error::end_of_stream || error == http::error::partial_message
-        || error == beast::error::timeout || error.category() == asio::error::get_system_category()
-        || error == asio::error::eof;
-}
-
 } // namespace
 
 class HttpServer::Impl : public std::enable_shared_from_this<HttpServer::Impl>
@@ -306,10 +294,10 @@
     static awaitable<void> serve(std::shared_ptr<Impl> self, Tcp::socket socket)
     {
         beast::tcp_stream stream(std::move(socket));
-        beast::flat_buffer buffer;
+        RequestReader reader(stream);
         bool open = true;
         while (open) {
-            open = co_await serveOne(*self, stream, buffer) && !self->mState.isStopped;
+            open = co_await serveOne(*self, stream, reader) && !self->mState.isStopped;
         }
         boost::system::error_code ignored;
         stream.socket().shutdown(Tcp::socket::shutdown_send, ignored);
@@ -317,51 +305,29 @@
 
     // Waits for the first bytes of a request, as long as a connection may rest.
     static awaitable<bool> waitForRequest(Impl &self, beast::tcp_stream &stream,
-                                          beast::flat_buffer &buffer)
+                                          RequestReader &reader)
     {
-        if (buffer.size() > 0) {
+        if (reader.hasUnparsedBytes()) {
             co_return true;
         }
         self.mState.idle.insert(&stream);
-        stream.expires_after(self.mState.limits.idle);
-        auto [error, size]
-            = co_await stream.async_read_some(buffer.prepare(sFirstReadBytes), sAsValue);
+        const bool hasBegun = co_await reader.waitForRequest(self.mState.limits.idle);
         self.mState.idle.erase(&stream);
-        buffer.commit(size);
-        co_return !error;
+        co_return hasBegun;
     }
 
-    static awaitable<bool> serveOne(Impl &self, beast::tcp_stream &stream,
-                                    beast::flat_buffer &buffer)
+    static awaitable<bool> serveOne(Impl &self, beast::tcp_stream &stream, RequestReader &reader)
     {
-        if (!co_await waitForRequest(self, stream, buffer)) {
+        if (!co_await waitForRequest(self, stream, reader)) {
             co_return false;
         }
-        http::request_parser<http::string_body> parser;
-        parser.body_limit(self.mState.limits.bodyBytes);
-        parser.header_limit(self.mState.limits.headerBytes);
-        stream.expires_after(self.mState.limits.header);
-        auto [headError, headSize]
-            = co_await http::async_read_header(stream, buffer, parser, sAsValue);
-        if (headError) {
-            self.noteLoss(HttpLoss::NotRead, headError.message());
-            co_await refuse(stream, headError, self.mState);
-            co_return false;
-        }
-        stream.expires_after(self.mState.limits.idle);
-        if (!parser.is_done()
-            && beast::iequals(parser.get()[http::field::expect], "100-continue")) {
-            co_await asio::async_write(stream, asio::buffer(sContinue), sAsValue);
-        }
-        auto [error, size] = co_await http::async_read(stream, buffer, parser, sAsValue);
-        stream.expires_never();
-        if (error) {
-            self.noteLoss(HttpLoss::NotRead, error.message());
-            co_await refuse(stream, error, self.mState);
+        auto read = co_await reader.read(self.mState.limits);
+        if (!read) {
+            self.noteLoss(HttpLoss::NotRead, read.error().text);
+            co_await refuse(stream, read.error().problem, self.mState);
             co_return false;
         }
-        const bool keepAlive = parser.get().keep_alive();
-        ServerExchange exchange(stream, toRequest(parser.release()), keepAlive, self.mState);
+        ServerExchange exchange(stream, std::move(read->request), read->keepAlive, self.mState);
         const std::optional<std::string> thrown = co_await handle(self, exchange);
         if (thrown) {
             self.noteLoss(HttpLoss::Thrown, *thrown);
@@ -388,14 +354,14 @@
         }
     }
 
-    static awaitable<void> refuse(beast::tcp_stream &stream, beast::error_code error,
+    static awaitable<void> refuse(beast::tcp_stream &stream, RequestProblem problem,
                                   const ServerState &state)
     {
-        if (isPeerGone(error)) {
+        if (problem == RequestProblem::Closed) {
             co_return;
         }
         ServerExchange refusal(stream, {}, false, state);
-        co_await refusal.respond(badInput(error));
+        co_await refusal.respond(refusalOf(problem));
     }
 
     asio::any_io_executor mExecutor;
