Requests: one budget for the bytes of all that clients have under way

Callers saw a gateway end by its memory although each client kept within the limits: 80 bodies of 4 MB that stopped a piece short of their end, by length, in one chunk, in large or in small chunks, held 200 to 334 MB, and 80 whole requests 653 MB. The same at every other listener, at agents and at entries.

Cause: each request had a limit, all together had none.

ConnectionBudget counts, for all listeners of a process, the bytes of each request from the first one until its answer is out: announced bytes at once, others as they arrive. A request that finds no room is refused at once with 503 and Retry-After; nothing of it was sent on. One that is still arriving and would need more than ten seconds for its bytes at its present rate gives way to others, so that clients that stop short can't hold the room. Large blocks are returned to the system when they are freed.

--- a/src/libloomjunction/gateway/addressserver.cpp
+++ b/src/libloomjunction/gateway/addressserver.cpp
@@ -8,6 +8,7 @@
 
 #include "addressserver.h"
 
+#include "connectionservice.h"
 #include "gatewayserver.h"
 #include "jsonhttp.h"
 #include "memberservice.h"
@@ -38,6 +39,8 @@
     const auto handler = [this](HttpExchange &exchange) { return handle(exchange); };
     mAddressServer = std::make_unique<HttpServer>(kernel.executor(), handler);
     mReadinessServer = std::make_unique<HttpServer>(kernel.executor(), handler);
+    mAddressServer->setBudget(ConnectionService::budgetOf(kernel));
+    mReadinessServer->setBudget(ConnectionService::budgetOf(kernel));
     const auto &gateway = std::get<GatewaySettings>(mSettings.role);
     if (auto listening = mAddressServer->listen(gateway.addresses); !listening) {
         return listening;
--- a/src/libloomjunction/gateway/gatewayserver.cpp
+++ b/src/libloomjunction/gateway/gatewayserver.cpp
@@ -9,6 +9,7 @@
 #include "gatewayserver.h"
 
 #include "clock.h"
+#include "connectionservice.h"
 #include "feedservice.h"
 #include "gatewaycall.h"
 #include "jsonlog.h"
@@ -66,6 +67,7 @@
     mConfig->addListener([this] { applyLimits(); });
     mServer = std::make_unique<HttpServer>(
         kernel.executor(), [this](HttpExchange &exchange) { return handle(exchange); });
+    mServer->setBudget(ConnectionService::budgetOf(kernel));
     mServer->setLossHandler(
         [this](HttpLoss loss, std::string_view problem) { noteLostRequest(loss, problem); });
     return mServer->listen(std::get<GatewaySettings>(mSettings.role).callers);
--- a/src/libloomjunction/gateway/metricsserver.cpp
+++ b/src/libloomjunction/gateway/metricsserver.cpp
@@ -8,6 +8,7 @@
 
 #include "metricsserver.h"
 
+#include "connectionservice.h"
 #include "jsonhttp.h"
 #include "metrics.h"
 
@@ -23,6 +24,7 @@
 {
     mServer = std::make_unique<HttpServer>(
         kernel.executor(), [this](HttpExchange &exchange) { return handle(exchange); });
+    mServer->setBudget(ConnectionService::budgetOf(kernel));
     return mServer->listen(mAddress);
 }
 
--- a/src/libloomjunction/net/http.h
+++ b/src/libloomjunction/net/http.h
@@ -21,6 +21,8 @@
 
 namespace Loom {
 
+class ConnectionBudget;
+
 struct HttpHeader
 {
     std::string name;
@@ -107,6 +109,8 @@
     Tcp::endpoint localEndpoint() const;
     /** Holds for connections that are open, too. */
     void setLimits(HttpLimits limits);
+    /** Shares the bounds on what clients hold with other servers; before listen(). */
+    void setBudget(std::shared_ptr<ConnectionBudget> budget);
     /** Tells of requests that no handler answered. */
     void setLossHandler(HttpLossHandler onLoss);
     /** From now on every answer closes its connection; new ones are still taken. */
--- a/src/libloomjunction/net/httpserver.cpp
+++ b/src/libloomjunction/net/httpserver.cpp
@@ -30,6 +30,8 @@
 namespace beast = boost::beast;
 namespace http = boost::beast::http;
 
+// Room is given back when requests end.
+constexpr std::string_view sRetryAfterSeconds = "1";
 // A HEAD request's answer has headers only, whatever they say of a body.
 constexpr std::string_view sHeadMethod = "HEAD";
 
@@ -240,6 +242,11 @@
     case RequestProblem::FramingTooLarge:
         return HttpResponse::json(431,
                                   R"({"error":"chunk lines or trailers: larger than the limit"})");
+    case RequestProblem::NoRoom: {
+        HttpResponse response = HttpResponse::json(503, R"({"error":"no room for the request"})");
+        response.headers.push_back({"Retry-After", std::string(sRetryAfterSeconds)});
+        return response;
+    }
     case RequestProblem::Closed:
     case RequestProblem::Malformed:
         break;
@@ -272,6 +279,7 @@
 
     Tcp::endpoint localEndpoint() const { return mListener->localEndpoint(); }
     void setLimits(HttpLimits limits) { mState.limits = limits; }
+    void setBudget(std::shared_ptr<ConnectionBudget> budget) { mBudget = std::move(budget); }
     void setLossHandler(HttpLossHandler onLoss) { mOnLoss = std::move(onLoss); }
     void beginDrain() { mState.isDraining = true; }
 
@@ -294,10 +302,12 @@
     static awaitable<void> serve(std::shared_ptr<Impl> self, Tcp::socket socket)
     {
         beast::tcp_stream stream(std::move(socket));
-        RequestReader reader(stream);
+        ConnectionBudget::Share share(*self->mBudget, [&stream] { stream.cancel(); });
+        RequestReader reader(stream, share);
         bool open = true;
         while (open) {
             open = co_await serveOne(*self, stream, reader) && !self->mState.isStopped;
+            share.endRequest();
         }
         boost::system::error_code ignored;
         stream.socket().shutdown(Tcp::socket::shutdown_send, ignored);
@@ -367,6 +377,7 @@
     asio::any_io_executor mExecutor;
     HttpHandler mHandler;
     HttpLossHandler mOnLoss;
+    std::shared_ptr<ConnectionBudget> mBudget = std::make_shared<ConnectionBudget>();
     ServerState mState;
     std::shared_ptr<Listener> mListener;
 };
@@ -397,6 +408,11 @@
     mImpl->setLimits(limits);
 }
 
+void HttpServer::setBudget(std::shared_ptr<ConnectionBudget> budget)
+{
+    mImpl->setBudget(std::move(budget));
+}
+
 void HttpServer::setLossHandler(HttpLossHandler onLoss)
 {
     mImpl->setLossHandler(std::move(onLoss));
--- a/src/libloomjunction/net/requestreader.cpp
+++ b/src/libloomjunction/net/requestreader.cpp
@@ -8,6 +8,7 @@
 
 #include "requestreader.h"
 
+#include "clock.h"
 #include "httpfields.h"
 
 #include <algorithm>
@@ -22,6 +23,8 @@
 namespace beast = boost::beast;
 namespace http = boost::beast::http;
 
+// Of connections that wait for a request, which may be many.
+constexpr std::size_t sFirstReadBytes = std::size_t{4} * 1024;
 constexpr std::size_t sReadBytes = std::size_t{16} * 1024;
 constexpr std::size_t sLargeReadBytes = std::size_t{64} * 1024;
 // Chunks of a single byte need five bytes of framing each.
@@ -41,6 +44,9 @@
     if (error == http::error::buffer_overflow) {
         return RequestProblem::FramingTooLarge;
     }
+    if (error == asio::error::no_buffer_space) {
+        return RequestProblem::NoRoom;
+    }
     const bool isClosed = error == http::error::end_of_stream
         || error == http::error::partial_message || error == beast::error::timeout
         || error.category() == asio::error::get_system_category() || error == asio::error::eof;
@@ -58,6 +64,13 @@
     return std::clamp<std::uint64_t>(left, sReadBytes, sLargeReadBytes);
 }
 
+// Many heads may be unfinished, so their buffers don't exceed the limit.
+std::size_t headReadSize(std::size_t bytes, const HttpLimits &limits)
+{
+    const std::size_t left = limits.headerBytes - std::min<std::size_t>(bytes, limits.headerBytes);
+    return std::clamp(left, std::size_t{1}, sReadBytes);
+}
+
 HttpRequest requestHead(const Parser &parser)
 {
     HttpRequest request;
@@ -71,17 +84,21 @@
 
 awaitable<bool> RequestReader::waitForRequest(std::chrono::milliseconds timeout)
 {
+    mBuffer.shrink_to_fit();
     mStream.expires_after(timeout);
-    co_return !co_await readSome(sReadBytes);
+    co_return !co_await readSome(sFirstReadBytes);
 }
 
 awaitable<tl::expected<ReadRequest, RequestError>> RequestReader::read(HttpLimits limits)
 {
+    mShare.beginRequest(now());
+    mShare.noteArrival(mBuffer.size(), now());
+    mHeadBytes = 0;
     Parser parser;
     parser.body_limit(limits.bodyBytes);
     parser.header_limit(limits.headerBytes);
     mStream.expires_after(limits.header);
-    if (const auto error = co_await readHead(parser)) {
+    if (const auto error = co_await readHead(parser, limits)) {
         co_return unexpected(error);
     }
     // Taken before the body, since the parser adds trailer fields to the head.
@@ -94,17 +111,24 @@
         co_return unexpected(error);
     }
     mStream.expires_never();
+    mShare.beginHandling();
     result.request.body = std::move(parser.get().body());
     co_return std::move(result);
 }
 
-awaitable<beast::error_code> RequestReader::readHead(Parser &parser)
+awaitable<beast::error_code> RequestReader::readHead(Parser &parser, HttpLimits limits)
 {
     while (!parser.is_header_done()) {
         beast::error_code error;
-        mBuffer.consume(parser.put(mBuffer.data(), error));
-        if (error == http::error::need_more) {
-            error = co_await readSome(sReadBytes);
+        const std::size_t consumed = parser.put(mBuffer.data(), error);
+        mBuffer.consume(consumed);
+        mHeadBytes += consumed;
+        if (error && error != http::error::need_more) {
+            co_return error;
+        }
+        error = charge(parser);
+        if (!error && !parser.is_header_done()) {
+            error = co_await readSome(headReadSize(mBuffer.size(), limits));
         }
         if (error) {
             co_return error;
@@ -113,6 +137,17 @@
     co_return beast::error_code();
 }
 
+beast::error_code RequestReader::charge(const Parser &parser)
+{
+    const std::uint64_t announced
+        = parser.is_header_done() ? parser.content_length().value_or(0) : 0;
+    const std::uint64_t body = std::max<std::uint64_t>(announced, parser.get().body().capacity());
+    // The head is kept by the parser and by the request.
+    const std::uint64_t held = mBuffer.capacity() + 2 * mHeadBytes + body;
+    return mShare.resize(held, now()) ? beast::error_code()
+                                      : beast::error_code(asio::error::no_buffer_space);
+}
+
 awaitable<beast::error_code> RequestReader::readBody(Parser &parser, HttpLimits limits)
 {
     const std::string &body = parser.get().body();
@@ -133,7 +168,10 @@
             || framingBytes > limits.headerBytes + sMaxFramingPerBodyByte * body.size()) {
             co_return http::error::buffer_overflow;
         }
-        if (!parser.is_done() && (!error || error == http::error::need_more)) {
+        if (!error || error == http::error::need_more) {
+            error = charge(parser);
+        }
+        if (!error && !parser.is_done()) {
             error = co_await readSome(readSize(parser));
         }
         if (error) {
@@ -147,7 +185,8 @@
 {
     auto [error, size] = co_await mStream.async_read_some(mBuffer.prepare(maxBytes), sAsValue);
     mBuffer.commit(size);
-    co_return error;
+    mShare.noteArrival(size, now());
+    co_return mShare.isCut() ? beast::error_code(asio::error::no_buffer_space) : error;
 }
 
 } // namespace Loom
--- a/src/libloomjunction/net/requestreader.h
+++ b/src/libloomjunction/net/requestreader.h
@@ -8,6 +8,7 @@
 
 #pragma once
 
+#include "connectionbudget.h"
 #include "http.h"
 
 #include <boost/beast/core/flat_buffer.hpp>
@@ -25,6 +26,7 @@
     HeadTooLarge,
     BodyTooLarge,
     FramingTooLarge, ///< lines of chunks, or trailer fields
+    NoRoom, ///< requests of other connections use all the memory, or this one was too slow
 };
 
 struct RequestError
@@ -46,8 +48,9 @@
 class RequestReader
 {
 public:
-    explicit RequestReader(boost::beast::tcp_stream &stream)
+    RequestReader(boost::beast::tcp_stream &stream, ConnectionBudget::Share &share)
         : mStream(stream)
+        , mShare(share)
     {
     }
 
@@ -60,12 +63,17 @@
 private:
     using Parser = boost::beast::http::request_parser<boost::beast::http::string_body>;
 
-    awaitable<boost::beast::error_code> readHead(Parser &parser);
+    awaitable<boost::beast::error_code> readHead(Parser &parser, HttpLimits limits);
     awaitable<boost::beast::error_code> readBody(Parser &parser, HttpLimits limits);
     awaitable<boost::beast::error_code> readSome(std::size_t maxBytes);
 
+    /** Charges what is kept of the request. */
+    boost::beast::error_code charge(const Parser &parser);
+
     boost::beast::tcp_stream &mStream;
+    ConnectionBudget::Share &mShare;
     boost::beast::flat_buffer mBuffer;
+    std::size_t mHeadBytes = 0; ///< of the request that is read
 };
 
 } // namespace Loom
--- a/src/loomjunctiond/adminapi.cpp
+++ b/src/loomjunctiond/adminapi.cpp
@@ -14,6 +14,7 @@
 #include "clock.h"
 #include "configservice.h"
 #include "configtail.h"
+#include "connectionservice.h"
 #include "jsonhttp.h"
 #include "jsonlog.h"
 #include "linkservice.h"
@@ -79,6 +80,7 @@
     mFront = &kernel.find<CallFront>(CallFront::sName);
     mServer = std::make_unique<HttpServer>(
         kernel.executor(), [this](HttpExchange &exchange) { return handle(exchange); });
+    mServer->setBudget(ConnectionService::budgetOf(kernel));
     return mServer->listen(std::get<EntrySettings>(mPlatform->settings().role).operators);
 }
 
--- a/src/loomjunctiond/callfront.cpp
+++ b/src/loomjunctiond/callfront.cpp
@@ -12,6 +12,7 @@
 #include "claimservice.h"
 #include "clock.h"
 #include "configservice.h"
+#include "connectionservice.h"
 #include "jsonhttp.h"
 #include "jsonlog.h"
 #include "linkservice.h"
@@ -59,6 +60,7 @@
     });
     mServer = std::make_unique<HttpServer>(
         kernel.executor(), [this](HttpExchange &exchange) { return handle(exchange); });
+    mServer->setBudget(ConnectionService::budgetOf(kernel));
     return mServer->listen(std::get<EntrySettings>(mPlatform->settings().role).callers);
 }
 
--- a/src/loomjunctiond/directdaemon.cpp
+++ b/src/loomjunctiond/directdaemon.cpp
@@ -10,6 +10,7 @@
 
 #include "addressserver.h"
 #include "clock.h"
+#include "connectionservice.h"
 #include "feedservice.h"
 #include "gatewayserver.h"
 #include "jsonlog.h"
@@ -78,6 +79,7 @@
 {
     const auto preference = mSettings.isGateway() ? FeedPreference::Store : FeedPreference::Peers;
     mKernel.add(std::make_unique<LoopWatch>(mMetrics));
+    mKernel.add(std::make_unique<ConnectionService>());
     mKernel.add(std::make_unique<PeerHub>(mSettings.peers));
     mKernel.add(std::make_unique<FeedService>(*mPorts.store, mSettings.box, preference));
     mKernel.add(std::make_unique<MemberService>(*mPorts.store, mSettings, mIncarnation));
--- a/src/loomjunctiond/main.cpp
+++ b/src/loomjunctiond/main.cpp
@@ -15,6 +15,7 @@
 #include "claimservice.h"
 #include "configservice.h"
 #include "configtail.h"
+#include "connectionservice.h"
 #include "daemonsettings.h"
 #include "directdaemon.h"
 #include "jsonlog.h"
@@ -39,6 +40,8 @@
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/signal_set.hpp>
 
+#include <malloc.h>
+
 using namespace Loom;
 
 namespace {
@@ -47,6 +50,10 @@
 constexpr int sExitSettings = 2;
 constexpr int sExitStart = 3;
 
+// Bodies of this size are returned to the system at once when they are freed. The allocator would
+// raise the size by itself after the first one.
+constexpr int sLargeBlockBytes = 256 * 1024;
+
 /** One daemon process: its event loop, kernel and planned stop. */
 class Daemon
 {
@@ -59,6 +66,7 @@
             = std::make_unique<PlatformService>(mContext.get_executor(), std::move(settings));
         PlatformService &parts = *platform;
         mKernel.add(std::move(platform));
+        mKernel.add(std::make_unique<ConnectionService>());
         mKernel.add(std::make_unique<ListService>());
         mKernel.add(std::make_unique<ConfigService>(mContext.get_executor()));
         std::visit(Overload{
@@ -176,6 +184,7 @@
     app.add_option("--config", path, "settings file (JSON)")->required();
     app.add_flag("--check", checkOnly, "only check the settings file");
     CLI11_PARSE(app, argc, argv);
+    mallopt(M_MMAP_THRESHOLD, sLargeBlockBytes);
 
     if (hasMemberRole(path)) {
         return runDirect(path, checkOnly);
--- a/src/loomjunctiond/metricsservice.cpp
+++ b/src/loomjunctiond/metricsservice.cpp
@@ -9,6 +9,7 @@
 #include "metricsservice.h"
 
 #include "configservice.h"
+#include "connectionservice.h"
 #include "jsonhttp.h"
 #include "platformservice.h"
 #include "upstreamservice.h"
@@ -26,6 +27,7 @@
     }
     mServer = std::make_unique<HttpServer>(
         kernel.executor(), [this](HttpExchange &exchange) { return handle(exchange); });
+    mServer->setBudget(ConnectionService::budgetOf(kernel));
     return mServer->listen(*operators);
 }
 
--- a/tests/gateway/fleetgateway.cpp
+++ b/tests/gateway/fleetgateway.cpp
@@ -8,6 +8,8 @@
 
 #include "fleetgateway.h"
 
+#include "connectionservice.h"
+
 #include <algorithm>
 #include <cstdint>
 #include <random>
@@ -59,6 +61,7 @@
     : mSettings(memberSettings(context, std::move(box)))
     , mKernel(context.get_executor())
 {
+    mKernel.add(std::make_unique<ConnectionService>());
     mKernel.add(std::make_unique<PeerHub>(mSettings.peers));
     mKernel.add(std::make_unique<FeedService>(store, mSettings.box, FeedPreference::Store));
     mKernel.add(std::make_unique<MemberService>(store, mSettings, 1));
--- a/tests/gateway/gatewayfixture.cpp
+++ b/tests/gateway/gatewayfixture.cpp
@@ -8,6 +8,7 @@
 
 #include "gatewayfixture.h"
 
+#include "connectionservice.h"
 #include "runtest.h"
 
 #include <boost/test/unit_test.hpp>
@@ -72,6 +73,7 @@
 
 GatewayFixture::GatewayFixture()
 {
+    mKernel.add(std::make_unique<ConnectionService>());
     mKernel.add(std::make_unique<PeerHub>(mSettings.peers));
     mKernel.add(std::make_unique<FeedService>(store, mSettings.box, FeedPreference::Store));
     mKernel.add(std::make_unique<MemberService>(store, mSettings, 1));
