Connections: idle ones make room, and descriptors are left for replicas

Cause: nothing bounded the connections of clients; the listener waited until a descriptor was free, and connections to replicas and the store found none.

ConnectionBudget counts the connections of all listeners and closes the one that has had the longest time for its first request, or else the one that has rested for longest, when a new one comes. A connection whose request is handled is never closed. The bound leaves half of the descriptors to replicas, store and peers, and a tenth of the memory; both are settings, and come from the platform or the operating system by default.

--- a/src/libloomjunction/core/connectionbudget.cpp
+++ b/src/libloomjunction/core/connectionbudget.cpp
@@ -10,6 +10,7 @@
 
 #include "decay.h"
 
+#include <algorithm>
 #include <limits>
 #include <numbers>
 #include <utility>
@@ -23,29 +24,75 @@
 constexpr double sMaxSecondsNeeded = 10;
 // The rate of a request that has just begun is not known.
 constexpr Milliseconds sMinAge{500};
+constexpr Milliseconds sFirstRequestTime{1'000};
+
+// Some are used for files, and a request that is handled needs one towards a replica.
+constexpr std::size_t sFileDescriptors = 200;
+constexpr std::size_t sMaxConnections = 4'096;
+// Memory of a connection that waits for a request.
+constexpr std::size_t sConnectionBytes = std::size_t{8} * 1024;
 
 } // namespace
 
-ConnectionBudget::Share::Share(ConnectionBudget &budget, std::function<void()> onCut)
+ConnectionBounds connectionBoundsFor(const ProcessLimits &limits)
+{
+    const std::size_t sockets
+        = limits.descriptors - std::min(limits.descriptors / 2, sFileDescriptors);
+    const std::size_t inMemory = limits.memoryBytes / 10 / sConnectionBytes;
+    ConnectionBounds bounds;
+    bounds.heldBytes = std::min(bounds.heldBytes, limits.memoryBytes * 3 / 10);
+    bounds.connections = std::min({sockets / 2, inMemory, sMaxConnections});
+    return bounds;
+}
+
+ConnectionBudget::Share::Share(ConnectionBudget &budget, CutHandler onCut, Instant now)
     : mBudget(budget)
     , mOnCut(std::move(onCut))
+    , mWaitsSince(now)
 {
+    if (!mBudget.makeRoomForConnection(now)) {
+        mIsCut = true;
+        return;
+    }
+    mIsCounted = true;
+    ++mBudget.mConnections;
+    mBudget.addWaiting(*this);
 }
 
 ConnectionBudget::Share::~Share()
 {
-    endRequest();
+    mBudget.release(*this);
+    mBudget.mConnections -= mIsCounted ? 1 : 0;
 }
 
 void ConnectionBudget::Share::beginRequest(Instant now)
 {
-    mState = State::Receiving;
-    mBudget.mReceiving.insert(this);
+    setState(State::Receiving, now);
     mBegunAt = now;
     mArrivedAt = now;
     mRecentBytes = 0;
 }
 
+void ConnectionBudget::Share::setState(State state, Instant now)
+{
+    if (mIsCut) {
+        return;
+    }
+    mBudget.mReceiving.erase(this);
+    mBudget.removeWaiting(*this);
+    mState = state;
+    mHasRequested = mHasRequested || state == State::Handling;
+    if (mHasRequested) {
+        mWaitsSince = now;
+    }
+    if (state == State::Receiving) {
+        mBudget.mReceiving.insert(this);
+    }
+    if (state != State::Handling) {
+        mBudget.addWaiting(*this);
+    }
+}
+
 void ConnectionBudget::Share::noteArrival(std::size_t bytes, Instant now)
 {
     mRecentBytes = mRecentBytes * decayFactor(now - mArrivedAt, sRateHalfLifeMs)
@@ -66,17 +113,15 @@
     return false;
 }
 
-void ConnectionBudget::Share::beginHandling()
+void ConnectionBudget::Share::beginHandling(Instant now)
 {
-    mState = State::Handling;
-    mBudget.mReceiving.erase(this);
+    setState(State::Handling, now);
 }
 
-void ConnectionBudget::Share::endRequest()
+void ConnectionBudget::Share::endRequest(Instant now)
 {
-    mState = State::Waiting;
-    mBudget.mReceiving.erase(this);
     setBytes(0);
+    setState(State::Waiting, now);
 }
 
 void ConnectionBudget::Share::setBytes(std::size_t bytes)
@@ -106,7 +151,7 @@
         if (share == nullptr) {
             return false;
         }
-        cut(*share);
+        cut(*share, CutReason::Memory);
     }
     return true;
 }
@@ -139,13 +184,58 @@
     return slowest;
 }
 
-void ConnectionBudget::cut(Share &share)
+void ConnectionBudget::addWaiting(Share &share)
+{
+    waitingLike(share).emplace(share.mWaitsSince, &share);
+}
+
+void ConnectionBudget::removeWaiting(Share &share)
+{
+    waitingLike(share).erase({share.mWaitsSince, &share});
+}
+
+bool ConnectionBudget::makeRoomForConnection(Instant now)
+{
+    while (mConnections >= mBounds.connections) {
+        Share *share = longestWaiting(now);
+        if (share == nullptr) {
+            return false;
+        }
+        cut(*share, CutReason::Connections);
+    }
+    return true;
+}
+
+// A client may send its first request a little after it has connected, so that others that rest
+// make room before.
+ConnectionBudget::Share *ConnectionBudget::longestWaiting(Instant now) const
 {
+    const bool isFirstOverdue = !mNew.empty() && now - mNew.begin()->first >= sFirstRequestTime;
+    if (isFirstOverdue || (mRested.empty() && !mNew.empty())) {
+        return mNew.begin()->second;
+    }
+    return mRested.empty() ? nullptr : mRested.begin()->second;
+}
+
+// A connection whose request is refused for want of memory is open until it has its answer.
+void ConnectionBudget::cut(Share &share, CutReason reason)
+{
+    release(share);
     share.mIsCut = true;
-    share.setBytes(0);
+    if (reason == CutReason::Connections) {
+        share.mIsCounted = false;
+        --mConnections;
+    }
     if (share.mOnCut) {
-        share.mOnCut();
+        share.mOnCut(reason);
     }
 }
 
+void ConnectionBudget::release(Share &share)
+{
+    share.setBytes(0);
+    mReceiving.erase(&share);
+    removeWaiting(share);
+}
+
 } // namespace Loom
--- a/src/libloomjunction/core/connectionbudget.h
+++ b/src/libloomjunction/core/connectionbudget.h
@@ -14,6 +14,7 @@
 #include <cstdint>
 #include <functional>
 #include <set>
+#include <utility>
 
 namespace Loom {
 
@@ -22,18 +23,43 @@
 {
     /** Bytes of requests that arrive or are handled. */
     std::size_t heldBytes = std::size_t{48} * 1024 * 1024;
+    std::size_t connections = 1'950; ///< open at the same time
 
     bool operator==(const ConnectionBounds &) const = default;
 };
 
+/** What the operating system allows a process. */
+struct ProcessLimits
+{
+    std::size_t memoryBytes = 0;
+    std::size_t descriptors = 0;
+
+    bool operator==(const ProcessLimits &) const = default;
+};
+
+/** Bounds that leave a process enough memory and descriptors for everything else. */
+ConnectionBounds connectionBoundsFor(const ProcessLimits &limits);
+
+/** Why a connection of a client has to make room for others. */
+enum class CutReason : std::uint8_t
+{
+    Memory, ///< its request is refused
+    Connections, ///< it is closed
+};
+
 /**
- * Counts the bytes of all requests that clients have under way in a process, from their first byte
- * until the answer is out, and decides whose request is given up when they exceed the bounds.
+ * Counts the connections that clients have open in a process, and the bytes of all requests under
+ * way on them from their first byte until the answer is out, and decides who makes room when they
+ * exceed the bounds.
  *
  * A quarter of the bytes is kept for small requests. A request that finds no room is refused,
  * unless another one that is still arriving would need too long for its bytes at its present rate:
  * that one loses its place. Clients that stop short of the end can't hold the room in this way, and
- * those that send large bodies at once don't end each other's. One thread only.
+ * those that send large bodies at once don't end each other's.
+ *
+ * A new connection is taken as long as any other one has no request that is handled: the one that
+ * has had the longest time for its first request is closed, or else the one that has rested for
+ * longest. One thread only.
  */
 class ConnectionBudget
 {
@@ -45,8 +71,14 @@
     class Share
     {
     public:
-        /** @p onCut is called at most once, when the request that arrives is given up. */
-        Share(ConnectionBudget &budget, std::function<void()> onCut);
+        using CutHandler = std::function<void(CutReason reason)>;
+
+        /**
+         * @p onCut is called at most once; for CutReason::Connections it has to close the
+         * connection before it returns. A new connection for which there is no room is cut from
+         * the beginning, without a call.
+         */
+        Share(ConnectionBudget &budget, CutHandler onCut, Instant now);
         ~Share();
         Share(const Share &) = delete;
         Share &operator=(const Share &) = delete;
@@ -61,9 +93,10 @@
          */
         bool resize(std::size_t bytes, Instant now);
         /** The request is whole, and isn't given up any more. */
-        void beginHandling();
+        void beginHandling(Instant now);
         /** The answer is out, or the request was refused. */
-        void endRequest();
+        void endRequest(Instant now);
+        /** It makes room for others, and no further request may be read. */
         bool isCut() const { return mIsCut; }
 
     private:
@@ -77,13 +110,17 @@
         };
 
         bool isLarge() const { return mBytes > sMaxSmallBytes; }
+        void setState(State state, Instant now);
         void setBytes(std::size_t bytes);
         /** Time that the request would need for its bytes at its present rate, in seconds. */
         double secondsNeeded(Instant now) const;
 
         ConnectionBudget &mBudget;
-        std::function<void()> mOnCut;
+        CutHandler mOnCut;
         State mState = State::Waiting;
+        Instant mWaitsSince; ///< since it was accepted, as long as it has made no request
+        bool mHasRequested = false; ///< a request of it was handled
+        bool mIsCounted = false; ///< in mConnections of the budget
         std::size_t mBytes = 0;
         Instant mBegunAt; ///< first byte of the request
         Instant mArrivedAt; ///< newest bytes of the request
@@ -97,17 +134,32 @@
     }
 
     std::size_t bytes() const { return mBytes; }
+    std::size_t connections() const { return mConnections; }
 
 private:
     bool makeRoom(const Share &asking, Instant now);
     bool isOver(const Share &asking) const;
     Share *slowest(const Share &asking, Instant now) const;
-    static void cut(Share &share);
+    void cut(Share &share, CutReason reason);
+
+    /** Connections without a request that is handled, by the time since which they wait. */
+    using Waiting = std::set<std::pair<Instant, Share *>>;
+
+    Waiting &waitingLike(const Share &share) { return share.mHasRequested ? mRested : mNew; }
+    void addWaiting(Share &share);
+    void removeWaiting(Share &share);
+    /** Closes connections until there is room for one more; false: there is none. */
+    bool makeRoomForConnection(Instant now);
+    Share *longestWaiting(Instant now) const;
+    void release(Share &share);
 
     const ConnectionBounds mBounds;
     std::size_t mBytes = 0;
     std::size_t mLargeBytes = 0; ///< of requests with more than sMaxSmallBytes
     std::set<Share *> mReceiving;
+    std::size_t mConnections = 0;
+    Waiting mNew; ///< had no request yet
+    Waiting mRested; ///< had requests before
 };
 
 } // namespace Loom
--- a/src/libloomjunction/gateway/membersettings.cpp
+++ b/src/libloomjunction/gateway/membersettings.cpp
@@ -9,6 +9,7 @@
 #include "membersettings.h"
 
 #include "joinedtext.h"
+#include "processlimits.h"
 #include "settingsfile.h"
 
 #include <cmath>
@@ -25,6 +26,12 @@
 constexpr int sMaxToleratedFailures = 64;
 constexpr std::size_t sMinAnswerBytes = 1'024;
 constexpr std::int64_t sMaxAnswerBytes = 1'073'741'824;
+constexpr std::size_t sMinHeldBytes = std::size_t{64} * 1024;
+constexpr std::size_t sMegabyte = std::size_t{1024} * 1024;
+constexpr std::int64_t sMinMemoryMb = 16;
+constexpr std::int64_t sMaxMemoryMb = 1'048'576;
+constexpr std::int64_t sMinDescriptors = 64;
+constexpr std::int64_t sMaxDescriptors = 16'777'216;
 constexpr double sMillisecondsPerSecond = 1'000;
 constexpr std::string_view sGateway = "gateway";
 constexpr std::string_view sStager = "stager";
@@ -90,6 +97,29 @@
     return limits;
 }
 
+ProcessLimits readProcessLimits(SettingsReader reader)
+{
+    ProcessLimits limits = processLimits();
+    limits.memoryBytes = sMegabyte
+        * static_cast<std::size_t>(reader.integer(
+            "memoryMb", sMinMemoryMb, sMaxMemoryMb,
+            static_cast<std::int64_t>(limits.memoryBytes / sMegabyte)));
+    limits.descriptors
+        = static_cast<std::size_t>(reader.integer("descriptors", sMinDescriptors, sMaxDescriptors,
+                                                  static_cast<std::int64_t>(limits.descriptors)));
+    reader.refuseUnknown();
+    return limits;
+}
+
+ConnectionBounds readConnectionBounds(SettingsReader reader, ConnectionBounds bounds)
+{
+    bounds.heldBytes = bytes(reader, "heldBytes", sMinHeldBytes, bounds.heldBytes);
+    bounds.connections = static_cast<std::size_t>(reader.integer(
+        "connections", 1, sMaxDescriptors, static_cast<std::int64_t>(bounds.connections)));
+    reader.refuseUnknown();
+    return bounds;
+}
+
 GatewaySettings readGateway(SettingsReader reader)
 {
     GatewaySettings gateway;
@@ -137,6 +167,14 @@
     if (reader.has("bounds")) {
         settings.bounds = readBounds(reader.child("bounds"));
     }
+    ProcessLimits limits = processLimits();
+    if (reader.has("machine")) {
+        limits = readProcessLimits(reader.child("machine"));
+    }
+    settings.connections = connectionBoundsFor(limits);
+    if (reader.has("clients")) {
+        settings.connections = readConnectionBounds(reader.child("clients"), settings.connections);
+    }
     if (reader.has("losses")) {
         settings.failureTolerance = readFailureTolerance(reader.child("losses"));
     }
@@ -168,6 +206,7 @@
     addIfChanged("region", running.region == next.region);
     addIfChanged("peers", running.peers == next.peers);
     addIfChanged("store", running.store == next.store);
+    addIfChanged("clients", running.connections == next.connections);
     addIfChanged("metrics", running.metrics == next.metrics);
     addIfChanged("role", running.role.index() == next.role.index());
     if (running.role.index() == next.role.index()) {
--- a/src/libloomjunction/gateway/membersettings.h
+++ b/src/libloomjunction/gateway/membersettings.h
@@ -11,6 +11,7 @@
 #include "addressselector.h"
 #include "answerlimits.h"
 #include "asynctypes.h"
+#include "connectionbudget.h"
 #include "instant.h"
 #include "jsonlog.h"
 #include "placement.h"
@@ -71,6 +72,7 @@
     std::optional<Tcp::endpoint> metrics;
     LogLevel logLevel = LogLevel::Info;
     MemberBounds bounds;
+    ConnectionBounds connections; ///< of clients, over all listeners
     FailureTolerance failureTolerance;
     std::variant<GatewaySettings, StagerSettings> role;
 
--- a/src/libloomjunction/net/httpserver.cpp
+++ b/src/libloomjunction/net/httpserver.cpp
@@ -8,6 +8,7 @@
 
 #include "http.h"
 
+#include "clock.h"
 #include "httpfields.h"
 #include "listener.h"
 #include "requestreader.h"
@@ -302,12 +303,20 @@
     static awaitable<void> serve(std::shared_ptr<Impl> self, Tcp::socket socket)
     {
         beast::tcp_stream stream(std::move(socket));
-        ConnectionBudget::Share share(*self->mBudget, [&stream] { stream.cancel(); });
+        // A request that is refused for want of memory can still be answered.
+        const auto onCut = [&stream](CutReason reason) {
+            if (reason == CutReason::Memory) {
+                stream.cancel();
+            } else {
+                stream.close();
+            }
+        };
+        ConnectionBudget::Share share(*self->mBudget, onCut, now());
         RequestReader reader(stream, share);
-        bool open = true;
+        bool open = !share.isCut();
         while (open) {
             open = co_await serveOne(*self, stream, reader) && !self->mState.isStopped;
-            share.endRequest();
+            share.endRequest(now());
         }
         boost::system::error_code ignored;
         stream.socket().shutdown(Tcp::socket::shutdown_send, ignored);
--- a/src/libloomjunction/net/requestreader.cpp
+++ b/src/libloomjunction/net/requestreader.cpp
@@ -111,7 +111,7 @@
         co_return unexpected(error);
     }
     mStream.expires_never();
-    mShare.beginHandling();
+    mShare.beginHandling(now());
     result.request.body = std::move(parser.get().body());
     co_return std::move(result);
 }
--- a/src/loomjunctiond/directdaemon.cpp
+++ b/src/loomjunctiond/directdaemon.cpp
@@ -79,7 +79,7 @@
 {
     const auto preference = mSettings.isGateway() ? FeedPreference::Store : FeedPreference::Peers;
     mKernel.add(std::make_unique<LoopWatch>(mMetrics));
-    mKernel.add(std::make_unique<ConnectionService>());
+    mKernel.add(std::make_unique<ConnectionService>(mSettings.connections));
     mKernel.add(std::make_unique<PeerHub>(mSettings.peers));
     mKernel.add(std::make_unique<FeedService>(*mPorts.store, mSettings.box, preference));
     mKernel.add(std::make_unique<MemberService>(*mPorts.store, mSettings, mIncarnation));
--- a/src/loomjunctiond/main.cpp
+++ b/src/loomjunctiond/main.cpp
@@ -26,6 +26,7 @@
 #include "orderservice.h"
 #include "overload.h"
 #include "platformservice.h"
+#include "processlimits.h"
 #include "upstreamservice.h"
 #include "weightservice.h"
 
@@ -66,7 +67,7 @@
             = std::make_unique<PlatformService>(mContext.get_executor(), std::move(settings));
         PlatformService &parts = *platform;
         mKernel.add(std::move(platform));
-        mKernel.add(std::make_unique<ConnectionService>());
+        mKernel.add(std::make_unique<ConnectionService>(connectionBoundsFor(processLimits())));
         mKernel.add(std::make_unique<ListService>());
         mKernel.add(std::make_unique<ConfigService>(mContext.get_executor()));
         std::visit(Overload{
