Connections: bytes behind a request that is handled are bounded and counted

Clients that sent further requests behind one that the replica held brought the bytes that lie unread for a gateway to 490 MB with 60 connections, and 300 that sent 256 KB before to 172 MB. Memory of the machine counts them although no process holds them.

Cause: the system enlarges the receive buffer of a connection whose first request is large, and nothing is read while a request is handled.

Listeners for HTTP set a receive buffer of 128 KB. What lies behind a request counts in the budget, and its connection is closed when memory is short; the request on it ends like that of any caller who leaves.

--- a/src/libloomjunction/core/connectionbudget.cpp
+++ b/src/libloomjunction/core/connectionbudget.cpp
@@ -26,6 +26,8 @@
 constexpr Milliseconds sMinAge{500};
 constexpr Milliseconds sFirstRequestTime{1'000};
 
+// A request that a client sends ahead.
+constexpr std::size_t sMaxUnreadBytes = std::size_t{16} * 1024;
 // Some are used for files, and a request that is handled needs one towards a replica.
 constexpr std::size_t sFileDescriptors = 200;
 constexpr std::size_t sMaxConnections = 4'096;
@@ -118,8 +120,16 @@
     setState(State::Handling, now);
 }
 
+bool ConnectionBudget::Share::noteUnread(std::size_t bytes)
+{
+    mBudget.mBytes += bytes - mUnreadBytes;
+    mUnreadBytes = bytes;
+    return bytes <= sMaxUnreadBytes || mBudget.mBytes <= mBudget.mBounds.heldBytes;
+}
+
 void ConnectionBudget::Share::endRequest(Instant now)
 {
+    noteUnread(0);
     setBytes(0);
     setState(State::Waiting, now);
 }
@@ -233,6 +243,7 @@
 
 void ConnectionBudget::release(Share &share)
 {
+    share.noteUnread(0);
     share.setBytes(0);
     mReceiving.erase(&share);
     removeWaiting(share);
--- a/src/libloomjunction/core/connectionbudget.h
+++ b/src/libloomjunction/core/connectionbudget.h
@@ -21,7 +21,7 @@
 /** Bounds on what the clients of a process hold open, over all its listeners. */
 struct ConnectionBounds
 {
-    /** Bytes of requests that arrive or are handled. */
+    /** Bytes of requests that arrive or are handled, and of what lies unread behind them. */
     std::size_t heldBytes = std::size_t{48} * 1024 * 1024;
     std::size_t connections = 1'950; ///< open at the same time
 
@@ -94,6 +94,11 @@
         bool resize(std::size_t bytes, Instant now);
         /** The request is whole, and isn't given up any more. */
         void beginHandling(Instant now);
+        /**
+         * Sets the bytes that lie unread behind the request; false: they take memory that others
+         * need, and the connection has to be closed.
+         */
+        bool noteUnread(std::size_t bytes);
         /** The answer is out, or the request was refused. */
         void endRequest(Instant now);
         /** It makes room for others, and no further request may be read. */
@@ -122,6 +127,7 @@
         bool mHasRequested = false; ///< a request of it was handled
         bool mIsCounted = false; ///< in mConnections of the budget
         std::size_t mBytes = 0;
+        std::size_t mUnreadBytes = 0;
         Instant mBegunAt; ///< first byte of the request
         Instant mArrivedAt; ///< newest bytes of the request
         double mRecentBytes = 0; ///< decayed, as of mArrivedAt
--- a/src/libloomjunction/net/httpserver.cpp
+++ b/src/libloomjunction/net/httpserver.cpp
@@ -31,6 +31,9 @@
 namespace beast = boost::beast;
 namespace http = boost::beast::http;
 
+// Without a bound the system would keep megabytes of each connection that isn't read, while its
+// request is handled. A body of 4 MB takes two seconds on a link with 60 ms of round trip.
+constexpr int sReceiveBytes = 128 * 1024;
 // Room is given back when requests end.
 constexpr std::string_view sRetryAfterSeconds = "1";
 // A HEAD request's answer has headers only, whatever they say of a body.
@@ -66,12 +69,16 @@
     return found == 0 ? CallerSign::Quiet : CallerSign::Talks;
 }
 
-/** Tells a handler once that its caller has closed the connection. */
+/**
+ * Tells a handler once that its caller has closed the connection. A caller that sends too much
+ * behind its request counts as gone.
+ */
 class GoneWatch : public std::enable_shared_from_this<GoneWatch>
 {
 public:
-    GoneWatch(Tcp::socket &socket, std::function<void()> onGone)
+    GoneWatch(Tcp::socket &socket, ConnectionBudget::Share &share, std::function<void()> onGone)
         : mSocket(socket)
+        , mShare(share)
         , mOnGone(std::move(onGone))
         , mNextLook(socket.get_executor())
     {
@@ -103,7 +110,7 @@
             return;
         }
         const CallerSign sign = signOf(mSocket);
-        if (sign != CallerSign::Gone) {
+        if (sign != CallerSign::Gone && mayKeepUnread(sign)) {
             wait(sign);
             return;
         }
@@ -112,7 +119,18 @@
         }
     }
 
+    bool mayKeepUnread(CallerSign sign)
+    {
+        boost::system::error_code ignored;
+        if (sign == CallerSign::Quiet || mShare.noteUnread(mSocket.available(ignored))) {
+            return true;
+        }
+        mSocket.close(ignored);
+        return false;
+    }
+
     Tcp::socket &mSocket;
+    ConnectionBudget::Share &mShare;
     std::function<void()> mOnGone;
     asio::steady_timer mNextLook;
 };
@@ -126,12 +144,39 @@
     std::set<beast::tcp_stream *> idle; ///< connections that wait for a request
 };
 
+/** A connection of a client, and what it holds. */
+struct Connection
+{
+    Connection(ConnectionBudget &budget, Tcp::socket socket)
+        : stream(std::move(socket))
+        , share(
+              budget, [this](CutReason reason) { makeRoom(reason); }, now())
+        , reader(stream, share)
+    {
+    }
+
+    // A request that is refused for want of memory can still be answered.
+    void makeRoom(CutReason reason)
+    {
+        if (reason == CutReason::Memory) {
+            stream.cancel();
+        } else {
+            stream.close();
+        }
+    }
+
+    beast::tcp_stream stream;
+    ConnectionBudget::Share share;
+    RequestReader reader;
+};
+
 class ServerExchange final : public HttpExchange
 {
 public:
-    ServerExchange(beast::tcp_stream &stream, HttpRequest request, bool keepAlive,
+    ServerExchange(Connection &connection, HttpRequest request, bool keepAlive,
                    const ServerState &state)
-        : mStream(stream)
+        : mStream(connection.stream)
+        , mShare(connection.share)
         , mRequest(std::move(request))
         , mKeepAlive(keepAlive)
         , mState(state)
@@ -204,7 +249,7 @@
 
     void watchCaller(std::function<void()> onGone) override
     {
-        mWatch = std::make_shared<GoneWatch>(mStream.socket(), std::move(onGone));
+        mWatch = std::make_shared<GoneWatch>(mStream.socket(), mShare, std::move(onGone));
         mWatch->begin();
     }
 
@@ -224,6 +269,7 @@
     }
 
     beast::tcp_stream &mStream;
+    ConnectionBudget::Share &mShare;
     HttpRequest mRequest;
     bool mKeepAlive;
     const ServerState &mState;
@@ -275,6 +321,7 @@
                     asio::co_spawn(self->mExecutor, serve(self, std::move(socket)), asio::detached);
                 }
             });
+        mListener->setReceiveBytes(sReceiveBytes);
         return mListener->listen(endpoint);
     }
 
@@ -302,51 +349,40 @@
 private:
     static awaitable<void> serve(std::shared_ptr<Impl> self, Tcp::socket socket)
     {
-        beast::tcp_stream stream(std::move(socket));
-        // A request that is refused for want of memory can still be answered.
-        const auto onCut = [&stream](CutReason reason) {
-            if (reason == CutReason::Memory) {
-                stream.cancel();
-            } else {
-                stream.close();
-            }
-        };
-        ConnectionBudget::Share share(*self->mBudget, onCut, now());
-        RequestReader reader(stream, share);
-        bool open = !share.isCut();
+        Connection connection(*self->mBudget, std::move(socket));
+        bool open = !connection.share.isCut();
         while (open) {
-            open = co_await serveOne(*self, stream, reader) && !self->mState.isStopped;
-            share.endRequest(now());
+            open = co_await serveOne(*self, connection) && !self->mState.isStopped;
+            connection.share.endRequest(now());
         }
         boost::system::error_code ignored;
-        stream.socket().shutdown(Tcp::socket::shutdown_send, ignored);
+        connection.stream.socket().shutdown(Tcp::socket::shutdown_send, ignored);
     }
 
     // Waits for the first bytes of a request, as long as a connection may rest.
-    static awaitable<bool> waitForRequest(Impl &self, beast::tcp_stream &stream,
-                                          RequestReader &reader)
+    static awaitable<bool> waitForRequest(Impl &self, Connection &connection)
     {
-        if (reader.hasUnparsedBytes()) {
+        if (connection.reader.hasUnparsedBytes()) {
             co_return true;
         }
-        self.mState.idle.insert(&stream);
-        const bool hasBegun = co_await reader.waitForRequest(self.mState.limits.idle);
-        self.mState.idle.erase(&stream);
+        self.mState.idle.insert(&connection.stream);
+        const bool hasBegun = co_await connection.reader.waitForRequest(self.mState.limits.idle);
+        self.mState.idle.erase(&connection.stream);
         co_return hasBegun;
     }
 
-    static awaitable<bool> serveOne(Impl &self, beast::tcp_stream &stream, RequestReader &reader)
+    static awaitable<bool> serveOne(Impl &self, Connection &connection)
     {
-        if (!co_await waitForRequest(self, stream, reader)) {
+        if (!co_await waitForRequest(self, connection)) {
             co_return false;
         }
-        auto read = co_await reader.read(self.mState.limits);
+        auto read = co_await connection.reader.read(self.mState.limits);
         if (!read) {
             self.noteLoss(HttpLoss::NotRead, read.error().text);
-            co_await refuse(stream, read.error().problem, self.mState);
+            co_await refuse(connection, read.error().problem, self.mState);
             co_return false;
         }
-        ServerExchange exchange(stream, std::move(read->request), read->keepAlive, self.mState);
+        ServerExchange exchange(connection, std::move(read->request), read->keepAlive, self.mState);
         const std::optional<std::string> thrown = co_await handle(self, exchange);
         if (thrown) {
             self.noteLoss(HttpLoss::Thrown, *thrown);
@@ -373,13 +409,13 @@
         }
     }
 
-    static awaitable<void> refuse(beast::tcp_stream &stream, RequestProblem problem,
+    static awaitable<void> refuse(Connection &connection, RequestProblem problem,
                                   const ServerState &state)
     {
         if (problem == RequestProblem::Closed) {
             co_return;
         }
-        ServerExchange refusal(stream, {}, false, state);
+        ServerExchange refusal(connection, {}, false, state);
         co_await refusal.respond(refusalOf(problem));
     }
 
--- a/src/libloomjunction/net/listener.cpp
+++ b/src/libloomjunction/net/listener.cpp
@@ -33,6 +33,9 @@
     if (!error) {
         mAcceptor.set_option(asio::socket_base::reuse_address(true), error);
     }
+    if (!error && mReceiveBytes > 0) {
+        mAcceptor.set_option(asio::socket_base::receive_buffer_size(mReceiveBytes), error);
+    }
     if (!error) {
         mAcceptor.bind(endpoint, error);
     }
--- a/src/libloomjunction/net/listener.h
+++ b/src/libloomjunction/net/listener.h
@@ -24,6 +24,8 @@
 
     Listener(const asio::any_io_executor &executor, SocketHandler handler);
 
+    /** Sets how many bytes the system keeps unread for each connection; before listen(). */
+    void setReceiveBytes(int bytes) { mReceiveBytes = bytes; }
     /** Starts to accept; the error tells why it cannot. */
     tl::expected<void, std::string> listen(const Tcp::endpoint &endpoint);
     /** The address in use, e.g. after asking for port 0. */
@@ -37,6 +39,7 @@
     Tcp::acceptor mAcceptor;
     SocketHandler mHandler;
     Tcp::endpoint mLocal;
+    int mReceiveBytes = 0; ///< 0: as the system decides
     bool mStopped = false;
 };
 
--- a/tests/clients/test_clients.py
+++ b/tests/clients/test_clients.py
@@ -133,6 +133,8 @@
     "whole_requests": lambda: play(
         crowd_of(80, lambda: whole_request(BODY_BYTES, "/held/a")), rounds=ROUNDS),
     "pipelined_requests": lambda: play(crowd_of(60, lambda: pipelined(BODY_BYTES, 3 * BODY_BYTES))),
+    "pipelined_behind_small_requests": lambda: play(
+        crowd_of(300, lambda: pipelined(BODY_BYTES // 16, BODY_BYTES))),
     "unfinished_heads": lambda: play(
         crowd_of(6000, lambda: unfinished_head(HEADER_BYTES - 512)), descriptors=BOX_DESCRIPTORS),
     "idle_connections": lambda: play(crowd_of(700, nothing), descriptors=600),
--- a/tests/direct/test_connectionbudget.cpp
+++ b/tests/direct/test_connectionbudget.cpp
@@ -120,6 +120,21 @@
     BOOST_TEST(cut.empty());
 }
 
+// Guards against requests sent behind one that is handled, which the system keeps unread.
+BOOST_AUTO_TEST_CASE(unread_bytes_count_and_end_their_connection_when_memory_is_short)
+{
+    ConnectionBudget::Share &share = add();
+    share.beginHandling(time);
+    BOOST_TEST(share.noteUnread(sMegabyte));
+    BOOST_TEST(budget.bytes() == sMegabyte);
+    while (announce(sBody)) { }
+    while (announce(16'000)) { }
+    BOOST_TEST(share.noteUnread(16'000));
+    BOOST_TEST(!share.noteUnread(2 * sMegabyte));
+    share.endRequest(time);
+    BOOST_TEST(announce(16'000));
+}
+
 // Guards against limits of an operator that no request could use.
 BOOST_AUTO_TEST_CASE(single_request_is_taken_whatever_its_size)
 {
