Links: the body of a request is sent from where it was read

Cause: a body of more than 16 KB was copied behind the head, since the answer may come, and the exchange may end, before all of it is sent.

The exchange shares its request, and the link holds on to it until the last byte is out.

--- a/src/libloomjunction/gateway/replicaattempt.cpp
+++ b/src/libloomjunction/gateway/replicaattempt.cpp
@@ -185,7 +185,8 @@
     const OutgoingFields fields = outgoingFields();
     mIsVersionRequired = fields.weightsVersion.has_value();
     const std::vector<HttpHeader> headers = mCall.parts.calls.outgoing(request, fields);
-    const LinkRequest outgoing{request.method, request.target, headers, request.body};
+    const LinkRequest outgoing{request.method, request.target, headers, request.body,
+                               mCall.exchange.sharedRequest()};
     const auto deadline = steadyTime(mCall.deadline + sMinTimeLeft);
     auto head = co_await mLink->exchange(outgoing, deadline);
     for (int staleCount = 0; head; ++staleCount) {
--- a/src/libloomjunction/net/http.h
+++ b/src/libloomjunction/net/http.h
@@ -60,6 +60,8 @@
 public:
     virtual ~HttpExchange() = default;
     virtual const HttpRequest &request() const = 0;
+    /** The same, for what may outlive the exchange. */
+    virtual std::shared_ptr<const HttpRequest> sharedRequest() const = 0;
 
     /** Sends the whole answer; false when the caller is gone. */
     virtual awaitable<bool> respond(HttpResponse response) = 0;
--- a/src/libloomjunction/net/httplink.cpp
+++ b/src/libloomjunction/net/httplink.cpp
@@ -125,9 +125,15 @@
             // An answer may be there although the other side stopped reading.
             mWriteFailed = bool(error);
         } else {
-            head += request.body;
             mWriting = true;
-            asio::co_spawn(mStream.get_executor(), writeAll(shared_from_this(), std::move(head)),
+            if (!request.bodyOwner) {
+                auto copy = std::make_shared<const std::string>(request.body);
+                request.body = *copy;
+                request.bodyOwner = std::move(copy);
+            }
+            asio::co_spawn(mStream.get_executor(),
+                           writeAll(shared_from_this(), std::move(head), request.body,
+                                    std::move(request.bodyOwner)),
                            asio::detached);
         }
         co_return co_await readHead(deadline);
@@ -353,10 +359,12 @@
         return isTooLate || mStalledBytes > mLimits.headBytes;
     }
 
-    static awaitable<void> writeAll(std::shared_ptr<Impl> self, std::string bytes)
+    static awaitable<void> writeAll(std::shared_ptr<Impl> self, std::string head,
+                                    std::string_view body,
+                                    [[maybe_unused]] std::shared_ptr<const void> bodyOwner)
     {
-        auto [error, sent]
-            = co_await asio::async_write(self->mStream, asio::buffer(bytes), sAsValue);
+        const std::array<asio::const_buffer, 2> parts{asio::buffer(head), asio::buffer(body)};
+        auto [error, sent] = co_await asio::async_write(self->mStream, parts, sAsValue);
         self->mWriteFailed = bool(error);
         self->mWriting = false;
     }
--- a/src/libloomjunction/net/httplink.h
+++ b/src/libloomjunction/net/httplink.h
@@ -40,6 +40,8 @@
     std::string_view target;
     std::span<const HttpHeader> headers;
     std::string_view body;
+    /** Owns the body, which may still be sent when the answer is there; else it is copied. */
+    std::shared_ptr<const void> bodyOwner;
 };
 
 struct LinkHead
--- a/src/libloomjunction/net/httpserver.cpp
+++ b/src/libloomjunction/net/httpserver.cpp
@@ -177,13 +177,14 @@
                    const ServerState &state)
         : mStream(connection.stream)
         , mShare(connection.share)
-        , mRequest(std::move(request))
+        , mRequest(std::make_shared<const HttpRequest>(std::move(request)))
         , mKeepAlive(keepAlive)
         , mState(state)
     {
     }
 
-    const HttpRequest &request() const override { return mRequest; }
+    const HttpRequest &request() const override { return *mRequest; }
+    std::shared_ptr<const HttpRequest> sharedRequest() const override { return mRequest; }
 
     awaitable<bool> respond(HttpResponse response) override
     {
@@ -193,7 +194,7 @@
         fillHeaders(message, response.headers);
         message.body() = std::move(response.body);
         message.keep_alive(mKeepAlive);
-        if (mRequest.method != sHeadMethod) {
+        if (mRequest->method != sHeadMethod) {
             message.prepare_payload();
         }
         auto [error, sent] = co_await http::async_write(mStream, message, sAsValue);
@@ -270,7 +271,7 @@
 
     beast::tcp_stream &mStream;
     ConnectionBudget::Share &mShare;
-    HttpRequest mRequest;
+    std::shared_ptr<const HttpRequest> mRequest;
     bool mKeepAlive;
     const ServerState &mState;
     std::shared_ptr<GoneWatch> mWatch;
