Requests: a refused client can read why

Cause: the connection was closed with bytes unread, which resets it, and the system of the client drops the answer that had arrived.

After a refusal the sending side is shut and what still arrives is dropped, for two seconds, up to 1 MB beyond the limit of a body and for 128 connections of a listener at once. All of them read into one buffer of 16 KB.

--- a/src/libloomjunction/net/httpserver.cpp
+++ b/src/libloomjunction/net/httpserver.cpp
@@ -13,8 +13,11 @@
 #include "listener.h"
 #include "requestreader.h"
 
+#include <algorithm>
+#include <array>
 #include <cerrno>
 #include <set>
+#include <tuple>
 
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
@@ -34,6 +37,11 @@
 // Without a bound the system would keep megabytes of each connection that isn't read, while its
 // request is handled. A body of 4 MB takes two seconds on a link with 60 ms of round trip.
 constexpr int sReceiveBytes = 128 * 1024;
+// Limits of reading what a client sends behind its refusal.
+constexpr std::chrono::seconds sDropTime{2};
+constexpr std::size_t sMaxDropping = 128;
+constexpr std::uint64_t sDroppedSurplusBytes = std::uint64_t{1024} * 1024;
+constexpr std::size_t sDropBufferBytes = std::size_t{16} * 1024;
 // Room is given back when requests end.
 constexpr std::string_view sRetryAfterSeconds = "1";
 // A HEAD request's answer has headers only, whatever they say of a body.
@@ -142,6 +150,8 @@
     bool isDraining = false;
     bool isStopped = false;
     std::set<beast::tcp_stream *> idle; ///< connections that wait for a request
+    std::size_t dropping = 0; ///< refused connections whose bytes are read and dropped
+    std::array<char, sDropBufferBytes> dropped{}; ///< all of them read into it
 };
 
 /** A connection of a client, and what it holds. */
@@ -173,8 +183,7 @@
 class ServerExchange final : public HttpExchange
 {
 public:
-    ServerExchange(Connection &connection, HttpRequest request, bool keepAlive,
-                   const ServerState &state)
+    ServerExchange(Connection &connection, HttpRequest request, bool keepAlive, ServerState &state)
         : mStream(connection.stream)
         , mShare(connection.share)
         , mRequest(std::make_shared<const HttpRequest>(std::move(request)))
@@ -273,7 +282,7 @@
     ConnectionBudget::Share &mShare;
     std::shared_ptr<const HttpRequest> mRequest;
     bool mKeepAlive;
-    const ServerState &mState;
+    ServerState &mState;
     std::shared_ptr<GoneWatch> mWatch;
     bool mAlive = true;
     bool mHasBegun = false; ///< something of an answer was sent
@@ -411,13 +420,36 @@
     }
 
     static awaitable<void> refuse(Connection &connection, RequestProblem problem,
-                                  const ServerState &state)
+                                  ServerState &state)
     {
         if (problem == RequestProblem::Closed) {
             co_return;
         }
         ServerExchange refusal(connection, {}, false, state);
-        co_await refusal.respond(refusalOf(problem));
+        if (co_await refusal.respond(refusalOf(problem))) {
+            co_await drop(connection, state);
+        }
+    }
+
+    // A close with unread bytes resets the connection, and a client that is still sending would
+    // lose the answer that says why.
+    static awaitable<void> drop(Connection &connection, ServerState &state)
+    {
+        if (state.dropping >= sMaxDropping) {
+            co_return;
+        }
+        ++state.dropping;
+        boost::system::error_code error;
+        connection.stream.socket().shutdown(Tcp::socket::shutdown_send, error);
+        connection.stream.expires_after(sDropTime);
+        std::uint64_t left = state.limits.bodyBytes + sDroppedSurplusBytes;
+        while (!error && left > 0) {
+            std::size_t size = 0;
+            std::tie(error, size)
+                = co_await connection.stream.async_read_some(asio::buffer(state.dropped), sAsValue);
+            left -= std::min<std::uint64_t>(left, size);
+        }
+        --state.dropping;
     }
 
     asio::any_io_executor mExecutor;
--- a/tests/clients/test_clients.py
+++ b/tests/clients/test_clients.py
@@ -27,6 +27,7 @@
 STOP_MB = 500
 ENDLESS_BYTES = 40_000_000
 SHORT_BYTES = BODY_BYTES - 64 * 1024
+SURPLUS_BYTES = 1024 * 1024  # of a client that goes beyond a limit by mistake
 ROUNDS = 3
 LAST_CHUNK = b"0\r\n\r\n"
 EMPTY_BODY = b"\r\nContent-Length: 0\r\n\r\n"
@@ -102,7 +103,30 @@
                 assert client.status() == 200, (name, client.answer)
 
 
+# Guards against refusals that their clients lose to a reset while they are still sending.
+def refusals_are_read():
+    over = BODY_BYTES + SURPLUS_BYTES
+    refused = {
+        413: [lambda: body_by_length(over, over), lambda: body_as_one_chunk(over, over),
+              lambda: body_in_chunks(64 * 1024, over)],
+        431: [lambda: unfinished_head(SURPLUS_BYTES), lambda: endless_trailers(SURPLUS_BYTES),
+              lambda: endless_extension(SURPLUS_BYTES), lambda: endless_size(SURPLUS_BYTES)],
+        400: [lambda: iter([b"no request\r\n\r\n" + b"x" * SURPLUS_BYTES])],
+    }
+    with Fleet() as fleet:
+        for status, kinds in refused.items():
+            for number, kind in enumerate(kinds):
+                found = []
+                for _ in range(5):  # few at a time, so that none is refused for want of memory
+                    clients = [Client(fleet.ports["callers"], kind()) for _ in range(4)]
+                    with Crowd(fleet.process, clients, STOP_MB) as crowd:
+                        crowd.wait_for_answers()
+                    found += [client.status() for client in clients]
+                assert found == [status] * len(found), (status, number, found)
+
+
 CASES = {
+    "refusals_are_read": refusals_are_read,
     "large_requests_in_calm": large_requests_in_calm,
     "trailers": endless(endless_trailers),
     "one_trailer": endless(endless_trailer),
