Addresses: a request's body may have 64 KB

The listeners for addresses and readiness took bodies of 4 MB like that of callers, and read them whole before they answered; proper requests there have none. Their bodies now leave the memory to requests of callers.

--- a/src/libloomjunction/gateway/addressserver.cpp
+++ b/src/libloomjunction/gateway/addressserver.cpp
@@ -22,6 +22,8 @@
 
 // Short enough that callers soon stop using a lost gateway; refreshing costs one small request.
 constexpr Milliseconds sAddressLifetime{2'000};
+// Proper requests have no body.
+constexpr std::uint64_t sMaxBodyBytes = std::uint64_t{64} * 1024;
 
 } // namespace
 
@@ -37,8 +39,10 @@
     mMembers = &kernel.find<MemberService>(MemberService::sName);
     mConfig = &kernel.find<OperatorConfigService>(OperatorConfigService::sName);
     const auto handler = [this](HttpExchange &exchange) { return handle(exchange); };
-    mAddressServer = std::make_unique<HttpServer>(kernel.executor(), handler);
-    mReadinessServer = std::make_unique<HttpServer>(kernel.executor(), handler);
+    HttpLimits limits;
+    limits.bodyBytes = sMaxBodyBytes;
+    mAddressServer = std::make_unique<HttpServer>(kernel.executor(), handler, limits);
+    mReadinessServer = std::make_unique<HttpServer>(kernel.executor(), handler, limits);
     mAddressServer->setBudget(ConnectionService::budgetOf(kernel));
     mReadinessServer->setBudget(ConnectionService::budgetOf(kernel));
     const auto &gateway = std::get<GatewaySettings>(mSettings.role);
