Answers: a client that takes nothing of its answer is closed

Connections of clients that didn't read their answers stayed open, with what was kept for them, until the clients closed them.

Cause: writes had no time limit, and a request that is handled is never closed to make room.

An exchange ends when its client has taken nothing for the idle time of the limits. It is looked for every two seconds; a timer for each piece of a stream would cost more. Large answers are written piece by piece, so that a slow client that goes on reading keeps its connection.

--- a/src/libloomjunction/net/httpserver.cpp
+++ b/src/libloomjunction/net/httpserver.cpp
@@ -37,6 +37,7 @@
 // Without a bound the system would keep megabytes of each connection that isn't read, while its
 // request is handled. A body of 4 MB takes two seconds on a link with 60 ms of round trip.
 constexpr int sReceiveBytes = 128 * 1024;
+constexpr std::chrono::seconds sStalledInterval{2};
 // Limits of reading what a client sends behind its refusal.
 constexpr std::chrono::seconds sDropTime{2};
 constexpr std::size_t sMaxDropping = 128;
@@ -143,6 +144,8 @@
     asio::steady_timer mNextLook;
 };
 
+class ServerExchange;
+
 /** What all connections of one server share. */
 struct ServerState
 {
@@ -150,6 +153,7 @@
     bool isDraining = false;
     bool isStopped = false;
     std::set<beast::tcp_stream *> idle; ///< connections that wait for a request
+    std::set<ServerExchange *> exchanges;
     std::size_t dropping = 0; ///< refused connections whose bytes are read and dropped
     std::array<char, sDropBufferBytes> dropped{}; ///< all of them read into it
 };
@@ -190,7 +194,11 @@
         , mKeepAlive(keepAlive)
         , mState(state)
     {
+        mState.exchanges.insert(this);
     }
+    ~ServerExchange() override { mState.exchanges.erase(this); }
+    ServerExchange(const ServerExchange &) = delete;
+    ServerExchange &operator=(const ServerExchange &) = delete;
 
     const HttpRequest &request() const override { return *mRequest; }
     std::shared_ptr<const HttpRequest> sharedRequest() const override { return mRequest; }
@@ -206,7 +214,13 @@
         if (mRequest->method != sHeadMethod) {
             message.prepare_payload();
         }
-        auto [error, sent] = co_await http::async_write(mStream, message, sAsValue);
+        http::response_serializer<http::string_body> serializer(message);
+        beast::error_code error;
+        while (!error && !serializer.is_done()) {
+            mWritesSince = now();
+            std::tie(error, std::ignore)
+                = co_await http::async_write_some(mStream, serializer, sAsValue);
+        }
         co_return noteSent(!error, true);
     }
 
@@ -219,6 +233,7 @@
         message.keep_alive(mKeepAlive);
         message.chunked(true);
         http::response_serializer<http::empty_body> serializer(message);
+        mWritesSince = now();
         auto [error, sent] = co_await http::async_write_header(mStream, serializer, sAsValue);
         co_return noteSent(!error, false);
     }
@@ -228,6 +243,7 @@
         if (data.empty()) {
             co_return mAlive;
         }
+        mWritesSince = now();
         auto [error, sent] = co_await asio::async_write(
             mStream, http::make_chunk(asio::buffer(data.data(), data.size())), sAsValue);
         co_return noteSent(!error, false);
@@ -235,6 +251,7 @@
 
     awaitable<bool> endStream() override
     {
+        mWritesSince = now();
         auto [error, sent] = co_await asio::async_write(mStream, http::make_chunk_last(), sAsValue);
         co_return noteSent(!error, true);
     }
@@ -266,6 +283,8 @@
     bool hasCallerLeft() override { return signOf(mStream.socket()) == CallerSign::Gone; }
 
     asio::any_io_executor executor() override { return mStream.get_executor(); }
+    /** Since when the client has taken nothing of what is sent; empty if it isn't behind. */
+    std::optional<Instant> writesSince() const { return mWritesSince; }
     bool mayContinue() const { return mAlive && mComplete && mKeepAlive; }
 
 private:
@@ -273,6 +292,7 @@
 
     bool noteSent(bool good, bool complete)
     {
+        mWritesSince.reset();
         mAlive = mAlive && good;
         mComplete = mComplete || complete;
         return mAlive;
@@ -283,6 +303,7 @@
     std::shared_ptr<const HttpRequest> mRequest;
     bool mKeepAlive;
     ServerState &mState;
+    std::optional<Instant> mWritesSince;
     std::shared_ptr<GoneWatch> mWatch;
     bool mAlive = true;
     bool mHasBegun = false; ///< something of an answer was sent
@@ -332,6 +353,7 @@
                 }
             });
         mListener->setReceiveBytes(sReceiveBytes);
+        asio::co_spawn(mExecutor, closeStalled(weak_from_this()), asio::detached);
         return mListener->listen(endpoint);
     }
 
@@ -357,6 +379,25 @@
     }
 
 private:
+    // Ends exchanges whose clients take nothing of their answers. A timer for each piece that is
+    // written would cost more.
+    static awaitable<void> closeStalled(std::weak_ptr<Impl> weak)
+    {
+        while (true) {
+            co_await sleepFor(sStalledInterval);
+            const auto self = weak.lock();
+            if (!self || self->mState.isStopped) {
+                co_return;
+            }
+            const Instant latest = now() - self->mState.limits.idle;
+            for (ServerExchange *exchange : self->mState.exchanges) {
+                if (exchange->writesSince().value_or(Instant::max()) < latest) {
+                    exchange->abort();
+                }
+            }
+        }
+    }
+
     static awaitable<void> serve(std::shared_ptr<Impl> self, Tcp::socket socket)
     {
         Connection connection(*self->mBudget, std::move(socket));
--- a/tests/clients/clientbytes.py
+++ b/tests/clients/clientbytes.py
@@ -66,6 +66,10 @@
     yield first + b"X-Pad: " + b"y" * (size - len(first))
 
 
+def large_answer():
+    yield head(["Content-Length: 0"], "/desk/large")
+
+
 def nothing():
     return iter(())
 
--- a/tests/clients/crowd.py
+++ b/tests/clients/crowd.py
@@ -83,15 +83,19 @@
         with open("/proc/%d/status" % self.pid) as file:
             return next(int(line.split()[1]) for line in file if line.startswith(field)) / 1024
 
-    def unread_mb(self):
-        total = 0
+    def unread_bytes(self):
+        """Of each open connection of a client."""
+        sizes = []
         with open("/proc/net/tcp") as file:
             next(file)
             for line in file:
                 _, local, _, state, queues = line.split()[:5]
                 if state in ("01", "08") and int(local.split(":")[1], 16) in self.ports:
-                    total += int(queues.split(":")[1], 16)
-        return total / 1024 / 1024
+                    sizes.append(int(queues.split(":")[1], 16))
+        return sizes
+
+    def unread_mb(self):
+        return sum(self.unread_bytes()) / 1024 / 1024
 
     def memory_mb(self):
         return self.status_mb("VmRSS") + self.unread_mb()
--- a/tests/clients/fleet.py
+++ b/tests/clients/fleet.py
@@ -22,6 +22,7 @@
 
 BODY_BYTES = 4 * 1024 * 1024
 HEADER_BYTES = 16 * 1024
+LARGE_ANSWER_BYTES = 8 * 1024 * 1024
 SLOTS = 400
 
 
@@ -51,6 +52,8 @@
                 if self.path.startswith("/held/"):
                     replica.released.wait()
                 answer = b"%d" % len(body)
+                if self.path.endswith("/large"):
+                    answer = b"z" * LARGE_ANSWER_BYTES
                 self.send_response(200)
                 self.send_header("Loomjunction-Request-Id", self.headers["Loomjunction-Request-Id"])
                 self.send_header("Loomjunction-Response-Signature", "s")
--- a/tests/clients/test_clients.py
+++ b/tests/clients/test_clients.py
@@ -17,8 +17,8 @@
 from crowd import Client, Crowd
 from fleet import BODY_BYTES, HEADER_BYTES, AgentFleet, EntryFleet, Fleet, wait_for
 from clientbytes import (body_as_one_chunk, body_by_length, body_in_chunks, endless_extension,
-                      endless_size, endless_trailer, endless_trailers, nothing, pipelined,
-                      unfinished_head, whole_request)
+                         endless_size, endless_trailer, endless_trailers, large_answer, nothing,
+                         pipelined, unfinished_head, whole_request)
 
 BOX_MB = 160
 BOX_DESCRIPTORS = 4100
@@ -43,7 +43,7 @@
             "%d of %d clients open" % (crowd.open_count(), len(crowd.clients)))
     assert process.is_alive(), told
     assert process.most_mb <= min(BOX_MB, fleet.calm_mb + MAX_GROWTH_MB), told
-    limit = fleet.descriptors or BOX_DESCRIPTORS
+    limit = getattr(fleet, "descriptors", None) or BOX_DESCRIPTORS
     assert process.most_descriptors <= limit - FILE_DESCRIPTORS, told
 
 
@@ -125,6 +125,17 @@
                 assert found == [status] * len(found), (status, number, found)
 
 
+# Guards against answers that stay in memory for ever since their clients don't read them.
+def answers_that_are_not_read():
+    with Fleet(idle_ms=2000) as fleet:
+        clients = [Client(fleet.ports["callers"], large_answer(), reads=False) for _ in range(60)]
+        with Crowd(fleet.process, clients, STOP_MB) as crowd:
+            check(fleet, crowd, "unread")
+            wait_for("an answer beside the clients", fleet.answers)
+            wait_for("closed connections", lambda: not fleet.process.unread_bytes())
+            check(fleet, crowd, "after they were closed")
+
+
 CASES = {
     "refusals_are_read": refusals_are_read,
     "large_requests_in_calm": large_requests_in_calm,
@@ -159,6 +170,7 @@
     "pipelined_requests": lambda: play(crowd_of(60, lambda: pipelined(BODY_BYTES, 3 * BODY_BYTES))),
     "pipelined_behind_small_requests": lambda: play(
         crowd_of(300, lambda: pipelined(BODY_BYTES // 16, BODY_BYTES))),
+    "answers_that_are_not_read": answers_that_are_not_read,
     "unfinished_heads": lambda: play(
         crowd_of(6000, lambda: unfinished_head(HEADER_BYTES - 512)), descriptors=BOX_DESCRIPTORS),
     "idle_connections": lambda: play(crowd_of(700, nothing), descriptors=600),
