Connections: counters by kind, and what clients hold, among the metrics

request-lost names the kind of problem and the client's address, and counters count by kind; gauges tell the open connections and the bytes of clients, and how many were closed or refused to make room.

--- a/src/libloomjunction/core/connectionbudget.cpp
+++ b/src/libloomjunction/core/connectionbudget.cpp
@@ -54,6 +54,7 @@
 {
     if (!mBudget.makeRoomForConnection(now)) {
         mIsCut = true;
+        ++mBudget.mClosedCount;
         return;
     }
     mIsCounted = true;
@@ -112,6 +113,7 @@
         return true;
     }
     setBytes(0);
+    ++mBudget.mRefusedCount;
     return false;
 }
 
@@ -232,6 +234,7 @@
 {
     release(share);
     share.mIsCut = true;
+    ++(reason == CutReason::Connections ? mClosedCount : mRefusedCount);
     if (reason == CutReason::Connections) {
         share.mIsCounted = false;
         --mConnections;
--- a/src/libloomjunction/core/connectionbudget.h
+++ b/src/libloomjunction/core/connectionbudget.h
@@ -141,6 +141,10 @@
 
     std::size_t bytes() const { return mBytes; }
     std::size_t connections() const { return mConnections; }
+    /** Connections closed, or not taken, for want of room since the start. */
+    std::size_t closedCount() const { return mClosedCount; }
+    /** Requests refused for want of memory since the start. */
+    std::size_t refusedCount() const { return mRefusedCount; }
 
 private:
     bool makeRoom(const Share &asking, Instant now);
@@ -164,6 +168,8 @@
     std::size_t mLargeBytes = 0; ///< of requests with more than sMaxSmallBytes
     std::set<Share *> mReceiving;
     std::size_t mConnections = 0;
+    std::size_t mClosedCount = 0;
+    std::size_t mRefusedCount = 0;
     Waiting mNew; ///< had no request yet
     Waiting mRested; ///< had requests before
 };
--- a/src/libloomjunction/gateway/gatewayserver.cpp
+++ b/src/libloomjunction/gateway/gatewayserver.cpp
@@ -68,8 +68,7 @@
     mServer = std::make_unique<HttpServer>(
         kernel.executor(), [this](HttpExchange &exchange) { return handle(exchange); });
     mServer->setBudget(ConnectionService::budgetOf(kernel));
-    mServer->setLossHandler(
-        [this](HttpLoss loss, std::string_view problem) { noteLostRequest(loss, problem); });
+    mServer->setLossHandler([this](const HttpLossReport &report) { noteLostRequest(report); });
     return mServer->listen(std::get<GatewaySettings>(mSettings.role).callers);
 }
 
@@ -89,11 +88,17 @@
 }
 
 // Such a request has no "call" log line, because its call did not start or did not finish.
-void GatewayServer::noteLostRequest(HttpLoss loss, std::string_view problem)
+void GatewayServer::noteLostRequest(const HttpLossReport &report)
 {
-    const std::string_view how = loss == HttpLoss::NotRead ? "not read whole" : "not answered";
+    const std::string_view how
+        = report.loss == HttpLoss::NotRead ? "not read whole" : "not answered";
     mMetrics.count("lost_requests", how);
-    logLine(LogLevel::Warning, "request-lost", {{"how", how}, {"problem", problem}});
+    mMetrics.count("unanswered_requests", report.problem);
+    logLine(LogLevel::Warning, "request-lost",
+            {{"how", how},
+             {"problem", report.problem},
+             {"detail", report.detail},
+             {"client", endpointText(report.client)}});
 }
 
 bool GatewayServer::isReady() const
--- a/src/libloomjunction/gateway/gatewayserver.h
+++ b/src/libloomjunction/gateway/gatewayserver.h
@@ -48,7 +48,7 @@
 
 private:
     awaitable<void> handle(HttpExchange &exchange);
-    void noteLostRequest(HttpLoss loss, std::string_view problem);
+    void noteLostRequest(const HttpLossReport &report);
     void applyLimits();
 
     CallPort &mCalls;
--- a/src/libloomjunction/gateway/metricsserver.cpp
+++ b/src/libloomjunction/gateway/metricsserver.cpp
@@ -14,7 +14,7 @@
 
 namespace Loom {
 
-MetricsServer::MetricsServer(const Metrics &metrics, Tcp::endpoint address)
+MetricsServer::MetricsServer(Metrics &metrics, Tcp::endpoint address)
     : mMetrics(metrics)
     , mAddress(std::move(address))
 {
@@ -25,6 +25,7 @@
     mServer = std::make_unique<HttpServer>(
         kernel.executor(), [this](HttpExchange &exchange) { return handle(exchange); });
     mServer->setBudget(ConnectionService::budgetOf(kernel));
+    mBudget = ConnectionService::budgetOf(kernel);
     return mServer->listen(mAddress);
 }
 
@@ -37,6 +38,13 @@
 {
     HttpResponse response = errorResponse(404, "no such path");
     if (exchange.request().path() == "/metrics") {
+        const auto gauge = [this](std::string_view name, std::size_t value) {
+            mMetrics.set(name, "", static_cast<std::int64_t>(value));
+        };
+        gauge("client_connections", mBudget->connections());
+        gauge("client_bytes", mBudget->bytes());
+        gauge("client_connections_closed_for_others", mBudget->closedCount());
+        gauge("client_requests_refused_for_others", mBudget->refusedCount());
         response = {200, {{"Content-Type", "text/plain; version=0.0.4"}}, mMetrics.text()};
     }
     co_await exchange.respond(std::move(response));
--- a/src/libloomjunction/gateway/metricsserver.h
+++ b/src/libloomjunction/gateway/metricsserver.h
@@ -15,6 +15,7 @@
 
 namespace Loom {
 
+class ConnectionBudget;
 class Metrics;
 
 /** Serves the metrics of the process over HTTP, in the Prometheus text exposition format. */
@@ -23,7 +24,7 @@
 public:
     static constexpr std::string_view sName = "stats-front";
 
-    MetricsServer(const Metrics &metrics, Tcp::endpoint address);
+    MetricsServer(Metrics &metrics, Tcp::endpoint address);
 
     std::string_view name() const override { return sName; }
     tl::expected<void, std::string> start(Kernel &kernel) override;
@@ -32,7 +33,8 @@
 private:
     awaitable<void> handle(HttpExchange &exchange);
 
-    const Metrics &mMetrics;
+    Metrics &mMetrics;
+    std::shared_ptr<const ConnectionBudget> mBudget;
     Tcp::endpoint mAddress;
     std::unique_ptr<HttpServer> mServer;
 };
--- a/src/libloomjunction/net/http.h
+++ b/src/libloomjunction/net/http.h
@@ -96,7 +96,15 @@
     NotRead, ///< its bytes ended, or stopped, before it was whole
     Thrown, ///< its handler ended by an exception
 };
-using HttpLossHandler = std::function<void(HttpLoss loss, std::string_view problem)>;
+/** The views hold during the call only. */
+struct HttpLossReport
+{
+    HttpLoss loss = HttpLoss::NotRead;
+    std::string_view problem; ///< one of few, e.g. as a label
+    std::string_view detail;
+    Tcp::endpoint client;
+};
+using HttpLossHandler = std::function<void(const HttpLossReport &report)>;
 
 /** Serves HTTP/1.1 on one address. Bad input is answered by itself, as 4xx. */
 class HttpServer
--- a/src/libloomjunction/net/httpserver.cpp
+++ b/src/libloomjunction/net/httpserver.cpp
@@ -169,6 +169,13 @@
     {
     }
 
+    /** The client's address, if it is still connected. */
+    Tcp::endpoint client()
+    {
+        boost::system::error_code ignored;
+        return stream.socket().remote_endpoint(ignored);
+    }
+
     // A request that is refused for want of memory can still be answered.
     void makeRoom(CutReason reason)
     {
@@ -429,14 +436,16 @@
         }
         auto read = co_await connection.reader.read(self.mState.limits);
         if (!read) {
-            self.noteLoss(HttpLoss::NotRead, read.error().text);
-            co_await refuse(connection, read.error().problem, self.mState);
+            const RequestError &error = read.error();
+            self.noteLoss({HttpLoss::NotRead, requestProblemName(error.problem), error.text,
+                           connection.client()});
+            co_await refuse(connection, error.problem, self.mState);
             co_return false;
         }
         ServerExchange exchange(connection, std::move(read->request), read->keepAlive, self.mState);
         const std::optional<std::string> thrown = co_await handle(self, exchange);
         if (thrown) {
-            self.noteLoss(HttpLoss::Thrown, *thrown);
+            self.noteLoss({HttpLoss::Thrown, "exception", *thrown, connection.client()});
             co_await exchange.fail();
         }
         co_return exchange.mayContinue();
@@ -453,10 +462,10 @@
         co_return std::nullopt;
     }
 
-    void noteLoss(HttpLoss loss, std::string_view problem) const
+    void noteLoss(const HttpLossReport &report) const
     {
         if (mOnLoss) {
-            mOnLoss(loss, problem);
+            mOnLoss(report);
         }
     }
 
--- a/src/libloomjunction/net/requestreader.cpp
+++ b/src/libloomjunction/net/requestreader.cpp
@@ -82,6 +82,25 @@
 
 } // namespace
 
+std::string_view requestProblemName(RequestProblem problem)
+{
+    switch (problem) {
+    case RequestProblem::Closed:
+        return "closed";
+    case RequestProblem::Malformed:
+        return "malformed";
+    case RequestProblem::HeadTooLarge:
+        return "head too large";
+    case RequestProblem::BodyTooLarge:
+        return "body too large";
+    case RequestProblem::FramingTooLarge:
+        return "framing too large";
+    case RequestProblem::NoRoom:
+        return "no room";
+    }
+    return "unknown";
+}
+
 awaitable<bool> RequestReader::waitForRequest(std::chrono::milliseconds timeout)
 {
     mBuffer.shrink_to_fit();
--- a/src/libloomjunction/net/requestreader.h
+++ b/src/libloomjunction/net/requestreader.h
@@ -29,6 +29,8 @@
     NoRoom, ///< requests of other connections use all the memory, or this one was too slow
 };
 
+std::string_view requestProblemName(RequestProblem problem);
+
 struct RequestError
 {
     RequestProblem problem = RequestProblem::Closed;
