--- a/src/libloomjunction/net/httpclient.cpp
+++ b/src/libloomjunction/net/httpclient.cpp
@@ -27,6 +27,8 @@
 namespace http = boost::beast::http;
 
 constexpr std::size_t sReadPieceBytes = std::size_t{64} * 1024;
+// The parser needs a chunk's line, or all trailer fields, as a whole.
+constexpr std::size_t sMaxBufferBytes = std::size_t{128} * 1024;
 constexpr std::size_t sMostIdlePerServer = 256;
 // An answer that drips ends after so many pieces' time beyond its own: whoever waits
 // could learn the same elsewhere.
@@ -191,7 +193,7 @@
     readAnswer(beast::tcp_stream &stream, const HttpCall &call, const HttpDataHandler &onData,
                std::chrono::steady_clock::time_point deadline)
     {
-        beast::flat_buffer buffer;
+        beast::flat_buffer buffer(sMaxBufferBytes);
         http::response_parser<http::buffer_body> parser;
         parser.body_limit(boost::none);
         auto [headError, headSize]
--- a/tests/endless/test_endless.cpp
+++ b/tests/endless/test_endless.cpp
@@ -288,6 +288,30 @@
     }
 }
 
+// Guards against lines of chunks and trailers of the engine, the origin or the store that are kept
+// whatever their size, until the call's time is over.
+BOOST_AUTO_TEST_CASE(client_gives_up_framing_that_is_too_large)
+{
+    const std::string chunked = "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n";
+    for (const std::string &begin : {chunked + "5;a=", chunked + "1\r\nx\r\n0\r\nX-Trailer: "}) {
+        GatewayFixture fixture;
+        FloodingReplica flooding(
+            fixture, "plain", [&](const std::string &) { return begin; },
+            std::string(sFloodPieceBytes, 'y'), std::chrono::milliseconds(0));
+        fixture.run([&]() -> awaitable<void> {
+            HttpClient client(fixture.context.get_executor());
+            HttpCall call;
+            call.endpoint = flooding.address();
+            call.method = "GET";
+            call.target = "/report";
+            const auto response = co_await client.send(call);
+            BOOST_REQUIRE(!response.has_value());
+            BOOST_TEST((response.error().failure == HttpFailure::Cut));
+            co_await fixture.waitFor([&] { return flooding.closed == 1; });
+        });
+    }
+}
+
 // Guards against an answer of the engine, the origin or the store that is kept whatever its size.
 BOOST_AUTO_TEST_CASE(client_gives_up_a_body_that_is_too_large)
 {
