--- a/tests/process/test_input.py
+++ b/tests/process/test_input.py
@@ -104,6 +104,28 @@
             assert code == 2 and "'gateway.answers.%s'" % field in text, text
 
 
+def test_bounds_of_clients_are_checked():
+    good = {"role": "gateway", "box": "g1", "dataCentre": "z1", "region": "r1", "peers": "127.0.0.1:1",
+            "store": "127.0.0.1:2", "gateway": {"callers": "127.0.0.1:3", "readiness": "127.0.0.1:4",
+                                                "addresses": "127.0.0.1:5"}}
+    with tempfile.TemporaryDirectory() as folder:
+        def check(group, fields):
+            path = os.path.join(folder, "settings.json")
+            with open(path, "w") as file:
+                json.dump({**good, group: fields}, file)
+            done = subprocess.run([program("loomjunctiond"), "--check", "--config", path],
+                                  capture_output=True, text=True)
+            return done.returncode, done.stderr
+
+        assert check("machine", {"memoryMb": 160, "descriptors": 4100})[0] == 0
+        assert check("clients", {"heldBytes": 10_000_000, "connections": 500})[0] == 0
+        for group, field, value in (("machine", "memoryMb", 1), ("machine", "descriptors", "x"),
+                                    ("machine", "odd", 1), ("clients", "heldBytes", 10),
+                                    ("clients", "connections", 0), ("clients", "odd", 1)):
+            code, text = check(group, {field: value})
+            assert code == 2 and "'%s.%s'" % (group, field) in text, text
+
+
 def test_metrics_and_logs_have_their_names():
     with basic_lab(entries=1, plain=0, log_level="debug") as lab:
         entry = lab.entries[0]
@@ -136,4 +158,5 @@
          test_a_service_without_upstreams_refuses_at_once,
          test_settings_files_are_checked,
          test_answer_limits_of_a_gateway_are_checked,
+         test_bounds_of_clients_are_checked,
          test_metrics_and_logs_have_their_names)
