Tests: the time of the last contact is not reckoned too late

older_weights_end_by_the_first_newer_version_even_if_it_was_never_received failed once, at a load of 18 beside plays and a build.

Cause: the bound is the time of naming less the age of the last contact, and the age was read before the time, so that it lay behind the contact by what passed between the two reads; the cutoff is the contact plus the grace period to the microsecond. With 5 ms put between the reads it failed three times of three by 5.1 ms, and with the reads in the other order it held three times of three.

The time is read first, which also makes the upper bound stricter by as much.

--- a/tests/weightages/test_weightages.cpp
+++ b/tests/weightages/test_weightages.cpp
@@ -165,8 +165,9 @@
             return fixture.follower.feeds().age(Feed::Operators).value_or(Microseconds(0))
                 > Milliseconds(300);
         });
-        const Microseconds outOfContact = *fixture.follower.feeds().age(Feed::Operators);
+        // Read first: the bound below must not lie behind the last contact.
         const Instant firstNamedAt = now();
+        const Microseconds outOfContact = *fixture.follower.feeds().age(Feed::Operators);
         fixture.reader.store.write(Feed::Operators, "version/m", namedWeights(2));
         co_await fixture.waitFor([&] { return newest(fixture.reader) == 2; });
         co_await sleepFor(std::chrono::milliseconds(700));
