--- a/tests/clients/test_clients.py
+++ b/tests/clients/test_clients.py
@@ -11,6 +11,7 @@
 after they have gone.
 """
 
+import resource
 import sys
 import time
 
@@ -183,6 +184,9 @@
     if "--list" in sys.argv:
         print("\n".join(CASES))
         return 0
+    # The largest crowd needs more descriptors than many systems allow at first.
+    most = resource.getrlimit(resource.RLIMIT_NOFILE)[1]
+    resource.setrlimit(resource.RLIMIT_NOFILE, (most, most))
     is_measuring = "--measure" in sys.argv
     names = [name for name in sys.argv[1:] if not name.startswith("-")] or list(CASES)
     failed = 0
