--- a/tests/process/test_deploy.py
+++ b/tests/process/test_deploy.py
@@ -23,9 +23,9 @@
              zones={"dfw-a": "dfw", "iad-a": "iad"},
              listen={"front": "10.1.0.40:8005", "ready": "10.1.0.40:8002",
                      "control": "10.1.0.40:8000", "directory": "10.1.0.40:8009"},
-             limits={"link_mbps": 1000.0})
+             limits={"link_mbps": 1000.0, "memory_mb": 260, "max_fds": 4200})
 SIDE = dict(COMMON, node="side-dfw-a-1", ip="10.1.0.43", listen={}, app="10.1.0.43:8001",
-            service="scorer", limits={"link_mbps": 9.4})
+            service="scorer", limits={"link_mbps": 9.4, "memory_mb": 128, "max_fds": 2048})
 
 
 def value(fields, path):
