Answers: a client that reads a stream slowly keeps its connection

By reading: the time of the last progress was taken once for each piece of a stream, so that a client that needed longer than the idle time for a large piece would have been closed although it was reading. Each part that is taken counts now.

slow_reader_of_a_stream_keeps_its_connection holds; it was not seen red yet.

--- a/src/libloomjunction/net/httpserver.cpp
+++ b/src/libloomjunction/net/httpserver.cpp
@@ -250,9 +250,15 @@
         if (data.empty()) {
             co_return mAlive;
         }
-        mWritesSince = now();
-        auto [error, sent] = co_await asio::async_write(
-            mStream, http::make_chunk(asio::buffer(data.data(), data.size())), sAsValue);
+        auto chunk = http::make_chunk(asio::buffer(data.data(), data.size()));
+        beast::buffers_suffix left(chunk);
+        beast::error_code error;
+        while (!error && beast::buffer_bytes(left) > 0) {
+            std::size_t sent = 0;
+            mWritesSince = now();
+            std::tie(error, sent) = co_await mStream.async_write_some(left, sAsValue);
+            left.consume(sent);
+        }
         co_return noteSent(!error, false);
     }
 
--- a/tests/transport/test_requestreader.cpp
+++ b/tests/transport/test_requestreader.cpp
@@ -157,3 +157,47 @@
 }
 
 BOOST_AUTO_TEST_SUITE_END()
+
+// Guards against cutting a client that reads slowly, but does read: no piece of a stream is taken
+// whole within the idle time here.
+BOOST_AUTO_TEST_CASE(slow_reader_of_a_stream_keeps_its_connection)
+{
+    constexpr std::size_t streamBytes = std::size_t{16} * 1024 * 1024;
+    constexpr std::size_t readBytes = std::size_t{1024} * 1024;
+    constexpr std::chrono::milliseconds pause{300};
+    asio::io_context context{1};
+    HttpLimits limits;
+    limits.idle = std::chrono::seconds(1);
+    bool isWhole = false;
+    HttpServer server(
+        context.get_executor(),
+        [&](HttpExchange &exchange) -> awaitable<void> {
+            HttpResponse begin;
+            const std::string data(streamBytes, 's');
+            co_await exchange.beginStream(std::move(begin));
+            isWhole = co_await exchange.write(data);
+            co_await exchange.endStream();
+        },
+        limits);
+    BOOST_REQUIRE(server.listen(Tcp::endpoint(asio::ip::address_v4::loopback(), 0)).has_value());
+    asio::co_spawn(
+        context,
+        [&]() -> awaitable<void> {
+            Tcp::socket socket(context);
+            co_await socket.async_connect(server.localEndpoint(), sAsValue);
+            const std::string request = head("Content-Length: 0\r\n");
+            co_await asio::async_write(socket, asio::buffer(request), sAsValue);
+            std::string piece(readBytes, '\0');
+            boost::system::error_code error;
+            while (!error) {
+                std::size_t size = 0;
+                std::tie(error, size)
+                    = co_await asio::async_read(socket, asio::buffer(piece), sAsValue);
+                co_await sleepFor(pause);
+            }
+            context.stop();
+        },
+        asio::detached);
+    context.run();
+    BOOST_TEST(isWhole);
+}
