Settings: the memory of a machine may be a fraction of megabytes

Platforms compute limits as real numbers, as for other bounds; a process refused to start with a fraction in machine.memoryMb. test_bounds_of_clients_are_checked has such a value.

--- a/src/libloomjunction/gateway/membersettings.cpp
+++ b/src/libloomjunction/gateway/membersettings.cpp
@@ -27,9 +27,9 @@
 constexpr std::size_t sMinAnswerBytes = 1'024;
 constexpr std::int64_t sMaxAnswerBytes = 1'073'741'824;
 constexpr std::size_t sMinHeldBytes = std::size_t{64} * 1024;
-constexpr std::size_t sMegabyte = std::size_t{1024} * 1024;
-constexpr std::int64_t sMinMemoryMb = 16;
-constexpr std::int64_t sMaxMemoryMb = 1'048'576;
+constexpr double sBytesPerMegabyte = 1'048'576;
+constexpr double sMinMemoryMb = 16;
+constexpr double sMaxMemoryMb = 1'048'576;
 constexpr std::int64_t sMinDescriptors = 64;
 constexpr std::int64_t sMaxDescriptors = 16'777'216;
 constexpr double sMillisecondsPerSecond = 1'000;
@@ -100,10 +100,9 @@
 ProcessLimits readProcessLimits(SettingsReader reader)
 {
     ProcessLimits limits = processLimits();
-    limits.memoryBytes = sMegabyte
-        * static_cast<std::size_t>(reader.integer(
-            "memoryMb", sMinMemoryMb, sMaxMemoryMb,
-            static_cast<std::int64_t>(limits.memoryBytes / sMegabyte)));
+    const double memoryMb = static_cast<double>(limits.memoryBytes) / sBytesPerMegabyte;
+    limits.memoryBytes = static_cast<std::size_t>(
+        sBytesPerMegabyte * reader.real("memoryMb", sMinMemoryMb, sMaxMemoryMb, memoryMb));
     limits.descriptors
         = static_cast<std::size_t>(reader.integer("descriptors", sMinDescriptors, sMaxDescriptors,
                                                   static_cast<std::int64_t>(limits.descriptors)));
--- a/tests/process/test_input.py
+++ b/tests/process/test_input.py
@@ -118,6 +118,7 @@
             return done.returncode, done.stderr
 
         assert check("machine", {"memoryMb": 160, "descriptors": 4100})[0] == 0
+        assert check("machine", {"memoryMb": 160.5})[0] == 0
         assert check("clients", {"heldBytes": 10_000_000, "connections": 500})[0] == 0
         for group, field, value in (("machine", "memoryMb", 1), ("machine", "descriptors", "x"),
                                     ("machine", "odd", 1), ("clients", "heldBytes", 10),
