--- a/tests/clients/test_clients.py
+++ b/tests/clients/test_clients.py
@@ -29,11 +29,13 @@
 ENDLESS_BYTES = 40_000_000
 SHORT_BYTES = BODY_BYTES - 64 * 1024
 SURPLUS_BYTES = 1024 * 1024  # of a client that goes beyond a limit by mistake
+MAX_KEPT_GROWTH_MB = 10  # that a process keeps more after the last crowd than after the first
 ROUNDS = 3
 LAST_CHUNK = b"0\r\n\r\n"
 EMPTY_BODY = b"\r\nContent-Length: 0\r\n\r\n"
 
 MEASURED = []
+KEPT_MB = []
 
 
 def check(fleet, crowd, stage):
@@ -53,6 +55,7 @@
     with make_target(**options) as fleet:
         fleet.descriptors = options.get("descriptors")
         calm_descriptors = fleet.process.descriptors()
+        kept_mb = []  # after each crowd
         for number in range(rounds):
             began = time.monotonic()
             with Crowd(fleet.process, make_clients(fleet), STOP_MB) as crowd:
@@ -68,6 +71,9 @@
             wait_for("closed connections",
                      lambda: fleet.process.descriptors() <= calm_descriptors + 8)
             check(fleet, crowd, "round %d, after the clients" % number)
+            kept_mb.append(fleet.process.memory_mb())
+            KEPT_MB.append(kept_mb[-1])
+        assert kept_mb[-1] <= kept_mb[0] + MAX_KEPT_GROWTH_MB, kept_mb
 
 
 def crowd_of(count, make_pieces, port="callers"):
@@ -192,6 +198,7 @@
     failed = 0
     for name in names:
         MEASURED.clear()
+        KEPT_MB.clear()
         try:
             CASES[name]()
             outcome = "held"
@@ -203,6 +210,8 @@
             if is_measuring:
                 print("  | %d clients | %.0f MB | %d descriptors | %.1f s | %d open, %d reset |"
                       % (clients, mb, descriptors, seconds, is_open, resets), flush=True)
+        if is_measuring and KEPT_MB:
+            print("  kept afterwards: %s MB" % ", ".join("%.0f" % mb for mb in KEPT_MB), flush=True)
     print("%d passed, %d failed" % (len(names) - failed, failed))
     return 1 if failed else 0
 
