--- a/review/standins-2/standins.py
+++ b/review/standins-2/standins.py
@@ -7,6 +7,7 @@
 import base64
 import json
 import os
+import random
 import signal
 import socket
 import struct
@@ -22,10 +23,20 @@
           "configMs": 2000, "retryWindowSeconds": 10, "retryRatio": 0.2, "retryExtra": 100}
 
 
-def free_port():
-    with socket.socket() as probe:
-        probe.bind((HOST, 0))
-        return probe.getsockname()[1]
+def free_port(used=set()):
+    """A port below those that the system gives to outgoing connections."""
+    while True:
+        port = random.randrange(10_000, 30_000)
+        if port in used:
+            continue
+        with socket.socket() as probe:
+            probe.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+            try:
+                probe.bind((HOST, port))
+            except OSError:
+                continue
+        used.add(port)
+        return port
 
 
 class Message:
