--- a/review/4/case.py
+++ b/review/4/case.py
@@ -10,7 +10,6 @@
 import subprocess
 import sys
 import time
-import traceback
 
 HERE = os.path.dirname(os.path.abspath(__file__))
 sys.path.insert(0, os.path.join(HERE, "..", "standins-2"))
@@ -30,6 +29,7 @@
     def __init__(self, port):
         self.port = standins.free_port()
         self.target = port
+        self.server = None
         self.open = asyncio.Event()
         self.open.set()
         self.tasks = set()
@@ -42,7 +42,8 @@
         self.server = await asyncio.start_server(self.accept, standins.HOST, self.port)
 
     def end(self):
-        self.server.close()
+        if self.server is not None:
+            self.server.close()
         for task in self.tasks:
             task.cancel()
 
@@ -82,6 +83,7 @@
         self.link = Link(self.port)
         self.life = 0
         self.log = log
+        self.child = None
 
     @property
     def id(self):
@@ -98,8 +100,9 @@
             "version": "v1", "slots": 32, "state": "ready", "cold_left_ms": 0, "sequence": 1})
 
     def kill(self):
-        self.child.kill()
-        self.child.wait()
+        if self.child is not None and self.child.poll() is None:
+            self.child.kill()
+            self.child.wait()
 
     def restart(self):
         """A new boot with a new id at the same address."""
@@ -202,13 +205,4 @@
     return 1 if broken else 0
 
 
-def main():
-    record = standins.Record(HERE)
-    try:
-        return asyncio.run(play(record))
-    except Exception:  # the case couldn't run
-        traceback.print_exc()
-        return 2
-
-
-sys.exit(main())
+sys.exit(standins.run_case(play, os.path.join(HERE, "record.txt")))
--- a/review/7/case.py
+++ b/review/7/case.py
@@ -11,7 +11,6 @@
 import random
 import sys
 import time
-import traceback
 
 HERE = os.path.dirname(os.path.abspath(__file__))
 sys.path.insert(0, os.path.join(HERE, "..", "standins-2"))
@@ -95,7 +94,8 @@
     if TROUBLE == "0":
         return
     await asyncio.sleep(begun + FAULT_AT - time.monotonic())
-    record("all machines lose power")
+    deployment.store.write(OPERATORS, "config", configuration(5, origin))
+    record("a configuration is acknowledged, and all machines lose power")
     for process in [*deployment.gateways, *deployment.stagers]:
         process.end()
     engine.lose_power()
@@ -155,13 +155,4 @@
     return 1 if is_broken else 0
 
 
-def main():
-    record = standins.Record(HERE)
-    try:
-        return asyncio.run(play(record))
-    except Exception:  # the case couldn't run
-        traceback.print_exc()
-        return 2
-
-
-sys.exit(main())
+sys.exit(standins.run_case(play, os.path.join(HERE, "record.txt")))
--- a/review/8/case.py
+++ b/review/8/case.py
@@ -9,7 +9,6 @@
 import random
 import sys
 import time
-import traceback
 
 HERE = os.path.dirname(os.path.abspath(__file__))
 sys.path.insert(0, os.path.join(HERE, "..", "standins-2"))
@@ -148,13 +147,4 @@
     return 1 if broken else 0
 
 
-def main():
-    record = standins.Record(HERE)
-    try:
-        return asyncio.run(play(record))
-    except Exception:  # the case couldn't run
-        traceback.print_exc()
-        return 2
-
-
-sys.exit(main())
+sys.exit(standins.run_case(play, os.path.join(HERE, "record.txt")))
--- a/review/standins-2/standins.py
+++ b/review/standins-2/standins.py
@@ -10,14 +10,17 @@
 import random
 import signal
 import socket
+import shutil
 import struct
 import subprocess
 import tempfile
 import time
+import traceback
 
 HOST = "127.0.0.1"
 ROOT = os.path.abspath(os.path.join(os.path.dirname(__file__), "..", ".."))
 PROGRAM = os.path.join(ROOT, "target", "src", "loomjunctiond", "loomjunctiond")
+MAX_PLAY_S = 110.0
 # Bounds of the site file bbpp-exams.
 BOUNDS = {"drainMs": 2000, "stopSeconds": 8, "addressLifetimeSeconds": 5, "weightsMs": 8000,
           "configMs": 2000, "retryWindowSeconds": 10, "retryRatio": 0.2, "retryExtra": 100}
@@ -299,6 +302,7 @@
             process.end()
         for server in [self.store, *self.others]:
             server.end()
+        shutil.rmtree(self.folder, ignore_errors=True)
 
 
 async def read_answer(reader, method="GET"):
@@ -341,12 +345,33 @@
 
 
 class Record:
-    """What was sent, answered and run, as lines of record.txt."""
+    """What was sent, answered and run, as lines of a file."""
 
-    def __init__(self, folder):
-        self.file = open(os.path.join(folder, "record.txt"), "w", encoding="utf-8")
+    def __init__(self, path):
+        self.file = open(path, "w", encoding="utf-8")
         self.begun = time.monotonic()
 
     def __call__(self, text):
         self.file.write(f"{time.monotonic() - self.begun:8.3f} {text}\n")
         self.file.flush()
+
+
+def run_case(play, path):
+    """Plays a case and returns its exit code; 2 if it couldn't run, or was interrupted.
+
+    A signal or the end of its time cancels the play, which then ends all that it started.
+    """
+    record = Record(path)
+
+    async def limited():
+        task = asyncio.current_task()
+        for number in (signal.SIGTERM, signal.SIGINT, signal.SIGHUP):
+            asyncio.get_running_loop().add_signal_handler(number, task.cancel)
+        return await asyncio.wait_for(play(record), MAX_PLAY_S)
+
+    try:
+        return asyncio.run(limited())
+    except (Exception, asyncio.CancelledError):
+        record("the case couldn't run to its end")
+        traceback.print_exc()
+        return 2
