--- a/review/standins-2/standins.py
+++ b/review/standins-2/standins.py
@@ -367,7 +367,10 @@
         task = asyncio.current_task()
         for number in (signal.SIGTERM, signal.SIGINT, signal.SIGHUP):
             asyncio.get_running_loop().add_signal_handler(number, task.cancel)
-        return await asyncio.wait_for(play(record), MAX_PLAY_S)
+        try:
+            return await asyncio.wait_for(play(record), MAX_PLAY_S)
+        finally:
+            await asyncio.sleep(0.05)  # what was cancelled ends
 
     try:
         return asyncio.run(limited())
