Review: case 4, a request runs twice after late second answers

Cause: exchangeHead() passes over two foreign answers and hands the third one on whatever its id is, and classifyResponse() takes any refusal for that of its own request. Added: a script with three replicas of a plain service. One of them answers three refused requests a second time, 0.8 s later, while it works on a further request on their connection.

--- a/review/4/case.py
+++ b/review/4/case.py
@@ -1,206 +1,160 @@
-"""MIXED: the beginning of an answer is passed on as the whole one after a replica crashed behind a cut.
+"""TWICE: a request that is no repeat runs at two replicas after late second answers to earlier refusals.
 
-The replicas are processes of their own; the one behind the cut is killed and started again. The cut
-is a proxy that holds all bytes. TROUBLE=0 plays neither the cut nor the crash.
+One replica of three sends a second answer, late, to three of the requests that it refused while it was
+full. They arrive on the connection on which it works on a further request. TROUBLE=0 sends none.
 """
 
 import asyncio
 import os
 import random
-import subprocess
 import sys
 import time
 
 HERE = os.path.dirname(os.path.abspath(__file__))
 sys.path.insert(0, os.path.join(HERE, "..", "standins-2"))
 import standins
-from replica import whole_body
-from replicas import OPERATORS, SERVERS, Origin, configuration, request_headers
+from replicas import OPERATORS, Origin, Replica, configuration, digest, request_headers
 
 TROUBLE = os.environ.get("TROUBLE", "1") != "0"
-GATEWAYS, REPLICAS = 2, 3
-PER_S, LASTS_S = 40, 12.0
-CUT_AT, CRASH_AFTER, DOWN_S, CUT_S = 4.0, 0.1, 0.9, 2.0
-
-
-class Link:
-    """Passes connections on to a replica; holds what is sent while it is cut."""
-
-    def __init__(self, port):
-        self.port = standins.free_port()
-        self.target = port
-        self.server = None
-        self.open = asyncio.Event()
-        self.open.set()
+GATEWAYS, REPLICAS, SLOTS = 3, 3, 4
+PER_S, LASTS_S = 82, 25.0
+WORK_S = (*[0.01] * 9, 1.0)  # of the requests by turns
+GARBLED_FROM, GARBLED_FOR = 4.0, 5.0
+LATE_S = 0.8  # a second answer comes so much after the first
+SECOND_ANSWERS = 3
+
+
+class BusyReplica(Replica):
+    """Refuses what it has no slot for. While `garbles`, it answers three refused requests twice."""
+
+    def __init__(self, *args, record):
+        super().__init__(*args, slots=SLOTS)
+        self.log = record
+        self.garbles = False
+        self.answered = []  # when it answered a request
+        self.second_answers = []  # (when first sent, request id)
+        self.peers = []
+        self.refused = {}  # connection -> (time, answer) of its latest refusals
         self.tasks = set()
 
-    @property
-    def address(self):
-        return f"{standins.HOST}:{self.port}"
-
-    async def listen(self):
-        self.server = await asyncio.start_server(self.accept, standins.HOST, self.port)
-
-    def end(self):
-        if self.server is not None:
-            self.server.close()
-        for task in self.tasks:
-            task.cancel()
-
-    async def accept(self, reader, writer):
-        task = asyncio.ensure_future(self.serve(reader, writer))
-        self.tasks.add(task)
-        task.add_done_callback(self.tasks.discard)
-
-    async def serve(self, reader, writer):
-        await self.open.wait()
-        try:
-            far_reader, far_writer = await asyncio.open_connection(standins.HOST, self.target)
-        except OSError:
-            standins.reset(writer)
+    async def handle(self, request, writer):
+        if request.target.startswith("/healthz"):
+            await super().handle(request, writer)
             return
-        await asyncio.gather(self.pump(reader, far_writer), self.pump(far_reader, writer))
-
-    async def pump(self, reader, writer):
-        try:
-            while True:
-                piece = await reader.read(65536)
-                await self.open.wait()
-                if not piece:
-                    writer.close()  # as the other side ended: in the ordinary way
-                    return
-                writer.write(piece)
-                await writer.drain()
-        except (OSError, RuntimeError):
-            standins.reset(writer)  # the other side has reset its connection
-
-
-class ReplicaProcess:
-    def __init__(self, deployment, index, log):
-        self.deployment = deployment
-        self.zone = deployment.zones[index % 2]
-        self.port = standins.free_port()
-        self.link = Link(self.port)
-        self.life = 0
-        self.log = log
-        self.child = None
-
-    @property
-    def id(self):
-        return f"plain-{self.port}-{self.life}"
-
-    def start(self):
-        self.child = subprocess.Popen([sys.executable, os.path.join(HERE, "replica.py"),
-                                       str(self.port), self.id], stdout=self.log, stderr=self.log,
-                                      stdin=subprocess.DEVNULL)
-
-    def record(self):
-        self.deployment.store.write(SERVERS, self.id, {
-            "service": "plain-svc", "address": self.link.address, "zone": self.zone,
-            "version": "v1", "slots": 32, "state": "ready", "cold_left_ms": 0, "sequence": 1})
-
-    def kill(self):
-        if self.child is not None and self.child.poll() is None:
-            self.child.kill()
-            self.child.wait()
-
-    def restart(self):
-        """A new boot with a new id at the same address."""
-        self.deployment.store.write(SERVERS, self.id, None)
-        self.life += 1
-        self.start()
-        self.record()
-
-
-async def wait_for_port(port):
-    for _ in range(200):
-        try:
-            _, writer = await asyncio.open_connection(standins.HOST, port)
-            writer.close()
+        self.answered.append(time.monotonic())
+        status = self.refusal(request)
+        if not status:
+            if self.garbles:
+                self.answer_again(request, writer)
+            await super().handle(request, writer)
             return
-        except OSError:
-            await asyncio.sleep(0.05)
-    raise RuntimeError("a replica did not start")
-
-
-async def client(deployment, name, rng, record, broken, counts):
+        told = [*self.common(request), ("Loomjunction-Instance-Id", self.id),
+                ("Loomjunction-Not-Executed", "1")]
+        answer = standins.answer_bytes(status, told)
+        name = request.header("Loomjunction-Request-Id")
+        self.refused.setdefault(writer, []).append((time.monotonic(), name, answer))
+        writer.write(answer)
+
+    def answer_again(self, request, writer):
+        """Sends the latest three refusals on the connection again, each LATE_S after the first time."""
+        now = time.monotonic()
+        due = [one for one in self.refused.get(writer, []) if one[0] + LATE_S > now + 0.02]
+        chosen = due[-SECOND_ANSWERS:]
+        works_until = now + self.work_time(request) - 0.05
+        has_room = any(peer.running < SLOTS - 1 for peer in self.peers)
+        if (self.second_answers or len(chosen) < SECOND_ANSWERS or not has_room
+                or chosen[-1][0] + LATE_S > works_until):
+            return
+        self.second_answers = [(at, name) for at, name, _ in chosen]
+        for at, name, answer in chosen:
+            task = asyncio.ensure_future(self.send_late(at + LATE_S - now, name, answer, writer))
+            self.tasks.add(task)
+
+    async def send_late(self, delay, name, answer, writer):
+        await asyncio.sleep(delay)
+        if not writer.is_closing():
+            self.log(f"{self.id} sends its refusal of {name} a second time")
+            writer.write(answer)
+
+    def work_time(self, request):
+        number = int(request.header("Loomjunction-Request-Id")[1:])
+        return WORK_S[number % len(WORK_S)]
+
+    async def work(self, request, writer):
+        await asyncio.sleep(self.work_time(request))
+        name = request.header("Loomjunction-Request-Id")
+        body = f"{name}:{digest(request.body)}".encode()
+        writer.write(standins.answer_bytes(200, [*self.common(request), *self.signature(request)],
+                                           body))
+
+
+async def client(deployment, name, rng, record, counts):
     gateway = rng.choice(deployment.gateways).settings["gateway"]["callers"]
-    path = rng.choice(("/safe/x", "/once/x"))
     try:
-        answer = await standins.ask(gateway, "POST", path, request_headers(name), b"q", 7.0)
+        answer = await standins.ask(gateway, "POST", "/once/x", request_headers(name, 4000),
+                                    rng.randbytes(50), 4.0)
+        outcome = answer.status
     except (OSError, asyncio.IncompleteReadError, asyncio.TimeoutError) as error:
-        record(f"{name} {path}: no whole answer, {type(error).__name__}")
-        counts["no answer"] = counts.get("no answer", 0) + 1
-        return
-    counts[answer.status] = counts.get(answer.status, 0) + 1
-    whole = whole_body(name)
-    signature = answer.header("Loomjunction-Response-Signature", "none")
-    record(f"{name} {path}: {answer.status}, {len(answer.body)} bytes, signature {signature}")
-    if answer.status // 100 == 2 and answer.body != whole:
-        broken.append(f"{name} {path} got {answer.status} with {len(answer.body)} of the "
-                      f"{len(whole)} bytes of its answer, signature {signature}")
+        outcome = type(error).__name__
+    counts[name] = outcome
+    record(f"{name}: {outcome}")
 
 
-async def trouble(replica, record, begun):
+async def trouble(replica, begun):
     if not TROUBLE:
         return
-    await asyncio.sleep(begun + CUT_AT - time.monotonic())
-    replica.link.open.clear()
-    record(f"{replica.id} is cut off")
-    await asyncio.sleep(CRASH_AFTER)
-    replica.kill()
-    record(f"{replica.id} is killed")
-    await asyncio.sleep(DOWN_S)
-    replica.restart()
-    record(f"it starts again as {replica.id}")
-    await asyncio.sleep(begun + CUT_AT + CUT_S - time.monotonic())
-    replica.link.open.set()
-    record("the cut has ended")
+    await asyncio.sleep(begun + GARBLED_FROM - time.monotonic())
+    replica.garbles = True
 
 
 async def play(record):
-    rng = random.Random(4)
+    rng = random.Random(9)
     deployment = standins.Deployment()
+    runs, answers = [], {}
     origin = Origin()
-    deployment.others = [origin]
-    replicas = []
+    replicas = [BusyReplica(deployment.store, "plain-svc", deployment.zones[index % 2], runs,
+                            record=record) for index in range(REPLICAS)]
+    deployment.others = [origin, *replicas]
     try:
-        with open(os.path.join(deployment.folder, "replicas.log"), "w", encoding="utf-8") as log:
-            replicas = [ReplicaProcess(deployment, index, log) for index in range(REPLICAS)]
-            for replica in replicas:
-                await replica.link.listen()
-                deployment.others.append(replica.link)
-                replica.start()
-            for replica in replicas:
-                await wait_for_port(replica.port)
-                replica.record()
-            await origin.listen()
-            deployment.plan_gateways(GATEWAYS)
-            deployment.store.write(OPERATORS, "config", configuration(3, origin))
-            await deployment.start()
-            await asyncio.sleep(1.0)
-            begun = time.monotonic()
-            broken, counts, tasks = [], {}, []
-            troubled = asyncio.ensure_future(trouble(replicas[-1], record, begun))
-            for number in range(int(PER_S * LASTS_S)):
-                await asyncio.sleep(max(0.0, begun + number / PER_S - time.monotonic()))
-                tasks.append(asyncio.ensure_future(client(deployment, f"r{number:05d}", rng, record,
-                                                          broken, counts)))
-            await asyncio.gather(troubled, *tasks)
-        with open(os.path.join(deployment.folder, "replicas.log"), encoding="utf-8") as log:
-            for line in log:
-                record(line.strip())
-    finally:
+        replicas[0].peers = replicas[1:]
+        await origin.listen()
+        deployment.plan_gateways(GATEWAYS)
         for replica in replicas:
-            replica.kill()
+            await replica.start()
+        deployment.store.write(OPERATORS, "config", configuration(3, origin, attempts=3))
+        await deployment.start()
+        await asyncio.sleep(1.0)
+        begun = time.monotonic()
+        tasks = [asyncio.ensure_future(trouble(replicas[0], begun))]
+        for number in range(int(PER_S * LASTS_S)):
+            await asyncio.sleep(max(0.0, begun + number / PER_S - time.monotonic()))
+            tasks.append(asyncio.ensure_future(client(deployment, f"r{number:05d}", rng, record,
+                                                      answers)))
+        await asyncio.gather(*tasks)
+    finally:
         deployment.end()
+    ran = {}
+    for at, name, replica in runs:
+        record(f"{name} began at {replica} at {at - begun:.3f}")
+        ran.setdefault(name, []).append(replica)
+    broken = [f"TWICE: {name} ran at {' and '.join(where)}, and its client got {answers.get(name)}"
+              for name, where in ran.items() if len(where) > 1]
+    broken += [f"REFUSED: {name} ran at {where[0]}, and its client got {answers.get(name)}"
+               for name, where in ran.items() if answers.get(name) in (408, 421, 429, 503)]
+    statuses = {}
+    for outcome in answers.values():
+        statuses[outcome] = statuses.get(outcome, 0) + 1
     for line in broken:
-        record(f"MIXED: {line}")
+        record(line)
         print(line)
-    text = f"answers: {counts}; MIXED {'broken' if broken else 'held'} ({len(broken)})"
+    second = replicas[0].second_answers
+    first_at = second[0][0] if second else 0
+    answers_then = sum(first_at <= at < first_at + GARBLED_FOR for at in replicas[0].answered)
+    text = (f"answers: {statuses}; of {answers_then} answers of one replica in {GARBLED_FOR:.0f} s "
+            f"{len(second)} were sent twice; TWICE and REFUSED {'broken' if broken else 'held'} ({len(broken)})")
     record(text)
     print(text)
-    if counts.get(200, 0) < PER_S * LASTS_S / 4:
+    if statuses.get(200, 0) < PER_S * LASTS_S / 2 or (TROUBLE and not replicas[0].second_answers):
         return 2
     return 1 if broken else 0
 
