--- a/review/8/case.py
+++ b/review/8/case.py
@@ -1,7 +1,8 @@
-"""MIXED: a refusal of a HEAD request carries a body, which the client reads as its next answer.
+"""RECOVER: entries of another writer hide running replicas for good.
 
-Clients keep their connections and send HEAD and GET requests by turns. The disruption: all replicas of
-the service crash once. TROUBLE=0 plays no crash.
+Every process of the system is killed at the end. After it, another writer adds entries of a service that no
+configuration names, with the addresses of the replicas. TROUBLE=0 plays neither; TROUBLE=final plays the
+final fault alone.
 """
 
 import asyncio
@@ -13,114 +14,102 @@
 HERE = os.path.dirname(os.path.abspath(__file__))
 sys.path.insert(0, os.path.join(HERE, "..", "standins-2"))
 import standins
-from replicas import OPERATORS, Origin, Replica, configuration, request_headers
-
-TROUBLE = os.environ.get("TROUBLE", "1") != "0"
-GATEWAYS, REPLICAS, CLIENTS = 2, 3, 6
-LASTS_S, CRASH_AT, DOWN_S = 16.0, 4.0, 6.0
-PAUSE_S = 0.1
-
-
-class HeadReplica(Replica):
-    """Answers HEAD with the head of what GET would get."""
-
-    async def work(self, request, writer):
-        await asyncio.sleep(0.01)
-        name = request.header("Loomjunction-Request-Id")
-        body = f"{name}:{'x' * 100}".encode()
-        head = [*self.common(request), *self.signature(request)]
-        if request.first[0] == "HEAD":
-            head.append(("Content-Length", str(len(body))))
-            writer.write(standins.answer_bytes(200, head, length=False))
-        else:
-            writer.write(standins.answer_bytes(200, head, body))
-
-
-class Client:
-    """Sends one request after the other on a connection that it keeps."""
-
-    def __init__(self, deployment, number, record, broken, counts):
-        self.deployment, self.number, self.record = deployment, number, record
-        self.broken, self.counts = broken, counts
-        self.rng = random.Random(number)
-        self.reader = self.writer = None
-
-    async def run(self, until):
-        number = 0
-        while time.monotonic() < until:
-            number += 1
-            method = ("HEAD", "GET")[number % 2]
-            try:
-                await self.ask(method, f"c{self.number}-{number:04d}")
-            except (OSError, asyncio.IncompleteReadError, asyncio.TimeoutError) as error:
-                self.record(f"c{self.number}-{number:04d}: no answer, {type(error).__name__}")
-                self.close()
-            await asyncio.sleep(PAUSE_S)
-        self.close()
-
-    def close(self):
-        if self.writer is not None:
-            self.writer.close()
-        self.reader = self.writer = None
-
-    async def ask(self, method, name):
-        if self.writer is None:
-            gateway = self.rng.choice(self.deployment.gateways).settings["gateway"]["callers"]
-            host, port = gateway.split(":")
-            self.reader, self.writer = await asyncio.open_connection(host, int(port))
-        text = f"{method} /safe/x HTTP/1.1\r\n"
-        for key, value in request_headers(name, 3000):
-            text += f"{key}: {value}\r\n"
-        self.writer.write(text.encode() + b"\r\n")
-        begin = await asyncio.wait_for(self.reader.readexactly(5), 4.0)
-        if begin != b"HTTP/":
-            rest = await asyncio.wait_for(self.reader.readuntil(b"\r\n"), 4.0)
-            self.broken.append(f"{method} {name}: where its answer should begin the client reads "
-                               f"{(begin + rest)[:90]!r}")
-            self.record(f"MIXED: {self.broken[-1]}")
-            self.close()
-            return
-        first = (begin + await self.reader.readuntil(b"\r\n")).decode("latin-1").strip()
-        answer = standins.Message(first, [])
+from replicas import OPERATORS, SERVERS, Origin, Replica, configuration, request_headers
+
+# Bounds of the site file.
+standins.BOUNDS.update({"drainMs": 3000, "weightsMs": 13400, "configMs": 3000, "retryExtra": 224})
+
+TROUBLE = os.environ.get("TROUBLE", "1")
+GATEWAYS, REPLICAS = 2, 3
+PER_S = 20
+HEARTBEAT_S = 1.2
+FAULT_AT, BACK = 8.0, 0.98  # every process is killed; seconds until they are back
+OTHERS_AFTER = 4.0  # seconds from then to the entries of the other writer
+RECOVERY_S, JUDGED_S = 15.0, 10.0
+
+
+class BeatingReplica(Replica):
+    """Writes its entry about every heartbeat_ms, which tells when it was started."""
+
+    def __init__(self, *args):
+        super().__init__(*args)
+        self.sequence = 0
+        self.born = int(time.time() * 1000)
+        self.beats = None
+
+    def entry(self):
+        return {**super().entry(), "sequence": self.sequence, "born": self.born}
+
+    async def start(self):
+        await self.listen()
+        self.beats = asyncio.ensure_future(self.beat())
+
+    async def beat(self):
         while True:
-            line = (await self.reader.readuntil(b"\r\n")).decode("latin-1").strip()
-            if not line:
-                break
-            answer.headers.append(tuple(part.strip() for part in line.split(":", 1)))
-        # An answer to HEAD ends with its head, whatever that says of a body.
-        if method != "HEAD":
-            length = int(answer.header("Content-Length", "0"))
-            answer.body = await self.reader.readexactly(length)
-        key = f"{method} {answer.status}"
-        self.counts[key] = self.counts.get(key, 0) + 1
-        self.record(f"{method} {name}: {answer.status}, Content-Length "
-                    f"{answer.header('Content-Length', 'none')}, Connection "
-                    f"{answer.header('Connection', 'none')}")
-        if answer.header("Connection").lower() == "close":
-            self.close()
-
-
-async def trouble(replicas, record, begun):
-    if not TROUBLE:
+            self.sequence += 1
+            self.record()
+            await asyncio.sleep(HEARTBEAT_S)
+
+
+async def client(deployment, one, record, rng):
+    gateway = rng.choice(deployment.gateways).settings["gateway"]["callers"]
+    why = ""
+    try:
+        answer = await standins.ask(gateway, "POST", "/safe/x", request_headers(one["name"], 3000),
+                                    b"q", 3.0)
+        one["status"] = answer.status
+        if answer.status != 200:
+            why = answer.body[:80].decode("latin-1")
+    except (OSError, asyncio.IncompleteReadError, asyncio.TimeoutError) as error:
+        why = type(error).__name__
+    record(f"{one['name']} sent at {one['at']:.3f} to {gateway}: {one['status']} {why}")
+
+
+async def load(deployment, sent, record, rng, begun, until):
+    tasks, number = [], 0
+    while time.monotonic() - begun < until:
+        await asyncio.sleep(max(0.0, begun + number / PER_S - time.monotonic()))
+        one = {"name": f"r{number:05d}", "at": time.monotonic() - begun, "status": 0}
+        sent.append(one)
+        tasks.append(asyncio.ensure_future(client(deployment, one, record, rng)))
+        number += 1
+    await asyncio.gather(*tasks)
+
+
+async def trouble(deployment, origin, replicas, record, begun):
+    if TROUBLE == "0":
+        return
+    await asyncio.sleep(begun + FAULT_AT - time.monotonic())
+    deployment.store.write(OPERATORS, "config", configuration(5, origin))
+    record("a configuration is acknowledged, and every process is killed")
+    for process in deployment.gateways:
+        process.end()
+    await asyncio.sleep(BACK)
+    for process in deployment.gateways:
+        process.start()
+    record("every process is started again")
+    if TROUBLE == "final":
         return
-    await asyncio.sleep(begun + CRASH_AT - time.monotonic())
-    record("all replicas crash")
-    for replica in replicas:
-        replica.crash()
-    await asyncio.sleep(DOWN_S)
-    for replica in replicas:
-        await replica.restart()
-    record("all replicas are back")
+    await asyncio.sleep(OTHERS_AFTER)
+    for number, replica in enumerate(replicas):
+        deployment.store.write(SERVERS, f"batch-{number}", {
+            "service": "batch", "address": replica.address, "zone": replica.zone, "version": "v1",
+            "slots": 1, "state": "ready", "cold_left_ms": 0, "sequence": 1})
+        record(f"another writer adds batch-{number} of service batch at {replica.address}")
+
+
+def share(sent):
+    return sum(one["status"] == 200 for one in sent) / max(len(sent), 1)
 
 
 async def play(record):
+    rng = random.Random(7)
     deployment = standins.Deployment()
-    runs = []
+    runs, sent = [], []
     origin = Origin()
-    replicas = [HeadReplica(deployment.store, "plain-svc", deployment.zones[index % 2], runs)
+    replicas = [BeatingReplica(deployment.store, "plain-svc", deployment.zones[index % 2], runs)
                 for index in range(REPLICAS)]
     deployment.others = [origin, *replicas]
-    broken, counts = [], {}
     try:
         await origin.listen()
         deployment.plan_gateways(GATEWAYS)
@@ -130,21 +119,27 @@
         await deployment.start()
         await asyncio.sleep(1.0)
         begun = time.monotonic()
-        clients = [Client(deployment, number, record, broken, counts) for number in range(CLIENTS)]
-        await asyncio.gather(trouble(replicas, record, begun),
-                             *(client.run(begun + LASTS_S) for client in clients))
+        judged_from = FAULT_AT + BACK + RECOVERY_S
+        await asyncio.gather(load(deployment, sent, record, rng, begun, judged_from + JUDGED_S),
+                             trouble(deployment, origin, replicas, record, begun))
     finally:
+        for replica in replicas:
+            if replica.beats is not None:
+                replica.beats.cancel()
         deployment.end()
-    for at, name, replica in runs:
-        record(f"{name} began at {replica} at {at - begun:.3f}")
-    for line in broken[:3]:
-        print(line)
-    text = f"answers: {counts}; MIXED {'broken' if broken else 'held'} ({len(broken)})"
+    for at, name, life in runs:
+        record(f"{name} began at {life} at {at - begun:.3f}")
+    before = [one for one in sent if one["at"] < FAULT_AT]
+    after = [one for one in sent if one["at"] >= judged_from]
+    is_broken = share(before) >= 0.25 and share(after) < 0.25
+    text = (f"served before the final fault: {share(before):.3f} of {len(before)}; "
+            f"sent later than recovery_s after the return: {share(after):.3f} of {len(after)}; "
+            f"RECOVER {'broken' if is_broken else 'held'}")
     record(text)
     print(text)
-    if counts.get("HEAD 200", 0) < 20 or counts.get("GET 200", 0) < 20:
+    if share(before) < 0.25:
         return 2
-    return 1 if broken else 0
+    return 1 if is_broken else 0
 
 
 sys.exit(standins.run_case(play, os.path.join(HERE, "record.txt")))
