Answers: a refusal counts only if it names the request

Cause: on a kept connection, two answers with another request id were skipped and the third was returned whatever its id was. A refusal was judged before its id, so that a late second refusal of an earlier request passed for the refusal of the running one. A refusal without an id did as well.

Change: an answer belongs to a request only if it names it. As many foreign answers are skipped as the connection has carried requests before (2 to 64); beyond that the outcome is unknown and the connection is reset.

--- a/src/libloomjunction/gateway/ports.h
+++ b/src/libloomjunction/gateway/ports.h
@@ -182,7 +182,7 @@
 /** Fields of a replica's response. */
 struct ResponseFields
 {
-    std::string requestId;
+    std::string requestId; ///< that the response answers; empty if not stated unambiguously
     std::string replicaId; ///< of the replica that responded; empty if not stated
     bool isSigned = false;
     bool isNotRun = false; ///< the replica states that it did not run the request
--- a/src/libloomjunction/gateway/replicaattempt.cpp
+++ b/src/libloomjunction/gateway/replicaattempt.cpp
@@ -25,8 +25,10 @@
 // with a request is this much earlier than the time at which the gateway abandons it, so that
 // a replica which still has it queued can report that it was not executed.
 constexpr Milliseconds sRefusalRoundTrip{100};
-// Late responses to earlier requests that may precede the expected one on a reused connection.
-constexpr int sMaxStaleResponses = 2;
+// Responses to other requests that are skipped even if the connection has carried fewer requests.
+constexpr std::size_t sMinForeignResponses = 2;
+// A replica that sends more of them is not waited for, however many requests it has received.
+constexpr std::size_t sMaxForeignResponses = 64;
 // A prompt that crashes replicas does so when they begin to write the answer to it.
 constexpr Milliseconds sMaxTimeToCrash{500};
 // The body of a refusal follows its head at once.
@@ -177,8 +179,9 @@
     co_return co_await classifyResponse(std::move(*head));
 }
 
-// Sends the request and reads response heads until one belongs to it: on a reused connection,
-// a surplus response to an earlier request may come first.
+// Sends the request and reads response heads until one belongs to it. On a reused connection, a
+// second response to each earlier request may come first. The returned head may belong to another
+// request if there are too many of these.
 awaitable<tl::expected<LinkHead, LinkError>> ReplicaAttempt::exchangeHead()
 {
     const HttpRequest &request = mCall.exchange.request();
@@ -189,25 +192,35 @@
                                mCall.exchange.sharedRequest()};
     const auto deadline = steadyTime(mCall.deadline + sMinTimeLeft);
     auto head = co_await mLink->exchange(outgoing, deadline);
-    for (int staleCount = 0; head; ++staleCount) {
+    for (std::size_t foreignCount = 0; head; ++foreignCount) {
         const ResponseFields told = mCall.parts.calls.responseFields(*head);
         noteNotice(told);
-        const std::string &id = told.requestId;
-        const bool isOwn = id == mCall.caller.id || id.empty();
-        if (isOwn || staleCount == sMaxStaleResponses) {
+        const bool isOwn = told.requestId == mCall.caller.id;
+        if (isOwn || foreignCount == maxForeignResponses()) {
             break;
         }
         mCall.parts.metrics.count("foreign_answers", mCall.serviceName);
-        logLine(LogLevel::Warning, "foreign-answer",
-                {{"id", mCall.caller.id}, {"replica", mChosen.id}, {"answerTo", id}});
+        logLine(
+            LogLevel::Warning, "foreign-answer",
+            {{"id", mCall.caller.id}, {"replica", mChosen.id}, {"answerTo", told.requestId}});
         head = co_await mLink->nextHead(deadline);
     }
     co_return std::move(head);
 }
 
+std::size_t ReplicaAttempt::maxForeignResponses() const
+{
+    return std::clamp(mLink->earlierRequestCount(), sMinForeignResponses, sMaxForeignResponses);
+}
+
+// A response that does not name this request says nothing about it, also if it is a refusal.
 awaitable<tl::expected<LinkHead, AttemptOutcome>> ReplicaAttempt::classifyResponse(LinkHead head)
 {
     const ResponseFields fields = mCall.parts.calls.responseFields(head);
+    if (fields.requestId != mCall.caller.id) {
+        mLink->cancel();
+        co_return tl::unexpected(AttemptUnknown{"answer to another request", std::nullopt});
+    }
     if (fields.isNotRun) {
         if (!fields.replicaId.empty() && fields.replicaId != mChosen.id) {
             mCall.parts.replicas.replicas().replaced(mChosen.id, now());
@@ -216,10 +229,6 @@
         }
         co_return tl::unexpected(co_await refusalOutcome(head.status));
     }
-    if (fields.requestId != mCall.caller.id) {
-        mLink->cancel();
-        co_return tl::unexpected(AttemptUnknown{"answer to another request", std::nullopt});
-    }
     const bool isSuccess = head.status / 100 == 2;
     mIsUnframed = !mLink->isFramed();
     noteRate(fields.rate, isSuccess && fields.isSigned);
--- a/src/libloomjunction/gateway/replicaattempt.h
+++ b/src/libloomjunction/gateway/replicaattempt.h
@@ -17,6 +17,7 @@
 #include "quarantineservice.h"
 #include "replicaset.h"
 
+#include <cstddef>
 #include <cstdint>
 #include <memory>
 #include <optional>
@@ -134,6 +135,8 @@
     OutgoingFields outgoingFields() const;
     Milliseconds timeUntilWeightsExpire(std::uint64_t version) const;
     awaitable<tl::expected<LinkHead, LinkError>> exchangeHead();
+    /** Responses to other requests that are skipped before the one to this request. */
+    std::size_t maxForeignResponses() const;
     awaitable<tl::expected<LinkHead, AttemptOutcome>> classifyResponse(LinkHead head);
     AttemptOutcome outcomeOfLinkError(LinkError error) const;
     void noteFirstResponse(bool hasBegun);
--- a/src/libloomjunction/net/httplink.cpp
+++ b/src/libloomjunction/net/httplink.cpp
@@ -114,7 +114,7 @@
     awaitable<tl::expected<LinkHead, LinkError>> exchange(LinkRequest request, Deadline deadline)
     {
         mIsHead = request.method == sHeadMethod;
-        mHasSent = true;
+        ++mSentCount;
         mParser.reset(); // the answer before counts no more
         std::string head = headText(request);
         mStream.expires_at(deadline);
@@ -238,6 +238,7 @@
         mStream.close();
     }
 
+    std::size_t earlierRequestCount() const { return mSentCount > 0 ? mSentCount - 1 : 0; }
     bool isFramed() const { return mFramed; }
     EndlessPart endlessPart() const { return mEndlessPart; }
     std::size_t bodyBytesRead() const { return mBodyBytesRead; }
@@ -270,7 +271,7 @@
     bool isUnderWay() const
     {
         const bool isAnswered = mParser && mParser->is_done();
-        return mHasSent && (mWriting || !isAnswered);
+        return mSentCount > 0 && (mWriting || !isAnswered);
     }
 
     awaitable<beast::error_code> parseHead(Deadline deadline)
@@ -401,7 +402,7 @@
     std::string mPiece;
     BootClock::time_point mUsableUntil;
     bool mIsHead = false;
-    bool mHasSent = false; ///< a request, on this connection
+    std::size_t mSentCount = 0; ///< requests on this connection
     bool mFramed = false;
     bool mWriting = false;
     bool mWriteFailed = false;
@@ -470,6 +471,11 @@
     mImpl->cancel();
 }
 
+std::size_t HttpLink::earlierRequestCount() const
+{
+    return mImpl->earlierRequestCount();
+}
+
 bool HttpLink::isFramed() const
 {
     return mImpl->isFramed();
--- a/src/libloomjunction/net/httplink.h
+++ b/src/libloomjunction/net/httplink.h
@@ -12,6 +12,7 @@
 #include "bootclock.h"
 #include "http.h"
 
+#include <cstddef>
 #include <cstdint>
 #include <functional>
 #include <memory>
@@ -90,6 +91,8 @@
      */
     void cancel();
 
+    /** Requests sent on this connection before the one of the last exchange(). */
+    std::size_t earlierRequestCount() const;
     /** The answer's head states where its body ends; otherwise it ends with the connection. */
     bool isFramed() const;
     /** Length of the body that the answer's head states; empty if it states none. */
