Weights: a manifest that its chunks contradict is read again

Cause: the manifest had arrived spoilt. The chunk of a wrong digest was requested again and again, and a manifest was read only if there was none of that version. A manifest with one digest too few had incomplete weights loaded.

Change: the origin is asked until the same manifest has arrived twice. A chunk that comes from the origin twice with equal bytes that contradict its digest pauses the fetch and has the manifest read again; another one replaces it and keeps the chunks that match.

--- a/src/libloomjunction/core/routetable.h
+++ b/src/libloomjunction/core/routetable.h
@@ -69,6 +69,8 @@
     double meanAnswerTokens = 0;
     std::uint32_t layers = 1;
     std::vector<std::string> models;
+    std::uint32_t chunkCount = 0; ///< chunks of the weights of one version; zero if unknown
+    std::uint32_t chunkBytes = 0; ///< size of a chunk; zero if unknown
 };
 
 /** Origin of model weights. */
--- a/src/libloomjunction/gateway/manifestexchange.cpp
+++ b/src/libloomjunction/gateway/manifestexchange.cpp
@@ -36,6 +36,7 @@
 // milliseconds.
 constexpr Milliseconds sOriginFallbackDelay{600};
 constexpr Milliseconds sRetryDelay{40};
+constexpr std::size_t sMaxOriginReads = 6;
 
 std::uint64_t randomSeed()
 {
@@ -86,19 +87,45 @@
         }
         co_await sleepFor(sRetryDelay);
     }
-    std::string error = "no origin is configured";
-    if (const auto address = mParts.origin()) {
-        const auto manifest = co_await mParts.engine.manifest(*address, model, version);
-        if (manifest) {
-            co_return manifest->text();
-        }
-        error = manifest.error();
+    auto read = co_await readOrigin(model, version);
+    if (read) {
+        co_return read;
     }
     std::string text = co_await fetchFromPeers(model, version, sampleStagers());
     if (!text.empty()) {
         co_return std::move(text);
     }
-    co_return tl::unexpected(std::move(error));
+    co_return read;
+}
+
+// An answer of the origin may arrive spoilt, and nothing in a manifest shows whether it did. Its
+// size is a small part of that of the chunks that would be fetched in vain.
+awaitable<tl::expected<std::string, std::string>>
+ManifestExchange::readOrigin(std::string model, std::uint64_t version)
+{
+    const auto address = mParts.origin();
+    if (!address) {
+        co_return tl::unexpected(std::string("no origin is configured"));
+    }
+    std::vector<std::string> texts;
+    while (texts.size() < sMaxOriginReads && !mStopped) {
+        const auto manifest = co_await mParts.engine.manifest(*address, model, version);
+        if (!manifest && texts.size() == 1) {
+            break;
+        }
+        if (!manifest) {
+            co_return tl::unexpected(manifest.error());
+        }
+        std::string text = manifest->text();
+        if (std::ranges::find(texts, text) != texts.end()) {
+            co_return std::move(text);
+        }
+        texts.push_back(std::move(text));
+    }
+    if (texts.size() != 1) {
+        co_return tl::unexpected(std::string("the origin sent manifests that differ"));
+    }
+    co_return std::move(texts.front());
 }
 
 // A random sample is enough: querying all of hundreds of agents would cost more than it
--- a/src/libloomjunction/gateway/manifestexchange.h
+++ b/src/libloomjunction/gateway/manifestexchange.h
@@ -54,6 +54,12 @@
     /** Fetches the text of a manifest; the error describes the origin's failure. */
     awaitable<tl::expected<std::string, std::string>> fetchManifest(std::string model,
                                                                     std::uint64_t version);
+    /**
+     * Reads the text of a manifest from the origin until it has arrived twice. The error describes
+     * the origin's failure; if it fails after its first answer, that answer is returned.
+     */
+    awaitable<tl::expected<std::string, std::string>> readOrigin(std::string model,
+                                                                 std::uint64_t version);
     /** Fetches the manifest of an older version that peers still fetch; empty if none does. */
     awaitable<std::string> fetchOldestNeeded(std::string model);
     /** Whether one of some random peers fetches the version or has fetched it. */
--- a/src/libloomjunction/gateway/weightstagingservice.cpp
+++ b/src/libloomjunction/gateway/weightstagingservice.cpp
@@ -68,6 +68,9 @@
 constexpr Milliseconds sMinConfirmDelay{500};
 // A joined version of which more than this part is stored is fetched even without a peer.
 constexpr std::uint32_t sMaxUnconfirmedDivisor = 4;
+// Delay between two checks of a manifest that chunks contradict, which doubles.
+constexpr Milliseconds sMinManifestCheckDelay{200};
+constexpr Milliseconds sMaxManifestCheckDelay{5'000};
 // Allows for the current version, the next one, and one after it.
 constexpr std::size_t sMaxFetches = 3;
 
@@ -285,6 +288,7 @@
     const std::uint64_t loaded = loadedVersion(model);
     updateFetches();
     skipFetches(model);
+    co_await checkContradictedManifest(model);
     const bool isFetching = !mFetches.empty() && mFetches.back().id.version >= newest
         && mStore->find(mFetches.back().id.digest) != nullptr;
     // The older version is fetched concurrently, because the manifest of the newest one
@@ -463,6 +467,82 @@
     return it == mFetches.end() ? nullptr : &*it;
 }
 
+// Returns how the manifest differs from the configuration; empty if it does not.
+std::string WeightStagingService::manifestProblem(const Manifest &manifest) const
+{
+    const EngineProfile *engine = engineFigures();
+    if (engine == nullptr) {
+        return {};
+    }
+    const auto problem = [](std::string_view field, std::uint64_t expected, std::uint64_t found) {
+        return std::string(field) + ": expected " + std::to_string(expected) + ", found "
+            + std::to_string(found);
+    };
+    if (engine->chunkCount != 0 && manifest.chunkCount() != engine->chunkCount) {
+        return problem("chunks", engine->chunkCount, manifest.chunkCount());
+    }
+    if (engine->chunkBytes != 0 && manifest.chunkBytes != engine->chunkBytes) {
+        return problem("chunkBytes", engine->chunkBytes, manifest.chunkBytes);
+    }
+    return {};
+}
+
+// Reads the manifest of a fetch again if its chunks contradict it. The manifest may have arrived
+// spoilt here or at the agent that relayed it.
+awaitable<void> WeightStagingService::checkContradictedManifest(std::string model)
+{
+    const auto contradicted = std::ranges::find_if(mFetches, [](const VersionFetch &entry) {
+        return entry.fetch->isManifestContradicted() && now() >= entry.nextManifestCheckAt;
+    });
+    if (contradicted == mFetches.end()) {
+        co_return;
+    }
+    const std::shared_ptr<WeightFetch> fetch = contradicted->fetch;
+    const VersionId id = contradicted->id;
+    const std::uint32_t doublings = std::min(contradicted->manifestCheckCount++, 10U);
+    contradicted->nextManifestCheckAt = now()
+        + std::min<Milliseconds>(sMinManifestCheckDelay * (1 << doublings), sMaxManifestCheckDelay);
+    const auto text = co_await mManifests->readOrigin(model, id.version);
+    const bool isReplaced = text && sha256Hex(*text) != id.digest;
+    mMetrics.count("manifest_checks", !text ? "failed" : isReplaced ? "replaced" : "confirmed");
+    logLine(LogLevel::Warning, "manifest-contradicted",
+            {{"model", model},
+             {"version", id.version},
+             {"replaced", isReplaced},
+             {"problem", text ? std::string() : text.error()}});
+    VersionFetch *entry = findFetch(id.version);
+    if (isReplaced && entry != nullptr && entry->fetch == fetch) {
+        replaceManifest(model, *entry, *text);
+    }
+    fetch->resume();
+}
+
+void WeightStagingService::replaceManifest(const std::string &model, VersionFetch &entry,
+                                           const std::string &text)
+{
+    const auto id = storeManifest(entry.id.version, text);
+    const StoredVersion *earlier = mStore->find(entry.id.digest);
+    const StoredVersion *stored = id ? mStore->find(id->digest) : nullptr;
+    if (stored == nullptr) {
+        return;
+    }
+    const std::uint32_t sharedCount = earlier == nullptr
+        ? 0
+        : std::min(earlier->manifest.chunkCount(), stored->manifest.chunkCount());
+    for (std::uint32_t index = 0; index < sharedCount; ++index) {
+        const bool isSame
+            = earlier->manifest.chunkDigests[index] == stored->manifest.chunkDigests[index];
+        if (earlier->has[index] && isSame) {
+            mStore->put(id->digest, index, earlier->chunks[index]);
+        }
+    }
+    entry.fetch->cancel();
+    entry.id = *id;
+    entry.fetch = launchFetch(model, *id);
+    entry.isAdopted = false;
+    entry.adoptionAttempts = 0;
+}
+
 // Opens the version in the store.
 std::optional<WeightStagingService::VersionId>
 WeightStagingService::storeManifest(std::uint64_t version, const std::string &text)
@@ -472,6 +552,12 @@
         logLine(LogLevel::Error, "manifest-unreadable", {{"problem", manifest.error()}});
         return std::nullopt;
     }
+    if (const std::string problem = manifestProblem(*manifest); !problem.empty()) {
+        mMetrics.count("manifests_refused");
+        logLine(LogLevel::Warning, "manifest-refused",
+                {{"version", version}, {"problem", problem}});
+        return std::nullopt;
+    }
     const VersionId id{version, sha256Hex(text)};
     if (mStore->find(id.digest) == nullptr) {
         mStore->open(id.digest, std::move(*manifest), text);
@@ -714,6 +800,7 @@
         mIngress,
         mFetchCounts,
         [this] { return members(); },
+        [this] { mWakeSignal->notify(); },
         [this] { mWakeSignal->notify(); }};
     auto fetch = std::make_shared<WeightFetch>(VersionTarget{std::to_string(version), id.digest},
                                                options, std::move(parts));
--- a/src/libloomjunction/gateway/weightstagingservice.h
+++ b/src/libloomjunction/gateway/weightstagingservice.h
@@ -69,6 +69,8 @@
         bool isJoined = false;
         std::uint32_t adoptionAttempts = 0;
         bool isAdopted = false; ///< the stage was searched for its chunks
+        std::uint32_t manifestCheckCount = 0; ///< times that its manifest was read again
+        Instant nextManifestCheckAt; ///< earliest time of the next one
     };
 
     awaitable<void> runEnginePolling();
@@ -81,6 +83,9 @@
     awaitable<void> advanceRollout();
     awaitable<bool> startFetch(std::string model, std::uint64_t version);
     std::optional<VersionId> storeManifest(std::uint64_t version, const std::string &text);
+    std::string manifestProblem(const Manifest &manifest) const;
+    awaitable<void> checkContradictedManifest(std::string model);
+    void replaceManifest(const std::string &model, VersionFetch &entry, const std::string &text);
     awaitable<void> joinOlderFetch(std::string model, std::uint64_t newest);
     void updateFetches();
     const std::string *localManifest(std::string_view model, std::uint64_t version) const;
--- a/src/libloomjunction/weights/weightfetch.cpp
+++ b/src/libloomjunction/weights/weightfetch.cpp
@@ -61,6 +61,12 @@
     mProgressSignal.notify();
 }
 
+void WeightFetch::resume()
+{
+    mIsManifestContradicted = false;
+    mProgressSignal.notify();
+}
+
 void WeightFetch::addStored(std::uint32_t index)
 {
     if (mPlan) {
@@ -189,6 +195,10 @@
     while (!mCancelled && !mPlan->isComplete()) {
         mPlan->setMembers(mParts.members());
         followNeighbours();
+        if (mIsManifestContradicted) {
+            co_await mProgressSignal.waitFor(sPlanInterval);
+            continue;
+        }
         const Microseconds debt = mParts.ingress.debt(now());
         if (debt.count() > 0) {
             co_await sleepFor(debt);
@@ -393,21 +403,39 @@
     }
     if (data) {
         mParts.ingress.take(data->size(), now());
-        const bool intact = sha256Hex(*data) == stored->manifest.chunkDigests[fetch.index];
-        if (intact) {
+        std::string digest = sha256Hex(*data);
+        const bool isIntact = digest == stored->manifest.chunkDigests[fetch.index];
+        if (isIntact) {
             mParts.store.put(mTarget.manifestDigest, fetch.index, std::move(*data));
             mPlan->received(fetch.index, fetch.source, now());
             return;
         }
         data = tl::unexpected(ChunkFailure::Corrupt);
-        ++mParts.counts.corruptChunks;
-        logLine(LogLevel::Warning, "chunk-corrupt",
-                {{"version", mTarget.version}, {"index", fetch.index}});
+        noteCorrupt(fetch, std::move(digest));
     }
     logFailure(fetch, data.error());
     mPlan->failed(fetch.index, fetch.source, data.error(), now());
 }
 
+// A chunk that was spoilt on the way differs each time. Equal bytes suggest that the manifest is
+// wrong, and every further request may be in vain.
+void WeightFetch::noteCorrupt(const ChunkFetch &fetch, std::string digest)
+{
+    ++mParts.counts.corruptChunks;
+    logLine(LogLevel::Warning, "chunk-corrupt",
+            {{"version", mTarget.version}, {"index", fetch.index}, {"digest", digest}});
+    if (!std::holds_alternative<FromOrigin>(fetch.source)) {
+        return;
+    }
+    std::string &known = mCorruptDigests[fetch.index];
+    const bool isRepeated = known == digest;
+    known = std::move(digest);
+    if (isRepeated && mParts.onContradiction) {
+        mIsManifestContradicted = true;
+        mParts.onContradiction();
+    }
+}
+
 // Only failed pulls from the origin are logged, because one may delay all members.
 // Neighbours answer "busy" or "missing" dozens of times in a normal fetch.
 void WeightFetch::logFailure(const ChunkFetch &fetch, ChunkFailure why) const
--- a/src/libloomjunction/weights/weightfetch.h
+++ b/src/libloomjunction/weights/weightfetch.h
@@ -16,6 +16,7 @@
 
 #include <cstdint>
 #include <functional>
+#include <map>
 #include <memory>
 #include <set>
 #include <string>
@@ -53,6 +54,7 @@
         FetchCounts &counts;
         std::function<std::vector<SwarmMember>()> members;
         std::function<void()> onComplete;
+        std::function<void()> onContradiction; ///< see isManifestContradicted(); may be empty
     };
 
     WeightFetch(VersionTarget target, ChunkPlan::Options options, Parts parts);
@@ -61,6 +63,13 @@
     static awaitable<void> run(std::shared_ptr<WeightFetch> self);
     void cancel();
 
+    /**
+     * Whether a chunk arrived from the origin twice with the same bytes, which differ from its
+     * digest in the manifest. No further chunks are requested until resume().
+     */
+    bool isManifestContradicted() const { return mIsManifestContradicted; }
+    void resume();
+
     /** Chunk @p index was stored without a request of this fetch. */
     void addStored(std::uint32_t index);
 
@@ -94,6 +103,7 @@
     std::uint32_t maxPeerRequests() const;
     std::chrono::milliseconds chunkTimeout() const;
     void finishFetch(const ChunkFetch &fetch, tl::expected<std::string, ChunkFailure> data);
+    void noteCorrupt(const ChunkFetch &fetch, std::string digest);
 
     VersionTarget mTarget;
     ChunkPlan::Options mOptions;
@@ -106,6 +116,8 @@
     double mMeanChunkSeconds = 0; ///< long-term smoothed transfer time of chunks from neighbours
     Instant mStallLoggedAt;
     bool mCancelled = false;
+    bool mIsManifestContradicted = false;
+    std::map<std::uint32_t, std::string> mCorruptDigests; ///< last from the origin, by chunk
     Signal mProgressSignal;
 };
 
--- a/tests/gateway/stagingfixture.h
+++ b/tests/gateway/stagingfixture.h
@@ -44,6 +44,9 @@
     std::uint32_t servedChunks = 0; ///< number of chunks that the origin served
     std::map<std::uint64_t, std::uint32_t> servedByVersion; ///< servedChunks by version
     std::set<std::uint64_t> missingManifests; ///< versions whose manifest the origin lacks
+    /** Changes the manifest that the origin sends; false: the origin sends none. */
+    std::function<bool(Manifest &manifest)> onManifest;
+    int manifestReads = 0; ///< number of reads of a manifest from the origin
     bool isSuspended = false; ///< it answers nothing, and takes an order when it resumes
     bool isBusy = false; ///< a load that an earlier agent ordered is in progress
     Milliseconds putDuration{0}; ///< time from a write to the stage until it takes effect
@@ -147,7 +150,12 @@
         if (missingManifests.contains(version)) {
             co_return tl::unexpected(std::string("no such version"));
         }
-        co_return manifestOf(version);
+        ++manifestReads;
+        Manifest manifest = manifestOf(version);
+        if (onManifest && !onManifest(manifest)) {
+            co_return tl::unexpected(std::string("broken off"));
+        }
+        co_return manifest;
     }
 
     awaitable<std::optional<std::string>> piece(Tcp::endpoint, std::string, std::uint64_t version,
