Replicas: records at a running replica's address hide it no longer for good

Cause: a later record at the same address counted as a successor, whatever its service and state. Heartbeats with the same content are skipped, so that nothing took that back, and the replica was forgotten.

Change: a record displaces another one only if it is of the same service and not draining, and for 4 s, after which the record of an ended replica has lapsed. A replica that refuses a request for another one and names itself is used again at once, and the other one is not.

OverloadLab::crash() removes the record instead of displacing it, as a displacement ends.

--- a/src/libloomjunction/core/replica.cpp
+++ b/src/libloomjunction/core/replica.cpp
@@ -36,7 +36,8 @@
     if (record.isDraining) {
         return UnavailableReason::Draining;
     }
-    if (removedAt != Instant() && removedAt <= now) {
+    const bool isRemoved = removedAt != Instant() && removedAt <= now;
+    if (isRemoved || now < displacedUntil) {
         return UnavailableReason::Gone;
     }
     if (notices.isLeaving()) {
--- a/src/libloomjunction/core/replica.h
+++ b/src/libloomjunction/core/replica.h
@@ -133,7 +133,7 @@
 enum class UnavailableReason : std::uint8_t
 {
     Nothing, ///< the replica is available
-    Gone, ///< its record was removed, or another incarnation took over its address
+    Gone, ///< its record was removed, or another replica took over its address
     Draining, ///< its record says that it drains
     Leaving, ///< its answers say that it shuts down
     Resting, ///< its answers asked for a pause that has not ended
@@ -172,6 +172,9 @@
     Instant rateLimitedUntil; ///< when the limit or the cold rate permits the next request
     std::deque<Instant> recentSends; ///< send times of this gateway within sSendWindow
     Instant removedAt; ///< when the replica counts as removed; zero: it does not
+    /** Until when another replica counts as running at its address in its stead. */
+    Instant displacedUntil;
+    std::string yieldsTo; ///< id of the replica that answered at its address; empty: none did
     std::string region; ///< of its data centre; empty: unknown
     bool isEvacuated = false; ///< its data centre is evacuated
 
--- a/src/libloomjunction/core/replicaset.cpp
+++ b/src/libloomjunction/core/replicaset.cpp
@@ -29,7 +29,7 @@
 constexpr Milliseconds sDrainMargin{500};
 // The platform removes the record of a replica that has missed three check-ins, each of which
 // is due after some 1.2 s.
-constexpr Milliseconds sConfirmationTime{4'000};
+constexpr Milliseconds sLapseTime{4'000};
 constexpr double sSmoothingWeight = 0.15;
 // Replicas examined for one request: enough to balance their loads, and few enough that a
 // choice among thousands costs the same.
@@ -87,29 +87,49 @@
     return isOrderedByStart ? record.born < other.born : record.position < other.position;
 }
 
-// A restarted replica keeps its address and has a new id. The record of the earlier
-// incarnation stays in the store until it expires.
-void ReplicaSet::retireEarlierIncarnations(const ReplicaRecord &record, Instant now)
+// A replica that restarts under a new id displaces its earlier incarnation, whose record is still
+// in the store. A replica that leaves has not started lately, and another service may have been
+// named by a writer that knows nothing of the replica.
+bool ReplicaSet::mayDisplace(const Replica &replica, const Replica &other)
 {
+    return replica.record.service == other.record.service && !replica.record.isDraining
+        && replica.removedAt == Instant() && replica.yieldsTo != other.record.id;
+}
+
+// The order of two records shows which replica started later, unless another writer added one of
+// them. A record that is still in the store after its lapse is that of a running replica, so the
+// other one is disabled until then only. Heartbeats don't show it: if their content is unchanged,
+// they are not relayed.
+void ReplicaSet::displaceEarlierIncarnations(const ReplicaRecord &record, Instant now)
+{
+    Replica &replica = mReplicas.find(record.id)->second;
     for (auto &[id, other] : mReplicas) {
-        const bool isSameAddress = id != record.id && other.record.address == record.address;
-        if (!isSameAddress) {
+        if (id == record.id || other.record.address != record.address) {
             continue;
         }
-        if (isEarlier(other.record, record)) {
-            replaced(id, now);
-        } else if (other.removedAt == Instant()) {
-            replaced(record.id, now);
+        if (!isEarlier(other.record, record)) {
+            if (mayDisplace(other, replica)) {
+                replica.displacedUntil = now + sLapseTime;
+            }
+        } else if (mayDisplace(replica, other)) {
+            other.displacedUntil = now + sLapseTime;
         }
     }
 }
 
-void ReplicaSet::replaced(std::string_view id, Instant now)
+void ReplicaSet::replaced(std::string_view id, std::string_view by, Instant now)
 {
     const auto it = mReplicas.find(id);
-    if (it != mReplicas.end()
-        && (it->second.removedAt == Instant() || it->second.removedAt > now)) {
-        it->second.removedAt = now;
+    if (it == mReplicas.end()) {
+        return;
+    }
+    it->second.displacedUntil = now + sLapseTime;
+    it->second.yieldsTo = by;
+    const auto answering = mReplicas.find(by);
+    if (answering != mReplicas.end()
+        && answering->second.record.address == it->second.record.address) {
+        answering->second.displacedUntil = Instant();
+        answering->second.yieldsTo.clear();
     }
 }
 
@@ -138,12 +158,15 @@
     replica.record = record;
     replica.record.isDraining = record.isDraining || wasDraining;
     replica.removedAt = Instant();
+    if (replica.yieldsTo.empty()) {
+        replica.displacedUntil = Instant();
+    }
     place(replica);
     replica.cold.perSecond = coldRate(record.service);
     if (record.coldLeft.count() > 0) {
         replica.cold.until = std::max(replica.cold.until, now + record.coldLeft);
     }
-    retireEarlierIncarnations(record, now);
+    displaceEarlierIncarnations(record, now);
 }
 
 double ReplicaSet::coldRate(std::string_view service) const
@@ -176,13 +199,17 @@
     const auto it = mReplicas.find(id);
     if (it != mReplicas.end()) {
         Instant &until = it->second.avoidedUntil;
-        until = std::max(until, now + sConfirmationTime);
+        until = std::max(until, now + sLapseTime);
     }
 }
 
 void ReplicaSet::unreadable(std::string_view id, Instant now)
 {
-    replaced(id, now);
+    const auto it = mReplicas.find(id);
+    if (it != mReplicas.end()
+        && (it->second.removedAt == Instant() || it->second.removedAt > now)) {
+        it->second.removedAt = now;
+    }
 }
 
 void ReplicaSet::remove(std::string_view id, bool trusted, std::optional<Microseconds> maxAge,
--- a/src/libloomjunction/core/replicaset.h
+++ b/src/libloomjunction/core/replicaset.h
@@ -110,8 +110,12 @@
     void awaitConfirmation(std::string_view id, Instant now);
     /** Disables the replica until its next record, because the current one is unreadable. */
     void unreadable(std::string_view id, Instant now);
-    /** Disables the replica @p id, because another replica answered at its address. */
-    void replaced(std::string_view id, Instant now);
+    /**
+     * Disables the replica @p id until its record would have lapsed, because replica @p by answered
+     * at its address; an empty @p by is unknown. If @p by was disabled for the record of @p id, it
+     * is usable again.
+     */
+    void replaced(std::string_view id, std::string_view by, Instant now);
     /** Sets the rates for cold replicas by service; a service without one has no such limit. */
     void setColdRates(std::map<std::string, double, std::less<>> perSecond);
     /**
@@ -195,7 +199,8 @@
     void keepNotices(const Replica &replica, Instant now);
     double coldRate(std::string_view service) const;
     static bool isEarlier(const ReplicaRecord &record, const ReplicaRecord &other);
-    void retireEarlierIncarnations(const ReplicaRecord &record, Instant now);
+    void displaceEarlierIncarnations(const ReplicaRecord &record, Instant now);
+    static bool mayDisplace(const Replica &replica, const Replica &other);
     static void forgiveReloadFailures(Replica &replica, Instant now);
     static void stopAwaitingFirstByte(Replica &replica, bool isPatient);
     static std::string pauseReason(const Replica &replica, Instant now);
--- a/src/libloomjunction/gateway/replicaattempt.cpp
+++ b/src/libloomjunction/gateway/replicaattempt.cpp
@@ -223,7 +223,7 @@
     }
     if (fields.isNotRun) {
         if (!fields.replicaId.empty() && fields.replicaId != mChosen.id) {
-            mCall.parts.replicas.replicas().replaced(mChosen.id, now());
+            mCall.parts.replicas.replicas().replaced(mChosen.id, fields.replicaId, now());
         } else {
             noteRate(fields.rate, false);
         }
--- a/tests/direct/overloadlab.cpp
+++ b/tests/direct/overloadlab.cpp
@@ -659,7 +659,7 @@
     crashed.waiting.clear();
     crashed.active.clear();
     for (ReplicaSet &gateway : mGateways) {
-        gateway.replaced(replicaId(engine), at(mShape.crashAtMs));
+        gateway.remove(replicaId(engine), true, Microseconds(0), at(mShape.crashAtMs));
     }
 }
 
--- a/tests/direct/test_replicaset.cpp
+++ b/tests/direct/test_replicaset.cpp
@@ -617,11 +617,97 @@
         set.put(isLaterFirst ? later : earlier, at(0));
         set.put(isLaterFirst ? earlier : later, at(1));
         BOOST_TEST(chosen(set, query(), at(2)) == "r2");
-        set.replaced("r2", at(3));
+        set.replaced("r2", "", at(3));
         BOOST_TEST(chosen(set, query(), at(4)) == "");
     }
 }
 
+namespace {
+
+constexpr Milliseconds sTwoHeartbeats{2'400};
+constexpr Milliseconds sLapseTime{3'600}; // three heartbeats
+
+/** A record of @p service under another id with the address of @p running, written later. */
+ReplicaRecord recordAtAddressOf(const ReplicaRecord &running, std::string service)
+{
+    ReplicaRecord other = running;
+    other.id = "x" + running.id;
+    other.service = std::move(service);
+    other.position.offset = running.position.offset + 1;
+    return other;
+}
+
+} // namespace
+
+// Another writer added records with the addresses of running replicas. These counted as ended for
+// good, since their later heartbeats had the same content and were skipped.
+BOOST_AUTO_TEST_CASE(record_of_another_service_does_not_hide_the_replica_at_its_address)
+{
+    const ReplicaRecord running = record("r1", "here");
+    for (const bool isOtherFirst : {false, true}) {
+        ReplicaSet set(sDrainTime);
+        const ReplicaRecord other = recordAtAddressOf(running, "batch");
+        set.put(isOtherFirst ? other : running, at(0));
+        set.put(isOtherFirst ? running : other, at(1));
+        BOOST_TEST(chosen(set, query(), at(2)) == "r1");
+    }
+}
+
+BOOST_AUTO_TEST_CASE(draining_record_does_not_hide_the_replica_at_its_address)
+{
+    const ReplicaRecord running = record("r1", "here");
+    ReplicaRecord other = recordAtAddressOf(running, running.service);
+    other.isDraining = true;
+    ReplicaSet set(sDrainTime);
+    set.put(running, at(0));
+    set.put(other, at(1));
+    BOOST_TEST(chosen(set, query(), at(2)) == "r1");
+}
+
+BOOST_AUTO_TEST_CASE(replica_whose_record_outlives_its_lapse_is_used_again)
+{
+    const ReplicaRecord running = record("r1", "here");
+    ReplicaSet set(sDrainTime);
+    set.put(running, at(0));
+    set.put(recordAtAddressOf(running, running.service), at(1));
+    ReplicaQuery request = query();
+    const std::vector<std::string> excluded{"xr1"};
+    request.excluded = excluded;
+    BOOST_TEST(chosen(set, request, at(2)) == "");
+    for (int time = 500; time <= 5'000; time += 500) {
+        set.sweep(at(time));
+    }
+    BOOST_TEST(chosen(set, request, at(1) + sLapseTime + Milliseconds(1'000)) == "r1");
+}
+
+BOOST_AUTO_TEST_CASE(replica_that_answers_at_its_address_is_used_again_at_once)
+{
+    const ReplicaRecord running = record("r1", "here");
+    ReplicaRecord other = recordAtAddressOf(running, running.service);
+    ReplicaSet set(sDrainTime);
+    set.put(running, at(0));
+    set.put(other, at(1));
+    BOOST_TEST(chosen(set, query(), at(2)) == other.id);
+    set.replaced(other.id, running.id, at(3));
+    BOOST_TEST(chosen(set, query(), at(4)) == running.id);
+    // Later records of the other one hide it no more.
+    other.position.offset += 1;
+    other.slots += 1;
+    set.put(other, at(5));
+    BOOST_TEST(chosen(set, query(), at(6)) == running.id);
+}
+
+// The answering replica may have ended since, and the other one may run at the address again.
+BOOST_AUTO_TEST_CASE(replica_that_another_one_answered_for_is_tried_again)
+{
+    const ReplicaRecord running = record("r1", "here");
+    ReplicaSet set(sDrainTime);
+    set.put(running, at(0));
+    set.replaced("r1", "r9", at(1));
+    BOOST_TEST(chosen(set, query(), at(1) + sTwoHeartbeats) == "");
+    BOOST_TEST(chosen(set, query(), at(1) + sLapseTime + Milliseconds(1'000)) == "r1");
+}
+
 // Guards against ordering incarnations by offsets of different eras of the store.
 BOOST_AUTO_TEST_CASE(replica_that_started_after_a_restore_replaces_the_one_at_a_higher_offset)
 {
