Answers: a status outside 100 to 599 is none

Cause: the parser takes any three digits for a status, and nothing checked it. HttpClient also took an interim answer for the one that counts.

Change: findAnswerFault() says what is wrong with the head of an answer; HttpLink and HttpClient both ask it. 101 is refused as well, since no request asks for an upgrade.

The cases of tests/transport fail with the check taken out.

--- /dev/null
+++ b/src/libloomjunction/net/answerhead.h
@@ -0,0 +1,35 @@
+/*
+ * answerhead.h
+ * Copyright 2026, the loomjunction authors
+ *
+ * This file is part of loomjunction (libloomjunction).
+ * SPDX-License-Identifier: BSD-2-Clause
+ */
+
+#pragma once
+
+#include "http.h"
+
+#include <cstdint>
+#include <optional>
+#include <span>
+#include <string_view>
+
+namespace Loom {
+
+/** Why bytes that can be parsed as the head of an answer are none (RFC 9110, RFC 9112). */
+enum class AnswerFault : std::uint8_t
+{
+    Status, ///< outside 100 to 599
+    Upgrade, ///< 101, which no request asks for
+};
+/** Name of @p fault as the label of a metric. */
+std::string_view answerFaultName(AnswerFault fault);
+
+/** Whether an answer with @p status precedes the one that counts. */
+bool isInterimStatus(int status);
+
+/** Returns what is wrong with the head of an answer; nothing if it is one. */
+std::optional<AnswerFault> findAnswerFault(int status, std::span<const HttpHeader> headers);
+
+} // namespace Loom
--- a/src/libloomjunction/net/http.h
+++ b/src/libloomjunction/net/http.h
@@ -143,6 +143,7 @@
     TimedOut, ///< the server may have acted
     Aborted, ///< the data handler gave up
     TooLarge, ///< the answer exceeds HttpCall::maxBodyBytes; the server may have acted
+    Malformed, ///< the head of the answer is none; the server may have acted
 };
 
 struct HttpError
--- a/src/libloomjunction/net/httpclient.cpp
+++ b/src/libloomjunction/net/httpclient.cpp
@@ -8,6 +8,7 @@
 
 #include "http.h"
 
+#include "answerhead.h"
 #include "httpfields.h"
 #include "jsonlog.h"
 
@@ -33,6 +34,8 @@
 // An answer that drips ends after so many pieces' time beyond its own: whoever waits
 // could learn the same elsewhere.
 constexpr int sMostPieceTimes = 4;
+// Heads such as 100 that may precede the one that counts.
+constexpr int sMaxInterimHeads = 8;
 
 } // namespace
 
@@ -40,6 +43,7 @@
 {
 public:
     using Stream = std::unique_ptr<beast::tcp_stream>;
+    using Parser = http::response_parser<http::buffer_body>;
 
     explicit Impl(const asio::any_io_executor &executor)
         : mExecutor(executor)
@@ -189,21 +193,45 @@
         co_return co_await readAnswer(stream, call, onData, deadline);
     }
 
+    // Reads heads until one is not interim; @p parser is left behind that one.
+    static awaitable<tl::expected<HttpResponse, HttpError>>
+    readHead(beast::tcp_stream &stream, beast::flat_buffer &buffer, std::optional<Parser> &parser)
+    {
+        HttpResponse head;
+        for (int interimCount = 0; interimCount <= sMaxInterimHeads; ++interimCount) {
+            parser.emplace();
+            parser->body_limit(boost::none);
+            auto [error, size]
+                = co_await http::async_read_header(stream, buffer, *parser, sAsValue);
+            if (error) {
+                co_return tl::unexpected(failure(error));
+            }
+            head.status = static_cast<int>(parser->get().result_int());
+            head.headers = copyHeaders(parser->get());
+            if (const auto fault = findAnswerFault(head.status, head.headers)) {
+                co_return tl::unexpected(
+                    HttpError{HttpFailure::Malformed,
+                              "the answer is malformed: " + std::string(answerFaultName(*fault))});
+            }
+            if (!isInterimStatus(head.status)) {
+                co_return std::move(head);
+            }
+        }
+        co_return tl::unexpected(HttpError{HttpFailure::Malformed, "too many interim answers"});
+    }
+
     static awaitable<tl::expected<Exchanged, HttpError>>
     readAnswer(beast::tcp_stream &stream, const HttpCall &call, const HttpDataHandler &onData,
                std::chrono::steady_clock::time_point deadline)
     {
         beast::flat_buffer buffer(sMaxBufferBytes);
-        http::response_parser<http::buffer_body> parser;
-        parser.body_limit(boost::none);
-        auto [headError, headSize]
-            = co_await http::async_read_header(stream, buffer, parser, sAsValue);
-        if (headError) {
-            co_return tl::unexpected(failure(headError));
+        std::optional<Parser> heldParser;
+        auto head = co_await readHead(stream, buffer, heldParser);
+        if (!head) {
+            co_return tl::unexpected(head.error());
         }
-        HttpResponse response;
-        response.status = static_cast<int>(parser.get().result_int());
-        response.headers = copyHeaders(parser.get());
+        HttpResponse response = std::move(*head);
+        Parser &parser = *heldParser;
         if (!onData && parser.content_length().value_or(0) > call.maxBodyBytes) {
             co_return tl::unexpected(tooLarge(call));
         }
--- a/src/libloomjunction/net/httplink.cpp
+++ b/src/libloomjunction/net/httplink.cpp
@@ -8,6 +8,7 @@
 
 #include "httplink.h"
 
+#include "answerhead.h"
 #include "httpfields.h"
 
 #include <algorithm>
@@ -148,9 +149,14 @@
             if (error) {
                 co_return tl::unexpected(classify(error));
             }
-            if (mParser->get().result_int() / 100 != 1) {
+            LinkHead head = takeHead();
+            if (findAnswerFault(head.status, head.headers)) {
+                co_return tl::unexpected(LinkError::Malformed);
+            }
+            if (!isInterimStatus(head.status)) {
                 noteProgress();
-                co_return takeHead();
+                noteKeepAlive(head);
+                co_return head;
             }
             mStalledSince.reset();
         }
@@ -297,7 +303,6 @@
         head.status = static_cast<int>(mParser->get().result_int());
         head.headers = copyHeaders(mParser->get());
         mFramed = !mParser->need_eof();
-        noteKeepAlive(head);
         return head;
     }
 
--- a/src/loomjunctiond/callservice.cpp
+++ b/src/loomjunctiond/callservice.cpp
@@ -251,6 +251,7 @@
         return Unknown{abortedBecause};
     case HttpFailure::Cut:
     case HttpFailure::TooLarge:
+    case HttpFailure::Malformed:
         return Unknown{UnknownReason::UpstreamCut};
     }
     return Unknown{UnknownReason::UpstreamCut};
--- a/tests/transport/test_httpclient.cpp
+++ b/tests/transport/test_httpclient.cpp
@@ -151,3 +151,68 @@
     context.run();
     BOOST_TEST(isOver);
 }
+
+namespace {
+
+/** Calls a server that sends @p bytes and closes; returns the answer. */
+tl::expected<HttpResponse, HttpError> answerTo(std::string bytes)
+{
+    asio::io_context context;
+    Tcp::acceptor acceptor(context, Tcp::endpoint(asio::ip::address_v4::loopback(), 0));
+    tl::expected<HttpResponse, HttpError> answer = tl::unexpected(HttpError{});
+    const auto serve = [&]() -> awaitable<void> {
+        auto [error, socket] = co_await acceptor.async_accept(sAsValue);
+        std::string head;
+        const std::string blank = "\r\n\r\n";
+        co_await asio::async_read_until(socket, asio::dynamic_buffer(head), blank, sAsValue);
+        co_await asio::async_write(socket, asio::buffer(bytes), sAsValue);
+    };
+    const auto ask = [&]() -> awaitable<void> {
+        HttpClient client(context.get_executor());
+        HttpCall call;
+        call.endpoint = acceptor.local_endpoint();
+        call.method = "GET";
+        call.target = "/";
+        answer = co_await client.send(std::move(call));
+    };
+    asio::co_spawn(context, serve(), asio::detached);
+    asio::co_spawn(context, ask(), asio::detached);
+    context.run();
+    return answer;
+}
+
+std::string textOf(const std::string &status, const std::string &fields = {})
+{
+    return "HTTP/1.1 " + status + " X\r\n" + fields + "Content-Length: 2\r\n\r\nok";
+}
+
+} // namespace
+
+// Stores, engines and origins are read by this client; a status of 000 counted as theirs.
+BOOST_AUTO_TEST_CASE(an_answer_with_a_status_outside_the_protocol_is_a_failure)
+{
+    BOOST_TEST(answerTo(textOf("200"))->body == "ok");
+    for (const std::string status : {"000", "001", "099", "101", "600", "999"}) {
+        BOOST_TEST_CONTEXT("status " << status)
+        {
+            const auto answer = answerTo(textOf(status));
+            BOOST_REQUIRE(!answer.has_value());
+            BOOST_TEST((answer.error().failure == HttpFailure::Malformed));
+        }
+    }
+}
+
+// An interim answer counted as the answer, and the one that followed as surplus bytes.
+BOOST_AUTO_TEST_CASE(an_interim_answer_precedes_the_one_that_counts)
+{
+    const std::string interim = "HTTP/1.1 103 X\r\nX: y\r\n\r\n";
+    const auto answer = answerTo(interim + interim + textOf("200"));
+    BOOST_REQUIRE(answer.has_value());
+    BOOST_TEST(answer->status == 200);
+    BOOST_TEST(answer->body == "ok");
+    std::string endless;
+    for (int count = 0; count < 20; ++count) {
+        endless += interim;
+    }
+    BOOST_TEST(!answerTo(endless + textOf("200")).has_value());
+}
--- a/tests/transport/test_httplink.cpp
+++ b/tests/transport/test_httplink.cpp
@@ -177,6 +177,21 @@
     });
 }
 
+// Callers got the status 000 as an answer.
+BOOST_AUTO_TEST_CASE(an_answer_with_a_status_outside_the_protocol_is_malformed)
+{
+    for (const std::string status : {"000", "001", "099", "101", "600", "999"}) {
+        const std::string answer = "HTTP/1.1 " + status + " X\r\nContent-Length: 2\r\n\r\nok";
+        withUpstream({answer}, false, [](HttpLink &link) -> awaitable<void> {
+            const LinkRequest request = getRequest();
+            const auto head = co_await link.exchange(request, soon());
+            BOOST_REQUIRE(!head.has_value());
+            BOOST_TEST((head.error() == LinkError::Malformed));
+            BOOST_TEST(!link.isReusable());
+        });
+    }
+}
+
 BOOST_AUTO_TEST_CASE(cancelling_ends_what_is_under_way)
 {
     asio::io_context context;
