Answers: a transfer coding other than chunked is refused

Cause: the parser takes a coding that does not end with "chunked" for a body up to the end of the connection, and drops the others.

Change: findAnswerFault() accepts "chunked" alone, once, and not beside a length. No request of ours asks for another coding.

Evidence: an_answer_in_another_transfer_coding_than_chunked_is_none failed before in 8 of 11 forms and passes now.

--- a/src/libloomjunction/net/answerhead.cpp
+++ b/src/libloomjunction/net/answerhead.cpp
@@ -8,6 +8,10 @@
 
 #include "answerhead.h"
 
+#include <algorithm>
+
+#include <boost/beast/core/string.hpp>
+
 namespace Loom {
 
 namespace {
@@ -17,6 +21,28 @@
 constexpr int sMaxStatus = 599;
 constexpr int sSwitchingProtocols = 101;
 
+bool isNamed(const HttpHeader &header, std::string_view name)
+{
+    return boost::beast::iequals(header.name, name);
+}
+
+// No request asks for another coding, and the body could not be decoded.
+bool isCodingUnknown(std::span<const HttpHeader> headers)
+{
+    const auto isCoding = [](const HttpHeader &header) {
+        return isNamed(header, "Transfer-Encoding");
+    };
+    const auto count = std::ranges::count_if(headers, isCoding);
+    if (count == 0) {
+        return false;
+    }
+    const bool isChunked = boost::beast::iequals(
+        std::ranges::find_if(headers, isCoding)->value, "chunked");
+    const bool hasLength = std::ranges::any_of(
+        headers, [](const HttpHeader &header) { return isNamed(header, "Content-Length"); });
+    return count > 1 || !isChunked || hasLength;
+}
+
 } // namespace
 
 std::string_view answerFaultName(AnswerFault fault)
@@ -26,6 +52,8 @@
         return "status";
     case AnswerFault::Upgrade:
         return "upgrade";
+    case AnswerFault::TransferCoding:
+        return "transfer coding";
     }
     return "unknown";
 }
@@ -36,7 +64,7 @@
 }
 
 std::optional<AnswerFault> findAnswerFault(int status,
-                                           [[maybe_unused]] std::span<const HttpHeader> headers)
+                                           std::span<const HttpHeader> headers)
 {
     if (status < sMinStatus || status > sMaxStatus) {
         return AnswerFault::Status;
@@ -44,6 +72,9 @@
     if (status == sSwitchingProtocols) {
         return AnswerFault::Upgrade;
     }
+    if (isCodingUnknown(headers)) {
+        return AnswerFault::TransferCoding;
+    }
     return std::nullopt;
 }
 
--- a/src/libloomjunction/net/answerhead.h
+++ b/src/libloomjunction/net/answerhead.h
@@ -22,6 +22,7 @@
 {
     Status, ///< outside 100 to 599
     Upgrade, ///< 101, which no request asks for
+    TransferCoding, ///< any but "chunked" alone, or one beside a length
 };
 /** Name of @p fault as the label of a metric. */
 std::string_view answerFaultName(AnswerFault fault);
--- a/tests/answers/test_noanswers.cpp
+++ b/tests/answers/test_noanswers.cpp
@@ -75,3 +75,26 @@
         }
     }
 }
+
+BOOST_AUTO_TEST_CASE(an_answer_in_another_transfer_coding_than_chunked_is_none)
+{
+    const std::string body = chunk("ok") + sLastChunk;
+    const auto coded = [&](const std::string &codings) {
+        return "HTTP/1.1 200 X\r\n" + sOwnId + sSigned + codings + "\r\n" + body;
+    };
+    BOOST_TEST(statusOf("/once/a", coded("Transfer-Encoding: Chunked\r\n")) == 200);
+    const std::vector<std::string> others{
+        "gzip",          "gzip, chunked", "chunked, identity", "xchunked", "identity", "",
+        "chunked;q=1", "chunked, chunked",
+    };
+    for (const std::string &coding : others) {
+        BOOST_TEST_CONTEXT("coding " << coding)
+        {
+            BOOST_TEST(statusOf("/once/a", coded("Transfer-Encoding: " + coding + "\r\n")) == 502);
+        }
+    }
+    const std::string chunked = "Transfer-Encoding: chunked\r\n";
+    BOOST_TEST(statusOf("/once/a", coded(chunked + chunked)) == 502);
+    BOOST_TEST(statusOf("/once/a", coded(chunked + "Content-Length: 2\r\n")) == 502);
+    BOOST_TEST(statusOf("/once/a", coded("Content-Length: 2\r\n" + chunked)) == 502);
+}
