Answers: a part before a reset within the upload is not whole

Callers saw: a replica answered a long upload at once with a 200 without a length, sent a part of its body and reset the connection while the upload was being written. Streams without chunks took the same way.

Cause: an error of a socket is reported once. If the write of the upload received the reset, the read saw an ordinary end, and only the end delimited the answer. That the write had failed was asked only before the connection was used again.

Change: at the end of an answer that only its connection delimits, the request has to be written without an error and acknowledged by the other side, and the connection must report no error. Answers with a length do not wait.

--- a/src/libloomjunction/net/httplink.cpp
+++ b/src/libloomjunction/net/httplink.cpp
@@ -17,6 +17,10 @@
 #include <optional>
 #include <utility>
 
+#include <linux/sockios.h>
+#include <sys/ioctl.h>
+#include <sys/socket.h>
+
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
 #include <boost/asio/write.hpp>
@@ -41,6 +45,9 @@
 constexpr std::string_view sHeadMethod = "HEAD";
 // Heads such as 100 that may precede the one that counts.
 constexpr int sMaxInterimHeads = 8;
+// Interval at which the connection is asked whether the other side has received the request.
+constexpr std::chrono::milliseconds sMinReceiptInterval{1};
+constexpr std::chrono::milliseconds sMaxReceiptInterval{20};
 constexpr std::size_t sMaxSurplusBytes = std::size_t{64} * 1024;
 
 // The seconds in "timeout=5, max=100"; nothing where there are none.
@@ -106,6 +113,7 @@
     Impl(Tcp::socket socket, AnswerLimits limits)
         : mStream(std::move(socket))
         , mLimits(limits)
+        , mWriteEnded(mStream.get_executor())
     {
         boost::system::error_code ignored;
         mStream.socket().set_option(Tcp::no_delay(true), ignored);
@@ -332,6 +340,13 @@
                 = co_await mStream.async_read_some(mBuffer.prepare(sReadBytes), sAsValue);
             mBuffer.commit(size);
             noteArrival(size);
+            const bool isDelimitedByEnd = mParser->is_header_done() && mParser->need_eof();
+            if (readError == asio::error::eof && isDelimitedByEnd) {
+                const bool isReceived = co_await isRequestReceived(deadline);
+                if (!isReceived) {
+                    co_return http::error::partial_message;
+                }
+            }
             if (readError == asio::error::eof && mParser->got_some()) {
                 error = {};
                 mParser->put_eof(error);
@@ -344,6 +359,40 @@
         }
     }
 
+    // An error of a connection is reported once. If the write of the request receives a reset, the
+    // read sees an ordinary end. So an end shows nothing about the answer before all of the request
+    // has been written and acknowledged.
+    awaitable<bool> isRequestReceived(Deadline deadline)
+    {
+        while (mWriting && std::chrono::steady_clock::now() < deadline) {
+            co_await mWriteEnded.waitUntil(deadline);
+        }
+        auto interval = sMinReceiptInterval;
+        while (!mWriting && !mWriteFailed && !mCancelled && unacknowledgedBytes() > 0
+               && std::chrono::steady_clock::now() + interval < deadline) {
+            co_await sleepFor(interval);
+            interval = std::min(2 * interval, sMaxReceiptInterval);
+        }
+        co_return !mWriting && !mWriteFailed && !mCancelled && unacknowledgedBytes() == 0
+            && !hasSocketFailed();
+    }
+
+    // Zero where the system cannot tell.
+    int unacknowledgedBytes()
+    {
+        int bytes = 0;
+        return ::ioctl(mStream.socket().native_handle(), SIOCOUTQ, &bytes) == 0 ? bytes : 0;
+    }
+
+    bool hasSocketFailed()
+    {
+        int error = 0;
+        socklen_t size = sizeof(error);
+        const int result = ::getsockopt(mStream.socket().native_handle(), SOL_SOCKET, SO_ERROR,
+                                        &error, &size);
+        return result != 0 || error != 0;
+    }
+
     void noteArrival(std::size_t size)
     {
         mStalledBytes += size;
@@ -373,6 +422,7 @@
         auto [error, sent] = co_await asio::async_write(self->mStream, parts, sAsValue);
         self->mWriteFailed = bool(error);
         self->mWriting = false;
+        self->mWriteEnded.notify();
     }
 
     void noteKeepAlive(const LinkHead &head)
@@ -402,6 +452,7 @@
 
     beast::tcp_stream mStream;
     const AnswerLimits mLimits;
+    Signal mWriteEnded;
     beast::flat_buffer mBuffer;
     std::optional<http::response_parser<http::buffer_body>> mParser;
     std::string mPiece;
