Answers: a head with a folded line is none

The other 14 forms of malformed names and values got a 502 already; their tests were owed.

Cause: the parser joins folded lines, and its result does not show them.

Change: both clients look at the bytes of the head before they are parsed.

Evidence: an_answer_with_a_malformed_field_is_none failed before for " Leading: x" and passes now with the other 14 forms; HttpClient has a case of its own with nine forms.

--- a/src/libloomjunction/net/answerhead.cpp
+++ b/src/libloomjunction/net/answerhead.cpp
@@ -20,6 +20,7 @@
 constexpr int sMinFinalStatus = 200;
 constexpr int sMaxStatus = 599;
 constexpr int sSwitchingProtocols = 101;
+constexpr std::string_view sHeadEnd = "\r\n\r\n";
 
 bool isNamed(const HttpHeader &header, std::string_view name)
 {
@@ -54,6 +55,8 @@
         return "upgrade";
     case AnswerFault::TransferCoding:
         return "transfer coding";
+    case AnswerFault::FoldedLine:
+        return "folded line";
     }
     return "unknown";
 }
@@ -78,4 +81,16 @@
     return std::nullopt;
 }
 
+std::optional<std::size_t> headLength(std::string_view bytes)
+{
+    const std::size_t end = bytes.find(sHeadEnd);
+    return end == std::string_view::npos ? std::nullopt : std::optional(end + sHeadEnd.size());
+}
+
+bool hasFoldedLine(std::string_view head)
+{
+    return head.find("\n ") != std::string_view::npos
+        || head.find("\n\t") != std::string_view::npos;
+}
+
 } // namespace Loom
--- a/src/libloomjunction/net/answerhead.h
+++ b/src/libloomjunction/net/answerhead.h
@@ -10,6 +10,7 @@
 
 #include "http.h"
 
+#include <cstddef>
 #include <cstdint>
 #include <optional>
 #include <span>
@@ -23,6 +24,7 @@
     Status, ///< outside 100 to 599
     Upgrade, ///< 101, which no request asks for
     TransferCoding, ///< any but "chunked" alone, or one beside a length
+    FoldedLine, ///< a line that begins with a blank, which continues the one before
 };
 /** Name of @p fault as the label of a metric. */
 std::string_view answerFaultName(AnswerFault fault);
@@ -33,4 +35,9 @@
 /** Returns what is wrong with the head of an answer; nothing if it is one. */
 std::optional<AnswerFault> findAnswerFault(int status, std::span<const HttpHeader> headers);
 
+/** Returns the length of the head at the beginning of @p bytes; nothing if it is not complete. */
+std::optional<std::size_t> headLength(std::string_view bytes);
+/** Whether a line of @p head begins with a blank; the parsed headers do not show it. */
+bool hasFoldedLine(std::string_view head);
+
 } // namespace Loom
--- a/src/libloomjunction/net/httpclient.cpp
+++ b/src/libloomjunction/net/httpclient.cpp
@@ -34,6 +34,8 @@
 // An answer that drips ends after so many pieces' time beyond its own: whoever waits
 // could learn the same elsewhere.
 constexpr int sMostPieceTimes = 4;
+// The parser refuses a larger head.
+constexpr std::size_t sMaxHeadBytes = std::size_t{8} * 1024;
 // Heads such as 100 that may precede the one that counts.
 constexpr int sMaxInterimHeads = 8;
 
@@ -193,6 +195,38 @@
         co_return co_await readAnswer(stream, call, onData, deadline);
     }
 
+    static HttpError malformed(AnswerFault fault)
+    {
+        return {HttpFailure::Malformed,
+                "the answer is malformed: " + std::string(answerFaultName(fault))};
+    }
+
+    // Reads until a head is in the buffer, where the parser finds it. A head that ends too early or
+    // is too long is left to the parser.
+    static awaitable<tl::expected<bool, beast::error_code>>
+    hasFoldedHead(beast::tcp_stream &stream, beast::flat_buffer &buffer)
+    {
+        while (true) {
+            const auto data = buffer.cdata();
+            const std::string_view bytes(static_cast<const char *>(data.data()), data.size());
+            if (const auto length = headLength(bytes)) {
+                co_return hasFoldedLine(bytes.substr(0, *length));
+            }
+            if (bytes.size() >= sMaxHeadBytes) {
+                co_return false;
+            }
+            auto [error, size]
+                = co_await stream.async_read_some(buffer.prepare(sMaxHeadBytes), sAsValue);
+            buffer.commit(size);
+            if (error == asio::error::eof) {
+                co_return false;
+            }
+            if (error) {
+                co_return tl::unexpected(error);
+            }
+        }
+    }
+
     // Reads heads until one is not interim; @p parser is left behind that one.
     static awaitable<tl::expected<HttpResponse, HttpError>>
     readHead(beast::tcp_stream &stream, beast::flat_buffer &buffer, std::optional<Parser> &parser)
@@ -201,17 +235,22 @@
         for (int interimCount = 0; interimCount <= sMaxInterimHeads; ++interimCount) {
             parser.emplace();
             parser->body_limit(boost::none);
+            const auto isFolded = co_await hasFoldedHead(stream, buffer);
+            if (!isFolded) {
+                co_return tl::unexpected(failure(isFolded.error()));
+            }
             auto [error, size]
                 = co_await http::async_read_header(stream, buffer, *parser, sAsValue);
             if (error) {
                 co_return tl::unexpected(failure(error));
             }
+            if (*isFolded) {
+                co_return tl::unexpected(malformed(AnswerFault::FoldedLine));
+            }
             head.status = static_cast<int>(parser->get().result_int());
             head.headers = copyHeaders(parser->get());
             if (const auto fault = findAnswerFault(head.status, head.headers)) {
-                co_return tl::unexpected(
-                    HttpError{HttpFailure::Malformed,
-                              "the answer is malformed: " + std::string(answerFaultName(*fault))});
+                co_return tl::unexpected(malformed(*fault));
             }
             if (!isInterimStatus(head.status)) {
                 co_return std::move(head);
--- a/src/libloomjunction/net/httplink.cpp
+++ b/src/libloomjunction/net/httplink.cpp
@@ -158,7 +158,7 @@
                 co_return tl::unexpected(classify(error));
             }
             LinkHead head = takeHead();
-            if (findAnswerFault(head.status, head.headers)) {
+            if (mIsHeadFolded || findAnswerFault(head.status, head.headers)) {
                 co_return tl::unexpected(LinkError::Malformed);
             }
             if (!isInterimStatus(head.status)) {
@@ -295,6 +295,7 @@
         mParser->header_limit(static_cast<std::uint32_t>(mLimits.headBytes));
         mParser->skip(mIsHead);
         mFramed = false;
+        mIsHeadFolded = false;
         mBodyBytesRead = 0;
         while (!mParser->is_header_done()) {
             const auto error = co_await parseNext(deadline, EndlessPart::Head);
@@ -305,6 +306,18 @@
         co_return beast::error_code();
     }
 
+    // The parser takes a head as a whole, so that it is at the beginning of the buffer until then.
+    bool isNextHeadFolded() const
+    {
+        if (mParser->is_header_done()) {
+            return false;
+        }
+        const auto data = mBuffer.cdata();
+        const std::string_view bytes(static_cast<const char *>(data.data()), data.size());
+        const auto length = headLength(bytes);
+        return length && hasFoldedLine(bytes.substr(0, *length));
+    }
+
     LinkHead takeHead()
     {
         LinkHead head;
@@ -323,6 +336,7 @@
         while (true) {
             beast::error_code error;
             if (mBuffer.size() > 0) {
+                mIsHeadFolded = mIsHeadFolded || isNextHeadFolded();
                 mBuffer.consume(mParser->put(mBuffer.data(), error));
                 if (error == http::error::header_limit) {
                     mEndlessPart = EndlessPart::Head;
@@ -460,6 +474,7 @@
     bool mIsHead = false;
     std::size_t mSentCount = 0; ///< requests on this connection
     bool mFramed = false;
+    bool mIsHeadFolded = false;
     bool mWriting = false;
     bool mWriteFailed = false;
     bool mCancelled = false;
--- a/tests/answers/test_noanswers.cpp
+++ b/tests/answers/test_noanswers.cpp
@@ -177,6 +177,22 @@
     }
 }
 
+BOOST_AUTO_TEST_CASE(an_answer_with_a_malformed_field_is_none)
+{
+    const std::vector<std::string> fields{
+        "Bad Name: x",      " Leading: x",         "Trailing : x",        "Tab\tbed: x",
+        "Control\x01: x",   "Delete\x7f: x",       "High\xe9: x",         ": x",
+        "No colon",         "Value: a\x01" "b",    "Value: a\rb",         std::string("Nul\0l: x", 8),
+        "Content-Length : 1", "Transfer-Encoding : chunked", "Content Length: 1",
+    };
+    for (const std::string &field : fields) {
+        BOOST_TEST_CONTEXT("field " << field)
+        {
+            BOOST_TEST(statusOf("/once/a", plainAnswer("200", field + "\r\n")) == 502);
+        }
+    }
+}
+
 BOOST_AUTO_TEST_CASE(an_answer_in_another_transfer_coding_than_chunked_is_none)
 {
     const std::string body = chunk("ok") + sLastChunk;
--- a/tests/transport/test_httpclient.cpp
+++ b/tests/transport/test_httpclient.cpp
@@ -202,6 +202,18 @@
     }
 }
 
+BOOST_AUTO_TEST_CASE(an_answer_with_a_malformed_head_is_a_failure)
+{
+    for (const std::string field :
+         {"Bad Name: x", " Leading: x", "\tLeading: x", "Trailing : x", "Control\x01: x", ": x",
+          "No colon", "Transfer-Encoding: gzip", "Transfer-Encoding: chunked"}) {
+        BOOST_TEST_CONTEXT("field " << field)
+        {
+            BOOST_TEST(!answerTo(textOf("200", field + "\r\n")).has_value());
+        }
+    }
+}
+
 // An interim answer counted as the answer, and the one that followed as surplus bytes.
 BOOST_AUTO_TEST_CASE(an_interim_answer_precedes_the_one_that_counts)
 {
