Answers: no answer to HEAD has a body

Cause: ServerExchange::respond() left out the length for HEAD and sent the body. A stream that answers HEAD ended with its last chunk.

Change: an exchange knows that an answer to HEAD ends with its head, however it is sent.

Evidence: refusals_of_head_requests_have_no_body (401, 404, 503) and the stream of answers_of_replicas_to_head_requests_have_no_body failed before and pass now.

--- a/src/libloomjunction/net/httpserver.cpp
+++ b/src/libloomjunction/net/httpserver.cpp
@@ -218,9 +218,13 @@
         fillHeaders(message, response.headers);
         message.body() = std::move(response.body);
         message.keep_alive(mKeepAlive);
-        if (mRequest->method != sHeadMethod) {
+        // The length of a replica's answer to HEAD is not known here.
+        if (!isHead() || !message.body().empty()) {
             message.prepare_payload();
         }
+        if (isHead()) {
+            message.body().clear();
+        }
         http::response_serializer<http::string_body> serializer(message);
         beast::error_code error;
         while (!error && !serializer.is_done()) {
@@ -247,7 +251,7 @@
 
     awaitable<bool> write(std::string_view data) override
     {
-        if (data.empty()) {
+        if (data.empty() || isHead()) {
             co_return mAlive;
         }
         auto chunk = http::make_chunk(asio::buffer(data.data(), data.size()));
@@ -264,6 +268,9 @@
 
     awaitable<bool> endStream() override
     {
+        if (isHead()) {
+            co_return noteSent(true, true);
+        }
         mWritesSince = now();
         auto [error, sent] = co_await asio::async_write(mStream, http::make_chunk_last(), sAsValue);
         co_return noteSent(!error, true);
@@ -301,6 +308,8 @@
     bool mayContinue() const { return mAlive && mComplete && mKeepAlive; }
 
 private:
+    /** Whether the answer ends with its head. */
+    bool isHead() const { return mRequest->method == sHeadMethod; }
     void decideKeepAlive() { mKeepAlive = mKeepAlive && !mState.isDraining && !mState.isStopped; }
 
     bool noteSent(bool good, bool complete)
