Replicas: a replica that another record hides is named in logs and metrics

A hidden replica counted as gone, so that a refused call did not tell whether records had been removed or displaced. "held" and loom_replicas_held_back name it "displaced" now.

--- a/src/libloomjunction/core/replica.cpp
+++ b/src/libloomjunction/core/replica.cpp
@@ -19,6 +19,8 @@
         return "";
     case UnavailableReason::Gone:
         return "gone";
+    case UnavailableReason::Displaced:
+        return "displaced";
     case UnavailableReason::Draining:
         return "draining";
     case UnavailableReason::Leaving:
@@ -36,10 +38,12 @@
     if (record.isDraining) {
         return UnavailableReason::Draining;
     }
-    const bool isRemoved = removedAt != Instant() && removedAt <= now;
-    if (isRemoved || now < displacedUntil) {
+    if (removedAt != Instant() && removedAt <= now) {
         return UnavailableReason::Gone;
     }
+    if (now < displacedUntil) {
+        return UnavailableReason::Displaced;
+    }
     if (notices.isLeaving()) {
         return UnavailableReason::Leaving;
     }
--- a/src/libloomjunction/core/replica.h
+++ b/src/libloomjunction/core/replica.h
@@ -133,7 +133,8 @@
 enum class UnavailableReason : std::uint8_t
 {
     Nothing, ///< the replica is available
-    Gone, ///< its record was removed, or another replica took over its address
+    Gone, ///< its record was removed
+    Displaced, ///< another replica counts as running at its address
     Draining, ///< its record says that it drains
     Leaving, ///< its answers say that it shuts down
     Resting, ///< its answers asked for a pause that has not ended
--- a/src/libloomjunction/core/replicaset.cpp
+++ b/src/libloomjunction/core/replicaset.cpp
@@ -756,7 +756,8 @@
 std::string ReplicaSet::pauseReason(const Replica &replica, Instant now)
 {
     const UnavailableReason reason = replica.unavailableReason(now);
-    if (reason == UnavailableReason::Leaving || reason == UnavailableReason::Resting) {
+    if (reason == UnavailableReason::Leaving || reason == UnavailableReason::Resting
+        || reason == UnavailableReason::Displaced) {
         return std::string(unavailableReasonName(reason));
     }
     if (reason != UnavailableReason::Nothing || !replica.isAtConcurrencyLimit(now)) {
--- a/src/libloomjunction/core/replicaset.h
+++ b/src/libloomjunction/core/replicaset.h
@@ -135,8 +135,8 @@
      */
     std::optional<Milliseconds> retryDelayIfPaused(const ReplicaQuery &query, Instant now) const;
     /**
-     * Replicas of @p service that are leaving, resting or at their concurrency limit, with
-     * the reason, as log text.
+     * Replicas of @p service that are leaving, resting, displaced or at their concurrency limit,
+     * with the reason, as log text.
      */
     std::string pausedByNotices(std::string_view service, Instant now) const;
     /** Replicas whose agents should be probed before a choice, without those in @p probed. */
--- a/src/libloomjunction/gateway/replicaattempt.cpp
+++ b/src/libloomjunction/gateway/replicaattempt.cpp
@@ -200,9 +200,8 @@
             break;
         }
         mCall.parts.metrics.count("foreign_answers", mCall.serviceName);
-        logLine(
-            LogLevel::Warning, "foreign-answer",
-            {{"id", mCall.caller.id}, {"replica", mChosen.id}, {"answerTo", told.requestId}});
+        logLine(LogLevel::Warning, "foreign-answer",
+                {{"id", mCall.caller.id}, {"replica", mChosen.id}, {"answerTo", told.requestId}});
         head = co_await mLink->nextHead(deadline);
     }
     co_return std::move(head);
--- a/src/libloomjunction/gateway/replicaservice.cpp
+++ b/src/libloomjunction/gateway/replicaservice.cpp
@@ -601,7 +601,7 @@
         limitedCount += isAvailable && replica.isAtConcurrencyLimit(now()) ? 1 : 0;
     }
     for (const UnavailableReason reason :
-         {UnavailableReason::Leaving, UnavailableReason::Resting}) {
+         {UnavailableReason::Leaving, UnavailableReason::Resting, UnavailableReason::Displaced}) {
         mMetrics.set("replicas_held_back", unavailableReasonName(reason), counts[reason]);
     }
     mMetrics.set("replicas_held_back", "limited", limitedCount);
--- a/src/libloomjunction/net/answerhead.cpp
+++ b/src/libloomjunction/net/answerhead.cpp
@@ -30,15 +30,14 @@
 // No request asks for another coding, and the body could not be decoded.
 bool isCodingUnknown(std::span<const HttpHeader> headers)
 {
-    const auto isCoding = [](const HttpHeader &header) {
-        return isNamed(header, "Transfer-Encoding");
-    };
+    const auto isCoding
+        = [](const HttpHeader &header) { return isNamed(header, "Transfer-Encoding"); };
     const auto count = std::ranges::count_if(headers, isCoding);
     if (count == 0) {
         return false;
     }
-    const bool isChunked = boost::beast::iequals(
-        std::ranges::find_if(headers, isCoding)->value, "chunked");
+    const bool isChunked
+        = boost::beast::iequals(std::ranges::find_if(headers, isCoding)->value, "chunked");
     const bool hasLength = std::ranges::any_of(
         headers, [](const HttpHeader &header) { return isNamed(header, "Content-Length"); });
     return count > 1 || !isChunked || hasLength;
@@ -66,8 +65,7 @@
     return status >= sMinStatus && status < sMinFinalStatus;
 }
 
-std::optional<AnswerFault> findAnswerFault(int status,
-                                           std::span<const HttpHeader> headers)
+std::optional<AnswerFault> findAnswerFault(int status, std::span<const HttpHeader> headers)
 {
     if (status < sMinStatus || status > sMaxStatus) {
         return AnswerFault::Status;
--- a/src/libloomjunction/net/httplink.cpp
+++ b/src/libloomjunction/net/httplink.cpp
@@ -402,8 +402,8 @@
     {
         int error = 0;
         socklen_t size = sizeof(error);
-        const int result = ::getsockopt(mStream.socket().native_handle(), SOL_SOCKET, SO_ERROR,
-                                        &error, &size);
+        const int result
+            = ::getsockopt(mStream.socket().native_handle(), SOL_SOCKET, SO_ERROR, &error, &size);
         return result != 0 || error != 0;
     }
 
--- a/tests/answers/test_headrequests.cpp
+++ b/tests/answers/test_headrequests.cpp
@@ -73,8 +73,8 @@
 BOOST_AUTO_TEST_CASE(answers_of_replicas_to_head_requests_have_no_body)
 {
     const auto answersHead = [](const std::string &head) -> ScriptedReplica::Answer {
-        const std::string text = answerText(200, requestIdOf(head),
-                                            "Loomjunction-Response-Signature: s\r\n", "body");
+        const std::string text
+            = answerText(200, requestIdOf(head), "Loomjunction-Response-Signature: s\r\n", "body");
         const bool isHead = head.starts_with("HEAD ");
         return {isHead ? text.substr(0, text.size() - 4) : text, false};
     };
--- a/tests/answers/test_noanswers.cpp
+++ b/tests/answers/test_noanswers.cpp
@@ -57,8 +57,8 @@
 std::string streamAnswer(const std::string &status)
 {
     return "HTTP/1.1 " + status + " X\r\n" + sOwnId + sSigned
-        + "Content-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n"
-        + chunk(event(1)) + sLastChunk;
+        + "Content-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n" + chunk(event(1))
+        + sLastChunk;
 }
 
 constexpr std::size_t sUploadBytes = std::size_t{3} * 1024 * 1024;
@@ -180,10 +180,22 @@
 BOOST_AUTO_TEST_CASE(an_answer_with_a_malformed_field_is_none)
 {
     const std::vector<std::string> fields{
-        "Bad Name: x",      " Leading: x",         "Trailing : x",        "Tab\tbed: x",
-        "Control\x01: x",   "Delete\x7f: x",       "High\xe9: x",         ": x",
-        "No colon",         "Value: a\x01" "b",    "Value: a\rb",         std::string("Nul\0l: x", 8),
-        "Content-Length : 1", "Transfer-Encoding : chunked", "Content Length: 1",
+        "Bad Name: x",
+        " Leading: x",
+        "Trailing : x",
+        "Tab\tbed: x",
+        "Control\x01: x",
+        "Delete\x7f: x",
+        "High\xe9: x",
+        ": x",
+        "No colon",
+        "Value: a\x01"
+        "b",
+        "Value: a\rb",
+        std::string("Nul\0l: x", 8),
+        "Content-Length : 1",
+        "Transfer-Encoding : chunked",
+        "Content Length: 1",
     };
     for (const std::string &field : fields) {
         BOOST_TEST_CONTEXT("field " << field)
@@ -201,8 +213,8 @@
     };
     BOOST_TEST(statusOf("/once/a", coded("Transfer-Encoding: Chunked\r\n")) == 200);
     const std::vector<std::string> others{
-        "gzip",          "gzip, chunked", "chunked, identity", "xchunked", "identity", "",
-        "chunked;q=1", "chunked, chunked",
+        "gzip", "gzip, chunked", "chunked, identity", "xchunked", "identity",
+        "",     "chunked;q=1",   "chunked, chunked",
     };
     for (const std::string &coding : others) {
         BOOST_TEST_CONTEXT("coding " << coding)
--- a/tests/direct/test_replicaset.cpp
+++ b/tests/direct/test_replicaset.cpp
@@ -688,6 +688,7 @@
     set.put(running, at(0));
     set.put(other, at(1));
     BOOST_TEST(chosen(set, query(), at(2)) == other.id);
+    BOOST_TEST(set.pausedByNotices(running.service, at(2)) == "r1 displaced");
     set.replaced(other.id, running.id, at(3));
     BOOST_TEST(chosen(set, query(), at(4)) == running.id);
     // Later records of the other one hide it no more.
--- a/tests/gateway/test_foreignrecords.cpp
+++ b/tests/gateway/test_foreignrecords.cpp
@@ -77,8 +77,7 @@
             fixture.writeConfig(1);
             std::vector<std::string> addresses;
             for (const std::string id : {"i-1", "i-2"}) {
-                addresses.push_back(
-                    fixture.addReplica(id, sPlainService, answersAs(id)).address());
+                addresses.push_back(fixture.addReplica(id, sPlainService, answersAs(id)).address());
             }
             fixture.run([&]() -> awaitable<void> {
                 co_await fixture.waitFor([&] {
@@ -97,8 +96,7 @@
                     int served = 0;
                     for (int number = 0; number < 5; ++number) {
                         const auto response = co_await fixture.call(
-                            "GET", "/safe/a",
-                            std::to_string(round) + "-" + std::to_string(number));
+                            "GET", "/safe/a", std::to_string(round) + "-" + std::to_string(number));
                         served += response && response->status == 200 ? 1 : 0;
                     }
                     BOOST_TEST(served >= 4); // the foreign records may cost some attempts
