Answers: a connection that ends without a head is cut at once

Cause: made HttpClient read on after the end of the connection when it looks for folded lines, where it waited until its deadline.

Change: the end is reported as it comes. The parser still refuses a head that is too long.

--- a/src/libloomjunction/net/httpclient.cpp
+++ b/src/libloomjunction/net/httpclient.cpp
@@ -201,8 +201,8 @@
                 "the answer is malformed: " + std::string(answerFaultName(fault))};
     }
 
-    // Reads until a head is in the buffer, where the parser finds it. A head that ends too early or
-    // is too long is left to the parser.
+    // Reads until a head is in the buffer, where the parser finds it. A head that is too long is
+    // left to the parser.
     static awaitable<tl::expected<bool, beast::error_code>>
     hasFoldedHead(beast::tcp_stream &stream, beast::flat_buffer &buffer)
     {
@@ -218,9 +218,6 @@
             auto [error, size]
                 = co_await stream.async_read_some(buffer.prepare(sMaxHeadBytes), sAsValue);
             buffer.commit(size);
-            if (error == asio::error::eof) {
-                co_return false;
-            }
             if (error) {
                 co_return tl::unexpected(error);
             }
--- a/tests/transport/test_httpclient.cpp
+++ b/tests/transport/test_httpclient.cpp
@@ -202,6 +202,17 @@
     }
 }
 
+// The client waited until its deadline after a server had closed without an answer, so that the
+// agents took engines that broke off for slow ones.
+BOOST_AUTO_TEST_CASE(a_connection_that_ends_without_a_whole_head_is_cut)
+{
+    for (const std::string bytes : {"", "HTTP/1.1 200 X\r\nContent-"}) {
+        const auto answer = answerTo(bytes);
+        BOOST_REQUIRE(!answer.has_value());
+        BOOST_TEST((answer.error().failure == HttpFailure::Cut));
+    }
+}
+
 BOOST_AUTO_TEST_CASE(an_answer_with_a_malformed_head_is_a_failure)
 {
     for (const std::string field :
